--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# The virtual environment can be shared between checkouts: make VENV=/path test
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+LIBS = core wire platform programs policy entry cli
+STAMP = $(VENV)/.installed-requirements
+export PYTHONPATH = $(subst $(eval ) ,:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)/src)):$(CURDIR)/tests:$(CURDIR)
+
+.PHONY: setup demo up test check format bench capacity clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	for l in $(LIBS); do $(BIN)/pip install --quiet --no-deps --no-build-isolation --editable libs/$$l || exit 1; done
+	cp requirements.txt $(STAMP)
+
+demo: setup
+	$(BIN)/python scripts/demo.py
+
+up: setup
+	$(BIN)/python scripts/up.py
+
+test: setup
+	$(BIN)/python scripts/run_tests.py
+
+check: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python scripts/check_imports.py
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: setup
+	$(BIN)/python -m bench
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
+clean:
+	rm -rf $(VENV) var
--- /dev/null
+++ b/libs/core/src/rattanmill_core/metrics.py
@@ -0,0 +1,61 @@
+"""Metrics by OpenTelemetry, exposed in the Prometheus text format."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Counter, Histogram
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
+from prometheus_client import REGISTRY, generate_latest
+
+from rattanmill_core.refusal import Refusal
+
+_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
+
+
+class Metrics:
+    """The instruments of one process.
+
+    Instruments are made on first use; names are listed in docs/METRICS.md.
+    """
+
+    def __init__(self) -> None:
+        view = View(
+            instrument_name="*_seconds",
+            aggregation=ExplicitBucketHistogramAggregation(_SECONDS),
+        )
+        self.provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader()], views=[view]
+        )
+        self.meter = self.provider.get_meter("rattanmill")
+        self.counters: dict[str, Counter] = {}
+        self.histograms: dict[str, Histogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Adds ``amount`` to the counter ``name``."""
+        counter = self.counters.get(name)
+        if counter is None:
+            counter = self.meter.create_counter(name)
+            self.counters[name] = counter
+        counter.add(amount, labels)
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Records a duration in seconds; ``name`` ends with ``_seconds``."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.meter.create_histogram(name, unit="s")
+            self.histograms[name] = histogram
+        histogram.record(seconds, labels)
+
+    def refused(self, refusal: Refusal) -> None:
+        """Counts a refusal sent to a caller, by reason."""
+        self.count("rattanmill_refusals", reason=refusal.reason)
+
+    def retried(self, reason: str) -> None:
+        """Counts a repeated attempt at an endpoint or the store, by reason."""
+        self.count("rattanmill_retries", reason=reason)
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return generate_latest(REGISTRY)
--- /dev/null
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -0,0 +1,136 @@
+"""Refusals: the outcome of a request that got no answer from an endpoint.
+
+Each refusal carries a stable reason, whether the request ran, and when coming
+back helps. The HTTP form is problem details (RFC 9457).
+"""
+
+import enum
+
+import msgspec
+
+
+class Ran(enum.StrEnum):
+    """Whether a refused request was executed by an endpoint."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class Reason(enum.StrEnum):
+    """Stable reasons; each has a row in ``_RULES`` and in docs/METRICS.md."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PROGRAM = "unknown_program"
+    PROGRAM_ENDED = "program_ended"
+    TURN_CONFLICT = "turn_conflict"
+    TURN_GAP = "turn_gap"
+    RECEIPT_INVALID = "receipt_invalid"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_UNRESERVED = "budget_unreserved"
+    LOOP_SUSPECTED = "loop_suspected"
+    ACT_CONFLICT = "act_conflict"
+    ACT_UNKNOWN = "act_unknown"
+    STORE_UNAVAILABLE = "store_unavailable"
+    OWNERSHIP_LOST = "ownership_lost"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    NOT_OWNER = "not_owner"
+    NO_ENDPOINT = "no_endpoint"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ANSWER_CUT = "answer_cut"
+    SHUTTING_DOWN = "shutting_down"
+    CONFIG_CONFLICT = "config_conflict"
+    CONFIG_INVALID = "config_invalid"
+    INTERNAL = "internal"
+
+
+class _Rule(msgspec.Struct, frozen=True):
+    """HTTP status, default for ``ran`` and default seconds to come back."""
+
+    status: int
+    ran: Ran = Ran.NO
+    retry_after: float | None = None
+
+
+_RULES = {
+    Reason.BAD_REQUEST: _Rule(400),
+    Reason.BODY_TOO_LARGE: _Rule(413),
+    Reason.UNAUTHORIZED: _Rule(401),
+    Reason.UNKNOWN_CLASS: _Rule(422),
+    Reason.UNKNOWN_MODEL: _Rule(404),
+    Reason.UNKNOWN_SERVICE: _Rule(404),
+    Reason.UNKNOWN_PROGRAM: _Rule(404),
+    Reason.PROGRAM_ENDED: _Rule(410),
+    Reason.TURN_CONFLICT: _Rule(409),
+    Reason.TURN_GAP: _Rule(409),
+    Reason.RECEIPT_INVALID: _Rule(422),
+    Reason.BUDGET_EXHAUSTED: _Rule(402),
+    Reason.BUDGET_UNRESERVED: _Rule(503, retry_after=2.0),
+    Reason.LOOP_SUSPECTED: _Rule(409),
+    Reason.ACT_CONFLICT: _Rule(409),
+    Reason.ACT_UNKNOWN: _Rule(409, Ran.UNKNOWN),
+    Reason.STORE_UNAVAILABLE: _Rule(503, retry_after=2.0),
+    Reason.OWNERSHIP_LOST: _Rule(503, Ran.UNKNOWN, 1.0),
+    Reason.OWNER_UNREACHABLE: _Rule(503, retry_after=1.0),
+    Reason.NOT_OWNER: _Rule(503, retry_after=1.0),
+    Reason.NO_ENDPOINT: _Rule(503, retry_after=1.0),
+    Reason.OVERLOADED: _Rule(429, retry_after=1.0),
+    Reason.DEADLINE: _Rule(504, Ran.UNKNOWN),
+    Reason.QUARANTINED: _Rule(422),
+    Reason.ENDPOINT_FAILED: _Rule(502, Ran.UNKNOWN, 1.0),
+    Reason.ANSWER_CUT: _Rule(502, Ran.UNKNOWN, 1.0),
+    Reason.SHUTTING_DOWN: _Rule(503, retry_after=0.5),
+    Reason.CONFIG_CONFLICT: _Rule(409),
+    Reason.CONFIG_INVALID: _Rule(422),
+    Reason.INTERNAL: _Rule(500, Ran.UNKNOWN),
+}
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """One refusal, ready to be sent to a caller or to another instance.
+
+    Attributes:
+        reason: Stable reason, see ``Reason``.
+        ran: Whether the request was executed.
+        detail: One sentence for a person.
+        retry_after: Seconds after which coming back helps, or None.
+        expected_turn: Turn that the program expects next, if that is at issue.
+    """
+
+    reason: Reason
+    ran: Ran
+    detail: str
+    retry_after: float | None = None
+    expected_turn: int | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status for this refusal."""
+        return _RULES[self.reason].status
+
+
+def refuse(
+    reason: Reason,
+    detail: str,
+    *,
+    ran: Ran | None = None,
+    retry_after: float | None = None,
+    expected_turn: int | None = None,
+) -> Refusal:
+    """Builds a refusal with the defaults of its reason."""
+    rule = _RULES[reason]
+    return Refusal(
+        reason,
+        rule.ran if ran is None else ran,
+        detail,
+        rule.retry_after if retry_after is None else retry_after,
+        expected_turn,
+    )
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -0,0 +1,190 @@
+"""Puts the parts of the daemon together, and takes them down in order."""
+
+import asyncio
+import contextlib
+import signal
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from rattanmill_core import (
+    ConfigDocument,
+    Metrics,
+    Settings,
+    decode_config,
+    default_config,
+    part_logger,
+)
+from rattanmill_entry.admin import admin_routes
+from rattanmill_entry.gossip import Gossip, take_config
+from rattanmill_entry.http import caller_routes, drained
+from rattanmill_entry.node import Node
+from rattanmill_entry.ownership import Ownership
+from rattanmill_entry.serve import serve
+from rattanmill_platform import (
+    Directory,
+    InstanceLease,
+    InstanceRecord,
+    KvClient,
+    LiveView,
+)
+from rattanmill_platform.lease import new_incarnation
+from rattanmill_platform.live import instance_key
+from rattanmill_policy import EndpointTable, Scheduler
+from rattanmill_wire import PeerHub, load_secret
+
+_log = part_logger("daemon")
+_CONNECTIONS = 4096
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Runs until SIGTERM or SIGINT, then drains.
+
+    Raises:
+        SettingsError: The secret file cannot be used.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _ignore_hangup)
+    async with contextlib.AsyncExitStack() as stack:
+        node = _make_node(settings)
+        node.session = await stack.enter_async_context(_session(settings))
+        node.act_session = await stack.enter_async_context(
+            _session(settings, fresh=True)
+        )
+        gossip = Gossip(node)
+        _make_parts(node, gossip)
+        ownership = Ownership(node)
+        node.live = LiveView(node.kv, lambda: _on_live(node, ownership))
+        await stack.enter_async_context(node.hub)
+        await stack.enter_async_context(node.lease)
+        await stack.enter_async_context(node.live)
+        await stack.enter_async_context(node.directory)
+        await stack.enter_async_context(gossip)
+        await stack.enter_async_context(ownership)
+        runner = await _listen(node)
+        stack.push_async_callback(runner.cleanup)
+        _log.info("Instance {} serves on {}.", settings.name, settings.http)
+        await stop.wait()
+        await _drain(node, ownership)
+
+
+def _ignore_hangup() -> None:
+    _log.info("SIGHUP ignored; settings are read at start only.")
+
+
+def _make_node(settings: Settings) -> Node:
+    node = Node(settings, new_incarnation())
+    node.secret = load_secret(settings.secret_file)
+    node.metrics = Metrics()
+    node.config = default_config(settings.domains)
+    node.table = EndpointTable()
+    node.scheduler = Scheduler(node.table)
+    return node
+
+
+def _session(settings: Settings, fresh: bool = False) -> aiohttp.ClientSession:
+    """Returns a session whose connections start at this instance's address.
+
+    Args:
+        settings: Names the address.
+        fresh: Whether each call gets a connection of its own. On a reused
+            one that the other side has just closed, the library sends PUT
+            and DELETE again by itself, and a call may run twice.
+    """
+    host = settings.http.rsplit(":", 1)[0]
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=_CONNECTIONS, local_addr=(host, 0), force_close=fresh
+        ),
+        auto_decompress=False,
+    )
+
+
+def _make_parts(node: Node, gossip: Gossip) -> None:
+    settings = node.settings
+    node.kv = KvClient(settings.kv, node.session, node.metrics)
+    record = InstanceRecord(
+        settings.name,
+        settings.domain,
+        settings.peer,
+        settings.outside or settings.peer,
+        settings.http,
+        node.incarnation,
+    )
+    node.lease = InstanceLease(
+        node.kv,
+        instance_key(settings.domain, settings.name),
+        msgspec.json.encode(record),
+        settings.lease_seconds,
+    )
+    node.directory = Directory(
+        settings.directory, node.session, node.table.refresh
+    )
+    node.hub = PeerHub(
+        settings.name,
+        settings.peer,
+        node.secret,
+        node.metrics,
+        lambda start: serve(node, start),
+        gossip.notice,
+        node.lease.silence_seconds,
+    )
+
+
+def _on_live(node: Node, ownership: Ownership) -> None:
+    """Takes over what the live view has learned."""
+    node.addresses.update(node.live.instances)
+    node.lease.peers_known = sum(
+        1
+        for record in node.addresses.values()
+        if record.domain == node.settings.domain
+        and record.name != node.settings.name
+    )
+    if node.live.config:
+        document = decode_config(node.live.config)
+        if isinstance(document, ConfigDocument):
+            take_config(node, document)
+        else:
+            _log.error("Stored configuration is wrong: {}", document)
+    ownership.wake.set()
+
+
+async def _listen(node: Node) -> web.AppRunner:
+    app = web.Application(
+        client_max_size=node.settings.body_bytes,
+        middlewares=[_counting(node)],
+    )
+    app.add_routes(admin_routes(node) + caller_routes(node))
+    runner = web.AppRunner(
+        app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+    )
+    await runner.setup()
+    host, port = node.settings.http.rsplit(":", 1)
+    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    return runner
+
+
+def _counting(node: Node):  # noqa: ANN202 - aiohttp's middleware type
+    @web.middleware
+    async def count(request: web.Request, handler) -> web.StreamResponse:  # noqa: ANN001
+        node.in_flight += 1
+        try:
+            return await handler(request)
+        finally:
+            node.in_flight -= 1
+
+    return count
+
+
+async def _drain(node: Node, ownership: Ownership) -> None:
+    """Hands shards over and finishes what is under way."""
+    _log.info("Draining.")
+    node.draining = True
+    await ownership.give_all()
+    if not await drained(node, node.settings.drain_seconds):
+        _log.error("{} requests were cut off.", node.in_flight)
+    _log.info("Drained.")
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -0,0 +1,242 @@
+"""The callers' interface over HTTP; docs/API.md describes it."""
+
+import asyncio
+import contextlib
+import re
+
+from aiohttp import web
+
+from rattanmill_core import (
+    Ran,
+    Reason,
+    Refusal,
+    new_id,
+    parse_program_id,
+    refuse,
+)
+from rattanmill_entry.answers import error_event
+from rattanmill_entry.chatbody import asks_stream
+from rattanmill_entry.lifecycle import parse_parent
+from rattanmill_entry.node import Node
+from rattanmill_entry.problems import problem_body, problem_response
+from rattanmill_entry.route import act_shard, dispatch, home_shard
+from rattanmill_programs import LOOSE_TOKEN
+from rattanmill_wire import (
+    CallKind,
+    CallStart,
+    ReplyChunk,
+    ReplyEnd,
+    ReplyHead,
+    ReplyRefused,
+)
+
+_PROGRAM = "Rattanmill-Program"
+_TURN = "Rattanmill-Turn"
+_HISTORY = "Rattanmill-History"
+_WORKSPACE = "Rattanmill-Workspace"
+_NON_IDEMPOTENT = "Rattanmill-Non-Idempotent"
+_DEADLINE = "Rattanmill-Deadline"
+_KEY = "Idempotency-Key"
+_DEFAULT_SECONDS = 600.0
+_MOST_SECONDS = 3600.0
+_TOKEN = re.compile(r"^[\x21-\x7e]{1,200}$")
+# Headers of callers that services get to see; others stay here.
+_PASSED_ON = frozenset(("accept", "accept-language", "content-type"))
+
+
+def caller_routes(node: Node) -> list[web.RouteDef]:
+    """Returns the routes for callers."""
+
+    async def create(request: web.Request) -> web.StreamResponse:
+        return await _create(node, request)
+
+    async def show(request: web.Request) -> web.StreamResponse:
+        return await _of_program(node, request, CallKind.SHOW)
+
+    async def history(request: web.Request) -> web.StreamResponse:
+        return await _of_program(node, request, CallKind.HISTORY)
+
+    async def end(request: web.Request) -> web.StreamResponse:
+        return await _of_program(node, request, CallKind.END)
+
+    async def chat(request: web.Request) -> web.StreamResponse:
+        return await _chat(node, request)
+
+    async def service(request: web.Request) -> web.StreamResponse:
+        return await _service(node, request)
+
+    return [
+        web.post("/v1/programs", create),
+        web.get("/v1/programs/{program}", show),
+        web.get("/v1/programs/{program}/history", history),
+        web.delete("/v1/programs/{program}", end),
+        web.post("/v1/chat/completions", chat),
+        web.route("*", "/v1/services/{service}/{path:.*}", service),
+    ]
+
+
+async def _create(node: Node, request: web.Request) -> web.StreamResponse:
+    body = await _read_body(node, request)
+    if isinstance(body, Refusal):
+        return problem_response(body, node.metrics)
+    # A sub-agent lives in its parent's shard: its budget is carved out of
+    # the parent's in one commit.
+    parent = parse_program_id(parse_parent(body))
+    shard = home_shard(node)
+    if parent:
+        shard = f"{parent.domain}.{parent.shard}.{LOOSE_TOKEN}"
+    start = _start(request, CallKind.CREATE, shard, body)
+    return await _answer(node, request, start)
+
+
+async def _of_program(
+    node: Node, request: web.Request, kind: CallKind
+) -> web.StreamResponse:
+    program = request.match_info["program"]
+    if parse_program_id(program) is None:
+        refusal = refuse(Reason.UNKNOWN_PROGRAM, "That is no program id.")
+        return problem_response(refusal, node.metrics)
+    start = _start(request, kind, program, b"")
+    return await _answer(node, request, start)
+
+
+async def _chat(node: Node, request: web.Request) -> web.StreamResponse:
+    body = await _read_body(node, request)
+    program = request.headers.get(_PROGRAM, "")
+    if not isinstance(body, Refusal):
+        body = _check_chat(request, program) or body
+    if isinstance(body, Refusal):
+        return problem_response(body, node.metrics)
+    start = _start(request, CallKind.CHAT, program, body)
+    start.turn = int(request.headers.get(_TURN, "0"))
+    start.append = request.headers.get(_HISTORY, "") == "append"
+    start.stream = asks_stream(body)
+    return await _answer(node, request, start)
+
+
+def _check_chat(request: web.Request, program: str) -> Refusal | None:
+    turn = request.headers.get(_TURN, "0")
+    if program and parse_program_id(program) is None:
+        return refuse(Reason.UNKNOWN_PROGRAM, "That is no program id.")
+    if not turn.isdecimal() or len(turn) > 9:
+        return refuse(Reason.BAD_REQUEST, f"{_TURN}: must be a number")
+    return None
+
+
+async def _service(node: Node, request: web.Request) -> web.StreamResponse:
+    body = await _read_body(node, request)
+    if isinstance(body, Refusal):
+        return problem_response(body, node.metrics)
+    key = request.headers.get(_KEY, "")
+    act = request.headers.get(_NON_IDEMPOTENT, "").lower() == "true"
+    program = request.headers.get(_PROGRAM, "")
+    if act and not _TOKEN.match(key):
+        detail = f"{_KEY}: needed, 1 to 200 visible letters"
+        refusal = refuse(Reason.BAD_REQUEST, detail)
+        return problem_response(refusal, node.metrics)
+    if program and parse_program_id(program) is None:
+        refusal = refuse(Reason.UNKNOWN_PROGRAM, "That is no program id.")
+        return problem_response(refusal, node.metrics)
+    if not act:
+        program = ""
+    elif not program:
+        workspace = request.headers.get(_WORKSPACE, "")
+        program = act_shard(node, workspace, key)
+    start = _start(request, CallKind.SERVICE, program, body)
+    start.service = request.match_info["service"]
+    start.method = request.method
+    start.path = request.raw_path.split("/", 4)[4]
+    start.key = key
+    start.act = act
+    return await _answer(node, request, start)
+
+
+def _start(
+    request: web.Request, kind: CallKind, program: str, body: bytes
+) -> CallStart:
+    headers = [
+        (str(name), value)
+        for name, value in request.headers.items()
+        if name.lower() in _PASSED_ON
+    ]
+    try:
+        seconds = float(request.headers.get(_DEADLINE, _DEFAULT_SECONDS))
+    except ValueError:
+        seconds = _DEFAULT_SECONDS
+    return CallStart(
+        call=new_id(),
+        kind=kind,
+        program=program,
+        method=request.method,
+        headers=headers,
+        body=body,
+        workspace=request.headers.get(_WORKSPACE, ""),
+        seconds_left=max(0.0, min(seconds, _MOST_SECONDS)),
+    )
+
+
+async def _read_body(node: Node, request: web.Request) -> bytes | Refusal:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        detail = f"The most is {node.settings.body_bytes} bytes."
+        return refuse(Reason.BODY_TOO_LARGE, detail)
+
+
+async def _answer(
+    node: Node, request: web.Request, start: CallStart
+) -> web.StreamResponse:
+    """Turns the replies of a call into an HTTP answer."""
+    if node.draining and request.transport:
+        request.keep_alive = False
+    node.metrics.count("rattanmill_requests", kind=start.kind)
+    response = None
+    streamed = False
+    async with contextlib.aclosing(dispatch(node, start)) as replies:
+        async for reply in replies:
+            match reply:
+                case ReplyHead():
+                    response = web.StreamResponse(status=reply.status)
+                    for name, value in reply.headers:
+                        response.headers.add(name, value)
+                    streamed = start.stream
+                    await response.prepare(request)
+                case ReplyChunk() if response:
+                    await response.write(reply.data)
+                case ReplyEnd() if response:
+                    await response.write_eof()
+                    return response
+                case ReplyRefused() if response is None:
+                    return problem_response(reply.refusal, node.metrics)
+                case ReplyRefused():
+                    node.metrics.refused(reply.refusal)
+                    await _cut(request, response, reply.refusal, streamed)
+                    return response
+    detail = "The call ended without an answer."
+    refusal = refuse(Reason.INTERNAL, detail, ran=Ran.UNKNOWN)
+    return problem_response(refusal, node.metrics)
+
+
+async def _cut(
+    request: web.Request,
+    response: web.StreamResponse,
+    refusal: Refusal,
+    streamed: bool,
+) -> None:
+    """Ends an answer that has begun so that it cannot pass for a whole one."""
+    if streamed:
+        await response.write(error_event(problem_body(refusal)))
+        await response.write_eof()
+    elif request.transport:
+        request.transport.abort()
+
+
+async def drained(node: Node, seconds: float) -> bool:
+    """Waits until no request is under way; False after ``seconds``."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while node.in_flight:
+        if loop.time() > end:
+            return False
+        await asyncio.sleep(0.02)
+    return True
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/lifecycle.py
@@ -0,0 +1,197 @@
+"""Makes, shows and ends programs at their owner."""
+
+import time
+
+import msgspec
+
+from rattanmill_core import ProgramId, Reason, Refusal, new_id, refuse
+from rattanmill_entry.node import Node
+from rattanmill_entry.replies import JSON_HEADERS, Reply, refused, whole_reply
+from rattanmill_programs import (
+    Committed,
+    Fenced,
+    Program,
+    ProgramCreated,
+    ProgramEnded,
+    Shard,
+)
+from rattanmill_wire import CallStart
+
+
+class BudgetBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Budget as callers write it; what is missing comes from the class."""
+
+    tokens: int | None = None
+    turns: int | None = None
+    seconds: float | None = None
+
+
+class CreateBody(
+    msgspec.Struct, forbid_unknown_fields=True, rename={"klass": "class"}
+):
+    """Body of ``POST /v1/programs``."""
+
+    klass: str = ""
+    workspace: str = ""
+    budget: BudgetBody = msgspec.field(default_factory=BudgetBody)
+    parent: str = ""
+
+
+class _Created(msgspec.Struct):
+    program: str
+
+
+class _BudgetLeft(msgspec.Struct):
+    tokens: int
+    turns: int
+    seconds: float
+
+
+class _Shown(msgspec.Struct, rename={"klass": "class"}):
+    program: str
+    state: str
+    klass: str
+    workspace: str
+    turns: int
+    spent_tokens: int
+    budget_left: _BudgetLeft
+    owner: str
+    parent: str
+
+
+class _HistoryTurn(msgspec.Struct):
+    turn: int
+    base: int
+    messages: list[msgspec.Raw]
+    answer: msgspec.Raw
+
+
+class _History(msgspec.Struct):
+    program: str
+    turns: list[_HistoryTurn]
+    messages: list[msgspec.Raw]
+
+
+async def create(node: Node, shard: Shard, start: CallStart) -> list[Reply]:
+    """Makes a program in this shard."""
+    made = _made(node, shard, start)
+    if isinstance(made, Refusal):
+        return [refused(start, made)]
+    appended = await shard.keep(made)
+    if not isinstance(appended, Committed):
+        # It was not promised to anybody: end it, so that a sub-agent's share
+        # goes back to its parent.
+        await shard.keep(ProgramEnded(made.program, time.time()))
+        if isinstance(appended, Fenced):
+            detail = "Another instance owns the shard now."
+            return [refused(start, refuse(Reason.NOT_OWNER, detail))]
+        detail = "The program cannot be kept while the store is away."
+        return [refused(start, refuse(Reason.STORE_UNAVAILABLE, detail))]
+    body = msgspec.json.encode(_Created(made.program))
+    return whole_reply(start, 201, JSON_HEADERS, body)
+
+
+class _Parent(msgspec.Struct):
+    parent: str = ""
+
+
+def parse_parent(body: bytes) -> str:
+    """Returns the parent a body names; empty if it names none or is broken."""
+    try:
+        return msgspec.json.decode(body, type=_Parent).parent
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
+
+
+def _made(
+    node: Node, shard: Shard, start: CallStart
+) -> ProgramCreated | Refusal:
+    try:
+        body = msgspec.json.decode(start.body, type=CreateBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return refuse(Reason.BAD_REQUEST, str(error))
+    name = body.klass or node.config.default_class
+    klass = node.config.classes.get(name)
+    if klass is None:
+        return refuse(Reason.UNKNOWN_CLASS, f"There is no class '{name}'.")
+    budget = body.budget
+    tokens = _least(budget.tokens, klass.max_tokens)
+    turns = _least(budget.turns, klass.max_turns)
+    seconds = _least(budget.seconds, klass.max_seconds)
+    if min(tokens, turns, seconds) <= 0:
+        return refuse(Reason.BAD_REQUEST, "budget: must be above 0")
+    if body.parent:
+        parent = shard.programs.get(body.parent)
+        if parent is None:
+            return refuse(Reason.UNKNOWN_PROGRAM, "There is no such parent.")
+        if parent.ended is not None:
+            return refuse(Reason.PROGRAM_ENDED, "The parent has ended.")
+        if tokens > parent.tokens_unreserved:
+            detail = f"The parent has {parent.tokens_unreserved} tokens left."
+            return refuse(Reason.BUDGET_EXHAUSTED, detail)
+    program = ProgramId(shard.domain, shard.number, new_id())
+    return ProgramCreated(
+        program=str(program),
+        klass=name,
+        workspace=body.workspace or start.workspace,
+        tokens=int(tokens),
+        turns=int(turns),
+        seconds=seconds,
+        created=time.time(),
+        parent=body.parent,
+    )
+
+
+def _least(wanted: float | None, most: float) -> float:
+    return most if wanted is None else min(wanted, most)
+
+
+def show(node: Node, program: Program, start: CallStart) -> list[Reply]:
+    """Shows a program's state."""
+    made = program.made
+    age = time.time() - made.created
+    shown = _Shown(
+        program=made.program,
+        state="running" if program.ended is None else "ended",
+        klass=made.klass,
+        workspace=made.workspace,
+        turns=len(program.turns),
+        spent_tokens=program.spent,
+        budget_left=_BudgetLeft(
+            program.tokens_left,
+            made.turns - len(program.turns),
+            max(0.0, made.seconds - age),
+        ),
+        owner=node.settings.name,
+        parent=made.parent,
+    )
+    return whole_reply(start, 200, JSON_HEADERS, msgspec.json.encode(shown))
+
+
+def history(program: Program, start: CallStart) -> list[Reply]:
+    """Shows all kept turns and the conversation they add up to."""
+    turns = [
+        _HistoryTurn(
+            turn.number,
+            turn.record.base,
+            [msgspec.Raw(message) for message in turn.record.messages],
+            msgspec.Raw(turn.record.answer),
+        )
+        for turn in program.turns
+    ]
+    messages = [msgspec.Raw(message) for message in program.transcript]
+    body = msgspec.json.encode(_History(program.made.program, turns, messages))
+    return whole_reply(start, 200, JSON_HEADERS, body)
+
+
+async def end(
+    node: Node, shard: Shard, program: Program, start: CallStart
+) -> list[Reply]:
+    """Ends a program after the turn that is under way."""
+    async with program.lock:
+        if program.ended is None:
+            record = ProgramEnded(program.made.program, time.time())
+            if isinstance(await shard.keep(record), Fenced):
+                detail = "Another instance owns the program now."
+                return [refused(start, refuse(Reason.NOT_OWNER, detail))]
+    return show(node, program, start)
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -0,0 +1,62 @@
+"""The context of one daemon, passed to every part."""
+
+import asyncio
+from collections.abc import Coroutine
+
+import aiohttp
+
+from rattanmill_core import ConfigDocument, Metrics, Settings
+from rattanmill_platform import (
+    Directory,
+    InstanceLease,
+    InstanceRecord,
+    KvClient,
+    LiveView,
+)
+from rattanmill_policy import EndpointTable, Scheduler
+from rattanmill_programs import Shard
+from rattanmill_wire import PeerHub, PeerSecret
+
+
+class Node:
+    """What the parts of one daemon share.
+
+    Attributes:
+        settings: This daemon's settings.
+        incarnation: Random id of this run.
+        config: Operators' configuration in force here.
+        shards: Shards owned, by failure domain and number.
+        addresses: Last known record of each instance ever seen.
+        draining: Whether the daemon is shutting down.
+    """
+
+    settings: Settings
+    incarnation: str
+    secret: PeerSecret
+    metrics: Metrics
+    session: aiohttp.ClientSession
+    act_session: aiohttp.ClientSession
+    kv: KvClient
+    lease: InstanceLease
+    live: LiveView
+    directory: Directory
+    table: EndpointTable
+    scheduler: Scheduler
+    hub: PeerHub
+    config: ConfigDocument
+
+    def __init__(self, settings: Settings, incarnation: str) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.shards: dict[tuple[str, int], Shard] = {}
+        self.addresses: dict[str, InstanceRecord] = {}
+        self.draining = False
+        self.tasks: set[asyncio.Task] = set()
+        self.in_flight = 0
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Starts a task that outlives the request that asked for it."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/problems.py
@@ -0,0 +1,51 @@
+"""Refusals as HTTP answers: problem details (RFC 9457)."""
+
+import math
+
+import msgspec
+from aiohttp import web
+
+from rattanmill_core import Metrics, Refusal
+
+_TYPE = "application/problem+json"
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """Body of a refusal."""
+
+    title: str
+    status: int
+    detail: str
+    reason: str
+    ran: str
+    retry_after: float | None = None
+    expected_turn: int | None = None
+
+
+def problem_body(refusal: Refusal) -> bytes:
+    """Returns the JSON body of a refusal."""
+    return msgspec.json.encode(
+        Problem(
+            title=refusal.reason.replace("_", " ").capitalize(),
+            status=refusal.status,
+            detail=refusal.detail,
+            reason=refusal.reason,
+            ran=refusal.ran,
+            retry_after=refusal.retry_after,
+            expected_turn=refusal.expected_turn,
+        )
+    )
+
+
+def problem_response(refusal: Refusal, metrics: Metrics) -> web.Response:
+    """Returns the HTTP answer of a refusal and counts it."""
+    metrics.refused(refusal)
+    headers = {}
+    if refusal.retry_after is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after))
+    return web.Response(
+        status=refusal.status,
+        body=problem_body(refusal),
+        content_type=_TYPE,
+        headers=headers,
+    )
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/replies.py
@@ -0,0 +1,44 @@
+"""Builds the replies of a call, whether it is served here or for a peer."""
+
+from collections.abc import AsyncIterator
+
+from rattanmill_core import Reason, Refusal, refuse
+from rattanmill_wire import (
+    CallStart,
+    ReplyChunk,
+    ReplyEnd,
+    ReplyHead,
+    ReplyRefused,
+)
+
+Reply = ReplyHead | ReplyChunk | ReplyEnd | ReplyRefused
+Replies = AsyncIterator[Reply]
+_CHUNK_BYTES = 256 * 1024
+JSON_HEADERS = [("Content-Type", "application/json")]
+STREAM_HEADERS = [
+    ("Content-Type", "text/event-stream"),
+    ("Cache-Control", "no-cache"),
+]
+
+
+def whole_reply(
+    start: CallStart, status: int, headers: list[tuple[str, str]], body: bytes
+) -> list[Reply]:
+    """Returns the replies of an answer that is complete."""
+    parts = [
+        body[at : at + _CHUNK_BYTES] for at in range(0, len(body), _CHUNK_BYTES)
+    ]
+    chunks = [ReplyChunk(start.call, i, part) for i, part in enumerate(parts)]
+    head = ReplyHead(start.call, status, headers)
+    return [head, *chunks, ReplyEnd(start.call, len(chunks))]
+
+
+def refused(start: CallStart, refusal: Refusal) -> ReplyRefused:
+    """Returns the reply that refuses a call."""
+    return ReplyRefused(start.call, refusal)
+
+
+def ownership_lost(start: CallStart, ran: str) -> ReplyRefused:
+    """Returns the reply of an instance that must not act for a program."""
+    detail = "This instance may not act for the program any more."
+    return refused(start, refuse(Reason.OWNERSHIP_LOST, detail, ran=ran))
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/route.py
@@ -0,0 +1,136 @@
+"""Finds the owner of a call and brings the call there, over at most one hop.
+
+The caller's request may reach any instance. A call that meets a shard without
+an owner waits for the takeover for a bounded time; it is repeated only where
+the owner recognises a repeat (a turn, an act, a question) or it has not run.
+"""
+
+import asyncio
+import hashlib
+import random
+
+from rattanmill_core import Ran, Reason, Refusal, parse_program_id, refuse
+from rattanmill_entry.node import Node
+from rattanmill_entry.replies import Replies, refused
+from rattanmill_entry.serve import serve, serve_loose
+from rattanmill_platform import InstanceRecord, ShardOwner
+from rattanmill_programs import LOOSE_TOKEN
+from rattanmill_wire import CallKind, CallStart, ReplyHead, ReplyRefused
+
+_PATIENCE_LEASES = 3
+_PAUSE_SECONDS = 0.1
+_WORTH_WAITING = (
+    Reason.NOT_OWNER,
+    Reason.OWNER_UNREACHABLE,
+    Reason.OWNERSHIP_LOST,
+)
+
+
+async def dispatch(node: Node, start: CallStart) -> Replies:
+    """Serves a call here or at its owner."""
+    if not start.program:
+        async for reply in serve_loose(node, start):
+            yield reply
+        return
+    loop = asyncio.get_running_loop()
+    patience = _PATIENCE_LEASES * node.settings.lease_seconds
+    deadline = loop.time() + min(patience, start.seconds_left)
+    ran = Ran.NO
+    while True:
+        refusal = None
+        async for reply in _once(node, start):
+            if isinstance(reply, ReplyRefused) and _is_worth_waiting(
+                start, reply.refusal
+            ):
+                refusal = reply.refusal
+                break
+            yield reply
+            if isinstance(reply, ReplyHead):
+                deadline = 0.0
+        if refusal is None:
+            return
+        if refusal.ran is not Ran.NO:
+            ran = refusal.ran
+        if loop.time() >= deadline:
+            yield refused(start, _give_up(refusal, ran))
+            return
+        node.metrics.retried(refusal.reason)
+        await asyncio.sleep(random.uniform(0.5, 1) * _PAUSE_SECONDS)
+
+
+def _is_worth_waiting(start: CallStart, refusal: Refusal) -> bool:
+    if refusal.reason not in _WORTH_WAITING:
+        return False
+    return start.kind is not CallKind.CREATE or refusal.ran is Ran.NO
+
+
+def _give_up(refusal: Refusal, ran: Ran) -> Refusal:
+    """Returns the last refusal, unless an earlier try may have run."""
+    return refuse(
+        refusal.reason,
+        refusal.detail,
+        ran=ran,
+        retry_after=refusal.retry_after,
+    )
+
+
+async def _once(node: Node, start: CallStart) -> Replies:
+    """Makes one try at the owner that is known now."""
+    owned = parse_program_id(start.program)
+    owner = owner_of(node, owned.domain, owned.shard) if owned else None
+    if owned and owned.domain not in node.config.domains:
+        detail = "The program's id names no failure domain of ours."
+        yield refused(start, refuse(Reason.UNKNOWN_PROGRAM, detail))
+    elif owned and (owned.domain, owned.shard) in node.shards:
+        async for reply in serve(node, start):
+            yield reply
+    elif owner is None or owner.name == node.settings.name:
+        detail = "The program has no owner at the moment."
+        yield refused(start, refuse(Reason.NOT_OWNER, detail))
+    else:
+        peer = node.hub.peer(owner.name, peer_address(node, owner))
+        async for reply in peer.call(start):
+            yield reply
+
+
+def owner_of(node: Node, domain: str, shard: int) -> InstanceRecord | None:
+    """Returns the last known record of a shard's owner."""
+    owners = node.live.shards.get(domain)
+    if owners is None or shard >= len(owners.shards):
+        return None
+    owner: ShardOwner = owners.shards[shard]
+    return node.addresses.get(owner.owner)
+
+
+def peer_address(node: Node, record: InstanceRecord) -> str:
+    """Returns the address at which this instance reaches another."""
+    inside = record.domain == node.settings.domain
+    return record.peer if inside else record.outside
+
+
+def home_shard(node: Node) -> str:
+    """Returns a shard for a new program, best one owned by this instance."""
+    domain = node.settings.domain
+    own = [shard for name, shard in node.shards if name == domain]
+    if own:
+        return f"{domain}.{random.choice(own)}.{LOOSE_TOKEN}"
+    plan = node.config.domains.get(domain)
+    count = plan.shards if plan else 1
+    return f"{domain}.{random.randrange(count)}.{LOOSE_TOKEN}"
+
+
+def act_shard(node: Node, workspace: str, key: str) -> str:
+    """Returns the shard of an act that belongs to no program.
+
+    Every instance finds the same one, so that a repeat through another
+    instance meets the first try.
+    """
+    digest = hashlib.sha256(f"{workspace}\n{key}".encode()).digest()
+    number = int.from_bytes(digest[:8], "big")
+    shards = [
+        (domain, shard)
+        for domain in sorted(node.config.domains)
+        for shard in range(node.config.domains[domain].shards)
+    ]
+    domain, shard = shards[number % len(shards)]
+    return f"{domain}.{shard}.{LOOSE_TOKEN}"
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/turns.py
@@ -0,0 +1,402 @@
+"""Runs the turns of programs at their owner, in order, within budget."""
+
+import asyncio
+import time
+
+import msgspec
+
+from rattanmill_core import Ran, Reason, Refusal, refuse
+from rattanmill_entry.answers import (
+    Answer,
+    chunk_event,
+    completion_body,
+    end_events,
+)
+from rattanmill_entry.attempts import ChatRun, run_chat
+from rattanmill_entry.chatbody import (
+    ChatBody,
+    common_messages,
+    parse_chat,
+    prefix_digests,
+    prompt_bound,
+)
+from rattanmill_entry.node import Node
+from rattanmill_entry.replies import (
+    JSON_HEADERS,
+    STREAM_HEADERS,
+    Replies,
+    Reply,
+    ownership_lost,
+    refused,
+    whole_reply,
+)
+from rattanmill_entry.upstream import Delta, Finished, Usage
+from rattanmill_policy import Work
+from rattanmill_programs import (
+    BudgetReserved,
+    Committed,
+    Deferred,
+    Fenced,
+    Program,
+    Shard,
+    TurnKept,
+    open_receipt,
+    seal_receipt,
+)
+from rattanmill_programs.program import next_chain
+from rattanmill_wire import CallStart, ReplyChunk, ReplyEnd, ReplyHead
+
+_RESERVE_SHARE = 8
+_QUEUED_TURNS = 16
+_TURN_HEADER = "Rattanmill-Turn"
+
+
+class _Plan(msgspec.Struct):
+    """A turn that is ready to run.
+
+    Attributes:
+        number: Turn number.
+        chat: The caller's request.
+        messages: The whole conversation for the engine.
+        base: Messages kept of the conversation so far.
+        max_tokens: Most tokens of the answer.
+    """
+
+    number: int
+    chat: ChatBody
+    messages: list[bytes]
+    base: int
+    max_tokens: int
+
+
+class _Queue:
+    """Replies of a turn on their way to whoever still listens."""
+
+    def __init__(self) -> None:
+        self.replies: asyncio.Queue[Reply | None] = asyncio.Queue()
+
+    def put(self, *replies: Reply) -> None:
+        for reply in replies:
+            self.replies.put_nowait(reply)
+
+    def close(self) -> None:
+        self.replies.put_nowait(None)
+
+
+async def run_turn(
+    node: Node, shard: Shard, program: Program, start: CallStart
+) -> Replies:
+    """Runs or repeats one turn of a program.
+
+    The turn goes on when the caller has gone, so that the caller finds its
+    answer when it asks for the same turn again.
+    """
+    queue = _Queue()
+    node.spawn(_run_to_end(node, shard, program, start, queue))
+    while (reply := await queue.replies.get()) is not None:
+        yield reply
+
+
+async def _run_to_end(
+    node: Node,
+    shard: Shard,
+    program: Program,
+    start: CallStart,
+    queue: _Queue,
+) -> None:
+    program.waiting += 1
+    try:
+        with shard.busy():
+            await _run_in_order(node, shard, program, start, queue)
+    finally:
+        program.waiting -= 1
+        queue.close()
+
+
+async def _run_in_order(
+    node: Node,
+    shard: Shard,
+    program: Program,
+    start: CallStart,
+    queue: _Queue,
+) -> None:
+    chat = parse_chat(start.body)
+    if isinstance(chat, str):
+        queue.put(refused(start, refuse(Reason.BAD_REQUEST, chat)))
+        return
+    if program.waiting > _QUEUED_TURNS:
+        detail = "Too many calls of this program are waiting."
+        queue.put(refused(start, refuse(Reason.OVERLOADED, detail)))
+        return
+    async with program.lock:
+        await _run_locked(node, shard, program, start, chat, queue)
+
+
+async def _run_locked(
+    node: Node,
+    shard: Shard,
+    program: Program,
+    start: CallStart,
+    chat: ChatBody,
+    queue: _Queue,
+) -> None:
+    if not node.lease.holds() or shard.log.fenced:
+        queue.put(ownership_lost(start, Ran.NO))
+        return
+    refusal = await _file_receipts(node, shard, program, chat)
+    if refusal:
+        queue.put(refused(start, refusal))
+        return
+    plan = _plan(program, start, chat)
+    if isinstance(plan, Refusal):
+        queue.put(refused(start, plan))
+        return
+    if plan.number <= len(program.turns):
+        queue.put(*_stored_replies(program, start, plan.number))
+        return
+    refusal = _limits(node, program) or await _reserve(shard, program, plan)
+    if refusal:
+        queue.put(refused(start, refusal))
+        return
+    await _run_plan(node, shard, program, start, plan, queue)
+
+
+async def _file_receipts(
+    node: Node, shard: Shard, program: Program, chat: ChatBody
+) -> Refusal | None:
+    """Keeps turns that the caller held receipts for and we do not know."""
+    for text in chat.receipts:
+        turn = open_receipt(node.secret.secret, text)
+        if turn is None or turn.program != program.made.program:
+            detail = "A receipt is not one of this program's."
+            return refuse(Reason.RECEIPT_INVALID, detail)
+        known = len(program.turns)
+        if turn.turn <= known:
+            if program.turns[turn.turn - 1].record.chain != turn.chain:
+                detail = f"Turn {turn.turn} was kept with another answer."
+                return refuse(Reason.TURN_CONFLICT, detail)
+            continue
+        if turn.turn > known + 1 or next_chain(program.chain, turn) != (
+            turn.chain
+        ):
+            detail = "The receipts do not continue the program's history."
+            return refuse(Reason.RECEIPT_INVALID, detail)
+        if isinstance(await shard.keep(turn), Fenced):
+            detail = "Another instance owns the program now."
+            return refuse(Reason.OWNERSHIP_LOST, detail, ran=Ran.NO)
+    return None
+
+
+def _plan(
+    program: Program, start: CallStart, chat: ChatBody
+) -> _Plan | Refusal:
+    """Returns what to run, or which stored turn to repeat."""
+    if program.ended is not None:
+        return refuse(Reason.PROGRAM_ENDED, "The program has ended.")
+    known = len(program.turns)
+    number = start.turn or known + 1
+    if number > known + 1:
+        detail = f"Turn {known + 1} comes next, not {number}."
+        return refuse(Reason.TURN_GAP, detail, expected_turn=known + 1)
+    if number <= known:
+        if program.turns[number - 1].record.digest != chat.digest:
+            detail = f"Turn {number} was kept with another request."
+            return refuse(Reason.TURN_CONFLICT, detail, expected_turn=known + 1)
+        return _Plan(number, chat, [], 0, 0)
+    if start.append:
+        base = len(program.transcript)
+        messages = program.transcript + chat.messages
+    else:
+        base = common_messages(program.transcript, chat.messages)
+        messages = chat.messages
+    return _Plan(number, chat, messages, base, chat.max_tokens)
+
+
+def _limits(node: Node, program: Program) -> Refusal | None:
+    """Refuses a turn beyond the program's turns, time or patience."""
+    made = program.made
+    if len(program.turns) >= made.turns:
+        detail = f"All {made.turns} turns of the budget are used."
+        return refuse(Reason.BUDGET_EXHAUSTED, detail)
+    if time.time() > made.created + made.seconds:
+        detail = f"The budget of {made.seconds:.0f} s has run out."
+        return refuse(Reason.BUDGET_EXHAUSTED, detail)
+    return None
+
+
+async def _reserve(
+    shard: Shard, program: Program, plan: _Plan
+) -> Refusal | None:
+    """Reserves the most the turn can cost, ahead of sending it."""
+    prompt = _prompt_bound(program, plan)
+    left = program.tokens_left - prompt
+    if left < 1:
+        detail = f"{program.tokens_left} tokens are left of the budget."
+        return refuse(Reason.BUDGET_EXHAUSTED, detail)
+    plan.max_tokens = min(plan.max_tokens, left)
+    need = program.spent + prompt + plan.max_tokens
+    if need <= program.reserved:
+        return None
+    ahead = program.made.tokens // _RESERVE_SHARE
+    record = BudgetReserved(
+        program.made.program, min(program.made.tokens, need + ahead)
+    )
+    appended = await shard.commit(record)
+    if isinstance(appended, Committed):
+        return None
+    if isinstance(appended, Fenced):
+        detail = "Another instance owns the program now."
+        return refuse(Reason.OWNERSHIP_LOST, detail, ran=Ran.NO)
+    detail = "Budget cannot be reserved while the store is away."
+    return refuse(Reason.BUDGET_UNRESERVED, detail)
+
+
+def _prompt_bound(program: Program, plan: _Plan) -> int:
+    """Returns the most tokens the prompt can have.
+
+    What the last turn's usage says of the conversation so far is exact; only
+    messages since then are counted by their bytes.
+    """
+    if program.turns and plan.base == len(program.transcript):
+        last = program.turns[-1].record
+        known = last.prompt_tokens + last.completion_tokens
+        return known + prompt_bound(plan.messages[plan.base :]) + 16
+    return prompt_bound(plan.messages)
+
+
+async def _run_plan(
+    node: Node,
+    shard: Shard,
+    program: Program,
+    start: CallStart,
+    plan: _Plan,
+    queue: _Queue,
+) -> None:
+    answer = Answer()
+    run = _chat_run(shard, program, start, plan)
+    sent = 0
+    async for part in run_chat(node, run):
+        match part:
+            case Delta():
+                answer.add(part)
+                if start.stream:
+                    if not sent:
+                        queue.put(_stream_head(start, plan.number))
+                    event = chunk_event(
+                        start.call, plan.chat.model, part.fields, None
+                    )
+                    queue.put(ReplyChunk(start.call, sent, event))
+                    sent += 1
+            case Refusal():
+                queue.put(refused(start, part))
+                return
+            case Finished():
+                await _finish(
+                    node, shard, program, start, plan, queue, answer, part, sent
+                )
+
+
+def _chat_run(
+    shard: Shard, program: Program, start: CallStart, plan: _Plan
+) -> ChatRun:
+    made = program.made
+    work = Work(
+        program=made.program,
+        klass=made.klass,
+        workspace=made.workspace,
+        model=plan.chat.model,
+        prefixes=prefix_digests(plan.chat.model, plan.messages),
+        prompt_tokens=sum(len(m) // 4 + 1 for m in plan.messages),
+        output_tokens=plan.max_tokens,
+        seconds_left=start.seconds_left,
+        age_seconds=max(0.0, time.time() - made.created),
+        body_digest=plan.chat.digest,
+    )
+    fence = f"{shard.domain}.{shard.number}:{shard.epoch}"
+    return ChatRun(plan.chat, plan.messages, plan.max_tokens, work, fence)
+
+
+async def _finish(
+    node: Node,
+    shard: Shard,
+    program: Program,
+    start: CallStart,
+    plan: _Plan,
+    queue: _Queue,
+    answer: Answer,
+    end: Finished,
+    sent: int,
+) -> None:
+    """Keeps the turn, and only then lets the caller see its end."""
+    if not node.lease.holds():
+        queue.put(ownership_lost(start, Ran.UNKNOWN))
+        return
+    turn = _turn_record(program, plan, answer.message(), end)
+    appended = await shard.keep(turn)
+    if isinstance(appended, Fenced) or not node.lease.holds():
+        queue.put(ownership_lost(start, Ran.UNKNOWN))
+        return
+    extra: dict = {"program": program.made.program, "turn": plan.number}
+    if isinstance(appended, Deferred):
+        extra["receipt"] = seal_receipt(node.secret.secret, turn)
+        node.metrics.count("rattanmill_receipts")
+    if not start.stream:
+        body = completion_body(start.call, turn.model, turn.answer, end, extra)
+        headers = [*JSON_HEADERS, (_TURN_HEADER, str(plan.number))]
+        queue.put(*whole_reply(start, 200, headers, body))
+        return
+    if not sent:
+        queue.put(_stream_head(start, plan.number))
+    last = end_events(start.call, turn.model, end, extra)
+    queue.put(
+        ReplyChunk(start.call, sent, last), ReplyEnd(start.call, sent + 1)
+    )
+
+
+def _turn_record(
+    program: Program, plan: _Plan, message: bytes, end: Finished
+) -> TurnKept:
+    usage = end.usage
+    spent = program.spent + usage.prompt_tokens + usage.completion_tokens
+    turn = TurnKept(
+        program=program.made.program,
+        turn=plan.number,
+        digest=plan.chat.digest,
+        base=plan.base,
+        messages=plan.messages[plan.base :],
+        answer=message,
+        finish=end.finish,
+        model=plan.chat.model,
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        # An engine that reports more than it was allowed is at fault; the
+        # budget's promise is about what we let it spend.
+        spent=min(spent, program.reserved),
+        chain=b"",
+    )
+    chain = next_chain(program.chain, turn)
+    return msgspec.structs.replace(turn, chain=chain)
+
+
+def _stream_head(start: CallStart, number: int) -> ReplyHead:
+    headers = [*STREAM_HEADERS, (_TURN_HEADER, str(number))]
+    return ReplyHead(start.call, 200, headers)
+
+
+def _stored_replies(
+    program: Program, start: CallStart, number: int
+) -> list[Reply]:
+    """Returns the answer of a turn that was kept before."""
+    turn = program.turns[number - 1].record
+    end = Finished(
+        turn.finish, Usage(turn.prompt_tokens, turn.completion_tokens)
+    )
+    extra = {"program": turn.program, "turn": number, "repeated": True}
+    headers = [(_TURN_HEADER, str(number)), ("Rattanmill-Repeated", "true")]
+    if not start.stream:
+        body = completion_body(start.call, turn.model, turn.answer, end, extra)
+        return whole_reply(start, 200, [*JSON_HEADERS, *headers], body)
+    message = msgspec.Raw(turn.answer)
+    body = chunk_event(start.call, turn.model, message, None)
+    body += end_events(start.call, turn.model, end, extra)
+    return whole_reply(start, 200, [*STREAM_HEADERS, *headers], body)
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -0,0 +1,214 @@
+"""Calls to endpoints: model engines and plain services."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from rattanmill_policy import Outcome
+
+_CONNECT_SECONDS = 2.0
+_SILENCE_SECONDS = 60.0
+_EVENT_BYTES = 1024 * 1024
+
+
+class Usage(msgspec.Struct):
+    """Tokens an engine reports for a call."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class Delta(msgspec.Struct):
+    """Part of an answer as it arrives.
+
+    Attributes:
+        fields: The ``delta`` object of the first choice.
+        event: JSON of the whole event.
+    """
+
+    fields: dict
+    event: bytes
+
+
+class Finished(msgspec.Struct):
+    """The whole answer has arrived."""
+
+    finish: str
+    usage: Usage
+
+
+class Failed(msgspec.Struct):
+    """The attempt ended without a whole answer.
+
+    Attributes:
+        outcome: How it ended.
+        status: HTTP status, or 0.
+        detail: What went wrong, or the endpoint's own body.
+    """
+
+    outcome: Outcome
+    status: int
+    detail: str
+
+
+class ServiceAnswer(msgspec.Struct):
+    """Answer of a plain service."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class _PromptDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _WireUsage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _PromptDetails | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: dict = msgspec.field(default_factory=dict)
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = msgspec.field(default_factory=list)
+    usage: _WireUsage | None = None
+
+
+_EVENT = msgspec.json.Decoder(_Event)
+_HOP_HEADERS = frozenset(
+    ("connection", "content-length", "date", "server", "transfer-encoding")
+)
+
+
+async def stream_chat(
+    session: aiohttp.ClientSession,
+    url: str,
+    body: bytes,
+    headers: dict[str, str],
+) -> AsyncIterator[Delta | Finished | Failed]:
+    """Runs a chat call; the last thing yielded is Finished or Failed.
+
+    An answer counts as whole only when it had a finish reason, a usage and
+    the ``[DONE]`` line: a connection that ends early looks like a short
+    answer otherwise.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=None, sock_connect=_CONNECT_SECONDS, sock_read=_SILENCE_SECONDS
+    )
+    finish = ""
+    usage = None
+    headers = {"Content-Type": "application/json", **headers}
+    try:
+        async with session.post(
+            f"{url}/v1/chat/completions",
+            data=body,
+            headers=headers,
+            timeout=timeout,
+        ) as answer:
+            if answer.status != 200:
+                yield await _rejected(answer)
+                return
+            async for data in _events(answer.content):
+                if data == b"[DONE]":
+                    if finish and usage:
+                        yield Finished(finish, usage)
+                    else:
+                        yield Failed(Outcome.BROKEN, 0, "no end of answer")
+                    return
+                event = _EVENT.decode(data)
+                if event.usage:
+                    usage = _usage(event.usage)
+                if event.choices:
+                    choice = event.choices[0]
+                    finish = choice.finish_reason or finish
+                    if choice.delta:
+                        yield Delta(choice.delta, data)
+        yield Failed(Outcome.BROKEN, 0, "stream cut")
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
+        yield Failed(Outcome.NOT_CONNECTED, 0, str(e))
+    except TimeoutError:
+        yield Failed(Outcome.TIMED_OUT, 0, "no token for too long")
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        yield Failed(Outcome.BROKEN, 0, str(error) or "connection lost")
+
+
+async def _rejected(answer: aiohttp.ClientResponse) -> Failed:
+    detail = (await answer.read())[:4096].decode(errors="replace")
+    draining = answer.status == 503
+    outcome = Outcome.DRAINING if draining else Outcome.REJECTED
+    return Failed(outcome, answer.status, detail)
+
+
+async def _events(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Yields the data of each server-sent event."""
+    rest = b""
+    async for part in content.iter_any():
+        rest += part
+        *events, rest = rest.split(b"\n\n")
+        if len(rest) > _EVENT_BYTES:
+            raise aiohttp.ClientPayloadError("event too long")
+        for event in events:
+            for line in event.split(b"\n"):
+                if line.startswith(b"data:"):
+                    yield line[5:].strip()
+
+
+def _usage(wire: _WireUsage) -> Usage:
+    details = wire.prompt_tokens_details or _PromptDetails()
+    return Usage(
+        wire.prompt_tokens, wire.completion_tokens, details.cached_tokens
+    )
+
+
+async def call_service(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    seconds: float,
+) -> ServiceAnswer | Failed:
+    """Runs one call of a plain service."""
+    timeout = aiohttp.ClientTimeout(
+        total=seconds, sock_connect=_CONNECT_SECONDS
+    )
+    try:
+        async with session.request(
+            method, url, headers=headers, data=body, timeout=timeout
+        ) as answer:
+            data = await answer.read()
+            kept = [
+                (str(name), value)
+                for name, value in answer.headers.items()
+                if name.lower() not in _HOP_HEADERS
+            ]
+            return ServiceAnswer(answer.status, kept, data)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
+        return Failed(Outcome.NOT_CONNECTED, 0, str(e))
+    except TimeoutError:
+        return Failed(Outcome.TIMED_OUT, 0, "no answer in time")
+    except (aiohttp.ClientError, OSError) as error:
+        return Failed(Outcome.BROKEN, 0, str(error) or "connection lost")
+
+
+async def cancel_chat(
+    session: aiohttp.ClientSession, url: str, request_id: str
+) -> None:
+    """Tells an engine to stop a call nobody waits for."""
+    timeout = aiohttp.ClientTimeout(total=_CONNECT_SECONDS)
+    with contextlib.suppress(
+        aiohttp.ClientError, OSError, asyncio.TimeoutError
+    ):
+        async with session.post(
+            f"{url}/v1/cancel", json={"request": request_id}, timeout=timeout
+        ):
+            pass
--- /dev/null
+++ b/libs/platform/src/rattanmill_platform/directory.py
@@ -0,0 +1,97 @@
+"""Client of the platform's instance list: live and leaving endpoints.
+
+The list lags. It is one sign among several; see ``rattanmill_policy``.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Self
+
+import aiohttp
+import msgspec
+
+from rattanmill_core import part_logger
+
+_log = part_logger("directory")
+_POLL_SECONDS = 1.0
+_CALL_SECONDS = 2.0
+
+
+class Endpoint(msgspec.Struct, frozen=True):
+    """An endpoint as the list shows it.
+
+    Attributes:
+        name: Unique name.
+        kind: ``engine`` or ``service``.
+        service: Name of the service it belongs to, such as ``model-bank``.
+        domain: Failure domain.
+        url: Base URL.
+        models: Models an engine serves.
+        state: ``live`` or ``leaving``.
+        fencing: Whether it refuses orders with an old fencing number.
+    """
+
+    name: str
+    kind: str
+    service: str
+    domain: str
+    url: str
+    models: list[str] = msgspec.field(default_factory=list)
+    state: str = "live"
+    fencing: bool = False
+
+
+class _List(msgspec.Struct):
+    instances: list[Endpoint]
+
+
+class Directory:
+    """Polls the list and keeps the last one that was read.
+
+    Args:
+        url: URL of the list.
+        session: HTTP session of the process.
+        on_list: Called with each list read.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        session: aiohttp.ClientSession,
+        on_list: Callable[[list[Endpoint]], None],
+    ) -> None:
+        self.url = url
+        self.session = session
+        self.on_list = on_list
+        self.task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> Self:
+        await self._poll()
+        self.task = asyncio.create_task(self._poll_for_ever())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.task:
+            self.task.cancel()
+
+    async def _poll_for_ever(self) -> None:
+        while True:
+            await asyncio.sleep(random.uniform(0.8, 1.2) * _POLL_SECONDS)
+            await self._poll()
+
+    async def _poll(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=_CALL_SECONDS)
+        try:
+            async with self.session.get(self.url, timeout=timeout) as answer:
+                body = await answer.read()
+                listed = msgspec.json.decode(body, type=_List)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            msgspec.DecodeError,
+        ) as error:
+            _log.debug("Instance list not read: {}", error)
+            return
+        self.on_list(listed.instances)
--- /dev/null
+++ b/libs/platform/src/rattanmill_platform/kv.py
@@ -0,0 +1,274 @@
+"""Client of the platform's key-value service; protocol in docs/PLATFORM.md.
+
+Every call returns a value: what the service said, or ``Unavailable`` when it
+said nothing. After ``Unavailable`` a write may or may not have taken effect;
+``KvClient.create_unique`` settles that by reading.
+"""
+
+import asyncio
+import base64
+import random
+
+import aiohttp
+import msgspec
+
+from rattanmill_core import Metrics
+
+_CALL_SECONDS = 2.0
+_BREAKER_FAILURES = 3
+_BREAKER_LEAST_SECONDS = 0.2
+_BREAKER_MOST_SECONDS = 2.0
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A key, its value and the revision that wrote it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Found(msgspec.Struct, frozen=True):
+    """The key exists."""
+
+    entry: Entry
+
+
+class Missing(msgspec.Struct, frozen=True):
+    """The key does not exist."""
+
+
+class Written(msgspec.Struct, frozen=True):
+    """A write took effect at ``revision``."""
+
+    revision: int
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """A compare-and-swap found another revision (0: no such key)."""
+
+    revision: int
+
+
+class Unavailable(msgspec.Struct, frozen=True):
+    """No answer; a write may have taken effect all the same."""
+
+    why: str
+
+
+class Range(msgspec.Struct, frozen=True):
+    """All entries under a prefix as of ``revision``."""
+
+    entries: list[Entry]
+    revision: int
+
+
+class WatchEvents(msgspec.Struct, frozen=True):
+    """Changes under a prefix up to ``revision``; a value of None: deleted."""
+
+    changes: list[tuple[str, bytes | None]]
+    revision: int
+
+
+class _WireEntry(msgspec.Struct):
+    key: str
+    value: str | None
+    revision: int
+
+
+class _WireRange(msgspec.Struct):
+    entries: list[_WireEntry]
+    revision: int
+
+
+class _WireRevision(msgspec.Struct):
+    revision: int
+
+
+class _WireLease(msgspec.Struct):
+    lease: str
+
+
+class Breaker:
+    """Stops calls for a while after several failures in a row.
+
+    Without it each request of an outage would wait for its own time-out, and
+    the returning service would meet all of them at once.
+    """
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.open_until = 0.0
+
+    def is_open(self) -> bool:
+        """Whether calls should fail at once."""
+        return asyncio.get_running_loop().time() < self.open_until
+
+    def succeeded(self) -> None:
+        """Records an answer."""
+        self.failures = 0
+        self.open_until = 0.0
+
+    def failed(self) -> None:
+        """Records a missing answer; opens with jittered back-off."""
+        self.failures += 1
+        if self.failures < _BREAKER_FAILURES:
+            return
+        steps = min(self.failures - _BREAKER_FAILURES, 8)
+        most = min(_BREAKER_LEAST_SECONDS * 2**steps, _BREAKER_MOST_SECONDS)
+        pause = random.uniform(most / 2, most)
+        self.open_until = asyncio.get_running_loop().time() + pause
+
+
+class KvClient:
+    """Calls the key-value service, counting each call by kind.
+
+    Args:
+        base: Base URL.
+        session: HTTP session of the process.
+        metrics: Where calls are counted.
+    """
+
+    def __init__(
+        self, base: str, session: aiohttp.ClientSession, metrics: Metrics
+    ) -> None:
+        self.base = base.rstrip("/")
+        self.session = session
+        self.metrics = metrics
+        self.breaker = Breaker()
+
+    async def read(self, key: str) -> Found | Missing | Unavailable:
+        """Reads one key."""
+        status, body, revision = await self._call("GET", f"/kv/{key}")
+        if status == 200:
+            return Found(Entry(key, body, revision))
+        return Missing() if status == 404 else _unavailable(status, body)
+
+    async def list(self, prefix: str) -> Range | Unavailable:
+        """Reads all keys under a prefix."""
+        path = f"/range?prefix={prefix}"
+        status, body, _ = await self._call("GET", path)
+        if status != 200:
+            return _unavailable(status, body)
+        wire = msgspec.json.decode(body, type=_WireRange)
+        entries = [
+            Entry(e.key, base64.b64decode(e.value or ""), e.revision)
+            for e in wire.entries
+        ]
+        return Range(entries, wire.revision)
+
+    async def write(
+        self, key: str, value: bytes, expect: int, lease: str = ""
+    ) -> Written | Conflict | Unavailable:
+        """Compare-and-swap: writes if the key's revision is ``expect``.
+
+        Args:
+            key: Key to write.
+            value: New value, at most 1 MB.
+            expect: Revision the key must have; 0 if it must not exist.
+            lease: Lease with which the key ends, or empty.
+        """
+        path = f"/kv/{key}?expect={expect}"
+        if lease:
+            path += f"&lease={lease}"
+        status, body, revision = await self._call("PUT", path, value)
+        if status == 200:
+            return Written(revision)
+        return (
+            Conflict(revision) if status == 409 else _unavailable(status, body)
+        )
+
+    async def create_unique(
+        self, key: str, value: bytes
+    ) -> Written | Conflict | Unavailable:
+        """Creates a key whose value is unique to this write.
+
+        A write whose answer was lost took effect if the key holds our value:
+        a retry would be told of a conflict with itself.
+        """
+        outcome = await self.write(key, value, 0)
+        if not isinstance(outcome, Conflict):
+            return outcome
+        found = await self.read(key)
+        match found:
+            case Found(entry=entry) if entry.value == value:
+                return Written(entry.revision)
+            case Unavailable():
+                return found
+        return outcome
+
+    async def delete(self, key: str) -> Written | Unavailable:
+        """Deletes a key; deleting a missing key succeeds."""
+        status, body, revision = await self._call("DELETE", f"/kv/{key}")
+        return (
+            Written(revision) if status == 200 else _unavailable(status, body)
+        )
+
+    async def grant(self, seconds: float) -> str | Unavailable:
+        """Creates a lease and returns its id."""
+        status, body, _ = await self._call("POST", f"/leases?ttl={seconds}")
+        if status != 200:
+            return _unavailable(status, body)
+        return msgspec.json.decode(body, type=_WireLease).lease
+
+    async def renew(self, lease: str) -> bool | Unavailable:
+        """Renews a lease; False if it has lapsed."""
+        status, body, _ = await self._call("POST", f"/leases/{lease}/renew")
+        if status in (200, 404):
+            return status == 200
+        return _unavailable(status, body)
+
+    async def revoke(self, lease: str) -> None:
+        """Ends a lease and deletes its keys, if the service answers."""
+        await self._call("DELETE", f"/leases/{lease}")
+
+    async def watch(
+        self, prefix: str, after: int, seconds: float
+    ) -> WatchEvents | Unavailable:
+        """Waits up to ``seconds`` for changes after a revision."""
+        path = f"/watch?prefix={prefix}&after={after}&wait={seconds}"
+        status, body, _ = await self._call(
+            "GET", path, timeout=seconds + _CALL_SECONDS
+        )
+        if status != 200:
+            return _unavailable(status, body)
+        wire = msgspec.json.decode(body, type=_WireRange)
+        changes = [
+            (e.key, None if e.value is None else base64.b64decode(e.value))
+            for e in wire.entries
+        ]
+        return WatchEvents(changes, wire.revision)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        data: bytes | None = None,
+        timeout: float = _CALL_SECONDS,
+    ) -> tuple[int, bytes, int]:
+        """Returns status (0: no answer), body or reason, and revision."""
+        kind = f"{method} {path.split('?')[0].split('/')[1]}"
+        if self.breaker.is_open():
+            return 0, b"circuit open", 0
+        self.metrics.count("rattanmill_kv_calls", kind=kind)
+        try:
+            async with self.session.request(
+                method,
+                self.base + path,
+                data=data,
+                timeout=aiohttp.ClientTimeout(total=timeout),
+            ) as answer:
+                body = await answer.read()
+                if answer.status >= 500 or answer.status == 429:
+                    raise aiohttp.ClientError(f"status {answer.status}")
+                self.breaker.succeeded()
+                revision = int(answer.headers.get("KV-Revision", 0))
+                return answer.status, body, revision
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.breaker.failed()
+            self.metrics.count("rattanmill_kv_failures", kind=kind)
+            return 0, str(error or "time-out").encode(), 0
+
+
+def _unavailable(status: int, body: bytes) -> Unavailable:
+    return Unavailable(f"{status} {body[:200].decode(errors='replace')}")
--- /dev/null
+++ b/libs/platform/src/rattanmill_platform/live.py
@@ -0,0 +1,160 @@
+"""What the key-value service says is live: instances, owners, configuration.
+
+One range read and then one waiting watch covers all of it, under one prefix.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Self
+
+import msgspec
+
+from rattanmill_core import part_logger
+from rattanmill_platform.kv import KvClient, Unavailable
+
+_log = part_logger("live")
+LIVE_PREFIX = "rm/live/"
+CONFIG_KEY = LIVE_PREFIX + "config"
+_INSTANCES = LIVE_PREFIX + "instances/"
+_SHARDS = LIVE_PREFIX + "shards/"
+_WATCH_SECONDS = 10.0
+_PAUSE_SECONDS = 0.3
+
+
+class InstanceRecord(msgspec.Struct, frozen=True):
+    """An instance as it registers itself, under its lease.
+
+    Attributes:
+        name: Name.
+        domain: Failure domain.
+        peer: Address for instances of the same domain.
+        outside: Address for instances of other domains.
+        http: Address for callers.
+        incarnation: Random id of the process.
+    """
+
+    name: str
+    domain: str
+    peer: str
+    outside: str
+    http: str
+    incarnation: str
+
+
+class ShardOwner(msgspec.Struct, frozen=True):
+    """Owner of a shard; ``epoch`` grows with each change of owner."""
+
+    owner: str
+    incarnation: str
+    epoch: int
+
+
+class DomainShards(msgspec.Struct, frozen=True):
+    """Owners of all shards of one failure domain, kept in one value.
+
+    ``change`` is unique to each write, so that one whose answer was lost can
+    be told from another's.
+    """
+
+    epoch: int
+    shards: list[ShardOwner]
+    change: str = ""
+
+
+def instance_key(domain: str, name: str) -> str:
+    """Key of an instance's record."""
+    return f"{_INSTANCES}{domain}/{name}"
+
+
+def shards_key(domain: str) -> str:
+    """Key of a failure domain's owners."""
+    return _SHARDS + domain
+
+
+class LiveView:
+    """The latest known live state, kept current by a watch.
+
+    Attributes:
+        instances: Records by instance name.
+        shards: Owners by failure domain.
+        config: Configuration document as JSON, or empty.
+        synced: Whether the state was read at least once.
+        changed: Set at each change; waiters clear it.
+
+    Args:
+        kv: Client of the key-value service.
+        on_change: Called after each change.
+    """
+
+    def __init__(self, kv: KvClient, on_change: Callable[[], None]) -> None:
+        self.kv = kv
+        self.on_change = on_change
+        self.instances: dict[str, InstanceRecord] = {}
+        self.shards: dict[str, DomainShards] = {}
+        self.config = b""
+        self.synced = False
+        self.revision = 0
+        self.task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> Self:
+        await self.refresh()
+        self.task = asyncio.create_task(self._follow())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.task:
+            self.task.cancel()
+
+    async def refresh(self) -> bool:
+        """Reads everything anew; False if the service is silent."""
+        listed = await self.kv.list(LIVE_PREFIX)
+        if isinstance(listed, Unavailable):
+            return False
+        self.instances = {}
+        for entry in listed.entries:
+            self._take(entry.key, entry.value)
+        self.revision = listed.revision
+        self.synced = True
+        self.on_change()
+        return True
+
+    async def _follow(self) -> None:
+        while True:
+            if not self.synced:
+                await asyncio.sleep(random.uniform(0, _PAUSE_SECONDS))
+                await self.refresh()
+                continue
+            events = await self.kv.watch(
+                LIVE_PREFIX, self.revision, _WATCH_SECONDS
+            )
+            if isinstance(events, Unavailable):
+                self.synced = False
+                continue
+            for key, value in events.changes:
+                self._take(key, value)
+            self.revision = events.revision
+            if events.changes:
+                self.on_change()
+
+    def _take(self, key: str, value: bytes | None) -> None:
+        try:
+            self._store(key, value)
+        except msgspec.DecodeError as error:
+            _log.error("Value of {} does not decode: {}", key, error)
+
+    def _store(self, key: str, value: bytes | None) -> None:
+        name = key.rsplit("/", 1)[-1]
+        if key == CONFIG_KEY:
+            self.config = value or self.config
+        elif key.startswith(_SHARDS) and value is not None:
+            shards = msgspec.json.decode(value, type=DomainShards)
+            known = self.shards.get(name)
+            if known is None or shards.epoch >= known.epoch:
+                self.shards[name] = shards
+        elif key.startswith(_INSTANCES):
+            if value is None:
+                self.instances.pop(name, None)
+            else:
+                record = msgspec.json.decode(value, type=InstanceRecord)
+                self.instances[name] = record
--- /dev/null
+++ b/libs/wire/src/rattanmill_wire/messages.py
@@ -0,0 +1,167 @@
+"""Messages between instances: msgpack, tagged, with a version byte in front.
+
+A message of another version, or one that does not decode, yields None; the
+receiver counts and drops it.
+"""
+
+import enum
+
+import msgspec
+
+from rattanmill_core import Refusal
+
+_VERSION = b"\x01"
+
+
+class CallKind(enum.StrEnum):
+    """What a forwarded call asks of the program's owner."""
+
+    CHAT = "chat"
+    SERVICE = "service"
+    CREATE = "create"
+    SHOW = "show"
+    HISTORY = "history"
+    END = "end"
+
+
+class Heartbeat(msgspec.Struct, tag=1):
+    """Says that the sender is alive, and which configuration it has in force.
+
+    Attributes:
+        sender: Name of the instance.
+        domain: Its failure domain.
+        incarnation: Random id of the process, new after each restart.
+        config_number: Number of its configuration document.
+        leaving: Whether it is shutting down.
+        reply: Whether this answers a heartbeat.
+    """
+
+    sender: str
+    domain: str
+    incarnation: str
+    config_number: int
+    leaving: bool
+    reply: bool
+
+
+class ConfigAsk(msgspec.Struct, tag=2):
+    """Asks for the configuration document the receiver has in force."""
+
+
+class ConfigTell(msgspec.Struct, tag=3):
+    """Carries a configuration document as JSON."""
+
+    document: bytes
+
+
+class CallStart(msgspec.Struct, tag=4):
+    """A call for a program's owner.
+
+    Attributes:
+        call: Id of the call, unique per sender process.
+        kind: What is asked.
+        program: Program id, or empty for a call without a program.
+        turn: Turn number, or 0 if the caller gave none.
+        method: HTTP method for services.
+        path: Path after the service's name, with its query.
+        service: Name of the service, or empty.
+        headers: Headers passed on to the endpoint.
+        body: Body of the request.
+        stream: Whether the caller wants server-sent events.
+        append: Whether ``body`` has only the turn's new messages.
+        workspace: Workspace of the caller.
+        key: Idempotency key, or empty.
+        act: Whether the call is non-idempotent.
+        seconds_left: Time until the caller's deadline.
+    """
+
+    call: str
+    kind: CallKind
+    program: str = ""
+    turn: int = 0
+    method: str = "POST"
+    path: str = ""
+    service: str = ""
+    headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
+    body: bytes = b""
+    stream: bool = False
+    append: bool = False
+    workspace: str = ""
+    key: str = ""
+    act: bool = False
+    seconds_left: float = 600.0
+
+
+class CallCancel(msgspec.Struct, tag=5):
+    """The caller has gone; the owner may stop the call."""
+
+    call: str
+
+
+class CallCredit(msgspec.Struct, tag=6):
+    """Allows the owner to send ``count`` more chunks of a reply."""
+
+    call: str
+    count: int
+
+
+class ReplyHead(msgspec.Struct, tag=7):
+    """Status and headers of a reply."""
+
+    call: str
+    status: int
+    headers: list[tuple[str, str]]
+
+
+class ReplyChunk(msgspec.Struct, tag=8):
+    """Part ``seq`` (from 0) of a reply's body."""
+
+    call: str
+    seq: int
+    data: bytes
+
+
+class ReplyEnd(msgspec.Struct, tag=9):
+    """End of a reply of ``count`` chunks."""
+
+    call: str
+    count: int
+
+
+class ReplyRefused(msgspec.Struct, tag=10):
+    """End of a call that was refused, before or after its head."""
+
+    call: str
+    refusal: Refusal
+
+
+Message = (
+    Heartbeat
+    | ConfigAsk
+    | ConfigTell
+    | CallStart
+    | CallCancel
+    | CallCredit
+    | ReplyHead
+    | ReplyChunk
+    | ReplyEnd
+    | ReplyRefused
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    return _VERSION + _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> Message | None:
+    """Returns the message, or None if the bytes are not one we know."""
+    if data[:1] != _VERSION:
+        return None
+    try:
+        return _DECODER.decode(memoryview(data)[1:])
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -0,0 +1,333 @@
+"""Links to other instances over ZeroMQ with CURVE.
+
+One ROUTER socket takes calls from others; one DEALER socket and one task for
+each peer carries our calls there and the replies back. All instances share one
+CURVE key pair, which is read from a file; an instance without it cannot
+connect, since the server key is not published anywhere.
+"""
+
+import asyncio
+import contextlib
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Self
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from rattanmill_core import (
+    Metrics,
+    Ran,
+    Reason,
+    SettingsError,
+    new_id,
+    part_logger,
+    refuse,
+)
+from rattanmill_wire.messages import (
+    CallCancel,
+    CallCredit,
+    CallStart,
+    Message,
+    ReplyChunk,
+    ReplyEnd,
+    ReplyHead,
+    ReplyRefused,
+    decode_message,
+    encode_message,
+)
+
+_log = part_logger("peers")
+_QUEUE_MESSAGES = 1000
+_WINDOW_CHUNKS = 64
+_SEND_TIMEOUT_MS = 2000
+
+Reply = ReplyHead | ReplyChunk | ReplyEnd | ReplyRefused
+Serve = Callable[[CallStart], AsyncIterator[Reply]]
+Notice = Callable[[Message, Callable[[Message], Awaitable[None]]], None]
+
+
+class PeerSecret(msgspec.Struct, frozen=True):
+    """CURVE key pair shared by all instances, Z85 text; also signs receipts."""
+
+    secret: bytes
+    public: bytes
+
+
+def load_secret(path: str) -> PeerSecret:
+    """Reads the shared secret key.
+
+    Raises:
+        SettingsError: The file is missing or holds no Z85 key of 40 letters.
+    """
+    try:
+        secret = pathlib.Path(path).read_bytes().strip()
+        return PeerSecret(secret, zmq.curve_public(secret))
+    except (OSError, ValueError, zmq.ZMQError) as error:
+        raise SettingsError(
+            f"{path}: no usable secret key (40 letters of Z85): {error}"
+        ) from error
+
+
+class _Stream:
+    """Replies of one call that are on their way to us."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[Reply] = asyncio.Queue()
+
+
+class Peer:
+    """Our link to one other instance."""
+
+    def __init__(self, hub: "PeerHub", name: str, address: str) -> None:
+        self.hub = hub
+        self.name = name
+        self.address = address
+        self.streams: dict[str, _Stream] = {}
+        self.heard = 0.0
+        self.socket = hub.context.socket(zmq.DEALER)
+        hub.secure(self.socket)
+        self.socket.curve_serverkey = hub.secret.public
+        self.socket.routing_id = f"{hub.name}:{new_id()}".encode()
+        # From our own address, so that links can be told apart by source.
+        source = hub.address.rsplit(":", 1)[0]
+        self.socket.connect(f"tcp://{source}:0;{address}")
+        self.task = asyncio.create_task(self._receive())
+
+    async def send(self, message: Message) -> bool:
+        """Sends a message; False if the link is full."""
+        try:
+            await self.socket.send(encode_message(message))
+        except zmq.ZMQError:
+            self.hub.metrics.count("rattanmill_peer_dropped", why="link_full")
+            return False
+        return True
+
+    async def _receive(self) -> None:
+        while True:
+            message = decode_message(await self.socket.recv())
+            self.heard = asyncio.get_running_loop().time()
+            match message:
+                case None:
+                    self.hub.metrics.count(
+                        "rattanmill_peer_dropped", why="undecodable"
+                    )
+                case ReplyHead() | ReplyChunk() | ReplyEnd() | ReplyRefused():
+                    if stream := self.streams.get(message.call):
+                        stream.queue.put_nowait(message)
+                case _:
+                    self.hub.notice(message, self._answer)
+
+    async def _answer(self, message: Message) -> None:
+        await self.send(message)
+
+    async def call(self, start: CallStart) -> AsyncIterator[Reply]:
+        """Forwards a call and yields its replies, checked for gaps."""
+        stream = _Stream()
+        self.streams[start.call] = stream
+        finished = False
+        expected = 0
+        try:
+            if not await self.send(start):
+                finished = True
+                yield _unreachable(start, self.name, Ran.NO)
+                return
+            while True:
+                reply = await self._next_reply(stream, start)
+                if isinstance(reply, ReplyChunk):
+                    if reply.seq != expected:
+                        reply = _cut(start)
+                    else:
+                        expected += 1
+                        if expected % (_WINDOW_CHUNKS // 2) == 0:
+                            await self.send(
+                                CallCredit(start.call, _WINDOW_CHUNKS // 2)
+                            )
+                elif isinstance(reply, ReplyEnd) and reply.count != expected:
+                    reply = _cut(start)
+                finished = isinstance(reply, ReplyEnd | ReplyRefused)
+                yield reply
+                if finished:
+                    return
+        finally:
+            del self.streams[start.call]
+            if not finished:
+                await self.send(CallCancel(start.call))
+
+    async def _next_reply(self, stream: _Stream, start: CallStart) -> Reply:
+        loop = asyncio.get_running_loop()
+        asked = loop.time()
+        while True:
+            try:
+                return await asyncio.wait_for(stream.queue.get(), 0.25)
+            except TimeoutError:
+                silent = loop.time() - max(self.heard, asked)
+                if silent > self.hub.silence_seconds:
+                    return _unreachable(start, self.name, Ran.UNKNOWN)
+
+    def close(self) -> None:
+        """Drops the link; calls on it are refused by their own silence."""
+        self.task.cancel()
+        self.socket.close(linger=0)
+
+
+def _unreachable(start: CallStart, name: str, ran: Ran) -> ReplyRefused:
+    detail = f"Instance {name}, which owns the program, does not answer."
+    return ReplyRefused(
+        start.call, refuse(Reason.OWNER_UNREACHABLE, detail, ran=ran)
+    )
+
+
+def _cut(start: CallStart) -> ReplyRefused:
+    detail = "Part of the answer was lost between instances."
+    return ReplyRefused(start.call, refuse(Reason.ANSWER_CUT, detail))
+
+
+class _Served:
+    """A call of another instance that we are serving."""
+
+    def __init__(self) -> None:
+        self.credit = asyncio.Semaphore(_WINDOW_CHUNKS)
+        self.task: asyncio.Task | None = None
+
+
+class PeerHub:
+    """All links of this instance.
+
+    Args:
+        name: Name of this instance.
+        address: ``IP:PORT`` to bind.
+        secret: Shared key pair.
+        metrics: Where dropped messages are counted.
+        serve: Serves a forwarded call, yielding its replies.
+        notice: Takes any other message, with a way to answer it.
+        silence_seconds: After so long without a word from a peer, calls
+            waiting for it are given up on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        secret: PeerSecret,
+        metrics: Metrics,
+        serve: Serve,
+        notice: Notice,
+        silence_seconds: float,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.secret = secret
+        self.metrics = metrics
+        self.serve = serve
+        self.notice = notice
+        self.silence_seconds = silence_seconds
+        self.context = zmq.asyncio.Context()
+        self.peers: dict[str, Peer] = {}
+        self.served: dict[tuple[bytes, str], _Served] = {}
+        self.task: asyncio.Task | None = None
+
+    def secure(self, socket: zmq.asyncio.Socket) -> None:
+        """Sets keys, bounds and time-outs of a socket."""
+        socket.curve_secretkey = self.secret.secret
+        socket.curve_publickey = self.secret.public
+        socket.sndhwm = _QUEUE_MESSAGES
+        socket.rcvhwm = _QUEUE_MESSAGES
+        socket.sndtimeo = _SEND_TIMEOUT_MS
+        socket.linger = 0
+        socket.reconnect_ivl = 50
+        socket.reconnect_ivl_max = 1000
+
+    async def __aenter__(self) -> Self:
+        self.router = self.context.socket(zmq.ROUTER)
+        self.secure(self.router)
+        self.router.curve_server = True
+        # Without this, a message to a peer whose queue is full is dropped
+        # silently and its caller would wait for a chunk that never comes.
+        self.router.router_mandatory = True
+        self.router.bind(f"tcp://{self.address}")
+        self.task = asyncio.create_task(self._accept())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.task:
+            self.task.cancel()
+        for served in self.served.values():
+            if served.task:
+                served.task.cancel()
+        for peer in self.peers.values():
+            peer.close()
+        self.router.close(linger=200)
+        self.context.destroy(linger=200)
+
+    def peer(self, name: str, address: str) -> Peer:
+        """Returns the link to a peer, opening it on first use."""
+        peer = self.peers.get(name)
+        if peer and peer.address == address:
+            return peer
+        if peer:
+            peer.close()
+        peer = Peer(self, name, address)
+        self.peers[name] = peer
+        return peer
+
+    def forget(self, name: str) -> None:
+        """Closes the link to a peer that has left."""
+        if peer := self.peers.pop(name, None):
+            peer.close()
+
+    async def _accept(self) -> None:
+        while True:
+            frames = await self.router.recv_multipart()
+            message = decode_message(frames[-1]) if len(frames) == 2 else None
+            sender = frames[0]
+            match message:
+                case None:
+                    self.metrics.count(
+                        "rattanmill_peer_dropped", why="undecodable"
+                    )
+                case CallStart():
+                    served = _Served()
+                    self.served[sender, message.call] = served
+                    served.task = asyncio.create_task(
+                        self._serve(sender, message, served)
+                    )
+                case CallCancel():
+                    served = self.served.get((sender, message.call))
+                    if served and served.task:
+                        served.task.cancel()
+                case CallCredit():
+                    if served := self.served.get((sender, message.call)):
+                        for _ in range(min(message.count, _WINDOW_CHUNKS)):
+                            served.credit.release()
+                case _:
+                    self.notice(message, self._answer_to(sender))
+
+    def _answer_to(self, sender: bytes) -> Callable[[Message], Awaitable[None]]:
+        async def answer(message: Message) -> None:
+            await self._send(sender, message)
+
+        return answer
+
+    async def _send(self, sender: bytes, message: Message) -> bool:
+        try:
+            await self.router.send_multipart([sender, encode_message(message)])
+        except zmq.ZMQError:
+            self.metrics.count("rattanmill_peer_dropped", why="peer_gone")
+            return False
+        return True
+
+    async def _serve(
+        self, sender: bytes, start: CallStart, served: _Served
+    ) -> None:
+        replies = self.serve(start)
+        try:
+            async with contextlib.aclosing(replies):
+                async for reply in replies:
+                    if isinstance(reply, ReplyChunk):
+                        await served.credit.acquire()
+                    if not await self._send(sender, reply):
+                        return
+        finally:
+            self.served.pop((sender, start.call), None)
