Send heartbeats to a fixed number of instances; add the capacity bench

Cause: each instance sent heartbeats to every other one of its domain and to one of each other domain.

Ruled out: a full mesh with a longer round (takeover gets slower with the fleet); only the domain's elected instance listening (its death and the owner's together would blind the domain).

Now: two ring successors that answer, one at random inside, one outside, and owners whose lease has lapsed. A taker counts silence from when it began to ask, since an owner that is cut off from the store does not know new members.

Slopes in this commit were not measured alone on the machine.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, kept apart from the tests; see docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/bench/capacity/measures.py
@@ -0,0 +1,402 @@
+"""Measures each slope on one machine with the stand-ins.
+
+Every measure starts its own stack of real processes, varies one size over at
+least four points and returns the lines through them.
+"""
+
+import asyncio
+import json
+import time
+from collections.abc import Callable, Iterator
+
+import aiohttp
+import msgspec
+
+from bench.capacity.fit import Slope, fit
+from bench.load import Timing, closed_loop, open_loop
+from bench.sampling import cpu_seconds, memory_bytes
+from support import EngineSpec, Layout, ServiceSpec, Stack
+from support.stack import Instance
+from support.waiting import wait_until
+
+_INSTANT = {"instant": True}
+_PACED = {
+    "instant": False,
+    "token_events": True,
+    "decode": 36.0,
+    "slots": 2000,
+    "prefill": 1e9,
+}
+_LOAD_SECONDS = 6.0
+_IDLE_SECONDS = 12.0
+_SETTLE_SECONDS = 3.0
+_FLEETS = (3, 9, 18, 36, 60)
+_HELLO = {"model": "commentary", "messages": [{"role": "user", "content": "x"}]}
+_JSON = {"Content-Type": "application/json"}
+
+
+def _one_instance(**options: object) -> Layout:
+    engine = EngineSpec("engine-1", 0, {**_INSTANT, **options})
+    return Layout(
+        domains=("alba-east",),
+        per_domain=1,
+        engines=[engine],
+        services=[ServiceSpec("office-1")],
+    )
+
+
+def _chat(
+    address: str, fields: dict, headers: dict[str, str]
+) -> Callable[[aiohttp.ClientSession, int], object]:
+    body = json.dumps({**_HELLO, **fields}).encode()
+
+    async def call(http: aiohttp.ClientSession, number: int) -> bool:
+        async with http.post(
+            f"http://{address}/v1/chat/completions",
+            data=body,
+            headers={**_JSON, **headers},
+        ) as answer:
+            await answer.read()
+            return answer.status == 200
+
+    return call
+
+
+def _under_load(
+    instance: Instance, run: Callable[[], Timing]
+) -> tuple[float, Timing]:
+    """Returns an instance's processor seconds during a load."""
+    before = cpu_seconds(instance.process.pid)
+    timing = run()
+    return cpu_seconds(instance.process.pid) - before, timing
+
+
+def requests() -> list[Slope]:
+    """Processor time of an instance against calls without a program."""
+    points = []
+    with Stack(_one_instance()) as stack:
+        instance = stack.instances[0]
+        call = _chat(instance.http, {"max_tokens": 1}, {})
+        asyncio.run(closed_loop(call, 200, 8))
+        for rate in (25, 50, 100, 200):
+            used, timing = _under_load(
+                instance,
+                lambda rate=rate: asyncio.run(
+                    open_loop(call, rate, _LOAD_SECONDS)
+                ),
+            )
+            points.append((rate, used / timing.elapsed))
+    return [fit("request", "requests/s of an instance", "cores", points)]
+
+
+def tokens() -> list[Slope]:
+    """Processor time against tokens streamed one by one, 28 ms apart."""
+    points = []
+    rate = 20
+    with Stack(_one_instance(**_PACED)) as stack:
+        instance = stack.instances[0]
+        for count in (1, 16, 64, 128):
+            fields = {
+                "stream": True,
+                "max_tokens": count,
+                "standin": {"output_tokens": count},
+            }
+            call = _chat(instance.http, fields, {})
+            used, timing = _under_load(
+                instance,
+                lambda call=call: asyncio.run(
+                    open_loop(call, rate, _LOAD_SECONDS)
+                ),
+            )
+            points.append((rate * count, used / timing.elapsed))
+    return [fit("token", "tokens/s streamed by an instance", "cores", points)]
+
+
+def turns() -> list[Slope]:
+    """Processor time and store calls against turns of programs."""
+    cpu, writes, written = [], [], []
+    with Stack(_one_instance()) as stack:
+        instance = stack.instances[0]
+        kv = stack.standins["kv"]
+        programs = [instance.client.create() for _ in range(200)]
+        for rate in (20, 40, 80, 120):
+            before = kv.stats()
+            used, timing = _under_load(
+                instance,
+                lambda rate=rate: asyncio.run(
+                    open_loop(
+                        _turn(instance.http, programs), rate, _LOAD_SECONDS
+                    )
+                ),
+            )
+            after = kv.stats()
+            cpu.append((rate, used / timing.elapsed))
+            writes.append(
+                (rate, (after["writes"] - before["writes"]) / timing.elapsed)
+            )
+            written.append(
+                (
+                    rate,
+                    (after["bytes_written"] - before.get("bytes_written", 0))
+                    / timing.elapsed,
+                )
+            )
+    x = "turns/s of an instance"
+    return [
+        fit("turn", x, "cores", cpu),
+        fit("turn, store writes", x, "writes/s", writes),
+        fit("turn, bytes to the store", x, "bytes/s", written),
+    ]
+
+
+def _turn(
+    address: str, programs: list[str]
+) -> Callable[[aiohttp.ClientSession, int], object]:
+    async def call(http: aiohttp.ClientSession, number: int) -> bool:
+        headers = {
+            "Rattanmill-Program": programs[number % len(programs)],
+            "Rattanmill-History": "append",
+        }
+        inner = _chat(address, {"max_tokens": 1}, headers)
+        return await inner(http, number)
+
+    return call
+
+
+def programs() -> list[Slope]:
+    """Memory against idle programs, and against their history."""
+    held, sized = [], []
+    with Stack(_one_instance()) as stack:
+        instance = stack.instances[0]
+        made = 0
+        for count in (500, 1000, 2000, 4000):
+            asyncio.run(closed_loop(_create(instance.http), count - made, 32))
+            made = count
+            held.append((count, memory_bytes(instance.process.pid)))
+    text = "y" * 4000
+    with Stack(_one_instance()) as stack:
+        instance = stack.instances[0]
+        ids = [instance.client.create() for _ in range(100)]
+        for rounds in range(1, 5):
+            call = _history_turn(instance.http, ids, text)
+            asyncio.run(closed_loop(call, len(ids), 16))
+            size = rounds * len(ids) * len(text)
+            sized.append((size, memory_bytes(instance.process.pid)))
+    return [
+        fit("idle program", "programs held", "bytes", held),
+        fit("history", "bytes of history held", "bytes", sized),
+    ]
+
+
+def _create(
+    address: str,
+) -> Callable[[aiohttp.ClientSession, int], object]:
+    async def call(http: aiohttp.ClientSession, number: int) -> bool:
+        async with http.post(
+            f"http://{address}/v1/programs", data=b"{}", headers=_JSON
+        ) as answer:
+            await answer.read()
+            return answer.status == 201
+
+    return call
+
+
+def _history_turn(
+    address: str, ids: list[str], text: str
+) -> Callable[[aiohttp.ClientSession, int], object]:
+    fields = {
+        "max_tokens": 1,
+        "messages": [{"role": "user", "content": text}],
+    }
+
+    async def call(http: aiohttp.ClientSession, number: int) -> bool:
+        headers = {
+            "Rattanmill-Program": ids[number],
+            "Rattanmill-History": "append",
+        }
+        return await _chat(address, fields, headers)(http, number)
+
+    return call
+
+
+def endpoints() -> list[Slope]:
+    """Idle processor time and memory against endpoints in the list.
+
+    The list names one engine under many names, so that the cost is that of
+    knowing endpoints and not of running them.
+    """
+    cpu, memory = [], []
+    with Stack(_one_instance()) as stack:
+        instance = stack.instances[0]
+        listed = stack.endpoint_list()
+        for count in (10, 100, 500, 1000):
+            many = [{**listed[0], "name": f"engine-{n}"} for n in range(count)]
+            stack.standins["directory"].request(
+                "PUT", "/instances", {"instances": many}
+            )
+            time.sleep(_SETTLE_SECONDS)
+            before = cpu_seconds(instance.process.pid)
+            time.sleep(_IDLE_SECONDS)
+            used = cpu_seconds(instance.process.pid) - before
+            cpu.append((count, used / _IDLE_SECONDS))
+            memory.append((count, memory_bytes(instance.process.pid)))
+    x = "endpoints known"
+    return [
+        fit("endpoint", x, "cores", cpu),
+        fit("endpoint, memory", x, "bytes", memory),
+    ]
+
+
+class FleetPoint(msgspec.Struct):
+    """What an idle fleet of some size uses.
+
+    Attributes:
+        instances: Number of instances.
+        cpu: Cores of one instance.
+        memory: Resident bytes of one instance.
+        peer_bytes: Bytes a second that one instance sends to peers.
+        kv_reads: Reads of the store a second, all instances together.
+        kv_writes: Writes of the store a second, all instances together.
+        config_seconds: Time until a change was in force everywhere.
+    """
+
+    instances: int
+    cpu: float
+    memory: float
+    peer_bytes: float
+    kv_reads: float
+    kv_writes: float
+    config_seconds: float
+
+
+def fleets() -> list[Slope]:
+    """Idle cost and configuration time against the number of instances."""
+    points = [_fleet(count) for count in _FLEETS]
+    x = "instances in three domains"
+
+    def line(name: str, unit: str, field: str) -> Slope:
+        found = [(p.instances, getattr(p, field)) for p in points]
+        return fit(name, x, unit, found)
+
+    return [
+        line("idle instance", "cores each", "cpu"),
+        line("idle instance, memory", "bytes each", "memory"),
+        line("control traffic", "bytes/s sent by each", "peer_bytes"),
+        line("store reads", "reads/s of all", "kv_reads"),
+        line("store writes", "writes/s of all", "kv_writes"),
+        line("configuration", "s until in force", "config_seconds"),
+    ]
+
+
+def _fleet(count: int) -> FleetPoint:
+    layout = Layout(per_domain=count // 3, lease_seconds=3.0)
+    with Stack(layout) as stack:
+        time.sleep(_SETTLE_SECONDS)
+        kv = stack.standins["kv"]
+        calls = kv.stats()
+        used = [cpu_seconds(i.process.pid) for i in stack.instances]
+        sent = [_peer_bytes(i) for i in stack.instances]
+        time.sleep(_IDLE_SECONDS)
+        after = kv.stats()
+        used_after = [cpu_seconds(i.process.pid) for i in stack.instances]
+        sent_after = [_peer_bytes(i) for i in stack.instances]
+        return FleetPoint(
+            count,
+            (sum(used_after) - sum(used)) / _IDLE_SECONDS / count,
+            sum(memory_bytes(i.process.pid) for i in stack.instances) / count,
+            (sum(sent_after) - sum(sent)) / _IDLE_SECONDS / count,
+            (after["reads"] - calls["reads"]) / _IDLE_SECONDS,
+            (after["writes"] - calls["writes"]) / _IDLE_SECONDS,
+            _config_seconds(stack),
+        )
+
+
+def _peer_bytes(instance: Instance) -> float:
+    return instance.client.metric("rattanmill_peer_bytes", direction="sent")
+
+
+def _config_seconds(stack: Stack) -> float:
+    """Returns the time until a change is in force on every instance."""
+    client = stack.instances[0].client
+    document = client.request("GET", "/v1/admin/config").json
+    document["change"] = ""
+    began = time.monotonic()
+    answer = client.request("PUT", "/v1/admin/config", document)
+    assert answer.status == 200, answer
+    number = answer.json["number"]
+    for instance in stack.instances:
+        wait_until(
+            lambda instance=instance: _config_number(instance) >= number,
+            f"configuration {number} in force on {instance.name}",
+        )
+    return time.monotonic() - began
+
+
+def _config_number(instance: Instance) -> int:
+    answer = instance.client.request("GET", "/v1/admin/config")
+    return answer.json["number"] if answer.status == 200 else -1
+
+
+def takeovers() -> list[Slope]:
+    """Time from an owner's kill to answers, against its programs."""
+    points = [(count, _takeover(count)) for count in (10, 500, 1000, 2000)]
+    return [
+        fit("takeover", "programs of the owner", "s until answered", points)
+    ]
+
+
+def _takeover(count: int) -> float:
+    layout = Layout(
+        domains=("alba-east",),
+        per_domain=2,
+        engines=[EngineSpec("engine-1", 0, dict(_INSTANT))],
+        lease_seconds=3.0,
+    )
+    with Stack(layout) as stack:
+        owner, other = stack.instances
+        ids: list[str] = []
+        asyncio.run(_make_programs(owner.http, count, ids))
+        status = owner.client.request("GET", "/v1/admin/status").json
+        mine = [
+            p for p in ids if ".".join(p.split(".")[:2]) in status["shards"]
+        ]
+        assert mine, "the owner has no program"
+        owner.process.kill()
+        began = time.monotonic()
+        answer = other.client.chat("x", mine[0])
+        assert answer.status == 200, answer
+        return time.monotonic() - began
+
+
+async def _make_programs(address: str, count: int, ids: list[str]) -> None:
+    async def call(http: aiohttp.ClientSession, number: int) -> bool:
+        async with http.post(
+            f"http://{address}/v1/programs", data=b"{}", headers=_JSON
+        ) as answer:
+            ids.append((await answer.json(content_type=None))["program"])
+        headers = {"Rattanmill-Program": ids[-1]}
+        return await _chat(address, {"max_tokens": 1}, headers)(http, number)
+
+    timing = await closed_loop(call, count, 32)
+    assert not timing.failed, timing.failed
+
+
+class Measure(msgspec.Struct):
+    """A measure by its name on the command line."""
+
+    name: str
+    run: Callable[[], list[Slope]]
+
+
+def measures() -> Iterator[Measure]:
+    """Yields all measures."""
+    for run in (
+        requests,
+        tokens,
+        turns,
+        programs,
+        endpoints,
+        fleets,
+        takeovers,
+    ):
+        yield Measure(run.__name__, run)
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -1,11 +1,14 @@
 """Heartbeats between instances, and the configuration they spread.
 
-Each instance sends heartbeats to all others of its failure domain and to one
-of each other domain. A heartbeat tells the number of the configuration in
-force; who hears a higher one asks for the document.
+In each round an instance sends heartbeats to a fixed number of others of its
+failure domain, to one of another domain, and to owners it suspects to be dead;
+each is answered. What an instance sends does not grow with the fleet. A
+heartbeat tells the number of the configuration in force; who hears a higher
+one asks for the document.
 """
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from typing import Self
 
@@ -21,6 +24,7 @@
 from rattanmill_wire import ConfigAsk, ConfigTell, Heartbeat, Message
 
 _log = part_logger("gossip")
+_SUCCESSORS = 2
 Answer = Callable[[Message], Awaitable[None]]
 
 
@@ -63,17 +67,37 @@
             await peer.send(self._heartbeat(reply=False))
 
     def _partners(self) -> list[InstanceRecord]:
-        """All others of the domain, and one of each other domain."""
+        """Returns whom this round's heartbeats go to."""
         node = self.node
-        mine = node.settings
-        known = [r for r in node.addresses.values() if r.name != mine.name]
-        inside = [r for r in known if r.domain == mine.domain]
-        outside = {
-            record.domain: record
-            for record in sorted(known, key=lambda r: r.name)
-            if record.domain != mine.domain
-        }
-        return inside + list(outside.values())
+        own = node.settings
+        known = [r for r in node.addresses.values() if r.name != own.name]
+        inside = [r for r in known if r.domain == own.domain]
+        outside = [r for r in known if r.domain != own.domain]
+        partners = self._successors(inside)
+        if outside:
+            partners.append(random.choice(outside))
+        suspects = [r for r in inside if r.name in node.suspects]
+        return list({r.name: r for r in [*partners, *suspects]}.values())
+
+    def _successors(self, inside: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Returns the next ones in the ring of names, and one at random.
+
+        Those that have been silent are passed over: an instance whose next
+        ones have died together would otherwise hear nobody and take itself
+        for cut off.
+        """
+        name = self.node.settings.name
+        ring = sorted(inside, key=lambda r: (r.name <= name, r.name))
+        heard = [r for r in ring if self._is_heard(r.name)]
+        chosen = (heard or ring)[:_SUCCESSORS]
+        return [*chosen, random.choice(ring)] if ring else []
+
+    def _is_heard(self, name: str) -> bool:
+        peer = self.node.hub.peers.get(name)
+        if peer is None:
+            return True
+        silent = asyncio.get_running_loop().time() - peer.heard
+        return silent < self.node.lease.silence_seconds
 
     def _heartbeat(self, reply: bool) -> Heartbeat:
         node = self.node
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -27,6 +27,8 @@
         config: Operators' configuration in force here.
         shards: Shards owned, by failure domain and number.
         addresses: Last known record of each instance ever seen.
+        suspects: Owners of our domain whose lease has lapsed, with the loop
+            time since which they get heartbeats from here.
         draining: Whether the daemon is shutting down.
     """
 
@@ -50,6 +52,7 @@
         self.incarnation = incarnation
         self.shards: dict[tuple[str, int], Shard] = {}
         self.addresses: dict[str, InstanceRecord] = {}
+        self.suspects: dict[str, float] = {}
         self.draining = False
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
--- a/libs/entry/src/rattanmill_entry/ownership.py
+++ b/libs/entry/src/rattanmill_entry/ownership.py
@@ -41,7 +41,6 @@
         self.domain = node.settings.domain
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
-        self.started = time.monotonic()
 
     async def __aenter__(self) -> Self:
         self.task = asyncio.create_task(self._run())
@@ -70,6 +69,7 @@
             return
         owners = node.live.shards.get(self.domain)
         await self._load_owned(owners)
+        self._note_suspects(owners)
         await self._claim(owners)
         await self._hand_over(owners)
 
@@ -151,10 +151,28 @@
         return self._silent_for(owner.owner) > self.node.lease.silence_seconds
 
     def _silent_for(self, name: str) -> float:
+        """Seconds for which an owner has left heartbeats unanswered.
+
+        Counted from when we began to send it some: an owner that is cut off
+        from the service does not know us if we are new, but it answers.
+        """
         now = time.monotonic()
         peer = self.node.hub.peers.get(name)
         heard = peer.heard if peer else 0.0
-        return now - max(heard, self.started, self.node.lease.resumed_at)
+        asked = self.node.suspects.get(name, now)
+        return now - max(heard, asked, self.node.lease.resumed_at)
+
+    def _note_suspects(self, owners: DomainShards | None) -> None:
+        living = self._living()
+        lapsed = {
+            owner.owner
+            for owner in (owners.shards if owners else [])
+            if owner.owner and owner.owner not in living
+        }
+        now = time.monotonic()
+        self.node.suspects = {
+            name: self.node.suspects.get(name, now) for name in lapsed
+        }
 
     def _share(self, count: int) -> int:
         return math.ceil(count / max(1, len(self._living())))
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -71,6 +71,7 @@
         cache_tokens: Prompt tokens kept in the prefix cache.
         models: Models it serves.
         instant: Answers at once, for measuring what is before it.
+        token_events: Sends each token as an event of its own.
     """
 
     prefill: float = 20_000.0
@@ -79,6 +80,7 @@
     cache_tokens: int = 60_000
     models: list[str] = msgspec.field(default_factory=lambda: ["commentary"])
     instant: bool = False
+    token_events: bool = False
 
 
 class Sequence:
@@ -274,6 +276,8 @@
         cut = self.faults.cut_after_tokens
         while not sequence.cancelled:
             ready = int(sequence.made)
+            if self.options.token_events and ready > sent + 1:
+                ready = sent + 1
             if ready > sent:
                 text = "".join(sequence.output[sent:ready])
                 await answer.write(
@@ -283,6 +287,8 @@
                 if cut and sent >= cut:
                     self.faults.cut_after_tokens = 0
                     await drop(request)
+            if sent < int(sequence.made):
+                continue
             if sequence.finished:
                 break
             sequence.more.clear()
