--- a/bench/capacity/measures.py
+++ b/bench/capacity/measures.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from bench.capacity.fit import Slope, fit
-from bench.load import Timing, closed_loop, open_loop
 from bench.sampling import cpu_seconds, memory_bytes
+from bench.timing import Timing, closed_loop, open_loop
 from support import EngineSpec, Layout, ServiceSpec, Stack
 from support.stack import Instance
 from support.waiting import wait_until
--- a/bench/path.py
+++ b/bench/path.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from bench.load import Timing, closed_loop
 from bench.results import write_section
+from bench.timing import Timing, closed_loop
 from support import EngineSpec, Layout, ServiceSpec, Stack
 
 PAGE = pathlib.Path("docs/MEASUREMENTS.md")
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from bench.load import Timing, closed_loop, session
 from bench.results import write_section
+from bench.timing import Timing, closed_loop, session
 from support import EngineSpec, Layout, ServiceSpec, Stack
 
 PAGE = pathlib.Path("docs/MEASUREMENTS.md")
