Keep accepted configurations, settle lost answers, check settings whole

A change whose answer was lost and that was built on by another operator was answered with a conflict, though it had been accepted: only the document in force was read. Replaced documents now go into a history first, create-only, and the change id is looked for there as well.

Operators' token, callers' keys, every error of a document or settings file in one go, numbers of all instances on request.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -6,30 +6,55 @@
     decode_config,
     default_config,
     encode_config,
+    read_config,
 )
 from rattanmill_core.errors import (
+    ConflictError,
     InvariantError,
+    NotReachedError,
     RattanmillError,
+    RefusedError,
     SettingsError,
+    UnreachableError,
     UsageError,
 )
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
 from rattanmill_core.logs import configure_logs, part_logger
 from rattanmill_core.metrics import Metrics
+from rattanmill_core.operators import (
+    ConfigReach,
+    EndpointStatus,
+    HistoryEntry,
+    InstanceStatus,
+    PeerStatus,
+)
 from rattanmill_core.refusal import Ran, Reason, Refusal, refuse
-from rattanmill_core.settings import Settings, load_settings
+from rattanmill_core.settings import (
+    Settings,
+    load_settings,
+    open_secrets,
+)
 
 __all__ = [
     "ConfigDocument",
+    "ConfigReach",
+    "ConflictError",
+    "EndpointStatus",
+    "HistoryEntry",
+    "InstanceStatus",
     "InvariantError",
     "Metrics",
+    "NotReachedError",
+    "PeerStatus",
     "ProgramId",
     "Ran",
     "RattanmillError",
     "Reason",
     "Refusal",
+    "RefusedError",
     "Settings",
     "SettingsError",
+    "UnreachableError",
     "UsageError",
     "WorkClass",
     "configure_logs",
@@ -38,7 +63,9 @@
     "encode_config",
     "load_settings",
     "new_id",
+    "open_secrets",
     "parse_program_id",
     "part_logger",
+    "read_config",
     "refuse",
 ]
--- a/libs/core/src/rattanmill_core/config.py
+++ b/libs/core/src/rattanmill_core/config.py
@@ -4,10 +4,33 @@
 the key-value service and replaced as a whole by compare-and-swap.
 """
 
+from typing import Annotated
+
 import msgspec
 
-_NAME = r"^[a-z0-9][a-z0-9-]{0,62}$"
-Name = msgspec.Meta(pattern=_NAME)
+from rattanmill_core.checks import read_struct
+
+Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z",
+        description="1 to 63 lower-case letters, digits and dashes",
+    ),
+]
+Amount = Annotated[int, msgspec.Meta(ge=1)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Percent = Annotated[float, msgspec.Meta(gt=0, le=100)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+Shards = Annotated[int, msgspec.Meta(ge=1, le=256)]
+ChangeId = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[A-Za-z0-9_-]{0,64}\Z",
+        description="at most 64 letters, digits, dashes and underscores",
+    ),
+]
+Operator = Annotated[str, msgspec.Meta(max_length=64)]
+EndpointName = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
 class WorkClass(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -23,19 +46,19 @@
         max_repeats: How often in a row the same call may be made.
     """
 
-    target_seconds: float = msgspec.field(default=60.0)
-    target_percent: float = 95.0
-    wasted_cache_share: float = 0.2
-    max_turns: int = 430
-    max_tokens: int = 5_000_000
-    max_seconds: float = 86_400.0
-    max_repeats: int = 20
+    target_seconds: Seconds = 60.0
+    target_percent: Percent = 95.0
+    wasted_cache_share: Share = 0.2
+    max_turns: Amount = 430
+    max_tokens: Amount = 5_000_000
+    max_seconds: Seconds = 86_400.0
+    max_repeats: Amount = 20
 
 
 class DomainPlan(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Number of shards into which a failure domain's programs fall."""
 
-    shards: int = 6
+    shards: Shards = 6
 
 
 class ConfigDocument(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -44,20 +67,24 @@
     Attributes:
         number: Grows by one with each accepted change.
         change: Unique id of the change that made this document.
+        operator: Who made the change, by their own account.
+        applied: When it was accepted, in seconds since the epoch.
         classes: Classes of work by name.
         default_class: Class of calls that name none.
         domains: Failure domains by name.
         drained: Names of endpoints that take no new work.
     """
 
-    number: int = 0
-    change: str = ""
-    classes: dict[str, WorkClass] = msgspec.field(
+    number: Annotated[int, msgspec.Meta(ge=0)] = 0
+    change: ChangeId = ""
+    operator: Operator = ""
+    applied: float = 0.0
+    classes: dict[Name, WorkClass] = msgspec.field(
         default_factory=lambda: {"default": WorkClass()}
     )
     default_class: str = "default"
-    domains: dict[str, DomainPlan] = msgspec.field(default_factory=dict)
-    drained: list[str] = msgspec.field(default_factory=list)
+    domains: dict[Name, DomainPlan] = msgspec.field(default_factory=dict)
+    drained: list[EndpointName] = msgspec.field(default_factory=list)
 
 
 def default_config(domains: list[str]) -> ConfigDocument:
@@ -73,34 +100,28 @@
 def decode_config(data: bytes) -> ConfigDocument | list[str]:
     """Returns the document, or every error found in ``data``."""
     try:
-        document = msgspec.json.decode(data, type=ConfigDocument)
-    except msgspec.DecodeError as error:
-        return [str(error)]
-    errors = check_config(document)
-    return errors or document
+        plain = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return [f"not JSON: {error}"]
+    return read_config(plain)
+
+
+def read_config(plain: object) -> ConfigDocument | list[str]:
+    """Returns the document that plain tables make, or every error in them.
+
+    Args:
+        plain: Tables, lists and values, as JSON or TOML is read.
+    """
+    read = read_struct(plain, ConfigDocument)
+    return read if isinstance(read, list) else check_config(read) or read
 
 
 def check_config(document: ConfigDocument) -> list[str]:
-    """Returns a sentence for each value that is out of its range."""
-    errors = [
-        f"classes.{name}.{field}: {value} is not above 0"
-        for name, klass in document.classes.items()
-        for field, value in msgspec.structs.asdict(klass).items()
-        if value <= 0
-    ]
-    errors += [
-        f"classes.{name}.{field}: {getattr(klass, field)} is above {most}"
-        for name, klass in document.classes.items()
-        for field, most in (("target_percent", 100), ("wasted_cache_share", 1))
-        if getattr(klass, field) > most
-    ]
-    errors += [
-        f"domains.{name}.shards: {plan.shards} is not in 1 to 256"
-        for name, plan in document.domains.items()
-        if not 1 <= plan.shards <= 256
+    """Returns a sentence for each value that does not fit the others."""
+    if document.default_class in document.classes:
+        return []
+    names = ", ".join(sorted(document.classes)) or "(there are none)"
+    return [
+        f"default_class: '{document.default_class}' is not in classes;"
+        f" allowed: {names}"
     ]
-    if document.default_class not in document.classes:
-        errors.append(
-            f"default_class: '{document.default_class}' is not in classes"
-        )
-    return errors
--- a/libs/core/src/rattanmill_core/errors.py
+++ b/libs/core/src/rattanmill_core/errors.py
@@ -1,6 +1,7 @@
 """The exception tree: wrong settings, wrong usage and broken invariants.
 
 Outcomes of requests are values (see ``refusal``); only these stop a process.
+Each has an exit code of its own, which docs/operators/cli.md lists.
 """
 
 
@@ -26,11 +27,35 @@
 
 
 class SettingsError(RattanmillError):
-    """A settings file is missing, unreadable or has wrong values."""
+    """A settings or configuration file is missing, unreadable or wrong."""
 
     exit_code = 3
 
 
+class UnreachableError(RattanmillError):
+    """No answer came from the instance that a command talks to."""
+
+    exit_code = 4
+
+
+class RefusedError(RattanmillError):
+    """An instance refused what a command asked."""
+
+    exit_code = 5
+
+
+class ConflictError(RefusedError):
+    """Another operator's change came first."""
+
+    exit_code = 6
+
+
+class NotReachedError(RattanmillError):
+    """A change was accepted, but is not yet in force on every instance."""
+
+    exit_code = 7
+
+
 class InvariantError(RattanmillError):
     """The process found its own state to be impossible and must stop."""
 
--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -23,6 +23,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     UNAUTHORIZED = "unauthorized"
+    FOREIGN_PROGRAM = "foreign_program"
     UNKNOWN_CLASS = "unknown_class"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
@@ -49,6 +50,7 @@
     SHUTTING_DOWN = "shutting_down"
     CONFIG_CONFLICT = "config_conflict"
     CONFIG_INVALID = "config_invalid"
+    UNKNOWN_CONFIG = "unknown_config"
     INTERNAL = "internal"
 
 
@@ -64,6 +66,7 @@
     Reason.BAD_REQUEST: _Rule(400),
     Reason.BODY_TOO_LARGE: _Rule(413),
     Reason.UNAUTHORIZED: _Rule(401),
+    Reason.FOREIGN_PROGRAM: _Rule(403),
     Reason.UNKNOWN_CLASS: _Rule(422),
     Reason.UNKNOWN_MODEL: _Rule(404),
     Reason.UNKNOWN_SERVICE: _Rule(404),
@@ -90,6 +93,7 @@
     Reason.SHUTTING_DOWN: _Rule(503, retry_after=0.5),
     Reason.CONFIG_CONFLICT: _Rule(409),
     Reason.CONFIG_INVALID: _Rule(422),
+    Reason.UNKNOWN_CONFIG: _Rule(404),
     Reason.INTERNAL: _Rule(500, Ran.UNKNOWN),
 }
 
--- a/libs/core/src/rattanmill_core/settings.py
+++ b/libs/core/src/rattanmill_core/settings.py
@@ -1,7 +1,9 @@
 """Settings of one daemon, read from a TOML file and checked whole."""
 
+import ipaddress
 import pathlib
 import re
+import stat
 import tomllib
 from collections.abc import Callable
 from typing import Any
@@ -10,8 +12,9 @@
 
 from rattanmill_core.errors import SettingsError
 
-_NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
-_ADDRESS = re.compile(r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-f:]+\]:[0-9]{1,5}$")
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_MOST_PORT = 65535
+_OTHERS_MAY = stat.S_IRWXG | stat.S_IRWXO
 
 
 class Settings(msgspec.Struct, kw_only=True):
@@ -34,6 +37,9 @@
         body_bytes: Largest request body.
         lease_seconds: Time to live of this instance's lease.
         drain_seconds: Longest time a shutdown waits for running requests.
+        token_file: File with the operators' token, or empty: none is needed.
+        keys_file: File with each workspace's key, or empty: callers need
+            none.
     """
 
     name: str
@@ -51,10 +57,20 @@
     body_bytes: int = 4 * 1024 * 1024
     lease_seconds: float = 3.0
     drain_seconds: float = 60.0
+    token_file: str = ""
+    keys_file: str = ""
 
 
-class _Key(msgspec.Struct, frozen=True):
-    """Where a setting stands in the file and what it may be."""
+class SettingKey(msgspec.Struct, frozen=True):
+    """Where a setting stands in the file and what it may be.
+
+    Attributes:
+        path: Table and key.
+        kind: Type or types of the value.
+        allowed: What is allowed, in words.
+        accepts: Whether a value of the type is allowed.
+        required: Whether the file must have it.
+    """
 
     path: str
     kind: type | tuple[type, ...]
@@ -64,11 +80,16 @@
 
 
 def _is_name(value: str) -> bool:
-    return bool(_NAME.match(value))
+    return bool(_NAME.fullmatch(value))
 
 
 def _is_address(value: str) -> bool:
-    return bool(_ADDRESS.match(value))
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) <= _MOST_PORT
 
 
 def _is_url(value: str) -> bool:
@@ -91,37 +112,48 @@
 
 _NUMBER = (int, float)
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-_KEYS = {
-    "name": _Key("instance.name", str, "a lower-case name", _is_name),
-    "domain": _Key("instance.domain", str, "a lower-case name", _is_name),
-    "http": _Key("instance.http", str, "IP:PORT", _is_address),
-    "peer": _Key("instance.peer", str, "IP:PORT", _is_address),
-    "outside": _Key("instance.outside", str, "IP:PORT", _is_address, False),
-    "data_folder": _Key("instance.data_folder", str, "a path", bool, False),
-    "kv": _Key("platform.kv", str, "an http URL", _is_url),
-    "directory": _Key("platform.directory", str, "an http URL", _is_url),
-    "domains": _Key("platform.domains", list, "a list of names", _is_names),
-    "lease_seconds": _Key(
+KEYS = {
+    "name": SettingKey("instance.name", str, "a lower-case name", _is_name),
+    "domain": SettingKey("instance.domain", str, "a lower-case name", _is_name),
+    "http": SettingKey("instance.http", str, "IP:PORT", _is_address),
+    "peer": SettingKey("instance.peer", str, "IP:PORT", _is_address),
+    "outside": SettingKey(
+        "instance.outside", str, "IP:PORT", _is_address, False
+    ),
+    "data_folder": SettingKey(
+        "instance.data_folder", str, "a path", bool, False
+    ),
+    "kv": SettingKey("platform.kv", str, "an http URL", _is_url),
+    "directory": SettingKey("platform.directory", str, "an http URL", _is_url),
+    "domains": SettingKey(
+        "platform.domains", list, "a list of names", _is_names
+    ),
+    "lease_seconds": SettingKey(
         "platform.lease_seconds", _NUMBER, "0.5 to 60", _between(0.5, 60), False
     ),
-    "secret_file": _Key("peers.secret_file", str, "a path", bool),
-    "log_format": _Key(
+    "secret_file": SettingKey("peers.secret_file", str, "a path", bool),
+    "log_format": SettingKey(
         "log.format", str, "text or json", _one_of("text", "json"), False
     ),
-    "log_level": _Key(
+    "log_level": SettingKey(
         "log.level", str, ", ".join(_LEVELS), _one_of(*_LEVELS), False
     ),
-    "body_bytes": _Key(
+    "body_bytes": SettingKey(
         "limits.body_bytes",
         int,
         "1024 to 67108864",
         _between(1024, 64 * 1024 * 1024),
         False,
     ),
-    "drain_seconds": _Key(
+    "drain_seconds": SettingKey(
         "limits.drain_seconds", _NUMBER, "0 to 3600", _between(0, 3600), False
     ),
+    "token_file": SettingKey(
+        "operators.token_file", str, "a path", bool, False
+    ),
+    "keys_file": SettingKey("callers.keys_file", str, "a path", bool, False),
 }
+_SECRET_FIELDS = ("secret_file", "token_file", "keys_file")
 
 
 def load_settings(path: str) -> Settings:
@@ -136,41 +168,50 @@
         raise SettingsError(f"{path}: cannot be read: {error}") from error
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{path}: not TOML: {error}") from error
-    values = dict(_flatten(table))
-    errors = list(_unknown_keys(values)) + list(_wrong_values(values))
+    tables = {name: t for name, t in table.items() if isinstance(t, dict)}
+    values = {
+        f"{section}.{name}": value
+        for section, inner in tables.items()
+        for name, value in inner.items()
+    }
+    errors = [*_wrong_tables(table), *_unknown_keys(values)]
+    errors += _wrong_values(values) or _contradictions(values)
     if errors:
         raise SettingsError("\n".join(f"{path}: {error}" for error in errors))
     return Settings(
         **{
             field: values[key.path]
-            for field, key in _KEYS.items()
+            for field, key in KEYS.items()
             if key.path in values
         }
     )
 
 
-def _flatten(table: dict[str, Any]) -> list[tuple[str, Any]]:
-    return [
-        (f"{section}.{name}", value)
-        for section, inner in table.items()
-        for name, value in (
-            inner.items() if isinstance(inner, dict) else [("", inner)]
-        )
-    ]
+def _wrong_tables(table: dict[str, Any]) -> list[str]:
+    known = {key.path.split(".")[0] for key in KEYS.values()}
+    errors = []
+    for name, inner in table.items():
+        if name not in known:
+            allowed = ", ".join(sorted(known))
+            errors.append(f"{name}: is not a table of settings; {allowed} are")
+        elif not isinstance(inner, dict):
+            errors.append(f"{name}: {inner!r}; allowed: a table, [{name}]")
+    return errors
 
 
 def _unknown_keys(values: dict[str, Any]) -> list[str]:
-    known = {key.path for key in _KEYS.values()}
+    known = {key.path for key in KEYS.values()}
+    sections = {path.split(".")[0] for path in known}
     return [
-        f"{path.rstrip('.')}: is not a setting"
+        f"{path}: is not a setting"
         for path in values
-        if path not in known
+        if path not in known and path.split(".")[0] in sections
     ]
 
 
 def _wrong_values(values: dict[str, Any]) -> list[str]:
     errors = []
-    for key in _KEYS.values():
+    for key in KEYS.values():
         if key.path not in values:
             if key.required:
                 errors.append(f"{key.path}: is missing; allowed: {key.allowed}")
@@ -180,3 +221,35 @@
         if wrong_type or not key.accepts(value):
             errors.append(f"{key.path}: {value!r}; allowed: {key.allowed}")
     return errors
+
+
+def _contradictions(values: dict[str, Any]) -> list[str]:
+    """Returns what is wrong between values that are right by themselves."""
+    errors = []
+    domain = values["instance.domain"]
+    if domain not in values["platform.domains"]:
+        errors.append(f"instance.domain: {domain!r} is not in platform.domains")
+    if values["instance.http"] == values["instance.peer"]:
+        errors.append("instance.peer: is the same address as instance.http")
+    return errors
+
+
+def open_secrets(settings: Settings) -> list[str]:
+    """Returns a sentence for each file with secrets that others may use.
+
+    Whoever reads the peers' key can speak as an instance and seal receipts.
+    """
+    paths = [getattr(settings, field) for field in _SECRET_FIELDS]
+    sentences = []
+    for path in filter(None, paths):
+        try:
+            mode = pathlib.Path(path).stat().st_mode
+        except OSError:
+            continue
+        if mode & _OTHERS_MAY:
+            bits = stat.S_IMODE(mode)
+            sentences.append(
+                f"{path}: holds secrets and has mode {bits:03o};"
+                " allowed to its owner only: chmod 600"
+            )
+    return sentences
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/access.py
@@ -0,0 +1,164 @@
+"""Who may ask what: operators by a token, callers by their workspace's key.
+
+Both are read from files at start. Without them, everybody who reaches the
+address is let in, and a caller's workspace is what its header says.
+"""
+
+import hashlib
+import hmac
+import pathlib
+import tomllib
+
+import msgspec
+from aiohttp import web
+
+from rattanmill_core import (
+    Reason,
+    Settings,
+    SettingsError,
+    refuse,
+)
+from rattanmill_entry.node import Node
+from rattanmill_entry.problems import problem_response
+
+_ADMIN = "/v1/admin/"
+_CALLERS = "/v1/"
+_WORKSPACE_HEADER = "Rattanmill-Workspace"
+_WORKSPACE_KEY = web.RequestKey("workspace", str)
+_LEAST_LETTERS = 16
+_MOST_LETTERS = 200
+
+
+class Access(msgspec.Struct, frozen=True):
+    """Secrets that requests are checked against.
+
+    Attributes:
+        token: Operators' token; empty: none is needed.
+        workspaces: Workspace by digest of its key; None: no keys are needed.
+    """
+
+    token: bytes = b""
+    workspaces: dict[bytes, str] | None = None
+
+
+def load_access(settings: Settings) -> Access:
+    """Reads the token and keys that the settings name.
+
+    Raises:
+        SettingsError: A file is missing or has entries of a wrong form.
+    """
+    token = b""
+    workspaces = None
+    if settings.token_file:
+        token = _read_token(settings.token_file)
+    if settings.keys_file:
+        workspaces = _read_keys(settings.keys_file)
+    return Access(token, workspaces)
+
+
+def _read_token(path: str) -> bytes:
+    try:
+        token = pathlib.Path(path).read_bytes().strip()
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error}") from error
+    if not _is_secret(token.decode("latin-1")):
+        raise SettingsError(f"{path}: {_allowed('a token')}")
+    return token
+
+
+def _read_keys(path: str) -> dict[bytes, str]:
+    try:
+        table = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: cannot be read: {error}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+    errors = []
+    workspaces: dict[bytes, str] = {}
+    for workspace, keys in table.items():
+        # Two keys at a time let callers change theirs without a gap.
+        for key in keys if isinstance(keys, list) else [keys]:
+            if not isinstance(key, str) or not _is_secret(key):
+                errors.append(f"{path}: {workspace}: {_allowed('a key')}")
+            elif workspaces.get(_digest(key.encode()), workspace) != workspace:
+                other = workspaces[_digest(key.encode())]
+                errors.append(f"{path}: {workspace}: has the key of {other}")
+            else:
+                workspaces[_digest(key.encode())] = workspace
+    if errors:
+        raise SettingsError("\n".join(errors))
+    return workspaces
+
+
+def _is_secret(text: str) -> bool:
+    fits = _LEAST_LETTERS <= len(text) <= _MOST_LETTERS
+    return fits and text.isascii() and text.isprintable() and " " not in text
+
+
+def _allowed(what: str) -> str:
+    return (
+        f"is not {what}; allowed: {_LEAST_LETTERS} to {_MOST_LETTERS} visible"
+        " letters without spaces"
+    )
+
+
+def _digest(key: bytes) -> bytes:
+    return hashlib.sha256(key).digest()
+
+
+def access_middleware(node: Node, access: Access):  # noqa: ANN201 - aiohttp's middleware type
+    """Returns the middleware that lets requests in or refuses them."""
+
+    @web.middleware
+    async def check(request: web.Request, handler) -> web.StreamResponse:  # noqa: ANN001
+        if request.path.startswith(_ADMIN):
+            detail = _check_operator(request, access)
+        elif request.path.startswith(_CALLERS):
+            detail = _check_caller(request, access)
+        else:
+            detail = ""
+        if not detail:
+            return await handler(request)
+        response = problem_response(
+            refuse(Reason.UNAUTHORIZED, detail), node.metrics
+        )
+        response.headers["WWW-Authenticate"] = "Bearer"
+        return response
+
+    return check
+
+
+def workspace_of(request: web.Request) -> str:
+    """Returns the caller's workspace: by its key, or else as it says."""
+    stated = request.headers.get(_WORKSPACE_HEADER, "")
+    return request.get(_WORKSPACE_KEY, stated)
+
+
+def _check_operator(request: web.Request, access: Access) -> str:
+    if not access.token:
+        return ""
+    # Compared in constant time: an early end at the first wrong letter would
+    # let a guesser find the token letter by letter.
+    if hmac.compare_digest(_bearer(request), access.token):
+        return ""
+    return "Operators need 'Authorization: Bearer' with the operators' token."
+
+
+def _check_caller(request: web.Request, access: Access) -> str:
+    if access.workspaces is None:
+        return ""
+    # Looked up by digest: how long that takes tells nothing of the key.
+    workspace = access.workspaces.get(_digest(_bearer(request)))
+    if workspace is None:
+        return "Callers need 'Authorization: Bearer' with a workspace's key."
+    if request.headers.get(_WORKSPACE_HEADER, workspace) != workspace:
+        return f"The key is not that of the workspace in {_WORKSPACE_HEADER}."
+    request[_WORKSPACE_KEY] = workspace
+    return ""
+
+
+def _bearer(request: web.Request) -> bytes:
+    scheme, _, secret = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return b""
+    return secret.strip().encode(errors="surrogateescape")
--- a/libs/entry/src/rattanmill_entry/admin.py
+++ b/libs/entry/src/rattanmill_entry/admin.py
@@ -1,53 +1,28 @@
 """The operators' interface over HTTP, for the command line."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Mapping
 
 import msgspec
 from aiohttp import web
 
 from rattanmill_core import (
-    ConfigDocument,
+    EndpointStatus,
+    InstanceStatus,
     Reason,
     Refusal,
     decode_config,
-    encode_config,
-    new_id,
     refuse,
 )
-from rattanmill_entry.gossip import take_config
+from rattanmill_entry.configstore import (
+    history_entry,
+    read_history,
+    store_config,
+)
 from rattanmill_entry.node import Node
 from rattanmill_entry.problems import problem_response
-from rattanmill_platform import Conflict, Found, Missing, Unavailable
-from rattanmill_platform.live import CONFIG_KEY
-
-_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-
-
-class EndpointStatus(msgspec.Struct):
-    """An endpoint as this instance sees it."""
-
-    name: str
-    kind: str
-    service: str
-    domain: str
-    state: str
-    in_flight: int
-    models: list[str]
+from rattanmill_entry.reach import config_reach, peer_statuses
 
-
-class InstanceStatus(msgspec.Struct):
-    """What an instance answers to ``GET /v1/admin/status``."""
-
-    name: str
-    domain: str
-    incarnation: str
-    config_number: int
-    lease: str
-    draining: bool
-    shards: list[str]
-    programs: int
-    instances: list[dict]
-    owners: dict[str, list[str]]
+_MOST_REACH_SECONDS = 30
 
 
 def admin_routes(node: Node) -> list[web.RouteDef]:
@@ -79,6 +54,18 @@
     async def apply_config(request: web.Request) -> web.StreamResponse:
         return await _apply(node, await request.read())
 
+    async def history(request: web.Request) -> web.StreamResponse:
+        documents = await read_history(node)
+        if isinstance(documents, list):
+            documents = [history_entry(document) for document in documents]
+        return _outcome(node, documents)
+
+    async def earlier(request: web.Request) -> web.StreamResponse:
+        return await _show_earlier(node, request.match_info["number"])
+
+    async def reach(request: web.Request) -> web.StreamResponse:
+        return await _reach(node, request.query)
+
     return [
         web.get("/healthz", healthz),
         web.get("/readyz", readyz),
@@ -87,6 +74,9 @@
         web.get("/v1/admin/endpoints", endpoints),
         web.get("/v1/admin/config", show_config),
         web.put("/v1/admin/config", apply_config),
+        web.get("/v1/admin/config/reach", reach),
+        web.get("/v1/admin/config/history", history),
+        web.get("/v1/admin/config/history/{number}", earlier),
     ]
 
 
@@ -104,10 +94,7 @@
         draining=node.draining,
         shards=[f"{domain}.{number}" for domain, number in node.shards],
         programs=sum(len(s.programs) for s in node.shards.values()),
-        instances=[
-            msgspec.to_builtins(record)
-            for record in node.live.instances.values()
-        ],
+        instances=peer_statuses(node),
         owners={
             domain: [owner.owner for owner in owners.shards]
             for domain, owners in node.live.shards.items()
@@ -138,61 +125,38 @@
     if isinstance(document, list):
         refusal = refuse(Reason.CONFIG_INVALID, "; ".join(document))
         return problem_response(refusal, node.metrics)
-    outcome = await store_config(node, document)
+    return _outcome(node, await store_config(node, document))
+
+
+async def _show_earlier(node: Node, number: str) -> web.Response:
+    documents = await read_history(node)
+    if isinstance(documents, Refusal):
+        return problem_response(documents, node.metrics)
+    found = [d for d in documents if str(d.number) == number]
+    if found:
+        return _json(found[0])
+    kept = f"{documents[-1].number} to {documents[0].number}"
+    detail = f"Number {number} is not kept; kept are {kept}."
+    return problem_response(refuse(Reason.UNKNOWN_CONFIG, detail), node.metrics)
+
+
+async def _reach(node: Node, query: Mapping[str, str]) -> web.Response:
+    number = query.get("number", str(node.config.number))
+    seconds = query.get("seconds", "0")
+    if not number.isdecimal() or not seconds.isdecimal():
+        detail = "number and seconds: must be whole numbers"
+        refusal = refuse(Reason.BAD_REQUEST, detail)
+        return problem_response(refusal, node.metrics)
+    wait = min(int(seconds), _MOST_REACH_SECONDS)
+    return _json(await config_reach(node, int(number), wait))
+
+
+def _outcome(node: Node, outcome: object) -> web.Response:
     if isinstance(outcome, Refusal):
         return problem_response(outcome, node.metrics)
     return _json(outcome)
 
 
-async def store_config(
-    node: Node, document: ConfigDocument
-) -> ConfigDocument | Refusal:
-    """Stores a document that was made from number ``document.number``.
-
-    Its number is raised by one and a change id given. A write whose answer
-    is lost is settled by reading: the change id tells whose it was.
-    """
-    found = await node.kv.read(CONFIG_KEY)
-    if isinstance(found, Unavailable):
-        detail = "The key-value service does not answer."
-        return refuse(Reason.STORE_UNAVAILABLE, detail)
-    current = 0
-    if isinstance(found, Found):
-        stored = decode_config(found.entry.value)
-        if isinstance(stored, ConfigDocument):
-            current = stored.number
-    if document.number != current:
-        detail = f"Number {current} is in force, not {document.number}."
-        return refuse(Reason.CONFIG_CONFLICT, detail)
-    changed = msgspec.structs.replace(
-        document, number=current + 1, change=document.change or new_id()
-    )
-    revision = 0 if isinstance(found, Missing) else found.entry.revision
-    outcome = await node.kv.write(CONFIG_KEY, encode_config(changed), revision)
-    if not await _is_stored(node, changed, outcome):
-        detail = "Another change was stored first; read and apply again."
-        if isinstance(outcome, Unavailable):
-            detail = "Whether the change was stored is not known; read it."
-            return refuse(Reason.STORE_UNAVAILABLE, detail, ran="unknown")
-        return refuse(Reason.CONFIG_CONFLICT, detail)
-    take_config(node, changed)
-    return changed
-
-
-async def _is_stored(
-    node: Node, changed: ConfigDocument, outcome: object
-) -> bool:
-    if not isinstance(outcome, Conflict | Unavailable):
-        return True
-    found = await node.kv.read(CONFIG_KEY)
-    if not isinstance(found, Found):
-        return False
-    stored = decode_config(found.entry.value)
-    return (
-        isinstance(stored, ConfigDocument) and stored.change == changed.change
-    )
-
-
 def _json(value: object) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(value), content_type="application/json"
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -16,6 +16,11 @@
     default_config,
     part_logger,
 )
+from rattanmill_entry.access import (
+    Access,
+    access_middleware,
+    load_access,
+)
 from rattanmill_entry.admin import admin_routes
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes, drained
@@ -42,8 +47,9 @@
     """Runs until SIGTERM or SIGINT, then drains.
 
     Raises:
-        SettingsError: The secret file cannot be used.
+        SettingsError: A file with secrets cannot be used.
     """
+    access = load_access(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -65,7 +71,7 @@
         await stack.enter_async_context(node.directory)
         await stack.enter_async_context(gossip)
         await stack.enter_async_context(ownership)
-        runner = await _listen(node)
+        runner = await _listen(node, access)
         stack.push_async_callback(runner.cleanup)
         _log.info("Instance {} serves on {}.", settings.name, settings.http)
         await stop.wait()
@@ -153,10 +159,10 @@
     ownership.wake.set()
 
 
-async def _listen(node: Node) -> web.AppRunner:
+async def _listen(node: Node, access: Access) -> web.AppRunner:
     app = web.Application(
         client_max_size=node.settings.body_bytes,
-        middlewares=[_counting(node)],
+        middlewares=[_counting(node), access_middleware(node, access)],
     )
     app.add_routes(admin_routes(node) + caller_routes(node))
     runner = web.AppRunner(
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -15,7 +15,7 @@
     encode_config,
     part_logger,
 )
-from rattanmill_entry.node import Node
+from rattanmill_entry.node import Heard, Node
 from rattanmill_entry.route import peer_address
 from rattanmill_platform import InstanceRecord
 from rattanmill_wire import ConfigAsk, ConfigTell, Heartbeat, Message
@@ -34,6 +34,18 @@
     return True
 
 
+def heartbeat(node: Node, *, reply: bool) -> Heartbeat:
+    """Returns what this instance says of itself to others."""
+    return Heartbeat(
+        node.settings.name,
+        node.settings.domain,
+        node.incarnation,
+        node.config.number,
+        node.draining,
+        reply,
+    )
+
+
 class Gossip:
     """Sends heartbeats and answers those of others."""
 
@@ -60,7 +72,7 @@
             peer = self.node.hub.peer(
                 record.name, peer_address(self.node, record)
             )
-            await peer.send(self._heartbeat(reply=False))
+            await peer.send(heartbeat(self.node, reply=False))
 
     def _partners(self) -> list[InstanceRecord]:
         """All others of the domain, and one of each other domain."""
@@ -75,17 +87,6 @@
         }
         return inside + list(outside.values())
 
-    def _heartbeat(self, reply: bool) -> Heartbeat:
-        node = self.node
-        return Heartbeat(
-            node.settings.name,
-            node.settings.domain,
-            node.incarnation,
-            node.config.number,
-            node.draining,
-            reply,
-        )
-
     def notice(self, message: Message, answer: Answer) -> None:
         """Takes a message that is not part of a call."""
         node = self.node
@@ -102,11 +103,12 @@
     def _hear(self, message: Heartbeat, answer: Answer) -> None:
         node = self.node
         now = asyncio.get_running_loop().time()
+        node.heard[message.sender] = Heard(message.config_number, now)
         if peer := node.hub.peers.get(message.sender):
             peer.heard = now
         if message.domain == node.settings.domain:
             node.lease.peer_heard = now
         if not message.reply:
-            node.spawn(answer(self._heartbeat(reply=True)))
+            node.spawn(answer(heartbeat(node, reply=True)))
         if message.config_number > node.config.number:
             node.spawn(answer(ConfigAsk()))
--- a/libs/entry/src/rattanmill_entry/http.py
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -14,6 +14,7 @@
     parse_program_id,
     refuse,
 )
+from rattanmill_entry.access import workspace_of
 from rattanmill_entry.answers import error_event
 from rattanmill_entry.chatbody import asks_stream
 from rattanmill_entry.lifecycle import parse_parent
@@ -33,7 +34,6 @@
 _PROGRAM = "Rattanmill-Program"
 _TURN = "Rattanmill-Turn"
 _HISTORY = "Rattanmill-History"
-_WORKSPACE = "Rattanmill-Workspace"
 _NON_IDEMPOTENT = "Rattanmill-Non-Idempotent"
 _DEADLINE = "Rattanmill-Deadline"
 _KEY = "Idempotency-Key"
@@ -70,6 +70,8 @@
         web.get("/v1/programs/{program}", show),
         web.get("/v1/programs/{program}/history", history),
         web.delete("/v1/programs/{program}", end),
+        web.get("/v1/admin/programs/{program}", show),
+        web.delete("/v1/admin/programs/{program}", end),
         web.post("/v1/chat/completions", chat),
         web.route("*", "/v1/services/{service}/{path:.*}", service),
     ]
@@ -140,7 +142,7 @@
     if not act:
         program = ""
     elif not program:
-        workspace = request.headers.get(_WORKSPACE, "")
+        workspace = workspace_of(request)
         program = act_shard(node, workspace, key)
     start = _start(request, CallKind.SERVICE, program, body)
     start.service = request.match_info["service"]
@@ -170,7 +172,7 @@
         method=request.method,
         headers=headers,
         body=body,
-        workspace=request.headers.get(_WORKSPACE, ""),
+        workspace=workspace_of(request),
         seconds_left=max(0.0, min(seconds, _MOST_SECONDS)),
     )
 
--- a/libs/entry/src/rattanmill_entry/lifecycle.py
+++ b/libs/entry/src/rattanmill_entry/lifecycle.py
@@ -114,6 +114,10 @@
     klass = node.config.classes.get(name)
     if klass is None:
         return refuse(Reason.UNKNOWN_CLASS, f"There is no class '{name}'.")
+    workspace = body.workspace or start.workspace
+    if start.workspace and workspace != start.workspace:
+        detail = "The body and the caller name different workspaces."
+        return refuse(Reason.FOREIGN_PROGRAM, detail)
     budget = body.budget
     tokens = _least(budget.tokens, klass.max_tokens)
     turns = _least(budget.turns, klass.max_turns)
@@ -126,6 +130,9 @@
             return refuse(Reason.UNKNOWN_PROGRAM, "There is no such parent.")
         if parent.ended is not None:
             return refuse(Reason.PROGRAM_ENDED, "The parent has ended.")
+        if start.workspace and parent.made.workspace != start.workspace:
+            detail = "The parent belongs to another workspace."
+            return refuse(Reason.FOREIGN_PROGRAM, detail)
         if tokens > parent.tokens_unreserved:
             detail = f"The parent has {parent.tokens_unreserved} tokens left."
             return refuse(Reason.BUDGET_EXHAUSTED, detail)
@@ -133,7 +140,7 @@
     return ProgramCreated(
         program=str(program),
         klass=name,
-        workspace=body.workspace or start.workspace,
+        workspace=workspace,
         tokens=int(tokens),
         turns=int(turns),
         seconds=seconds,
--- a/libs/entry/src/rattanmill_entry/main.py
+++ b/libs/entry/src/rattanmill_entry/main.py
@@ -6,17 +6,27 @@
 
 from rattanmill_core import (
     RattanmillError,
+    Settings,
+    SettingsError,
     configure_logs,
     load_settings,
+    open_secrets,
+    part_logger,
 )
+from rattanmill_entry.access import load_access
 from rattanmill_entry.daemon import run_daemon
 from rattanmill_wire import load_secret
 
+_log = part_logger("daemon")
+
 
 def main() -> None:
     """Runs the daemon, or with ``--check`` only checks its settings."""
     parser = argparse.ArgumentParser(
-        prog="rattanmilld", description="Entry daemon of rattanmill."
+        prog="rattanmilld",
+        description="Entry daemon of rattanmill.",
+        epilog="Exit codes: 0 ended as asked, 2 wrong arguments, 3 wrong"
+        " settings, 70 broken invariant, 1 any other failure.",
     )
     parser.add_argument("--settings", required=True, metavar="FILE")
     parser.add_argument(
@@ -25,16 +35,35 @@
     arguments = parser.parse_args()
     try:
         settings = load_settings(arguments.settings)
-        load_secret(settings.secret_file)
+        _check_secrets(settings)
         if arguments.check:
+            for sentence in open_secrets(settings):
+                print(f"warning: {sentence}", file=sys.stderr)
             print(f"{arguments.settings}: ok")
             return
         configure_logs(settings.log_format, settings.log_level)
+        for sentence in open_secrets(settings):
+            _log.warning("{}", sentence)
         asyncio.run(run_daemon(settings))
     except RattanmillError as error:
         print(error.message, file=sys.stderr)
         sys.exit(error.exit_code)
 
 
+def _check_secrets(settings: Settings) -> None:
+    """Reads every file with secrets, so that all errors show at once."""
+    errors = []
+    for read in (
+        lambda: load_secret(settings.secret_file),
+        lambda: load_access(settings),
+    ):
+        try:
+            read()
+        except SettingsError as error:
+            errors.append(error.message)
+    if errors:
+        raise SettingsError("\n".join(errors))
+
+
 if __name__ == "__main__":
     main()
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 
 import aiohttp
+import msgspec
 
 from rattanmill_core import ConfigDocument, Metrics, Settings
 from rattanmill_platform import (
@@ -18,6 +19,18 @@
 from rattanmill_wire import PeerHub, PeerSecret
 
 
+class Heard(msgspec.Struct, frozen=True):
+    """What another instance last said.
+
+    Attributes:
+        config_number: Number of its configuration.
+        at: Loop time.
+    """
+
+    config_number: int
+    at: float
+
+
 class Node:
     """What the parts of one daemon share.
 
@@ -27,6 +40,7 @@
         config: Operators' configuration in force here.
         shards: Shards owned, by failure domain and number.
         addresses: Last known record of each instance ever seen.
+        heard: What each other instance last said, by name.
         draining: Whether the daemon is shutting down.
     """
 
@@ -50,6 +64,7 @@
         self.incarnation = incarnation
         self.shards: dict[tuple[str, int], Shard] = {}
         self.addresses: dict[str, InstanceRecord] = {}
+        self.heard: dict[str, Heard] = {}
         self.draining = False
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
--- a/libs/entry/src/rattanmill_entry/serve.py
+++ b/libs/entry/src/rattanmill_entry/serve.py
@@ -68,7 +68,7 @@
         return
     if _is_foreign(start, program):
         detail = "The program belongs to another workspace."
-        yield refused(start, refuse(Reason.UNAUTHORIZED, detail))
+        yield refused(start, refuse(Reason.FOREIGN_PROGRAM, detail))
         return
     match start.kind:
         case CallKind.CHAT:
--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -112,6 +112,7 @@
     def _start(self) -> None:
         _, secret = zmq.curve_keypair()
         pathlib.Path(self.folder, "secret").write_bytes(secret)
+        pathlib.Path(self.folder, "secret").chmod(0o600)
         self.start_standin("kv", "127.0.0.1", "standins.kv")
         for spec in self.layout.engines:
             self.start_standin(
