--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -18,7 +18,7 @@
     encode_config,
     part_logger,
 )
-from rattanmill_entry.node import Node
+from rattanmill_entry.node import Heard, Node
 from rattanmill_entry.route import peer_address
 from rattanmill_platform import InstanceRecord
 from rattanmill_wire import ConfigAsk, ConfigTell, Heartbeat, Message
@@ -38,6 +38,18 @@
     return True
 
 
+def heartbeat(node: Node, *, reply: bool) -> Heartbeat:
+    """Returns what this instance says of itself to others."""
+    return Heartbeat(
+        node.settings.name,
+        node.settings.domain,
+        node.incarnation,
+        node.config.number,
+        node.draining,
+        reply,
+    )
+
+
 class Gossip:
     """Sends heartbeats and answers those of others."""
 
@@ -64,7 +76,7 @@
             peer = self.node.hub.peer(
                 record.name, peer_address(self.node, record)
             )
-            await peer.send(self._heartbeat(reply=False))
+            await peer.send(heartbeat(self.node, reply=False))
 
     def _partners(self) -> list[InstanceRecord]:
         """Returns whom this round's heartbeats go to."""
@@ -99,17 +111,6 @@
         silent = asyncio.get_running_loop().time() - peer.heard
         return silent < self.node.lease.silence_seconds
 
-    def _heartbeat(self, reply: bool) -> Heartbeat:
-        node = self.node
-        return Heartbeat(
-            node.settings.name,
-            node.settings.domain,
-            node.incarnation,
-            node.config.number,
-            node.draining,
-            reply,
-        )
-
     def notice(self, message: Message, answer: Answer) -> None:
         """Takes a message that is not part of a call."""
         node = self.node
@@ -126,11 +127,12 @@
     def _hear(self, message: Heartbeat, answer: Answer) -> None:
         node = self.node
         now = asyncio.get_running_loop().time()
+        node.heard[message.sender] = Heard(message.config_number, now)
         if peer := node.hub.peers.get(message.sender):
             peer.heard = now
         if message.domain == node.settings.domain:
             node.lease.peer_heard = now
         if not message.reply:
-            node.spawn(answer(self._heartbeat(reply=True)))
+            node.spawn(answer(heartbeat(node, reply=True)))
         if message.config_number > node.config.number:
             node.spawn(answer(ConfigAsk()))
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 
 import aiohttp
+import msgspec
 
 from rattanmill_core import ConfigDocument, Metrics, Settings
 from rattanmill_platform import (
@@ -18,6 +19,18 @@
 from rattanmill_wire import PeerHub, PeerSecret
 
 
+class Heard(msgspec.Struct, frozen=True):
+    """What another instance last said.
+
+    Attributes:
+        config_number: Number of its configuration.
+        at: Loop time.
+    """
+
+    config_number: int
+    at: float
+
+
 class Node:
     """What the parts of one daemon share.
 
@@ -29,6 +42,7 @@
         addresses: Last known record of each instance ever seen.
         suspects: Owners of our domain whose lease has lapsed, with the loop
             time since which they get heartbeats from here.
+        heard: What each other instance last said, by name.
         draining: Whether the daemon is shutting down.
     """
 
@@ -53,6 +67,7 @@
         self.shards: dict[tuple[str, int], Shard] = {}
         self.addresses: dict[str, InstanceRecord] = {}
         self.suspects: dict[str, float] = {}
+        self.heard: dict[str, Heard] = {}
         self.draining = False
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
