Keep acts at most once where the HTTP library, the log and the deadline broke it

Cause, each found by a scenario of acts.feature that failed on the code before: - The HTTP library sends PUT and DELETE again by itself when a connection breaks, on a new connection as well as on a kept one, so force_close did not help: "PUT ... lose_answers": {"method": "PUT", "run": 2}. - It follows redirects: a 307 sent the act again elsewhere. - An answer longer than a segment could never be committed and blocked the shard's log: the next act got "store_unavailable" and the repeat waited. - A deadline was not met by a repeat that waited for the first try, nor by the time that commit and placement take: "status 0, timed out". - Keys of two workspaces without a program met in one shard: "act_conflict". - A program that had ended still ran acts: 200, run 1. Ruled out: that a closed keep-alive connection was the only way to a second attempt (aiohttp 3.14 retries whatever the connection, client.py 909).

--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -36,6 +36,7 @@
     LOOP_SUSPECTED = "loop_suspected"
     ACT_CONFLICT = "act_conflict"
     ACT_UNKNOWN = "act_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     STORE_UNAVAILABLE = "store_unavailable"
     OWNERSHIP_LOST = "ownership_lost"
     OWNER_UNREACHABLE = "owner_unreachable"
@@ -77,6 +78,7 @@
     Reason.LOOP_SUSPECTED: _Rule(409),
     Reason.ACT_CONFLICT: _Rule(409),
     Reason.ACT_UNKNOWN: _Rule(409, Ran.UNKNOWN),
+    Reason.ANSWER_NOT_KEPT: _Rule(409, Ran.YES),
     Reason.STORE_UNAVAILABLE: _Rule(503, retry_after=2.0),
     Reason.OWNERSHIP_LOST: _Rule(503, Ran.UNKNOWN, 1.0),
     Reason.OWNER_UNREACHABLE: _Rule(503, retry_after=1.0),
@@ -116,6 +118,16 @@
         """HTTP status for this refusal."""
         return _RULES[self.reason].status
 
+    def after(self, ran: Ran) -> "Refusal":
+        """Returns this refusal, given how earlier tries ended.
+
+        A last try that was never sent does not undo an earlier one: "not run"
+        for it alone would let the caller send again what may have run.
+        """
+        if self.ran is not Ran.NO or ran is Ran.NO:
+            return self
+        return msgspec.structs.replace(self, ran=ran)
+
 
 def refuse(
     reason: Reason,
--- a/libs/entry/src/rattanmill_entry/acts.py
+++ b/libs/entry/src/rattanmill_entry/acts.py
@@ -1,13 +1,15 @@
-"""Calls to plain services; those marked non-idempotent run at most once.
+"""Non-idempotent calls to plain services, which run at most once.
 
 A non-idempotent call has an idempotency key. That it is intended is committed
 before its first byte goes out, its outcome afterwards. A repeat gets the
 stored outcome. If the outcome is missing, the call may have run, and the
-answer is ``act_unknown`` for ever: it is never sent a second time.
+answer is ``act_unknown`` for ever: it is never sent a second time. See
+docs/design/acts.md.
 """
 
 import asyncio
 import hashlib
+import time
 
 import msgspec
 
@@ -20,9 +22,16 @@
     refused,
     whole_reply,
 )
+from rattanmill_entry.services import (
+    NEVER_SENT,
+    answered,
+    gave_up,
+    service_work,
+)
 from rattanmill_entry.upstream import Failed, ServiceAnswer, call_service
 from rattanmill_policy import Outcome, Work
 from rattanmill_programs import (
+    LOOSE_TOKEN,
     Act,
     ActIntended,
     ActSettled,
@@ -36,103 +45,217 @@
 from rattanmill_wire import CallStart
 
 _REPEATED = ("Rattanmill-Repeated", "true")
-_NEVER_SENT = (Outcome.NOT_CONNECTED, Outcome.DRAINING)
-
+# A segment of the log holds 1 MB; a larger answer would never be committed
+# and would hold up everything behind it.
+_KEPT_BYTES = 256 * 1024
+_FENCED_STATUS = 412
+_GRACE_SECONDS = 0.1
+
+
+class _Run:
+    """The one try of an act that this process makes.
+
+    Attributes:
+        node: This instance.
+        shard: Shard of the program.
+        program: Program, or the holder of acts without one.
+        start: The caller's request.
+        act: The act.
+        until: Loop time of the caller's deadline.
+        sent: Whether the request may have reached an endpoint.
+        dropped: Whether the caller was told that it was not sent.
+    """
 
-async def run_service(node: Node, start: CallStart) -> Replies:
-    """Runs an idempotent call, on another endpoint if one cannot be reached."""
-    work = _work(start)
-    while True:
-        result = await _attempt(node, start, work, [])
-        if isinstance(result, Refusal):
-            yield refused(start, result)
-            return
-        if isinstance(result, ServiceAnswer):
-            for reply in _answered(start, result):
-                yield reply
-            return
-        if not node.scheduler.may_retry(work, result.outcome):
-            yield refused(start, _gave_up(result))
-            return
-        node.metrics.retried(result.outcome)
+    def __init__(
+        self,
+        node: Node,
+        shard: Shard,
+        program: Program,
+        start: CallStart,
+        act: Act,
+    ) -> None:
+        self.node = node
+        self.shard = shard
+        self.program = program
+        self.start = start
+        self.act = act
+        self.until = asyncio.get_running_loop().time() + start.seconds_left
+        self.sent = False
+        self.dropped = False
+
+    @property
+    def seconds_left(self) -> float:
+        """Seconds until the caller's deadline."""
+        return max(0.0, self.until - asyncio.get_running_loop().time())
 
 
 async def run_act(
     node: Node, shard: Shard, program: Program, start: CallStart
 ) -> Replies:
     """Runs a non-idempotent call, or tells how it ended before."""
+    name = _act_name(start)
     digest = _digest(start)
-    act = program.acts.get(start.key)
+    act = program.acts.get(name)
     if act is None:
-        # The caller may leave; the outcome must be kept all the same.
-        act = Act(start.key, digest)
-        program.acts[start.key] = act
-        act.running = asyncio.get_running_loop().create_future()
-        task = node.spawn(_run_first(node, shard, program, start, act))
-        for reply in await asyncio.shield(task):
-            yield reply
-        return
-    if act.digest != digest:
+        replies = await _first(node, shard, program, start, Act(name, digest))
+    elif act.digest != digest:
         detail = "The idempotency key was used with another request."
-        yield refused(start, refuse(Reason.ACT_CONFLICT, detail))
-        return
+        replies = [refused(start, refuse(Reason.ACT_CONFLICT, detail))]
+    else:
+        replies = await _again(program, start, act)
+    for reply in replies:
+        yield reply
+
+
+def _act_name(start: CallStart) -> str:
+    """Returns what tells an act from the others of its holder.
+
+    Acts without a program share a holder with those of other workspaces; by
+    the key alone, one caller would be given the answer to another's.
+    """
+    if start.program.endswith(f".{LOOSE_TOKEN}"):
+        return f"{start.workspace}/{start.key}"
+    return start.key
+
+
+def _digest(start: CallStart) -> bytes:
+    head = msgspec.msgpack.encode([start.method, start.service, start.path])
+    return hashlib.sha256(head + start.body).digest()
+
+
+async def _again(program: Program, start: CallStart, act: Act) -> list[Reply]:
+    """Answers a repeat, waiting for a try that is under way."""
     if act.running is not None:
-        await asyncio.wait([act.running])
-    if act.settled is None and program.acts.get(start.key) is not act:
+        await asyncio.wait([act.running], timeout=start.seconds_left)
+    if act.settled is None and act.running is not None:
+        detail = "The first try is under way. Ask again with the same key."
+        return [refused(start, refuse(Reason.DEADLINE, detail))]
+    if act.settled is None and program.acts.get(act.key) is not act:
         detail = "The first try was not sent. Send the request again."
         refusal = refuse(Reason.ENDPOINT_FAILED, detail, ran=Ran.NO)
-        yield refused(start, refusal)
-        return
-    for reply in _stored(start, act):
-        yield reply
+        return [refused(start, refusal)]
+    return _stored(start, act)
 
 
-async def _run_first(
+async def _first(
     node: Node, shard: Shard, program: Program, start: CallStart, act: Act
 ) -> list[Reply]:
-    with shard.busy():
+    refusal = _limits(program)
+    if refusal:
+        return [refused(start, refusal)]
+    program.acts[act.key] = act
+    act.running = asyncio.get_running_loop().create_future()
+    run = _Run(node, shard, program, start, act)
+    # The caller may leave; the outcome must be kept all the same.
+    task = node.spawn(_run_to_end(run))
+    await asyncio.wait([task], timeout=run.seconds_left + _GRACE_SECONDS)
+    if task.done():
+        return task.result()
+    return _overdue(run)
+
+
+def _limits(program: Program) -> Refusal | None:
+    made = program.made
+    if program.ended is not None:
+        return refuse(Reason.PROGRAM_ENDED, "The program has ended.")
+    if made.seconds and time.time() > made.created + made.seconds:
+        detail = f"The budget of {made.seconds:.0f} s has run out."
+        return refuse(Reason.BUDGET_EXHAUSTED, detail)
+    return None
+
+
+def _overdue(run: _Run) -> list[Reply]:
+    """Answers at the deadline; the try itself goes on to be settled."""
+    if run.act.settled is not None:
+        return _stored(run.start, run.act)
+    if run.sent:
+        detail = "The request was sent; its result is not known yet."
+        return [refused(run.start, refuse(Reason.DEADLINE, detail))]
+    run.dropped = True
+    detail = "The deadline passed before the request could be sent."
+    refusal = refuse(Reason.DEADLINE, detail, ran=Ran.NO)
+    return [refused(run.start, refusal)]
+
+
+async def _run_to_end(run: _Run) -> list[Reply]:
+    with run.shard.busy():
         try:
-            return await _run_intended(node, shard, program, start, act)
+            return await _run_intended(run)
         finally:
-            act.running.set_result(None)
-            act.running = None
+            run.act.running.set_result(None)
+            run.act.running = None
 
 
-async def _run_intended(
-    node: Node, shard: Shard, program: Program, start: CallStart, act: Act
-) -> list[Reply]:
+async def _run_intended(run: _Run) -> list[Reply]:
+    node, act = run.node, run.act
     if not node.lease.holds():
-        del program.acts[act.key]
-        return [ownership_lost(start, Ran.NO)]
+        del run.program.acts[act.key]
+        return [ownership_lost(run.start, Ran.NO)]
     intended = ActIntended(
-        program.made.program, act.key, act.digest, shard.epoch
+        run.program.made.program, act.key, act.digest, run.shard.epoch
     )
-    appended = await shard.log.append(intended)
+    appended = await run.shard.log.append(intended)
     if not isinstance(appended, Committed):
-        return _withdraw(shard, program, start, act, _not_kept(appended))
-    work = _work(start)
-    headers = [
-        ("Idempotency-Key", act.key),
-        ("Rattanmill-Fence", f"{shard.domain}.{shard.number}:{shard.epoch}"),
-    ]
+        return _withdraw(run, _not_kept(appended))
+    work = service_work(run.start)
     while True:
-        if not node.lease.holds():
-            refusal = refuse(
-                Reason.OWNERSHIP_LOST, "The lease has lapsed.", ran=Ran.NO
-            )
-            return _withdraw(shard, program, start, act, refusal)
-        result = await _attempt(node, start, work, headers)
+        result = await _attempt(run, work)
         if isinstance(result, Refusal):
-            return _withdraw(shard, program, start, act, result)
+            return _withdraw(run, result)
         if isinstance(result, ServiceAnswer):
-            return await _settle(shard, start, act, program, result)
-        if result.outcome not in _NEVER_SENT:
-            return await _settle(shard, start, act, program, None)
+            return await _settle(run, result)
+        if result.outcome not in NEVER_SENT:
+            return await _settle(run, None)
+        run.sent = False
         if not node.scheduler.may_retry(work, result.outcome):
-            return _withdraw(shard, program, start, act, _gave_up(result))
+            return _withdraw(run, gave_up(result, Ran.NO))
         node.metrics.retried(result.outcome)
 
 
+async def _attempt(run: _Run, work: Work) -> ServiceAnswer | Failed | Refusal:
+    node, start = run.node, run.start
+    work.seconds_left = run.seconds_left
+    placed = await node.scheduler.place(work)
+    if isinstance(placed, Refusal):
+        return placed
+    work.tried.append(placed.state.endpoint.name)
+    with placed:
+        # Finding a place may have taken long: the lease can have lapsed and
+        # the caller can have been told that nothing was sent.
+        refusal = _may_not_send(run)
+        if refusal:
+            return refusal
+        run.sent = True
+        result = await call_service(
+            node.act_session,
+            start.method,
+            f"{placed.url}/{start.path}",
+            [*start.headers, *_act_headers(run)],
+            start.body,
+            run.seconds_left,
+            once=True,
+        )
+        failed = isinstance(result, Failed)
+        placed.outcome = result.outcome if failed else Outcome.ANSWERED
+    return result
+
+
+def _may_not_send(run: _Run) -> Refusal | None:
+    if not run.node.lease.holds() or run.shard.log.fenced:
+        detail = "This instance may not act for the program any more."
+        return refuse(Reason.OWNERSHIP_LOST, detail, ran=Ran.NO)
+    if run.dropped or not run.seconds_left:
+        detail = "The deadline passed before the request could be sent."
+        return refuse(Reason.DEADLINE, detail, ran=Ran.NO)
+    return None
+
+
+def _act_headers(run: _Run) -> list[tuple[str, str]]:
+    shard = run.shard
+    fence = f"{shard.domain}.{shard.number}:{shard.epoch}"
+    return [("Idempotency-Key", run.start.key), ("Rattanmill-Fence", fence)]
+
+
 def _not_kept(appended: Deferred | Fenced) -> Refusal:
     if isinstance(appended, Fenced):
         detail = "Another instance owns the program now."
@@ -141,48 +264,41 @@
     return refuse(Reason.STORE_UNAVAILABLE, detail)
 
 
-def _withdraw(
-    shard: Shard,
-    program: Program,
-    start: CallStart,
-    act: Act,
-    refusal: Refusal,
-) -> list[Reply]:
+def _withdraw(run: _Run, refusal: Refusal) -> list[Reply]:
     """Ends an act that was provably never sent, so that it may be repeated."""
+    program, act = run.program, run.act
     if program.acts.get(act.key) is act:
         del program.acts[act.key]
-    shard.log.enqueue(ActWithdrawn(program.made.program, act.key))
-    return [refused(start, refusal)]
+    run.shard.log.enqueue(ActWithdrawn(program.made.program, act.key))
+    return [refused(run.start, refusal)]
 
 
-async def _settle(
-    shard: Shard,
-    start: CallStart,
-    act: Act,
-    program: Program,
-    answer: ServiceAnswer | None,
-) -> list[Reply]:
+async def _settle(run: _Run, answer: ServiceAnswer | None) -> list[Reply]:
     """Keeps the outcome; the caller may see it whether or not that worked.
 
     If it did not, a later repeat is answered with ``act_unknown``, which is
     the truth for whoever was not there.
     """
+    run.act.settled = _outcome(run, answer)
+    appended = await run.shard.log.append(run.act.settled)
     if answer is None:
-        settled = ActSettled(program.made.program, act.key, Ran.UNKNOWN)
-    else:
-        settled = ActSettled(
-            program.made.program,
-            act.key,
-            Ran.YES,
-            answer.status,
-            answer.headers,
-            answer.body,
-        )
-    act.settled = settled
-    await shard.log.append(settled)
+        return _stored(run.start, run.act)
+    if answer.status == _FENCED_STATUS and isinstance(appended, Fenced):
+        # The service checks fencing numbers, and ours was old.
+        return [ownership_lost(run.start, Ran.NO)]
+    return answered(run.start, answer)
+
+
+def _outcome(run: _Run, answer: ServiceAnswer | None) -> ActSettled:
+    program, key = run.program.made.program, run.act.key
     if answer is None:
-        return _stored(start, act)
-    return _answered(start, answer)
+        return ActSettled(program, key, Ran.UNKNOWN)
+    if len(answer.body) > _KEPT_BYTES:
+        run.node.metrics.count("rattanmill_act_answers_not_kept")
+        return ActSettled(program, key, Ran.YES)
+    return ActSettled(
+        program, key, Ran.YES, answer.status, answer.headers, answer.body
+    )
 
 
 def _stored(start: CallStart, act: Act) -> list[Reply]:
@@ -193,55 +309,8 @@
             " sent again; ask the service."
         )
         return [refused(start, refuse(Reason.ACT_UNKNOWN, detail))]
+    if not settled.status:
+        detail = "The request ran; its answer was too long to be kept."
+        return [refused(start, refuse(Reason.ANSWER_NOT_KEPT, detail))]
     headers = [*settled.headers, _REPEATED]
     return whole_reply(start, settled.status, headers, settled.body)
-
-
-def _answered(start: CallStart, answer: ServiceAnswer) -> list[Reply]:
-    return whole_reply(start, answer.status, answer.headers, answer.body)
-
-
-async def _attempt(
-    node: Node,
-    start: CallStart,
-    work: Work,
-    headers: list[tuple[str, str]],
-) -> ServiceAnswer | Failed | Refusal:
-    placed = await node.scheduler.place(work)
-    if isinstance(placed, Refusal):
-        return placed
-    work.tried.append(placed.state.endpoint.name)
-    with placed:
-        result = await call_service(
-            node.act_session if start.act else node.session,
-            start.method,
-            f"{placed.url}/{start.path}",
-            [*start.headers, *headers],
-            start.body,
-            start.seconds_left,
-        )
-        if isinstance(result, Failed):
-            placed.outcome = result.outcome
-        else:
-            placed.outcome = Outcome.ANSWERED
-    return result
-
-
-def _work(start: CallStart) -> Work:
-    return Work(
-        program=start.program or start.call,
-        workspace=start.workspace,
-        service=start.service,
-        seconds_left=start.seconds_left,
-    )
-
-
-def _gave_up(failed: Failed) -> Refusal:
-    ran = Ran.NO if failed.outcome in _NEVER_SENT else Ran.UNKNOWN
-    detail = f"The service failed: {failed.detail}."
-    return refuse(Reason.ENDPOINT_FAILED, detail, ran=ran)
-
-
-def _digest(start: CallStart) -> bytes:
-    head = msgspec.msgpack.encode([start.method, start.service, start.path])
-    return hashlib.sha256(head + start.body).digest()
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -91,9 +91,9 @@
 
     Args:
         settings: Names the address.
-        fresh: Whether each call gets a connection of its own. On a reused
-            one that the other side has just closed, the library sends PUT
-            and DELETE again by itself, and a call may run twice.
+        fresh: Whether each call gets a connection of its own. One that the
+            other side has just closed makes a request fail that never ran,
+            and the caller is told that nobody knows.
     """
     host = settings.http.rsplit(":", 1)[0]
     return aiohttp.ClientSession(
@@ -101,6 +101,8 @@
             limit=_CONNECTIONS, local_addr=(host, 0), force_close=fresh
         ),
         auto_decompress=False,
+        # One caller's cookies must not go out with another's call.
+        cookie_jar=aiohttp.DummyCookieJar(),
     )
 
 
--- a/libs/entry/src/rattanmill_entry/serve.py
+++ b/libs/entry/src/rattanmill_entry/serve.py
@@ -8,7 +8,7 @@
     refuse,
 )
 from rattanmill_entry import lifecycle
-from rattanmill_entry.acts import run_act, run_service
+from rattanmill_entry.acts import run_act
 from rattanmill_entry.answers import (
     Answer,
     chunk_event,
@@ -26,6 +26,7 @@
     refused,
     whole_reply,
 )
+from rattanmill_entry.services import run_service
 from rattanmill_entry.turns import run_turn
 from rattanmill_entry.upstream import Delta, Finished
 from rattanmill_policy import Work
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -11,6 +11,7 @@
 
 _CONNECT_SECONDS = 2.0
 _SILENCE_SECONDS = 60.0
+_LEAST_SECONDS = 0.001
 _EVENT_BYTES = 1024 * 1024
 
 
@@ -85,8 +86,20 @@
 
 _EVENT = msgspec.json.Decoder(_Event)
 _HOP_HEADERS = frozenset(
-    ("connection", "content-length", "date", "server", "transfer-encoding")
+    (
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "proxy-authenticate",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
 )
+_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 async def stream_chat(
@@ -176,16 +189,38 @@
     headers: list[tuple[str, str]],
     body: bytes,
     seconds: float,
+    once: bool = False,
 ) -> ServiceAnswer | Failed:
-    """Runs one call of a plain service."""
+    """Runs one call of a plain service.
+
+    Args:
+        session: HTTP session.
+        method: HTTP method.
+        url: Where to.
+        headers: Headers of the request.
+        body: Body of the request.
+        seconds: Longest time it may take.
+        once: Whether it must not be sent a second time by the library.
+    """
     timeout = aiohttp.ClientTimeout(
-        total=seconds, sock_connect=_CONNECT_SECONDS
+        # To the library, 0 is no limit.
+        total=max(seconds, _LEAST_SECONDS),
+        sock_connect=_CONNECT_SECONDS,
     )
     try:
         async with session.request(
-            method, url, headers=headers, data=body, timeout=timeout
+            method,
+            url,
+            headers=headers,
+            data=body,
+            timeout=timeout,
+            # A redirect is the service's answer, and the caller's to follow:
+            # the library would send a request again that has run already.
+            allow_redirects=False,
+            skip_auto_headers=("Accept-Encoding", "Content-Type"),
+            middlewares=(_send_once(),) if once else (),
         ) as answer:
-            data = await answer.read()
+            data = await _read_bounded(answer)
             kept = [
                 (str(name), value)
                 for name, value in answer.headers.items()
@@ -200,6 +235,38 @@
         return Failed(Outcome.BROKEN, 0, str(error) or "connection lost")
 
 
+def _send_once() -> aiohttp.ClientMiddlewareType:
+    """Returns a middleware that stops the library's own second attempt.
+
+    On a connection that breaks before the answer, the library sends PUT,
+    DELETE and other methods again, also on a connection that is new. A
+    service would show two runs of one call.
+    """
+    sent = False
+
+    async def middleware(
+        request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        nonlocal sent
+        if sent:
+            raise aiohttp.ClientConnectionError("connection lost")
+        sent = True
+        return await handler(request)
+
+    return middleware
+
+
+async def _read_bounded(answer: aiohttp.ClientResponse) -> bytes:
+    parts = []
+    size = 0
+    async for part in answer.content.iter_any():
+        size += len(part)
+        if size > _ANSWER_BYTES:
+            raise aiohttp.ClientPayloadError("answer too long")
+        parts.append(part)
+    return b"".join(parts)
+
+
 async def cancel_chat(
     session: aiohttp.ClientSession, url: str, request_id: str
 ) -> None:
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -3,16 +3,7 @@
 import msgspec
 from behave import given, then
 
-from support import Layout, Stack
-
-
-def start(context, layout):
-    """Starts a system that ends with the feature, or reuses it."""
-    if context.system is None or context.system.layout != layout:
-        context.feature_stack.close()
-        context.system = context.feature_stack.enter_context(Stack(layout))
-        # Close pops the stack's callbacks, so it can be used again.
-    context.clients = [i.client for i in context.system.instances]
+from support import Layout, start
 
 
 @given("a system of three failure domains")
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -23,6 +23,7 @@
     Attributes:
         down: Every call is dropped.
         slow_seconds: Added to each call.
+        slow_match: Only calls whose path contains this are slow.
         lose_answers: So many further writes take effect without an answer.
         lose_match: Only writes whose key contains this lose their answer.
         writes_per_second: Rate above which writes are refused; 0: none.
@@ -32,6 +33,7 @@
 
     down: bool = False
     slow_seconds: float = 0.0
+    slow_match: str = ""
     lose_answers: int = 0
     lose_match: str = ""
     writes_per_second: int = 0
@@ -87,7 +89,9 @@
         faults = self.faults
         if faults.down:
             await drop(request)
-        if faults.slow_seconds:
+        if request.method == "PUT" and "/log/" in request.path:
+            self.stats["log_writes_begun"] += 1
+        if faults.slow_seconds and faults.slow_match in request.path:
             await asyncio.sleep(faults.slow_seconds)
         is_write = request.method in ("PUT", "DELETE", "POST")
         kind = "write" if is_write else "read"
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -21,6 +21,7 @@
         refuse_before: So many further connections are dropped before running.
         fail_status: Status to answer with, after running; 0: none.
         fencing: Whether calls with an old fencing number are refused.
+        redirect_to: URL that calls are redirected to after running.
     """
 
     slow_seconds: float = 0.0
@@ -29,6 +30,7 @@
     refuse_before: int = 0
     fail_status: int = 0
     fencing: bool = False
+    redirect_to: str = ""
 
 
 class Service(StandIn):
@@ -68,6 +70,10 @@
         if faults.lose_answers:
             faults.lose_answers -= 1
             await drop(request)
+        if faults.redirect_to:
+            return web.Response(
+                status=307, headers={"Location": faults.redirect_to}
+            )
         answer = {
             "path": request.path,
             "method": request.method,
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -2,6 +2,7 @@
 
 from support.client import Answer, Client
 from support.process import Process
+from support.shared import start
 from support.stack import EngineSpec, Layout, ServiceSpec, Stack
 from support.waiting import wait_until
 
@@ -13,5 +14,6 @@
     "Process",
     "ServiceSpec",
     "Stack",
+    "start",
     "wait_until",
 ]
