Keep new work from endpoints that leave, die or hang

The list lags, so that calls went to a draining endpoint again each second, and a hung engine held its calls for a minute.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -16,11 +16,15 @@
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
 from rattanmill_core.logs import configure_logs, part_logger
 from rattanmill_core.metrics import Metrics
+from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
 from rattanmill_core.refusal import Ran, Reason, Refusal, refuse
 from rattanmill_core.settings import Settings, load_settings
 
 __all__ = [
+    "Aspect",
     "ConfigDocument",
+    "CrashNote",
+    "EndpointNote",
     "InvariantError",
     "Metrics",
     "ProgramId",
@@ -30,6 +34,7 @@
     "Refusal",
     "Settings",
     "SettingsError",
+    "Sign",
     "UsageError",
     "WorkClass",
     "configure_logs",
--- a/libs/entry/src/rattanmill_entry/admin.py
+++ b/libs/entry/src/rattanmill_entry/admin.py
@@ -125,7 +125,7 @@
             domain=state.endpoint.domain,
             state="drained"
             if state.endpoint.name in node.table.drained
-            else state.endpoint.state,
+            else state.phase,
             in_flight=state.in_flight,
             models=state.endpoint.models,
         )
--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -12,7 +12,9 @@
 
 from rattanmill_core import Ran, Reason, Refusal, new_id, refuse
 from rattanmill_entry.chatbody import ChatBody, upstream_body
+from rattanmill_entry.engines import until_closed
 from rattanmill_entry.node import Node
+from rattanmill_entry.quarantine import chat_prints
 from rattanmill_entry.upstream import (
     Delta,
     Failed,
@@ -46,16 +48,22 @@
 ) -> AsyncIterator[Delta | Finished | Refusal]:
     """Yields the parts of the answer; ends with Finished or a refusal."""
     body = upstream_body(run.chat, run.messages, run.max_tokens)
+    prints = chat_prints(run.chat, run.messages)
     delivered = False
     while True:
+        quarantined = node.guard.refusal(prints, Ran.NO)
+        if quarantined:
+            yield quarantined
+            return
         placed = await node.scheduler.place(run.work)
         if isinstance(placed, Refusal):
             yield placed
             return
         failed = None
-        async with contextlib.aclosing(
-            _attempt(node, run, placed, body)
-        ) as parts:
+        async with (
+            node.guard.alone(prints, placed.state),
+            contextlib.aclosing(_attempt(node, run, placed, body)) as parts,
+        ):
             async for part in parts:
                 if isinstance(part, Failed):
                     failed = part
@@ -63,7 +71,13 @@
                     delivered = delivered or isinstance(part, Delta)
                     yield part
         if failed is None:
+            node.guard.finished(prints)
             return
+        if failed.outcome is Outcome.BROKEN:
+            quarantined = await node.guard.after_broken(prints, placed.state)
+            if quarantined:
+                yield quarantined
+                return
         run.work.tried.append(placed.state.endpoint.name)
         refusal = _after_failure(node, run, failed, delivered)
         if refusal:
@@ -85,7 +99,10 @@
         headers["Rattanmill-Fence"] = run.fence
     began = loop.time()
     ended = False
-    parts = stream_chat(node.session, placement.url, body, headers)
+    parts = until_closed(
+        stream_chat(node.session, placement.url, body, headers),
+        placement.state,
+    )
     try:
         with placement:
             async with contextlib.aclosing(parts):
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -17,11 +17,14 @@
     part_logger,
 )
 from rattanmill_entry.admin import admin_routes
+from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes, drained
 from rattanmill_entry.node import Node
 from rattanmill_entry.ownership import Ownership
+from rattanmill_entry.quarantine import CrashGuard
 from rattanmill_entry.serve import serve
+from rattanmill_entry.signs import Signs
 from rattanmill_platform import (
     Directory,
     InstanceLease,
@@ -55,7 +58,10 @@
         node.act_session = await stack.enter_async_context(
             _session(settings, fresh=True)
         )
-        gossip = Gossip(node)
+        signs = Signs(node)
+        watch = EndpointWatch(node)
+        node.guard = CrashGuard(node, signs, watch)
+        gossip = Gossip(node, signs)
         _make_parts(node, gossip)
         ownership = Ownership(node)
         node.live = LiveView(node.kv, lambda: _on_live(node, ownership))
@@ -64,6 +70,8 @@
         await stack.enter_async_context(node.live)
         await stack.enter_async_context(node.directory)
         await stack.enter_async_context(gossip)
+        await stack.enter_async_context(signs)
+        await stack.enter_async_context(watch)
         await stack.enter_async_context(ownership)
         runner = await _listen(node)
         stack.push_async_callback(runner.cleanup)
--- /dev/null
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -0,0 +1,308 @@
+"""Probes endpoints, so that those that die, hang or leave get no more work.
+
+Each endpoint is probed by two instances of its failure domain, found by
+rendezvous hashing among those that live, so that the probes it gets do not
+grow with the number of instances. Others learn by notes, see ``signs``. Who
+has had a call fail there probes it at once.
+"""
+
+import asyncio
+import contextlib
+import enum
+import hashlib
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Self, TypeVar
+
+import aiohttp
+import msgspec
+
+from rattanmill_core import Aspect, Sign, part_logger
+from rattanmill_entry.node import Node
+from rattanmill_entry.upstream import Failed
+from rattanmill_policy import EndpointState, Load, Outcome
+
+_log = part_logger("engines")
+_T = TypeVar("_T")
+_PROBERS = 2
+_ROUND_SECONDS = 1.0
+# An instance with more endpoints than this to probe does so less often.
+_PROBES_PER_ROUND = 4
+_PROBE_SECONDS = 1.0
+# A probe that took longer than this tells of a pause of our own.
+_PAUSE_SECONDS = 2.0
+_SILENT_PROBES = 2
+_STALL_SECONDS = 3.0
+_STALL_PROBES = 3
+
+
+class Probe(enum.StrEnum):
+    """What a probe found."""
+
+    GOOD = "good"
+    DRAINING = "draining"
+    REFUSED = "refused"
+    SILENT = "silent"
+    VOID = "void"
+
+
+class _Record:
+    """What probing has found of one endpoint so far.
+
+    Attributes:
+        silent: Probes in a row without an answer.
+        stalled: Probes in a row that showed work and no progress.
+        queued: Queued tokens at the last probe, or None.
+        task: The probe that is under way.
+    """
+
+    def __init__(self) -> None:
+        self.silent = 0
+        self.stalled = 0
+        self.queued: int | None = None
+        self.task: asyncio.Task[Probe] | None = None
+
+
+class EndpointWatch:
+    """Probes and judges endpoints.
+
+    Args:
+        node: The daemon's context.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.records: dict[str, _Record] = {}
+        self.turn = 0
+        self.task: asyncio.Task | None = None
+        node.table.on_suspect = lambda state: node.spawn(self._check(state))
+
+    async def __aenter__(self) -> Self:
+        self.task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.task:
+            self.task.cancel()
+
+    async def confirm(self, state: EndpointState) -> Probe:
+        """Probes an endpoint; probes asked for meanwhile share the answer."""
+        record = self.records.setdefault(state.endpoint.name, _Record())
+        if record.task is None:
+            record.task = self.node.spawn(self._probe(state, record))
+            record.task.add_done_callback(
+                lambda task: setattr(record, "task", None)
+            )
+        return await asyncio.shield(record.task)
+
+    async def _check(self, state: EndpointState) -> None:
+        for _ in range(_SILENT_PROBES):
+            if await self.confirm(state) is not Probe.SILENT:
+                return
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(_ROUND_SECONDS)
+            self.turn += 1
+            for state in self._due():
+                self.node.spawn(self.confirm(state))
+            gone = self.records.keys() - self.node.table.states.keys()
+            for name in gone:
+                del self.records[name]
+
+    def _due(self) -> list[EndpointState]:
+        """Endpoints to probe in this round.
+
+        Suspects and closed ones come each round, the others in turn.
+        """
+        states = self.node.table.states.values()
+        urgent = [s for s in states if self._is_stuck(s)]
+        mine = [s for s in states if s.listed and self.probes(s)]
+        urgent += [s for s in mine if self._is_urgent(s) and s not in urgent]
+        calm = [s for s in mine if s not in urgent]
+        rounds = -(-len(calm) // _PROBES_PER_ROUND) or 1
+        return urgent + calm[self.turn % rounds :: rounds]
+
+    def _is_urgent(self, state: EndpointState) -> bool:
+        record = self.records.get(state.endpoint.name)
+        return state.closed or bool(record and record.silent)
+
+    def probes(self, state: EndpointState) -> bool:
+        """Whether this instance is one of an endpoint's probers.
+
+        An endpoint of another failure domain is probed from here only while
+        it is closed to us, to find out when it can be reached again.
+        """
+        node = self.node
+        domain = node.settings.domain
+        if state.endpoint.domain != domain and not state.closed:
+            return False
+        ranked = sorted(
+            self._living(domain),
+            key=lambda name: _weight(name, state.endpoint.name),
+        )
+        return node.settings.name in ranked[:_PROBERS]
+
+    def _living(self, domain: str) -> list[str]:
+        """Instances of our domain that were heard from lately, and us."""
+        node = self.node
+        since = _now() - 3 * node.lease.silence_seconds
+        return [
+            record.name
+            for record in node.addresses.values()
+            if record.domain == domain
+            and (
+                record.name == node.settings.name
+                or (
+                    record.name in node.hub.peers
+                    and node.hub.peers[record.name].heard > since
+                )
+            )
+        ]
+
+    def _is_stuck(self, state: EndpointState) -> bool:
+        """Whether our calls there have made no progress for a while."""
+        idle = _now() - state.progress_at
+        return bool(state.running) and idle > _STALL_SECONDS
+
+    async def _probe(self, state: EndpointState, record: _Record) -> Probe:
+        began = _now()
+        found, load = await self._ask(state)
+        if _now() - began > _PAUSE_SECONDS:
+            # We were stopped, not the endpoint: its answer may have been
+            # there all the time.
+            found = Probe.VOID
+        self.node.metrics.count("rattanmill_probes", found=found)
+        self._judge(state, record, found, load)
+        return found
+
+    async def _ask(self, state: EndpointState) -> tuple[Probe, Load | None]:
+        try:
+            if state.endpoint.kind != "engine":
+                await self._connect(state.endpoint.url)
+                return Probe.GOOD, None
+            load = await self._read_load(state.endpoint.url)
+        except (
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.ServerTimeoutError,
+            TimeoutError,
+        ):
+            return Probe.SILENT, None
+        except (aiohttp.ClientError, OSError):
+            return Probe.REFUSED, None
+        if load and load.draining:
+            return Probe.DRAINING, load
+        return Probe.GOOD, load
+
+    async def _connect(self, url: str) -> None:
+        """Opens and closes a connection: a plain service has no probe."""
+        host, port = url.rsplit("//", 1)[1].split("/")[0].rsplit(":", 1)
+        local = (self.node.settings.http.rsplit(":", 1)[0], 0)
+        async with asyncio.timeout(_PROBE_SECONDS):
+            _, writer = await asyncio.open_connection(
+                host.strip("[]"), int(port), local_addr=local
+            )
+        writer.close()
+
+    async def _read_load(self, url: str) -> Load | None:
+        """Reads an engine's load on a connection of its own.
+
+        One that is kept would still be answered by a process that is leaving
+        and has closed its listening socket.
+        """
+        timeout = aiohttp.ClientTimeout(total=_PROBE_SECONDS)
+        async with self.node.act_session.get(
+            f"{url}/v1/load", timeout=timeout
+        ) as answer:
+            body = await answer.read()
+        try:
+            return msgspec.json.decode(body, type=Load)
+        except msgspec.DecodeError:
+            return None
+
+    def _judge(
+        self,
+        state: EndpointState,
+        record: _Record,
+        found: Probe,
+        load: Load | None,
+    ) -> None:
+        table = self.node.table
+        if found is Probe.VOID:
+            return
+        record.silent = record.silent + 1 if found is Probe.SILENT else 0
+        state.load = load or state.load
+        if found is Probe.REFUSED:
+            table.close(state, Aspect.REACH, Sign.REFUSED)
+        elif record.silent >= _SILENT_PROBES:
+            table.close(state, Aspect.REACH, Sign.SILENT)
+        elif found is Probe.DRAINING:
+            table.close(state, Aspect.DEPARTURE, Sign.DRAINING)
+        moves = self._moves(state, record, load)
+        if record.stalled >= _STALL_PROBES:
+            table.close(state, Aspect.REACH, Sign.STALLED)
+        answered = found in (Probe.GOOD, Probe.DRAINING)
+        if answered and not self._is_stuck(state):
+            state.avoid_until = 0.0
+        now = _now()
+        if state.reach.probed(answered and moves, now):
+            table.reopen(state, Aspect.REACH)
+            _log.info("Endpoint {} works again.", state.endpoint.name)
+        back = found is Probe.GOOD and state.endpoint.state == "live"
+        if state.departure.probed(back and state.listed, now):
+            table.reopen(state, Aspect.DEPARTURE)
+            _log.info("Endpoint {} is back.", state.endpoint.name)
+
+    def _moves(
+        self, state: EndpointState, record: _Record, load: Load | None
+    ) -> bool:
+        """Whether an engine that has work gets on with it.
+
+        A half-dead engine accepts connections and answers probes while its
+        batch stands still. What shows it is that none of our calls there has
+        had a token for seconds and its queue does not shrink either.
+        """
+        if load is None:
+            return True
+        before, record.queued = record.queued, load.queued_tokens
+        busy = load.waiting + load.running > 0
+        moves = not busy or before is None or load.queued_tokens < before
+        stalled = self._is_stuck(state) and not moves
+        record.stalled = record.stalled + 1 if stalled else 0
+        return moves
+
+
+async def until_closed(
+    parts: AsyncGenerator[_T], state: EndpointState
+) -> AsyncIterator[_T | Failed]:
+    """Yields the parts of an answer, or a failure if its endpoint is given up.
+
+    Without it, a call at an engine that hangs waits for the longest silence
+    that a healthy engine may keep.
+    """
+    if not state.running:
+        state.progress_at = _now()
+    async with contextlib.aclosing(parts):
+        while True:
+            timer = asyncio.timeout(None)
+            try:
+                async with timer:
+                    state.running.add(timer)
+                    part = await anext(parts)
+            except StopAsyncIteration:
+                return
+            except TimeoutError:
+                yield Failed(Outcome.TIMED_OUT, 0, "the endpoint hangs")
+                return
+            finally:
+                state.running.discard(timer)
+            state.progress_at = _now()
+            yield part
+
+
+def _weight(instance: str, endpoint: str) -> bytes:
+    text = f"{instance}\n{endpoint}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -17,8 +17,15 @@
 )
 from rattanmill_entry.node import Node
 from rattanmill_entry.route import peer_address
+from rattanmill_entry.signs import Signs
 from rattanmill_platform import InstanceRecord
-from rattanmill_wire import ConfigAsk, ConfigTell, Heartbeat, Message
+from rattanmill_wire import (
+    ConfigAsk,
+    ConfigTell,
+    EndpointNotes,
+    Heartbeat,
+    Message,
+)
 
 _log = part_logger("gossip")
 Answer = Callable[[Message], Awaitable[None]]
@@ -37,8 +44,9 @@
 class Gossip:
     """Sends heartbeats and answers those of others."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, signs: Signs) -> None:
         self.node = node
+        self.signs = signs
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -98,6 +106,8 @@
                 document = decode_config(message.document)
                 if isinstance(document, ConfigDocument):
                     take_config(node, document)
+            case EndpointNotes():
+                self.signs.hear(message)
 
     def _hear(self, message: Heartbeat, answer: Answer) -> None:
         node = self.node
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -16,6 +17,10 @@
 from rattanmill_policy import EndpointTable, Scheduler
 from rattanmill_programs import Shard
 from rattanmill_wire import PeerHub, PeerSecret
+from rattanmill_wire.peers import Peer
+
+if TYPE_CHECKING:
+    from rattanmill_entry.quarantine import CrashGuard
 
 
 class Node:
@@ -44,6 +49,7 @@
     scheduler: Scheduler
     hub: PeerHub
     config: ConfigDocument
+    guard: "CrashGuard"
 
     def __init__(self, settings: Settings, incarnation: str) -> None:
         self.settings = settings
@@ -54,6 +60,12 @@
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
 
+    def link(self, record: InstanceRecord) -> Peer:
+        """Returns the link to another instance."""
+        inside = record.domain == self.settings.domain
+        address = record.peer if inside else record.outside
+        return self.hub.peer(record.name, address)
+
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Starts a task that outlives the request that asked for it."""
         task = asyncio.create_task(work)
--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -1,11 +1,11 @@
 """Places each call on an endpoint, or refuses it."""
 
-import enum
 from typing import Self
 
 import msgspec
 
 from rattanmill_core import Reason, Refusal, refuse
+from rattanmill_policy.outcome import Outcome
 from rattanmill_policy.table import EndpointState, EndpointTable
 
 
@@ -43,18 +43,6 @@
     tried: list[str] = msgspec.field(default_factory=list)
 
 
-class Outcome(enum.StrEnum):
-    """How an attempt at an endpoint ended."""
-
-    ANSWERED = "answered"
-    NOT_CONNECTED = "not_connected"
-    DRAINING = "draining"
-    REJECTED = "rejected"
-    BROKEN = "broken"
-    TIMED_OUT = "timed_out"
-    ABANDONED = "abandoned"
-
-
 class Placement:
     """A place at an endpoint, held while the call runs there.
 
@@ -121,8 +109,7 @@
 
     def finished(self, placement: Placement) -> None:
         """Learns from an attempt that ended."""
-        if placement.outcome in (Outcome.NOT_CONNECTED, Outcome.DRAINING):
-            self.table.avoid(placement.state.endpoint.name)
+        self.table.learn(placement.state, placement.outcome)
 
     def _candidates(self, work: Work) -> list[EndpointState] | Refusal:
         if work.model:
--- a/libs/policy/src/rattanmill_policy/table.py
+++ b/libs/policy/src/rattanmill_policy/table.py
@@ -1,48 +1,125 @@
 """Endpoints known to this instance, and what it has in flight at each."""
 
 import asyncio
+from collections.abc import Callable
 
+from rattanmill_core import Aspect, EndpointNote, Sign
 from rattanmill_platform import Endpoint
+from rattanmill_policy.health import Load, Mark
+from rattanmill_policy.outcome import Outcome
 
-_REFUSED_SECONDS = 1.0
+_SUSPECT_SECONDS = 2.0
+_FAILURES = 3
+_FORGET_SECONDS = 300.0
+
+# What an attempt that ended so says against its endpoint.
+_SUSPICIOUS = (Outcome.NOT_CONNECTED, Outcome.BROKEN, Outcome.TIMED_OUT)
 
 
 class EndpointState:
     """One endpoint as this instance sees it.
 
     Attributes:
-        endpoint: As the instance list shows it.
+        endpoint: As the instance list showed it last.
+        listed: Whether it is on the list.
         in_flight: Calls this instance has there now.
         avoid_until: Loop time until which it gets no new work.
+        departure: Whether it is leaving.
+        reach: Whether it does its work when called from here.
+        failures: Attempts that failed in a row.
+        load: What it reported last, or None.
+        running: Timers of the attempts that are under way; see ``abort``.
+        progress_at: Loop time at which one of these last made progress.
     """
 
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
+        self.listed = True
         self.in_flight = 0
         self.avoid_until = 0.0
+        self.departure = Mark(Aspect.DEPARTURE)
+        self.reach = Mark(Aspect.REACH)
+        self.failures = 0
+        self.load: Load | None = None
+        self.running: set[asyncio.Timeout] = set()
+        self.progress_at = 0.0
+
+    @property
+    def marks(self) -> tuple[Mark, Mark]:
+        """Both marks."""
+        return self.departure, self.reach
+
+    @property
+    def closed(self) -> bool:
+        """Whether a mark keeps new work away."""
+        return self.departure.closed or self.reach.closed
+
+    @property
+    def phase(self) -> str:
+        """One word for operators."""
+        if self.departure.closed:
+            return "leaving"
+        return "down" if self.reach.closed else "live"
 
     def takes_work(self, now: float) -> bool:
         """Whether it may get new work."""
-        return self.endpoint.state == "live" and now >= self.avoid_until
+        if self.closed or now < self.avoid_until:
+            return False
+        limits = [mark.limit(now) for mark in self.marks]
+        return all(most is None or self.in_flight < most for most in limits)
+
+    def abort(self, now: float) -> None:
+        """Gives up the attempts that wait for an answer there."""
+        for timer in self.running:
+            timer.reschedule(now)
 
 
 class EndpointTable:
-    """All endpoints by name."""
+    """All endpoints by name.
+
+    Attributes:
+        on_note: Called with each change that was first seen here.
+        on_suspect: Called with an endpoint that should be probed at once.
+    """
 
     def __init__(self) -> None:
         self.states: dict[str, EndpointState] = {}
         self.drained: frozenset[str] = frozenset()
+        self.on_note: Callable[[EndpointNote], None] = lambda note: None
+        self.on_suspect: Callable[[EndpointState], None] = lambda state: None
 
     def refresh(self, endpoints: list[Endpoint]) -> None:
-        """Takes a newly read instance list."""
+        """Takes a newly read instance list.
+
+        Only a change in the list is a sign. The list lags: that it still says
+        ``live`` is no reason to use an endpoint that said it is leaving, and
+        that it still says ``leaving`` is none against one that came back.
+        """
         for endpoint in endpoints:
             state = self.states.get(endpoint.name)
+            before = state.endpoint.state if state else "live"
             if state is None:
-                self.states[endpoint.name] = EndpointState(endpoint)
-            else:
-                state.endpoint = endpoint
+                state = EndpointState(endpoint)
+                self.states[endpoint.name] = state
+            state.endpoint = endpoint
+            state.listed = True
+            if endpoint.state != "live" and before == "live":
+                self.close(state, Aspect.DEPARTURE, Sign.LISTED)
         names = {endpoint.name for endpoint in endpoints}
-        for name in [n for n in self.states if n not in names]:
+        for name, state in list(self.states.items()):
+            if name not in names:
+                self._unlist(name, state)
+
+    def _unlist(self, name: str, state: EndpointState) -> None:
+        """Keeps the marks of an endpoint that has gone for a while.
+
+        Otherwise an old list, read by an instance that lags, would show a new
+        endpoint that seems to be live.
+        """
+        if state.listed:
+            state.listed = False
+            self.close(state, Aspect.DEPARTURE, Sign.UNLISTED)
+        elif _now() - state.departure.changed_at > _FORGET_SECONDS:
             del self.states[name]
 
     def engines(self, model: str) -> list[EndpointState]:
@@ -74,16 +151,76 @@
             for s in self.states.values()
         )
 
-    def avoid(self, name: str, seconds: float = _REFUSED_SECONDS) -> None:
+    def learn(self, state: EndpointState, outcome: Outcome) -> None:
+        """Learns from an attempt that ended.
+
+        A failed attempt alone closes nothing: a full backlog refuses now and
+        then, a stream is cut. The endpoint gets no new work until a probe,
+        which is asked for at once, has told which it is.
+        """
+        if outcome is Outcome.ANSWERED:
+            state.failures = 0
+        elif outcome is Outcome.DRAINING:
+            self.close(state, Aspect.DEPARTURE, Sign.DRAINING)
+        elif outcome in _SUSPICIOUS:
+            state.failures += 1
+            if state.failures >= _FAILURES:
+                self.close(state, Aspect.REACH, Sign.FAILING)
+            self.avoid(state.endpoint.name, _SUSPECT_SECONDS)
+            self.on_suspect(state)
+
+    def close(self, state: EndpointState, aspect: Aspect, sign: Sign) -> None:
+        """Keeps new work away from an endpoint and tells others."""
+        mark = _mark(state, aspect)
+        if mark.close(sign, _now()):
+            self._closed(state, mark)
+            self.on_note(mark.note(state.endpoint.name))
+
+    def reopen(self, state: EndpointState, aspect: Aspect) -> None:
+        """Lets new work in again, a little at first, and tells others."""
+        mark = _mark(state, aspect)
+        if mark.reopen(_now()):
+            state.failures = 0
+            self.on_note(mark.note(state.endpoint.name))
+
+    def take(self, note: EndpointNote) -> bool:
+        """Takes what another instance saw; True if it was news."""
+        state = self.states.get(note.endpoint)
+        if state is None:
+            return False
+        mark = _mark(state, note.aspect)
+        if not mark.take(note, _now()):
+            return False
+        if mark.closed:
+            self._closed(state, mark)
+        else:
+            state.failures = 0
+        return True
+
+    def _closed(self, state: EndpointState, mark: Mark) -> None:
+        # A call at an endpoint that hangs would wait for a time-out of a
+        # minute; given up now, it still finishes elsewhere. A connection
+        # that is refused says nothing about the calls that are running.
+        if mark.sign in (Sign.SILENT, Sign.STALLED):
+            state.abort(_now())
+
+    def avoid(self, name: str, seconds: float) -> None:
         """Gives an endpoint no new work for a while."""
         if state := self.states.get(name):
-            until = asyncio.get_running_loop().time() + seconds
-            state.avoid_until = max(state.avoid_until, until)
+            state.avoid_until = max(state.avoid_until, _now() + seconds)
 
     def _open(self) -> list[EndpointState]:
-        now = asyncio.get_running_loop().time()
+        now = _now()
         return [
             state
             for name, state in self.states.items()
             if name not in self.drained and state.takes_work(now)
         ]
+
+
+def _mark(state: EndpointState, aspect: Aspect) -> Mark:
+    return state.departure if aspect is Aspect.DEPARTURE else state.reach
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/libs/wire/src/rattanmill_wire/messages.py
+++ b/libs/wire/src/rattanmill_wire/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from rattanmill_core import Refusal
+from rattanmill_core import CrashNote, EndpointNote, Refusal
 
 _VERSION = b"\x01"
 
@@ -135,6 +135,34 @@
     refusal: Refusal
 
 
+class EndpointNotes(msgspec.Struct, tag=40):
+    """Tells what was seen of endpoints and of requests that crash them.
+
+    Attributes:
+        domain: Failure domain of the sender.
+        endpoints: Changes of endpoints.
+        crashes: Crashes and finished runs of suspected requests.
+    """
+
+    domain: str
+    endpoints: list[EndpointNote]
+    crashes: list[CrashNote]
+
+
+class PinsHeld(msgspec.Struct, tag=41):
+    """Tells an owner which pins an engine reports for its shard.
+
+    Attributes:
+        endpoint: Name of the engine.
+        shard: ``DOMAIN.NUMBER``.
+        pins: Program id and epoch of each pin.
+    """
+
+    endpoint: str
+    shard: str
+    pins: list[tuple[str, int]]
+
+
 Message = (
     Heartbeat
     | ConfigAsk
@@ -146,6 +174,8 @@
     | ReplyChunk
     | ReplyEnd
     | ReplyRefused
+    | EndpointNotes
+    | PinsHeld
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/tests/features/steps/leaving.py
@@ -0,0 +1,204 @@
+"""Steps of endpoints that leave, die or hang."""
+
+import itertools
+import threading
+import time
+
+from behave import given, then, when
+from hypothesis import given as given_any
+from hypothesis import settings, strategies
+
+from features.steps.endpoints import make_calls, step_calls_at_once
+from rattanmill_core import Aspect, EndpointNote, Sign
+from rattanmill_policy import Mark
+from support import wait_until
+
+
+def set_faults(context, name, **faults):
+    """Sets faults that end with the scenario."""
+    standin = context.system.standins[name]
+    before = standin.request("GET", "/faults").json
+    standin.faults(**faults)
+    undo = {key: before[key] for key in faults}
+    context.scenario_stack.callback(
+        lambda: standin.request("POST", "/faults", undo)
+    )
+
+
+@when('engine "{name}" begins to drain')
+def step_drain(context, name):
+    set_faults(context, name, draining=True)
+
+
+@when('engine "{name}" stops draining')
+def step_stop_draining(context, name):
+    set_faults(context, name, draining=False)
+
+
+@when('engine "{name}" hangs')
+def step_hang(context, name):
+    set_faults(context, name, hang=True)
+
+
+@when('engine "{name}" moves again')
+def step_move(context, name):
+    set_faults(context, name, hang=False)
+
+
+@when('engine "{name}" is frozen')
+def step_freeze(context, name):
+    process = context.system.processes[name]
+    process.pause()
+    context.scenario_stack.callback(process.resume)
+
+
+@when('engine "{name}" thaws')
+def step_thaw(context, name):
+    context.system.processes[name].resume()
+
+
+@when("it is killed while {count:d} calls are made at once")
+def step_kill_engine(context, count):
+    engine = context.system.standins["engine-1"]
+    before = engine.stats().get("calls", 0)
+
+    def kill():
+        wait_until(
+            lambda: engine.stats().get("calls", 0) > before, "a call is there"
+        )
+        context.system.processes["engine-1"].kill()
+
+    thread = threading.Thread(target=kill)
+    thread.start()
+    step_calls_at_once(context, count)
+    thread.join()
+
+
+@when('engine "{name}" is started again')
+def step_restart(context, name):
+    context.system.restart_engine(name)
+
+
+@when('the list shows "{name}" as leaving')
+def step_list_leaving(context, name):
+    put_list(
+        context,
+        [
+            {**entry, "state": "leaving"} if entry["name"] == name else entry
+            for entry in read_list(context)
+        ],
+    )
+
+
+@when('the list drops "{name}"')
+def step_list_drops(context, name):
+    put_list(context, [e for e in read_list(context) if e["name"] != name])
+
+
+@when("the list is as it was")
+def step_list_restored(context):
+    put_list(context, context.system.endpoint_list())
+
+
+def read_list(context):
+    directory = context.system.standins["directory"]
+    return directory.request("GET", "/instances").json["instances"]
+
+
+def put_list(context, instances):
+    directory = context.system.standins["directory"]
+    directory.request("PUT", "/instances", {"instances": instances})
+    wait_until(lambda: read_list(context) == instances, "the list is changed")
+
+
+@when('operators drain "{name}"')
+def step_operators_drain(context, name):
+    change_drained(context, [name])
+    context.scenario_stack.callback(change_drained, context, [])
+
+
+def change_drained(context, names):
+    client = context.clients[0]
+    document = client.request("GET", "/v1/admin/config").json
+    document.update(drained=names, change="")
+    answer = client.request("PUT", "/v1/admin/config", document)
+    assert answer.status == 200, answer
+
+
+@when('"{name}" is cut off from the second failure domain')
+def step_cut(context, name):
+    set_faults(context, name, cut_sources=["127.0.2."])
+
+
+@when("{count:d} calls are made through the second failure domain")
+def step_calls_second(context, count):
+    clients = [i.client for i in context.system.in_domain(1)]
+    context.answers = make_calls(context, count, clients)
+
+
+NOTES = strategies.lists(
+    strategies.builds(
+        EndpointNote,
+        endpoint=strategies.just("engine"),
+        aspect=strategies.just(Aspect.REACH),
+        generation=strategies.integers(1, 6),
+        closed=strategies.booleans(),
+        sign=strategies.just(Sign.REFUSED),
+    ),
+    min_size=1,
+    max_size=8,
+)
+CHECKS = settings(max_examples=200, deadline=None, derandomize=True)
+
+
+@given("any notes about an endpoint")
+def step_notes(context):
+    context.notes = NOTES
+
+
+@then("instances that hear them in any order agree")
+def step_agree(context):
+    @CHECKS
+    @given_any(context.notes, strategies.randoms(use_true_random=False))
+    def check(notes, random):
+        one, other = Mark(Aspect.REACH), Mark(Aspect.REACH)
+        shuffled = list(notes) * 2
+        random.shuffle(shuffled)
+        for note in notes:
+            one.take(note, 0.0)
+        for note in shuffled:
+            other.take(note, 0.0)
+        assert one.closed == other.closed, (notes, shuffled)
+        assert one.generation == other.generation
+
+    check()
+
+
+@then("a stale note changes nothing")
+def step_stale(context):
+    @CHECKS
+    @given_any(context.notes)
+    def check(notes):
+        mark = Mark(Aspect.REACH)
+        mark.close(Sign.REFUSED, time.monotonic())
+        assert not any(mark.take(note, 1.0) for note in notes)
+        assert mark.closed
+
+    check()
+
+
+@then("an endpoint that fails again and again is tried less and less")
+def step_less_and_less(context):
+    mark = Mark(Aspect.REACH)
+    now = 0.0
+    tries = []
+    while now < 120.0:
+        if not mark.closed:
+            tries.append(now)
+            mark.close(Sign.REFUSED, now)
+        now += 0.5
+        if mark.probed(True, now):
+            mark.reopen(now)
+    gaps = [b - a for a, b in itertools.pairwise(tries)]
+    assert len(tries) <= 8, tries
+    assert gaps == sorted(gaps), gaps
