--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -21,6 +21,7 @@
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
 from rattanmill_core.logs import configure_logs, part_logger
 from rattanmill_core.metrics import Metrics
+from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
 from rattanmill_core.operators import (
     ConfigReach,
     EndpointStatus,
@@ -36,12 +37,15 @@
 )
 
 __all__ = [
+    "Aspect",
     "ConfigDocument",
     "ConfigReach",
     "ConflictError",
     "EndpointStatus",
     "HistoryEntry",
     "InstanceStatus",
+    "CrashNote",
+    "EndpointNote",
     "InvariantError",
     "Metrics",
     "NotReachedError",
@@ -55,6 +59,7 @@
     "Settings",
     "SettingsError",
     "UnreachableError",
+    "Sign",
     "UsageError",
     "WorkClass",
     "configure_logs",
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -20,8 +20,15 @@
 )
 from rattanmill_entry.node import Heard, Node
 from rattanmill_entry.route import peer_address
+from rattanmill_entry.signs import Signs
 from rattanmill_platform import InstanceRecord
-from rattanmill_wire import ConfigAsk, ConfigTell, Heartbeat, Message
+from rattanmill_wire import (
+    ConfigAsk,
+    ConfigTell,
+    EndpointNotes,
+    Heartbeat,
+    Message,
+)
 
 _log = part_logger("gossip")
 _SUCCESSORS = 2
@@ -53,8 +60,9 @@
 class Gossip:
     """Sends heartbeats and answers those of others."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, signs: Signs) -> None:
         self.node = node
+        self.signs = signs
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -123,6 +131,8 @@
                 document = decode_config(message.document)
                 if isinstance(document, ConfigDocument):
                     take_config(node, document)
+            case EndpointNotes():
+                self.signs.hear(message)
 
     def _hear(self, message: Heartbeat, answer: Answer) -> None:
         node = self.node
