Place calls by expected finish, with learned speeds and cached prefixes

Calls went to the endpoint with the fewest of our own in flight, whatever its speed, other instances' calls or cache; nothing waited in order and nothing was refused. Now expected finish decides; limits, queue order, admission, a retry budget and workspace shares are in modules of their own, and targets are read from the configuration in force at each decision.

--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -85,7 +85,9 @@
         headers["Rattanmill-Fence"] = run.fence
     began = loop.time()
     ended = False
-    parts = stream_chat(node.session, placement.url, body, headers)
+    parts = stream_chat(
+        node.session, placement.url, body, headers, placement.timeout_seconds
+    )
     try:
         with placement:
             async with contextlib.aclosing(parts):
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -31,7 +31,7 @@
 )
 from rattanmill_platform.lease import new_incarnation
 from rattanmill_platform.live import instance_key
-from rattanmill_policy import EndpointTable, Scheduler
+from rattanmill_policy import EndpointTable, LoadReports, Scheduler
 from rattanmill_wire import PeerHub, load_secret
 
 _log = part_logger("daemon")
@@ -63,6 +63,9 @@
         await stack.enter_async_context(node.lease)
         await stack.enter_async_context(node.live)
         await stack.enter_async_context(node.directory)
+        await stack.enter_async_context(
+            LoadReports(node.scheduler, node.session)
+        )
         await stack.enter_async_context(gossip)
         await stack.enter_async_context(ownership)
         runner = await _listen(node)
@@ -82,7 +85,7 @@
     node.metrics = Metrics()
     node.config = default_config(settings.domains)
     node.table = EndpointTable()
-    node.scheduler = Scheduler(node.table)
+    node.scheduler = Scheduler(node.table, lambda: node.config, node.metrics)
     return node
 
 
--- a/libs/entry/src/rattanmill_entry/turns.py
+++ b/libs/entry/src/rattanmill_entry/turns.py
@@ -302,6 +302,8 @@
     made = program.made
     work = Work(
         program=made.program,
+        parent=made.parent,
+        turn=plan.number,
         klass=made.klass,
         workspace=made.workspace,
         model=plan.chat.model,
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -94,6 +94,7 @@
     url: str,
     body: bytes,
     headers: dict[str, str],
+    silence_seconds: float = _SILENCE_SECONDS,
 ) -> AsyncIterator[Delta | Finished | Failed]:
     """Runs a chat call; the last thing yielded is Finished or Failed.
 
@@ -102,7 +103,7 @@
     answer otherwise.
     """
     timeout = aiohttp.ClientTimeout(
-        total=None, sock_connect=_CONNECT_SECONDS, sock_read=_SILENCE_SECONDS
+        total=None, sock_connect=_CONNECT_SECONDS, sock_read=silence_seconds
     )
     finish = ""
     usage = None
--- a/libs/policy/src/rattanmill_policy/__init__.py
+++ b/libs/policy/src/rattanmill_policy/__init__.py
@@ -1,13 +1,20 @@
 """Decisions: which endpoint, when, how often again, and what not at all."""
 
-from rattanmill_policy.scheduler import Outcome, Placement, Scheduler, Work
+from rattanmill_policy.loads import LoadReports
+from rattanmill_policy.outcome import Outcome
+from rattanmill_policy.scheduler import Rules, Scheduler
+from rattanmill_policy.speeds import LoadReport
 from rattanmill_policy.table import EndpointState, EndpointTable
+from rattanmill_policy.work import Placement, Work
 
 __all__ = [
     "EndpointState",
     "EndpointTable",
+    "LoadReport",
+    "LoadReports",
     "Outcome",
     "Placement",
+    "Rules",
     "Scheduler",
     "Work",
 ]
--- /dev/null
+++ b/libs/policy/src/rattanmill_policy/candidates.py
@@ -0,0 +1,105 @@
+"""The few endpoints that a decision looks at, however many there are."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from rattanmill_policy.admission import FIRST_LIMIT
+from rattanmill_policy.ring import Ring
+from rattanmill_policy.speeds import EndpointStats, Speed
+from rattanmill_policy.table import EndpointState, EndpointTable
+from rattanmill_policy.work import Work
+
+_ALL = 16
+_SAMPLE = 8
+_LEAST_READ_SECONDS = 0.2
+_MOST_READ_SECONDS = 5.0
+
+
+class _Pool:
+    """Endpoints of one model or service, as last read from the table."""
+
+    def __init__(self) -> None:
+        self.names: list[str] = []
+        self.read_at = float("-inf")
+        self.fleet = Speed()
+        self.ring = Ring([])
+
+
+class Candidates:
+    """Chooses which endpoints to compare.
+
+    A small pool is compared as a whole. Of a large one, those that hold a
+    prefix of the prompt, its home endpoints, and a few at random: the best
+    of eight at random is nearly as good as the best of all (power of d
+    choices), and instances don't all rush to the same one. So the time of a
+    decision doesn't grow with the pool.
+
+    Args:
+        table: Endpoints known.
+        rng: Draws the sample.
+    """
+
+    def __init__(self, table: EndpointTable, rng: random.Random) -> None:
+        self.table = table
+        self.rng = rng
+        self.pools: dict[str, _Pool] = {}
+        self.stats: dict[str, EndpointStats] = {}
+
+    def of(self, work: Work) -> list[str]:
+        """Returns names of all endpoints for a call, as last read."""
+        now = asyncio.get_running_loop().time()
+        pool = self.pools.setdefault(work.group, _Pool())
+        size = len(pool.names)
+        age = now - pool.read_at
+        wait = min(max(size / 1000, _LEAST_READ_SECONDS), _MOST_READ_SECONDS)
+        if age >= wait or not any(map(self._open, pool.names[:_ALL])):
+            self._read(pool, work, now)
+        return pool.names
+
+    def _read(self, pool: _Pool, work: Work, now: float) -> None:
+        found = (
+            self.table.engines(work.model)
+            if work.model
+            else self.table.services(work.service)
+        )
+        names = [state.endpoint.name for state in found]
+        pool.read_at = now
+        if names != pool.names:
+            pool.names = names
+            pool.ring = Ring(names)
+
+    def fleet(self, group: str) -> Speed:
+        """Returns the speed of all endpoints of a group taken together."""
+        return self.pools.setdefault(group, _Pool()).fleet
+
+    def stats_of(self, state: EndpointState) -> EndpointStats:
+        """Returns what is known of an endpoint."""
+        name = state.endpoint.name
+        stats = self.stats.get(name)
+        if stats is None:
+            stats = self.stats[name] = EndpointStats(FIRST_LIMIT)
+        return stats
+
+    def homes(self, group: str, digest: bytes, count: int) -> list[str]:
+        """Returns the home endpoints of a prefix."""
+        pool = self.pools.get(group)
+        return pool.ring.homes(digest, count) if pool else []
+
+    def pick(self, work: Work, held: Iterable[str]) -> list[EndpointState]:
+        """Returns the endpoints to compare; untried ones if there are any."""
+        names = self.of(work)
+        if len(names) > _ALL:
+            sample = self.rng.sample(names, _SAMPLE)
+            names = list(dict.fromkeys([*held, *sample]))
+        found = [s for name in names if (s := self._open(name))]
+        untried = [s for s in found if s.endpoint.name not in work.tried]
+        return untried or found
+
+    def _open(self, name: str) -> EndpointState | None:
+        """Returns an endpoint if it may take work at this moment."""
+        state = self.table.states.get(name)
+        if state is None or name in self.table.drained:
+            return None
+        now = asyncio.get_running_loop().time()
+        return state if state.takes_work(now) else None
--- /dev/null
+++ b/libs/policy/src/rattanmill_policy/retries.py
@@ -0,0 +1,53 @@
+"""How often calls may be tried again."""
+
+import random
+
+from rattanmill_policy.outcome import Outcome
+from rattanmill_policy.work import Work
+
+_SHARE = 0.08
+_FIRST_TOKENS = 1.0
+_MOST_TOKENS = 10.0
+_MOST_TRIES = 3
+_PAUSE_SECONDS = 0.05
+_NEVER = (Outcome.REJECTED, Outcome.ABANDONED, Outcome.ANSWERED)
+
+
+class RetryBudget:
+    """Retries by class, as a share of first tries.
+
+    When many endpoints fail at once, each failed call would come back up to
+    three times, and the endpoints that are left would get a multiple of the
+    load just then. One notices a load that stays up after the fault is over.
+    With a budget, retries add at most 8% to the load.
+    """
+
+    def __init__(self) -> None:
+        self.tokens: dict[str, float] = {}
+
+    def earn(self, klass: str) -> None:
+        """Notes a first try."""
+        tokens = self.tokens.get(klass, _FIRST_TOKENS) + _SHARE
+        self.tokens[klass] = min(tokens, _MOST_TOKENS)
+
+    def take(self, klass: str) -> bool:
+        """Takes one retry; False if none is left."""
+        tokens = self.tokens.get(klass, _FIRST_TOKENS)
+        if tokens < 1:
+            return False
+        self.tokens[klass] = tokens - 1
+        return True
+
+
+def is_worth_retrying(work: Work, outcome: Outcome, now: float) -> bool:
+    """Whether another try may help, budget aside."""
+    return (
+        outcome not in _NEVER
+        and len(work.tried) < _MOST_TRIES
+        and work.left(now) > 0
+    )
+
+
+def pause_seconds(tries: int, rng: random.Random) -> float:
+    """Returns how long to wait before another try, with jitter."""
+    return rng.uniform(0.5, 1.5) * _PAUSE_SECONDS * 2 ** max(0, tries - 1)
--- /dev/null
+++ b/libs/policy/src/rattanmill_policy/work.py
@@ -0,0 +1,126 @@
+"""What the scheduler is asked to place, and the place it gives."""
+
+from collections.abc import Callable
+from typing import Self
+
+import msgspec
+
+from rattanmill_policy.outcome import Outcome
+from rattanmill_policy.table import EndpointState
+
+
+class Work(msgspec.Struct, kw_only=True):
+    """A call that needs an endpoint.
+
+    Attributes:
+        program: Program id, or a unique id for a call without a program.
+        parent: Program of which this one is a sub-agent, or empty.
+        turn: Number of the call in its program, from 1.
+        klass: Class of work.
+        workspace: Workspace of the caller.
+        model: Model asked for, or empty for a plain service.
+        service: Plain service asked for, or empty for an engine.
+        prefixes: Digest and tokens of each prefix of the prompt, by message.
+        prompt_tokens: Estimate of the whole prompt.
+        output_tokens: Most tokens of the answer.
+        seconds_left: Time until the caller's deadline, at the first try.
+        age_seconds: Time since the program began, at the first try.
+        attained_seconds: Service that the program has had so far.
+        body_digest: Digest of the body, to recognise a call sent again.
+        tried: Endpoints on which this call has failed.
+        began: Loop time of the first try; set by the scheduler.
+    """
+
+    program: str
+    parent: str = ""
+    turn: int = 1
+    klass: str = ""
+    workspace: str = ""
+    model: str = ""
+    service: str = ""
+    prefixes: list[tuple[bytes, int]] = msgspec.field(default_factory=list)
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    seconds_left: float = 600.0
+    age_seconds: float = 0.0
+    attained_seconds: float = 0.0
+    body_digest: bytes = b""
+    tried: list[str] = msgspec.field(default_factory=list)
+    began: float = 0.0
+
+    @property
+    def group(self) -> str:
+        """Name of what serves it: a model, or a plain service."""
+        return self.model or self.service
+
+    @property
+    def is_new(self) -> bool:
+        """Whether nothing of its program has run yet."""
+        return bool(self.model) and self.turn <= 1 and not self.parent
+
+    def left(self, now: float) -> float:
+        """Seconds until the caller's deadline at loop time ``now``."""
+        return self.seconds_left - (now - self.began if self.began else 0.0)
+
+
+class Placement:
+    """A place at an endpoint, held while the call runs there.
+
+    It is counted as in flight from the moment it is made, not from ``with``:
+    otherwise calls decided in the same moment would all see the same free
+    place.
+
+    Attributes:
+        work: The call.
+        state: The endpoint.
+        priority: Passed on to engines; higher goes first.
+        timeout_seconds: Longest silence of the endpoint to put up with.
+        expected_seconds: Time the call should take.
+        cached_expected: Tokens of the prompt that should be cached there.
+        cached_since: Loop time at which that prefix was last used there; 0
+            if it is a guess.
+        outcome: Set by the holder before it lets go.
+        first_token_seconds: Time to the first token, set by the holder.
+        seconds: Time the call took, set by the holder.
+        prompt_tokens: Tokens of the prompt, from the endpoint's usage.
+        cached_tokens: Of these, tokens it had cached.
+        output_tokens: Tokens of the answer.
+    """
+
+    def __init__(
+        self,
+        work: Work,
+        state: EndpointState,
+        on_exit: Callable[["Placement"], None],
+    ) -> None:
+        self.work = work
+        self.state = state
+        self.on_exit = on_exit
+        self.priority = 0
+        self.timeout_seconds = 60.0
+        self.expected_seconds = 0.0
+        self.cached_expected = 0
+        self.cached_since = 0.0
+        self.outcome = Outcome.ABANDONED
+        self.first_token_seconds = 0.0
+        self.seconds = 0.0
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.output_tokens = 0
+        state.in_flight += 1
+
+    @property
+    def url(self) -> str:
+        """Base URL of the endpoint."""
+        return self.state.endpoint.url
+
+    def release(self) -> None:
+        """Gives the place back."""
+        self.state.in_flight -= 1
+        self.on_exit(self)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.release()
