Add the bench of the decisions, and count what engines compute twice

The stand-in's own wasted_tokens counts only what the same engine had had before, so a prompt computed on each engine in turn counts as no waste.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions under load and faults, against a naive version."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,185 @@
+"""Runs cells and writes their figures to a data file.
+
+Usage: python -m bench [--quick | --full] [CELL ...]
+
+A cell is WORKLOAD/POLICY/LOAD/FAULT/SEED; ``*`` in a part stands for all that
+the chosen set has.
+"""
+
+import concurrent.futures
+import fnmatch
+import os
+import pathlib
+import platform
+import sys
+import time
+
+import defopt
+import msgspec
+
+from bench.cells import FAULTS, Cell, CellResult, print_result, run_cell
+from bench.policies import RULES
+from bench.report import write_report
+from bench.workloads import WORKLOADS
+
+_SEEDS = (1, 2, 3)
+_LOADS = (50, 90, 120, 200)
+_MAIN = ("naive", "least-loaded", "rattanmill")
+_RESULTS = pathlib.Path("bench/results")
+
+
+class Run(msgspec.Struct):
+    """A data file.
+
+    Attributes:
+        command: How it was made.
+        date: When.
+        machine: On what.
+        capacity: Programs a second by workload, that the loads refer to.
+        cells: Figures.
+    """
+
+    command: str
+    date: str
+    machine: str
+    capacity: dict[str, float]
+    cells: list[CellResult]
+
+
+def main_cells(loads: tuple[int, ...], seeds: tuple[int, ...]) -> list[Cell]:
+    """Returns the policies side by side at each load."""
+    return [
+        Cell(workload, policy, load, "none", seed)
+        for workload in WORKLOADS
+        for load in loads
+        for policy in _MAIN
+        for seed in seeds
+    ]
+
+
+def fault_cells(seeds: tuple[int, ...]) -> list[Cell]:
+    """Returns ours and the naive policy under each fault."""
+    return [
+        Cell(workload, policy, 90, fault, seed)
+        for workload in WORKLOADS
+        for fault in FAULTS
+        for policy in ("naive", "rattanmill")
+        for seed in seeds
+    ]
+
+
+def rule_cells(seeds: tuple[int, ...]) -> list[Cell]:
+    """Returns ours less each rule, and each rule alone."""
+    return [
+        Cell(workload, f"{kind}-{rule}", load, "none", seed)
+        for workload in WORKLOADS
+        for load in (90, 200)
+        for rule in RULES
+        for kind in ("without", "only")
+        for seed in seeds
+    ]
+
+
+def quick_cells() -> list[Cell]:
+    """Returns the main cells, once each."""
+    return [
+        Cell(workload, policy, load, "none", 1)
+        for workload in WORKLOADS
+        for load in (90, 200)
+        for policy in ("naive", "rattanmill")
+    ]
+
+
+def main(
+    *patterns: str,
+    quick: bool = False,
+    capacity: float = 0.0,
+    data: str = "",
+    at_once: int = 2,
+    report: bool = False,
+) -> None:
+    """Measures the policies.
+
+    Args:
+        patterns: Cells to run; all of the set if none is given.
+        quick: Take the main cells once each, a few minutes in all.
+        capacity: Programs a second to take as capacity; measured if 0.
+        data: Data file; named after the date if not given.
+        at_once: Cells to run at a time; each takes about a core and a half.
+        report: Only write the page from the data file.
+    """
+    path = pathlib.Path(
+        data or _RESULTS / f"{time.strftime('%Y%m%d-%H%M')}.json"
+    )
+    if report:
+        write_report(msgspec.json.decode(path.read_bytes(), type=Run))
+        return
+    everything = (
+        main_cells(_LOADS, _SEEDS) + fault_cells(_SEEDS) + rule_cells(_SEEDS)
+    )
+    chosen = quick_cells() if quick else everything
+    if patterns:
+        chosen = [
+            c for c in everything + quick_cells() if _matches(c, patterns)
+        ]
+        chosen = list(dict.fromkeys(chosen))
+    if not chosen:
+        sys.exit(f"No cell matches {', '.join(patterns)}.")
+    run = _load_run(path)
+    for workload in sorted({cell.workload for cell in chosen}):
+        if capacity:
+            run.capacity[workload] = capacity
+        elif workload not in run.capacity:
+            run.capacity[workload] = _measure_capacity(workload)
+    failed = 0
+    with concurrent.futures.ThreadPoolExecutor(at_once) as pool:
+        tasks = [
+            pool.submit(run_cell, cell, run.capacity[cell.workload])
+            for cell in chosen
+        ]
+        for cell, task in zip(chosen, tasks, strict=True):
+            if error := task.exception():
+                print(f"{cell.name}: FAILED: {error!r}", flush=True)
+                failed += 1
+                continue
+            print_result(task.result())
+            run.cells = [c for c in run.cells if c.cell != cell]
+            run.cells.append(task.result())
+            path.write_bytes(msgspec.json.format(msgspec.json.encode(run)))
+    print(f"Data: {path}; {failed} cells failed")
+    if failed:
+        sys.exit(1)
+
+
+def _matches(cell: Cell, patterns: tuple[str, ...]) -> bool:
+    return any(fnmatch.fnmatch(cell.name, pattern) for pattern in patterns)
+
+
+def _load_run(path: pathlib.Path) -> Run:
+    if path.exists():
+        return msgspec.json.decode(path.read_bytes(), type=Run)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    return Run(
+        " ".join(["python -m bench", *sys.argv[1:]]),
+        time.strftime("%Y-%m-%d %H:%M"),
+        f"{os.cpu_count()} cores, Python {platform.python_version()}",
+        {},
+        [],
+    )
+
+
+def _measure_capacity(workload: str) -> float:
+    """Returns programs a second with all engines busy, median of seeds."""
+    results = [
+        run_cell(Cell(workload, "rattanmill", 0, "none", seed), 0.0)
+        for seed in _SEEDS
+    ]
+    for result in results:
+        print_result(result)
+    rates = sorted(result.throughput for result in results)
+    print(f"Capacity of {workload}: {rates[1]:.2f} programs a second")
+    return rates[1]
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -113,7 +113,7 @@
         self.held = 0
         self.pins: dict[str, tuple[int, set[str]]] = {}
         self.events: list[tuple[float, int, str, str]] = []
-        self.seen: set[str] = set()
+        self.seen: dict[str, int] = {}
 
     def reuse(self, blocks: list[tuple[str, int]]) -> int:
         """Returns the tokens of the longest cached prefix."""
@@ -128,7 +128,7 @@
     def add(self, blocks: list[tuple[str, int]]) -> None:
         """Caches a prompt, dropping the least recently used unpinned."""
         for digest, tokens in blocks:
-            self.seen.add(digest)
+            self.seen[digest] = tokens
             if digest in self.blocks:
                 continue
             self.blocks[digest] = tokens
@@ -178,6 +178,7 @@
         add = app.router
         add.add_post("/v1/chat/completions", self.chat)
         add.add_get("/v1/load", self.load)
+        add.add_get("/seen", self.show_seen)
         add.add_get("/v1/streams/{id}", self.resume)
         add.add_post("/v1/cancel", self.cancel)
         add.add_get("/v1/pins", self.show_pins)
@@ -378,6 +379,10 @@
         }
         self.loads.append((now, load))
 
+    async def show_seen(self, request: web.Request) -> web.Response:
+        """Answers with the tokens of each prefix it ever computed."""
+        return web.json_response(self.cache.seen)
+
     async def load(self, request: web.Request) -> web.Response:
         """Answers ``GET /v1/load`` with a lag."""
         until = time.monotonic() - self.faults.load_lag_seconds
