--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,1 @@
+"""Writes the page of measurements from a data file."""
--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -100,7 +100,13 @@
     began = loop.time()
     ended = False
     parts = until_closed(
-        stream_chat(node.session, placement.url, body, headers),
+        stream_chat(
+            node.session,
+            placement.url,
+            body,
+            headers,
+            placement.timeout_seconds,
+        ),
         placement.state,
     )
     try:
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -41,10 +41,10 @@
 
     Given a system of three failure domains
     And a program
-    When act "deposit-1" with body "20" is sent through instance 1
+    When the deposit "deposit-1" of "20" is sent through instance 1
     Then the answer has status 200
-    When act "deposit-1" with body "20" is sent through instance 4
+    When the deposit "deposit-1" of "20" is sent through instance 4
     Then the answer has status 200
     And the service ran "deposit-1" 1 time
-    When act "deposit-1" with body "30" is sent through instance 2
+    When the deposit "deposit-1" of "30" is sent through instance 2
     Then the refusal is "act_conflict" and "no"
--- a/tests/features/steps/path.py
+++ b/tests/features/steps/path.py
@@ -26,7 +26,7 @@
     context.answer = context.clients[1].chat(text)
 
 
-@when('act "{key}" with body "{body}" is sent through instance {index:d}')
+@when('the deposit "{key}" of "{body}" is sent through instance {index:d}')
 def step_act(context, key, body, index):
     context.answer = context.clients[index].act(key, body, context.program)
 
