Let a new instance absorb a burst of failures with its retry budget

Cause: an instance starts with one retry. Ruled out: taking broken connections out of the budget, since such calls may have run and do add load.

--- a/libs/policy/src/rattanmill_policy/retries.py
+++ b/libs/policy/src/rattanmill_policy/retries.py
@@ -6,7 +6,7 @@
 from rattanmill_policy.work import Work
 
 _SHARE = 0.08
-_FIRST_TOKENS = 1.0
+_FIRST_TOKENS = 10.0
 _MOST_TOKENS = 10.0
 _MOST_TRIES = 3
 _PAUSE_SECONDS = 0.05
