Admit programs at the rate at which calls end

With an instant bound on the wait alone, all were admitted until calls were slow; those under way went on adding load, and half of the admitted were late.

--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -17,7 +17,13 @@
     WorkClass,
     refuse,
 )
-from rattanmill_policy.admission import Admission, Rate, Verdict, next_limit
+from rattanmill_policy.admission import (
+    Admission,
+    Permits,
+    Rate,
+    Verdict,
+    next_limit,
+)
 from rattanmill_policy.candidates import Candidates
 from rattanmill_policy.fairness import WorkspaceShares
 from rattanmill_policy.outcome import Outcome
@@ -91,11 +97,13 @@
     Attributes:
         waiting: Waiting calls, first to go first.
         finished: Rate of calls that end.
+        permits: Programs that may begin.
     """
 
     def __init__(self) -> None:
         self.waiting: list[Waiter] = []
         self.finished = Rate()
+        self.permits = Permits()
 
 
 class _Choice(msgspec.Struct):
@@ -248,8 +256,11 @@
             verdict = self.admission.check_new(
                 self._name(work),
                 self._class(work),
+                self._group(work).permits,
+                now - self.programs.of(work, now).began,
                 delay,
                 self._excess(work, now),
+                self._group(work).finished.per_second(now),
                 now,
             )
         else:
@@ -450,9 +461,14 @@
                 output,
             )
         speed = self._pace(work, stats, now)
-        shape = self.admission.of(self._name(work)).shape
-        shape.learn("run", uncached * speed.prefill + output * speed.decode)
-        shape.learn("output", float(output))
+        run = uncached * speed.prefill + output * speed.decode
+        klass = self._class(work)
+        state = self.admission.of(self._name(work))
+        state.shape.learn("run", run)
+        state.shape.learn("output", float(output))
+        late = now - self.programs.of(work, now).began > klass.target_seconds
+        delay = max(0.0, now - work.began - run)
+        state.note_call(delay, late, klass, now)
         least = uncached * speed.prefill + output * (
             stats.speed.decode_least or speed.decode
         )
