Scenarios of placement, admission and retries

A flood's first calls were all alike to the queue: shares counted only what a workspace had had. Naive versions stand beside the scenarios they fail.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -130,7 +130,7 @@
         if capacity:
             run.capacity[workload] = capacity
         elif workload not in run.capacity:
-            run.capacity[workload] = _measure_capacity(workload)
+            run.capacity[workload] = _measure_capacity(workload, at_once)
     failed = 0
     with concurrent.futures.ThreadPoolExecutor(at_once) as pool:
         tasks = [
@@ -168,12 +168,11 @@
     )
 
 
-def _measure_capacity(workload: str) -> float:
+def _measure_capacity(workload: str, at_once: int) -> float:
     """Returns programs a second with all engines busy, median of seeds."""
-    results = [
-        run_cell(Cell(workload, "rattanmill", 0, "none", seed), 0.0)
-        for seed in _SEEDS
-    ]
+    cells = [Cell(workload, "rattanmill", 0, "none", seed) for seed in _SEEDS]
+    with concurrent.futures.ThreadPoolExecutor(at_once) as pool:
+        results = list(pool.map(run_cell, cells, [0.0] * len(cells)))
     for result in results:
         print_result(result)
     rates = sorted(result.throughput for result in results)
--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -47,6 +47,7 @@
 _LOOK_AHEAD = 8
 _HOMES = 2
 _FIRST_OUTPUT = 64.0
+_LEAST_RUN = 0.01
 _LEAST_TIMEOUT = 2.0
 _MOST_TIMEOUT = 60.0
 _TIMEOUT_FACTOR = 4.0
@@ -396,13 +397,29 @@
             self._excess(work, now),
         )
 
+    def _backlog(self, work: Work, group: Group) -> float:
+        """Returns seconds of service that the workspace has waiting.
+
+        What a workspace has had tells nothing of a flood that has just come
+        in. Each call of the flood goes behind the service of those before
+        it, as if the workspace had an endpoint of its own.
+        """
+        if not self.rules.shares:
+            return 0.0
+        run = self.admission.of(self._name(work)).shape.run
+        ahead = sum(w.work.workspace == work.workspace for w in group.waiting)
+        return ahead * max(run, _LEAST_RUN)
+
     async def _wait(self, work: Work) -> Placement | Refusal:
         """Waits until the call has a place or its deadline is over."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        deadline = self._deadline(work, now) if self.rules.order else now
-        waiter = Waiter(deadline, work, loop.create_future())
         group = self._group(work)
+        deadline = now
+        if self.rules.order:
+            deadline = self._deadline(work, now) + self._backlog(work, group)
+        waiter = Waiter(deadline, work, loop.create_future())
+        self._count("rattanmill_queued", work)
         bisect.insort(group.waiting, waiter, key=lambda w: w.deadline)
         try:
             while not waiter.place.done():
--- /dev/null
+++ b/tests/features/retries.feature
@@ -0,0 +1,34 @@
+Feature: Retries
+  A call that failed is tried at another endpoint, within a budget.
+
+  Scenario: Endpoints crash and every call fails
+    Half of a rack goes. Each failed call comes back, and the endpoints that
+    are left get a multiple of the load just when they can bear the least.
+
+    Given runners "a, b, c" of which all break each call
+    When 200 calls are made one after the other
+    Then fewer than 10 in 100 calls were tried again
+
+  Scenario: The naive version tries all of them again
+    Given runners "a, b, c" of which all break each call, before the naive version
+    When 200 calls are made one after the other
+    Then each call was tried 3 times
+
+  Scenario: Another endpoint comes first
+    Given runners "a, b" of which "a" breaks each call
+    When calls are made until one fails at "a"
+    Then it is answered by "b"
+
+  Scenario: A runner dies with a call in flight
+    The process of a runner ends between two tokens. The caller has seen
+    nothing yet and should not need to know.
+
+    Given a system with two runners
+    When the runner that has a call is killed
+    Then the call is answered by the other one
+
+  Scenario: The budget holds in any order of events
+    Then retries never pass 8 in 100 first tries and the first one
+
+  Scenario: No retry after the deadline
+    Then a call past its deadline is not tried again
--- /dev/null
+++ b/tests/features/steps/placement.py
@@ -0,0 +1,269 @@
+"""Steps of placement."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+from bench.policies import Naive
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanmill_core import WorkClass
+from rattanmill_policy import LoadReport, Scheduler
+from rattanmill_policy.placement import Call, cache_price, estimate
+from rattanmill_policy.prefixes import PrefixMap
+from rattanmill_policy.ring import Ring
+from rattanmill_policy.speeds import EndpointStats, Pace
+from support.virtual import Fleet, chat_work, conversation, run_virtually
+
+_EXAMPLES = settings(max_examples=100, deadline=None, derandomize=True)
+_NAMES = st.sets(st.text("abcdef123", min_size=1), min_size=2, max_size=12)
+
+
+def _plan(context, names, seconds, make):
+    context.seconds = dict.fromkeys(names.split(", "), seconds)
+    context.make = make
+
+
+@given('runners "{names}" that take {seconds:f} s a call')
+def step_runners(context, names, seconds):
+    _plan(context, names, seconds, lambda *args: Scheduler(*args, seed=1))
+
+
+@given(
+    'runners "{names}" that take {seconds:f} s a call, before the naive version'
+)
+def step_naive_runners(context, names, seconds):
+    _plan(context, names, seconds, Naive)
+
+
+@given('runner "{name}" that takes {seconds:f} s a call')
+def step_runner(context, name, seconds):
+    context.seconds[name] = seconds
+
+
+def _fleet(context):
+    return Fleet(context.seconds, context.make)
+
+
+async def _calls(fleet, count, at_once):
+    numbers = iter(range(count))
+
+    async def caller():
+        for number in numbers:
+            await fleet.call(chat_work(f"program-{number}"))
+
+    await asyncio.gather(*(caller() for _ in range(at_once)))
+
+
+@when("{count:d} calls are made, {at_once:d} at a time")
+def step_calls(context, count, at_once):
+    context.plan = [*getattr(context, "plan", []), ("calls", count, at_once)]
+
+
+@when('runner "{name}" keeps one call for {seconds:d} s')
+def step_keeps(context, name, seconds):
+    context.plan.append(("keep", name, seconds))
+
+
+async def _run_plan(context):
+    fleet = _fleet(context)
+    counts = []
+    for act in context.plan:
+        match act:
+            case ("calls", count, at_once):
+                before = fleet.ran.copy()
+                await _calls(fleet, count, at_once)
+                counts.append(fleet.ran - before)
+            case ("keep", name, seconds):
+                fleet.seconds = fleet.seconds | {name: float(seconds)}
+    return counts
+
+
+@then('runner "{slow}" ran under a third of what "{name}" ran')
+def step_third(context, slow, name):
+    ran = run_virtually(_run_plan(context))[-1]
+    assert 3 * ran[slow] < ran[name], ran
+
+
+@then('runner "{slow}" ran as much as "{name}"')
+def step_as_much(context, slow, name):
+    ran = run_virtually(_run_plan(context))[-1]
+    assert ran[slow] == ran[name], ran
+
+
+@then('runner "{name}" ran at most {most:d} of the last calls')
+def step_at_most(context, name, most):
+    ran = run_virtually(_run_plan(context))[-1]
+    assert ran[name] <= most, ran
+
+
+@when("a conversation of 20 turns is held while others come and go")
+def step_conversation(context):
+    async def talk():
+        fleet = _fleet(context)
+        others = asyncio.create_task(_calls(fleet, 60, 2))
+        names = []
+        for turn in range(1, 21):
+            work = chat_work(
+                "talk",
+                turn=turn,
+                prefixes=conversation("talk", turn + 1),
+                prompt_tokens=500 * (turn + 1),
+            )
+            placed = await fleet.call(work)
+            names.append(placed.state.endpoint.name)
+        await others
+        return names
+
+    context.names = run_virtually(talk())
+
+
+@then("one runner ran all 20 turns")
+def step_one_runner(context):
+    assert len(set(context.names)) == 1, context.names
+
+
+@when("a conversation's runner gets {count:d} calls of others")
+def step_busy(context, count):
+    async def talk():
+        fleet = _fleet(context)
+        prefixes = conversation("talk", 2)
+        work = {"prefixes": prefixes, "prompt_tokens": 1000}
+        first = await fleet.call(chat_work("talk", **work))
+        state = first.state
+        report = LoadReport(waiting=count - 4, running=4, slots=4)
+        for _ in range(5):
+            await asyncio.sleep(1)
+            fleet.scheduler.take_report(state.endpoint.name, report)
+        second = await fleet.call(chat_work("talk", turn=3, **work))
+        return state, second.state
+
+    context.first, context.second = run_virtually(talk())
+
+
+@then("the conversation's next turn goes to the other runner")
+def step_other(context):
+    assert context.first is not context.second
+
+
+@then("what an answer says was not cached is not believed any longer")
+def step_not_believed(context):
+    context.prefixes = PrefixMap()
+    old, new = (
+        chat_work(name, prefixes=conversation(name, 3))
+        for name in ("old", "new")
+    )
+    context.old, context.new = old, new
+    context.prefixes.sent(old, "a", 10.0)
+    context.prefixes.sent(new, "a", 20.0)
+    later = chat_work("later", prefixes=conversation("later", 3))
+    context.later = later
+    context.prefixes.sent(later, "a", 30.0)
+    held = context.prefixes.find(new)["a"]
+    context.prefixes.answered("a", held.tokens, held.since, 0)
+    assert not context.prefixes.find(new)
+    assert context.prefixes.find(later)
+
+
+@then("neither is anything that was last used before it")
+def step_older(context):
+    assert not context.prefixes.find(context.old)
+
+
+@then("any two instances find the same homes for a prefix")
+def step_same_homes(context):
+    @_EXAMPLES
+    @for_any(_NAMES, st.binary(min_size=1), st.randoms())
+    def check(names, digest, rng):
+        shuffled = rng.sample(sorted(names), len(names))
+        one, other = Ring(sorted(names)), Ring(shuffled)
+        assert one.homes(digest, 2) == other.homes(digest, 2)
+
+    check()
+
+
+@then("when a runner goes, only the prefixes at home there move")
+def step_few_move(context):
+    @_EXAMPLES
+    @for_any(_NAMES, st.binary(min_size=1))
+    def check(names, digest):
+        gone, *rest = sorted(names)
+        (before,) = Ring(names).homes(digest, 1)
+        (after,) = Ring(rest).homes(digest, 1)
+        assert before in (after, gone)
+
+    check()
+
+
+@then("more load, less cache or a slower measurement never lowers the cost")
+def step_monotonic(context):
+    tokens = st.integers(0, 100_000)
+    seconds = st.floats(1e-6, 1.0)
+    less = st.floats(0.0, 1.0)
+
+    @_EXAMPLES
+    @for_any(tokens, tokens, st.integers(0, 50), seconds, seconds, less)
+    def check(prompt, output, in_flight, prefill, decode, share):
+        cached = int(prompt * share)
+        call = Call(prompt, output, prompt, 3.0, True)
+        stats = EndpointStats(4.0)
+        stats.slots = 8
+
+        def cost(load, held, factor):
+            speed = Pace(prefill * factor, decode * factor, 0.1)
+            return estimate(stats, speed, load, call, held, 0.0).cost
+
+        least = cost(in_flight, cached, 1.0)
+        assert least <= cost(in_flight + 1, cached, 1.0)
+        assert least <= cost(in_flight, cached // 2, 1.0)
+        assert least <= cost(in_flight, cached, 1.5)
+
+    check()
+
+
+@then("a smaller share of wasted cache never lowers the price of lost cache")
+def step_price(context):
+    shares = st.floats(0.01, 1.0)
+
+    @_EXAMPLES
+    @for_any(shares, shares, st.floats(0.0, 100.0))
+    def check(one, other, age):
+        low, high = (
+            cache_price(WorkClass(wasted_cache_share=share), age)
+            for share in (max(one, other), min(one, other))
+        )
+        assert 0 <= low <= high
+
+    check()
+
+
+@then("a program at its target pays nothing for lost cache")
+def step_free(context):
+    klass = WorkClass(target_seconds=10.0, wasted_cache_share=0.01)
+    assert cache_price(klass, 10.0) == 0
+
+
+@given("{count:d} runners")
+def step_many(context, count):
+    names = ", ".join(f"runner-{number}" for number in range(count))
+    _plan(context, names, 0.2, lambda *args: Scheduler(*args, seed=1))
+
+
+@then("a decision compares at most {most:d} of them")
+def step_compares(context, most):
+    async def look():
+        fleet = _fleet(context)
+        rng = random.Random(1)
+        for number in range(50):
+            work = chat_work(
+                f"program-{number}",
+                prefixes=conversation(f"talk-{rng.randrange(5)}", 4),
+            )
+            await fleet.call(work)
+            held = fleet.scheduler._held(work)
+            found = fleet.scheduler.candidates.pick(work, held)
+            assert 1 < len(found) <= most, len(found)
+
+    run_virtually(look())
--- /dev/null
+++ b/tests/features/steps/retries.py
@@ -0,0 +1,152 @@
+"""Steps of retries."""
+
+import concurrent.futures
+
+from behave import given, then, when
+from bench.policies import Naive
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+from steps.system import start
+
+from rattanmill_policy import Outcome, Scheduler
+from rattanmill_policy.retries import RetryBudget, is_worth_retrying
+from support import EngineSpec, Layout, wait_until
+from support.virtual import Fleet, chat_work, run_virtually
+
+_EXAMPLES = settings(max_examples=200, deadline=None, derandomize=True)
+
+
+def _broken(names, failing, make):
+    fleet = Fleet(dict.fromkeys(names, 0.2), make)
+    fleet.failing = set(failing)
+    # A table that avoids what fails would hide the retries.
+    fleet.table.avoid = lambda name, seconds: None
+    return fleet
+
+
+def _ours(*args):
+    return Scheduler(*args, seed=1)
+
+
+@given('runners "a, b, c" of which all break each call')
+def step_all_break(context):
+    context.make = _ours
+
+
+@given(
+    'runners "a, b, c" of which all break each call, before the naive version'
+)
+def step_all_break_naive(context):
+    context.make = Naive
+
+
+@when("{count:d} calls are made one after the other")
+def step_calls(context, count):
+    async def run():
+        fleet = _broken("abc", "abc", context.make)
+        for number in range(count):
+            await fleet.call(chat_work(f"program-{number}"))
+        return fleet
+
+    context.fleet = run_virtually(run())
+    context.count = count
+
+
+@then("fewer than 10 in 100 calls were tried again")
+def step_few_again(context):
+    again = context.fleet.ran.total() - context.count
+    assert 0 < again < context.count / 10, again
+
+
+@then("each call was tried 3 times")
+def step_all_again(context):
+    assert context.fleet.ran.total() == 3 * context.count
+
+
+@given('runners "a, b" of which "a" breaks each call')
+def step_a_breaks(context):
+    context.make = _ours
+
+
+@when('calls are made until one fails at "a"')
+def step_until(context):
+    async def run():
+        fleet = _broken("ab", "a", context.make)
+        for number in range(100):
+            placed = await fleet.call(chat_work(f"program-{number}"))
+            if placed.work.tried:
+                return placed
+        raise AssertionError("a never got a call")
+
+    context.placed = run_virtually(run())
+
+
+@then('it is answered by "b"')
+def step_by_b(context):
+    assert context.placed.work.tried == ["a"]
+    assert context.placed.state.endpoint.name == "b"
+    assert context.placed.outcome is Outcome.ANSWERED
+
+
+@given("a system with two runners")
+def step_two_runners(context):
+    runners = [EngineSpec("runner-1"), EngineSpec("runner-2")]
+    layout = Layout(domains=("alba-east",), per_domain=1, engines=runners)
+    start(context, layout)
+    context.runners = ["runner-1", "runner-2"]
+
+
+@when("the runner that has a call is killed")
+def step_kill(context):
+    standins = context.system.standins
+    for name in context.runners:
+        standins[name].faults(hang=True)
+    (client,) = context.clients
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.scenario_stack.callback(pool.shutdown)
+    context.task = pool.submit(client.chat, "hello")
+
+    def busy():
+        return next(
+            (n for n in context.runners if standins[n].stats().get("calls")),
+            None,
+        )
+
+    context.killed = wait_until(busy, "a runner has the call")
+    context.other = next(n for n in context.runners if n != context.killed)
+    standins[context.other].faults(hang=False)
+    context.system.processes[context.killed].kill()
+
+
+@then("the call is answered by the other one")
+def step_other_answers(context):
+    answer = context.task.result()
+    assert answer.status == 200, answer
+    assert context.system.standins[context.other].stats()["calls"] == 1
+
+
+@then("retries never pass 8 in 100 first tries and the first one")
+def step_budget(context):
+    @_EXAMPLES
+    @for_any(st.lists(st.booleans(), max_size=500))
+    def check(events):
+        budget = RetryBudget()
+        first = again = 0
+        for is_first in events:
+            if is_first:
+                first += 1
+                budget.earn("a")
+            else:
+                again += budget.take("a")
+            assert again <= 1 + 0.08 * first + 1e-9
+
+    check()
+
+
+@then("a call past its deadline is not tried again")
+def step_past_deadline(context):
+    work = chat_work("late", seconds_left=5.0)
+    work.began = 100.0
+    assert is_worth_retrying(work, Outcome.BROKEN, 104.0)
+    assert not is_worth_retrying(work, Outcome.BROKEN, 105.0)
