Let the slow-runner scenario fail without learned speeds

With calls in flight the oldest call's overdue time alone told a slow runner, so the scenario passed with speeds off. One call at a time leaves only speeds.

--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -5,9 +5,10 @@
     One of the runners gets five times slower and nobody says so. Programs
     that are sent there take several times as long as others.
 
-    Given runners "a, b" that take 0.2 s a call
-    And runner "slow" that takes 1.0 s a call
-    When 300 calls are made, 6 at a time
+    Given runners "slow" that take 1.0 s a call
+    And runner "a" that takes 0.2 s a call
+    And runner "b" that takes 0.2 s a call
+    When 300 calls are made, 1 at a time
     Then runner "slow" ran under a third of what "a" ran
 
   Scenario: The naive version sends a slow runner as much as any
