--- a/bench/policies.py
+++ b/bench/policies.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rattanmill_core import Refusal
+from rattanmill_core import Reason, Refusal, refuse
 from rattanmill_policy import (
     EndpointState,
     Outcome,
@@ -33,12 +33,13 @@
 
     async def place(self, work: Work) -> Placement | Refusal:
         """Returns the next endpoint in turn."""
-        self.candidates.of(work)
-        if refusal := self._unknown(work):
+        self.known.candidates.of(work)
+        if refusal := self._unserved(work):
             return refusal
-        states = self.candidates.pick(work, ())
+        states = self.known.candidates.pick(work, ())
         if not states:
-            return self._none_open(work)
+            detail = f"No endpoint for '{work.group}' takes work now."
+            return refuse(Reason.NO_ENDPOINT, detail)
         return Placement(work, self.select(states), self.finished)
 
     def select(self, states: list[EndpointState]) -> EndpointState:
--- a/libs/policy/src/rattanmill_policy/__init__.py
+++ b/libs/policy/src/rattanmill_policy/__init__.py
@@ -1,10 +1,11 @@
 """Decisions: which endpoint, when, how often again, and what not at all."""
 
 from rattanmill_policy.health import Load, Mark
+from rattanmill_policy.knowledge import Rules
 from rattanmill_policy.loads import LoadReports
 from rattanmill_policy.outcome import Outcome
 from rattanmill_policy.quarantine import Quarantine
-from rattanmill_policy.scheduler import Rules, Scheduler
+from rattanmill_policy.scheduler import Scheduler
 from rattanmill_policy.speeds import LoadReport
 from rattanmill_policy.table import EndpointState, EndpointTable
 from rattanmill_policy.work import Placement, Work
--- a/libs/policy/src/rattanmill_policy/admission.py
+++ b/libs/policy/src/rattanmill_policy/admission.py
@@ -251,6 +251,7 @@
         name: str,
         klass: WorkClass,
         permits: Permits,
+        *,
         age: float,
         delay: float,
         excess: float,
--- /dev/null
+++ b/libs/policy/src/rattanmill_policy/learning.py
@@ -0,0 +1,65 @@
+"""What an attempt that ended teaches."""
+
+from rattanmill_policy.admission import next_limit
+from rattanmill_policy.knowledge import Knowledge
+from rattanmill_policy.outcome import Outcome
+from rattanmill_policy.speeds import EndpointStats
+from rattanmill_policy.work import Placement, Work
+
+
+
+def learn(known: Knowledge, placement: Placement, now: float) -> None:
+    """Learns from an attempt that ended, well or not."""
+    work = placement.work
+    stats = known.candidates.stats_of(placement.state)
+    stats.started.pop(id(placement), None)
+    known.table.learn(placement.state, placement.outcome)
+    known.group_of(work).finished.note(now)
+    use = known.use_of(work, now)
+    use.last_end = now
+    use.attained += placement.seconds
+    if placement.outcome is Outcome.ANSWERED:
+        _learn_answer(known, placement, stats, now)
+    elif placement.outcome is Outcome.NOT_CONNECTED:
+        # Nothing listens there: the process has gone, and with it its cache.
+        known.prefixes.forget(placement.state.endpoint.name)
+
+
+def _learn_answer(
+    known: Knowledge, placement: Placement, stats: EndpointStats, now: float
+) -> None:
+    work = placement.work
+    fleet = known.candidates.fleet(work.group)
+    if not work.model:
+        stats.speed.learn_call(now, placement.seconds)
+        fleet.learn_call(now, placement.seconds)
+        return
+    uncached = max(0, placement.prompt_tokens - placement.cached_tokens)
+    output = placement.output_tokens
+    first, total = placement.first_token_seconds, placement.seconds
+    for speed in (stats.speed, fleet):
+        speed.learn_chat(now, first, total, uncached, output)
+    pace = known.pace_of(work, stats, now)
+    prefill = uncached * pace.prefill
+    _learn_shape(known, work, prefill + output * pace.decode, output, now)
+    least = prefill + output * (stats.speed.decode_least or pace.decode)
+    in_flight = placement.state.in_flight + 1
+    stats.limit = next_limit(stats.limit, in_flight, total, least)
+    known.prefixes.answered(
+        placement.state.endpoint.name,
+        placement.cached_expected,
+        placement.cached_since,
+        placement.cached_tokens,
+    )
+
+
+def _learn_shape(
+    known: Knowledge, work: Work, run: float, output: int, now: float
+) -> None:
+    klass = known.class_of(work)
+    state = known.admission.of(known.class_name(work))
+    state.shape.learn("run", run)
+    state.shape.learn("output", float(output))
+    late = now - known.use_of(work, now).began > klass.target_seconds
+    delay = max(0.0, now - work.began - run)
+    state.note_call(delay, late, klass, now)
--- a/libs/policy/src/rattanmill_policy/loads.py
+++ b/libs/policy/src/rattanmill_policy/loads.py
@@ -52,7 +52,7 @@
         states = self.scheduler.table.states
         recent = [
             name
-            for name, stats in self.scheduler.candidates.stats.items()
+            for name, stats in self.scheduler.known.candidates.stats.items()
             if now - stats.used < _RECENT_SECONDS
             and name in states
             and states[name].endpoint.kind == "engine"
--- a/libs/policy/src/rattanmill_policy/queueing.py
+++ b/libs/policy/src/rattanmill_policy/queueing.py
@@ -1,5 +1,6 @@
 """The order in which waiting calls get a place."""
 
+import asyncio
 import collections
 import math
 
@@ -13,6 +14,20 @@
 _PRIORITY_STEPS = 10
 
 
+class Waiter(msgspec.Struct, eq=False):
+    """A call that waits for a place.
+
+    Attributes:
+        deadline: Virtual deadline; the least goes first.
+        work: The call.
+        place: Gets the place.
+    """
+
+    deadline: float
+    work: Work
+    place: asyncio.Future
+
+
 class ProgramUse(msgspec.Struct):
     """What a program and its sub-agents have had so far.
 
--- a/libs/policy/src/rattanmill_policy/speeds.py
+++ b/libs/policy/src/rattanmill_policy/speeds.py
@@ -112,7 +112,6 @@
         others: Calls of other instances there, from its lagging reports.
         slots: Calls in a batch, from its reports; 0 if it has not said.
         limit: Calls that this instance has there at most; found by feedback.
-        failures: Failures since the last answer.
         reported: Loop time of the last report.
         used: Loop time of the last placement.
     """
@@ -120,7 +119,6 @@
     __slots__ = (
         "average_in_flight",
         "average_reported",
-        "failures",
         "limit",
         "others",
         "reported",
@@ -135,7 +133,6 @@
         self.others = 0.0
         self.slots = 0
         self.limit = first_limit
-        self.failures = 0
         self.reported = 0.0
         self.used = 0.0
         self.average_reported = 0.0
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -274,11 +274,11 @@
             "default",
             WorkClass(target_seconds=60.0),
             Permits(),
-            0.0,
-            1000.0,
-            0.0,
-            1.0,
-            100.0,
+            age=0.0,
+            delay=1000.0,
+            excess=0.0,
+            ending=1.0,
+            now=100.0,
         )
         for _ in range(count)
     ]
--- a/tests/features/steps/placement.py
+++ b/tests/features/steps/placement.py
@@ -11,6 +11,7 @@
 
 from rattanmill_core import WorkClass
 from rattanmill_policy import LoadReport, Scheduler
+from rattanmill_policy.choosing import held_prefixes
 from rattanmill_policy.placement import Call, cache_price, estimate
 from rattanmill_policy.prefixes import PrefixMap
 from rattanmill_policy.ring import Ring
@@ -262,8 +263,9 @@
                 prefixes=conversation(f"talk-{rng.randrange(5)}", 4),
             )
             await fleet.call(work)
-            held = fleet.scheduler._held(work)
-            found = fleet.scheduler.candidates.pick(work, held)
+            known = fleet.scheduler.known
+            held = held_prefixes(known, work)
+            found = known.candidates.pick(work, held)
             assert 1 < len(found) <= most, len(found)
 
     run_virtually(look())
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -86,7 +86,7 @@
     def limit(self, most: int) -> None:
         """Sets how many calls each endpoint may have at first."""
         for state in self.table.states.values():
-            self.scheduler.candidates.stats_of(state).limit = most
+            self.scheduler.known.candidates.stats_of(state).limit = most
 
     async def hold(self, work: Work) -> Placement | Refusal:
         """Returns a place for a call and keeps it."""
