--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,7 +17,7 @@
 import defopt
 import msgspec
 
-from bench.cells import FAULTS, Cell, CellResult, print_result, run_cell
+from bench.cells import FAULTS, Cell, Run, print_result, run_cell
 from bench.policies import RULES
 from bench.report import write_report
 from bench.workloads import WORKLOADS
@@ -28,24 +28,6 @@
 _RESULTS = pathlib.Path("bench/results")
 
 
-class Run(msgspec.Struct):
-    """A data file.
-
-    Attributes:
-        command: How it was made.
-        date: When.
-        machine: On what.
-        capacity: Programs a second by workload, that the loads refer to.
-        cells: Figures.
-    """
-
-    command: str
-    date: str
-    machine: str
-    capacity: dict[str, float]
-    cells: list[CellResult]
-
-
 def main_cells(loads: tuple[int, ...], seeds: tuple[int, ...]) -> list[Cell]:
     """Returns the policies side by side at each load."""
     return [
--- a/bench/cells.py
+++ b/bench/cells.py
@@ -93,6 +93,24 @@
     date: str
 
 
+class Run(msgspec.Struct):
+    """A data file.
+
+    Attributes:
+        command: How it was made.
+        date: When.
+        machine: On what.
+        capacity: Programs a second by workload, that the loads refer to.
+        cells: Figures.
+    """
+
+    command: str
+    date: str
+    machine: str
+    capacity: dict[str, float]
+    cells: list[CellResult]
+
+
 def _slow(stack: Stack) -> Callable[[], None]:
     name = stack.layout.engines[1].name
     stack.standins[name].faults(slow_factor=5.0)
