--- a/libs/policy/src/rattanmill_policy/learning.py
+++ b/libs/policy/src/rattanmill_policy/learning.py
@@ -7,7 +7,6 @@
 from rattanmill_policy.work import Placement, Work
 
 
-
 def learn(known: Knowledge, placement: Placement, now: float) -> None:
     """Learns from an attempt that ended, well or not."""
     work = placement.work
--- a/tests/features/steps/placement.py
+++ b/tests/features/steps/placement.py
@@ -4,11 +4,11 @@
 import random
 
 from behave import given, then, when
-from bench.policies import Naive
 from hypothesis import given as for_any
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bench.policies import Naive
 from rattanmill_core import WorkClass
 from rattanmill_policy import LoadReport, Scheduler
 from rattanmill_policy.choosing import held_prefixes
