--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -118,9 +118,15 @@
 def programs(workload: Workload, seed: int) -> Iterator[ProgramPlan]:
     """Yields programs without end, the same ones for the same seed."""
     rng = random.Random(seed)
-    make = _caledonian if workload is CALEDONIAN else _carpa_luna
+    make, every = (
+        (_caledonian, 2) if workload is CALEDONIAN else (_carpa_luna, 4)
+    )
+    # One of every so many is long: drawn at random, their share, and with it
+    # the load, would differ widely between seeds.
     while True:
-        yield make(rng)
+        long = rng.randrange(every)
+        for number in range(every):
+            yield make(rng, number == long)
 
 
 def _workspace(rng: random.Random, prefix: str, count: int) -> str:
@@ -158,10 +164,9 @@
     return _text(random.Random(name), tokens)
 
 
-def _caledonian(rng: random.Random) -> ProgramPlan:
+def _caledonian(rng: random.Random, long: bool) -> ProgramPlan:
     """Long reconciliations over a district's returns, and commentaries."""
     district = rng.randrange(14)
-    long = rng.random() < 0.5
     count = rng.randint(8, 16) if long else rng.randint(3, 5)
     turns = _turns(rng, count, (40, 160), (8, 24), (0.02, 0.2))
     context = _shared(f"district-{district}", 2500)
@@ -174,9 +179,8 @@
     return ProgramPlan(klass, _workspace(rng, "branch", 8), turns)
 
 
-def _carpa_luna(rng: random.Random) -> ProgramPlan:
+def _carpa_luna(rng: random.Random, long: bool) -> ProgramPlan:
     """Short bookings, and long planning sessions with sub-agents."""
-    long = rng.random() < 0.25
     count = rng.randint(8, 14) if long else rng.randint(3, 5)
     turns = _turns(rng, count, (20, 80), (8, 24), (0.02, 0.2))
     system = _message("system", _shared("carpa-luna", 400))
