Count the wait for our own limit, so that calls don't queue for a full endpoint

Cause: an engine with free slots but no place left under our limit counted as no wait, so calls queued for it while others idled.

--- a/libs/policy/src/rattanmill_policy/placement.py
+++ b/libs/policy/src/rattanmill_policy/placement.py
@@ -83,8 +83,12 @@
     # its slots are full that is in the measured speed already.
     there = in_flight + stats.others
     slots = stats.slots or max(1.0, stats.limit)
-    ahead = max(0.0, there + 1 - slots)
-    wait = ahead / slots * run
+    wait = max(0.0, there + 1 - slots) / slots * run
+    # Beyond our own limit a call waits here. If that counted as no wait, a
+    # full endpoint would look as good as a free one, and calls would queue
+    # for it while others idle.
+    own = max(0.0, in_flight + 1 - stats.limit) / stats.limit * run
+    wait = max(wait, own)
     # Among endpoints with free slots the emptier one finishes sooner.
     crowding = 1 + 0.25 * min(1.0, there / slots)
     overdue = stats.overdue(now)
--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -55,6 +55,14 @@
   Scenario: More of anything bad never makes a runner look better
     Then more load, less cache or a slower measurement never lowers the cost
 
+  Scenario: A runner has no place for us
+    A runner's limit has fallen to one call and it has one. If it counted as
+    free, calls would wait for it while the other one idles.
+
+    Given runners "a, b" that take 0.2 s a call
+    When "a" is the faster one but has its one place taken
+    Then the next call goes to "b" at once
+
   Scenario: A tight cache target prices lost cache higher
     Then a smaller share of wasted cache never lowers the price of lost cache
     And a program at its target pays nothing for lost cache
--- a/tests/features/steps/placement.py
+++ b/tests/features/steps/placement.py
@@ -211,6 +211,30 @@
     check()
 
 
+@when('"a" is the faster one but has its one place taken')
+def step_place_taken(context):
+    async def run():
+        fleet = _fleet(context)
+        fleet.seconds = {"a": 0.18, "b": 0.2}
+        await _calls(fleet, 40, 2)
+        for name in fleet.seconds:
+            fleet.scheduler.take_report(name, LoadReport(slots=8))
+        fleet.limit(1)
+        held = await fleet.hold(chat_work("holder"))
+        assert held.state.endpoint.name == "a", held.state.endpoint
+        began = asyncio.get_running_loop().time()
+        placed = await fleet.hold(chat_work("next"))
+        waited = asyncio.get_running_loop().time() - began
+        return placed.state.endpoint.name, waited
+
+    context.placed = run_virtually(run())
+
+
+@then('the next call goes to "b" at once')
+def step_to_b(context):
+    assert context.placed == ("b", 0.0), context.placed
+
+
 @then("more load, less cache or a slower measurement never lowers the cost")
 def step_monotonic(context):
     tokens = st.integers(0, 100_000)
