Hold a call's deadline itself, forget what has gone

Callers set seconds_left anew at each try, and the time since the first try was taken off again: a retry saw a deadline that was too near. What was known of endpoints that were replaced piled up. Forgetting an endpoint's cache looked through all prefixes.

--- a/libs/policy/src/rattanmill_policy/candidates.py
+++ b/libs/policy/src/rattanmill_policy/candidates.py
@@ -71,6 +71,14 @@
         )
         names = [state.endpoint.name for state in found]
         pool.read_at = now
+        if len(self.stats) > 2 * len(self.table.states) + _ALL:
+            # Endpoints are replaced all the time; what is known of those
+            # that have gone would pile up for as long as the process lives.
+            self.stats = {
+                name: stats
+                for name, stats in self.stats.items()
+                if name in self.table.states
+            }
         if names != pool.names:
             pool.names = names
             pool.ring.update(set(names))
--- a/libs/policy/src/rattanmill_policy/learning.py
+++ b/libs/policy/src/rattanmill_policy/learning.py
@@ -21,7 +21,7 @@
         _learn_answer(known, placement, stats, now)
     elif placement.outcome is Outcome.NOT_CONNECTED:
         # Nothing listens there: the process has gone, and with it its cache.
-        known.prefixes.forget(placement.state.endpoint.name)
+        known.prefixes.forget(placement.state.endpoint.name, now)
 
 
 def _learn_answer(
--- a/libs/policy/src/rattanmill_policy/prefixes.py
+++ b/libs/policy/src/rattanmill_policy/prefixes.py
@@ -97,12 +97,9 @@
         elif since <= self.dropped.get(name, 0.0):
             del self.dropped[name]
 
-    def forget(self, name: str) -> None:
+    def forget(self, name: str, now: float) -> None:
         """An endpoint lost all its cache, as one that crashed does."""
-        self.dropped[name] = max(
-            (names.get(name, 0.0) for names in self.holders.values()),
-            default=0.0,
-        )
+        self.dropped[name] = now
 
 
 def home_prefix(work: Work) -> tuple[bytes, int] | None:
--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -42,10 +42,6 @@
         metrics: Counts decisions, if given.
         rules: Rules in force.
         seed: Fixes what is random.
-
-    Attributes:
-        listeners: Called with each placement that has ended.
-        guards: Asked before each placement; the first refusal stands.
     """
 
     def __init__(
@@ -61,14 +57,9 @@
         self.rules = rules or Rules()
         self.rng = random.Random(seed)
         self.known = Knowledge(table, config, self.rules, self.rng)
-        self.listeners: list[Callable[[Placement], None]] = []
-        self.guards: list[Callable[[Work], Refusal | None]] = []
 
     async def place(self, work: Work) -> Placement | Refusal:
         """Returns a place for the call, perhaps after waiting for one."""
-        for guard in self.guards:
-            if refusal := guard(work):
-                return refusal
         if work.began:
             await asyncio.sleep(pause_seconds(len(work.tried), self.rng))
         else:
@@ -104,13 +95,12 @@
     def finished(self, placement: Placement) -> None:
         """Learns from an attempt that ended and serves who waits."""
         learn(self.known, placement, _now())
-        for listener in self.listeners:
-            listener(placement)
         self._serve_waiting(self.known.group_of(placement.work))
 
     def _begin(self, work: Work) -> None:
         """Notes the first try of a call."""
         now = work.began = _now()
+        work.deadline = now + work.seconds_left
         name = self.known.class_name(work)
         use = self.known.use_of(work, now)
         self.known.budget.earn(name)
--- a/libs/policy/src/rattanmill_policy/work.py
+++ b/libs/policy/src/rattanmill_policy/work.py
@@ -30,6 +30,7 @@
         body_digest: Digest of the body, to recognise a call sent again.
         tried: Endpoints on which this call has failed.
         began: Loop time of the first try; set by the scheduler.
+        deadline: Loop time of the caller's deadline; set by the scheduler.
     """
 
     program: str
@@ -48,6 +49,7 @@
     body_digest: bytes = b""
     tried: list[str] = msgspec.field(default_factory=list)
     began: float = 0.0
+    deadline: float = 0.0
 
     @property
     def group(self) -> str:
@@ -61,7 +63,7 @@
 
     def left(self, now: float) -> float:
         """Seconds until the caller's deadline at loop time ``now``."""
-        return self.seconds_left - (now - self.began if self.began else 0.0)
+        return self.deadline - now
 
 
 class Placement:
