--- a/libs/policy/src/rattanmill_policy/admission.py
+++ b/libs/policy/src/rattanmill_policy/admission.py
@@ -8,6 +8,7 @@
 from rattanmill_core import WorkClass
 
 _DECAY_SECONDS = 60.0
+_MOST_DECAYS = 20.0
 _MOST_TURNS = 430
 _GOES_ON = 0.9
 _STEP = 0.2
@@ -91,7 +92,8 @@
         # Until programs were seen to their ends, one is assumed that goes on
         # at each call: what has just begun looks as if it had one call only,
         # and far too many would be admitted after a start.
-        self.reached = [_GOES_ON**number for number in range(-1, _MOST_TURNS)]
+        self.reached = [0.0]
+        self.reached += [_GOES_ON**number for number in range(_MOST_TURNS)]
         self.run = 0.0
         self.pause = 0.0
         self.output = 0.0
@@ -100,8 +102,10 @@
 
     def note_call(self, number: int, now: float) -> None:
         """Notes that a program makes its call ``number``, from 1."""
-        # Weights grow with time instead of old counts being shrunk.
-        self.weight *= math.exp((now - (self.at or now)) / _DECAY_SECONDS)
+        # Weights grow with time instead of old counts being shrunk; after a
+        # long pause only so far, since the power would overflow in half a day.
+        pause = (now - (self.at or now)) / _DECAY_SECONDS
+        self.weight *= math.exp(min(pause, _MOST_DECAYS))
         self.at = now
         self.reached[min(number, _MOST_TURNS)] += self.weight
         if self.weight > 1e6:
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -71,3 +71,11 @@
 
   Scenario: The limit follows what the runner can do
     Then a runner's limit falls while calls are slow and grows while not
+
+  Scenario: A class that was not used for a week
+    A class is used for the monthly release only. The weights of what was
+    seen grow with the time since then, and its next call must not fail.
+
+    Given a class that saw 100 programs of 4 calls
+    When it is used again a week later by 100 programs of 9 calls
+    Then the percentile 95 of its calls is 9
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -12,7 +12,12 @@
 
 from rattanmill_core import Reason, Refusal, WorkClass
 from rattanmill_policy import Placement, Rules, Scheduler
-from rattanmill_policy.admission import Admission, Permits, next_limit
+from rattanmill_policy.admission import (
+    Admission,
+    Permits,
+    Shape,
+    next_limit,
+)
 from rattanmill_policy.queueing import ProgramUses, virtual_deadline
 from support import EngineSpec, Layout, wait_until
 from support.virtual import Fleet, chat_work, run_virtually, with_target
@@ -311,3 +316,29 @@
         assert idle == limit
 
     check()
+
+
+def _see(shape, programs, calls, now):
+    for _ in range(programs):
+        for number in range(1, calls + 1):
+            shape.note_call(number, now)
+
+
+@given("a class that saw {programs:d} programs of {calls:d} calls")
+def step_saw(context, programs, calls):
+    context.shape = Shape()
+    _see(context.shape, programs, calls, 100.0)
+    assert context.shape.calls(95.0) == calls
+
+
+@when(
+    "it is used again a week later by {programs:d} programs of {calls:d} calls"
+)
+def step_week_later(context, programs, calls):
+    _see(context.shape, programs, calls, 100.0 + 7 * 86_400)
+
+
+@then("the percentile {percent:d} of its calls is {calls:d}")
+def step_percentile(context, percent, calls):
+    assert context.shape.calls(percent) == calls
+    assert round(context.shape.mean_calls()) == calls
