Keep nothing for models that nobody serves

Cause: a pool was made for each model name a caller sent. The new scenario showed 1000 pools after 1000 names: ASSERT FAILED: [1000, 0].

--- a/libs/policy/src/rattanmill_policy/candidates.py
+++ b/libs/policy/src/rattanmill_policy/candidates.py
@@ -49,6 +49,8 @@
     def of(self, work: Work) -> list[str]:
         """Returns names of all endpoints for a call, as last read."""
         now = asyncio.get_running_loop().time()
+        if work.group not in self.pools and not self._is_served(work):
+            return []
         pool = self._pool(work.group)
         size = len(pool.names)
         age = now - pool.read_at
@@ -57,6 +59,15 @@
             self._read(pool, work, now)
         return pool.names
 
+    def _is_served(self, work: Work) -> bool:
+        """Whether any endpoint, open or not, is for such calls.
+
+        Names come from callers. A pool for each would fill the memory.
+        """
+        if work.model:
+            return self.table.knows_model(work.model)
+        return self.table.knows_service(work.service)
+
     def _pool(self, group: str) -> _Pool:
         pool = self.pools.get(group)
         if pool is None:
--- a/tests/features/placement.feature
+++ b/tests/features/placement.feature
@@ -70,3 +70,11 @@
   Scenario: A decision looks at a bounded number of runners
     Given 6300 runners
     Then a decision compares at most 14 of them
+
+  Scenario: Calls for models that nobody serves
+    A caller's program mistypes a model, or makes names up, for days. The
+    instance must not keep something for each name.
+
+    Given runners "a, b" that take 0.2 s a call
+    When 1000 calls ask for models that nobody serves
+    Then each is refused as "unknown_model", and nothing is kept of them
--- a/tests/features/steps/placement.py
+++ b/tests/features/steps/placement.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from bench.policies import Naive
-from rattanmill_core import WorkClass
-from rattanmill_policy import LoadReport, Scheduler
+from rattanmill_core import Reason, WorkClass
+from rattanmill_policy import LoadReport, Scheduler, Work
 from rattanmill_policy.choosing import held_prefixes
 from rattanmill_policy.placement import Call, cache_price, estimate
 from rattanmill_policy.prefixes import PrefixMap
@@ -306,3 +306,22 @@
             assert 1 < len(found) <= most, len(found)
 
     run_virtually(look())
+
+
+@when("{count:d} calls ask for models that nobody serves")
+def step_unknown_models(context, count):
+    async def run():
+        context.fleet = _fleet(context)
+        works = (Work(program=str(n), model=f"m-{n}") for n in range(count))
+        return [await context.fleet.call(work) for work in works]
+
+    context.refusals = run_virtually(run())
+
+
+@then('each is refused as "unknown_model", and nothing is kept of them')
+def step_nothing_kept(context):
+    reasons = {refusal.reason for refusal in context.refusals}
+    assert reasons == {Reason.UNKNOWN_MODEL}, reasons
+    known = context.fleet.scheduler.known
+    kept = [len(known.candidates.pools), len(known.groups)]
+    assert kept == [0, 0], kept
