--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -12,6 +12,7 @@
     ConfigDocument,
     Metrics,
     Settings,
+    SettingsError,
     decode_config,
     default_config,
     part_logger,
@@ -30,6 +31,7 @@
 from rattanmill_entry.quarantine import CrashGuard
 from rattanmill_entry.serve import serve
 from rattanmill_entry.signs import Signs
+from rattanmill_entry.telemetry import show_state
 from rattanmill_platform import (
     Directory,
     InstanceLease,
@@ -69,6 +71,7 @@
         node.guard = CrashGuard(node, signs, watch)
         gossip = Gossip(node, signs)
         _make_parts(node, gossip)
+        show_state(node)
         ownership = Ownership(node)
         node.live = LiveView(node.kv, lambda: _on_live(node, ownership))
         await stack.enter_async_context(node.hub)
@@ -183,7 +186,15 @@
     )
     await runner.setup()
     host, port = node.settings.http.rsplit(":", 1)
-    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    site = web.TCPSite(runner, host, int(port), backlog=1024)
+    try:
+        await site.start()
+    except OSError as error:
+        await runner.cleanup()
+        raise SettingsError(
+            f"instance.http: {node.settings.http} cannot be used:"
+            f" {error.strerror}"
+        ) from error
     return runner
 
 
