--- a/bench/capacity/measures.py
+++ b/bench/capacity/measures.py
@@ -27,6 +27,7 @@
     "slots": 2000,
     "prefill": 1e9,
 }
+_STREAM_RATE = 20
 _LOAD_SECONDS = 6.0
 _IDLE_SECONDS = 12.0
 _SETTLE_SECONDS = 3.0
@@ -64,12 +65,14 @@
 
 
 def _under_load(
-    instance: Instance, run: Callable[[], Timing]
+    instances: list[Instance], run: Callable[[], Timing]
 ) -> tuple[float, Timing]:
-    """Returns an instance's processor seconds during a load."""
-    before = cpu_seconds(instance.process.pid)
+    """Returns the processor seconds of some instances during a load."""
+    before = sum(cpu_seconds(i.process.pid) for i in instances)
     timing = run()
-    return cpu_seconds(instance.process.pid) - before, timing
+    after = sum(cpu_seconds(i.process.pid) for i in instances)
+    assert not timing.failed, f"{timing.failed} calls failed"
+    return after - before, timing
 
 
 def requests() -> list[Slope]:
@@ -81,7 +84,7 @@
         asyncio.run(closed_loop(call, 200, 8))
         for rate in (25, 50, 100, 200):
             used, timing = _under_load(
-                instance,
+                [instance],
                 lambda rate=rate: asyncio.run(
                     open_loop(call, rate, _LOAD_SECONDS)
                 ),
@@ -91,26 +94,61 @@
 
 
 def tokens() -> list[Slope]:
-    """Processor time against tokens streamed one by one, 28 ms apart."""
-    points = []
-    rate = 20
-    with Stack(_one_instance(**_PACED)) as stack:
-        instance = stack.instances[0]
+    """Processor time against tokens streamed one by one, 28 ms apart.
+
+    Once by the instance that the caller reached, once over a peer link, as
+    the owner's and the caller's instance together.
+    """
+    alone, forwarded = [], []
+    layout = msgspec.structs.replace(_one_instance(**_PACED), per_domain=2)
+    with Stack(layout) as stack:
+        owner, other = stack.instances
         for count in (1, 16, 64, 128):
-            fields = {
-                "stream": True,
-                "max_tokens": count,
-                "standin": {"output_tokens": count},
-            }
-            call = _chat(instance.http, fields, {})
+            call = _chat(owner.http, _streamed(count), {})
             used, timing = _under_load(
-                instance,
+                [owner],
                 lambda call=call: asyncio.run(
-                    open_loop(call, rate, _LOAD_SECONDS)
+                    open_loop(call, _STREAM_RATE, _LOAD_SECONDS)
+                ),
+            )
+            alone.append((_STREAM_RATE * count, used / timing.elapsed))
+            ids = _owned(owner, int(_STREAM_RATE * _LOAD_SECONDS))
+            turn = _streamed_turn(other.http, ids, count)
+            used, timing = _under_load(
+                [owner, other],
+                lambda turn=turn: asyncio.run(
+                    open_loop(turn, _STREAM_RATE, _LOAD_SECONDS)
                 ),
             )
-            points.append((rate * count, used / timing.elapsed))
-    return [fit("token", "tokens/s streamed by an instance", "cores", points)]
+            forwarded.append((_STREAM_RATE * count, used / timing.elapsed))
+    x = "tokens/s streamed"
+    return [
+        fit("token", x, "cores", alone),
+        fit("token, forwarded", x, "cores of both", forwarded),
+    ]
+
+
+def _streamed(count: int) -> dict:
+    return {
+        "stream": True,
+        "max_tokens": count,
+        "standin": {"output_tokens": count},
+    }
+
+
+def _owned(owner: Instance, count: int) -> list[str]:
+    """Makes programs that an instance owns."""
+    return [owner.client.create() for _ in range(count)]
+
+
+def _streamed_turn(
+    address: str, ids: list[str], count: int
+) -> Callable[[aiohttp.ClientSession, int], object]:
+    async def call(http: aiohttp.ClientSession, number: int) -> bool:
+        headers = {"Rattanmill-Program": ids[number]}
+        return await _chat(address, _streamed(count), headers)(http, number)
+
+    return call
 
 
 def turns() -> list[Slope]:
@@ -123,7 +161,7 @@
         for rate in (20, 40, 80, 120):
             before = kv.stats()
             used, timing = _under_load(
-                instance,
+                [instance],
                 lambda rate=rate: asyncio.run(
                     open_loop(
                         _turn(instance.http, programs), rate, _LOAD_SECONDS
--- a/bench/capacity/model.py
+++ b/bench/capacity/model.py
@@ -77,9 +77,9 @@
 
 def _data_path(slopes: dict[str, Slope]) -> list[Row]:
     requests = slopes["request"].slope * REQUESTS / NODES
-    tokens = slopes["token"].slope * TOKENS / NODES
+    tokens = slopes["token, forwarded"].slope * TOKENS / NODES
     turns = slopes["turn"].slope * REQUESTS / NODES
-    most = _breaking(1.0, slopes["token"].slope)
+    most = _breaking(1.0, slopes["token, forwarded"].slope)
     return [
         Row(
             "entry instance, calls",
@@ -99,10 +99,10 @@
         ),
         Row(
             "entry instance, streams",
-            "cores for tokens passed on one by one",
+            "cores for tokens passed on one by one over a peer link",
             tokens,
             1.0,
-            "token",
+            "token, forwarded",
             f"{most:.0f} tokens/s a process",
         ),
     ]
