Quarantine requests that crash the engines which run them

Counted when a connection breaks and a probe then finds the engine gone; told to all instances. A finished run that is heard of before its crash was dropped at first (found by hypothesis); so was one whose consumer stopped listening at its last part (found by 'A crash by coincidence').

--- a/libs/core/src/rattanmill_core/notes.py
+++ b/libs/core/src/rattanmill_core/notes.py
@@ -56,8 +56,10 @@
         fingerprint: Digest of the request.
         endpoint: The endpoint that crashed; empty for a finished run.
         at: Time in milliseconds since the epoch.
+        request: First of the fingerprints of the same request.
     """
 
     fingerprint: bytes
     endpoint: str
     at: int
+    request: bytes = b""
--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -67,11 +67,13 @@
             async for part in parts:
                 if isinstance(part, Failed):
                     failed = part
-                else:
-                    delivered = delivered or isinstance(part, Delta)
-                    yield part
+                    continue
+                if isinstance(part, Finished):
+                    # Before the last part: who has it may ask for no more.
+                    node.guard.finished(prints)
+                delivered = delivered or isinstance(part, Delta)
+                yield part
         if failed is None:
-            node.guard.finished(prints)
             return
         if failed.outcome is Outcome.BROKEN:
             quarantined = await node.guard.after_broken(prints, placed.state)
--- a/libs/entry/src/rattanmill_entry/quarantine.py
+++ b/libs/entry/src/rattanmill_entry/quarantine.py
@@ -20,6 +20,8 @@
 # Time for the other instances to report what they had in flight.
 _REPORT_SECONDS = 0.3
 _RETRY_SPREAD_SECONDS = 0.5
+# Longest time that a suspect waits for another to leave an endpoint.
+_ALONE_SECONDS = 2.0
 # Shorter ones, such as "go on", are said in many programs: what one program's
 # history makes of them is no reason to refuse them in another.
 _LEAST_TELLING_BYTES = 256
@@ -59,8 +61,13 @@
             return
         name = state.endpoint.name
         lock = self.locks.setdefault(name, asyncio.Lock())
-        async with lock:
+        # Bounded: many innocents of a large batch would else run one by one.
+        locked = await _acquire(lock, _ALONE_SECONDS)
+        try:
             yield
+        finally:
+            if locked:
+                lock.release()
 
     async def after_broken(
         self, prints: list[bytes], state: EndpointState
@@ -76,7 +83,9 @@
             return None
         name = state.endpoint.name
         at = int(time.time() * 1000)
-        self.signs.crashed([CrashNote(each, name, at) for each in prints])
+        self.signs.crashed(
+            [CrashNote(each, name, at, prints[0]) for each in prints]
+        )
         _log.warning("Endpoint {} crashed with a request in flight.", name)
         await asyncio.sleep(_REPORT_SECONDS)
         refusal = self.refusal(prints, Ran.UNKNOWN)
@@ -98,6 +107,14 @@
         )
 
 
+async def _acquire(lock: asyncio.Lock, seconds: float) -> bool:
+    try:
+        async with asyncio.timeout(seconds):
+            return await lock.acquire()
+    except TimeoutError:
+        return False
+
+
 def chat_prints(chat: ChatBody, messages: list[bytes]) -> list[bytes]:
     """Returns the fingerprints of a chat call with its whole conversation.
 
--- a/libs/entry/src/rattanmill_entry/signs.py
+++ b/libs/entry/src/rattanmill_entry/signs.py
@@ -65,6 +65,10 @@
         ]
         self._count(endpoints, "peer")
         crashes = [n for n in message.crashes if self.quarantine.take(n)]
+        if crashes:
+            node.metrics.count(
+                "rattanmill_quarantine", len(crashes), event="heard"
+            )
         if not inside and (endpoints or crashes):
             passed = EndpointNotes(node.settings.domain, endpoints, crashes)
             self._send(passed, self._inside())
--- a/libs/policy/src/rattanmill_policy/quarantine.py
+++ b/libs/policy/src/rattanmill_policy/quarantine.py
@@ -50,12 +50,12 @@
     def take(self, note: CrashNote) -> bool:
         """Takes a crash or a finished run; True if it was news."""
         known = self.suspicions.get(note.fingerprint)
-        if not note.endpoint:
-            return known is not None and _clear(known, note.at)
         if known is None:
             self._make_room()
             known = Suspicion()
             self.suspicions[note.fingerprint] = known
+        if not note.endpoint:
+            return _clear(known, note.at)
         if note.at <= known.cleared_at:
             return False
         if any(is_same_crash(note, crash) for crash in known.crashes):
@@ -98,10 +98,14 @@
         return sorted(events, key=lambda event: event.at)[-most:]
 
     def _suspects_at(self, crash: CrashNote) -> int:
-        """How many suspects were in flight at a crash."""
-        return sum(
-            any(is_same_crash(crash, other) for other in known.crashes[1:])
-            for known in self.suspicions.values()
+        """How many requests suspected before were in flight at a crash."""
+        return len(
+            {
+                other.request
+                for known in self.suspicions.values()
+                for other in known.crashes[1:]
+                if is_same_crash(crash, other)
+            }
         )
 
     def _fresh(self, fingerprint: bytes) -> Suspicion | None:
--- /dev/null
+++ b/tests/features/steps/quarantine.py
@@ -0,0 +1,271 @@
+"""Steps of requests that crash engines."""
+
+import concurrent.futures
+import itertools
+import threading
+import time
+
+from behave import given, then, when
+from hypothesis import given as given_any
+from hypothesis import settings, strategies
+
+from features.steps.endpoints import phases, start_once
+from rattanmill_core import CrashNote
+from rattanmill_policy import Quarantine
+from support import EngineSpec, Layout, wait_until
+from support.stack import random_text
+
+MARKER = "poisoned-text"
+LAYOUT = Layout(
+    engines=[
+        EngineSpec(f"engine-{n + 1}", n % 3, {"prefill": 400.0})
+        for n in range(6)
+    ],
+    services=[],
+)
+NAMES = [spec.name for spec in LAYOUT.engines]
+
+
+@given("engines that a marked request crashes")
+def step_engines(context):
+    start_once(context, LAYOUT)
+    restart_dead(context)
+    context.marked = f"{MARKER} {random_text(200)}"
+    for name in NAMES:
+        context.system.standins[name].faults(crash_marker=MARKER, hang=False)
+
+
+def dead(context):
+    return [n for n in NAMES if not context.system.processes[n].alive]
+
+
+def restart_dead(context):
+    for name in dead(context):
+        context.system.restart_engine(name)
+    wait_until(
+        lambda: all(
+            set(phases(context, name).values()) == {"live"} for name in NAMES
+        ),
+        "all engines are live",
+    )
+
+
+@when("the marked request is sent {count:d} times through different instances")
+@when("the marked request is sent {count:d} time through different instances")
+def step_send_marked(context, count):
+    clients = itertools.islice(itertools.cycle(context.clients), count)
+    context.refused = [client.chat(context.marked) for client in clients]
+
+
+@when("a program gets to a marked turn {count:d} times, each time anew")
+def step_program_marked(context, count):
+    context.refused = []
+    for client in context.clients[:count]:
+        program = client.create()
+        # The engines answer by what they are asked: another first turn gets
+        # another answer, as from a model that samples.
+        assert client.chat(random_text(), program, 1).status == 200
+        context.refused.append(client.chat(context.marked, program, 2))
+
+
+@then('it is refused as "{reason}", at first with "{first}", then "{rest}"')
+def step_refused(context, reason, first, rest):
+    problems = [answer.json for answer in context.refused]
+    assert {p["reason"] for p in problems} == {reason}, problems
+    ran = [p["ran"] for p in problems]
+    assert ran == [first] + [rest] * (len(ran) - 1), ran
+
+
+@then("{count:d} engines were lost")
+def step_lost(context, count):
+    assert len(dead(context)) == count, dead(context)
+
+
+@when("the engines are started again")
+def step_started_again(context):
+    restart_dead(context)
+
+
+@then("all other calls are answered")
+def step_others(context):
+    answers = [client.chat(random_text()) for client in context.clients]
+    assert {a.status for a in answers} == {200}, answers
+
+
+@when("the marked request is sent while {count:d} others are in flight")
+def step_beside(context, count):
+    context.texts = [random_text() for _ in range(count)]
+    system = context.system
+    for name in NAMES:
+        system.standins[name].faults(hang=True)
+
+    def poison():
+        wait_until(lambda: waiting(context) >= count, "the others are there")
+        context.refused = [context.clients[0].chat(context.marked)]
+
+    with concurrent.futures.ThreadPoolExecutor(count + 1) as pool:
+        others = send_texts(context, pool)
+        poisoned = pool.submit(poison)
+        wait_until(lambda: dead(context), "an engine crashed")
+        for name in set(NAMES) - set(dead(context)):
+            system.standins[name].faults(hang=False)
+        context.answers = [other.result() for other in others]
+        poisoned.result()
+
+
+def waiting(context):
+    loads = [
+        context.system.standins[name].request("GET", "/v1/load").json
+        for name in NAMES
+    ]
+    return sum(load["waiting"] + load["running"] for load in loads)
+
+
+def send_texts(context, pool):
+    clients = itertools.cycle(context.clients)
+    return [pool.submit(next(clients).chat, text) for text in context.texts]
+
+
+@then("all other calls were answered")
+def step_others_answered(context):
+    wrong = [a for a in context.answers if a.status != 200]
+    assert not wrong, wrong
+
+
+@then("the same other calls are answered again")
+def step_others_again(context):
+    with concurrent.futures.ThreadPoolExecutor(len(context.texts)) as pool:
+        context.answers = [f.result() for f in send_texts(context, pool)]
+    step_others_answered(context)
+
+
+@when("the instance that it was sent through is killed and started again")
+def step_replace_instance(context):
+    instance = context.system.instances[0]
+    instance.process.kill()
+    context.system.start_instance(instance)
+    wait_until(
+        lambda: instance.client.request("GET", "/readyz").status == 200,
+        "the new instance is ready",
+    )
+
+
+@then('the new instance comes to refuse it as "{reason}"')
+def step_new_refuses(context, reason):
+    client = context.system.instances[0].client
+    # Asking by a call would cost engines: the metric tells that it heard.
+    wait_until(
+        lambda: client.metric("rattanmill_quarantine_total", event="heard"),
+        "the new instance heard of the crashes",
+    )
+    context.refused = [client.chat(context.marked)]
+    step_refused(context, reason, "no", "no")
+
+
+@when("a call loses its engine and is answered by another")
+@when("the same call loses its engine again")
+def step_coincidence(context):
+    restart_dead(context)
+    for name in NAMES:
+        context.system.standins[name].faults(hang=True)
+    context.innocent = getattr(context, "innocent", random_text())
+    thread = threading.Thread(target=kill_busy, args=(context,))
+    thread.start()
+    context.answer = context.clients[0].chat(context.innocent)
+    thread.join()
+    step_innocent_answered(context)
+    assert dead(context)
+
+
+def kill_busy(context):
+    """Kills the engine that has the call."""
+
+    def busy():
+        for name in NAMES:
+            load = context.system.standins[name].request("GET", "/v1/load")
+            if load.json["waiting"]:
+                return name
+        return None
+
+    name = wait_until(busy, "an engine has the call")
+    context.system.processes[name].kill()
+    for other in NAMES:
+        if other != name:
+            context.system.standins[other].faults(hang=False)
+
+
+@then("it is answered")
+def step_innocent_answered(context):
+    assert context.answer.status == 200, context.answer
+
+
+BASE = int(time.time() * 1000) - 60_000
+PRINTS = [bytes([n]) * 16 for n in range(3)]
+EVENTS = strategies.lists(
+    strategies.builds(
+        lambda fingerprint, endpoint, at: CrashNote(
+            fingerprint, endpoint, at, fingerprint
+        ),
+        fingerprint=strategies.sampled_from(PRINTS),
+        endpoint=strategies.sampled_from(["", "engine-1", "engine-2"]),
+        # Apart by more than the reports of one crash, as separate crashes
+        # of one engine are, which has to be started again meanwhile.
+        at=strategies.integers(1, 6).map(lambda step: BASE + step * 5_000),
+    ),
+    max_size=12,
+)
+CHECKS = settings(max_examples=300, deadline=None, derandomize=True)
+
+
+def told(events):
+    quarantine = Quarantine()
+    for event in events:
+        quarantine.take(event)
+    return quarantine
+
+
+@given("any crashes and finished runs of requests")
+def step_any_events(context):
+    context.events = EVENTS
+
+
+@then("instances that hear of them in any order agree on whom to refuse")
+def step_orders_agree(context):
+    @CHECKS
+    @given_any(context.events, strategies.randoms(use_true_random=False))
+    def check(events, random):
+        shuffled = list(events) * 2
+        random.shuffle(shuffled)
+        one, other = told(events), told(shuffled)
+        for fingerprint in PRINTS:
+            assert one.is_condemned(fingerprint) == other.is_condemned(
+                fingerprint
+            ), (events, shuffled)
+
+    check()
+
+
+@then("a request that is finished between crashes is never refused")
+def step_finished_between(context):
+    now = int(time.time() * 1000)
+    events = []
+    for step in range(5):
+        at = now - 60_000 + step * 10_000
+        events += [
+            CrashNote(PRINTS[0], "engine-1", at),
+            CrashNote(PRINTS[0], "", at + 5_000),
+        ]
+        assert not told(events).is_condemned(PRINTS[0])
+    without = told([event for event in events if event.endpoint])
+    assert without.is_condemned(PRINTS[0])
+
+
+@then("what is kept is bounded")
+def step_bounded(context):
+    now = int(time.time() * 1000)
+    quarantine = told(
+        CrashNote(number.to_bytes(16, "big"), "engine-1", now - 20_000 + number)
+        for number in range(10_200)
+    )
+    assert len(quarantine.suspicions) == 10_000
+    assert quarantine.is_suspected((10_199).to_bytes(16, "big"))
