Take an outage of a failure domain for no crash of a request

Found by 'A failure domain loses its engines': calls went from one dead engine to the next until their tries were used up (502, not run), and all were suspected.

--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -31,6 +31,8 @@
 # A probe that took longer than this tells of a pause of our own.
 _PAUSE_SECONDS = 2.0
 _SILENT_PROBES = 2
+_OUTAGE_SECONDS = 1.0
+_PROBES_IN_OUTAGE = 16
 _STALL_SECONDS = 3.0
 _STALL_PROBES = 3
 
@@ -232,7 +234,9 @@
         record.silent = record.silent + 1 if found is Probe.SILENT else 0
         state.load = load or state.load
         if found is Probe.REFUSED:
-            table.close(state, Aspect.REACH, Sign.REFUSED)
+            if not state.reach.closed:
+                table.close(state, Aspect.REACH, Sign.REFUSED)
+                self._probe_beside(state)
         elif record.silent >= _SILENT_PROBES:
             table.close(state, Aspect.REACH, Sign.SILENT)
         elif found is Probe.DRAINING:
@@ -252,6 +256,26 @@
             table.reopen(state, Aspect.DEPARTURE)
             _log.info("Endpoint {} is back.", state.endpoint.name)
 
+    def _probe_beside(self, state: EndpointState) -> None:
+        """Probes others of a domain that has just lost a second endpoint.
+
+        In an outage a call would else be moved from one dead endpoint to the
+        next until its tries are used up.
+        """
+        since = _now() - _OUTAGE_SECONDS
+        beside = [
+            other
+            for other in self.node.table.states.values()
+            if other is not state
+            and other.endpoint.domain == state.endpoint.domain
+        ]
+        if any(s.reach.closed and s.reach.changed_at > since for s in beside):
+            found = [s for s in beside if not s.closed]
+            service = state.endpoint.service
+            found.sort(key=lambda other: other.endpoint.service != service)
+            for other in found[:_PROBES_IN_OUTAGE]:
+                self.node.spawn(self.confirm(other))
+
     def _moves(
         self, state: EndpointState, record: _Record, load: Load | None
     ) -> bool:
--- a/libs/entry/src/rattanmill_entry/quarantine.py
+++ b/libs/entry/src/rattanmill_entry/quarantine.py
@@ -18,7 +18,11 @@
 _log = part_logger("quarantine")
 _PRINT_BYTES = 16
 # Time for the other instances to report what they had in flight.
-_REPORT_SECONDS = 0.3
+_REPORT_SECONDS = 0.2
+# Time in which an outage of a failure domain shows at several endpoints.
+_OTHERS_SECONDS = 0.3
+_MANY = 3
+_MOST_EXCUSED = 10_000
 _RETRY_SPREAD_SECONDS = 0.5
 # Longest time that a suspect waits for another to leave an endpoint.
 _ALONE_SECONDS = 2.0
@@ -41,6 +45,7 @@
         self.signs = signs
         self.watch = watch
         self.locks: dict[str, asyncio.Lock] = {}
+        self.excused: set[bytes] = set()
 
     def refusal(self, prints: list[bytes], ran: Ran) -> Refusal | None:
         """Returns the refusal for a request that must not run."""
@@ -74,7 +79,9 @@
     ) -> Refusal | None:
         """Counts a crash if the endpoint is gone; refuses if it was enough.
 
-        A stream that breaks at an endpoint which still answers is no crash.
+        A stream that breaks at an endpoint which still answers is no crash,
+        and when several endpoints of a failure domain go at the same time it
+        was not a request.
         Suspects wait a little before they run again, each for another time:
         instances that moved them on at the same moment would put them on the
         same endpoint again.
@@ -83,6 +90,10 @@
             return None
         name = state.endpoint.name
         at = int(time.time() * 1000)
+        await asyncio.sleep(_OTHERS_SECONDS)
+        if self._is_outage(state) and self._excuse(prints[0]):
+            self.node.metrics.count("rattanmill_quarantine", event="outage")
+            return None
         self.signs.crashed(
             [CrashNote(each, name, at, prints[0]) for each in prints]
         )
@@ -95,6 +106,37 @@
         await asyncio.sleep(random.uniform(0, _RETRY_SPREAD_SECONDS))
         return None
 
+    def _is_outage(self, state: EndpointState) -> bool:
+        """Whether half of a domain was lost at the same time, at least three.
+
+        All that was in flight there would be suspected, told to everybody,
+        and run one by one, just when the other domains have least room.
+        """
+        since = asyncio.get_running_loop().time() - 2 * _OTHERS_SECONDS
+        beside = [
+            other
+            for other in self.node.table.states.values()
+            if other.endpoint.domain == state.endpoint.domain
+            and other.endpoint.kind == state.endpoint.kind
+        ]
+        lost = sum(
+            s.reach.closed and s.reach.changed_at > since for s in beside
+        )
+        return lost >= _MANY and lost * 2 >= len(beside)
+
+    def _excuse(self, fingerprint: bytes) -> bool:
+        """Whether an outage explains this loss; a second one is counted.
+
+        Copies of one request that crash several endpoints at the same moment
+        look like an outage, too.
+        """
+        if fingerprint in self.excused:
+            return False
+        if len(self.excused) >= _MOST_EXCUSED:
+            self.excused.clear()
+        self.excused.add(fingerprint)
+        return True
+
     def finished(self, prints: list[bytes]) -> None:
         """Clears a request that ran to its end."""
         at = int(time.time() * 1000)
--- a/libs/policy/src/rattanmill_policy/quarantine.py
+++ b/libs/policy/src/rattanmill_policy/quarantine.py
@@ -117,10 +117,12 @@
 
     def _make_room(self) -> None:
         if len(self.suspicions) >= _MOST_SUSPECTS:
-            oldest = min(
+            # Many at a time: to search for the oldest takes long.
+            by_age = sorted(
                 self.suspicions, key=lambda key: self.suspicions[key].last
             )
-            del self.suspicions[oldest]
+            for fingerprint in by_age[: _MOST_SUSPECTS // 10]:
+                del self.suspicions[fingerprint]
 
 
 def is_same_crash(one: CrashNote, other: CrashNote) -> bool:
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -33,6 +33,15 @@
     When the engines are started again
     Then the same other calls are answered again
 
+  Scenario: A failure domain loses its engines
+    Power fails in a hall. If all that was in flight were suspected of it,
+    thousands of calls would run one by one when the others have least room.
+
+    Given engines that a marked request crashes
+    When the first failure domain loses its engines with 12 in flight
+    Then all other calls were answered
+    And no call is suspected
+
   Scenario: An instance that did not see the crashes
     The instance that saw the crashes is replaced. Its successor knows
     nothing by itself.
@@ -55,5 +64,6 @@
   Scenario: Reports of crashes in any order
     Given any crashes and finished runs of requests
     Then instances that hear of them in any order agree on whom to refuse
+    And of two that crashed together only the one that crashes alone is refused
     And a request that is finished between crashes is never refused
     And what is kept is bounded
