Keep engine memory for programs, and let go of it in every case

Owners pin a program's cache through a tool pause and release it at the end, after an overlong pause, and when its seconds ran out (owners now end such programs).

--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -49,6 +49,7 @@
     """Yields the parts of the answer; ends with Finished or a refusal."""
     body = upstream_body(run.chat, run.messages, run.max_tokens)
     prints = chat_prints(run.chat, run.messages)
+    node.memory.turn_began(run.work.program)
     delivered = False
     while True:
         quarantined = node.guard.refusal(prints, Ran.NO)
@@ -71,6 +72,7 @@
                 if isinstance(part, Finished):
                     # Before the last part: who has it may ask for no more.
                     node.guard.finished(prints)
+                    node.memory.turn_ended(run, placed.state)
                 delivered = delivered or isinstance(part, Delta)
                 yield part
         if failed is None:
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -25,6 +25,7 @@
 from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes, drained
+from rattanmill_entry.memory import EngineMemory
 from rattanmill_entry.node import Node
 from rattanmill_entry.ownership import Ownership
 from rattanmill_entry.quarantine import CrashGuard
@@ -67,6 +68,7 @@
         signs = Signs(node)
         watch = EndpointWatch(node)
         node.guard = CrashGuard(node, signs, watch)
+        node.memory = EngineMemory(node, watch)
         gossip = Gossip(node, signs)
         _make_parts(node, gossip)
         ownership = Ownership(node)
@@ -81,6 +83,7 @@
         await stack.enter_async_context(gossip)
         await stack.enter_async_context(signs)
         await stack.enter_async_context(watch)
+        await stack.enter_async_context(node.memory)
         await stack.enter_async_context(ownership)
         runner = await _listen(node, access)
         stack.push_async_callback(runner.cleanup)
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -134,32 +134,34 @@
         An endpoint of another failure domain is probed from here only while
         it is closed to us, to find out when it can be reached again.
         """
-        node = self.node
-        domain = node.settings.domain
-        if state.endpoint.domain != domain and not state.closed:
+        own = state.endpoint.domain == self.node.settings.domain
+        if not own and not state.closed:
             return False
-        ranked = sorted(
-            self._living(domain),
+        return self.node.settings.name in self._ranked(state)[:_PROBERS]
+
+    def is_first(self, state: EndpointState) -> bool:
+        """Whether this instance does what one instance does for an engine."""
+        own = state.endpoint.domain == self.node.settings.domain
+        return own and self.node.settings.name == self._ranked(state)[0]
+
+    def _ranked(self, state: EndpointState) -> list[str]:
+        return sorted(
+            self._living(self.node.settings.domain),
             key=lambda name: _weight(name, state.endpoint.name),
         )
-        return node.settings.name in ranked[:_PROBERS]
 
     def _living(self, domain: str) -> list[str]:
         """Instances of our domain that were heard from lately, and us."""
         node = self.node
         since = _now() - 3 * node.lease.silence_seconds
-        return [
+        heard = [
             record.name
             for record in node.addresses.values()
             if record.domain == domain
-            and (
-                record.name == node.settings.name
-                or (
-                    record.name in node.hub.peers
-                    and node.hub.peers[record.name].heard > since
-                )
-            )
+            and record.name in node.hub.peers
+            and node.hub.peers[record.name].heard > since
         ]
+        return [*heard, node.settings.name]
 
     def _is_stuck(self, state: EndpointState) -> bool:
         """Whether our calls there have made no progress for a while."""
@@ -232,7 +234,8 @@
         if found is Probe.VOID:
             return
         record.silent = record.silent + 1 if found is Probe.SILENT else 0
-        state.load = load or state.load
+        if load:
+            state.report(load)
         if found is Probe.REFUSED:
             if not state.reach.closed:
                 table.close(state, Aspect.REACH, Sign.REFUSED)
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -28,6 +28,7 @@
     EndpointNotes,
     Heartbeat,
     Message,
+    PinsHeld,
 )
 
 _log = part_logger("gossip")
@@ -133,6 +134,8 @@
                     take_config(node, document)
             case EndpointNotes():
                 self.signs.hear(message)
+            case PinsHeld():
+                node.memory.hear(message)
 
     def _hear(self, message: Heartbeat, answer: Answer) -> None:
         node = self.node
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -21,6 +21,7 @@
 from rattanmill_wire.peers import Peer
 
 if TYPE_CHECKING:
+    from rattanmill_entry.memory import EngineMemory
     from rattanmill_entry.quarantine import CrashGuard
 
 
@@ -66,6 +67,7 @@
     hub: PeerHub
     config: ConfigDocument
     guard: "CrashGuard"
+    memory: "EngineMemory"
 
     def __init__(self, settings: Settings, incarnation: str) -> None:
         self.settings = settings
--- a/libs/policy/src/rattanmill_policy/__init__.py
+++ b/libs/policy/src/rattanmill_policy/__init__.py
@@ -3,6 +3,7 @@
 from rattanmill_policy.health import Load, Mark
 from rattanmill_policy.loads import LoadReports
 from rattanmill_policy.outcome import Outcome
+from rattanmill_policy.pinning import Pin, Pinned, has_room
 from rattanmill_policy.quarantine import Quarantine
 from rattanmill_policy.scheduler import Rules, Scheduler
 from rattanmill_policy.speeds import LoadReport
@@ -17,9 +18,12 @@
     "LoadReports",
     "Mark",
     "Outcome",
+    "Pin",
+    "Pinned",
     "Placement",
     "Quarantine",
     "Rules",
     "Scheduler",
     "Work",
+    "has_room",
 ]
--- a/libs/policy/src/rattanmill_policy/table.py
+++ b/libs/policy/src/rattanmill_policy/table.py
@@ -28,6 +28,7 @@
         reach: Whether it does its work when called from here.
         failures: Attempts that failed in a row.
         load: What it reported last, or None.
+        cache_tokens_seen: Most tokens that it had in its cache.
         running: Timers of the attempts that are under way; see ``abort``.
         progress_at: Loop time at which one of these last made progress.
     """
@@ -41,6 +42,7 @@
         self.reach = Mark(Aspect.REACH)
         self.failures = 0
         self.load: Load | None = None
+        self.cache_tokens_seen = 0
         self.running: set[asyncio.Timeout] = set()
         self.progress_at = 0.0
 
@@ -68,6 +70,11 @@
         limits = [mark.limit(now) for mark in self.marks]
         return all(most is None or self.in_flight < most for most in limits)
 
+    def report(self, load: Load) -> None:
+        """Takes a load report."""
+        self.load = load
+        self.cache_tokens_seen = max(self.cache_tokens_seen, load.cache_tokens)
+
     def abort(self, now: float) -> None:
         """Gives up the attempts that wait for an answer there."""
         for timer in self.running:
