Take the probers from the live view, since not all instances hear each other

Heartbeats go to a fixed number of instances now; by what it heard, each would have taken itself for one of few.

--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -52,7 +52,8 @@
     node.memory.turn_began(run.work.program)
     delivered = False
     while True:
-        quarantined = node.guard.refusal(prints, Ran.NO)
+        ran = Ran.UNKNOWN if run.work.tried else Ran.NO
+        quarantined = node.guard.refusal(prints, ran)
         if quarantined:
             yield quarantined
             return
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -151,17 +151,16 @@
         )
 
     def _living(self, domain: str) -> list[str]:
-        """Instances of our domain that were heard from lately, and us."""
+        """Instances of our domain that are not known to be dead, and us."""
         node = self.node
-        since = _now() - 3 * node.lease.silence_seconds
-        heard = [
+        others = [
             record.name
-            for record in node.addresses.values()
+            for record in node.live.instances.values()
             if record.domain == domain
-            and record.name in node.hub.peers
-            and node.hub.peers[record.name].heard > since
+            and record.name != node.settings.name
+            and record.name not in node.suspects
         ]
-        return [*heard, node.settings.name]
+        return [*others, node.settings.name]
 
     def _is_stuck(self, state: EndpointState) -> bool:
         """Whether our calls there have made no progress for a while."""
