--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -49,9 +49,11 @@
     """Yields the parts of the answer; ends with Finished or a refusal."""
     body = upstream_body(run.chat, run.messages, run.max_tokens)
     prints = chat_prints(run.chat, run.messages)
+    node.memory.turn_began(run.work.program)
     delivered = False
     while True:
-        quarantined = node.guard.refusal(prints, Ran.NO)
+        ran = Ran.UNKNOWN if run.work.tried else Ran.NO
+        quarantined = node.guard.refusal(prints, ran)
         if quarantined:
             yield quarantined
             return
@@ -67,11 +69,14 @@
             async for part in parts:
                 if isinstance(part, Failed):
                     failed = part
-                else:
-                    delivered = delivered or isinstance(part, Delta)
-                    yield part
+                    continue
+                if isinstance(part, Finished):
+                    # Before the last part: who has it may ask for no more.
+                    node.guard.finished(prints)
+                    node.memory.turn_ended(run, placed.state)
+                delivered = delivered or isinstance(part, Delta)
+                yield part
         if failed is None:
-            node.guard.finished(prints)
             return
         if failed.outcome is Outcome.BROKEN:
             quarantined = await node.guard.after_broken(prints, placed.state)
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -26,6 +26,7 @@
 from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes, drained
+from rattanmill_entry.memory import EngineMemory
 from rattanmill_entry.node import Node
 from rattanmill_entry.ownership import Ownership
 from rattanmill_entry.quarantine import CrashGuard
@@ -69,6 +70,7 @@
         signs = Signs(node)
         watch = EndpointWatch(node)
         node.guard = CrashGuard(node, signs, watch)
+        node.memory = EngineMemory(node, watch)
         gossip = Gossip(node, signs)
         _make_parts(node, gossip)
         show_state(node)
@@ -84,6 +86,7 @@
         await stack.enter_async_context(gossip)
         await stack.enter_async_context(signs)
         await stack.enter_async_context(watch)
+        await stack.enter_async_context(node.memory)
         await stack.enter_async_context(ownership)
         runner = await _listen(node, access)
         stack.push_async_callback(runner.cleanup)
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -31,6 +31,8 @@
 # A probe that took longer than this tells of a pause of our own.
 _PAUSE_SECONDS = 2.0
 _SILENT_PROBES = 2
+_OUTAGE_SECONDS = 1.0
+_PROBES_IN_OUTAGE = 16
 _STALL_SECONDS = 3.0
 _STALL_PROBES = 3
 
@@ -132,32 +134,33 @@
         An endpoint of another failure domain is probed from here only while
         it is closed to us, to find out when it can be reached again.
         """
-        node = self.node
-        domain = node.settings.domain
-        if state.endpoint.domain != domain and not state.closed:
+        own = state.endpoint.domain == self.node.settings.domain
+        if not own and not state.closed:
             return False
-        ranked = sorted(
-            self._living(domain),
+        return self.node.settings.name in self._ranked(state)[:_PROBERS]
+
+    def is_first(self, state: EndpointState) -> bool:
+        """Whether this instance does what one instance does for an engine."""
+        own = state.endpoint.domain == self.node.settings.domain
+        return own and self.node.settings.name == self._ranked(state)[0]
+
+    def _ranked(self, state: EndpointState) -> list[str]:
+        return sorted(
+            self._living(self.node.settings.domain),
             key=lambda name: _weight(name, state.endpoint.name),
         )
-        return node.settings.name in ranked[:_PROBERS]
 
     def _living(self, domain: str) -> list[str]:
-        """Instances of our domain that were heard from lately, and us."""
+        """Instances of our domain that are not known to be dead, and us."""
         node = self.node
-        since = _now() - 3 * node.lease.silence_seconds
-        return [
+        others = [
             record.name
-            for record in node.addresses.values()
+            for record in node.live.instances.values()
             if record.domain == domain
-            and (
-                record.name == node.settings.name
-                or (
-                    record.name in node.hub.peers
-                    and node.hub.peers[record.name].heard > since
-                )
-            )
+            and record.name != node.settings.name
+            and record.name not in node.suspects
         ]
+        return [*others, node.settings.name]
 
     def _is_stuck(self, state: EndpointState) -> bool:
         """Whether our calls there have made no progress for a while."""
@@ -230,9 +233,12 @@
         if found is Probe.VOID:
             return
         record.silent = record.silent + 1 if found is Probe.SILENT else 0
-        state.load = load or state.load
+        if load:
+            state.report(load)
         if found is Probe.REFUSED:
-            table.close(state, Aspect.REACH, Sign.REFUSED)
+            if not state.reach.closed:
+                table.close(state, Aspect.REACH, Sign.REFUSED)
+                self._probe_beside(state)
         elif record.silent >= _SILENT_PROBES:
             table.close(state, Aspect.REACH, Sign.SILENT)
         elif found is Probe.DRAINING:
@@ -252,6 +258,26 @@
             table.reopen(state, Aspect.DEPARTURE)
             _log.info("Endpoint {} is back.", state.endpoint.name)
 
+    def _probe_beside(self, state: EndpointState) -> None:
+        """Probes others of a domain that has just lost a second endpoint.
+
+        In an outage a call would else be moved from one dead endpoint to the
+        next until its tries are used up.
+        """
+        since = _now() - _OUTAGE_SECONDS
+        beside = [
+            other
+            for other in self.node.table.states.values()
+            if other is not state
+            and other.endpoint.domain == state.endpoint.domain
+        ]
+        if any(s.reach.closed and s.reach.changed_at > since for s in beside):
+            found = [s for s in beside if not s.closed]
+            service = state.endpoint.service
+            found.sort(key=lambda other: other.endpoint.service != service)
+            for other in found[:_PROBES_IN_OUTAGE]:
+                self.node.spawn(self.confirm(other))
+
     def _moves(
         self, state: EndpointState, record: _Record, load: Load | None
     ) -> bool:
--- a/libs/entry/src/rattanmill_entry/quarantine.py
+++ b/libs/entry/src/rattanmill_entry/quarantine.py
@@ -18,8 +18,14 @@
 _log = part_logger("quarantine")
 _PRINT_BYTES = 16
 # Time for the other instances to report what they had in flight.
-_REPORT_SECONDS = 0.3
+_REPORT_SECONDS = 0.2
+# Time in which an outage of a failure domain shows at several endpoints.
+_OTHERS_SECONDS = 0.3
+_MANY = 3
+_MOST_EXCUSED = 10_000
 _RETRY_SPREAD_SECONDS = 0.5
+# Longest time that a suspect waits for another to leave an endpoint.
+_ALONE_SECONDS = 2.0
 # Shorter ones, such as "go on", are said in many programs: what one program's
 # history makes of them is no reason to refuse them in another.
 _LEAST_TELLING_BYTES = 256
@@ -39,6 +45,7 @@
         self.signs = signs
         self.watch = watch
         self.locks: dict[str, asyncio.Lock] = {}
+        self.excused: set[bytes] = set()
 
     def refusal(self, prints: list[bytes], ran: Ran) -> Refusal | None:
         """Returns the refusal for a request that must not run."""
@@ -59,15 +66,22 @@
             return
         name = state.endpoint.name
         lock = self.locks.setdefault(name, asyncio.Lock())
-        async with lock:
+        # Bounded: many innocents of a large batch would else run one by one.
+        locked = await _acquire(lock, _ALONE_SECONDS)
+        try:
             yield
+        finally:
+            if locked:
+                lock.release()
 
     async def after_broken(
         self, prints: list[bytes], state: EndpointState
     ) -> Refusal | None:
         """Counts a crash if the endpoint is gone; refuses if it was enough.
 
-        A stream that breaks at an endpoint which still answers is no crash.
+        A stream that breaks at an endpoint which still answers is no crash,
+        and when several endpoints of a failure domain go at the same time it
+        was not a request.
         Suspects wait a little before they run again, each for another time:
         instances that moved them on at the same moment would put them on the
         same endpoint again.
@@ -76,7 +90,13 @@
             return None
         name = state.endpoint.name
         at = int(time.time() * 1000)
-        self.signs.crashed([CrashNote(each, name, at) for each in prints])
+        await asyncio.sleep(_OTHERS_SECONDS)
+        if self._is_outage(state) and self._excuse(prints[0]):
+            self.node.metrics.count("rattanmill_quarantine", event="outage")
+            return None
+        self.signs.crashed(
+            [CrashNote(each, name, at, prints[0]) for each in prints]
+        )
         _log.warning("Endpoint {} crashed with a request in flight.", name)
         await asyncio.sleep(_REPORT_SECONDS)
         refusal = self.refusal(prints, Ran.UNKNOWN)
@@ -86,6 +106,37 @@
         await asyncio.sleep(random.uniform(0, _RETRY_SPREAD_SECONDS))
         return None
 
+    def _is_outage(self, state: EndpointState) -> bool:
+        """Whether half of a domain was lost at the same time, at least three.
+
+        All that was in flight there would be suspected, told to everybody,
+        and run one by one, just when the other domains have least room.
+        """
+        since = asyncio.get_running_loop().time() - 2 * _OTHERS_SECONDS
+        beside = [
+            other
+            for other in self.node.table.states.values()
+            if other.endpoint.domain == state.endpoint.domain
+            and other.endpoint.kind == state.endpoint.kind
+        ]
+        lost = sum(
+            s.reach.closed and s.reach.changed_at > since for s in beside
+        )
+        return lost >= _MANY and lost * 2 >= len(beside)
+
+    def _excuse(self, fingerprint: bytes) -> bool:
+        """Whether an outage explains this loss; a second one is counted.
+
+        Copies of one request that crash several endpoints at the same moment
+        look like an outage, too.
+        """
+        if fingerprint in self.excused:
+            return False
+        if len(self.excused) >= _MOST_EXCUSED:
+            self.excused.clear()
+        self.excused.add(fingerprint)
+        return True
+
     def finished(self, prints: list[bytes]) -> None:
         """Clears a request that ran to its end."""
         at = int(time.time() * 1000)
@@ -98,6 +149,14 @@
         )
 
 
+async def _acquire(lock: asyncio.Lock, seconds: float) -> bool:
+    try:
+        async with asyncio.timeout(seconds):
+            return await lock.acquire()
+    except TimeoutError:
+        return False
+
+
 def chat_prints(chat: ChatBody, messages: list[bytes]) -> list[bytes]:
     """Returns the fingerprints of a chat call with its whole conversation.
 
