--- /dev/null
+++ b/libs/cli/src/rattanmill_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``rattanmill`` command, for operators; see ``main``."""
