--- a/libs/entry/src/rattanmill_entry/configstore.py
+++ b/libs/entry/src/rattanmill_entry/configstore.py
@@ -68,7 +68,9 @@
         return base
     if document.number != base.document.number:
         earlier = await _accepted(node, document.number + 1, change)
-        return earlier or _conflict(document, base.document)
+        if earlier and _same_content(earlier, document):
+            return earlier
+        return _conflict(document, base.document)
     changed = msgspec.structs.replace(
         document,
         number=document.number + 1,
@@ -110,6 +112,16 @@
     return refuse(Reason.CONFIG_CONFLICT, detail)
 
 
+def _same_content(accepted: ConfigDocument, sent: ConfigDocument) -> bool:
+    """Whether a document was accepted as it was sent."""
+    return accepted == msgspec.structs.replace(
+        sent,
+        number=accepted.number,
+        change=accepted.change,
+        applied=accepted.applied,
+    )
+
+
 def _check_change(
     base: ConfigDocument, changed: ConfigDocument
 ) -> Refusal | None:
--- /dev/null
+++ b/tests/features/steps/config.py
@@ -0,0 +1,196 @@
+"""Steps that change the configuration over HTTP, past the command."""
+
+import time
+
+from behave import given, then, when
+
+from support import Client, wait_until
+
+_KEY = "rm/live/config"
+_SILENT_STORE_SECONDS = 30
+
+
+def put(context, document, index=0):
+    """Sends a document, once the instance has the highest number in force."""
+    context.sent = document
+    context.answer = context.clients[index].request(
+        "PUT", "/v1/admin/config", document
+    )
+
+
+def base(context):
+    """Returns the document in force at the first instance."""
+    answer = context.clients[0].request("GET", "/v1/admin/config")
+    return answer.json
+
+
+def store(context):
+    """Returns a client of the key-value service."""
+    return context.system.standins["kv"]
+
+
+def stored(context):
+    """Returns value and revision of the stored configuration."""
+    answer = store(context).request("GET", f"/kv/{_KEY}")
+    return answer.body, int(answer.headers["kv-revision"])
+
+
+def write_by_hand(context, value):
+    _, revision = stored(context)
+    path = f"/kv/{_KEY}?expect={revision}"
+    assert store(context).request("PUT", path, value).status == 200
+
+
+@given("the store loses the answer to the next write of the configuration")
+def step_lose(context):
+    store(context).faults(lose_answers=1, lose_match=f"/kv/{_KEY}")
+
+
+@when('change "{change}" sets the default target to {seconds:d}')
+def step_change(context, change, seconds):
+    document = base(context)
+    context.before = document["number"]
+    document["change"] = change
+    document["operator"] = "ann"
+    document["classes"]["default"]["target_seconds"] = seconds
+    put(context, document)
+    context.first = context.answer
+    context.first_sent = document
+
+
+@when("another change sets the default target to {seconds:d}")
+def step_other_change(context, seconds):
+    document = base(context)
+    document["change"] = ""
+    document["classes"]["default"]["target_seconds"] = seconds
+    put(context, document)
+    assert context.answer.status == 200, context.answer
+
+
+@when('change "{change}" is sent again')
+def step_again(context, change):
+    assert context.first_sent["change"] == change
+    assert context.first.status == 200, context.first
+    put(context, context.first_sent, index=3)
+
+
+@when('change "{change}" is sent again with another target')
+def step_again_other(context, change):
+    document = context.first_sent
+    document["classes"]["default"]["target_seconds"] = 999
+    step_again(context, change)
+
+
+@then("the change is accepted with the next number")
+def step_accepted_next(context):
+    assert context.answer.status == 200, context.answer
+    assert context.answer.json["number"] == context.before + 1, context.answer
+
+
+@then("the change is accepted with the same number")
+def step_accepted_same(context):
+    assert context.answer.status == 200, context.answer
+    assert context.answer.json["number"] == context.first.json["number"]
+
+
+@then('the change is refused as "{reason}" and "{ran}"')
+def step_change_refused(context, reason, ran):
+    problem = context.answer.json
+    assert (problem["reason"], problem["ran"]) == (reason, ran), problem
+
+
+@when("the store is down")
+def step_store_down(context):
+    store(context).faults(down=True, hold_leases=True)
+
+
+@when("the store is up again")
+def step_store_up(context):
+    store(context).faults(down=False, hold_leases=False)
+    context.system.wait_ready()
+
+
+@then("no instance has the default target {seconds:d}")
+def step_not_in_force(context, seconds):
+    for client in context.clients:
+        document = client.request("GET", "/v1/admin/config").json
+        found = document["classes"]["default"]["target_seconds"]
+        assert found != seconds, document
+
+
+@when("the stored configuration is broken by hand")
+def step_break(context):
+    context.whole, _ = stored(context)
+    write_by_hand(context, b"{")
+
+
+@when("the stored configuration is mended by hand")
+def step_mend(context):
+    write_by_hand(context, context.whole)
+
+
+@when("the stored configuration is deleted by hand")
+def step_delete(context):
+    assert store(context).request("DELETE", f"/kv/{_KEY}").status == 200
+
+
+@when("failure domain {domain:d} is cut off from everything")
+def step_cut_off(context, domain):
+    context.system.cut(domain, kv=True, domains=True)
+    context.scenario_stack.callback(context.system.heal)
+
+
+@when("all links are back")
+def step_links_back(context):
+    context.system.heal()
+
+
+@when('a change takes out failure domain "{domain}"')
+def step_take_out(context, domain):
+    document = base(context)
+    document["change"] = ""
+    del document["domains"][domain]
+    put(context, document)
+
+
+@when('a change gives failure domain "{domain}" {count:d} shards')
+def step_shards(context, domain, count):
+    document = base(context)
+    document["change"] = ""
+    document["domains"][domain]["shards"] = count
+    put(context, document)
+
+
+@when("{count:d} changes are accepted one after another")
+def step_many_changes(context, count):
+    context.began = time.time()
+    for number in range(count):
+        document = base(context)
+        document["change"] = f"many-{number}"
+        document["operator"] = f"operator-{number}"
+        put(context, document)
+        assert context.answer.status == 200, context.answer
+    context.last = context.answer.json["number"]
+
+
+@then("the history has the last {count:d} of them, with operator and time")
+def step_history_kept(context, count):
+    path = "/v1/admin/config/history"
+    entries = context.clients[4].request("GET", path).json
+    numbers = [entry["number"] for entry in entries]
+    assert numbers == list(range(context.last, context.last - count, -1)), (
+        numbers
+    )
+    for index, entry in enumerate(entries):
+        assert entry["operator"] == f"operator-{74 - index}", entry
+        assert context.began - 1 < entry["applied"] < time.time() + 1, entry
+
+
+@then("the store keeps fewer than {most:d} earlier documents")
+def step_store_bounded(context, most):
+    path = "/range?prefix=rm/config-history/"
+    client = Client(store(context).address)
+    wait_until(
+        lambda: len(client.request("GET", path).json["entries"]) < most,
+        f"fewer than {most} documents are kept",
+    )
