--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -12,6 +12,7 @@
     ConfigDocument,
     Metrics,
     Settings,
+    SettingsError,
     decode_config,
     default_config,
     part_logger,
@@ -183,7 +184,15 @@
     )
     await runner.setup()
     host, port = node.settings.http.rsplit(":", 1)
-    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    site = web.TCPSite(runner, host, int(port), backlog=1024)
+    try:
+        await site.start()
+    except OSError as error:
+        await runner.cleanup()
+        raise SettingsError(
+            f"instance.http: {node.settings.http} cannot be used:"
+            f" {error.strerror}"
+        ) from error
     return runner
 
 
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -261,7 +261,13 @@
         # Without this, a message to a peer whose queue is full is dropped
         # silently and its caller would wait for a chunk that never comes.
         self.router.router_mandatory = True
-        self.router.bind(f"tcp://{self.address}")
+        try:
+            self.router.bind(f"tcp://{self.address}")
+        except zmq.ZMQError as error:
+            self.context.destroy(linger=0)
+            raise SettingsError(
+                f"instance.peer: {self.address} cannot be used: {error}"
+            ) from error
         self.task = asyncio.create_task(self._accept())
         return self
 
