Take tests' ports from below the range of outgoing connections

A stack looked for a free port by binding to port 0, and until its process started, any outgoing connection of the machine could take it: 'relay-0 answers at 127.0.1.1:42525: ... not within 30 s' in one of my runs with four others testing. Ports now come from 10000 to 30000; the system takes outgoing ports from 32768 on (ip_local_port_range).

--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import secrets
 import shutil
 import socket
@@ -22,6 +23,7 @@
 from support.waiting import wait_until
 
 ALBA = ("alba-east", "alba-west", "alba-north")
+_PORTS = (10_000, 30_000)
 CR_CENTRAL = ("sanjose-a", "heredia-b", "alajuela-c")
 
 
@@ -166,11 +168,14 @@
         if self.next_port:
             self.next_port += 1
             return f"{host}:{self.next_port - 1}"
+        # Below the range from which the system takes ports for outgoing
+        # connections: one of these would take the port between our look and
+        # the start of its process, which then fails to listen.
         while True:
+            port = random.randrange(*_PORTS)
             with socket.socket() as probe:
-                probe.bind((host, 0))
-                port = probe.getsockname()[1]
-            if (host, port) not in self.used_ports:
+                taken = probe.connect_ex((host, port)) == 0
+            if not taken and (host, port) not in self.used_ports:
                 self.used_ports.add((host, port))
                 return f"{host}:{port}"
 
