Logs with ids, in text or lean JSON; gauges, durations and peer bytes

A refusal that leaves open whether the call ran is logged once, at the instance that answers the caller; so is each change of a shard's owner, by the instance that makes it.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -19,7 +19,7 @@
     UsageError,
 )
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
-from rattanmill_core.logs import configure_logs, part_logger
+from rattanmill_core.logs import configure_logs, log_ids, part_logger
 from rattanmill_core.metrics import Metrics
 from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
 from rattanmill_core.operators import (
@@ -67,6 +67,7 @@
     "default_config",
     "encode_config",
     "load_settings",
+    "log_ids",
     "new_id",
     "open_secrets",
     "parse_program_id",
--- a/libs/core/src/rattanmill_core/metrics.py
+++ b/libs/core/src/rattanmill_core/metrics.py
@@ -1,7 +1,14 @@
 """Metrics by OpenTelemetry, exposed in the Prometheus text format."""
 
+from collections.abc import Callable, Iterable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Counter, Histogram
+from opentelemetry.metrics import (
+    CallbackOptions,
+    Counter,
+    Histogram,
+    Observation,
+)
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import (
     ExplicitBucketHistogramAggregation,
@@ -11,7 +18,8 @@
 
 from rattanmill_core.refusal import Refusal
 
-_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
+_SHORT_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5)
+_LONG_SECONDS = (1, 2, 5, 10, 20, 50, 100, 200, 500)
 
 
 class Metrics:
@@ -23,7 +31,9 @@
     def __init__(self) -> None:
         view = View(
             instrument_name="*_seconds",
-            aggregation=ExplicitBucketHistogramAggregation(_SECONDS),
+            aggregation=ExplicitBucketHistogramAggregation(
+                (*_SHORT_SECONDS, *_LONG_SECONDS)
+            ),
         )
         self.provider = MeterProvider(
             metric_readers=[PrometheusMetricReader()], views=[view]
@@ -48,6 +58,14 @@
             self.histograms[name] = histogram
         histogram.record(seconds, labels)
 
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Shows what ``read`` returns when metrics are asked for."""
+        self.meter.create_observable_gauge(name, [_observer(read)])
+
+    def total(self, name: str, read: Callable[[], float]) -> None:
+        """Shows a total that its owner counts, such as bytes of a link."""
+        self.meter.create_observable_counter(name, [_observer(read)])
+
     def refused(self, refusal: Refusal) -> None:
         """Counts a refusal sent to a caller, by reason."""
         self.count("rattanmill_refusals", reason=refusal.reason)
@@ -59,3 +77,12 @@
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
+
+
+def _observer(
+    read: Callable[[], float],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(read())]
+
+    return observe
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -31,6 +31,7 @@
 from rattanmill_entry.quarantine import CrashGuard
 from rattanmill_entry.serve import serve
 from rattanmill_entry.signs import Signs
+from rattanmill_entry.telemetry import show_state
 from rattanmill_platform import (
     Directory,
     InstanceLease,
@@ -70,6 +71,7 @@
         node.guard = CrashGuard(node, signs, watch)
         gossip = Gossip(node, signs)
         _make_parts(node, gossip)
+        show_state(node)
         ownership = Ownership(node)
         node.live = LiveView(node.kv, lambda: _on_live(node, ownership))
         await stack.enter_async_context(node.hub)
--- a/libs/entry/src/rattanmill_entry/http.py
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -10,6 +10,7 @@
     Ran,
     Reason,
     Refusal,
+    log_ids,
     new_id,
     parse_program_id,
     refuse,
@@ -19,7 +20,11 @@
 from rattanmill_entry.chatbody import asks_stream
 from rattanmill_entry.lifecycle import parse_parent
 from rattanmill_entry.node import Node
-from rattanmill_entry.problems import problem_body, problem_response
+from rattanmill_entry.problems import (
+    note_refusal,
+    problem_body,
+    problem_response,
+)
 from rattanmill_entry.route import act_shard, dispatch, home_shard
 from rattanmill_programs import LOOSE_TOKEN
 from rattanmill_wire import (
@@ -187,6 +192,20 @@
 
 async def _answer(
     node: Node, request: web.Request, start: CallStart
+) -> web.StreamResponse:
+    began = asyncio.get_running_loop().time()
+    with log_ids(start.program, start.call):
+        try:
+            return await _pass_on(node, request, start, began)
+        finally:
+            seconds = asyncio.get_running_loop().time() - began
+            node.metrics.observe(
+                "rattanmill_request_seconds", seconds, kind=start.kind
+            )
+
+
+async def _pass_on(
+    node: Node, request: web.Request, start: CallStart, began: float
 ) -> web.StreamResponse:
     """Turns the replies of a call into an HTTP answer."""
     if node.draining and request.transport:
@@ -204,6 +223,11 @@
                     streamed = start.stream
                     await response.prepare(request)
                 case ReplyChunk() if response:
+                    if streamed and not reply.seq:
+                        seconds = asyncio.get_running_loop().time() - began
+                        node.metrics.observe(
+                            "rattanmill_first_token_seconds", seconds
+                        )
                     await response.write(reply.data)
                 case ReplyEnd() if response:
                     await response.write_eof()
@@ -211,7 +235,7 @@
                 case ReplyRefused() if response is None:
                     return problem_response(reply.refusal, node.metrics)
                 case ReplyRefused():
-                    node.metrics.refused(reply.refusal)
+                    note_refusal(reply.refusal, node.metrics)
                     await _cut(request, response, reply.refusal, streamed)
                     return response
     detail = "The call ended without an answer."
--- a/libs/entry/src/rattanmill_entry/ownership.py
+++ b/libs/entry/src/rattanmill_entry/ownership.py
@@ -115,9 +115,10 @@
         seconds = time.monotonic() - began
         node.metrics.observe("rattanmill_shard_load_seconds", seconds)
         _log.info(
-            "Shard {}.{} owned, {} programs.",
+            "Shard {}.{} loaded at epoch {}, {} programs.",
             self.domain,
             number,
+            epoch,
             len(recovered.programs),
         )
 
@@ -265,6 +266,14 @@
         if isinstance(outcome, Written):
             node.live.shards[self.domain] = changed
             node.metrics.count("rattanmill_owner_changes", len(targets))
+            for number, (name, _) in targets.items():
+                _log.info(
+                    "Shard {}.{} given to {} at epoch {}.",
+                    self.domain,
+                    number,
+                    name or "nobody",
+                    epoch,
+                )
             self.wake.set()
             return True
         if isinstance(outcome, Conflict):
--- a/libs/entry/src/rattanmill_entry/problems.py
+++ b/libs/entry/src/rattanmill_entry/problems.py
@@ -5,8 +5,9 @@
 import msgspec
 from aiohttp import web
 
-from rattanmill_core import Metrics, Refusal
+from rattanmill_core import Metrics, Ran, Refusal, part_logger
 
+_log = part_logger("answer")
 _TYPE = "application/problem+json"
 
 
@@ -37,9 +38,19 @@
     )
 
 
+def note_refusal(refusal: Refusal, metrics: Metrics) -> None:
+    """Counts a refusal, and logs it if nobody knows whether the call ran.
+
+    The detail may quote an endpoint's answer and is not logged.
+    """
+    metrics.refused(refusal)
+    if refusal.ran is Ran.UNKNOWN:
+        _log.warning("Refused as {}; it may have run.", refusal.reason)
+
+
 def problem_response(refusal: Refusal, metrics: Metrics) -> web.Response:
     """Returns the HTTP answer of a refusal and counts it."""
-    metrics.refused(refusal)
+    note_refusal(refusal, metrics)
     headers = {}
     if refusal.retry_after is not None:
         headers["Retry-After"] = str(math.ceil(refusal.retry_after))
--- a/libs/entry/src/rattanmill_entry/reach.py
+++ b/libs/entry/src/rattanmill_entry/reach.py
@@ -10,7 +10,6 @@
 from rattanmill_core import ConfigReach, PeerStatus
 from rattanmill_entry.gossip import heartbeat
 from rattanmill_entry.node import Node
-from rattanmill_entry.route import peer_address
 
 _ROUND_SECONDS = 0.5
 _LOOK_SECONDS = 0.02
@@ -65,5 +64,4 @@
         record = node.addresses[status.name]
         if status.name == node.settings.name:
             continue
-        peer = node.hub.peer(record.name, peer_address(node, record))
-        await peer.send(heartbeat(node, reply=False))
+        await node.link(record).send(heartbeat(node, reply=False))
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -21,6 +21,7 @@
     Ran,
     Reason,
     SettingsError,
+    log_ids,
     new_id,
     part_logger,
     refuse,
@@ -99,15 +100,19 @@
     async def send(self, message: Message) -> bool:
         """Sends a message; False if the link is full."""
         try:
-            await self.socket.send(encode_message(message))
+            data = encode_message(message)
+            await self.socket.send(data)
         except zmq.ZMQError:
             self.hub.metrics.count("rattanmill_peer_dropped", why="link_full")
             return False
+        self.hub.bytes_out += len(data)
         return True
 
     async def _receive(self) -> None:
         while True:
-            message = decode_message(await self.socket.recv())
+            data = await self.socket.recv()
+            self.hub.bytes_in += len(data)
+            message = decode_message(data)
             self.heard = asyncio.get_running_loop().time()
             match message:
                 case None:
@@ -239,6 +244,8 @@
         self.notice = notice
         self.silence_seconds = silence_seconds
         self.context = zmq.asyncio.Context()
+        self.bytes_in = 0
+        self.bytes_out = 0
         self.peers: dict[str, Peer] = {}
         self.served: dict[tuple[bytes, str], _Served] = {}
         self.task: asyncio.Task | None = None
@@ -301,6 +308,7 @@
     async def _accept(self) -> None:
         while True:
             frames = await self.router.recv_multipart()
+            self.bytes_in += len(frames[-1])
             message = decode_message(frames[-1]) if len(frames) == 2 else None
             sender = frames[0]
             match message:
@@ -333,10 +341,12 @@
 
     async def _send(self, sender: bytes, message: Message) -> bool:
         try:
-            await self.router.send_multipart([sender, encode_message(message)])
+            data = encode_message(message)
+            await self.router.send_multipart([sender, data])
         except zmq.ZMQError:
             self.metrics.count("rattanmill_peer_dropped", why="peer_gone")
             return False
+        self.bytes_out += len(data)
         return True
 
     async def _serve(
@@ -344,11 +354,17 @@
     ) -> None:
         replies = self.serve(start)
         try:
-            async with contextlib.aclosing(replies):
-                async for reply in replies:
-                    if isinstance(reply, ReplyChunk):
-                        await served.credit.acquire()
-                    if not await self._send(sender, reply):
-                        return
+            with log_ids(start.program, start.call):
+                await self._reply(sender, replies, served)
         finally:
             self.served.pop((sender, start.call), None)
+
+    async def _reply(
+        self, sender: bytes, replies: AsyncIterator[Reply], served: _Served
+    ) -> None:
+        async with contextlib.aclosing(replies):
+            async for reply in replies:
+                if isinstance(reply, ReplyChunk):
+                    await served.credit.acquire()
+                if not await self._send(sender, reply):
+                    return
