--- a/libs/entry/src/rattanmill_entry/route.py
+++ b/libs/entry/src/rattanmill_entry/route.py
@@ -19,7 +19,7 @@
 
 _PATIENCE_LEASES = 3
 _PAUSE_SECONDS = 0.1
-_WORTH_WAITING = (
+WORTH_WAITING = (
     Reason.NOT_OWNER,
     Reason.OWNER_UNREACHABLE,
     Reason.OWNERSHIP_LOST,
@@ -59,7 +59,7 @@
 
 
 def _is_worth_waiting(start: CallStart, refusal: Refusal) -> bool:
-    if refusal.reason not in _WORTH_WAITING:
+    if refusal.reason not in WORTH_WAITING:
         return False
     return start.kind is not CallKind.CREATE or refusal.ran is Ran.NO
 
--- /dev/null
+++ b/tests/features/metrics.feature
@@ -0,0 +1,57 @@
+Feature: Metrics
+  Every refusal and every retry is counted by its reason, and the page names
+  all there is.
+
+  Background:
+    Given a system that all scenarios of the feature share
+
+  Scenario Outline: A refusal is counted where the caller is
+    When a caller does what is refused as "<reason>"
+    Then the refusal "<reason>" is counted once, at that instance
+
+    Examples:
+      | reason           |
+      | bad_request      |
+      | body_too_large   |
+      | unknown_class    |
+      | unknown_model    |
+      | unknown_service  |
+      | unknown_program  |
+      | program_ended    |
+      | turn_gap         |
+      | turn_conflict    |
+      | receipt_invalid  |
+      | budget_exhausted |
+      | act_conflict     |
+      | act_unknown      |
+      | foreign_program  |
+      | config_conflict  |
+      | config_invalid   |
+      | unknown_config   |
+
+  Scenario: A retry is counted by how the attempt before it ended
+    When services break connections until a call was tried again
+    Then the retry "broken" is counted
+
+  Scenario: Each reason has a counter of its own
+    When each reason for a refusal and each for a retry happens once
+    Then each shows up with a count of 1
+
+  Scenario: Durations, gauges and traffic
+    When a program has a streamed turn through another domain
+    Then these have values above 0 at one instance or another
+      | name                                 |
+      | rattanmill_request_seconds_count     |
+      | rattanmill_first_token_seconds_count |
+      | rattanmill_in_flight                 |
+      | rattanmill_shards                    |
+      | rattanmill_programs                  |
+      | rattanmill_lease_held                |
+      | rattanmill_kv_calls_total            |
+      | rattanmill_peer_in_bytes_total       |
+      | rattanmill_peer_out_bytes_total      |
+
+  Scenario: The page lists what the code has
+    When docs/METRICS.md is compared with the code
+    Then both have the same names and labels
+    And the page has every value of the labels
