--- a/tests/features/steps/cli.py
+++ b/tests/features/steps/cli.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -16,22 +15,16 @@
 from rattanmill_cli.link import Link
 from rattanmill_core import RattanmillError
 from support import Layout, Stack, wait_until
+from support.command import run_command
 
 
-def run_command(context, text, env=None):
+def run(context, text):
     """Runs ``rattanmill`` with the arguments in ``text``."""
     arguments = [
         part.replace("FOLDER", str(folder(context))) for part in text.split()
     ]
     address = context.system.instances[0].http if context.system else ""
-    context.done = subprocess.run(
-        [sys.executable, "-m", "rattanmill_cli.main", *arguments],
-        capture_output=True,
-        text=True,
-        timeout=60,
-        check=False,
-        env={**os.environ, "RATTANMILL_ADDRESS": address, **(env or {})},
-    )
+    context.done = run_command(arguments, address)
 
 
 def folder(context):
@@ -78,12 +71,12 @@
 
 @when('the operator runs "{text}"')
 def step_run(context, text):
-    run_command(context, text)
+    run(context, text)
 
 
 @when('what "{text}" prints is stored as "{name}"')
 def step_run_to_file(context, text, name):
-    run_command(context, text)
+    run(context, text)
     assert context.done.returncode == 0, context.done
     path = folder(context) / name
     path.write_text(context.done.stdout, encoding="utf-8")
@@ -110,7 +103,7 @@
             raced.append(True)
             _, other_name, other_field = path.split(".")
             text = f"class set {other_name} {other_field}={value}"
-            run_command(context, f"{text} --operator ann")
+            run(context, f"{text} --operator ann")
             assert context.done.returncode == 0, context.done
         write(plain, wanted)
 
@@ -214,6 +207,6 @@
 
 @when("the operator shows and ends the program")
 def step_show_end(context):
-    run_command(context, f"program show {context.program}")
+    run(context, f"program show {context.program}")
     assert "running" in context.done.stdout, context.done
-    run_command(context, f"program end {context.program}")
+    run(context, f"program end {context.program}")
--- /dev/null
+++ b/tests/features/steps/logs.py
@@ -0,0 +1,313 @@
+"""Steps that read the instances' logs, and present tokens and keys."""
+
+import collections
+import json
+import pathlib
+import re
+import subprocess
+import sys
+
+from behave import given, then, when
+
+from support import Layout, Stack, wait_until
+from support.command import run_command
+from support.stack import random_text
+
+_TOKEN = "the-operators-own-token"
+_KEYS = {
+    "leith": "the-key-of-leith-0001",
+    "portobello": "the-key-of-portobello",
+}
+_GUARDED = 1
+_MARK = "embargoed-until-nine"
+_JSON = '[log]\nformat = "json"\nlevel = "DEBUG"\n'
+_GIVEN = re.compile(r"Shard (\S+) given to (\S+) at epoch (\d+)\.")
+_TEXT_PROGRAM = """
+import time
+from rattanmill_core import configure_logs, log_ids, part_logger
+configure_logs("text", "INFO")
+log = part_logger("probe")
+with log_ids("alba.1.x", "r7"):
+    log.info("first {}", "line\\nsecond line")
+    secret = "hidden-value"
+    try:
+        raise ValueError
+    except ValueError:
+        log.exception("Broken.")
+"""
+
+
+@given(
+    "a system with logs in JSON and an instance that asks for token and keys"
+)
+def step_guarded(context):
+    stack = context.feature_stack
+    if not hasattr(stack, "guarded"):
+        stack.guarded = stack.enter_context(Stack(Layout(extra=_JSON)))
+        _guard(stack.guarded)
+    context.system = stack.guarded
+    context.clients = [i.client for i in context.system.instances]
+    context.guarded = context.clients[_GUARDED]
+
+
+def _guard(system):
+    """Starts one instance again, with files of token and keys."""
+    folder = pathlib.Path(system.folder)
+    token, keys = folder / "token", folder / "keys"
+    token.write_text(_TOKEN + "\n")
+    keys.write_text("".join(f'{w} = "{k}"\n' for w, k in _KEYS.items()))
+    system.layout.extra = (
+        f'{_JSON}[operators]\ntoken_file = "{token}"\n'
+        f'[callers]\nkeys_file = "{keys}"\n'
+    )
+    instance = system.instances[_GUARDED]
+    instance.process.terminate()
+    instance.process.wait()
+    system.start_instance(instance)
+    system.layout.extra = _JSON
+    wait_until(lambda: _serves(system), "every shard has an owner again")
+
+
+def _serves(system):
+    answer = _ask(system.instances[_GUARDED].client, "/v1/admin/status", _TOKEN)
+    owned = answer.json["shards"] if answer.status == 200 else []
+    other = system.instances[0].client.request("GET", "/v1/admin/status")
+    return owned and len(owned) + len(other.json["shards"]) == 6
+
+
+def _ask(client, path, secret, method="GET", body=None, **headers):
+    if secret:
+        headers["Authorization"] = f"Bearer {secret}"
+    return client.request(method, path, body, headers)
+
+
+@when('"{path}" is asked for without a token')
+def step_ask(context, path):
+    context.asked = _ask(context.guarded, path, "")
+
+
+@when('"{path}" is asked for with the bearer "{secret}"')
+def step_ask_wrong(context, path, secret):
+    context.asked = _ask(context.guarded, path, secret)
+
+
+@when('"{path}" is asked for with the operators\' token')
+def step_ask_right(context, path):
+    context.asked = _ask(context.guarded, path, _TOKEN)
+
+
+@then("the asking is answered with {status:d}")
+def step_asked(context, status):
+    assert context.asked.status == status, context.asked
+    if status == 401:
+        assert context.asked.headers["www-authenticate"] == "Bearer"
+
+
+@when("the operator's command asks for the status with the token's file")
+def step_command(context):
+    path = pathlib.Path(context.system.folder, "token")
+    address = context.guarded.address
+    arguments = ["status", "--token-file", str(path)]
+    context.done = run_command(arguments, address)
+
+
+@when('the operator runs "{text}" at that instance without the token')
+def step_command_bare(context, text):
+    context.done = run_command(text.split(), context.guarded.address)
+
+
+def _make(context, key, **fields):
+    return _ask(context.guarded, "/v1/programs", key, "POST", fields)
+
+
+@when('a program is made with the key of "{workspace}" for workspace "{name}"')
+@when('a program is made with the key of "{workspace}" for workspace ""')
+def step_make(context, workspace, name=""):
+    context.made = _make(context, _KEYS[workspace], workspace=name)
+
+
+@when("a program is made without a key")
+def step_make_bare(context):
+    context.made = _make(context, "")
+
+
+@then("the making is refused with {status:d}")
+def step_make_refused(context, status):
+    assert context.made.status == status, context.made
+
+
+@then('the program\'s workspace is "{workspace}"')
+def step_workspace(context, workspace):
+    program = context.made.json["program"]
+    path = f"/v1/programs/{program}"
+    shown = _ask(context.guarded, path, _KEYS[workspace])
+    assert shown.json["workspace"] == workspace, shown
+
+
+@then(
+    'the key of "{workspace}" may not show, run or end it,'
+    " nor have a child of it"
+)
+def step_foreign(context, workspace):
+    program = context.made.json["program"]
+    key = _KEYS[workspace]
+    path = f"/v1/programs/{program}"
+    chat = {"model": "commentary", "messages": [{"role": "user"}]}
+    answers = [
+        _ask(context.guarded, path, key),
+        _ask(context.guarded, f"{path}/history", key),
+        _ask(context.guarded, path, key, "DELETE"),
+        _ask(
+            context.guarded,
+            "/v1/chat/completions",
+            key,
+            "POST",
+            chat,
+            **{"Rattanmill-Program": program},
+        ),
+        _make(context, key, parent=program),
+    ]
+    assert [a.status for a in answers] == [403] * 5, answers
+
+
+@then("the operators' token may show it")
+def step_operator_shows(context):
+    path = f"/v1/admin/programs/{context.made.json['program']}"
+    assert _ask(context.guarded, path, _TOKEN).status == 200
+
+
+@when("a streamed turn runs, and an act whose answer is lost")
+def step_calls(context):
+    client = context.clients[2]
+    context.program = context.clients[4].create()
+    answer = client.chat("hello", context.program, 1, stream=True)
+    assert answer.status == 200, answer
+    context.system.standins["office-1"].faults(lose_answers=1)
+    answer = client.act(random_text(), program=context.program)
+    assert answer.json["reason"] == "act_unknown", answer
+
+
+def _logs(context):
+    return [instance.process.log for instance in context.system.instances]
+
+
+def _lines(context):
+    return [
+        json.loads(line)
+        for path in _logs(context)
+        for line in path.read_text().splitlines()
+    ]
+
+
+@then("the refusal is logged once, with the ids of program and request")
+def step_logged_once(context):
+    found = [
+        line
+        for line in _lines(context)
+        if line["message"] == "Refused as act_unknown; it may have run."
+        and line.get("program") == context.program
+    ]
+    assert len(found) == 1, found
+    assert found[0]["request"], found
+
+
+@then("every line of every instance is JSON with time, level, part and message")
+def step_parse(context):
+    lines = _lines(context)
+    assert len(lines) > len(context.clients), lines
+    for line in lines:
+        assert {"time", "level", "part", "message"} <= set(line), line
+
+
+@when("an instance is ended and its shards have new owners")
+def step_end_instance(context):
+    instance = context.system.instances[5]
+    instance.process.terminate()
+    assert instance.process.wait() == 0
+    context.system.start_instance(instance)
+    client = context.clients[4]
+    wait_until(lambda: _owners(client) == 6, "all shards have living owners")
+
+
+def _owners(client):
+    status = client.request("GET", "/v1/admin/status").json
+    living = [i["name"] for i in status["instances"] if i["registered"]]
+    owners = status["owners"]["alba-north"]
+    return sum(owner in living for owner in owners)
+
+
+@then("each new epoch is logged once among all instances")
+def step_epochs(context):
+    found = collections.Counter(
+        match.groups()
+        for line in _lines(context)
+        if (match := _GIVEN.fullmatch(line["message"]))
+    )
+    assert found, "no change was logged"
+    assert set(found.values()) == {1}, found
+    owners = context.clients[4].request("GET", "/v1/admin/status").json
+    shards = owners["owners"]["alba-north"]
+    logged = {}
+    for shard, owner, epoch in found:
+        logged[shard] = max(logged.get(shard, (0, "")), (int(epoch), owner))
+    for number, owner in enumerate(shards):
+        assert logged[f"alba-north.{number}"][1] == owner, (number, logged)
+
+
+@when("calls with secrets in headers and bodies succeed and fail")
+def step_secret_calls(context):
+    guarded, key = context.guarded, _KEYS["leith"]
+    chat = {
+        "model": "commentary",
+        "messages": [{"role": "user", "content": _MARK}],
+        "max_tokens": 8,
+    }
+    path = "/v1/chat/completions"
+    assert _ask(guarded, path, key, "POST", chat).status == 200
+    broken = {**chat, "max_tokens": _MARK}
+    assert _ask(guarded, path, key, "POST", broken).status == 400
+    act = {
+        "Idempotency-Key": random_text(),
+        "Rattanmill-Non-Idempotent": "true",
+    }
+    context.system.standins["office-1"].faults(lose_answers=1)
+    path = "/v1/services/index-office/invoices"
+    answer = _ask(guarded, path, key, "POST", _MARK.encode(), **act)
+    assert answer.status == 409, answer
+    assert _ask(guarded, "/v1/admin/config", _TOKEN).status == 200
+    path = "/v1/admin/config"
+    assert _ask(guarded, path, _TOKEN, "PUT", _MARK.encode()).status == 422
+
+
+@then("no log of any instance has one of them")
+def step_no_secrets(context):
+    peers = pathlib.Path(context.system.folder, "secret").read_text()
+    secrets = [_TOKEN, *_KEYS.values(), peers, _MARK]
+    for path in _logs(context):
+        text = path.read_text()
+        found = [secret for secret in secrets if secret in text]
+        assert not found, (path, found)
+
+
+@when("a process logs in text a message of two lines and an exception")
+def step_text(context):
+    context.text_log = subprocess.run(
+        [sys.executable, "-c", _TEXT_PROGRAM],
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stderr
+
+
+@then("each message is one line with its part and ids")
+def step_text_lines(context):
+    ids = " [program=alba.1.x request=r7]"
+    text = context.text_log
+    assert f"probe: first line second line{ids}\n" in text, text
+    assert f"probe: Broken.{ids}\n" in text, text
+
+
+@then("the exception shows no values of variables")
+def step_no_values(context):
+    assert "ValueError" in context.text_log, context.text_log
+    assert "hidden-value" not in context.text_log, context.text_log
