Forget instances that are gone for good

Each instance ever seen stayed among the addresses: it was sent heartbeats over a socket of its own for ever, and every change of the configuration was to end with exit code 7 naming it. Ruled out: going by the lease alone, which an instance that is cut off has not got either, nor anybody while the service is silent.

--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -18,6 +18,7 @@
     encode_config,
     part_logger,
 )
+from rattanmill_entry.members import forget_gone
 from rattanmill_entry.node import Heard, Node
 from rattanmill_entry.route import peer_address
 from rattanmill_entry.signs import Signs
@@ -75,6 +76,7 @@
 
     async def _run(self) -> None:
         while True:
+            forget_gone(self.node, asyncio.get_running_loop().time())
             await self.beat()
             await asyncio.sleep(self.node.lease.silence_seconds / 5)
 
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -47,6 +47,7 @@
         addresses: Last known record of each instance ever seen.
         suspects: Owners of our domain whose lease has lapsed, with the loop
             time since which they get heartbeats from here.
+        gone_since: Loop time since which an instance seems gone, by name.
         heard: What each other instance last said, by name.
         draining: Whether the daemon is shutting down.
     """
@@ -73,6 +74,7 @@
         self.shards: dict[tuple[str, int], Shard] = {}
         self.addresses: dict[str, InstanceRecord] = {}
         self.suspects: dict[str, float] = {}
+        self.gone_since: dict[str, float] = {}
         self.heard: dict[str, Heard] = {}
         self.draining = False
         self.tasks: set[asyncio.Task] = set()
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -93,3 +93,15 @@
     When 75 changes are accepted one after another
     Then the history has the last 50 of them, with operator and time
     And the store keeps fewer than 65 earlier documents
+
+  Scenario: Instances that are gone for good are no longer named
+    An instance is replaced under another name. If it were named for ever, no
+    change would ever again be reported as in force everywhere. One that is
+    only cut off must go on being named, and being reached.
+
+    Given instances "cut-off", "replaced" and "owner" that lose their leases at 0 s
+    And "cut-off" is heard at 50 s
+    Then at 59 s all three are known
+    And at 109 s "cut-off" and "owner" are known
+    And at 111 s "owner" is known
+    But while the store is silent, nobody is forgotten
--- a/tests/features/steps/config.py
+++ b/tests/features/steps/config.py
@@ -1,13 +1,16 @@
 """Steps that change the configuration over HTTP, past the command."""
 
 import time
+import types
 
 from behave import given, then, when
 
+from rattanmill_entry.members import forget_gone
+from rattanmill_entry.node import Heard
+from rattanmill_platform import DomainShards, ShardOwner
 from support import Client, wait_until
 
 _KEY = "rm/live/config"
-_SILENT_STORE_SECONDS = 30
 
 
 def put(context, document, index=0):
@@ -203,3 +206,51 @@
         lambda: len(client.request("GET", path).json["entries"]) < most,
         f"fewer than {most} documents are kept",
     )
+
+
+@given('instances "{one}", "{two}" and "{owner}" that lose their leases at 0 s')
+def step_unregistered(context, one, two, owner):
+    shards = DomainShards(1, [ShardOwner(owner, "i", 1)])
+    context.node = types.SimpleNamespace(
+        live=types.SimpleNamespace(
+            synced=True, instances={}, shards={"alba-east": shards}
+        ),
+        addresses=dict.fromkeys((one, two, owner)),
+        gone_since={},
+        heard={},
+        settings=types.SimpleNamespace(lease_seconds=1.5),
+        hub=types.SimpleNamespace(forget=lambda name: None),
+    )
+    forget_gone(context.node, 0.0)
+
+
+@given('"{name}" is heard at {seconds:d} s')
+def step_heard(context, name, seconds):
+    context.node.heard[name] = Heard(1, float(seconds))
+
+
+@then("at {seconds:d} s all three are known")
+def step_all_known(context, seconds):
+    forget_gone(context.node, float(seconds))
+    assert len(context.node.addresses) == 3, context.node.addresses
+
+
+@then('at {seconds:d} s "{one}" and "{other}" are known')
+def step_two_known(context, seconds, one, other):
+    forget_gone(context.node, float(seconds))
+    assert set(context.node.addresses) == {one, other}
+
+
+@then('at {seconds:d} s "{one}" is known')
+def step_one_known(context, seconds, one):
+    forget_gone(context.node, float(seconds))
+    assert set(context.node.addresses) == {one}
+
+
+@then("while the store is silent, nobody is forgotten")
+def step_none_forgotten(context):
+    node = context.node
+    node.live.synced = False
+    node.live.shards = {}
+    forget_gone(node, 1000.0)
+    assert len(node.addresses) == 1, node.addresses
