--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -1,12 +1,13 @@
 """Runs a chat call on endpoints, with another attempt where that is safe.
 
 A model call is idempotent: it changes nothing but a cache. It may run again
-as long as nothing that contradicts the new run has gone to the caller.
+as long as nothing that contradicts the new run has gone to the caller. A
+stream that breaks is resumed at its engine first, which costs no tokens.
 """
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
 
@@ -14,16 +15,31 @@
 from rattanmill_entry.chatbody import ChatBody, upstream_body
 from rattanmill_entry.engines import until_closed
 from rattanmill_entry.node import Node
+from rattanmill_entry.overlap import Mismatch, Overlap
 from rattanmill_entry.quarantine import chat_prints
 from rattanmill_entry.upstream import (
     Delta,
     Failed,
     Finished,
     cancel_chat,
+    resume_chat,
     stream_chat,
 )
 from rattanmill_policy import Outcome, Placement, Work
 
+_NOT_RUN = (Outcome.NOT_CONNECTED, Outcome.DRAINING, Outcome.REJECTED)
+_RESUMES = 2
+
+
+class Restarted(msgspec.Struct, frozen=True):
+    """The answer begins anew; what came before is void.
+
+    Only calls that are not streamed see it.
+    """
+
+
+Part = Delta | Restarted | Finished | Refusal
+
 
 class ChatRun(msgspec.Struct):
     """A chat call to be run.
@@ -34,6 +50,9 @@
         max_tokens: Most tokens of the answer.
         work: For the scheduler.
         fence: Scope and fencing number, or empty.
+        stream: Whether the caller sees each part as it comes.
+        lost: Called when an attempt may have spent tokens without an answer;
+            returns a refusal if there is no budget for another.
     """
 
     chat: ChatBody
@@ -41,118 +60,198 @@
     max_tokens: int
     work: Work
     fence: str = ""
+    stream: bool = False
+    lost: Callable[[], Awaitable[Refusal | None]] | None = None
 
 
-async def run_chat(
-    node: Node, run: ChatRun
-) -> AsyncIterator[Delta | Finished | Refusal]:
+async def run_chat(node: Node, run: ChatRun) -> AsyncIterator[Part]:
     """Yields the parts of the answer; ends with Finished or a refusal."""
     body = upstream_body(run.chat, run.messages, run.max_tokens)
     prints = chat_prints(run.chat, run.messages)
-    delivered = False
+    overlap = Overlap()
+    ran = Ran.NO
     while True:
         quarantined = node.guard.refusal(prints, Ran.NO)
         if quarantined:
-            yield quarantined
+            yield quarantined.after(ran)
             return
         placed = await node.scheduler.place(run.work)
         if isinstance(placed, Refusal):
-            yield placed
+            yield placed.after(ran)
             return
         failed = None
         async with (
             node.guard.alone(prints, placed.state),
-            contextlib.aclosing(_attempt(node, run, placed, body)) as parts,
+            contextlib.aclosing(
+                _attempt(node, run, placed, body, overlap)
+            ) as parts,
         ):
             async for part in parts:
                 if isinstance(part, Failed):
                     failed = part
-                else:
-                    delivered = delivered or isinstance(part, Delta)
-                    yield part
+                    continue
+                if isinstance(part, Refusal) and run.lost:
+                    await run.lost()
+                yield part
+                if isinstance(part, Refusal):
+                    return
         if failed is None:
             node.guard.finished(prints)
             return
-        if failed.outcome is Outcome.BROKEN:
-            quarantined = await node.guard.after_broken(prints, placed.state)
-            if quarantined:
-                yield quarantined
-                return
         run.work.tried.append(placed.state.endpoint.name)
-        refusal = _after_failure(node, run, failed, delivered)
+        refusal = None
+        if failed.outcome not in _NOT_RUN:
+            ran = Ran.UNKNOWN
+            refusal = await run.lost() if run.lost else None
+        if failed.outcome is Outcome.BROKEN:
+            refusal = (
+                await node.guard.after_broken(prints, placed.state) or refusal
+            )
+        refusal = refusal or _give_up(node, run, failed, overlap)
         if refusal:
-            yield refusal
+            yield refusal.after(ran)
             return
         node.metrics.retried(failed.outcome)
+        if not run.stream:
+            yield Restarted()
 
 
 async def _attempt(
-    node: Node, run: ChatRun, placement: Placement, body: bytes
-) -> AsyncIterator[Delta | Finished | Failed]:
-    loop = asyncio.get_running_loop()
+    node: Node,
+    run: ChatRun,
+    placement: Placement,
+    body: bytes,
+    overlap: Overlap,
+) -> AsyncIterator[Part | Failed]:
+    """Runs the call on one engine, resuming its stream where it breaks."""
     request_id = new_id()
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    finished = False
+    headers = _headers(run, placement, request_id)
+    parts = _first_parts(node, placement, body, headers)
+    first_failure = None
+    try:
+        with placement:
+            for resumes in range(_RESUMES + 1):
+                overlap.restart()
+                failed = None
+                async with contextlib.aclosing(parts):
+                    async for part in parts:
+                        placement.seconds = loop.time() - began
+                        checked = _check(run, overlap, part)
+                        if isinstance(checked, Failed):
+                            failed = checked
+                            break
+                        if checked is None:
+                            continue
+                        finished = _note(placement, checked)
+                        yield checked
+                        if isinstance(checked, Refusal):
+                            return
+                if failed is None:
+                    return
+                # A resumption that fails says nothing about the call itself.
+                first_failure = first_failure or failed
+                if failed.outcome is not Outcome.BROKEN or resumes == _RESUMES:
+                    break
+                node.metrics.retried("resume")
+                parts = _resumed_parts(node, placement, request_id)
+                if not run.stream:
+                    yield Restarted()
+            _note(placement, first_failure)
+        yield first_failure
+    finally:
+        if not finished and placement.outcome not in _NOT_RUN:
+            # Nobody reads on: an engine that goes on would hold a slot and
+            # cache for this answer.
+            node.spawn(cancel_chat(node.session, placement.url, request_id))
+
+
+def _first_parts(
+    node: Node, placement: Placement, body: bytes, headers: dict[str, str]
+) -> AsyncIterator[Delta | Finished | Failed]:
+    parts = stream_chat(
+        node.session, placement.url, body, headers, placement.timeout_seconds
+    )
+    return until_closed(parts, placement.state)
+
+
+def _resumed_parts(
+    node: Node, placement: Placement, request_id: str
+) -> AsyncIterator[Delta | Finished | Failed]:
+    parts = resume_chat(
+        node.session, placement.url, request_id, placement.timeout_seconds
+    )
+    return until_closed(parts, placement.state)
+
+
+def _headers(
+    run: ChatRun, placement: Placement, request_id: str
+) -> dict[str, str]:
     headers = {
         "Rattanmill-Request": request_id,
         "Rattanmill-Priority": str(placement.priority),
+        "Rattanmill-Resumable": "true",
     }
     if run.fence:
         headers["Rattanmill-Fence"] = run.fence
-    began = loop.time()
-    ended = False
-    parts = until_closed(
-        stream_chat(
-            node.session,
-            placement.url,
-            body,
-            headers,
-            placement.timeout_seconds,
-        ),
-        placement.state,
-    )
-    try:
-        with placement:
-            async with contextlib.aclosing(parts):
-                async for part in parts:
-                    placement.seconds = loop.time() - began
-                    ended = _note(placement, part)
-                    yield part
-    finally:
-        if not ended:
-            # The consumer has gone: an engine that goes on would hold a slot
-            # and cache for an answer nobody reads.
-            node.spawn(cancel_chat(node.session, placement.url, request_id))
+    return headers
+
+
+def _check(
+    run: ChatRun, overlap: Overlap, part: Delta | Finished | Failed
+) -> Delta | Finished | Failed | Refusal | None:
+    """Compares a part of a streamed answer with what has been delivered.
+
+    Returns:
+        What is to be passed on; None if all of it was delivered before.
+    """
+    if not run.stream or isinstance(part, Failed):
+        return part
+    if isinstance(part, Finished):
+        return part if overlap.is_complete else _cut()
+    fields = overlap.take(part.fields)
+    if isinstance(fields, Mismatch):
+        return _cut()
+    return Delta(fields, part.event) if fields else None
+
+
+def _cut() -> Refusal:
+    detail = "The engine's answer was cut off, and another run differs."
+    return refuse(Reason.ANSWER_CUT, detail)
 
 
-def _note(placement: Placement, part: Delta | Finished | Failed) -> bool:
-    """Records what a part tells; True if it is the last."""
+def _note(
+    placement: Placement, part: Delta | Finished | Failed | Refusal
+) -> bool:
+    """Records what a part tells; True if the answer is whole."""
     match part:
         case Delta():
             if not placement.first_token_seconds:
                 placement.first_token_seconds = placement.seconds
-            return False
         case Finished():
             placement.outcome = Outcome.ANSWERED
             placement.prompt_tokens = part.usage.prompt_tokens
             placement.cached_tokens = part.usage.cached_tokens
             placement.output_tokens = part.usage.completion_tokens
+            return True
         case Failed():
             placement.outcome = part.outcome
-    return True
+    return False
 
 
-def _after_failure(
-    node: Node, run: ChatRun, failed: Failed, delivered: bool
+def _give_up(
+    node: Node, run: ChatRun, failed: Failed, overlap: Overlap
 ) -> Refusal | None:
     """Returns the refusal to give up with, or None to try again."""
     if failed.outcome is Outcome.REJECTED:
         detail = f"The engine refused the call ({failed.status}):"
         detail = f"{detail} {failed.detail[:500]}"
         return refuse(Reason.BAD_REQUEST, detail, ran=Ran.NO)
-    if delivered:
-        return refuse(Reason.ANSWER_CUT, "The engine's answer was cut off.")
     if node.scheduler.may_retry(run.work, failed.outcome):
         return None
-    not_run = (Outcome.NOT_CONNECTED, Outcome.DRAINING)
-    ran = Ran.NO if failed.outcome in not_run else Ran.UNKNOWN
+    if overlap.delivered:
+        return refuse(Reason.ANSWER_CUT, "The engine's answer was cut off.")
     detail = f"Endpoints failed, the last with: {failed.detail}."
-    return refuse(Reason.ENDPOINT_FAILED, detail, ran=ran)
+    return refuse(Reason.ENDPOINT_FAILED, detail, ran=Ran.NO)
--- a/libs/entry/src/rattanmill_entry/route.py
+++ b/libs/entry/src/rattanmill_entry/route.py
@@ -33,6 +33,7 @@
             yield reply
         return
     loop = asyncio.get_running_loop()
+    until = loop.time() + start.seconds_left
     patience = _PATIENCE_LEASES * node.settings.lease_seconds
     deadline = loop.time() + min(patience, start.seconds_left)
     ran = Ran.NO
@@ -44,6 +45,8 @@
             ):
                 refusal = reply.refusal
                 break
+            if isinstance(reply, ReplyRefused):
+                reply = refused(start, reply.refusal.after(ran))
             yield reply
             if isinstance(reply, ReplyHead):
                 deadline = 0.0
@@ -52,8 +55,9 @@
         if refusal.ran is not Ran.NO:
             ran = refusal.ran
         if loop.time() >= deadline:
-            yield refused(start, _give_up(refusal, ran))
+            yield refused(start, refusal.after(ran))
             return
+        start.seconds_left = max(0.0, until - loop.time())
         node.metrics.retried(refusal.reason)
         await asyncio.sleep(random.uniform(0.5, 1) * _PAUSE_SECONDS)
 
@@ -64,16 +68,6 @@
     return start.kind is not CallKind.CREATE or refusal.ran is Ran.NO
 
 
-def _give_up(refusal: Refusal, ran: Ran) -> Refusal:
-    """Returns the last refusal, unless an earlier try may have run."""
-    return refuse(
-        refusal.reason,
-        refusal.detail,
-        ran=ran,
-        retry_after=refusal.retry_after,
-    )
-
-
 async def _once(node: Node, start: CallStart) -> Replies:
     """Makes one try at the owner that is known now."""
     owned = parse_program_id(start.program)
--- a/libs/entry/src/rattanmill_entry/serve.py
+++ b/libs/entry/src/rattanmill_entry/serve.py
@@ -15,7 +15,7 @@
     completion_body,
     end_events,
 )
-from rattanmill_entry.attempts import ChatRun, run_chat
+from rattanmill_entry.attempts import ChatRun, Restarted, run_chat
 from rattanmill_entry.chatbody import parse_chat, prefix_digests
 from rattanmill_entry.node import Node
 from rattanmill_entry.replies import (
@@ -118,7 +118,9 @@
         seconds_left=start.seconds_left,
         body_digest=chat.digest,
     )
-    run = ChatRun(chat, chat.messages, chat.max_tokens, work)
+    run = ChatRun(
+        chat, chat.messages, chat.max_tokens, work, stream=start.stream
+    )
     answer = Answer()
     sent = 0
     async for part in run_chat(node, run):
@@ -132,6 +134,8 @@
                 event = chunk_event(start.call, chat.model, part.fields, None)
                 yield ReplyChunk(start.call, sent, event)
                 sent += 1
+            case Restarted():
+                answer = Answer()
             case Finished() if start.stream:
                 if not sent:
                     yield ReplyHead(start.call, 200, STREAM_HEADERS)
--- a/libs/entry/src/rattanmill_entry/turns.py
+++ b/libs/entry/src/rattanmill_entry/turns.py
@@ -1,6 +1,6 @@
 """Runs the turns of programs at their owner, in order, within budget."""
 
-import asyncio
+import contextlib
 import time
 
 import msgspec
@@ -12,15 +12,17 @@
     completion_body,
     end_events,
 )
-from rattanmill_entry.attempts import ChatRun, run_chat
+from rattanmill_entry.attempts import ChatRun, Restarted, run_chat
+from rattanmill_entry.budget import limits, lose, reserve
 from rattanmill_entry.chatbody import (
     ChatBody,
     common_messages,
     parse_chat,
     prefix_digests,
-    prompt_bound,
 )
 from rattanmill_entry.node import Node
+from rattanmill_entry.outbox import Outbox
+from rattanmill_entry.plan import Plan
 from rattanmill_entry.replies import (
     JSON_HEADERS,
     STREAM_HEADERS,
@@ -33,8 +35,6 @@
 from rattanmill_entry.upstream import Delta, Finished, Usage
 from rattanmill_policy import Work
 from rattanmill_programs import (
-    BudgetReserved,
-    Committed,
     Deferred,
     Fenced,
     Program,
@@ -44,45 +44,12 @@
     seal_receipt,
 )
 from rattanmill_programs.program import next_chain
-from rattanmill_wire import CallStart, ReplyChunk, ReplyEnd, ReplyHead
+from rattanmill_wire import CallStart, ReplyHead
 
-_RESERVE_SHARE = 8
 _QUEUED_TURNS = 16
 _TURN_HEADER = "Rattanmill-Turn"
 
 
-class _Plan(msgspec.Struct):
-    """A turn that is ready to run.
-
-    Attributes:
-        number: Turn number.
-        chat: The caller's request.
-        messages: The whole conversation for the engine.
-        base: Messages kept of the conversation so far.
-        max_tokens: Most tokens of the answer.
-    """
-
-    number: int
-    chat: ChatBody
-    messages: list[bytes]
-    base: int
-    max_tokens: int
-
-
-class _Queue:
-    """Replies of a turn on their way to whoever still listens."""
-
-    def __init__(self) -> None:
-        self.replies: asyncio.Queue[Reply | None] = asyncio.Queue()
-
-    def put(self, *replies: Reply) -> None:
-        for reply in replies:
-            self.replies.put_nowait(reply)
-
-    def close(self) -> None:
-        self.replies.put_nowait(None)
-
-
 async def run_turn(
     node: Node, shard: Shard, program: Program, start: CallStart
 ) -> Replies:
@@ -91,10 +58,14 @@
     The turn goes on when the caller has gone, so that the caller finds its
     answer when it asks for the same turn again.
     """
-    queue = _Queue()
-    node.spawn(_run_to_end(node, shard, program, start, queue))
-    while (reply := await queue.replies.get()) is not None:
-        yield reply
+    outbox = Outbox(start)
+    node.spawn(_run_to_end(node, shard, program, start, outbox))
+    try:
+        async with contextlib.aclosing(outbox.replies()) as replies:
+            async for reply in replies:
+                yield reply
+    finally:
+        outbox.abandon()
 
 
 async def _run_to_end(
@@ -102,15 +73,15 @@
     shard: Shard,
     program: Program,
     start: CallStart,
-    queue: _Queue,
+    outbox: Outbox,
 ) -> None:
     program.waiting += 1
     try:
         with shard.busy():
-            await _run_in_order(node, shard, program, start, queue)
+            await _run_in_order(node, shard, program, start, outbox)
     finally:
         program.waiting -= 1
-        queue.close()
+        outbox.close()
 
 
 async def _run_in_order(
@@ -118,18 +89,18 @@
     shard: Shard,
     program: Program,
     start: CallStart,
-    queue: _Queue,
+    outbox: Outbox,
 ) -> None:
     chat = parse_chat(start.body)
     if isinstance(chat, str):
-        queue.put(refused(start, refuse(Reason.BAD_REQUEST, chat)))
+        outbox.put(refused(start, refuse(Reason.BAD_REQUEST, chat)))
         return
     if program.waiting > _QUEUED_TURNS:
         detail = "Too many calls of this program are waiting."
-        queue.put(refused(start, refuse(Reason.OVERLOADED, detail)))
+        outbox.put(refused(start, refuse(Reason.OVERLOADED, detail)))
         return
     async with program.lock:
-        await _run_locked(node, shard, program, start, chat, queue)
+        await _run_locked(node, shard, program, start, chat, outbox)
 
 
 async def _run_locked(
@@ -138,27 +109,31 @@
     program: Program,
     start: CallStart,
     chat: ChatBody,
-    queue: _Queue,
+    outbox: Outbox,
 ) -> None:
     if not node.lease.holds() or shard.log.fenced:
-        queue.put(ownership_lost(start, Ran.NO))
+        outbox.put(ownership_lost(start, Ran.NO))
         return
     refusal = await _file_receipts(node, shard, program, chat)
     if refusal:
-        queue.put(refused(start, refusal))
+        outbox.put(refused(start, refusal))
         return
     plan = _plan(program, start, chat)
     if isinstance(plan, Refusal):
-        queue.put(refused(start, plan))
+        outbox.put(refused(start, plan))
         return
     if plan.number <= len(program.turns):
-        queue.put(*_stored_replies(program, start, plan.number))
+        outbox.put(*_stored_replies(program, start, plan.number))
         return
-    refusal = _limits(node, program) or await _reserve(shard, program, plan)
-    if refusal:
-        queue.put(refused(start, refusal))
-        return
-    await _run_plan(node, shard, program, start, plan, queue)
+    try:
+        refusal = limits(node, program, plan)
+        refusal = refusal or await reserve(shard, program, plan)
+        if refusal:
+            outbox.put(refused(start, refusal))
+            return
+        await _run_plan(node, shard, program, start, plan, outbox)
+    finally:
+        program.held = 0
 
 
 async def _file_receipts(
@@ -187,9 +162,7 @@
     return None
 
 
-def _plan(
-    program: Program, start: CallStart, chat: ChatBody
-) -> _Plan | Refusal:
+def _plan(program: Program, start: CallStart, chat: ChatBody) -> Plan | Refusal:
     """Returns what to run, or which stored turn to repeat."""
     if program.ended is not None:
         return refuse(Reason.PROGRAM_ENDED, "The program has ended.")
@@ -202,66 +175,14 @@
         if program.turns[number - 1].record.digest != chat.digest:
             detail = f"Turn {number} was kept with another request."
             return refuse(Reason.TURN_CONFLICT, detail, expected_turn=known + 1)
-        return _Plan(number, chat, [], 0, 0)
+        return Plan(number, chat, [], 0, 0)
     if start.append:
         base = len(program.transcript)
         messages = program.transcript + chat.messages
     else:
         base = common_messages(program.transcript, chat.messages)
         messages = chat.messages
-    return _Plan(number, chat, messages, base, chat.max_tokens)
-
-
-def _limits(node: Node, program: Program) -> Refusal | None:
-    """Refuses a turn beyond the program's turns, time or patience."""
-    made = program.made
-    if len(program.turns) >= made.turns:
-        detail = f"All {made.turns} turns of the budget are used."
-        return refuse(Reason.BUDGET_EXHAUSTED, detail)
-    if time.time() > made.created + made.seconds:
-        detail = f"The budget of {made.seconds:.0f} s has run out."
-        return refuse(Reason.BUDGET_EXHAUSTED, detail)
-    return None
-
-
-async def _reserve(
-    shard: Shard, program: Program, plan: _Plan
-) -> Refusal | None:
-    """Reserves the most the turn can cost, ahead of sending it."""
-    prompt = _prompt_bound(program, plan)
-    left = program.tokens_left - prompt
-    if left < 1:
-        detail = f"{program.tokens_left} tokens are left of the budget."
-        return refuse(Reason.BUDGET_EXHAUSTED, detail)
-    plan.max_tokens = min(plan.max_tokens, left)
-    need = program.spent + prompt + plan.max_tokens
-    if need <= program.reserved:
-        return None
-    ahead = program.made.tokens // _RESERVE_SHARE
-    record = BudgetReserved(
-        program.made.program, min(program.made.tokens, need + ahead)
-    )
-    appended = await shard.commit(record)
-    if isinstance(appended, Committed):
-        return None
-    if isinstance(appended, Fenced):
-        detail = "Another instance owns the program now."
-        return refuse(Reason.OWNERSHIP_LOST, detail, ran=Ran.NO)
-    detail = "Budget cannot be reserved while the store is away."
-    return refuse(Reason.BUDGET_UNRESERVED, detail)
-
-
-def _prompt_bound(program: Program, plan: _Plan) -> int:
-    """Returns the most tokens the prompt can have.
-
-    What the last turn's usage says of the conversation so far is exact; only
-    messages since then are counted by their bytes.
-    """
-    if program.turns and plan.base == len(program.transcript):
-        last = program.turns[-1].record
-        known = last.prompt_tokens + last.completion_tokens
-        return known + prompt_bound(plan.messages[plan.base :]) + 16
-    return prompt_bound(plan.messages)
+    return Plan(number, chat, messages, base, chat.max_tokens)
 
 
 async def _run_plan(
@@ -269,35 +190,31 @@
     shard: Shard,
     program: Program,
     start: CallStart,
-    plan: _Plan,
-    queue: _Queue,
+    plan: Plan,
+    outbox: Outbox,
 ) -> None:
     answer = Answer()
     run = _chat_run(shard, program, start, plan)
-    sent = 0
     async for part in run_chat(node, run):
         match part:
             case Delta():
                 answer.add(part)
                 if start.stream:
-                    if not sent:
-                        queue.put(_stream_head(start, plan.number))
-                    event = chunk_event(
-                        start.call, plan.chat.model, part.fields, None
-                    )
-                    queue.put(ReplyChunk(start.call, sent, event))
-                    sent += 1
+                    outbox.begin(_stream_head(start, plan.number))
+                    outbox.part(plan.chat.model, part.fields)
+            case Restarted():
+                answer = Answer()
             case Refusal():
-                queue.put(refused(start, part))
+                outbox.put(refused(start, part))
                 return
             case Finished():
                 await _finish(
-                    node, shard, program, start, plan, queue, answer, part, sent
+                    node, shard, program, start, plan, outbox, answer, part
                 )
 
 
 def _chat_run(
-    shard: Shard, program: Program, start: CallStart, plan: _Plan
+    shard: Shard, program: Program, start: CallStart, plan: Plan
 ) -> ChatRun:
     made = program.made
     work = Work(
@@ -315,7 +232,15 @@
         body_digest=plan.chat.digest,
     )
     fence = f"{shard.domain}.{shard.number}:{shard.epoch}"
-    return ChatRun(plan.chat, plan.messages, plan.max_tokens, work, fence)
+    return ChatRun(
+        plan.chat,
+        plan.messages,
+        plan.max_tokens,
+        work,
+        fence,
+        start.stream,
+        lambda: lose(shard, program, plan),
+    )
 
 
 async def _finish(
@@ -323,20 +248,21 @@
     shard: Shard,
     program: Program,
     start: CallStart,
-    plan: _Plan,
-    queue: _Queue,
+    plan: Plan,
+    outbox: Outbox,
     answer: Answer,
     end: Finished,
-    sent: int,
 ) -> None:
     """Keeps the turn, and only then lets the caller see its end."""
     if not node.lease.holds():
-        queue.put(ownership_lost(start, Ran.UNKNOWN))
+        outbox.put(ownership_lost(start, Ran.UNKNOWN))
         return
+    if end.usage.prompt_tokens + end.usage.completion_tokens > program.held:
+        node.metrics.count("rattanmill_engine_faults", kind="over_report")
     turn = _turn_record(program, plan, answer.message(), end)
     appended = await shard.keep(turn)
     if isinstance(appended, Fenced) or not node.lease.holds():
-        queue.put(ownership_lost(start, Ran.UNKNOWN))
+        outbox.put(ownership_lost(start, Ran.UNKNOWN))
         return
     extra: dict = {"program": program.made.program, "turn": plan.number}
     if isinstance(appended, Deferred):
@@ -345,18 +271,14 @@
     if not start.stream:
         body = completion_body(start.call, turn.model, turn.answer, end, extra)
         headers = [*JSON_HEADERS, (_TURN_HEADER, str(plan.number))]
-        queue.put(*whole_reply(start, 200, headers, body))
+        outbox.put(*whole_reply(start, 200, headers, body))
         return
-    if not sent:
-        queue.put(_stream_head(start, plan.number))
-    last = end_events(start.call, turn.model, end, extra)
-    queue.put(
-        ReplyChunk(start.call, sent, last), ReplyEnd(start.call, sent + 1)
-    )
+    outbox.begin(_stream_head(start, plan.number))
+    outbox.end(end_events(start.call, turn.model, end, extra))
 
 
 def _turn_record(
-    program: Program, plan: _Plan, message: bytes, end: Finished
+    program: Program, plan: Plan, message: bytes, end: Finished
 ) -> TurnKept:
     usage = end.usage
     spent = program.spent + usage.prompt_tokens + usage.completion_tokens
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -13,6 +13,7 @@
 _SILENCE_SECONDS = 60.0
 _LEAST_SECONDS = 0.001
 _EVENT_BYTES = 1024 * 1024
+_DETAIL_BYTES = 4096
 
 
 class Usage(msgspec.Struct):
@@ -102,7 +103,7 @@
 _ANSWER_BYTES = 64 * 1024 * 1024
 
 
-async def stream_chat(
+def stream_chat(
     session: aiohttp.ClientSession,
     url: str,
     body: bytes,
@@ -115,38 +116,51 @@
     the ``[DONE]`` line: a connection that ends early looks like a short
     answer otherwise.
     """
-    timeout = aiohttp.ClientTimeout(
-        total=None, sock_connect=_CONNECT_SECONDS, sock_read=silence_seconds
-    )
-    finish = ""
-    usage = None
     headers = {"Content-Type": "application/json", **headers}
-    try:
-        async with session.post(
+    return _stream(
+        session.post(
             f"{url}/v1/chat/completions",
             data=body,
             headers=headers,
-            timeout=timeout,
-        ) as answer:
+            timeout=_stream_timeout(silence_seconds),
+            allow_redirects=False,
+            middlewares=(_send_once(),),
+        )
+    )
+
+
+def resume_chat(
+    session: aiohttp.ClientSession,
+    url: str,
+    request_id: str,
+    silence_seconds: float = _SILENCE_SECONDS,
+) -> AsyncIterator[Delta | Finished | Failed]:
+    """Reads the stream of a call again, from its first token."""
+    return _stream(
+        session.get(
+            f"{url}/v1/streams/{request_id}?from=0",
+            timeout=_stream_timeout(silence_seconds),
+            allow_redirects=False,
+        )
+    )
+
+
+def _stream_timeout(silence_seconds: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=None, sock_connect=_CONNECT_SECONDS, sock_read=silence_seconds
+    )
+
+
+async def _stream(
+    call: contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse],
+) -> AsyncIterator[Delta | Finished | Failed]:
+    try:
+        async with call as answer:
             if answer.status != 200:
                 yield await _rejected(answer)
                 return
-            async for data in _events(answer.content):
-                if data == b"[DONE]":
-                    if finish and usage:
-                        yield Finished(finish, usage)
-                    else:
-                        yield Failed(Outcome.BROKEN, 0, "no end of answer")
-                    return
-                event = _EVENT.decode(data)
-                if event.usage:
-                    usage = _usage(event.usage)
-                if event.choices:
-                    choice = event.choices[0]
-                    finish = choice.finish_reason or finish
-                    if choice.delta:
-                        yield Delta(choice.delta, data)
-        yield Failed(Outcome.BROKEN, 0, "stream cut")
+            async for part in _parts(answer.content):
+                yield part
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
         yield Failed(Outcome.NOT_CONNECTED, 0, str(e))
     except TimeoutError:
@@ -155,10 +169,42 @@
         yield Failed(Outcome.BROKEN, 0, str(error) or "connection lost")
 
 
+async def _parts(
+    content: aiohttp.StreamReader,
+) -> AsyncIterator[Delta | Finished | Failed]:
+    finish = ""
+    usage = None
+    async for data in _events(content):
+        if data == b"[DONE]":
+            if finish and usage:
+                yield Finished(finish, usage)
+            else:
+                yield Failed(Outcome.BROKEN, 0, "no end of answer")
+            return
+        event = _EVENT.decode(data)
+        if event.usage:
+            usage = _usage(event.usage)
+        if event.choices:
+            choice = event.choices[0]
+            finish = choice.finish_reason or finish
+            if choice.delta:
+                yield Delta(choice.delta, data)
+    yield Failed(Outcome.BROKEN, 0, "stream cut")
+
+
 async def _rejected(answer: aiohttp.ClientResponse) -> Failed:
-    detail = (await answer.read())[:4096].decode(errors="replace")
-    draining = answer.status == 503
-    outcome = Outcome.DRAINING if draining else Outcome.REJECTED
+    """Returns how an answer that is no stream counts.
+
+    Only ``draining`` says that nothing ran; an engine that fails for another
+    reason may have begun.
+    """
+    detail = (await answer.content.read(_DETAIL_BYTES)).decode(errors="replace")
+    if answer.status == 503 and '"draining"' in detail:
+        outcome = Outcome.DRAINING
+    elif answer.status >= 500:
+        outcome = Outcome.BROKEN
+    else:
+        outcome = Outcome.REJECTED
     return Failed(outcome, answer.status, detail)
 
 
--- a/libs/programs/src/rattanmill_programs/program.py
+++ b/libs/programs/src/rattanmill_programs/program.py
@@ -11,6 +11,7 @@
     ActSettled,
     ActWithdrawn,
     BudgetReserved,
+    BudgetSpent,
     EpochOpened,
     ProgramCreated,
     ProgramEnded,
@@ -55,6 +56,7 @@
         transcript: JSON of each message of the conversation so far.
         spent: Tokens spent, including those given to sub-agents.
         reserved: Tokens that may be spent without a further commit.
+        held: Most tokens that the turn under way can cost.
         acts: Non-idempotent calls by key.
         ended: Seconds since the epoch, or None.
         lock: Held while a turn runs, so that turns run in order.
@@ -64,6 +66,7 @@
     __slots__ = (
         "acts",
         "ended",
+        "held",
         "lock",
         "made",
         "reserved",
@@ -79,6 +82,7 @@
         self.transcript: list[bytes] = []
         self.spent = 0
         self.reserved = 0
+        self.held = 0
         self.acts: dict[str, Act] = {}
         self.ended: float | None = None
         self.lock = asyncio.Lock()
@@ -99,7 +103,7 @@
     @property
     def tokens_unreserved(self) -> int:
         """Tokens that nothing has been promised."""
-        return self.made.tokens - max(self.spent, self.reserved)
+        return self.made.tokens - max(self.spent + self.held, self.reserved)
 
 
 # Last part of the id under which a shard keeps acts that have no program.
@@ -163,6 +167,8 @@
     match record:
         case BudgetReserved():
             program.reserved = max(program.reserved, record.tokens)
+        case BudgetSpent():
+            program.spent += record.tokens
         case TurnKept():
             _keep_turn(program, record)
         case ActIntended():
--- a/libs/programs/src/rattanmill_programs/records.py
+++ b/libs/programs/src/rattanmill_programs/records.py
@@ -117,6 +117,13 @@
     ended: float
 
 
+class BudgetSpent(msgspec.Struct, tag=9, frozen=True):
+    """Tokens that an attempt without an answer may have cost."""
+
+    program: str
+    tokens: int
+
+
 Record = (
     EpochOpened
     | ProgramCreated
@@ -126,6 +133,7 @@
     | ActSettled
     | ActWithdrawn
     | ProgramEnded
+    | BudgetSpent
 )
 
 
--- a/tests/features/acts.feature
+++ b/tests/features/acts.feature
@@ -49,7 +49,7 @@
 
     Given office-1 is gone
     And office-2 is gone
-    When act "k" is sent through instance 0
+    When act "k" goes through instance 0
     Then act answer 1 is refused with ran "no"
     And act "k" ran 0 times
     When the offices are back
@@ -62,9 +62,9 @@
     nothing.
 
     Given the offices have the fault <fault> for 1 calls
-    When act "k" is sent through instance 0
+    When act "k" goes through instance 0
     Then act answer 1 is refused with ran "unknown"
-    When act "k" is sent through instance 1
+    When act "k" goes through instance 1
     Then act answer 2 is refused with ran "unknown"
     And act "k" ran <runs> times
 
@@ -88,7 +88,7 @@
     A correction would run at two places, and the caller see only one.
 
     Given the offices redirect to one another
-    When act "k" is sent through instance 0
+    When act "k" goes through instance 0
     Then act answer 1 has status 307
     And act "k" ran 1 times
 
@@ -100,7 +100,7 @@
     When act "k" is sent with a deadline of 1 seconds
     Then act answer 1 is refused with ran "unknown"
     When the offices are well again
-    And act "k" is sent through instance 1
+    And act "k" goes through instance 1
     Then act answer 2 is refused with ran "unknown"
     And act "k" ran 1 times
 
@@ -123,12 +123,12 @@
 
     When act "k" is sent with a body of 1200000 bytes
     Then act answer 1 has status 200
-    When act "after" is sent through instance 0
+    When act "after" goes through instance 0
     Then act answer 2 has status 200
     When act "k" is sent with a body of 1200000 bytes
     Then act answer 3 is refused with ran "yes"
     When the owner of the program is killed
-    And act "after" is sent through another instance
+    And act "after" goes through another instance
     Then act answer 4 has status 200
     And act "k" ran 1 times
     And act "after" ran 1 times
@@ -141,7 +141,7 @@
     When act "k" is started through instance 0 of the program
     And act "k" has reached an office
     And the owner of the program is killed
-    And act "k" is sent through another instance
+    And act "k" goes through another instance
     Then act answer 1 is refused with ran "unknown"
     And act "k" ran 1 times
 
@@ -157,7 +157,7 @@
     Then the started act is answered with status 200
     When the owner of the program is killed
     And the key-value service is back
-    And act "k" is sent through another instance
+    And act "k" goes through another instance
     Then act answer 1 is refused with ran "unknown"
     And act "k" ran 1 times
 
@@ -166,11 +166,11 @@
     request was sent can't be known, so the next owner doesn't send it.
 
     Given writes of the log take effect without an answer
-    When act "k" is sent through instance 0
+    When act "k" goes through instance 0
     Then act answer 1 is refused with ran "no"
     When the owner of the program is killed
     And the key-value service is back
-    And act "k" is sent through another instance
+    And act "k" goes through another instance
     Then act answer 2 is refused with ran "unknown"
     And act "k" ran 0 times
 
@@ -179,7 +179,7 @@
     run and when to come back.
 
     Given the key-value service goes away
-    When act "k" is sent through instance 0
+    When act "k" goes through instance 0
     Then act answer 1 is refused with ran "no"
     And act answer 1 says when to come back
     And act "k" ran 0 times
@@ -197,7 +197,7 @@
     And the intent of act "k" has reached the key-value service
     And the owner of the program is frozen
     And the key-value service is fast again
-    And act "k" is sent through another instance
+    And act "k" goes through another instance
     Then act answer 1 is refused with ran "unknown"
     When the frozen owner wakes up
     Then the started act is refused
@@ -208,14 +208,30 @@
       | check  |
       | ignore |
 
+  Scenario: The owner is frozen while it connects
+    An office does not take the connection, and the owner stalls before it
+    turns to another office. When it wakes up it has been replaced, and must
+    not send what its replacement has already called unknown.
+
+    Given no office takes connections
+    When act "k" is started through instance 0 of the program
+    And the owner of the program is connecting to an office
+    And the owner of the program is frozen
+    And the offices take connections again
+    And act "k" goes through another instance
+    Then act answer 1 is refused with ran "unknown"
+    When the frozen owner wakes up
+    Then the started act is refused
+    And act "k" ran 0 times
+
   Scenario: A program that has ended takes no acts
     A straggler of a program that was ended books a seat. Whoever ended the
     program counts on nothing happening after that.
 
-    When act "k-1" is sent through instance 0
+    When act "k-1" goes through instance 0
     And the program of the acts is ended
-    And act "k-2" is sent through instance 0
-    And act "k-1" is sent through instance 0
+    And act "k-2" goes through instance 0
+    And act "k-1" goes through instance 0
     Then act answer 1 has status 200
     And act answer 2 is refused with ran "no"
     And act answer 3 has status 200
--- a/tests/features/steps/acts.py
+++ b/tests/features/steps/acts.py
@@ -1,6 +1,8 @@
 """Steps of non-idempotent calls."""
 
 import concurrent.futures
+import contextlib
+import socket
 
 from behave import given, then, when
 
@@ -155,6 +157,38 @@
     context.system.processes[office].kill()
 
 
+@given("no office takes connections")
+def step_deaf(context):
+    context.deaf = context.scenario_stack.enter_context(contextlib.ExitStack())
+    for office in _OFFICES:
+        step_gone(context, office)
+        host, port = context.system.standins[office].address.split(":")
+        listener = context.deaf.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        # The first connection fills the queue; later ones get no answer.
+        context.deaf.enter_context(
+            socket.create_connection((host, int(port)), 5)
+        )
+
+
+@when("the owner of the program is connecting to an office")
+def step_connecting(context):
+    # The instance counts a call at an endpoint once it has chosen one.
+    def connecting():
+        answer = context.owner.client.request("GET", "/v1/admin/endpoints")
+        return sum(e["in_flight"] for e in answer.json)
+
+    wait_until(connecting, "the owner is connecting")
+
+
+@when("the offices take connections again")
+def step_hearing(context):
+    context.deaf.close()
+    step_offices_back(context)
+
+
 @when("the offices are back")
 def step_offices_back(context):
     for office in _OFFICES:
@@ -237,12 +271,12 @@
     context.act_answers = [context.started.result(), again.result()]
 
 
-@when('act "{name}" is sent through instance {index:d}')
+@when('act "{name}" goes through instance {index:d}')
 def step_sent(context, name, index):
     send(context, context.clients[index], name)
 
 
-@when('act "{name}" is sent through another instance')
+@when('act "{name}" goes through another instance')
 def step_sent_elsewhere(context, name):
     send(context, others(context)[0], name)
 
