--- /dev/null
+++ b/tests/features/not_run.feature
@@ -0,0 +1,59 @@
+Feature: "Not run" means not run
+  A refusal with ran "no" tells the caller that sending the request again
+  cannot run it twice. Each such refusal is held against what the stand-ins
+  counted.
+
+  Background:
+    Given a system for refusals
+
+  Scenario Outline: A refused call reached no endpoint
+    A call is refused by what the instance knows already. If it had reached an
+    endpoint all the same, a caller that sends it again would pay twice.
+
+    When a call is made that is <case>
+    Then it is refused with reason "<reason>" and ran "no"
+    And the endpoints counted 0 calls
+    And refusals for "<reason>" were counted
+
+    Examples:
+      | case                        | reason            |
+      | broken JSON                 | bad_request       |
+      | for an unknown model        | unknown_model     |
+      | for an unknown service      | unknown_service   |
+      | of an unknown class         | unknown_class     |
+      | of an unknown program       | unknown_program   |
+      | of an ended program         | program_ended     |
+      | of another workspace        | unauthorized      |
+      | a turn too far ahead        | turn_gap          |
+      | beyond its budget           | budget_exhausted  |
+      | beyond its turns            | budget_exhausted  |
+      | beyond its seconds          | budget_exhausted  |
+      | an act without a key        | bad_request       |
+      | with a forged receipt       | receipt_invalid   |
+      | too large                   | body_too_large    |
+      | for a draining engine       | no_endpoint       |
+      | for an engine that is gone  | no_endpoint       |
+      | for a service that is gone  | no_endpoint       |
+      | an act while the KV is down | store_unavailable |
+      | a turn while the KV is down | budget_unreserved |
+
+  Scenario Outline: The endpoint died with the call, and nobody takes it up
+    The endpoint dies while it runs the call, and the next attempt finds no
+    endpoint. The last attempt was never sent, but the first may have run; a
+    caller told "no" would send it again.
+
+    When a <kind> call runs at an endpoint that dies
+    Then it is refused with ran "unknown"
+
+    Examples:
+      | kind    |
+      | chat    |
+      | turn    |
+      | service |
+
+  Scenario: The owner and the endpoint died with the call
+    The owner dies while a turn runs, and the engine, too. The next owner
+    finds no engine and never sent the turn; but the owner before it did.
+
+    When a turn runs while its owner and its engine die
+    Then it is refused with ran "unknown"
--- /dev/null
+++ b/tests/features/steps/not_run.py
@@ -0,0 +1,216 @@
+"""Steps that hold refusals against what the endpoints counted."""
+
+import concurrent.futures
+
+from behave import given, then, when
+
+from support import Layout, start, wait_until
+
+_LAYOUT = Layout(domains=("sanjose-a",), per_domain=2, lease_seconds=1.0)
+
+
+def counted(context):
+    """Returns the calls that reached the endpoints' work."""
+    system = context.system
+    return sum(
+        system.standins[name].stats().get("calls", 0)
+        for name in ("engine-1", "office-1")
+        if system.processes[name].alive
+    )
+
+
+def revive(context):
+    system = context.system
+    if not system.processes["engine-1"].alive:
+        system.restart_engine("engine-1")
+    if not system.processes["office-1"].alive:
+        system.start_standin("office-1", "", "standins.service")
+    for instance in system.instances:
+        if not instance.process.alive:
+            system.start_instance(instance)
+    system.standins["kv"].faults(down=False)
+    system.standins["engine-1"].faults(draining=False, hang=False)
+    system.standins["office-1"].faults(slow_seconds=0.0)
+    system.wait_ready()
+    # A stand-in that was gone is avoided for a while.
+    wait_until(
+        lambda: all(
+            client.chat("warm up").status == 200
+            and client.request("GET", "/v1/services/index-office/x").status
+            == 200
+            for client in context.clients
+        ),
+        "the endpoints take calls again",
+    )
+
+
+@given("a system for refusals")
+def step_system(context):
+    start(context, _LAYOUT)
+    revive(context)
+    context.client = context.clients[0]
+
+
+def service(context, name="index-office", **headers):
+    return context.client.request(
+        "POST", f"/v1/services/{name}/x", b"{}", headers
+    )
+
+
+def ended(context):
+    program = context.client.create()
+    context.client.request("DELETE", f"/v1/programs/{program}")
+    return context.client.chat("x", program)
+
+
+def of_class(context):
+    return context.client.request("POST", "/v1/programs", {"class": "none"})
+
+
+def with_budget(context, **budget):
+    program = context.client.create(budget=budget)
+    return context.client.chat("x" * 30, program)
+
+
+def beyond_turns(context):
+    program = context.client.create(budget={"turns": 1})
+    context.client.chat("x", program)
+    context.before = counted(context)
+    return context.client.chat("y", program)
+
+
+def foreign(context):
+    program = context.client.create(workspace="leith")
+    headers = {"Rattanmill-Workspace": "oban"}
+    return context.client.chat("x", program, headers=headers)
+
+
+def forged(context):
+    program = context.client.create()
+    return context.client.chat(
+        "x", program, 1, rattanmill_receipts=["AAAA" * 20]
+    )
+
+
+def draining(context):
+    context.system.standins["engine-1"].faults(draining=True)
+    return context.client.chat("x")
+
+
+def engine_gone(context):
+    context.system.processes["engine-1"].kill()
+    context.before = counted(context)
+    return context.client.chat("x")
+
+
+def service_gone(context):
+    context.system.processes["office-1"].kill()
+    context.before = counted(context)
+    return service(context)
+
+
+def act_without_store(context):
+    context.system.standins["kv"].faults(down=True)
+    return context.client.act("k")
+
+
+def turn_without_store(context):
+    program = context.client.create()
+    context.system.standins["kv"].faults(down=True)
+    return context.client.chat("x", program)
+
+
+_CASES = {
+    "broken JSON": lambda c: c.client.request(
+        "POST", "/v1/chat/completions", b"{"
+    ),
+    "for an unknown model": lambda c: c.client.chat("x", model="none"),
+    "for an unknown service": lambda c: service(c, "none"),
+    "of an unknown class": of_class,
+    "of an unknown program": lambda c: c.client.chat("x", "sanjose-a.0.abc"),
+    "of an ended program": ended,
+    "of another workspace": foreign,
+    "a turn too far ahead": lambda c: c.client.chat("x", c.client.create(), 3),
+    "beyond its budget": lambda c: with_budget(c, tokens=40),
+    "beyond its turns": beyond_turns,
+    "beyond its seconds": lambda c: with_budget(c, seconds=1e-9),
+    "an act without a key": lambda c: service(
+        c, **{"Rattanmill-Non-Idempotent": "true"}
+    ),
+    "with a forged receipt": forged,
+    "too large": lambda c: c.client.chat("x" * 5_000_000),
+    "for a draining engine": draining,
+    "for an engine that is gone": engine_gone,
+    "for a service that is gone": service_gone,
+    "an act while the KV is down": act_without_store,
+    "a turn while the KV is down": turn_without_store,
+}
+
+
+@when("a call is made that is {case}")
+def step_case(context, case):
+    context.before = counted(context)
+    context.answer = _CASES[case](context)
+
+
+@then('it is refused with reason "{reason}" and ran "{ran}"')
+def step_reason(context, reason, ran):
+    assert context.answer.status >= 400, context.answer
+    problem = context.answer.json
+    assert (problem["reason"], problem["ran"]) == (reason, ran), problem
+
+
+@then('it is refused with ran "{ran}"')
+def step_ran(context, ran):
+    assert context.answer.status >= 400, context.answer
+    assert context.answer.json["ran"] == ran, context.answer
+
+
+@then("the endpoints counted {count:d} calls")
+def step_counted(context, count):
+    assert counted(context) - context.before == count
+
+
+@then('refusals for "{reason}" were counted')
+def step_metric(context, reason):
+    name = "rattanmill_refusals_total"
+    assert context.client.metric(name, reason=reason) > 0
+
+
+def under_way(context, send):
+    """Starts a call and returns its future once an endpoint runs it."""
+    before = counted(context)
+    pool = context.scenario_stack.enter_context(
+        concurrent.futures.ThreadPoolExecutor(1)
+    )
+    call = pool.submit(send)
+    wait_until(lambda: counted(context) > before, "the call is running")
+    return call
+
+
+@when("a {kind} call runs at an endpoint that dies")
+def step_dies(context, kind):
+    system = context.system
+    if kind == "service":
+        system.standins["office-1"].faults(slow_seconds=30.0)
+        call = under_way(context, lambda: service(context))
+        system.processes["office-1"].kill()
+    else:
+        system.standins["engine-1"].faults(hang=True)
+        program = context.client.create() if kind == "turn" else ""
+        call = under_way(context, lambda: context.client.chat("x", program))
+        system.processes["engine-1"].kill()
+    context.answer = call.result()
+
+
+@when("a turn runs while its owner and its engine die")
+def step_both_die(context):
+    system = context.system
+    program = context.client.create()
+    owner = system.owner_of(program)
+    other = next(i for i in system.instances if i.name != owner.name)
+    system.standins["engine-1"].faults(hang=True)
+    call = under_way(context, lambda: other.client.chat("x", program))
+    owner.process.kill()
+    system.processes["engine-1"].kill()
+    context.answer = call.result()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -46,6 +46,8 @@
         fencing: Whether orders with an old fencing number are refused.
         over_report_tokens: Added to the usage it reports.
         lose_releases: So many further release orders are lost.
+        lose_streams: Whether streams are cut at their very end and can't be
+            resumed.
     """
 
     crash_marker: str = ""
@@ -59,6 +61,7 @@
     fencing: bool = False
     over_report_tokens: int = 0
     lose_releases: int = 0
+    lose_streams: bool = False
 
 
 class Options(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -294,7 +297,7 @@
                 break
             sequence.more.clear()
             await sequence.more.wait()
-        if sequence.cancelled:
+        if sequence.cancelled or self.faults.lose_streams:
             await drop(request)
         await answer.write(self._event(sequence, model, {}, "stop"))
         await answer.write(self._usage(sequence, model))
@@ -360,7 +363,9 @@
                 prefill -= step
                 sequence.prefill_left -= step
                 continue
+            before = int(sequence.made)
             sequence.made = min(sequence.made + decode, len(sequence.output))
+            self.stats["made_tokens"] += int(sequence.made) - before
             sequence.more.set()
         self.running = [
             s for s in self.running if not s.finished and not s.cancelled
@@ -398,7 +403,8 @@
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Answers ``GET /v1/streams/ID?from=TOKENS``."""
         sequence = self.known.get(request.match_info["id"])
-        if sequence is None or sequence.cancelled:
+        lost = sequence is None or sequence.cancelled
+        if lost or self.faults.lose_streams:
             return web.json_response({"error": "no such stream"}, status=404)
         self.stats["resumed"] += 1
         answer = web.StreamResponse(
