--- a/tests/features/steps/budget.py
+++ b/tests/features/steps/budget.py
@@ -45,7 +45,8 @@
     """Sends turns until one is refused for want of budget."""
     for number, client in enumerate(itertools.cycle(clients)):
         assert number < 500, "the budget is never spent"
-        answer = turn(client, program, f"turn {number}")
+        # Small answers use the budget up to nearly its end.
+        answer = turn(client, program, f"turn {number}", 20)
         if answer.status != 200 and answer.json["reason"] in _ENDED:
             return answer
 
@@ -118,7 +119,7 @@
     """Starts a turn and returns it once the engine has it."""
     engine = context.system.standins["engine-1"]
     before = engine.stats().get("calls", 0)
-    call = context.pool.submit(turn, client, program)
+    call = context.pool.submit(turn, client, program, "x", 300)
     wait_until(
         lambda: engine.stats().get("calls", 0) > before, "a call is in flight"
     )
@@ -159,7 +160,9 @@
         # The first connection fills the queue; later ones get no answer.
         deaf.enter_context(socket.create_connection((host, int(port)), 5))
         client = context.owner.client
-        context.late = context.pool.submit(turn, client, context.program)
+        context.late = context.pool.submit(
+            turn, client, context.program, "x", 1000
+        )
         wait_until(
             lambda: sum(
                 e["in_flight"]
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -48,6 +48,7 @@
         lose_releases: So many further release orders are lost.
         lose_streams: Whether streams are cut at their very end and can't be
             resumed.
+        variant: Added to each token, as another sampling would differ.
     """
 
     crash_marker: str = ""
@@ -62,6 +63,7 @@
     over_report_tokens: int = 0
     lose_releases: int = 0
     lose_streams: bool = False
+    variant: str = ""
 
 
 class Options(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -251,7 +253,8 @@
         wanted = body.get("standin", {}).get("output_tokens")
         most = body.get("max_tokens") or 64
         count = min(most, wanted or 1 + int(seed[:4] or "0", 16) % 16)
-        return [f"{seed[:6]}-{i} " for i in range(count)]
+        variant = self.faults.variant
+        return [f"{seed[:6]}{variant}-{i} " for i in range(count)]
 
     async def _answer(
         self, request: web.Request, sequence: Sequence, body: dict
