Hand over each shard when it is quiet, and never to an instance that leaves

Cause: a shutdown waited for its shards one after the other without a bound and gave them all away in one write at the end, once; it looked at its own HTTP requests only; it closed nothing for callers ("request.keep_alive = False" has no setter and answered 500). Found while testing: an instance with a shard too many handed it to the one that was shutting down, because that had the fewest; its programs were then without an owner ("programs of its other shards": 503 not_owner after 3 s). Ruled out: a lost compare-and-swap (the new owner had loaded the shard at once and given it back). New settings: limits.notice_seconds, connections, receive_seconds.

--- a/libs/core/src/rattanmill_core/settings.py
+++ b/libs/core/src/rattanmill_core/settings.py
@@ -37,6 +37,10 @@
         body_bytes: Largest request body.
         lease_seconds: Time to live of this instance's lease.
         drain_seconds: Longest time a shutdown waits for running requests.
+        notice_seconds: Time for which a shutdown goes on taking requests
+            after ``/readyz`` says not ready.
+        connections: Most connections of callers at a time.
+        receive_seconds: Longest time a request may take to arrive.
         token_file: File with the operators' token, or empty: none is needed.
         keys_file: File with each workspace's key, or empty: callers need
             none.
@@ -57,6 +61,9 @@
     body_bytes: int = 4 * 1024 * 1024
     lease_seconds: float = 3.0
     drain_seconds: float = 60.0
+    notice_seconds: float = 1.0
+    connections: int = 4096
+    receive_seconds: float = 30.0
     token_file: str = ""
     keys_file: str = ""
 
@@ -148,6 +155,19 @@
     "drain_seconds": SettingKey(
         "limits.drain_seconds", _NUMBER, "0 to 3600", _between(0, 3600), False
     ),
+    "notice_seconds": SettingKey(
+        "limits.notice_seconds", _NUMBER, "0 to 600", _between(0, 600), False
+    ),
+    "connections": SettingKey(
+        "limits.connections", int, "16 to 65536", _between(16, 65536), False
+    ),
+    "receive_seconds": SettingKey(
+        "limits.receive_seconds",
+        _NUMBER,
+        "0.1 to 3600",
+        _between(0.1, 3600),
+        False,
+    ),
     "token_file": SettingKey(
         "operators.token_file", str, "a path", bool, False
     ),
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -22,9 +22,10 @@
     load_access,
 )
 from rattanmill_entry.admin import admin_routes
+from rattanmill_entry.drain import drain
 from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.gossip import Gossip, take_config
-from rattanmill_entry.http import caller_routes, drained
+from rattanmill_entry.http import caller_routes
 from rattanmill_entry.node import Node
 from rattanmill_entry.ownership import Ownership
 from rattanmill_entry.quarantine import CrashGuard
@@ -86,7 +87,7 @@
         stack.push_async_callback(runner.cleanup)
         _log.info("Instance {} serves on {}.", settings.name, settings.http)
         await stop.wait()
-        await _drain(node, ownership)
+        await drain(node, ownership, list(runner.sites))
 
 
 def _ignore_hangup() -> None:
@@ -197,13 +198,3 @@
             node.in_flight -= 1
 
     return count
-
-
-async def _drain(node: Node, ownership: Ownership) -> None:
-    """Hands shards over and finishes what is under way."""
-    _log.info("Draining.")
-    node.draining = True
-    await ownership.give_all()
-    if not await drained(node, node.settings.drain_seconds):
-        _log.error("{} requests were cut off.", node.in_flight)
-    _log.info("Drained.")
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -142,6 +142,8 @@
             peer.heard = now
         if message.domain == node.settings.domain:
             node.lease.peer_heard = now
+        if message.leaving:
+            node.leaving.add(message.incarnation)
         if not message.reply:
             node.spawn(answer(heartbeat(node, reply=True)))
         if message.config_number > node.config.number:
--- a/libs/entry/src/rattanmill_entry/http.py
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -1,6 +1,5 @@
 """The callers' interface over HTTP; docs/API.md describes it."""
 
-import asyncio
 import contextlib
 import re
 
@@ -189,8 +188,6 @@
     node: Node, request: web.Request, start: CallStart
 ) -> web.StreamResponse:
     """Turns the replies of a call into an HTTP answer."""
-    if node.draining and request.transport:
-        request.keep_alive = False
     node.metrics.count("rattanmill_requests", kind=start.kind)
     response = None
     streamed = False
@@ -201,6 +198,8 @@
                     response = web.StreamResponse(status=reply.status)
                     for name, value in reply.headers:
                         response.headers.add(name, value)
+                    if node.draining:
+                        response.force_close()
                     streamed = start.stream
                     await response.prepare(request)
                 case ReplyChunk() if response:
@@ -231,14 +230,3 @@
         await response.write_eof()
     elif request.transport:
         request.transport.abort()
-
-
-async def drained(node: Node, seconds: float) -> bool:
-    """Waits until no request is under way; False after ``seconds``."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    while node.in_flight:
-        if loop.time() > end:
-            return False
-        await asyncio.sleep(0.02)
-    return True
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -49,6 +49,7 @@
             time since which they get heartbeats from here.
         heard: What each other instance last said, by name.
         draining: Whether the daemon is shutting down.
+        leaving: Incarnations that have said they are shutting down.
     """
 
     settings: Settings
@@ -75,6 +76,7 @@
         self.suspects: dict[str, float] = {}
         self.heard: dict[str, Heard] = {}
         self.draining = False
+        self.leaving: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
 
--- a/libs/entry/src/rattanmill_entry/ownership.py
+++ b/libs/entry/src/rattanmill_entry/ownership.py
@@ -31,6 +31,7 @@
 _ROUND_SECONDS = 0.25
 _NOBODY = ShardOwner("", "", 0)
 _FLUSH_SECONDS = 5.0
+_GIVE_TRIES = 5
 
 
 class Ownership:
@@ -41,6 +42,7 @@
         self.domain = node.settings.domain
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
+        self.closing: set[int] = set()
 
     async def __aenter__(self) -> Self:
         self.task = asyncio.create_task(self._run())
@@ -63,7 +65,10 @@
         """Drops what is lost, loads what is ours, claims what is free."""
         node = self.node
         self._drop_lost()
-        if not node.lease.holds() or node.lease.outage() or node.draining:
+        if node.draining:
+            await self._return_given()
+            return
+        if not node.lease.holds() or node.lease.outage():
             return
         if not node.live.synced or not node.config.domains:
             return
@@ -174,8 +179,16 @@
             name: self.node.suspects.get(name, now) for name in lapsed
         }
 
+    def _staying(self) -> dict[str, str]:
+        """Living instances that have not said that they are shutting down."""
+        return {
+            name: incarnation
+            for name, incarnation in self._living().items()
+            if incarnation not in self.node.leaving
+        }
+
     def _share(self, count: int) -> int:
-        return math.ceil(count / max(1, len(self._living())))
+        return math.ceil(count / max(1, len(self._staying())))
 
     async def _claim(self, owners: DomainShards | None) -> None:
         count = self._count(owners)
@@ -193,7 +206,7 @@
         """Gives a shard to an instance that has fewer than its share."""
         if owners is None:
             return
-        living = self._living()
+        living = self._staying()
         held = {
             name: sum(1 for o in owners.shards if o.incarnation == incarnation)
             for name, incarnation in living.items()
@@ -217,23 +230,71 @@
         owners = self.node.live.shards.get(self.domain)
         await self._change_owners(owners, {number: (name, incarnation)})
 
-    async def give_all(self) -> None:
-        """Hands all shards to the domain's other instances, or to nobody."""
-        others = [
-            (name, incarnation)
-            for name, incarnation in self._living().items()
-            if name != self.node.settings.name
+    async def give_all(self, until: float) -> None:
+        """Hands each shard on as soon as it is quiet, until that loop time.
+
+        One shard with a long stream must not keep all others from their next
+        owners, and what is not quiet in time must not keep the process.
+        """
+        shards = list(self.node.shards.values())
+        self.closing = {shard.number for shard in shards}
+        self.node.shards.clear()
+        waiting = {
+            asyncio.create_task(self._quiesce(shard, until)): shard
+            for shard in shards
+        }
+        while waiting:
+            done, _ = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            ended = {waiting.pop(task).number: task for task in done}
+            quiet = [number for number in ended if ended[number].result()]
+            if quiet:
+                await self._give_away(quiet)
+            self.closing.difference_update(quiet)
+
+    async def _return_given(self) -> None:
+        """Passes on shards that were given to us while we shut down.
+
+        Whoever gave them had not heard of the shutdown. Left alone, their
+        programs would have no owner until this process has ended.
+        """
+        owners = self.node.live.shards.get(self.domain)
+        given = [
+            number
+            for number, owner in enumerate(owners.shards if owners else [])
+            if self._mine(owner) and number not in self.closing
         ]
-        targets: dict[int, tuple[str, str]] = {}
-        for index, (key, shard) in enumerate(list(self.node.shards.items())):
-            del self.node.shards[key]
-            await shard.drain()
-            await shard.log.close(_FLUSH_SECONDS)
-            target = others[index % len(others)] if others else ("", "")
-            targets[shard.number] = target
-        if targets:
+        if given:
+            await self._give_away(given)
+
+    async def _quiesce(self, shard: Shard, until: float) -> bool:
+        """Waits for a shard's calls and its log; False if calls still run."""
+        loop = asyncio.get_running_loop()
+        left = max(0.0, until - loop.time())
+        try:
+            await asyncio.wait_for(shard.drain(), left)
+        except TimeoutError:
+            return False
+        await shard.log.close(max(0.0, until - loop.time()))
+        return True
+
+    async def _give_away(self, numbers: list[int]) -> None:
+        """Names new owners, or nobody; a lost race is run again."""
+        for _ in range(_GIVE_TRIES):
+            others = [
+                (name, incarnation)
+                for name, incarnation in self._staying().items()
+                if name != self.node.settings.name
+            ] or [("", "")]
+            targets = {
+                number: others[index % len(others)]
+                for index, number in enumerate(numbers)
+            }
             owners = self.node.live.shards.get(self.domain)
-            await self._change_owners(owners, targets)
+            if await self._change_owners(owners, targets):
+                return
+            await asyncio.sleep(_ROUND_SECONDS)
 
     async def _change_owners(
         self,
--- a/tests/features/steps/budget.py
+++ b/tests/features/steps/budget.py
@@ -115,11 +115,11 @@
     context.program = client.create(**{"class": "looping"})
 
 
-def call_in_flight(context, program, client):
+def call_in_flight(context, program, client, tokens=300):
     """Starts a turn and returns it once the engine has it."""
     engine = context.system.standins["engine-1"]
     before = engine.stats().get("calls", 0)
-    call = context.pool.submit(turn, client, program, "x", 300)
+    call = context.pool.submit(turn, client, program, "x", tokens)
     wait_until(
         lambda: engine.stats().get("calls", 0) > before, "a call is in flight"
     )
@@ -249,7 +249,7 @@
     child = client.create(parent=context.program, budget={"tokens": tokens})
     engine = context.system.standins["engine-1"]
     engine.faults(slow_factor=10.0)
-    call = call_in_flight(context, child, client)
+    call = call_in_flight(context, child, client, 700)
     end = context.pool.submit(client.request, "DELETE", f"/v1/programs/{child}")
     engine.faults(slow_factor=1.0)
     assert call.result().status == 200, call.result()
