Join tool calls of one part that share an index

Found by the lengthened check of joined parts (lists of 90 to 120 parts): two pieces of one call in the same delta lost the first. Before: failed; after: ok.

--- a/libs/entry/src/rattanmill_entry/outbox.py
+++ b/libs/entry/src/rattanmill_entry/outbox.py
@@ -113,8 +113,8 @@
 
 
 def _join_calls(known: list[dict], more: list[dict]) -> list[dict]:
-    calls = {call.get("index", 0): dict(call) for call in known}
-    for call in more:
+    calls: dict[int, dict] = {}
+    for call in [*known, *more]:
         index = call.get("index", 0)
         if index not in calls:
             calls[index] = dict(call)
