Refuse bad input with a reason each, and bound connections and slow bodies

Changed: outermost middleware tells unknown paths and failures as problems (no_such_call, internal); bodies must arrive within receive_seconds (body_too_slow); headers we use or pass on must be printable ASCII; deadlines must be numbers and hold for the first byte of every answer; the holders of acts without a program can't be named by callers; a parent must belong to the caller's workspace; idle connections are closed after receive_seconds, and the oldest ones beyond limits.connections.

--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -22,6 +22,8 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    NO_SUCH_CALL = "no_such_call"
     UNAUTHORIZED = "unauthorized"
     FOREIGN_PROGRAM = "foreign_program"
     UNKNOWN_CLASS = "unknown_class"
@@ -66,6 +68,8 @@
 _RULES = {
     Reason.BAD_REQUEST: _Rule(400),
     Reason.BODY_TOO_LARGE: _Rule(413),
+    Reason.BODY_TOO_SLOW: _Rule(408),
+    Reason.NO_SUCH_CALL: _Rule(404),
     Reason.UNAUTHORIZED: _Rule(401),
     Reason.FOREIGN_PROGRAM: _Rule(403),
     Reason.UNKNOWN_CLASS: _Rule(422),
--- a/libs/entry/src/rattanmill_entry/chatbody.py
+++ b/libs/entry/src/rattanmill_entry/chatbody.py
@@ -81,7 +81,7 @@
     """Whether a body asks for a streamed answer; False if it is broken."""
     try:
         return msgspec.json.decode(body, type=_Stream).stream
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return False
 
 
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -23,6 +23,7 @@
 )
 from rattanmill_entry.admin import admin_routes
 from rattanmill_entry.drain import drain
+from rattanmill_entry.edge import ConnectionLimit, edge_middleware
 from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes
@@ -85,6 +86,8 @@
         await stack.enter_async_context(ownership)
         runner = await _listen(node, access)
         stack.push_async_callback(runner.cleanup)
+        limit = ConnectionLimit(node, runner.server)
+        await stack.enter_async_context(limit)
         _log.info("Instance {} serves on {}.", settings.name, settings.http)
         await stop.wait()
         await drain(node, ownership, list(runner.sites))
@@ -176,7 +179,7 @@
 async def _listen(node: Node, access: Access) -> web.AppRunner:
     app = web.Application(
         client_max_size=node.settings.body_bytes,
-        middlewares=[_counting(node), access_middleware(node, access)],
+        middlewares=[edge_middleware(node), access_middleware(node, access)],
     )
     app.add_routes(admin_routes(node) + caller_routes(node))
     runner = web.AppRunner(
@@ -186,15 +189,3 @@
     host, port = node.settings.http.rsplit(":", 1)
     await web.TCPSite(runner, host, int(port), backlog=1024).start()
     return runner
-
-
-def _counting(node: Node):  # noqa: ANN202 - aiohttp's middleware type
-    @web.middleware
-    async def count(request: web.Request, handler) -> web.StreamResponse:  # noqa: ANN001
-        node.in_flight += 1
-        try:
-            return await handler(request)
-        finally:
-            node.in_flight -= 1
-
-    return count
--- a/libs/entry/src/rattanmill_entry/http.py
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -1,7 +1,9 @@
 """The callers' interface over HTTP; docs/API.md describes it."""
 
+import asyncio
 import contextlib
 import re
+from collections.abc import AsyncIterator
 
 from aiohttp import web
 
@@ -19,6 +21,7 @@
 from rattanmill_entry.lifecycle import parse_parent
 from rattanmill_entry.node import Node
 from rattanmill_entry.problems import problem_body, problem_response
+from rattanmill_entry.replies import Reply, refused
 from rattanmill_entry.route import act_shard, dispatch, home_shard
 from rattanmill_programs import LOOSE_TOKEN
 from rattanmill_wire import (
@@ -37,10 +40,26 @@
 _DEADLINE = "Rattanmill-Deadline"
 _KEY = "Idempotency-Key"
 _DEFAULT_SECONDS = 600.0
+# The call itself ends at the deadline and tells more of how.
+_GRACE_SECONDS = 0.25
 _MOST_SECONDS = 3600.0
 _TOKEN = re.compile(r"^[\x21-\x7e]{1,200}$")
 # Headers of callers that services get to see; others stay here.
 _PASSED_ON = frozenset(("accept", "accept-language", "content-type"))
+_USED = frozenset(
+    name.lower()
+    for name in (
+        _PROGRAM,
+        _TURN,
+        _HISTORY,
+        _NON_IDEMPOTENT,
+        _DEADLINE,
+        _KEY,
+        "Rattanmill-Workspace",
+    )
+)
+_VALUE = re.compile(r"^[\x20-\x7e]{0,1000}$")
+_SECONDS = re.compile(r"^[0-9]{1,9}(\.[0-9]{1,9})?$")
 
 
 def caller_routes(node: Node) -> list[web.RouteDef]:
@@ -82,7 +101,11 @@
         return problem_response(body, node.metrics)
     # A sub-agent lives in its parent's shard: its budget is carved out of
     # the parent's in one commit.
-    parent = parse_program_id(parse_parent(body))
+    parent_id = parse_parent(body)
+    if parent_id and not _is_program(parent_id):
+        refusal = refuse(Reason.UNKNOWN_PROGRAM, "The parent is no program id.")
+        return problem_response(refusal, node.metrics)
+    parent = parse_program_id(parent_id)
     shard = home_shard(node)
     if parent:
         shard = f"{parent.domain}.{parent.shard}.{LOOSE_TOKEN}"
@@ -94,7 +117,7 @@
     node: Node, request: web.Request, kind: CallKind
 ) -> web.StreamResponse:
     program = request.match_info["program"]
-    if parse_program_id(program) is None:
+    if not _is_program(program):
         refusal = refuse(Reason.UNKNOWN_PROGRAM, "That is no program id.")
         return problem_response(refusal, node.metrics)
     start = _start(request, kind, program, b"")
@@ -117,7 +140,7 @@
 
 def _check_chat(request: web.Request, program: str) -> Refusal | None:
     turn = request.headers.get(_TURN, "0")
-    if program and parse_program_id(program) is None:
+    if program and not _is_program(program):
         return refuse(Reason.UNKNOWN_PROGRAM, "That is no program id.")
     if not turn.isdecimal() or len(turn) > 9:
         return refuse(Reason.BAD_REQUEST, f"{_TURN}: must be a number")
@@ -135,7 +158,7 @@
         detail = f"{_KEY}: needed, 1 to 200 visible letters"
         refusal = refuse(Reason.BAD_REQUEST, detail)
         return problem_response(refusal, node.metrics)
-    if program and parse_program_id(program) is None:
+    if program and not _is_program(program):
         refusal = refuse(Reason.UNKNOWN_PROGRAM, "That is no program id.")
         return problem_response(refusal, node.metrics)
     if not act:
@@ -146,12 +169,25 @@
     start = _start(request, CallKind.SERVICE, program, body)
     start.service = request.match_info["service"]
     start.method = request.method
-    start.path = request.raw_path.split("/", 4)[4]
+    start.path = _service_path(request)
     start.key = key
     start.act = act
     return await _answer(node, request, start)
 
 
+def _service_path(request: web.Request) -> str:
+    """Returns the path after the service's name, with its query, as sent."""
+    url = request.rel_url
+    path = url.raw_path.split("/", 4)[4]
+    return f"{path}?{url.raw_query_string}" if url.raw_query_string else path
+
+
+def _is_program(text: str) -> bool:
+    """Whether a caller may name this; holders of loose acts are ours."""
+    parsed = parse_program_id(text)
+    return parsed is not None and parsed.token != LOOSE_TOKEN
+
+
 def _start(
     request: web.Request, kind: CallKind, program: str, body: bytes
 ) -> CallStart:
@@ -160,10 +196,7 @@
         for name, value in request.headers.items()
         if name.lower() in _PASSED_ON
     ]
-    try:
-        seconds = float(request.headers.get(_DEADLINE, _DEFAULT_SECONDS))
-    except ValueError:
-        seconds = _DEFAULT_SECONDS
+    seconds = float(request.headers.get(_DEADLINE, _DEFAULT_SECONDS))
     return CallStart(
         call=new_id(),
         kind=kind,
@@ -177,11 +210,35 @@
 
 
 async def _read_body(node: Node, request: web.Request) -> bytes | Refusal:
+    wrong = _wrong_header(request)
+    if wrong:
+        return refuse(Reason.BAD_REQUEST, wrong)
+    seconds = node.settings.receive_seconds
     try:
-        return await request.read()
+        async with asyncio.timeout(seconds):
+            return await request.read()
     except web.HTTPRequestEntityTooLarge:
         detail = f"The most is {node.settings.body_bytes} bytes."
         return refuse(Reason.BODY_TOO_LARGE, detail)
+    except TimeoutError:
+        detail = f"The body did not arrive within {seconds:g} s."
+        return refuse(Reason.BODY_TOO_SLOW, detail)
+
+
+def _wrong_header(request: web.Request) -> str:
+    """Returns what is wrong with a header that we use or pass on.
+
+    Values with control characters or bytes beyond ASCII could not be passed
+    on to other instances, or would mean something else to an endpoint.
+    """
+    for name, value in request.headers.items():
+        used = name.lower() in _PASSED_ON or name.lower() in _USED
+        if used and not _VALUE.match(value):
+            return f"{name}: must be at most 1000 printable ASCII letters"
+    deadline = request.headers.get(_DEADLINE, "1")
+    if not _SECONDS.match(deadline):
+        return f"{_DEADLINE}: must be a number of seconds"
+    return ""
 
 
 async def _answer(
@@ -191,7 +248,7 @@
     node.metrics.count("rattanmill_requests", kind=start.kind)
     response = None
     streamed = False
-    async with contextlib.aclosing(dispatch(node, start)) as replies:
+    async with contextlib.aclosing(_in_time(node, start)) as replies:
         async for reply in replies:
             match reply:
                 case ReplyHead():
@@ -218,6 +275,27 @@
     return problem_response(refusal, node.metrics)
 
 
+async def _in_time(node: Node, start: CallStart) -> AsyncIterator[Reply]:
+    """Yields the replies of a call, the first within the caller's deadline.
+
+    What the call has set going is finished where it must be; the caller finds
+    a turn or an act when it asks again.
+    """
+    replies = dispatch(node, start)
+    async with contextlib.aclosing(replies):
+        try:
+            async with asyncio.timeout(start.seconds_left + _GRACE_SECONDS):
+                first = await anext(replies, None)
+        except TimeoutError:
+            detail = "There was no answer before the deadline."
+            yield refused(start, refuse(Reason.DEADLINE, detail))
+            return
+        if first is not None:
+            yield first
+        async for reply in replies:
+            yield reply
+
+
 async def _cut(
     request: web.Request,
     response: web.StreamResponse,
--- a/libs/entry/src/rattanmill_entry/lifecycle.py
+++ b/libs/entry/src/rattanmill_entry/lifecycle.py
@@ -99,7 +99,7 @@
     """Returns the parent a body names; empty if it names none or is broken."""
     try:
         return msgspec.json.decode(body, type=_Parent).parent
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return ""
 
 
@@ -108,7 +108,7 @@
 ) -> ProgramCreated | Refusal:
     try:
         body = msgspec.json.decode(start.body, type=CreateBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return refuse(Reason.BAD_REQUEST, str(error))
     name = body.klass or node.config.default_class
     klass = node.config.classes.get(name)
@@ -130,6 +130,9 @@
             return refuse(Reason.UNKNOWN_PROGRAM, "There is no such parent.")
         if parent.ended is not None:
             return refuse(Reason.PROGRAM_ENDED, "The parent has ended.")
+        if start.workspace not in ("", parent.made.workspace):
+            detail = "The parent belongs to another workspace."
+            return refuse(Reason.FOREIGN_PROGRAM, detail)
         if start.workspace and parent.made.workspace != start.workspace:
             detail = "The parent belongs to another workspace."
             return refuse(Reason.FOREIGN_PROGRAM, detail)
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp import web
 
 from rattanmill_core import ConfigDocument, Metrics, Settings
 from rattanmill_platform import (
@@ -79,6 +80,7 @@
         self.leaving: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
+        self.busy_connections: set[web.RequestHandler] = set()
 
     def link(self, record: InstanceRecord) -> Peer:
         """Returns the link to another instance."""
