--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp import web
 
 from rattanmill_core import ConfigDocument, Metrics, Settings
 from rattanmill_platform import (
@@ -51,6 +52,7 @@
         gone_since: Loop time since which an instance seems gone, by name.
         heard: What each other instance last said, by name.
         draining: Whether the daemon is shutting down.
+        leaving: Incarnations that have said they are shutting down.
     """
 
     settings: Settings
@@ -79,8 +81,10 @@
         self.gone_since: dict[str, float] = {}
         self.heard: dict[str, Heard] = {}
         self.draining = False
+        self.leaving: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
+        self.busy_connections: set[web.RequestHandler] = set()
 
     def link(self, record: InstanceRecord) -> Peer:
         """Returns the link to another instance."""
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -46,6 +46,9 @@
         fencing: Whether orders with an old fencing number are refused.
         over_report_tokens: Added to the usage it reports.
         lose_releases: So many further release orders are lost.
+        lose_streams: Whether streams are cut at their very end and can't be
+            resumed.
+        variant: Added to each token, as another sampling would differ.
     """
 
     crash_marker: str = ""
@@ -59,6 +62,8 @@
     fencing: bool = False
     over_report_tokens: int = 0
     lose_releases: int = 0
+    lose_streams: bool = False
+    variant: str = ""
 
 
 class Options(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -248,7 +253,8 @@
         wanted = body.get("standin", {}).get("output_tokens")
         most = body.get("max_tokens") or 64
         count = min(most, wanted or 1 + int(seed[:4] or "0", 16) % 16)
-        return [f"{seed[:6]}-{i} " for i in range(count)]
+        variant = self.faults.variant
+        return [f"{seed[:6]}{variant}-{i} " for i in range(count)]
 
     async def _answer(
         self, request: web.Request, sequence: Sequence, body: dict
@@ -294,7 +300,7 @@
                 break
             sequence.more.clear()
             await sequence.more.wait()
-        if sequence.cancelled:
+        if sequence.cancelled or self.faults.lose_streams:
             await drop(request)
         await answer.write(self._event(sequence, model, {}, "stop"))
         await answer.write(self._usage(sequence, model))
@@ -360,7 +366,9 @@
                 prefill -= step
                 sequence.prefill_left -= step
                 continue
+            before = int(sequence.made)
             sequence.made = min(sequence.made + decode, len(sequence.output))
+            self.stats["made_tokens"] += int(sequence.made) - before
             sequence.more.set()
         self.running = [
             s for s in self.running if not s.finished and not s.cancelled
@@ -398,7 +406,8 @@
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Answers ``GET /v1/streams/ID?from=TOKENS``."""
         sequence = self.known.get(request.match_info["id"])
-        if sequence is None or sequence.cancelled:
+        lost = sequence is None or sequence.cancelled
+        if lost or self.faults.lose_streams:
             return web.json_response({"error": "no such stream"}, status=404)
         self.stats["resumed"] += 1
         answer = web.StreamResponse(
--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -23,7 +23,7 @@
 from support.waiting import wait_until
 
 ALBA = ("alba-east", "alba-west", "alba-north")
-_PORTS = (10_000, 30_000)
+_PORTS = (12_000, 32_000)
 CR_CENTRAL = ("sanjose-a", "heredia-b", "alajuela-c")
 
 
@@ -173,11 +173,10 @@
         # the start of its process, which then fails to listen.
         while True:
             port = random.randrange(*_PORTS)
-            with socket.socket() as probe:
-                taken = probe.connect_ex((host, port)) == 0
-            if not taken and (host, port) not in self.used_ports:
-                self.used_ports.add((host, port))
-                return f"{host}:{port}"
+            if (host, port) in self.used_ports or not _is_free(host, port):
+                continue
+            self.used_ports.add((host, port))
+            return f"{host}:{port}"
 
     def start_standin(
         self, name: str, host: str, module: str, *arguments: str
@@ -345,6 +344,15 @@
             self.standins[f"relay-{domain}"].faults(cut_sources=[])
 
 
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 def random_text(size: int = 12) -> str:
     """Returns text that no other test uses."""
     return secrets.token_hex(size)
