--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -159,7 +159,7 @@
     node.addresses.update(node.live.instances)
     node.lease.peers_known = sum(
         1
-        for record in node.addresses.values()
+        for record in node.live.instances.values()
         if record.domain == node.settings.domain
         and record.name != node.settings.name
     )
--- a/libs/entry/src/rattanmill_entry/route.py
+++ b/libs/entry/src/rattanmill_entry/route.py
@@ -118,11 +118,23 @@
     own = [shard for name, shard in node.shards if name == domain]
     if own:
         return f"{domain}.{random.choice(own)}.{LOOSE_TOKEN}"
-    plan = node.config.domains.get(domain)
-    count = plan.shards if plan else 1
+    count = shard_count(node, domain)
     return f"{domain}.{random.randrange(count)}.{LOOSE_TOKEN}"
 
 
+def shard_count(node: Node, domain: str) -> int:
+    """Returns the number of a failure domain's shards.
+
+    It is fixed once the domain has owners; a configuration that names another
+    number later changes nothing.
+    """
+    owners = node.live.shards.get(domain)
+    if owners and owners.shards:
+        return len(owners.shards)
+    plan = node.config.domains.get(domain)
+    return plan.shards if plan else 1
+
+
 def act_shard(node: Node, workspace: str, key: str) -> str:
     """Returns the shard of an act that belongs to no program.
 
@@ -134,7 +146,7 @@
     shards = [
         (domain, shard)
         for domain in sorted(node.config.domains)
-        for shard in range(node.config.domains[domain].shards)
+        for shard in range(shard_count(node, domain))
     ]
     domain, shard = shards[number % len(shards)]
     return f"{domain}.{shard}.{LOOSE_TOKEN}"
--- a/libs/platform/src/rattanmill_platform/kv.py
+++ b/libs/platform/src/rattanmill_platform/kv.py
@@ -8,13 +8,16 @@
 import asyncio
 import base64
 import random
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 
 from rattanmill_core import Metrics
 
+_T = TypeVar("_T")
 _CALL_SECONDS = 2.0
+_LIST_SECONDS = 10.0
 _BREAKER_FAILURES = 3
 _BREAKER_LEAST_SECONDS = 0.2
 _BREAKER_MOST_SECONDS = 2.0
@@ -147,10 +150,10 @@
     async def list(self, prefix: str) -> Range | Unavailable:
         """Reads all keys under a prefix."""
         path = f"/range?prefix={prefix}"
-        status, body, _ = await self._call("GET", path)
-        if status != 200:
+        status, body, _ = await self._call("GET", path, timeout=_LIST_SECONDS)
+        wire = _decode(body, _WireRange) if status == 200 else None
+        if wire is None:
             return _unavailable(status, body)
-        wire = msgspec.json.decode(body, type=_WireRange)
         entries = [
             Entry(e.key, base64.b64decode(e.value or ""), e.revision)
             for e in wire.entries
@@ -206,14 +209,15 @@
 
     async def grant(self, seconds: float) -> str | Unavailable:
         """Creates a lease and returns its id."""
-        status, body, _ = await self._call("POST", f"/leases?ttl={seconds}")
-        if status != 200:
-            return _unavailable(status, body)
-        return msgspec.json.decode(body, type=_WireLease).lease
+        path = f"/leases?ttl={seconds}"
+        status, body, _ = await self._call("POST", path, try_always=True)
+        wire = _decode(body, _WireLease) if status == 200 else None
+        return wire.lease if wire else _unavailable(status, body)
 
     async def renew(self, lease: str) -> bool | Unavailable:
         """Renews a lease; False if it has lapsed."""
-        status, body, _ = await self._call("POST", f"/leases/{lease}/renew")
+        path = f"/leases/{lease}/renew"
+        status, body, _ = await self._call("POST", path, try_always=True)
         if status in (200, 404):
             return status == 200
         return _unavailable(status, body)
@@ -230,9 +234,9 @@
         status, body, _ = await self._call(
             "GET", path, timeout=seconds + _CALL_SECONDS
         )
-        if status != 200:
+        wire = _decode(body, _WireRange) if status == 200 else None
+        if wire is None:
             return _unavailable(status, body)
-        wire = msgspec.json.decode(body, type=_WireRange)
         changes = [
             (e.key, None if e.value is None else base64.b64decode(e.value))
             for e in wire.entries
@@ -245,10 +249,16 @@
         path: str,
         data: bytes | None = None,
         timeout: float = _CALL_SECONDS,
+        try_always: bool = False,
     ) -> tuple[int, bytes, int]:
-        """Returns status (0: no answer), body or reason, and revision."""
+        """Returns status (0: no answer), body or reason, and revision.
+
+        Renewals are tried even while the breaker is open: a few refused
+        writes would otherwise cost the instance its lease. They are few, and
+        the first one answered closes the breaker.
+        """
         kind = f"{method} {path.split('?')[0].split('/')[1]}"
-        if self.breaker.is_open():
+        if self.breaker.is_open() and not try_always:
             return 0, b"circuit open", 0
         self.metrics.count("rattanmill_kv_calls", kind=kind)
         try:
@@ -270,5 +280,17 @@
             return 0, str(error or "time-out").encode(), 0
 
 
+def _decode(body: bytes, kind: type[_T]) -> _T | None:
+    """Returns an answer's body; None if it is not what was promised.
+
+    A broken answer counts as none. Raised, the error would end the task that
+    follows the service, and the instance would go on deaf.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 def _unavailable(status: int, body: bytes) -> Unavailable:
     return Unavailable(f"{status} {body[:200].decode(errors='replace')}")
--- a/libs/platform/src/rattanmill_platform/lease.py
+++ b/libs/platform/src/rattanmill_platform/lease.py
@@ -1,19 +1,25 @@
 """The lease of this instance and the question whether it may act alone.
 
 An instance may do what needs exclusivity (run a turn, spend budget, do an
-act) while it holds. It holds as long as it has not been paused and either its
-lease is valid by its own monotonic clock, or the key-value service is silent
-and a peer of its failure domain (if it has any) was heard from.
+act) while it holds. It holds as long as nothing has interrupted it and either
+its lease is valid by its own clock, or the key-value service is silent and a
+peer of its failure domain (if it has any) was heard from.
 
 Takeover needs the service's word that the lease has lapsed and, from the
 taker, silence on the peer link for ``silence_seconds``. Inside a failure
 domain the network is one; a running instance is heard there, so a taker can
 only follow a dead or paused instance. See docs/design/state.md.
+
+A pause, or a moment in which it did not hold, interrupts the instance: its
+shards may have been taken meanwhile. A new lease alone says nothing about
+them, so it holds again only after ``confirm``, when the owners were read and
+written anew (see ``Ownership``).
 """
 
 import asyncio
 import contextlib
 import random
+import time
 from typing import Self
 
 from rattanmill_core import new_id, part_logger
@@ -21,6 +27,7 @@
 
 _log = part_logger("lease")
 _RENEWALS_PER_LEASE = 4
+_RENEWALS_AT_ONCE = 8
 # Clocks of instance and service may run at slightly different speeds.
 _CLOCK_ERROR_SHARE = 0.1
 
@@ -28,6 +35,14 @@
 class InstanceLease:
     """Keeps the instance's lease and its record alive.
 
+    Attributes:
+        interrupted: Whether ownership must be confirmed before acting.
+        interruptions: How often that came to be; names one interruption.
+        resumed_at: Loop time at which the last pause was noticed. What a
+            paused instance heard, or did not hear, means nothing: silence is
+            counted from here at the earliest.
+        peers_known: Other instances of the domain, by the service's last word.
+
     Args:
         kv: Client of the key-value service.
         key: Key of the instance's record.
@@ -45,11 +60,14 @@
         self.lease = ""
         self.valid_until = 0.0
         self.last_tick = 0.0
-        self.paused = True
+        self.interrupted = True
+        self.interruptions = 0
         self.resumed_at = _now()
         self.service_silent = False
         self.peers_known = 0
         self.peer_heard = 0.0
+        self.acquiring = asyncio.Lock()
+        self.renewals: set[asyncio.Task] = set()
         self.tasks: list[asyncio.Task] = []
 
     @property
@@ -62,16 +80,34 @@
         """Silence on the peer link that a takeover needs."""
         return self.seconds * 2 / 3
 
-    # What a paused instance heard, or did not hear, meanwhile means nothing:
-    # silence is counted from ``resumed_at`` at the earliest.
-
     def holds(self) -> bool:
         """Whether this instance may do what needs exclusivity, right now."""
-        now = _now()
+        return not self.interrupted and self._is_exclusive()
+
+    def uninterrupted(self) -> bool:
+        """Whether it has owned what it owns without a break until now."""
+        return not self.interrupted and not self._was_paused()
+
+    def valid(self) -> bool:
+        """Whether the service's word is that the lease is alive."""
+        return not self._was_paused() and _now() < self.valid_until
+
+    def outage(self) -> bool:
+        """Whether it holds without the service's word."""
+        return self.holds() and _now() >= self.valid_until
+
+    def confirm(self, interruption: int) -> bool:
+        """Ends an interruption, unless another one began meanwhile."""
+        if interruption == self.interruptions and self.valid():
+            self.interrupted = False
+        return not self.interrupted
+
+    def _is_exclusive(self) -> bool:
         # A stopped process wakes up here before its tick task runs, and its
         # lease may have gone to another meanwhile: the gap betrays the pause.
-        if self.paused or now - self.last_tick > self.pause_bound:
+        if self._was_paused():
             return False
+        now = _now()
         if now < self.valid_until:
             return True
         if not self.service_silent:
@@ -79,12 +115,16 @@
         heard = now - self.peer_heard < self.silence_seconds
         return self.peers_known == 0 or heard
 
-    def outage(self) -> bool:
-        """Whether it holds without the service's word."""
-        return self.holds() and _now() >= self.valid_until
+    def _was_paused(self) -> bool:
+        return _clock() - self.last_tick > self.pause_bound
+
+    def _interrupt(self) -> None:
+        self.interrupted = True
+        self.interruptions += 1
 
     async def __aenter__(self) -> Self:
-        await self._acquire()
+        self.last_tick = _clock()
+        await self._acquire(self.lease)
         self.tasks = [
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._renew_for_ever()),
@@ -92,7 +132,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        for task in self.tasks:
+        for task in (*self.tasks, *self.renewals):
             task.cancel()
         if self.lease:
             with contextlib.suppress(asyncio.CancelledError):
@@ -100,44 +140,59 @@
 
     async def _tick(self) -> None:
         while True:
-            now = _now()
-            if self.last_tick and now - self.last_tick > self.pause_bound:
-                self.paused = True
-                self.resumed_at = now
+            if self._was_paused():
+                _log.warning("Paused {:.2f} s.", _clock() - self.last_tick)
+                self.resumed_at = _now()
                 self.valid_until = 0.0
-                _log.warning("Paused {:.2f} s.", now - self.last_tick)
-            self.last_tick = now
+                self._interrupt()
+            elif not self.interrupted and not self._is_exclusive():
+                _log.warning("Does not hold its shards any more.")
+                self._interrupt()
+            self.last_tick = _clock()
             await asyncio.sleep(self.pause_bound / 4)
 
     async def _renew_for_ever(self) -> None:
+        """Renews in time, whether or not the renewal before was answered.
+
+        If each renewal waited for the one before, a service that takes a
+        second for an answer would let a lease of three seconds lapse.
+        """
         pause = self.seconds / _RENEWALS_PER_LEASE
         while True:
             await asyncio.sleep(random.uniform(pause * 0.8, pause))
-            await self._renew()
+            if len(self.renewals) < _RENEWALS_AT_ONCE:
+                task = asyncio.create_task(self._renew())
+                self.renewals.add(task)
+                task.add_done_callback(self.renewals.discard)
 
     async def _renew(self) -> None:
         asked = _now()
-        renewed = await self.kv.renew(self.lease) if self.lease else False
+        lease = self.lease
+        renewed = await self.kv.renew(lease) if lease else False
         if renewed is True:
             self._extend(asked)
         elif isinstance(renewed, Unavailable):
             self._note_silence(renewed.why)
         else:
-            await self._acquire()
-
-    async def _acquire(self) -> None:
-        asked = _now()
-        lease = await self.kv.grant(self.seconds)
-        if isinstance(lease, Unavailable):
-            self._note_silence(lease.why)
-            return
-        outcome = await self._write_record(lease)
-        if isinstance(outcome, Written):
-            self.lease = lease
-            self._extend(asked)
-            _log.info("Lease acquired.")
-        else:
-            self._note_silence(str(outcome))
+            await self._acquire(lease)
+
+    async def _acquire(self, lapsed: str) -> None:
+        """Gets a new lease in place of ``lapsed``, once."""
+        async with self.acquiring:
+            if self.lease != lapsed:
+                return
+            asked = _now()
+            lease = await self.kv.grant(self.seconds)
+            if isinstance(lease, Unavailable):
+                self._note_silence(lease.why)
+                return
+            outcome = await self._write_record(lease)
+            if isinstance(outcome, Written):
+                self.lease = lease
+                self._extend(asked)
+                _log.info("Lease acquired.")
+            else:
+                self._note_silence(str(outcome))
 
     async def _write_record(
         self, lease: str
@@ -151,8 +206,10 @@
         return outcome
 
     def _extend(self, asked: float) -> None:
-        self.valid_until = asked + self.seconds * (1 - _CLOCK_ERROR_SHARE)
-        self.paused = False
+        if not self.interrupted and not self._is_exclusive():
+            self._interrupt()
+        until = asked + self.seconds * (1 - _CLOCK_ERROR_SHARE)
+        self.valid_until = max(self.valid_until, until)
         self.service_silent = False
 
     def _note_silence(self, why: str) -> None:
@@ -168,3 +225,8 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
+
+
+def _clock() -> float:
+    """Returns seconds of a clock that also runs while a machine is asleep."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/platform/src/rattanmill_platform/live.py
+++ b/libs/platform/src/rattanmill_platform/live.py
@@ -43,11 +43,20 @@
 
 
 class ShardOwner(msgspec.Struct, frozen=True):
-    """Owner of a shard; ``epoch`` grows with each change of owner."""
+    """Owner of a shard.
+
+    Attributes:
+        owner: Name of the instance, or empty.
+        incarnation: Its random id.
+        epoch: Grows with each change of owner.
+        peer: Its address for instances of the same domain. Whoever finds its
+            own record gone can still ask it whether it lives.
+    """
 
     owner: str
     incarnation: str
     epoch: int
+    peer: str = ""
 
 
 class DomainShards(msgspec.Struct, frozen=True):
--- a/libs/programs/src/rattanmill_programs/program.py
+++ b/libs/programs/src/rattanmill_programs/program.py
@@ -14,6 +14,7 @@
     EpochOpened,
     ProgramCreated,
     ProgramEnded,
+    ProgramRestored,
     Record,
     TurnKept,
 )
@@ -55,6 +56,8 @@
         transcript: JSON of each message of the conversation so far.
         spent: Tokens spent, including those given to sub-agents.
         reserved: Tokens that may be spent without a further commit.
+        promised: Tokens of reservations that may yet be committed; another
+            program must not be given them.
         acts: Non-idempotent calls by key.
         ended: Seconds since the epoch, or None.
         lock: Held while a turn runs, so that turns run in order.
@@ -66,6 +69,7 @@
         "ended",
         "lock",
         "made",
+        "promised",
         "reserved",
         "spent",
         "transcript",
@@ -79,6 +83,7 @@
         self.transcript: list[bytes] = []
         self.spent = 0
         self.reserved = 0
+        self.promised = 0
         self.acts: dict[str, Act] = {}
         self.ended: float | None = None
         self.lock = asyncio.Lock()
@@ -99,7 +104,13 @@
     @property
     def tokens_unreserved(self) -> int:
         """Tokens that nothing has been promised."""
-        return self.made.tokens - max(self.spent, self.reserved)
+        return self.made.tokens - max(self.spent, self.reserved, self.promised)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of it is under way."""
+        running = any(act.running is not None for act in self.acts.values())
+        return not self.waiting and not running
 
 
 # Last part of the id under which a shard keeps acts that have no program.
@@ -128,6 +139,8 @@
         _open_epoch(programs)
     elif isinstance(record, ProgramCreated):
         _create(programs, record)
+    elif isinstance(record, ProgramRestored):
+        programs[record.program] = _restore(record)
     else:
         program = programs.get(record.program)
         if program is None and record.program.endswith(f".{LOOSE_TOKEN}"):
@@ -155,6 +168,34 @@
         # that was reserved for it.
         parent.spent += record.tokens
         parent.reserved += record.tokens
+        if parent.promised:
+            parent.promised += record.tokens
+
+
+def _restore(record: ProgramRestored) -> Program:
+    program = Program(record.made)
+    program.spent = record.spent
+    program.reserved = record.reserved
+    program.ended = record.ended
+    return program
+
+
+def snapshot(program: Program, epoch: int) -> list[Record]:
+    """Returns records that rebuild a program as it is now."""
+    restored = ProgramRestored(
+        program.made,
+        program.spent,
+        max(program.reserved, program.promised),
+        program.ended,
+    )
+    turns = [turn.record for turn in program.turns]
+    name = program.made.program
+    acts: list[Record] = []
+    for act in program.acts.values():
+        acts.append(ActIntended(name, act.key, act.digest, epoch))
+        if act.settled:
+            acts.append(act.settled)
+    return [restored, *turns, *acts]
 
 
 def _change(
@@ -162,7 +203,9 @@
 ) -> None:
     match record:
         case BudgetReserved():
-            program.reserved = max(program.reserved, record.tokens)
+            program.reserved = max(
+                program.reserved, record.tokens, program.promised
+            )
         case TurnKept():
             _keep_turn(program, record)
         case ActIntended():
@@ -200,6 +243,7 @@
         left = max(0, program.tokens_left)
         parent.spent -= left
         parent.reserved -= left
+        parent.promised = max(0, parent.promised - left)
 
 
 def is_unknown(act: Act) -> bool:
--- a/libs/programs/src/rattanmill_programs/records.py
+++ b/libs/programs/src/rattanmill_programs/records.py
@@ -117,6 +117,30 @@
     ended: float
 
 
+class ProgramRestored(msgspec.Struct, tag=9, frozen=True):
+    """A program as it stood when the log was compacted.
+
+    Its turns and acts follow as records of their own. Whatever stood in the
+    log about the program before this record is contained in it.
+
+    Attributes:
+        made: The record that made it.
+        spent: Tokens spent.
+        reserved: Tokens reserved, or that may have been.
+        ended: Seconds since the epoch, or None.
+    """
+
+    made: ProgramCreated
+    spent: int
+    reserved: int
+    ended: float | None
+
+    @property
+    def program(self) -> str:
+        """Program id."""
+        return self.made.program
+
+
 Record = (
     EpochOpened
     | ProgramCreated
@@ -126,10 +150,11 @@
     | ActSettled
     | ActWithdrawn
     | ProgramEnded
+    | ProgramRestored
 )
 
 
-class Segment(msgspec.Struct, frozen=True):
+class Segment(msgspec.Struct, tag="segment", frozen=True):
     """Records committed together in one value of the key-value service.
 
     Attributes:
@@ -143,8 +168,30 @@
     records: list[Record]
 
 
+class Piece(msgspec.Struct, tag="piece", frozen=True):
+    """Part of a segment that is too large for one value.
+
+    A segment counts only when all its pieces stand in slots that follow each
+    other; one whose writer died between them was never told as kept.
+
+    Attributes:
+        id: Unique id of the whole segment, the same in each piece.
+        epoch: Epoch of the owner that wrote it.
+        index: Number of the piece, from 0.
+        count: Number of pieces.
+        data: Part of the segment's bytes.
+    """
+
+    id: str
+    epoch: int
+    index: int
+    count: int
+    data: bytes
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Segment)
+_VALUE_DECODER = msgspec.msgpack.Decoder(Segment | Piece)
 
 
 def encode_segment(segment: Segment) -> bytes:
@@ -159,3 +206,33 @@
         msgspec.DecodeError: The bytes are not a segment.
     """
     return _DECODER.decode(data)
+
+
+def decode_value(data: bytes) -> Segment | Piece:
+    """Returns what one slot of a log holds.
+
+    Raises:
+        msgspec.DecodeError: The bytes are neither.
+    """
+    return _VALUE_DECODER.decode(data)
+
+
+def encode_values(segment: Segment, most_bytes: int) -> list[bytes]:
+    """Returns a segment as values of the key-value service, one a slot.
+
+    Args:
+        segment: What to write.
+        most_bytes: Longest value, apart from what frames a piece.
+    """
+    data = encode_segment(segment)
+    if len(data) <= most_bytes:
+        return [data]
+    parts = [
+        data[at : at + most_bytes] for at in range(0, len(data), most_bytes)
+    ]
+    return [
+        _ENCODER.encode(
+            Piece(segment.id, segment.epoch, index, len(parts), part)
+        )
+        for index, part in enumerate(parts)
+    ]
--- a/libs/programs/src/rattanmill_programs/shard.py
+++ b/libs/programs/src/rattanmill_programs/shard.py
@@ -10,13 +10,9 @@
     apply,
     loose_program,
 )
-from rattanmill_programs.records import Record
-from rattanmill_programs.shardlog import (
-    Appended,
-    Committed,
-    Fenced,
-    ShardLog,
-)
+from rattanmill_programs.records import BudgetReserved, Record
+from rattanmill_programs.recovery import Fenced
+from rattanmill_programs.shardlog import Appended, Committed, ShardLog
 
 
 class Shard:
@@ -28,6 +24,7 @@
         epoch: Fencing number of this ownership.
         programs: Programs by id.
         log: The shard's log.
+        active: Calls under way.
     """
 
     def __init__(
@@ -67,9 +64,13 @@
             if not self.active:
                 self.quiet.set()
 
-    async def drain(self) -> None:
-        """Waits until no call of this shard is under way."""
-        await self.quiet.wait()
+    async def drain(self, seconds: float) -> bool:
+        """Waits until no call of this shard is under way; False if too long."""
+        try:
+            await asyncio.wait_for(self.quiet.wait(), seconds)
+        except TimeoutError:
+            return False
+        return True
 
     async def keep(self, *records: Record) -> Appended:
         """Applies records to memory and commits them.
@@ -89,8 +90,13 @@
 
         For what must not be acted on while it may still be lost, such as a
         reservation. The log goes on trying after ``Deferred``; its taking
-        effect later only makes the next owner more careful.
+        effect later only makes the next owner more careful. Until it is
+        known, what was to be reserved counts as promised.
         """
+        for record in records:
+            if isinstance(record, BudgetReserved):
+                program = self.programs[record.program]
+                program.promised = max(program.promised, record.tokens)
         appended = await self.log.append(*records)
         if isinstance(appended, Committed):
             for record in records:
--- a/libs/programs/src/rattanmill_programs/shardlog.py
+++ b/libs/programs/src/rattanmill_programs/shardlog.py
@@ -18,23 +18,22 @@
     Conflict,
     Found,
     KvClient,
-    Range,
+    Missing,
     Unavailable,
-    Written,
 )
-from rattanmill_programs.program import Program, apply
 from rattanmill_programs.records import (
-    EpochOpened,
     Record,
     Segment,
-    decode_segment,
-    encode_segment,
+    decode_value,
+    encode_values,
 )
+from rattanmill_programs.recovery import Fenced, Recovered, slot_key
 
 _log = part_logger("log")
 _SEGMENT_BYTES = 900_000
 _COMMIT_SECONDS = 1.0
 _RETRY_SECONDS = 0.1
+_DOUBT_SECONDS = 0.05
 
 
 class Committed(msgspec.Struct, frozen=True):
@@ -45,10 +44,6 @@
     """The service does not answer; the log goes on trying."""
 
 
-class Fenced(msgspec.Struct, frozen=True):
-    """Another instance owns the shard; the records are not kept."""
-
-
 Appended = Committed | Deferred | Fenced
 
 
@@ -58,90 +53,21 @@
     done: asyncio.Future
 
 
-class Recovered(msgspec.Struct, frozen=True):
-    """A shard's programs and the slot after its last segment."""
-
-    programs: dict[str, Program]
-    next_slot: int
-
-
-def log_prefix(domain: str, shard: int) -> str:
-    """Prefix of the keys of a shard's segments."""
-    return f"rm/log/{domain}/{shard}/"
-
-
-def slot_key(domain: str, shard: int, slot: int) -> str:
-    """Key of one segment; sorts by slot."""
-    return f"{log_prefix(domain, shard)}{slot:010d}"
-
-
-async def recover(
-    kv: KvClient, domain: str, shard: int, epoch: int, owner: str
-) -> Recovered | Unavailable | Fenced:
-    """Opens an epoch and rebuilds the shard's programs from its log.
-
-    Returns:
-        The programs; ``Fenced`` if a higher epoch was opened meanwhile.
-    """
-    listed = await kv.list(log_prefix(domain, shard))
-    if isinstance(listed, Unavailable):
-        return listed
-    next_slot = _after(listed)
-    opening = Segment(new_id(), epoch, [EpochOpened(epoch, owner)])
-    value = encode_segment(opening)
-    while True:
-        key = slot_key(domain, shard, next_slot)
-        outcome = await kv.create_unique(key, value)
-        if isinstance(outcome, Written):
-            break
-        if isinstance(outcome, Unavailable):
-            return outcome
-        next_slot += 1
-    listed = await kv.list(log_prefix(domain, shard))
-    if isinstance(listed, Unavailable):
-        return listed
-    programs = replay(listed, epoch)
-    if isinstance(programs, Fenced):
-        return programs
-    return Recovered(programs, next_slot + 1)
-
-
-def _after(listed: Range) -> int:
-    if not listed.entries:
-        return 0
-    return int(listed.entries[-1].key.rsplit("/", 1)[-1]) + 1
-
-
-def replay(listed: Range, epoch: int) -> dict[str, Program] | Fenced:
-    """Rebuilds programs from a shard's segments.
-
-    A segment whose epoch is lower than one before it was written by an owner
-    that had been replaced already; nobody was told that it was kept.
-    """
-    programs: dict[str, Program] = {}
-    highest = 0
-    for entry in listed.entries:
-        segment = decode_segment(entry.value)
-        if segment.epoch > epoch:
-            return Fenced()
-        if segment.epoch < highest:
-            continue
-        highest = segment.epoch
-        for record in segment.records:
-            apply(programs, record)
-    return programs
-
-
 class ShardLog:
     """Appends records to a shard's log, many appends to one write.
 
+    Attributes:
+        fenced: Whether another owner was found, or the log was stopped.
+        size: Bytes in the log from its start on.
+
     Args:
         kv: Client of the key-value service.
         domain: Failure domain of the shard.
         shard: Shard number.
         epoch: Epoch of this owner.
-        next_slot: First free slot.
+        recovered: Where the log stands.
         on_fenced: Called once when another owner is found.
+        is_sure: Whether this instance has owned the shard without a break.
     """
 
     def __init__(
@@ -150,16 +76,23 @@
         domain: str,
         shard: int,
         epoch: int,
-        next_slot: int,
+        recovered: Recovered,
         on_fenced: Callable[[], None],
+        is_sure: Callable[[], bool] = lambda: True,
     ) -> None:
         self.kv = kv
         self.domain = domain
         self.shard = shard
         self.epoch = epoch
-        self.next_slot = next_slot
+        self.start = recovered.start
+        self.start_revision = recovered.start_revision
+        self.next_slot = recovered.next_slot
+        self.size = recovered.size
         self.on_fenced = on_fenced
+        self.is_sure = is_sure
         self.pending: list[_Batch] = []
+        self.pending_bytes = 0
+        self.writing: list[_Batch] = []
         self.wake = asyncio.Event()
         self.idle = asyncio.Event()
         self.idle.set()
@@ -174,6 +107,7 @@
             return done
         size = len(msgspec.msgpack.encode(records))
         self.pending.append(_Batch(list(records), size, done))
+        self.pending_bytes += size
         self.idle.clear()
         self.wake.set()
         return done
@@ -186,22 +120,32 @@
         finished, _ = await asyncio.wait([done], timeout=wait)
         return done.result() if finished else Deferred()
 
-    async def close(self, seconds: float) -> bool:
-        """Stops the log; False if records were still waiting by then."""
+    async def flush(self, seconds: float) -> bool:
+        """Waits until all is written; False if it is not by then."""
         try:
             await asyncio.wait_for(self.idle.wait(), seconds)
         except TimeoutError:
-            pass
+            return False
+        return not self.fenced
+
+    def stop(self) -> None:
+        """Ends the log; whoever still appends finds it fenced.
+
+        Without that, a turn that ends after its shard was lost would wait
+        for a commit that never comes, be told that it is merely late, and
+        its caller would get a receipt from an instance that owns nothing.
+        """
         self.task.cancel()
-        return self.idle.is_set()
+        self._end()
 
     async def _write_for_ever(self) -> None:
         while not self.fenced:
             await self.wake.wait()
             self.wake.clear()
             while self.pending and not self.fenced:
-                batches = self._take_batches()
-                await self._write(batches)
+                self.writing = self._take_batches()
+                await self._write(self.writing)
+                self.writing = []
             if not self.pending:
                 self.idle.set()
 
@@ -218,7 +162,18 @@
 
     async def _write(self, batches: list[_Batch]) -> None:
         records = [record for batch in batches for record in batch.records]
-        value = encode_segment(Segment(new_id(), self.epoch, records))
+        segment = Segment(new_id(), self.epoch, records)
+        for value in encode_values(segment, _SEGMENT_BYTES):
+            if not await self._fill_slot(value, batches):
+                return
+        await self._until_sure()
+        for batch in batches:
+            self.pending_bytes -= batch.size
+            if not batch.done.done():
+                batch.done.set_result(Committed())
+
+    async def _fill_slot(self, value: bytes, batches: list[_Batch]) -> bool:
+        """Writes the next slot; False if somebody else's value is there."""
         key = slot_key(self.domain, self.shard, self.next_slot)
         while True:
             outcome = await self.kv.create_unique(key, value)
@@ -229,10 +184,19 @@
         self.next_slot += 1
         if isinstance(outcome, Conflict):
             await self._meet_conflict(key, batches)
-            return
-        for batch in batches:
-            if not batch.done.done():
-                batch.done.set_result(Committed())
+            return False
+        self.size += len(value)
+        return True
+
+    async def _until_sure(self) -> None:
+        """Waits until it is certain that the slot was ours to fill.
+
+        After a pause the shard may have had another owner, who compacted the
+        log: the slot that we were about to write was deleted, and our write
+        succeeds although nobody will ever read it.
+        """
+        while not self.is_sure() and not self.fenced:  # noqa: ASYNC110
+            await asyncio.sleep(_DOUBT_SECONDS)
 
     async def _meet_conflict(self, key: str, batches: list[_Batch]) -> None:
         """Stops for a newer owner, and passes over an older one's segment.
@@ -243,20 +207,30 @@
         """
         while True:
             found = await self.kv.read(key)
-            if isinstance(found, Found):
+            if not isinstance(found, Unavailable):
                 break
             await asyncio.sleep(_RETRY_SECONDS)
-        if decode_segment(found.entry.value).epoch > self.epoch:
-            self._stop_fenced(batches)
+        if isinstance(found, Missing) or _epoch(found) > self.epoch:
+            self._end()
+            _log.warning("Shard {}.{} has another owner.", *self.name)
+            self.on_fenced()
         else:
             self.pending[:0] = batches
 
-    def _stop_fenced(self, batches: list[_Batch]) -> None:
+    @property
+    def name(self) -> tuple[str, int]:
+        """Failure domain and number of the shard."""
+        return self.domain, self.shard
+
+    def _end(self) -> None:
         self.fenced = True
-        for batch in [*batches, *self.pending]:
+        for batch in [*self.writing, *self.pending]:
             if not batch.done.done():
                 batch.done.set_result(Fenced())
         self.pending.clear()
+        self.pending_bytes = 0
         self.idle.set()
-        _log.warning("Shard {}.{} has another owner.", self.domain, self.shard)
-        self.on_fenced()
+
+
+def _epoch(found: Found) -> int:
+    return decode_value(found.entry.value).epoch
