--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -9,6 +9,7 @@
 def before_feature(context, feature):
     context.feature_stack = contextlib.ExitStack()
     context.system = None
+    context.feature_systems = []
 
 
 def after_feature(context, feature):
