--- a/tests/features/steps/state.py
+++ b/tests/features/steps/state.py
@@ -95,6 +95,16 @@
 @given("a new program of failure domain {domain:d}")
 def step_program_in(context, domain):
     instance = context.system.in_domain(domain)[0]
+    wait_until(
+        lambda: (status(instance) or {}).get("lease") == "held",
+        "the instance has a lease",
+    )
+    wait_until(
+        lambda: (
+            instance.client.request("POST", "/v1/programs", {}).status == 201
+        ),
+        "programs can be kept",
+    )
     context.program = instance.client.create(workspace="leith")
     context.answers = {}
     context.receipts = []
