--- a/tests/features/order.feature
+++ b/tests/features/order.feature
@@ -90,3 +90,17 @@
       | the service       |
       | the other domains |
       | everything        |
+
+  Scenario: An engine takes long for a call that came through another domain
+    Instances of different domains seldom hear each other. The one that the
+    caller reached must not take a slow engine for a dead owner: it would send
+    the turn again, or give the caller an error for a turn that is kept.
+
+    Given a system of three failure domains
+    And a program whose first turn is kept
+    And the engine makes no progress
+    When turn 2 "Shorter." is under way through another domain
+    And 3 lease times pass
+    And the engine goes on
+    Then the call under way gets the kept answer of turn 2
+    And the engine ran 1 more call
--- /dev/null
+++ b/tests/features/steps/history.py
@@ -0,0 +1,150 @@
+"""Steps about what is kept of a program's turns."""
+
+import base64
+
+from behave import given, then, when
+from steps.state import (
+    background,
+    engine,
+    kv_faults,
+    living,
+    shard_of,
+)
+
+from rattanmill_programs.records import Segment, TurnKept, encode_segment
+from support import wait_until
+
+
+@given("no receipts so far")
+def step_no_receipts(context):
+    context.receipts = []
+
+
+@when('turn {turn:d} "{text}" is sent with the receipts')
+def step_with_receipts(context, turn, text):
+    context.answer = living(context)[-1].chat(
+        text, context.program, turn, rattanmill_receipts=context.receipts
+    )
+
+
+@when('answers to writes of "{match}" are lost {count:d} times')
+def step_lose(context, match, count):
+    stats = context.system.standins["kv"].stats()
+    context.lost_before = stats.get("answers_lost", 0)
+    kv_faults(context, lose_answers=count, lose_match=match)
+
+
+@when('turn {turn:d} "{text}" is sent in the background through another domain')
+def step_in_background(context, turn, text):
+    context.calls_before = engine(context).stats().get("finished", 0)
+    client = context.clients[-1]
+    context.under_way = background(
+        context, client.chat, text, context.program, turn
+    )
+
+
+@when("an answer was lost")
+def step_lost(context):
+    stats = context.system.standins["kv"].stats
+    wait_until(
+        lambda: stats().get("answers_lost", 0) > context.lost_before,
+        "an answer was lost",
+    )
+
+
+@when("the key-value service takes {seconds:f} s for each call")
+def step_slow(context, seconds):
+    kv_faults(context, slow_seconds=seconds)
+
+
+@when("the key-value service is fast again")
+def step_fast(context):
+    context.system.standins["kv"].faults(slow_seconds=0.0)
+
+
+@when("the engine has finished it")
+def step_finished(context):
+    stats = engine(context).stats
+    wait_until(
+        lambda: stats().get("finished", 0) > context.calls_before,
+        "the engine has finished the turn",
+    )
+
+
+@then("the answer has no receipt")
+def step_no_receipt(context):
+    assert context.answer.status == 200, context.answer
+    assert "receipt" not in context.answer.json["rattanmill"], context.answer
+
+
+@given("a second program with the same first turn")
+def step_second(context):
+    client = context.clients[0]
+    context.second = client.create(workspace="leith")
+    answer = client.chat("Draft Leith.", context.second, 1)
+    assert answer.status == 200, answer
+
+
+@when('turn {turn:d} "{text}" of the second program is sent with the receipts')
+def step_second_turn(context, turn, text):
+    assert context.receipts
+    context.answer = living(context)[0].chat(
+        text, context.second, turn, rattanmill_receipts=context.receipts
+    )
+
+
+@when("the receipts are altered")
+def step_alter(context):
+    raw = bytearray(base64.urlsafe_b64decode(context.receipts[0]))
+    at = raw.index(b"Line 2")
+    raw[at : at + 6] = b"Line 9"
+    context.receipts[0] = base64.urlsafe_b64encode(raw).decode()
+
+
+@when("the receipts are brought twice")
+def step_twice(context):
+    context.receipts *= 2
+
+
+@when("the receipts are brought without the first")
+def step_without_first(context):
+    del context.receipts[0]
+
+
+@when("a segment of an older epoch with turn {turn:d} stands in the next slot")
+def step_late_segment(context, turn):
+    kv = context.system.standins["kv"]
+    prefix = f"rm/log/{shard_of(context.program).replace('.', '/')}/"
+    listed = kv.request("GET", f"/range?prefix={prefix}").json["entries"]
+    slot = int(listed[-1]["key"].rsplit("/", 1)[-1]) + 1
+    late = TurnKept(
+        context.program,
+        turn,
+        b"",
+        2,
+        [b'{"role":"user","content":"stale"}'],
+        b'{"role":"assistant","content":"stale"}',
+        "stop",
+        "commentary",
+        1,
+        1,
+        1,
+        b"stale",
+    )
+    value = encode_segment(Segment("late", 0, [late]))
+    answer = kv.request("PUT", f"/kv/{prefix}{slot:010d}?expect=0", value)
+    assert answer.status == 200, answer
+
+
+@then("the other call's answer is not in the history")
+def step_not_stale(context):
+    client = living(context)[-1]
+    path = f"/v1/programs/{context.program}/history"
+    answer = client.request("GET", path)
+    assert b"stale" not in answer.body, answer
+
+
+@when("turn {turn:d} with {count:d} letters is sent through a living instance")
+def step_long_turn(context, turn, count):
+    client = living(context)[-1]
+    context.answer = client.chat("x" * count, context.program, turn)
--- a/tests/features/steps/state.py
+++ b/tests/features/steps/state.py
@@ -339,3 +339,8 @@
             [turns_of(context, c, context.program) for c in living(context)]
         ),
     )
+
+
+@when("{count:d} lease times pass")
+def step_leases_pass(context, count):
+    time.sleep(count * context.system.layout.lease_seconds)
--- /dev/null
+++ b/tests/support/memory.py
@@ -0,0 +1,85 @@
+"""The key-value service's client, in memory, for tests of what uses it."""
+
+from collections.abc import Callable
+
+from rattanmill_platform import (
+    Conflict,
+    Found,
+    Missing,
+    Range,
+    Unavailable,
+    Written,
+)
+from rattanmill_platform.kv import Breaker, Entry
+
+
+class Crash(Exception):
+    """The process that uses the client dies here."""
+
+
+class MemoryKv:
+    """Keeps keys in memory; each call can be made to fail.
+
+    Attributes:
+        items: Value and revision by key.
+        calls: Calls so far.
+        fault: Called with the number of the call before it takes effect and
+            again, with ``True``, after it; may raise.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.revision = 0
+        self.calls = 0
+        self.fault: Callable[[int, bool], None] = lambda number, after: None
+        self.breaker = Breaker()
+        self.largest_range = 0
+
+    def _begin(self) -> int:
+        self.calls += 1
+        self.fault(self.calls, False)
+        return self.calls
+
+    async def read(self, key: str) -> Found | Missing | Unavailable:
+        """Reads one key."""
+        self._begin()
+        if key not in self.items:
+            return Missing()
+        return Found(Entry(key, *self.items[key]))
+
+    async def list(self, prefix: str) -> Range | Unavailable:
+        """Reads all keys under a prefix."""
+        self._begin()
+        entries = [
+            Entry(key, *self.items[key])
+            for key in sorted(self.items)
+            if key.startswith(prefix)
+        ]
+        self.largest_range = max(self.largest_range, len(entries))
+        return Range(entries, self.revision)
+
+    async def write(
+        self, key: str, value: bytes, expect: int, lease: str = ""
+    ) -> Written | Conflict | Unavailable:
+        """Compare-and-swap."""
+        number = self._begin()
+        found = self.items.get(key, (b"", 0))[1]
+        if found != expect:
+            return Conflict(found)
+        self.revision += 1
+        self.items[key] = (value, self.revision)
+        self.fault(number, True)
+        return Written(self.revision)
+
+    async def create_unique(
+        self, key: str, value: bytes
+    ) -> Written | Conflict | Unavailable:
+        """Creates a key."""
+        return await self.write(key, value, 0)
+
+    async def delete(self, key: str) -> Written | Unavailable:
+        """Deletes a key."""
+        number = self._begin()
+        self.items.pop(key, None)
+        self.fault(number, True)
+        return Written(self.revision)
