--- a/tests/features/compaction.feature
+++ b/tests/features/compaction.feature
@@ -42,6 +42,15 @@
     When its slot is taken and deleted before it can look
     Then the old owner knows that it was replaced
 
+  Scenario: A taker is overtaken while it reads the log
+    It stalls between any two calls, and another instance takes the shard and
+    keeps a turn there. The first must not keep anything any more, wherever
+    it was, and the turn must not be lost.
+
+    Given a shard with 25 segments
+    When a taker is overtaken before any of its calls
+    Then it keeps nothing, and the other's turn is there
+
   Scenario: A log that cannot be right
     A value of a log was damaged. The shard must not take the instance and its
     other shards down, nor go on with half of its programs.
--- a/tests/features/history.feature
+++ b/tests/features/history.feature
@@ -98,12 +98,13 @@
     And 3 turns are sent over 1 lease times through its domain
     And the owner dies
     And the key-value service answers again
-    And turn 5 "Now the summary." is sent with an altered receipt
-    Then the answer has status 422
-    And the refusal is "receipt_invalid" and "no"
-    When turn 5 "Now the summary." is sent without the first receipt
+    And turn 5 "Now the summary." is sent without the first receipt
     Then the answer has status 422
     And every living instance shows turns 1
+    When turn 5 "Now the summary." is sent with an altered receipt
+    Then the answer has status 422
+    And the refusal is "receipt_invalid" and "no"
+    And every living instance shows turns 1, 2
     When turn 5 "Now the summary." is sent with each receipt twice
     Then the answer has status 200
     And every living instance shows turns 1, 2, 3, 4, 5
--- /dev/null
+++ b/tests/features/outage.feature
@@ -0,0 +1,51 @@
+Feature: What is served when something is away
+  Each row is a cell of the table in docs/design/state.md.
+
+  Scenario Outline: <call> with the service <state>
+    Callers go on through an outage of the key-value service, and must be told
+    at once what cannot be done without it and when to come back.
+
+    Given a system of three failure domains
+    And a program whose first turn is kept
+    When the service is <state>
+    Then <call> is answered with <result>
+
+    Examples: History and order
+      | state    | call          | result                    |
+      | up       | a next turn   | 200 and no receipt        |
+      | slow     | a next turn   | 200 and no receipt        |
+      | very slow| a next turn   | 200 and a receipt         |
+      | away     | a next turn   | 200 and a receipt         |
+      | away     | a kept turn   | 200 and no receipt        |
+      | away     | the history   | 200 and no receipt        |
+      | cut off  | a next turn   | 200 and a receipt         |
+      | over its rate | a next turn | 200 and a receipt       |
+
+    Examples: Budget
+      | state    | call                     | result            |
+      | away     | a turn over the reserved | budget_unreserved |
+      | cut off  | a turn over the reserved | budget_unreserved |
+      | slow     | a turn over the reserved | 200 and no receipt |
+
+    Examples: Programs, acts and configuration
+      | state    | call              | result            |
+      | away     | a new program     | store_unavailable |
+      | away     | an act            | store_unavailable |
+      | away     | a new configuration | store_unavailable |
+      | away     | a call without a program | 200 and no receipt |
+      | cut off  | an act            | store_unavailable |
+      | slow     | an act            | 200 and no receipt |
+      | slow     | a new program     | 201 and no receipt |
+
+  Scenario: The owner's lease has lapsed and it is alone
+    The service is away, and the owner's only peer has died: the owner cannot
+    tell whether it is cut off from everybody. It refuses, says that nothing
+    ran, and goes on when the service is back.
+
+    Given a system of three failure domains
+    And a program whose first turn is kept
+    When the service is away
+    And the owner's peer dies and 1 lease time passes
+    Then a next turn is answered with ownership_lost
+    When the key-value service answers again
+    Then a next turn is answered with 200 and no receipt
--- a/tests/features/steps/compaction.py
+++ b/tests/features/steps/compaction.py
@@ -340,6 +340,65 @@
     assert isinstance(context.old_fate, Fenced), context.old_fate
 
 
+class OvertakenKv:
+    """Lets another instance take the shard before a chosen call."""
+
+    def __init__(self, kv, call):
+        self.kv = kv
+        self.call = call
+        self.calls = 0
+        self.breaker = kv.breaker
+        self.overtaken = False
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            self.calls += 1
+            if self.calls == self.call:
+                self.overtaken = True
+                other = await own(self.kv, 3)
+                fate = await other.keep(next_turn(other.programs["a"]))
+                assert isinstance(fate, Committed)
+                other.log.stop()
+            return await getattr(self.kv, name)(*arguments)
+
+        return call
+
+
+@when("a taker is overtaken before any of its calls")
+def step_overtaken(context):
+    async def run(call):
+        kv = MemoryKv()
+        kv.items = dict(context.kv.items)
+        slow = OvertakenKv(kv, call)
+        recovered = await recover(slow, "east", 0, 2, "taker")
+        fate = recovered
+        if isinstance(recovered, Recovered):
+            log = ShardLog(slow, "east", 0, 2, recovered, lambda: None)
+            taker = Shard("east", 0, 2, recovered.programs, log)
+            fate = await taker.keep(next_turn(taker.programs["a"]))
+            log.stop()
+        if not slow.overtaken:
+            return False
+        again = await own(kv, 4)
+        again.log.stop()
+        context.fates.append((fate, len(again.programs["a"].turns)))
+        return True
+
+    context.fates = []
+    for call in itertools.count(1):
+        if not asyncio.run(run(call)):
+            break
+
+
+@then("it keeps nothing, and the other's turn is there")
+def step_overtaken_nothing(context):
+    before = len(context.expected["a"][2])
+    assert len(context.fates) > 5, context.fates
+    for fate, turns in context.fates:
+        assert isinstance(fate, Fenced), context.fates
+        assert turns == before + 1, context.fates
+
+
 @when("one of its values is damaged")
 def step_damage(context):
     key = slot_key("east", 0, 7)
--- a/tests/features/steps/history.py
+++ b/tests/features/steps/history.py
@@ -2,6 +2,7 @@
 
 import base64
 
+import msgspec
 from behave import given, then, when
 from steps.state import (
     background,
@@ -11,6 +12,7 @@
     shard_of,
 )
 
+from rattanmill_programs.program import next_chain
 from rattanmill_programs.records import Segment, TurnKept, encode_segment
 from support import wait_until
 
@@ -101,11 +103,17 @@
 
 @when('turn {turn:d} "{text}" is sent with an altered receipt')
 def step_alter(context, turn, text):
-    raw = bytearray(base64.urlsafe_b64decode(context.receipts[0]))
-    at = raw.index(b"Line 2")
-    raw[at : at + 6] = b"Line 9"
-    altered = base64.urlsafe_b64encode(raw).decode()
-    send_with(context, text, turn, [altered, *context.receipts[1:]])
+    """Changes the second receipt and makes its chain fit, as anybody could."""
+    raw = [base64.urlsafe_b64decode(receipt) for receipt in context.receipts]
+    turns = [msgspec.msgpack.decode(r[32:], type=TurnKept) for r in raw]
+    forged = msgspec.structs.replace(
+        turns[1], answer=turns[1].answer.replace(b"assistant", b"assistent")
+    )
+    chain = next_chain(turns[0].chain, forged)
+    forged = msgspec.structs.replace(forged, chain=chain)
+    data = raw[1][:32] + msgspec.msgpack.encode(forged)
+    altered = base64.urlsafe_b64encode(data).decode()
+    send_with(context, text, turn, [context.receipts[0], altered])
 
 
 @when('turn {turn:d} "{text}" is sent without the first receipt')
--- /dev/null
+++ b/tests/features/steps/ownership.py
@@ -0,0 +1,326 @@
+"""Steps about owners of shards."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from steps.state import (
+    background,
+    kv_faults,
+    living,
+    other_in_domain,
+    owners_now,
+    shard_of,
+    status,
+)
+
+from rattanmill_platform import InstanceLease, Unavailable, Written
+from support import wait_until
+
+
+def start_later(context, instance):
+    """Starts an instance again when the scenario ends, if it is dead."""
+
+    def start():
+        if not instance.process.alive:
+            context.system.start_instance(instance)
+            context.system.wait_ready()
+
+    context.scenario_stack.callback(start)
+
+
+@when("the owner dies and is started again at once")
+def step_restart(context):
+    context.owner = context.system.owner_of(context.program)
+    context.owner.process.kill()
+    context.system.start_instance(context.owner)
+
+
+@when("all instances of failure domain {domain:d} die and one is started again")
+def step_all_die(context, domain):
+    instances = context.system.in_domain(domain)
+    for instance in instances:
+        instance.process.kill()
+        start_later(context, instance)
+    context.system.start_instance(instances[-1])
+    wait_until(lambda: status(instances[-1]), "it answers")
+
+
+@when("the taker is paused as soon as it has the shard")
+def step_pause_taker(context):
+    dead = context.owner.name
+    place, number = shard_of(context.program).split(".")
+
+    def find():
+        for instance in context.system.in_domain(0):
+            shown = status(instance) if instance.process.alive else None
+            if shown and shown["owners"][place][int(number)] != dead:
+                name = shown["owners"][place][int(number)]
+                return context.system.instance(name)
+        return None
+
+    context.taker = wait_until(find, "an instance takes the shard")
+    context.taker.process.pause()
+    context.scenario_stack.callback(context.taker.process.resume)
+
+
+@when("no answers are lost any more")
+def step_no_loss(context):
+    context.system.standins["kv"].faults(lose_answers=0)
+
+
+@when(
+    'turn {turn:d} "{text}" is sent through a living instance of another domain'
+)
+def step_turn_elsewhere(context, turn, text):
+    context.answer = context.clients[-1].chat(text, context.program, turn)
+
+
+@when("the taker goes on")
+def step_resume_taker(context):
+    context.taker.process.resume()
+    wait_until(
+        lambda: (status(context.taker) or {}).get("lease") == "held",
+        "the taker has a lease",
+    )
+
+
+@given("programs in all shards of failure domain {domain:d}")
+def step_programs(context, domain):
+    context.programs = {}
+    clients = [i.client for i in context.system.in_domain(domain)]
+    for number in range(60):
+        program = clients[number % len(clients)].create(workspace="leith")
+        context.programs.setdefault(shard_of(program), program)
+    assert len(context.programs) == 6, context.programs
+
+
+@when("an instance of failure domain {domain:d} dies and its shards have moved")
+def step_one_dies(context, domain):
+    context.fresh = context.system.in_domain(domain)[0]
+    context.fresh.process.kill()
+    start_later(context, context.fresh)
+    context.system.wait_ready()
+
+
+@when("it is started again while turns are sent")
+def step_start_under_load(context):
+    context.answered = {program: [] for program in context.programs.values()}
+    moved = []
+
+    def send():
+        for turn in range(1, 1000):
+            for program, answers in context.answered.items():
+                client = context.clients[-1]
+                answers.append(client.chat(f"Line {turn}.", program, turn))
+            if moved:
+                return
+
+    sender = background(context, send)
+    context.system.start_instance(context.fresh)
+    try:
+        wait_until(
+            lambda: (
+                len((status(context.fresh) or {"shards": []})["shards"]) >= 2
+            ),
+            "the new instance has its share",
+        )
+    finally:
+        moved.append(True)
+    sender.result()
+
+
+@then("all turns were answered")
+def step_all_answered(context):
+    bad = [
+        answer
+        for answers in context.answered.values()
+        for answer in answers
+        if answer.status != 200
+    ]
+    assert not bad, bad[:3]
+
+
+@then("each program shows all its turns")
+def step_all_turns(context):
+    for program, answers in context.answered.items():
+        path = f"/v1/programs/{program}/history"
+        shown = living(context)[0].request("GET", path).json["turns"]
+        numbers = [turn["turn"] for turn in shown]
+        assert numbers == list(range(1, len(answers) + 1)), numbers
+
+
+@when("the owner is told to stop")
+def step_stop_owner(context):
+    context.owner = context.system.owner_of(context.program)
+    context.owner.process.terminate()
+    start_later(context, context.owner)
+    wait_until(
+        lambda: (status(context.owner) or {}).get("draining"), "it drains"
+    )
+
+
+@then("the old owner ends by itself")
+def step_ended(context):
+    assert context.owner.process.wait(20) == 0
+    assert "cut off" not in context.owner.process.tail()
+
+
+@when("an instance that does not own the program dies")
+def step_other_dies(context):
+    context.owner = context.system.owner_of(context.program)
+    context.fresh = other_in_domain(context, context.owner)
+    context.fresh.process.kill()
+    start_later(context, context.fresh)
+    context.system.wait_ready()
+
+
+@when("the owner alone is cut off from the service until its record is gone")
+def step_cut_owner(context):
+    host = context.owner.http.rsplit(":", 1)[0]
+    kv_faults(context, cut_sources=[host])
+    place = context.system.layout.domains[context.owner.domain]
+    path = f"/kv/rm/live/instances/{place}/{context.owner.name}"
+    kv = context.system.standins["kv"]
+    wait_until(
+        lambda: kv.request("GET", path).status == 404, "its record is gone"
+    )
+
+
+@when("the instance that died is started again")
+def step_start_fresh(context):
+    context.system.start_instance(context.fresh)
+    wait_until(lambda: status(context.fresh), "it answers")
+
+
+@when("{count:d} lease times pass")
+def step_leases_pass(context, count):
+    time.sleep(count * context.system.layout.lease_seconds)
+
+
+@then("the old owner still owns the program")
+def step_still_owns(context):
+    names = owners_now(context, context.program)
+    assert names == [context.owner.name], names
+    assert status(context.owner)["lease"] == "outage", status(context.owner)
+    client = context.clients[-1]
+    answer = client.chat("Shorter.", context.program, 2)
+    assert answer.status == 200, answer
+
+
+@when("the service refuses all writes but renewals for {count:d} lease times")
+def step_refuse_writes(context, count):
+    kv_faults(context, refuse_match="/kv/")
+    end = time.monotonic() + count * context.system.layout.lease_seconds
+    turn = 2
+    context.lost = []
+    while time.monotonic() < end:
+        context.clients[0].chat(f"Line {turn}.", context.program, turn)
+        turn += 1
+        context.lost += [
+            shown
+            for instance in context.system.instances
+            if (shown := status(instance)) and shown["lease"] != "held"
+        ]
+
+
+@then("no instance has lost its lease")
+def step_none_lost(context):
+    names = [shown["name"] for shown in context.lost]
+    assert not names, names
+
+
+class _SlowKv:
+    """A service that takes its time and can fall silent."""
+
+    def __init__(self):
+        self.seconds = 0.0
+        self.silent = False
+
+    async def _answer(self, value):
+        await asyncio.sleep(self.seconds)
+        return Unavailable("silent") if self.silent else value
+
+    async def grant(self, seconds):
+        return await self._answer("lease")
+
+    async def renew(self, lease):
+        return await self._answer(True)
+
+    async def write(self, key, value, expect, lease=""):
+        return await self._answer(Written(1))
+
+    async def revoke(self, lease):
+        pass
+
+
+@given("the lease of an instance that was paused and has a lease again")
+def step_paused_lease(context):
+    async def run():
+        kv = _SlowKv()
+        seen = []
+        async with InstanceLease(kv, "key", b"record", 0.6) as lease:
+            lease.confirm(lease.interruptions)
+            seen.append(lease.holds())
+            time.sleep(0.7)  # noqa: ASYNC251 - as a paused process
+            seen.append(lease.holds())
+            while not lease.valid():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            seen.append(lease.holds())
+            kv.silent = True
+            lease.peers_known = 1
+            while not lease.service_silent or lease.valid():
+                lease.peer_heard = asyncio.get_running_loop().time()
+                await asyncio.sleep(0.01)
+            seen.append(lease.holds())
+            kv.silent = False
+            while not lease.valid():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            lease.confirm(lease.interruptions)
+            seen.append(lease.holds())
+        return seen
+
+    context.seen = asyncio.run(run())
+
+
+@when("the service falls silent while peers are heard")
+def step_silent(context):
+    assert context.seen[:2] == [True, False], context.seen
+
+
+@then("the instance does not hold its shards")
+def step_not_held(context):
+    assert context.seen[2:4] == [False, False], context.seen
+
+
+@when("the service is back and its ownership was confirmed")
+def step_confirmed(context):
+    assert len(context.seen) == 5
+
+
+@then("the instance holds its shards")
+def step_held(context):
+    assert context.seen[4], context.seen
+
+
+@given("the lease of an instance whose service takes {share:f} of its lease")
+def step_slow_lease(context, share):
+    context.share = share
+
+
+@then("the instance holds its shards without a break for {count:d} lease times")
+def step_no_break(context, count):
+    async def run():
+        kv = _SlowKv()
+        async with InstanceLease(kv, "key", b"record", 1.0) as lease:
+            lease.confirm(lease.interruptions)
+            kv.seconds = context.share
+            end = asyncio.get_running_loop().time() + count
+            held = []
+            while asyncio.get_running_loop().time() < end:
+                await asyncio.sleep(0.02)
+                held.append(lease.holds())
+        return held
+
+    held = asyncio.run(run())
+    assert all(held), (held.count(False), len(held))
--- a/tests/features/steps/state.py
+++ b/tests/features/steps/state.py
@@ -35,6 +35,7 @@
         slow_seconds=0.0,
         lose_answers=0,
         lose_match="",
+        refuse_match="",
         cut_sources=[],
     )
     standin.faults(**faults)
--- a/tests/standins/kv.py
+++ b/tests/standins/kv.py
@@ -28,6 +28,7 @@
         lose_match: Only writes whose key contains this lose their answer.
         writes_per_second: Rate above which writes are refused; 0: none.
         reads_per_second: Rate above which reads are refused; 0: none.
+        refuse_match: Writes whose path contains this are refused with 429.
         hold_leases: Whether leases do not lapse while it is down.
     """
 
@@ -38,6 +39,7 @@
     lose_match: str = ""
     writes_per_second: int = 0
     reads_per_second: int = 0
+    refuse_match: str = ""
     hold_leases: bool = False
 
 
@@ -97,7 +99,8 @@
         kind = "write" if is_write else "read"
         self.stats[f"{kind}s"] += 1
         self.stats[f"{request.method} {request.path.split('/')[1]}"] += 1
-        if self._over_rate(kind):
+        refused = faults.refuse_match and faults.refuse_match in request.path
+        if self._over_rate(kind) or (is_write and refused):
             self.stats[f"{kind}s_refused"] += 1
             return web.Response(status=429)
         answer = await handler(request)
