--- a/tests/features/steps/state.py
+++ b/tests/features/steps/state.py
@@ -280,6 +280,7 @@
 @when("all cuts end")
 def step_heal(context):
     context.system.heal()
+    wait_all_held(context)
 
 
 @when("the key-value service falls silent")
@@ -290,6 +291,11 @@
 @when("the key-value service answers again")
 def step_kv_back(context):
     context.system.standins["kv"].faults(down=False)
+    wait_all_held(context)
+
+
+def wait_all_held(context):
+    """Waits until all living instances have leases again."""
     wait_until(
         lambda: all(
             (status(i) or {}).get("lease") == "held"
