--- a/bench/capacity/measures.py
+++ b/bench/capacity/measures.py
@@ -354,7 +354,7 @@
 
 
 def _peer_bytes(instance: Instance) -> float:
-    return instance.client.metric("rattanmill_peer_bytes", direction="sent")
+    return instance.client.metric("rattanmill_peer_out_bytes")
 
 
 def _config_seconds(stack: Stack) -> float:
