Ask once more between connecting and sending whether an act may go out

Cause: the kernel completes a connection while the process is stopped; on waking up the library sends at once, and the lease was looked at before connecting only. Ruled out: the check before placing (it still refuses), a second attempt (one attempt only was made). Change: a trace of the acts' session asks between connecting and sending.

--- a/libs/entry/src/rattanmill_entry/acts.py
+++ b/libs/entry/src/rattanmill_entry/acts.py
@@ -234,6 +234,7 @@
             start.body,
             run.seconds_left,
             once=True,
+            may_send=lambda: _may_not_send(run) is None,
         )
         failed = isinstance(result, Failed)
         placed.outcome = result.outcome if failed else Outcome.ANSWERED
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -35,6 +35,7 @@
 from rattanmill_entry.serve import serve
 from rattanmill_entry.signs import Signs
 from rattanmill_entry.telemetry import show_state
+from rattanmill_entry.upstream import withholding_trace
 from rattanmill_platform import (
     Directory,
     InstanceLease,
@@ -128,6 +129,7 @@
             limit=_CONNECTIONS, local_addr=(host, 0), force_close=fresh
         ),
         auto_decompress=False,
+        trace_configs=[withholding_trace()] if fresh else [],
         # One caller's cookies must not go out with another's call.
         cookie_jar=aiohttp.DummyCookieJar(),
     )
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from types import SimpleNamespace
 
 import aiohttp
 import msgspec
@@ -237,6 +238,7 @@
     body: bytes,
     seconds: float,
     once: bool = False,
+    may_send: Callable[[], bool] | None = None,
 ) -> ServiceAnswer | Failed:
     """Runs one call of a plain service.
 
@@ -248,6 +250,8 @@
         body: Body of the request.
         seconds: Longest time it may take.
         once: Whether it must not be sent a second time by the library.
+        may_send: Asked once more when there is a connection; needs a session
+            with ``withholding_trace``.
     """
     timeout = aiohttp.ClientTimeout(
         # To the library, 0 is no limit.
@@ -266,6 +270,7 @@
             allow_redirects=False,
             skip_auto_headers=("Accept-Encoding", "Content-Type"),
             middlewares=(_send_once(),) if once else (),
+            trace_request_ctx=may_send,
         ) as answer:
             data = await _read_bounded(answer)
             kept = [
@@ -274,7 +279,11 @@
                 if name.lower() not in _HOP_HEADERS
             ]
             return ServiceAnswer(answer.status, kept, data)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+        _WithheldError,
+    ) as e:
         return Failed(Outcome.NOT_CONNECTED, 0, str(e))
     except TimeoutError:
         return Failed(Outcome.TIMED_OUT, 0, "no answer in time")
@@ -282,6 +291,32 @@
         return Failed(Outcome.BROKEN, 0, str(error) or "connection lost")
 
 
+class _WithheldError(aiohttp.ClientError):
+    """A connection was made, and the request must not be sent any more."""
+
+
+def withholding_trace() -> aiohttp.TraceConfig:
+    """Returns a trace that asks ``may_send`` between connecting and sending.
+
+    Connecting takes time, and a stopped process does not notice it: the
+    kernel completes the connection meanwhile. A process that wakes up there
+    would send what its replacement has already called unknown.
+    """
+
+    async def ask(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionCreateEndParams,
+    ) -> None:
+        may_send = context.trace_request_ctx
+        if may_send is not None and not may_send():
+            raise _WithheldError("not sent")
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(ask)
+    return trace
+
+
 def _send_once() -> aiohttp.ClientMiddlewareType:
     """Returns a middleware that stops the library's own second attempt.
 
