Refuse a request that meets an unexpected error; end on a broken invariant

An error in a handler was answered by the HTTP library with plain text, and a broken invariant there or in a task went unnoticed until garbage collection: the process went on from a state it had found to be impossible. Now the first is refused as 'internal' with the traceback in the log, the second ends the process with 70.

--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -26,6 +26,7 @@
 from rattanmill_entry.drain import drain
 from rattanmill_entry.edge import ConnectionLimit, edge_middleware
 from rattanmill_entry.engines import EndpointWatch
+from rattanmill_entry.failures import failure_middleware, watch_tasks
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes
 from rattanmill_entry.memory import EngineMemory
@@ -56,15 +57,16 @@
 
     Raises:
         SettingsError: A file with secrets cannot be used.
+        InvariantError: The state was found to be impossible.
     """
     access = load_access(settings)
-    stop = asyncio.Event()
+    node = _make_node(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, node.stop.set)
     loop.add_signal_handler(signal.SIGHUP, _ignore_hangup)
+    watch_tasks(node)
     async with contextlib.AsyncExitStack() as stack:
-        node = _make_node(settings)
         node.session = await stack.enter_async_context(_session(settings))
         node.act_session = await stack.enter_async_context(
             _session(settings, fresh=True)
@@ -95,7 +97,9 @@
         limit = ConnectionLimit(node, runner.server)
         await stack.enter_async_context(limit)
         _log.info("Instance {} serves on {}.", settings.name, settings.http)
-        await stop.wait()
+        await node.stop.wait()
+        if node.broken:
+            raise node.broken
         await drain(node, ownership, list(runner.sites))
 
 
@@ -185,7 +189,11 @@
 async def _listen(node: Node, access: Access) -> web.AppRunner:
     app = web.Application(
         client_max_size=node.settings.body_bytes,
-        middlewares=[edge_middleware(node), access_middleware(node, access)],
+        middlewares=[
+            edge_middleware(node),
+            failure_middleware(node),
+            access_middleware(node, access),
+        ],
     )
     app.add_routes(admin_routes(node) + caller_routes(node))
     runner = web.AppRunner(
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from rattanmill_core import ConfigDocument, Metrics, Settings
+from rattanmill_core import ConfigDocument, InvariantError, Metrics, Settings
 from rattanmill_platform import (
     Directory,
     InstanceLease,
@@ -53,6 +53,8 @@
         heard: What each other instance last said, by name.
         draining: Whether the daemon is shutting down.
         leaving: Incarnations that have said they are shutting down.
+        stop: Set when the daemon is to end.
+        broken: The broken invariant that ends it, if one does.
     """
 
     settings: Settings
@@ -82,6 +84,8 @@
         self.heard: dict[str, Heard] = {}
         self.draining = False
         self.leaving: set[str] = set()
+        self.stop = asyncio.Event()
+        self.broken: InvariantError | None = None
         self.tasks: set[asyncio.Task] = set()
         self.in_flight = 0
         self.busy_connections: set[web.RequestHandler] = set()
@@ -96,5 +100,14 @@
         """Starts a task that outlives the request that asked for it."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._ended)
         return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # An error that waits to be collected as garbage is noticed late.
+        task.get_loop().call_exception_handler(
+            {"message": "A task failed.", "exception": task.exception()}
+        )
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -57,3 +57,22 @@
     When a process logs in text a message of two lines and an exception
     Then each message is one line with its part and ids
     And the exception shows no values of variables
+
+  Scenario: SIGHUP
+    A terminal that closes, or a service manager that means "reload", sends
+    it. Its default would end the process and cut off every request.
+
+    When SIGHUP is sent to an instance
+    Then that is logged, and the instance goes on
+
+  Scenario: An error that nobody expected
+    When a request meets an error in a daemon of its own
+    Then it is refused as "internal", and the daemon goes on
+    And the traceback is one line of JSON
+
+  Scenario: A broken invariant
+    The state that a daemon finds is impossible. If it went on, it would write
+    what follows from it into the log, and no restart would mend that.
+
+    When a request meets a broken invariant in a daemon of its own
+    Then the daemon ends with 70 and says why
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -2,16 +2,18 @@
 
 import collections
 import json
+import os
 import pathlib
 import re
+import signal
 import subprocess
 import sys
 
 from behave import given, then, when
 
-from support import Layout, Stack, wait_until
+from support import Client, Layout, Stack, wait_until
 from support.command import run_command
-from support.stack import random_text
+from support.stack import Instance, random_text
 
 _TOKEN = "the-operators-own-token"
 _KEYS = {
@@ -311,3 +313,87 @@
 def step_no_values(context):
     assert "ValueError" in context.text_log, context.text_log
     assert "hidden-value" not in context.text_log, context.text_log
+
+
+@when("SIGHUP is sent to an instance")
+def step_hangup(context):
+    os.kill(context.system.instances[4].process.pid, signal.SIGHUP)
+
+
+@then("that is logged, and the instance goes on")
+def step_hangup_logged(context):
+    log = context.system.instances[4].process.log
+    wait_until(lambda: "SIGHUP ignored" in log.read_text(), "it is logged")
+    assert context.clients[4].request("GET", "/readyz").status == 200
+
+
+_FAILING_PROGRAM = """
+import sys
+from rattanmill_core import InvariantError
+from rattanmill_entry import admin, main
+
+def fail(node):
+    hidden = "hidden-value"
+    raise {error}
+
+admin.instance_status = fail
+sys.argv = ["rattanmilld", "--settings", {path!r}]
+main.main()
+"""
+
+
+def _fail(context, error):
+    """Runs a daemon whose status raises, and asks for its status."""
+    system = context.system
+    spare = system.instances[0]
+    http, peer = system.address("127.0.1.30"), system.address("127.0.1.30")
+    instance = Instance("spare", 0, http, peer, peer, spare.process)
+    path = pathlib.Path(system.folder, "spare.toml")
+    path.write_text(system.settings_text(instance))
+    program = _FAILING_PROGRAM.format(error=error, path=str(path))
+    context.failing = subprocess.Popen(
+        [sys.executable, "-c", program], stderr=subprocess.PIPE, text=True
+    )
+    context.scenario_stack.callback(context.failing.wait)
+    context.scenario_stack.callback(context.failing.kill)
+    client = Client(http)
+    wait_until(
+        lambda: client.request("GET", "/healthz").status == 200, "it serves"
+    )
+    context.asked = client.request("GET", "/v1/admin/status")
+    context.alive = client.request("GET", "/healthz").status
+
+
+@when("a request meets an error in a daemon of its own")
+def step_fail(context):
+    _fail(context, 'ValueError("unforeseen")')
+
+
+@when("a request meets a broken invariant in a daemon of its own")
+def step_break(context):
+    _fail(context, 'InvariantError("Turn 3 follows turn 1.")')
+
+
+@then('it is refused as "internal", and the daemon goes on')
+def step_internal(context):
+    assert context.asked.status == 500, context.asked
+    assert context.asked.json["reason"] == "internal", context.asked
+    assert context.alive == 200
+    context.failing.terminate()
+    _, context.said = context.failing.communicate(timeout=30)
+    assert context.failing.returncode == 0, context.said
+
+
+@then("the traceback is one line of JSON")
+def step_traceback(context):
+    lines = [json.loads(line) for line in context.said.splitlines()]
+    found = [line["exception"] for line in lines if "exception" in line]
+    assert len(found) == 1 and "unforeseen" in found[0], lines
+    assert "hidden-value" not in context.said, found
+
+
+@then("the daemon ends with {code:d} and says why")
+def step_ends_broken(context, code):
+    _, said = context.failing.communicate(timeout=30)
+    assert context.failing.returncode == code, said
+    assert said.splitlines()[-1] == "Turn 3 follows turn 1.", said
