Read keys and token again when their files change

Ruled out: SIGHUP, which operators' tools send for other reasons. A file that is wrong leaves the old keys.

--- a/libs/entry/src/rattanmill_entry/access.py
+++ b/libs/entry/src/rattanmill_entry/access.py
@@ -1,13 +1,17 @@
 """Who may ask what: operators by a token, callers by their workspace's key.
 
-Both are read from files at start. Without them, everybody who reaches the
-address is let in, and a caller's workspace is what its header says.
+Both are read from files, again when these change: workspaces come and go
+every day, and no instance is restarted for one. Without the files, everybody
+who reaches the address is let in, and a caller's workspace is what its header
+says.
 """
 
+import asyncio
 import hashlib
 import hmac
 import pathlib
 import tomllib
+from typing import Self
 
 import msgspec
 from aiohttp import web
@@ -16,15 +20,18 @@
     Reason,
     Settings,
     SettingsError,
+    part_logger,
     refuse,
 )
 from rattanmill_entry.node import Node
 from rattanmill_entry.problems import problem_response
 
+_log = part_logger("access")
 _ADMIN = "/v1/admin/"
 _CALLERS = "/v1/"
 _WORKSPACE_HEADER = "Rattanmill-Workspace"
 _WORKSPACE_KEY = web.RequestKey("workspace", str)
+_LOOK_SECONDS = 1.0
 _LEAST_LETTERS = 16
 _MOST_LETTERS = 200
 
@@ -41,6 +48,61 @@
     workspaces: dict[bytes, str] | None = None
 
 
+class AccessFiles:
+    """The secrets as last read; follows changes of the files.
+
+    Args:
+        settings: Names the files.
+
+    Raises:
+        SettingsError: A file cannot be used.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.stamps = self._stamps()
+        self.access = load_access(settings)
+        self.task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> Self:
+        self.task = asyncio.create_task(self._follow())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.task:
+            self.task.cancel()
+
+    async def _follow(self) -> None:
+        while True:
+            await asyncio.sleep(_LOOK_SECONDS)
+            stamps = self._stamps()
+            if stamps != self.stamps:
+                self.stamps = stamps
+                self._read()
+
+    def _read(self) -> None:
+        try:
+            self.access = load_access(self.settings)
+        except SettingsError as error:
+            # Half a file, or none, must lock nobody out and let nobody in.
+            _log.error("Kept the old keys and token: {}", error.message)
+            return
+        _log.info("Read keys and token again.")
+
+    def _stamps(self) -> list[tuple[int, ...]]:
+        files = (self.settings.token_file, self.settings.keys_file)
+        return [_stamp(path) for path in files if path]
+
+
+def _stamp(path: str) -> tuple[int, ...]:
+    """Returns what differs between two versions of a file."""
+    try:
+        found = pathlib.Path(path).stat()
+    except OSError:
+        return ()
+    return found.st_ino, found.st_mtime_ns, found.st_size
+
+
 def load_access(settings: Settings) -> Access:
     """Reads the token and keys that the settings name.
 
@@ -106,15 +168,15 @@
     return hashlib.sha256(key).digest()
 
 
-def access_middleware(node: Node, access: Access):  # noqa: ANN201 - aiohttp's middleware type
+def access_middleware(node: Node, files: AccessFiles):  # noqa: ANN201 - aiohttp's middleware type
     """Returns the middleware that lets requests in or refuses them."""
 
     @web.middleware
     async def check(request: web.Request, handler) -> web.StreamResponse:  # noqa: ANN001
         if request.path.startswith(_ADMIN):
-            detail = _check_operator(request, access)
+            detail = _check_operator(request, files.access)
         elif request.path.startswith(_CALLERS):
-            detail = _check_caller(request, access)
+            detail = _check_caller(request, files.access)
         else:
             detail = ""
         if not detail:
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -18,9 +18,8 @@
     part_logger,
 )
 from rattanmill_entry.access import (
-    Access,
+    AccessFiles,
     access_middleware,
-    load_access,
 )
 from rattanmill_entry.admin import admin_routes
 from rattanmill_entry.drain import drain
@@ -59,7 +58,7 @@
         SettingsError: A file with secrets cannot be used.
         InvariantError: The state was found to be impossible.
     """
-    access = load_access(settings)
+    files = AccessFiles(settings)
     node = _make_node(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -80,6 +79,7 @@
         show_state(node)
         ownership = Ownership(node)
         node.live = LiveView(node.kv, lambda: _on_live(node, ownership))
+        await stack.enter_async_context(files)
         await stack.enter_async_context(node.hub)
         await stack.enter_async_context(node.lease)
         await stack.enter_async_context(node.live)
@@ -92,7 +92,7 @@
         await stack.enter_async_context(watch)
         await stack.enter_async_context(node.memory)
         await stack.enter_async_context(ownership)
-        runner = await _listen(node, access)
+        runner = await _listen(node, files)
         stack.push_async_callback(runner.cleanup)
         limit = ConnectionLimit(node, runner.server)
         await stack.enter_async_context(limit)
@@ -186,13 +186,13 @@
     ownership.wake.set()
 
 
-async def _listen(node: Node, access: Access) -> web.AppRunner:
+async def _listen(node: Node, files: AccessFiles) -> web.AppRunner:
     app = web.Application(
         client_max_size=node.settings.body_bytes,
         middlewares=[
             edge_middleware(node),
             failure_middleware(node),
-            access_middleware(node, access),
+            access_middleware(node, files),
         ],
     )
     app.add_routes(admin_routes(node) + caller_routes(node))
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -76,3 +76,14 @@
 
     When a request meets a broken invariant in a daemon of its own
     Then the daemon ends with 70 and says why
+
+  Scenario: A workspace gets a key while the instances run
+    Callers join and leave every day; a file that is half written when it is
+    read must lock nobody out.
+
+    When the file of keys gets a key for "cramond"
+    Then the key of "cramond" is soon accepted
+    When the file of keys is cut off in the middle
+    Then that is logged, and the key of "cramond" is still accepted
+    When the file of keys loses the key of "cramond"
+    Then the key of "cramond" is soon refused
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -397,3 +397,57 @@
     _, said = context.failing.communicate(timeout=30)
     assert context.failing.returncode == code, said
     assert said.splitlines()[-1] == "Turn 3 follows turn 1.", said
+
+
+_NEW_KEY = "the-key-of-cramond-01"
+
+
+def _write_keys(context, text):
+    """Replaces the file by a rename, so that no half of it is ever read."""
+    path = pathlib.Path(context.system.folder, "keys")
+    new = path.with_suffix(".new")
+    new.write_text(text)
+    new.rename(path)
+
+
+def _keys_text():
+    return "".join(f'{w} = "{k}"\n' for w, k in _KEYS.items())
+
+
+def _accepted(context):
+    return _make(context, _NEW_KEY).status == 201
+
+
+@when('the file of keys gets a key for "{workspace}"')
+def step_new_key(context, workspace):
+    assert not _accepted(context)
+    _write_keys(context, f'{_keys_text()}{workspace} = "{_NEW_KEY}"\n')
+
+
+@when("the file of keys is cut off in the middle")
+def step_half_keys(context):
+    _write_keys(context, 'leith = "the-k')
+
+
+@when('the file of keys loses the key of "{workspace}"')
+def step_lose_key(context, workspace):
+    _write_keys(context, _keys_text())
+
+
+@then('the key of "{workspace}" is soon accepted')
+def step_key_accepted(context, workspace):
+    wait_until(lambda: _accepted(context), "the new key is accepted")
+
+
+@then('the key of "{workspace}" is soon refused')
+def step_key_refused(context, workspace):
+    wait_until(lambda: not _accepted(context), "the old key is refused")
+
+
+@then('that is logged, and the key of "{workspace}" is still accepted')
+def step_key_kept(context, workspace):
+    log = context.system.instances[_GUARDED].process.log
+    wait_until(
+        lambda: "Kept the old keys and token" in log.read_text(), "it is logged"
+    )
+    assert _accepted(context)
