--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -18,14 +18,14 @@
     part_logger,
 )
 from rattanmill_entry.access import (
-    Access,
+    AccessFiles,
     access_middleware,
-    load_access,
 )
 from rattanmill_entry.admin import admin_routes
 from rattanmill_entry.drain import drain
 from rattanmill_entry.edge import ConnectionLimit, edge_middleware
 from rattanmill_entry.engines import EndpointWatch
+from rattanmill_entry.failures import watch_tasks
 from rattanmill_entry.gossip import Gossip, take_config
 from rattanmill_entry.http import caller_routes
 from rattanmill_entry.memory import EngineMemory
@@ -57,15 +57,16 @@
 
     Raises:
         SettingsError: A file with secrets cannot be used.
+        InvariantError: The state was found to be impossible.
     """
-    access = load_access(settings)
-    stop = asyncio.Event()
+    files = AccessFiles(settings)
+    node = _make_node(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, node.stop.set)
     loop.add_signal_handler(signal.SIGHUP, _ignore_hangup)
+    watch_tasks(node)
     async with contextlib.AsyncExitStack() as stack:
-        node = _make_node(settings)
         node.session = await stack.enter_async_context(_session(settings))
         node.act_session = await stack.enter_async_context(
             _session(settings, fresh=True)
@@ -79,6 +80,7 @@
         show_state(node)
         ownership = Ownership(node)
         node.live = LiveView(node.kv, lambda: _on_live(node, ownership))
+        await stack.enter_async_context(files)
         await stack.enter_async_context(node.hub)
         await stack.enter_async_context(node.lease)
         await stack.enter_async_context(node.live)
@@ -91,12 +93,14 @@
         await stack.enter_async_context(watch)
         await stack.enter_async_context(node.memory)
         await stack.enter_async_context(ownership)
-        runner = await _listen(node, access)
+        runner = await _listen(node, files)
         stack.push_async_callback(runner.cleanup)
         limit = ConnectionLimit(node, runner.server)
         await stack.enter_async_context(limit)
         _log.info("Instance {} serves on {}.", settings.name, settings.http)
-        await stop.wait()
+        await node.stop.wait()
+        if node.broken:
+            raise node.broken
         await drain(node, ownership, list(runner.sites))
 
 
@@ -184,10 +188,10 @@
     ownership.wake.set()
 
 
-async def _listen(node: Node, access: Access) -> web.AppRunner:
+async def _listen(node: Node, files: AccessFiles) -> web.AppRunner:
     app = web.Application(
         client_max_size=node.settings.body_bytes,
-        middlewares=[edge_middleware(node), access_middleware(node, access)],
+        middlewares=[edge_middleware(node), access_middleware(node, files)],
     )
     app.add_routes(admin_routes(node) + caller_routes(node))
     runner = web.AppRunner(
