Quarantine calls of plain services that crash their endpoints

Found on the way, each by a scenario that failed now and then: - A probe that was under way when the connection broke was taken for the answer, and a crash went uncounted (3 services lost, not 2). A confirming probe now begins after it was asked for. - A dying process can close our connection before its listening socket, where the first probe is let in: asked a second time after 0.1 s. - An instance with calls at one engine only took an outage for a crash: it looks at a few others of the domain first. - An act's crash was counted after its answer, and the next act under another key was there before it.

--- a/libs/entry/src/rattanmill_entry/acts.py
+++ b/libs/entry/src/rattanmill_entry/acts.py
@@ -15,6 +15,7 @@
 
 from rattanmill_core import Ran, Reason, Refusal, refuse
 from rattanmill_entry.node import Node
+from rattanmill_entry.quarantine import service_prints
 from rattanmill_entry.replies import (
     Replies,
     Reply,
@@ -141,6 +142,7 @@
     node: Node, shard: Shard, program: Program, start: CallStart, act: Act
 ) -> list[Reply]:
     refusal = _limits(program)
+    refusal = refusal or node.guard.refusal(service_prints(start), Ran.NO)
     if refusal:
         return [refused(start, refusal)]
     program.acts[act.key] = act
@@ -202,10 +204,15 @@
         result = await _attempt(run, work)
         if isinstance(result, Refusal):
             return _withdraw(run, result)
+        prints = service_prints(run.start)
         if isinstance(result, ServiceAnswer):
+            node.guard.finished(prints)
             return await _settle(run, result)
         if result.outcome not in NEVER_SENT:
-            return await _settle(run, None)
+            replies = await _settle(run, None)
+            # Before the caller can ask again under another key.
+            await node.guard.after_attempt(prints, result, work.tried[-1])
+            return replies
         run.sent = False
         if not node.scheduler.may_retry(work, result.outcome):
             return _withdraw(run, gave_up(result, Ran.NO))
--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -118,6 +118,7 @@
         node.metrics.retried(failed.outcome)
         if not run.stream:
             yield Restarted()
+        await node.guard.before_retry(prints)
 
 
 async def _attempt(
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -10,6 +10,7 @@
 import contextlib
 import enum
 import hashlib
+import random
 from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Self, TypeVar
 
@@ -87,9 +88,16 @@
             self.task.cancel()
 
     async def confirm(self, state: EndpointState) -> Probe:
-        """Probes an endpoint; probes asked for meanwhile share the answer."""
+        """Probes an endpoint; those who ask at the same time share a probe.
+
+        A probe that was under way before is no answer: it may have begun
+        while the endpoint, which has crashed since, was well.
+        """
         record = self.records.setdefault(state.endpoint.name, _Record())
-        if record.task is None:
+        earlier = record.task
+        if earlier is not None:
+            await asyncio.shield(earlier)
+        if record.task is None or record.task is earlier:
             record.task = self.node.spawn(self._probe(state, record))
             record.task.add_done_callback(
                 lambda task: setattr(record, "task", None)
@@ -238,7 +246,7 @@
         if found is Probe.REFUSED:
             if not state.reach.closed:
                 table.close(state, Aspect.REACH, Sign.REFUSED)
-                self._probe_beside(state)
+                self._suspect_outage(state)
         elif record.silent >= _SILENT_PROBES:
             table.close(state, Aspect.REACH, Sign.SILENT)
         elif found is Probe.DRAINING:
@@ -258,25 +266,31 @@
             table.reopen(state, Aspect.DEPARTURE)
             _log.info("Endpoint {} is back.", state.endpoint.name)
 
-    def _probe_beside(self, state: EndpointState) -> None:
+    def _suspect_outage(self, state: EndpointState) -> None:
         """Probes others of a domain that has just lost a second endpoint.
 
         In an outage a call would else be moved from one dead endpoint to the
         next until its tries are used up.
         """
         since = _now() - _OUTAGE_SECONDS
-        beside = [
+        beside = self._beside(state)
+        if any(s.reach.closed and s.reach.changed_at > since for s in beside):
+            self.node.spawn(self.look_beside(state, _PROBES_IN_OUTAGE))
+
+    async def look_beside(self, state: EndpointState, most: int) -> None:
+        """Probes some others of an endpoint's kind in its failure domain."""
+        beside = [other for other in self._beside(state) if not other.closed]
+        chosen = random.sample(beside, min(most, len(beside)))
+        await asyncio.gather(*map(self.confirm, chosen))
+
+    def _beside(self, state: EndpointState) -> list[EndpointState]:
+        return [
             other
             for other in self.node.table.states.values()
             if other is not state
             and other.endpoint.domain == state.endpoint.domain
+            and other.endpoint.kind == state.endpoint.kind
         ]
-        if any(s.reach.closed and s.reach.changed_at > since for s in beside):
-            found = [s for s in beside if not s.closed]
-            service = state.endpoint.service
-            found.sort(key=lambda other: other.endpoint.service != service)
-            for other in found[:_PROBES_IN_OUTAGE]:
-                self.node.spawn(self.confirm(other))
 
     def _moves(
         self, state: EndpointState, record: _Record, load: Load | None
--- a/libs/entry/src/rattanmill_entry/quarantine.py
+++ b/libs/entry/src/rattanmill_entry/quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import random
 import time
 from collections.abc import AsyncIterator
@@ -13,7 +14,9 @@
 from rattanmill_entry.engines import EndpointWatch, Probe
 from rattanmill_entry.node import Node
 from rattanmill_entry.signs import Signs
-from rattanmill_policy import EndpointState
+from rattanmill_entry.upstream import Failed
+from rattanmill_policy import EndpointState, Outcome
+from rattanmill_wire import CallStart
 
 _log = part_logger("quarantine")
 _PRINT_BYTES = 16
@@ -21,7 +24,9 @@
 _REPORT_SECONDS = 0.2
 # Time in which an outage of a failure domain shows at several endpoints.
 _OTHERS_SECONDS = 0.3
+_GONE_SECONDS = 0.1
 _MANY = 3
+_LOOKED_AT = 4
 _MOST_EXCUSED = 10_000
 _RETRY_SPREAD_SECONDS = 0.5
 # Longest time that a suspect waits for another to leave an endpoint.
@@ -82,14 +87,28 @@
         A stream that breaks at an endpoint which still answers is no crash,
         and when several endpoints of a failure domain go at the same time it
         was not a request.
-        Suspects wait a little before they run again, each for another time:
-        instances that moved them on at the same moment would put them on the
+        Counting goes on when the caller has gone meanwhile.
+        """
+        task = self.node.spawn(self._count_crash(prints, state))
+        return await asyncio.shield(task)
+
+    async def before_retry(self, prints: list[bytes]) -> None:
+        """Lets suspects wait, each for another time, before they run again.
+
+        Instances that moved them on at the same moment would put them on the
         same endpoint again.
         """
-        if await self.watch.confirm(state) is not Probe.REFUSED:
+        if any(map(self.signs.quarantine.is_suspected, prints)):
+            await asyncio.sleep(random.uniform(0, _RETRY_SPREAD_SECONDS))
+
+    async def _count_crash(
+        self, prints: list[bytes], state: EndpointState
+    ) -> Refusal | None:
+        if not await self._is_gone(state):
             return None
         name = state.endpoint.name
         at = int(time.time() * 1000)
+        await self.watch.look_beside(state, _LOOKED_AT)
         await asyncio.sleep(_OTHERS_SECONDS)
         if self._is_outage(state) and self._excuse(prints[0]):
             self.node.metrics.count("rattanmill_quarantine", event="outage")
@@ -102,8 +121,28 @@
         refusal = self.refusal(prints, Ran.UNKNOWN)
         if refusal:
             self.node.metrics.count("rattanmill_quarantine", event="condemned")
-            return refusal
-        await asyncio.sleep(random.uniform(0, _RETRY_SPREAD_SECONDS))
+        return refusal
+
+    async def _is_gone(self, state: EndpointState) -> bool:
+        """Whether an endpoint that broke a connection is not there any more.
+
+        Asked twice: a process that ends may close our connection before its
+        listening socket, where the first probe is still let in.
+        """
+        if await self.watch.confirm(state) is Probe.REFUSED:
+            return True
+        await asyncio.sleep(_GONE_SECONDS)
+        return await self.watch.confirm(state) is Probe.REFUSED
+
+    async def after_attempt(
+        self, prints: list[bytes], result: object, endpoint: str
+    ) -> Refusal | None:
+        """Learns from an attempt at a plain service."""
+        state = self.node.table.states.get(endpoint)
+        if not isinstance(result, Failed):
+            self.finished(prints)
+        elif result.outcome is Outcome.BROKEN and state:
+            return await self.after_broken(prints, state)
         return None
 
     def _is_outage(self, state: EndpointState) -> bool:
@@ -171,6 +210,18 @@
     return prints
 
 
+def service_prints(start: CallStart) -> list[bytes]:
+    """Returns the fingerprint of a call to a plain service.
+
+    The idempotency key is no part of it: a caller that is told that the
+    outcome is unknown may ask for the same thing under another key.
+    """
+    head = msgspec.msgpack.encode([start.method, start.service, start.path])
+    digest = hashlib.blake2b(head, digest_size=_PRINT_BYTES)
+    digest.update(start.body)
+    return [digest.digest()]
+
+
 def _after_answer(messages: list[bytes]) -> int:
     for index in range(len(messages), 0, -1):
         if b'"role":"assistant"' in messages[index - 1]:
--- a/libs/entry/src/rattanmill_entry/services.py
+++ b/libs/entry/src/rattanmill_entry/services.py
@@ -4,6 +4,7 @@
 
 from rattanmill_core import Ran, Reason, Refusal, refuse
 from rattanmill_entry.node import Node
+from rattanmill_entry.quarantine import service_prints
 from rattanmill_entry.replies import Replies, Reply, refused, whole_reply
 from rattanmill_entry.upstream import Failed, ServiceAnswer, call_service
 from rattanmill_policy import Outcome, Work
@@ -18,22 +19,33 @@
     until = loop.time() + start.seconds_left
     work = service_work(start)
     ran = Ran.NO
+    prints = service_prints(start)
     while True:
+        if quarantined := node.guard.refusal(prints, ran):
+            yield refused(start, quarantined)
+            return
         work.seconds_left = max(0.0, until - loop.time())
         result = await _attempt(node, start, work)
         if isinstance(result, Refusal):
             yield refused(start, result.after(ran))
             return
+        quarantined = await node.guard.after_attempt(
+            prints, result, work.tried[-1]
+        )
         if isinstance(result, ServiceAnswer):
             for reply in answered(start, result):
                 yield reply
             return
         if result.outcome not in NEVER_SENT:
             ran = Ran.UNKNOWN
+        if quarantined:
+            yield refused(start, quarantined)
+            return
         if not node.scheduler.may_retry(work, result.outcome):
             yield refused(start, gave_up(result, ran))
             return
         node.metrics.retried(result.outcome)
+        await node.guard.before_retry(prints)
 
 
 async def _attempt(
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -42,6 +42,19 @@
     Then all other calls were answered
     And no call is suspected
 
+  Scenario: A plain service that a marked body crashes
+    A booking form with a broken attachment ends the service's process. The
+    first time it is a query, then a deposit under ever new keys.
+
+    Given engines that a marked request crashes
+    And plain services that a marked body crashes
+    When a marked query is sent 3 times through different instances
+    Then it is refused as "quarantined", at first with "unknown", then "no"
+    And 2 services were lost
+    When a marked deposit is sent 3 times, each time under a new key
+    Then it is refused as "act_unknown" 2 times and then as "quarantined"
+    And 4 services were lost
+
   Scenario: An instance that did not see the crashes
     The instance that saw the crashes is replaced. Its successor knows
     nothing by itself.
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -14,7 +14,7 @@
 from features.steps.endpoints import phases, start_once
 from rattanmill_core import CrashNote
 from rattanmill_policy import Quarantine
-from support import EngineSpec, Layout, wait_until
+from support import EngineSpec, Layout, ServiceSpec, wait_until
 from support.stack import random_text
 
 MARKER = "poisoned-text"
@@ -23,7 +23,7 @@
         EngineSpec(f"engine-{n + 1}", domain, {"prefill": 400.0})
         for n, domain in enumerate((0, 0, 0, 0, 1, 2))
     ],
-    services=[],
+    services=[ServiceSpec(f"office-{n + 1}", n % 3) for n in range(5)],
 )
 NAMES = [spec.name for spec in LAYOUT.engines]
 
@@ -141,6 +141,45 @@
     step_others_answered(context)
 
 
+SERVICES = [spec.name for spec in LAYOUT.services]
+
+
+@given("plain services that a marked body crashes")
+def step_services(context):
+    for name in SERVICES:
+        context.system.standins[name].faults(crash_marker=MARKER)
+
+
+@when("a marked query is sent {count:d} times through different instances")
+def step_query(context, count):
+    path = "/v1/services/index-office/query"
+    context.refused = [
+        client.request("POST", path, context.marked.encode())
+        for client in context.clients[:count]
+    ]
+
+
+@when("a marked deposit is sent {count:d} times, each time under a new key")
+def step_deposit(context, count):
+    body = f"deposit {context.marked}"
+    context.refused = [
+        client.act(random_text(), body) for client in context.clients[:count]
+    ]
+
+
+@then('it is refused as "{first}" {count:d} times and then as "{rest}"')
+def step_refused_later(context, first, count, rest):
+    reasons = [answer.json["reason"] for answer in context.refused]
+    wanted = [first] * count + [rest] * (len(reasons) - count)
+    assert reasons == wanted, reasons
+
+
+@then("{count:d} services were lost")
+def step_services_lost(context, count):
+    lost = [n for n in SERVICES if not context.system.processes[n].alive]
+    assert len(lost) == count, lost
+
+
 @when("the first failure domain loses its engines with {count:d} in flight")
 def step_lose_domain(context, count):
     context.texts = [random_text() for _ in range(count)]
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -5,11 +5,14 @@
 
 import asyncio
 import collections
+import os
 
 from aiohttp import web
 
 from standins.common import Faults, StandIn, argument, drop, run
 
+_CRASH_EXIT = 17
+
 
 class ServiceFaults(Faults, kw_only=True):
     """Faults of the service.
@@ -22,6 +25,7 @@
         fail_status: Status to answer with, after running; 0: none.
         fencing: Whether calls with an old fencing number are refused.
         redirect_to: URL that calls are redirected to after running.
+        crash_marker: The process dies when a body contains this text.
     """
 
     slow_seconds: float = 0.0
@@ -31,6 +35,7 @@
     fail_status: int = 0
     fencing: bool = False
     redirect_to: str = ""
+    crash_marker: str = ""
 
 
 class Service(StandIn):
@@ -58,6 +63,8 @@
             faults.refuse_before -= 1
             await drop(request)
         body = await request.read()
+        if faults.crash_marker and faults.crash_marker.encode() in body:
+            os._exit(_CRASH_EXIT)
         key = request.headers.get("Idempotency-Key", "")
         if self._is_stale(request):
             self.stats["fenced"] += 1
