Measure waiting against the best speeds seen

Cause: under load the usual speeds hold waiting within; calls seemed to wait less the busier it was, and a wait of half the (inflated) run was allowed.

--- a/libs/policy/src/rattanmill_policy/admission.py
+++ b/libs/policy/src/rattanmill_policy/admission.py
@@ -83,7 +83,7 @@
 
     Attributes:
         reached: Programs that reached each number of calls, decayed.
-        run: Seconds of a call without waiting, decayed mean.
+        run: Seconds of a call at the best speeds seen, decayed mean.
         pause: Seconds from a call's end to the program's next one.
         output: Tokens of an answer, decayed mean.
     """
--- a/libs/policy/src/rattanmill_policy/learning.py
+++ b/libs/policy/src/rattanmill_policy/learning.py
@@ -38,10 +38,8 @@
     first, total = placement.first_token_seconds, placement.seconds
     for speed in (stats.speed, fleet):
         speed.learn_chat(now, first, total, uncached, output)
-    pace = known.pace_of(work, stats, now)
-    prefill = uncached * pace.prefill
-    _learn_shape(known, work, prefill + output * pace.decode, output, now)
-    least = prefill + output * (stats.speed.decode_least or pace.decode)
+    least = stats.speed.least_seconds(uncached, output)
+    _learn_shape(known, work, least, output, now)
     in_flight = placement.state.in_flight + 1
     stats.limit = next_limit(stats.limit, in_flight, total, least)
     known.prefixes.answered(
@@ -53,12 +51,18 @@
 
 
 def _learn_shape(
-    known: Knowledge, work: Work, run: float, output: int, now: float
+    known: Knowledge, work: Work, least: float, output: int, now: float
 ) -> None:
+    """Learns what programs of a class are like, and how long calls wait.
+
+    All beyond the least time counts as waiting. Measured against the usual
+    time under load, calls would seem to wait less the busier it is, and
+    programs would be admitted that cannot be in time.
+    """
     klass = known.class_of(work)
     state = known.admission.of(known.class_name(work))
-    state.shape.learn("run", run)
+    state.shape.learn("run", least)
     state.shape.learn("output", float(output))
     late = now - known.use_of(work, now).began > klass.target_seconds
-    delay = max(0.0, now - work.began - run)
+    delay = max(0.0, now - work.began - least)
     state.note_call(delay, late, klass, now)
--- a/libs/policy/src/rattanmill_policy/speeds.py
+++ b/libs/policy/src/rattanmill_policy/speeds.py
@@ -36,6 +36,11 @@
     return min(max(value, around / _CLIP), around * _CLIP)
 
 
+def _least(least: float, usual: float, sample: float) -> float:
+    """Returns the least seen, drawn slowly to what is usual by now."""
+    return min(sample, least + _LEAST_FORGET * (usual - least))
+
+
 class Speed:
     """Seconds per token and per call.
 
@@ -44,6 +49,7 @@
             samples too long, never too short, so low samples count for more.
         decode: Seconds per token of the answer, under the load there is.
         decode_least: The least of these seen, forgotten slowly.
+        prefill_least: The same for prefill.
         call: Seconds of a call, for plain services.
         samples: How many measurements there were, at most 10.
     """
@@ -52,6 +58,7 @@
         self.prefill = _PREFILL_SECONDS
         self.decode = _DECODE_SECONDS
         self.decode_least = 0.0
+        self.prefill_least = 0.0
         self.call = _CALL_SECONDS
         self.samples = 0.0
         self.measured = 0.0
@@ -79,23 +86,26 @@
             self.decode = self.decode_least = sample
             return
         self.decode += _STEP * (_clipped(sample, self.decode) - self.decode)
-        self.decode_least = min(
-            sample,
-            self.decode_least
-            + _LEAST_FORGET * (self.decode - self.decode_least),
-        )
+        self.decode_least = _least(self.decode_least, self.decode, sample)
 
     def _learn_prefill(self, sample: float) -> None:
-        if not self.samples:
-            self.prefill = sample
+        if not self.prefill_least:
+            self.prefill = self.prefill_least = sample
             return
         step = _STEP_DOWN if sample < self.prefill else _STEP_UP
         self.prefill += step * (_clipped(sample, self.prefill) - self.prefill)
+        self.prefill_least = _least(self.prefill_least, self.prefill, sample)
 
     def _count(self, now: float) -> None:
         self.samples = min(self.trust(now) + 1, _MOST_SAMPLES)
         self.measured = now
 
+    def least_seconds(self, uncached: int, output: int) -> float:
+        """Returns the time of a call at the best speeds seen."""
+        prefill = self.prefill_least or self.prefill
+        decode = self.decode_least or self.decode
+        return uncached * prefill + output * decode
+
     def trust(self, now: float) -> float:
         """Weight of these estimates against the fleet's."""
         if not self.samples:
