--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import os
+import pathlib
 import random
 import statistics
 import time
@@ -25,6 +27,10 @@
 _PROGRAMS = 200
 _MESSAGES = 20
 _LEAST_REST = 0.001
+_BUSY_LOAD = 2.0
+_PAGE = pathlib.Path("docs/MEASUREMENTS.md")
+_BEGIN = "<!-- decisions: begin -->"
+_END = "<!-- decisions: end -->"
 
 
 def _work(number: int, turn: int) -> Work:
@@ -73,16 +79,34 @@
     return times[_WARM:]
 
 
-def main() -> None:
-    """Prints a table row for each size."""
-    print("| endpoints | median | p99 | most |")
-    print("|---|---|---|---|")
+def _table() -> str:
+    busy = os.getloadavg()[0]
+    trial = " **Trial: other work ran.**" if busy > _BUSY_LOAD else ""
+    lines = [
+        f"`python -m bench.decisions`, {time.strftime('%Y-%m-%d %H:%M')},"
+        f" {_CALLS} calls, seed 1, load average before it {busy:.1f}.{trial}",
+        "",
+        "| endpoints | median us | p99 us | most us |",
+        "|---|---|---|---|",
+    ]
     for size in SIZES:
         times = sorted(asyncio.run(measure(size)))
         median = statistics.median(times) * 1e6
         p99 = times[int(len(times) * 0.99)] * 1e6
         most = times[-1] * 1e6
-        print(f"| {size} | {median:.0f} us | {p99:.0f} us | {most:.0f} us |")
+        lines.append(f"| {size} | {median:.0f} | {p99:.0f} | {most:.0f} |")
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Writes the table of docs/MEASUREMENTS.md."""
+    table = _table()
+    print(table)
+    text = _PAGE.read_text(encoding="utf-8")
+    head, rest = text.split(_BEGIN, 1)
+    tail = rest.split(_END, 1)[1]
+    page = "\n".join([head + _BEGIN, table, _END + tail])
+    _PAGE.write_text(page, encoding="utf-8")
 
 
 if __name__ == "__main__":
