Show the engines' order and the room kept within shares

Proofs with the protection taken out by hand: without engine_priority 'AssertionError: (0, 0)' in the priority step; without the division by the excess the last step fails.

--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -49,6 +49,19 @@
     When workspace "flood" has 30 calls waiting and "small" then 1
     Then the call of "small" is the last
 
+  Scenario: Engines get the same order
+    Calls queue inside engines, too. If they went there in the order they came,
+    ours would be worth nothing.
+
+    Then a call under way has a higher priority than a new one placed before it
+
+  Scenario: Room is kept for workspaces within their share
+    A branch has used three times its share of the last seconds. When there is
+    room for some programs only, another branch's come first.
+
+    Then a workspace within its share is admitted whenever one over it is
+    And at half of the allowed wait only the one within its share is
+
   Scenario: A call that waits past its deadline
     A caller sets a deadline, and no place comes free in time.
 
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -16,6 +16,7 @@
     Admission,
     Permits,
     Shape,
+    allowed_delay,
     next_limit,
 )
 from rattanmill_policy.queueing import ProgramUses, virtual_deadline
@@ -216,6 +217,54 @@
     assert context.order[-1] == "small", context.order
 
 
+@then("a call under way has a higher priority than a new one placed before it")
+def step_priority(context):
+    async def run():
+        fleet = Fleet({"a": 0.5})
+        new = await fleet.hold(chat_work("new", turn=1))
+        await asyncio.sleep(1)
+        under_way = await fleet.hold(chat_work("under way", age_seconds=5.0))
+        return new.priority, under_way.priority
+
+    new, under_way = run_virtually(run())
+    assert new < under_way, (new, under_way)
+
+
+def _admits(delay, excess):
+    admission = Admission(random.Random(1))
+    admission.of("default").shape.learn("run", 1.0)
+    verdict = admission.check_new(
+        "default",
+        WorkClass(target_seconds=60.0),
+        Permits(),
+        age=0.0,
+        delay=delay,
+        excess=excess,
+        ending=0.0,
+        now=100.0,
+    )
+    return verdict.admitted
+
+
+@then("a workspace within its share is admitted whenever one over it is")
+def step_share_first(context):
+    @_EXAMPLES
+    @for_any(st.floats(0.0, 10.0), st.floats(0.0, 10.0))
+    def check(delay, excess):
+        assert _admits(delay, 0.0) or not _admits(delay, excess)
+
+    check()
+
+
+@then("at half of the allowed wait only the one within its share is")
+def step_share_only(context):
+    shape = Admission(random.Random(1)).of("default").shape
+    shape.learn("run", 1.0)
+    allowed = allowed_delay(shape, WorkClass(target_seconds=60.0))
+    assert _admits(0.49 * allowed, 0.0)
+    assert not _admits(0.49 * allowed, 2.0)
+
+
 @when("a call with a deadline of 2 s waits for it")
 def step_deadline(context):
     async def run():
