--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -87,7 +87,10 @@
             peer = self.node.hub.peer(
                 record.name, peer_address(self.node, record)
             )
-            await peer.send(heartbeat(self.node, reply=False))
+            # A send to an instance that died long ago waits for room on its
+            # link. Waited for here, it would hold up the heartbeats to the
+            # living, who would then take this instance for dead.
+            self.node.spawn(peer.send(heartbeat(self.node, reply=False)))
 
     def _partners(self) -> list[InstanceRecord]:
         """Returns whom this round's heartbeats go to."""
--- a/libs/entry/src/rattanmill_entry/turns.py
+++ b/libs/entry/src/rattanmill_entry/turns.py
@@ -114,6 +114,10 @@
     if not node.lease.holds() or shard.log.fenced:
         outbox.put(ownership_lost(start, Ran.NO))
         return
+    if shard.log.is_full:
+        detail = "Too many turns wait for the store, which is away."
+        queue.put(refused(start, refuse(Reason.STORE_UNAVAILABLE, detail)))
+        return
     refusal = await _file_receipts(node, shard, program, chat)
     if refusal:
         outbox.put(refused(start, refusal))
--- a/libs/programs/src/rattanmill_programs/shardlog.py
+++ b/libs/programs/src/rattanmill_programs/shardlog.py
@@ -31,6 +31,8 @@
 
 _log = part_logger("log")
 _SEGMENT_BYTES = 900_000
+# What waits for a service that is away is held in memory.
+_MOST_PENDING_BYTES = 32_000_000
 _COMMIT_SECONDS = 1.0
 _RETRY_SECONDS = 0.1
 _DOUBT_SECONDS = 0.05
@@ -112,6 +114,11 @@
         self.wake.set()
         return done
 
+    @property
+    def is_full(self) -> bool:
+        """Whether too much waits already; callers must not add to it."""
+        return self.pending_bytes > _MOST_PENDING_BYTES
+
     async def append(self, *records: Record) -> Appended:
         """Queues records and waits for their commit for a short while."""
         done = self.enqueue(*records)
--- a/tests/features/compaction.feature
+++ b/tests/features/compaction.feature
@@ -51,6 +51,14 @@
     When a taker is overtaken before any of its calls
     Then it keeps nothing, and the other's turn is there
 
+  Scenario: An outage longer than memory
+    Turns wait in memory for a service that is away. An instance that took
+    ever more would be killed, and its callers' programs with it.
+
+    Given a shard with 25 segments
+    When turns of a megabyte are kept while the service is away
+    Then the log says that it is full before 40 megabytes wait
+
   Scenario: A log that cannot be right
     A value of a log was damaged. The shard must not take the instance and its
     other shards down, nor go on with half of its programs.
--- a/tests/features/config_spread.feature
+++ b/tests/features/config_spread.feature
@@ -68,3 +68,15 @@
     And instance 5 starts while it cannot reach the service
     Then every instance has the accepted change in force
     And instance 5 was never ready with another number
+
+  Scenario: The service is restored from a backup
+    Its document is older than the one in force. Instances that took it would
+    revert what operators were told is accepted.
+
+    Given a system of three failure domains
+    When an operator applies a change through instance 0
+    And every instance has it in force before the service is set back by one
+    And an operator applies a change through instance 4
+    Then every instance has the accepted change in force
+    And its number is two above the one that was set back
+    And no instance ever went back to a lower number
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -118,3 +118,20 @@
 
     Given the lease of an instance whose service takes 0.6 of its lease
     Then the instance holds its shards without a break for 3 lease times
+
+  Scenario: Heartbeats while a link to a dead instance is full
+    An instance died long ago and its link takes nothing any more. If the
+    heartbeats to the living waited for it, this instance would be taken for
+    dead while it serves.
+
+    Given an instance whose link to a dead one is full
+    When it sends a round of heartbeats
+    Then the living ones get theirs although the full link still waits
+
+  Scenario: Instances that were replaced
+    Each restart under a new name leaves an address behind. They must not
+    stay for ever, nor may an owner's go.
+
+    Given an instance that knows one living, one gone and one gone owner
+    When the gone ones have been gone for eleven minutes
+    Then only the gone one that owns nothing is forgotten
--- a/tests/features/steps/compaction.py
+++ b/tests/features/steps/compaction.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 
 from rattanmill_core import Ran
-from rattanmill_platform import Conflict
+from rattanmill_platform import Conflict, Unavailable
 from rattanmill_programs import (
     ActIntended,
     ActSettled,
@@ -399,6 +399,31 @@
         assert turns == before + 1, context.fates
 
 
+@when("turns of a megabyte are kept while the service is away")
+def step_away(context):
+    class Away(MemoryKv):
+        async def create_unique(self, key, value):
+            return Unavailable("away")
+
+    async def run():
+        shard = await own(context.kv, 2)
+        shard.log.kv = Away()
+        megabytes = 0
+        while not shard.log.is_full and megabytes < 100:
+            turn = next_turn(shard.programs["a"], "x" * 1_000_000)
+            shard.log.enqueue(turn)
+            megabytes += 1
+        shard.log.stop()
+        return megabytes
+
+    context.megabytes = asyncio.run(run())
+
+
+@then("the log says that it is full before {count:d} megabytes wait")
+def step_full(context, count):
+    assert 1 < context.megabytes < count, context.megabytes
+
+
 @when("one of its values is damaged")
 def step_damage(context):
     key = slot_key("east", 0, 7)
--- a/tests/features/steps/config_spread.py
+++ b/tests/features/steps/config_spread.py
@@ -1,6 +1,7 @@
 """Steps about the configuration in force at each instance."""
 
 import threading
+import time
 
 from behave import given, then, when
 from steps.ownership import start_later
@@ -96,6 +97,29 @@
     )
 
 
+@when("every instance has it in force before the service is set back by one")
+def step_set_back(context):
+    step_everywhere(context)
+    step_watch(context)
+    kv = context.system.standins["kv"]
+    path = "/kv/rm/live/config"
+    revision = kv.request("GET", path).headers["kv-revision"]
+    context.old = {
+        **context.accepted,
+        "number": context.accepted["number"] - 1,
+        "change": "restored",
+    }
+    answer = kv.request("PUT", f"{path}?expect={revision}", context.old)
+    assert answer.status == 200, answer
+    # Every instance that watches has seen it when it answers from its view.
+    time.sleep(0.5)
+
+
+@then("its number is two above the one that was set back")
+def step_two_above(context):
+    assert context.accepted["number"] == context.old["number"] + 2
+
+
 @when("failure domains {one:d} and {other:d} are cut off from the service")
 def step_cut_two(context, one, other):
     kv_faults(context, cut_sources=[f"127.0.{one + 1}.", f"127.0.{other + 1}."])
@@ -124,6 +148,11 @@
 
 @then("no instance ever went back to a lower number")
 def step_never_back(context):
+    number = context.accepted["number"]
+    wait_until(
+        lambda: all(seen[-1] == number for seen in context.numbers),
+        "the last change was seen everywhere",
+    )
     for seen in context.numbers:
         assert seen == sorted(seen), seen
         assert len(set(seen)) > 1, seen
--- a/tests/features/steps/ownership.py
+++ b/tests/features/steps/ownership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import types
 
 from behave import given, then, when
 from steps.state import (
@@ -14,7 +15,17 @@
     status,
 )
 
-from rattanmill_platform import InstanceLease, Unavailable, Written
+from rattanmill_core import ConfigDocument
+from rattanmill_entry.gossip import Gossip
+from rattanmill_entry.ownership import Ownership
+from rattanmill_platform import (
+    DomainShards,
+    InstanceLease,
+    InstanceRecord,
+    ShardOwner,
+    Unavailable,
+    Written,
+)
 from support import wait_until
 
 
@@ -324,3 +335,100 @@
 
     held = asyncio.run(run())
     assert all(held), (held.count(False), len(held))
+
+
+class _Peer:
+    """A link that takes messages, or waits for ever."""
+
+    def __init__(self, full):
+        self.full = full
+        self.sent = []
+        self.heard = 0.0
+        self.streams = {}
+
+    async def send(self, message):
+        if self.full:
+            await asyncio.get_running_loop().create_future()
+        self.sent.append(message)
+        return True
+
+
+def _record(name):
+    return InstanceRecord(name, "east", "127.0.0.1:1", "", "", f"run-{name}")
+
+
+def _node(names):
+    """Returns as much of a node as ownership and gossip look at."""
+    peers = {name: _Peer(full=name.startswith("dead")) for name in names}
+    tasks = []
+    return types.SimpleNamespace(
+        settings=types.SimpleNamespace(name="self", domain="east"),
+        incarnation="run-self",
+        addresses={name: _record(name) for name in names},
+        suspects={},
+        draining=False,
+        config=ConfigDocument(),
+        lease=types.SimpleNamespace(silence_seconds=1.0),
+        hub=types.SimpleNamespace(
+            peers=peers,
+            peer=lambda name, address: peers[name],
+            forget=lambda name: peers.pop(name),
+        ),
+        live=types.SimpleNamespace(synced=True, instances={}, shards={}),
+        spawn=lambda work: tasks.append(asyncio.ensure_future(work)),
+        tasks=tasks,
+    )
+
+
+@given("an instance whose link to a dead one is full")
+def step_full_link(context):
+    context.node = _node(["dead", "living"])
+    # The dead one is asked first: its lease has lapsed.
+    context.node.suspects = {"dead": 0.0}
+
+
+@when("it sends a round of heartbeats")
+def step_beat(context):
+    async def run():
+        gossip = Gossip(context.node, None)
+        partners = list(context.node.addresses.values())
+        gossip._partners = lambda: partners
+        beat = asyncio.ensure_future(gossip.beat())
+        for _ in range(20):
+            await asyncio.sleep(0)
+        beat.cancel()
+        for task in context.node.tasks:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+@then("the living ones get theirs although the full link still waits")
+def step_living_get(context):
+    peers = context.node.hub.peers
+    assert not peers["dead"].sent
+    assert len(peers["living"].sent) == 1, peers["living"].sent
+
+
+@given("an instance that knows one living, one gone and one gone owner")
+def step_gone(context):
+    node = _node(["living", "gone", "owner"])
+    node.live.instances = {"living": _record("living")}
+    owner = ShardOwner("owner", "run-owner", 1)
+    node.live.shards = {"east": DomainShards(1, [owner])}
+    context.node = node
+
+
+@when("the gone ones have been gone for eleven minutes")
+def step_minutes(context):
+    ownership = Ownership(context.node)
+    ownership.forget_gone(1000.0)
+    context.early = set(context.node.addresses)
+    ownership.forget_gone(1660.0)
+
+
+@then("only the gone one that owns nothing is forgotten")
+def step_forgotten(context):
+    assert context.early == {"living", "gone", "owner"}, context.early
+    assert set(context.node.addresses) == {"living", "owner"}
+    assert "gone" not in context.node.hub.peers
