--- a/libs/entry/src/rattanmill_entry/ownership.py
+++ b/libs/entry/src/rattanmill_entry/ownership.py
@@ -40,7 +40,6 @@
 _MOVE_PAUSE_SECONDS = 10.0
 _BROKEN_PAUSE_SECONDS = 30.0
 _TIDY_SECONDS = 5.0
-_FORGET_SECONDS = 600.0
 
 
 class Ownership:
@@ -49,7 +48,6 @@
     Attributes:
         leaving: Shards on their way to another owner, not served any more.
         unsure: Whether a change of owners may or may not have been stored.
-        gone: Instances without a record, and since when.
         not_before: When a broken shard or a failed move is tried again.
     """
 
@@ -63,7 +61,6 @@
         self.unsure = False
         self.not_before: dict[tuple[str, int], float] = {}
         self.next_move = 0.0
-        self.gone: dict[str, float] = {}
 
     async def __aenter__(self) -> Self:
         self.tasks = [
@@ -455,33 +452,11 @@
         """Forgets what ended long ago and keeps the logs short."""
         while True:
             await asyncio.sleep(_TIDY_SECONDS)
-            self.forget_gone(time.monotonic())
             for shard in list(self.node.shards.values()):
                 drop_ended(shard)
                 if is_due(shard) and self.node.lease.valid():
                     await self._compact(shard)
 
-    def forget_gone(self, now: float) -> None:
-        """Forgets instances that were replaced, and their links.
-
-        Instances are replaced all the time. An instance that kept the address
-        of each would in the end spend its time and memory on the dead.
-        """
-        node = self.node
-        if not node.live.synced:
-            return
-        owners = {
-            owner.owner
-            for shards in node.live.shards.values()
-            for owner in shards.shards
-        }
-        gone = set(node.addresses) - set(node.live.instances) - owners
-        self.gone = {name: self.gone.get(name, now) for name in gone}
-        for name, since in self.gone.items():
-            if now - since > _FORGET_SECONDS:
-                del node.addresses[name]
-                node.hub.forget(name)
-
     async def _compact(self, shard: Shard) -> None:
         slots = shard.log.next_slot - shard.log.start.floor
         done = await compact(shard)
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -127,11 +127,3 @@
     Given an instance whose link to a dead one is full
     When it sends a round of heartbeats
     Then the living ones get theirs although the full link still waits
-
-  Scenario: Instances that were replaced
-    Each restart under a new name leaves an address behind. They must not
-    stay for ever, nor may an owner's go.
-
-    Given an instance that knows one living, one gone and one gone owner
-    When the gone ones have been gone for eleven minutes
-    Then only the gone one that owns nothing is forgotten
--- a/tests/features/steps/ownership.py
+++ b/tests/features/steps/ownership.py
@@ -17,12 +17,9 @@
 
 from rattanmill_core import ConfigDocument
 from rattanmill_entry.gossip import Gossip
-from rattanmill_entry.ownership import Ownership
 from rattanmill_platform import (
-    DomainShards,
     InstanceLease,
     InstanceRecord,
-    ShardOwner,
     Unavailable,
     Written,
 )
@@ -408,27 +405,3 @@
     peers = context.node.hub.peers
     assert not peers["dead"].sent
     assert len(peers["living"].sent) == 1, peers["living"].sent
-
-
-@given("an instance that knows one living, one gone and one gone owner")
-def step_gone(context):
-    node = _node(["living", "gone", "owner"])
-    node.live.instances = {"living": _record("living")}
-    owner = ShardOwner("owner", "run-owner", 1)
-    node.live.shards = {"east": DomainShards(1, [owner])}
-    context.node = node
-
-
-@when("the gone ones have been gone for eleven minutes")
-def step_minutes(context):
-    ownership = Ownership(context.node)
-    ownership.forget_gone(1000.0)
-    context.early = set(context.node.addresses)
-    ownership.forget_gone(1660.0)
-
-
-@then("only the gone one that owns nothing is forgotten")
-def step_forgotten(context):
-    assert context.early == {"living", "gone", "owner"}, context.early
-    assert set(context.node.addresses) == {"living", "owner"}
-    assert "gone" not in context.node.hub.peers
