--- a/libs/entry/src/rattanmill_entry/owners.py
+++ b/libs/entry/src/rattanmill_entry/owners.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rattanmill_core import new_id
+from rattanmill_core import new_id, part_logger
 from rattanmill_platform import (
     Conflict,
     DomainShards,
@@ -21,6 +21,7 @@
 )
 from rattanmill_platform.live import shards_key
 
+_log = part_logger("owner")
 NOBODY = ShardOwner("", "", 0)
 _TRIES = 5
 _PAUSE_SECONDS = 0.1
@@ -68,12 +69,16 @@
     changed = DomainShards(epoch, shards, new_id())
     value = msgspec.json.encode(changed)
     outcome = await kv.write(shards_key(domain), value, stored.revision)
-    if isinstance(outcome, Written):
-        return changed
-    found = await kv.read(shards_key(domain))
-    if isinstance(found, Found) and found.entry.value == value:
-        return changed
-    return outcome
+    if not isinstance(outcome, Written):
+        found = await kv.read(shards_key(domain))
+        if not isinstance(found, Found) or found.entry.value != value:
+            return outcome
+    for number, owner in targets.items():
+        name = owner.owner or "nobody"
+        _log.info(
+            "Shard {}.{} given to {} at epoch {}.", domain, number, name, epoch
+        )
+    return changed
 
 
 async def give_shard(
--- a/tests/features/steps/compaction.py
+++ b/tests/features/steps/compaction.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 
 from rattanmill_core import Ran
-from rattanmill_platform import Conflict
+from rattanmill_platform import Conflict, Unavailable
 from rattanmill_programs import (
     ActIntended,
     ActSettled,
@@ -113,6 +113,7 @@
         name: (
             program.made,
             max(program.spent, program.reserved),
+            program.reserved,
             [turn.record for turn in program.turns],
             program.transcript,
             program.ended,
@@ -230,9 +231,9 @@
     live = picture(shard)
     kv.fault = lambda number, done: None
     found = await own(kv, 2)
-    for name, (_, spent, history, *_rest) in picture(found).items():
+    for name, (_, spent, _reserved, history, *_rest) in picture(found).items():
         assert len(history) >= kept[name], (name, kept)
-        assert history == live[name][2][: len(history)], name
+        assert history == live[name][3][: len(history)], name
         assert spent >= reserved[name], (name, spent, reserved)
     found.log.stop()
     return reached
@@ -392,13 +393,38 @@
 
 @then("it keeps nothing, and the other's turn is there")
 def step_overtaken_nothing(context):
-    before = len(context.expected["a"][2])
+    before = len(context.expected["a"][3])
     assert len(context.fates) > 5, context.fates
     for fate, turns in context.fates:
         assert isinstance(fate, Fenced), context.fates
         assert turns == before + 1, context.fates
 
 
+@when("turns of a megabyte are kept while the service is away")
+def step_away(context):
+    class Away(MemoryKv):
+        async def create_unique(self, key, value):
+            return Unavailable("away")
+
+    async def run():
+        shard = await own(context.kv, 2)
+        shard.log.kv = Away()
+        megabytes = 0
+        while not shard.log.is_full and megabytes < 100:
+            turn = next_turn(shard.programs["a"], "x" * 1_000_000)
+            shard.log.enqueue(turn)
+            megabytes += 1
+        shard.log.stop()
+        return megabytes
+
+    context.megabytes = asyncio.run(run())
+
+
+@then("the log says that it is full before {count:d} megabytes wait")
+def step_full(context, count):
+    assert 1 < context.megabytes < count, context.megabytes
+
+
 @when("one of its values is damaged")
 def step_damage(context):
     key = slot_key("east", 0, 7)
