--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -160,7 +160,7 @@
                 first_failure = first_failure or failed
                 if failed.outcome is not Outcome.BROKEN or resumes == _RESUMES:
                     break
-                node.metrics.retried("resume")
+                node.metrics.count("rattanmill_resumes")
                 parts = _resumed_parts(node, placement, request_id)
                 if not run.stream:
                     yield Restarted()
