--- a/libs/entry/src/rattanmill_entry/edge.py
+++ b/libs/entry/src/rattanmill_entry/edge.py
@@ -12,7 +12,6 @@
 from rattanmill_entry.problems import problem_response
 
 _ROUND_SECONDS = 0.5
-ANSWERING = web.RequestKey("answering", bool)
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -40,10 +39,6 @@
             # The caller has gone.
             raise
         except Exception as error:
-            if request.get(ANSWERING):
-                # A second answer on the connection would pass for part of
-                # the first; the connection is closed instead.
-                raise
             # One request must not take the others down, and its caller must
             # not take it for one that never ran.
             return failed_request(node, request, error)
--- a/libs/entry/src/rattanmill_entry/http.py
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -19,7 +19,6 @@
 from rattanmill_entry.access import workspace_of
 from rattanmill_entry.answers import error_event
 from rattanmill_entry.chatbody import asks_stream
-from rattanmill_entry.edge import ANSWERING
 from rattanmill_entry.lifecycle import parse_parent
 from rattanmill_entry.node import Node
 from rattanmill_entry.problems import (
@@ -278,7 +277,6 @@
                     if node.draining:
                         response.force_close()
                     streamed = start.stream
-                    request[ANSWERING] = True
                     await response.prepare(request)
                 case ReplyChunk() if response:
                     if streamed and not reply.seq:
