--- a/bench/report.py
+++ b/bench/report.py
@@ -1,6 +1,7 @@
 """Writes the tables of docs/MEASUREMENTS.md from a data file."""
 
 import collections
+import math
 import pathlib
 import statistics
 from collections.abc import Callable
@@ -14,9 +15,9 @@
 _BUSY_LOAD = 2.0
 
 _COLUMNS: dict[str, Callable[[CellResult], float]] = {
-    "p50 s": lambda r: r.p50,
-    "p95 s": lambda r: r.p95,
-    "p99 s": lambda r: r.p99,
+    "p50 s": lambda r: r.p50 if r.finished else math.nan,
+    "p95 s": lambda r: r.p95 if r.finished else math.nan,
+    "p99 s": lambda r: r.p99 if r.finished else math.nan,
     "within target": lambda r: r.within,
     "goodput /s": lambda r: r.goodput,
     "wasted cache": lambda r: r.wasted,
@@ -127,6 +128,8 @@
 
 def _spread(values: list[float]) -> str:
     """Returns the median, and least and most if there are several."""
+    if any(map(math.isnan, values)):
+        return "none finished"
     middle = f"{statistics.median(values):.3g}"
     if len(values) < 2:
         return middle
