End the process when the task that keeps its shards fails

Cause: an exception in it ended the task alone. The instance kept its lease, owned shards that nobody loaded or dropped, and said nothing. Owners written by hand with fewer shards than there are would have done it to a whole domain.

Tasks that a shutdown need not wait for, among them heartbeats to the dead, are kept apart from those it waits for.

--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -90,7 +90,7 @@
             # A send to an instance that died long ago waits for room on its
             # link. Waited for here, it would hold up the heartbeats to the
             # living, who would then take this instance for dead.
-            self.node.spawn(peer.send(heartbeat(self.node, reply=False)))
+            self.node.run_beside(peer.send(heartbeat(self.node, reply=False)))
 
     def _partners(self) -> list[InstanceRecord]:
         """Returns whom this round's heartbeats go to."""
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -87,6 +87,7 @@
         self.stop = asyncio.Event()
         self.broken: InvariantError | None = None
         self.tasks: set[asyncio.Task] = set()
+        self.beside: set[asyncio.Task] = set()
         self.in_flight = 0
         self.busy_connections: set[web.RequestHandler] = set()
 
@@ -103,8 +104,16 @@
         task.add_done_callback(self._ended)
         return task
 
+    def run_beside(self, work: Coroutine) -> asyncio.Task:
+        """Starts a task that a shutdown does not wait for."""
+        task = asyncio.create_task(work)
+        self.beside.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
     def _ended(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
+        self.beside.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         # An error that waits to be collected as garbage is noticed late.
--- a/libs/entry/src/rattanmill_entry/ownership.py
+++ b/libs/entry/src/rattanmill_entry/ownership.py
@@ -5,7 +5,7 @@
 import time
 from typing import Self
 
-from rattanmill_core import part_logger
+from rattanmill_core import InvariantError, part_logger
 from rattanmill_entry.handover import Handover
 from rattanmill_entry.members import living_instances, share
 from rattanmill_entry.node import Node
@@ -57,8 +57,8 @@
 
     async def __aenter__(self) -> Self:
         self.tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._tidy_for_ever()),
+            self.node.run_beside(self._run()),
+            self.node.run_beside(self._tidy_for_ever()),
         ]
         return self
 
@@ -73,7 +73,12 @@
             except TimeoutError:
                 pass
             self.wake.clear()
-            await self.step()
+            try:
+                await self.step()
+            except Exception as error:
+                raise InvariantError(
+                    f"Shards cannot be kept: {error!r}"
+                ) from error
 
     async def step(self) -> None:
         """Drops what is lost, loads what is ours, claims what is free."""
--- a/libs/platform/src/rattanmill_platform/live.py
+++ b/libs/platform/src/rattanmill_platform/live.py
@@ -159,7 +159,10 @@
         elif key.startswith(_SHARDS) and value is not None:
             shards = msgspec.json.decode(value, type=DomainShards)
             known = self.shards.get(name)
-            if known is None or shards.epoch >= known.epoch:
+            if known and len(shards.shards) < len(known.shards):
+                # Written by hand: no instance takes a shard away.
+                _log.error("Owners of {} lack shards; passed over.", name)
+            elif known is None or shards.epoch >= known.epoch:
                 self.shards[name] = shards
         elif key.startswith(_INSTANCES):
             if value is None:
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -127,3 +127,12 @@
     Given an instance whose link to a dead one is full
     When it sends a round of heartbeats
     Then the living ones get theirs although the full link still waits
+
+  Scenario: The task that keeps an instance's shards fails
+    Nobody would load, drop or take shards any more, while callers wait for an
+    instance that keeps its lease. The process must end, so that another one
+    starts.
+
+    Given an instance whose view of the owners is impossible
+    When it looks after its shards
+    Then it says that an invariant is broken
--- a/tests/features/steps/ownership.py
+++ b/tests/features/steps/ownership.py
@@ -15,8 +15,11 @@
     status,
 )
 
-from rattanmill_core import ConfigDocument
+from rattanmill_core import ConfigDocument, InvariantError
+from rattanmill_entry.failures import watch_tasks
 from rattanmill_entry.gossip import Gossip
+from rattanmill_entry.node import Node
+from rattanmill_entry.ownership import Ownership
 from rattanmill_platform import (
     InstanceLease,
     InstanceRecord,
@@ -372,7 +375,7 @@
             forget=lambda name: peers.pop(name),
         ),
         live=types.SimpleNamespace(synced=True, instances={}, shards={}),
-        spawn=lambda work: tasks.append(asyncio.ensure_future(work)),
+        run_beside=lambda work: tasks.append(asyncio.ensure_future(work)),
         tasks=tasks,
     )
 
@@ -405,3 +408,29 @@
     peers = context.node.hub.peers
     assert not peers["dead"].sent
     assert len(peers["living"].sent) == 1, peers["living"].sent
+
+
+@given("an instance whose view of the owners is impossible")
+def step_impossible(context):
+    context.view = types.SimpleNamespace(synced=True, shards=None)
+
+
+@when("it looks after its shards")
+def step_look(context):
+    async def run():
+        settings = types.SimpleNamespace(name="self", domain="east")
+        node = Node(settings, "run-self")
+        node.live = context.view
+        node.metrics = types.SimpleNamespace(count=lambda *names, **labels: 0)
+        watch_tasks(node)
+        async with Ownership(node) as ownership:
+            ownership.wake.set()
+            await asyncio.wait_for(node.stop.wait(), 5)
+        return node.broken
+
+    context.failure = asyncio.run(run())
+
+
+@then("it says that an invariant is broken")
+def step_says(context):
+    assert isinstance(context.failure, InvariantError), context.failure
