Bound what probing and sweeping cost a node at the target size

Choosing whom to probe hashed 34 instances for 630 endpoints each second: kept until the instances change.

--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -26,8 +26,9 @@
 _T = TypeVar("_T")
 _PROBERS = 2
 _ROUND_SECONDS = 1.0
-# An instance with more endpoints than this to probe does so less often.
-_PROBES_PER_ROUND = 4
+# An instance with more endpoints than this to probe does so less often: a
+# probe is about 400 bytes with its headers.
+_PROBES_PER_ROUND = 2
 _PROBE_SECONDS = 1.0
 # A probe that took longer than this tells of a pause of our own.
 _PAUSE_SECONDS = 2.0
@@ -75,6 +76,8 @@
     def __init__(self, node: Node) -> None:
         self.node = node
         self.records: dict[str, _Record] = {}
+        self.living = {node.settings.name}
+        self.ranks: dict[str, int] = {}
         self.turn = 0
         self.task: asyncio.Task | None = None
         node.table.on_suspect = lambda state: node.spawn(self._check(state))
@@ -113,22 +116,32 @@
         while True:
             await asyncio.sleep(_ROUND_SECONDS)
             self.turn += 1
+            self._note_living()
             for state in self._due():
                 self.node.spawn(self.confirm(state))
-            gone = self.records.keys() - self.node.table.states.keys()
-            for name in gone:
-                del self.records[name]
+            for known in (self.records, self.ranks):
+                for name in known.keys() - self.node.table.states.keys():
+                    del known[name]
 
     def _due(self) -> list[EndpointState]:
         """Endpoints to probe in this round.
 
-        Suspects and closed ones come each round, the others in turn.
+        Suspects and closed ones come each round, the others in turn. One of
+        another failure domain is probed from here only while it is closed to
+        us, to find out when it can be reached again.
         """
-        states = self.node.table.states.values()
-        urgent = [s for s in states if self._is_stuck(s)]
-        mine = [s for s in states if s.listed and self.probes(s)]
-        urgent += [s for s in mine if self._is_urgent(s) and s not in urgent]
-        calm = [s for s in mine if s not in urgent]
+        urgent = []
+        calm = []
+        domain = self.node.settings.domain
+        for state in self.node.table.states.values():
+            if state.running and self._is_stuck(state):
+                urgent.append(state)
+            elif (
+                (state.endpoint.domain == domain or state.closed)
+                and state.listed
+                and self._rank(state) < _PROBERS
+            ):
+                (urgent if self._is_urgent(state) else calm).append(state)
         rounds = -(-len(calm) // _PROBES_PER_ROUND) or 1
         return urgent + calm[self.turn % rounds :: rounds]
 
@@ -136,39 +149,36 @@
         record = self.records.get(state.endpoint.name)
         return state.closed or bool(record and record.silent)
 
-    def probes(self, state: EndpointState) -> bool:
-        """Whether this instance is one of an endpoint's probers.
-
-        An endpoint of another failure domain is probed from here only while
-        it is closed to us, to find out when it can be reached again.
-        """
-        own = state.endpoint.domain == self.node.settings.domain
-        if not own and not state.closed:
-            return False
-        return self.node.settings.name in self._ranked(state)[:_PROBERS]
-
     def is_first(self, state: EndpointState) -> bool:
         """Whether this instance does what one instance does for an engine."""
         own = state.endpoint.domain == self.node.settings.domain
-        return own and self.node.settings.name == self._ranked(state)[0]
+        return own and self._rank(state) == 0
 
-    def _ranked(self, state: EndpointState) -> list[str]:
-        return sorted(
-            self._living(self.node.settings.domain),
-            key=lambda name: _weight(name, state.endpoint.name),
-        )
+    def _rank(self, state: EndpointState) -> int:
+        """Returns our place among the probers of an endpoint.
 
-    def _living(self, domain: str) -> list[str]:
-        """Instances of our domain that are not known to be dead, and us."""
+        Kept until the instances change: worked out anew in each round for
+        all endpoints, it would cost a node more than all its other control.
+        """
+        name = state.endpoint.name
+        if name not in self.ranks:
+            ranked = sorted(self.living, key=lambda each: _weight(each, name))
+            self.ranks[name] = ranked.index(self.node.settings.name)
+        return self.ranks[name]
+
+    def _note_living(self) -> None:
+        """Notes which instances of our domain are not known to be dead."""
         node = self.node
-        others = [
+        living = {
             record.name
             for record in node.live.instances.values()
-            if record.domain == domain
-            and record.name != node.settings.name
+            if record.domain == node.settings.domain
             and record.name not in node.suspects
-        ]
-        return [*others, node.settings.name]
+        }
+        living.add(node.settings.name)
+        if living != self.living:
+            self.living = living
+            self.ranks.clear()
 
     def _is_stuck(self, state: EndpointState) -> bool:
         """Whether our calls there have made no progress for a while."""
--- a/libs/entry/src/rattanmill_entry/memory.py
+++ b/libs/entry/src/rattanmill_entry/memory.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import itertools
 from typing import Self
 
 import aiohttp
@@ -28,9 +27,11 @@
 
 _log = part_logger("memory")
 _ROUND_SECONDS = 1.0
-_SWEEP_ROUNDS = 3
-# With more engines than this to sweep, each is swept less often.
-_SWEEPS_AT_ONCE = 2
+_LEAST_SWEEP_SECONDS = 3.0
+# The more pins were read, the longer until the next engine is swept: with the
+# message to the owner, a pin is about 130 bytes.
+_PIN_BYTES = 130
+_SWEEP_BYTES_PER_SECOND = 500
 _ORDER_SECONDS = 2.0
 _FENCED = 412
 
@@ -56,7 +57,8 @@
         self.node = node
         self.watch = watch
         self.programs: dict[str, Pinned] = {}
-        self.round = 0
+        self.swept = 0
+        self.sweep_at = 0.0
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -124,11 +126,12 @@
             self._release(shard, program, engine, "swept")
 
     async def _run(self) -> None:
-        for self.round in itertools.count():
+        while True:
             await asyncio.sleep(_ROUND_SECONDS)
             await end_expired(self.node)
             self._let_go()
-            for state in self._to_sweep():
+            if _now() >= self.sweep_at and (state := self._to_sweep()):
+                self.sweep_at = _now() + _LEAST_SWEEP_SECONDS
                 self.node.spawn(self._sweep(state))
 
     def _let_go(self) -> None:
@@ -209,10 +212,8 @@
         else:
             self._count(what if status == 200 else "failed")
 
-    def _to_sweep(self) -> list[EndpointState]:
-        """Engines whose pins this instance reads in this round."""
-        if self.round % _SWEEP_ROUNDS:
-            return []
+    def _to_sweep(self) -> EndpointState | None:
+        """Returns the next engine whose pins this instance reads."""
         mine = [
             state
             for state in self.node.table.states.values()
@@ -220,15 +221,16 @@
             and not state.reach.closed
             and self.watch.is_first(state)
         ]
-        rounds = -(-len(mine) // _SWEEPS_AT_ONCE) or 1
-        turn = self.round // _SWEEP_ROUNDS
-        return mine[turn % rounds :: rounds]
+        self.swept += 1
+        return mine[self.swept % len(mine)] if mine else None
 
     async def _sweep(self, state: EndpointState) -> None:
         held = await self._read_pins(state)
         if held is None:
             return
         self.node.metrics.count("rattanmill_pin_sweeps")
+        seconds = len(held) * _PIN_BYTES / _SWEEP_BYTES_PER_SECOND
+        self.sweep_at = _now() + max(_LEAST_SWEEP_SECONDS, seconds)
         by_shard: dict[tuple[str, int], list[tuple[str, int]]] = {}
         for pin in held:
             if parsed := parse_program_id(pin.owner):
