--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -75,7 +75,7 @@
     which instances still work by the old targets, and these must take the new
     ones by themselves when the links are back.
 
-    When failure domain 2 is cut off from everything
+    When the links of failure domain 2 to the store and the others are cut
     And the operator runs "target set default 31 --percent 80"
     Then the command exits with 7
     And it says "alba-north-1"
--- a/tests/features/steps/config.py
+++ b/tests/features/steps/config.py
@@ -137,6 +137,14 @@
     assert store(context).request("DELETE", f"/kv/{_KEY}").status == 200
 
 
+@when(
+    "the links of failure domain {domain:d} to the store and the others are cut"
+)
+def step_cut_links(context, domain):
+    context.scenario_stack.callback(context.system.heal)
+    context.system.cut(domain, kv=True, domains=True)
+
+
 @when("all links are back")
 def step_links_back(context):
     context.system.heal()
--- a/tests/features/steps/up.py
+++ b/tests/features/steps/up.py
@@ -11,8 +11,9 @@
 
 from support import Client, wait_until
 
-# Not the script's own port, at which a developer may have it running.
-_PORT = 31_000
+# Not the script's own port, at which a developer may have it running, and not
+# that of another run of this test on the same machine.
+_PORT = 30_000 + os.getpid() % 40 * 50
 _UP_PORT = 18_000
 _ADDRESS = re.compile(r"^  http://(\S+)  (\S+)$", re.MULTILINE)
 _PROCESS = re.compile(r"^  (\d+)  (\S+)$", re.MULTILINE)
