--- a/libs/entry/src/rattanmill_entry/quarantine.py
+++ b/libs/entry/src/rattanmill_entry/quarantine.py
@@ -24,7 +24,7 @@
 _REPORT_SECONDS = 0.2
 # Time in which an outage of a failure domain shows at several endpoints.
 _OTHERS_SECONDS = 0.3
-_GONE_SECONDS = 0.1
+_GONE_PAUSES_SECONDS = (0.0, 0.1, 0.3)
 _MANY = 3
 _LOOKED_AT = 4
 _MOST_EXCUSED = 10_000
@@ -126,13 +126,14 @@
     async def _is_gone(self, state: EndpointState) -> bool:
         """Whether an endpoint that broke a connection is not there any more.
 
-        Asked twice: a process that ends may close our connection before its
+        Asked again: a process that ends may close our connection before its
         listening socket, where the first probe is still let in.
         """
-        if await self.watch.confirm(state) is Probe.REFUSED:
-            return True
-        await asyncio.sleep(_GONE_SECONDS)
-        return await self.watch.confirm(state) is Probe.REFUSED
+        for pause in _GONE_PAUSES_SECONDS:
+            await asyncio.sleep(pause)
+            if await self.watch.confirm(state) is Probe.REFUSED:
+                return True
+        return False
 
     async def after_attempt(
         self, prints: list[bytes], result: object, endpoint: str
