Stop a daemon whose lease, view or heartbeats have ended

Cause: tasks that must go on for as long as the process were started with create_task. An error in one that nobody had thought of ended it quietly; the daemon looked healthy and refused turns, or sent calls to owners that had moved, later and elsewhere.

Ruled out: starting such a task again, since what it left half done is not known.

Change: start_loop reports its end, unless it was cancelled, as a broken invariant to the event loop, on which the daemon stops.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -20,6 +20,7 @@
 )
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
 from rattanmill_core.logs import configure_logs, log_ids, part_logger
+from rattanmill_core.loops import start_loop
 from rattanmill_core.metrics import Metrics
 from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
 from rattanmill_core.operators import (
@@ -74,4 +75,5 @@
     "part_logger",
     "read_config",
     "refuse",
+    "start_loop",
 ]
--- a/libs/entry/src/rattanmill_entry/access.py
+++ b/libs/entry/src/rattanmill_entry/access.py
@@ -22,6 +22,7 @@
     SettingsError,
     part_logger,
     refuse,
+    start_loop,
 )
 from rattanmill_entry.node import Node
 from rattanmill_entry.problems import problem_response
@@ -65,7 +66,7 @@
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._follow())
+        self.task = start_loop("keys file", self._follow())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/entry/src/rattanmill_entry/edge.py
+++ b/libs/entry/src/rattanmill_entry/edge.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from rattanmill_core import Ran, Reason, refuse
+from rattanmill_core import Ran, Reason, refuse, start_loop
 from rattanmill_entry.failures import failed_request
 from rattanmill_entry.node import Node
 from rattanmill_entry.problems import problem_response
@@ -77,7 +77,7 @@
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._run())
+        self.task = start_loop("connection limit", self._run())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -17,7 +17,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import Aspect, Sign, part_logger
+from rattanmill_core import Aspect, Sign, part_logger, start_loop
 from rattanmill_entry.node import Node
 from rattanmill_entry.upstream import Failed
 from rattanmill_policy import EndpointState, Load, Outcome
@@ -83,7 +83,7 @@
         node.table.on_suspect = lambda state: node.spawn(self._check(state))
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._run())
+        self.task = start_loop("endpoint watch", self._run())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/entry/src/rattanmill_entry/gossip.py
+++ b/libs/entry/src/rattanmill_entry/gossip.py
@@ -17,6 +17,7 @@
     decode_config,
     encode_config,
     part_logger,
+    start_loop,
 )
 from rattanmill_entry.members import forget_gone
 from rattanmill_entry.node import Heard, Node
@@ -68,7 +69,7 @@
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._run())
+        self.task = start_loop("gossip", self._run())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/entry/src/rattanmill_entry/memory.py
+++ b/libs/entry/src/rattanmill_entry/memory.py
@@ -15,7 +15,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import parse_program_id, part_logger
+from rattanmill_core import parse_program_id, part_logger, start_loop
 from rattanmill_entry.attempts import ChatRun
 from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.expiry import end_expired
@@ -62,7 +62,7 @@
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._run())
+        self.task = start_loop("engine memory", self._run())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/entry/src/rattanmill_entry/signs.py
+++ b/libs/entry/src/rattanmill_entry/signs.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from rattanmill_core import Aspect, CrashNote, EndpointNote
+from rattanmill_core import Aspect, CrashNote, EndpointNote, start_loop
 from rattanmill_entry.node import Node
 from rattanmill_platform import InstanceRecord
 from rattanmill_policy import Quarantine
@@ -37,7 +37,7 @@
         node.table.on_note = lambda note: self._tell([note], [])
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._run())
+        self.task = start_loop("notes", self._run())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/platform/src/rattanmill_platform/directory.py
+++ b/libs/platform/src/rattanmill_platform/directory.py
@@ -11,7 +11,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import part_logger
+from rattanmill_core import part_logger, start_loop
 
 _log = part_logger("directory")
 _POLL_SECONDS = 1.0
@@ -68,7 +68,7 @@
 
     async def __aenter__(self) -> Self:
         await self._poll()
-        self.task = asyncio.create_task(self._poll_for_ever())
+        self.task = start_loop("directory", self._poll_for_ever())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/platform/src/rattanmill_platform/lease.py
+++ b/libs/platform/src/rattanmill_platform/lease.py
@@ -22,7 +22,7 @@
 import time
 from typing import Self
 
-from rattanmill_core import new_id, part_logger
+from rattanmill_core import new_id, part_logger, start_loop
 from rattanmill_platform.kv import Conflict, KvClient, Unavailable, Written
 
 _log = part_logger("lease")
@@ -134,8 +134,8 @@
         self.last_tick = _clock()
         await self._acquire(self.lease)
         self.tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._renew_for_ever()),
+            start_loop("clock", self._tick()),
+            start_loop("lease", self._renew_for_ever()),
         ]
         return self
 
--- a/libs/platform/src/rattanmill_platform/live.py
+++ b/libs/platform/src/rattanmill_platform/live.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from rattanmill_core import part_logger
+from rattanmill_core import part_logger, start_loop
 from rattanmill_platform.kv import KvClient, Unavailable
 
 _log = part_logger("live")
@@ -108,7 +108,7 @@
 
     async def __aenter__(self) -> Self:
         await self.refresh()
-        self.task = asyncio.create_task(self._follow())
+        self.task = start_loop("live view", self._follow())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/policy/src/rattanmill_policy/loads.py
+++ b/libs/policy/src/rattanmill_policy/loads.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from rattanmill_core import start_loop
 from rattanmill_policy.scheduler import Scheduler
 from rattanmill_policy.speeds import LoadReport
 
@@ -34,7 +35,7 @@
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
-        self.task = asyncio.create_task(self._ask_for_ever())
+        self.task = start_loop("load reports", self._ask_for_ever())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -25,6 +25,7 @@
     new_id,
     part_logger,
     refuse,
+    start_loop,
 )
 from rattanmill_wire.messages import (
     CallCancel,
@@ -95,7 +96,7 @@
         # From our own address, so that links can be told apart by source.
         source = hub.address.rsplit(":", 1)[0]
         self.socket.connect(f"tcp://{source}:0;{address}")
-        self.task = asyncio.create_task(self._receive())
+        self.task = start_loop("peer link", self._receive())
 
     async def send(self, message: Message) -> bool:
         """Sends a message; False if the link is full."""
@@ -277,7 +278,7 @@
             raise SettingsError(
                 f"instance.peer: {self.address} cannot be used: {error}"
             ) from error
-        self.task = asyncio.create_task(self._accept())
+        self.task = start_loop("peer socket", self._accept())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
