--- a/bench/capacity/fleets.py
+++ b/bench/capacity/fleets.py
@@ -17,7 +17,7 @@
 _TARGET_LEASE = 10.0
 _FLEETS = (3, 9, 18, 36, 60)
 _SETTLE_SECONDS = 3.0
-_IDLE_SECONDS = 12.0
+_IDLE_SECONDS = 10.0
 _TODAYS_LEASE = 3.0
 _SIZES = (10, 500, 1000, 2000)
 
