Write the sections of two benches by one function; drop dead test code

bench.path and bench.recovery each built the same note and wrote it the same way; results.report now serves both.

--- a/bench/path.py
+++ b/bench/path.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from bench.results import write_section
+from bench.results import report
 from bench.timing import Timing, closed_loop
 from support import EngineSpec, Layout, ServiceSpec, Stack
 
@@ -114,14 +114,10 @@
 
 def main() -> None:
     """Measures and writes the section of the page."""
-    now = datetime.datetime.now(datetime.UTC)
+    began = datetime.datetime.now(datetime.UTC)
     text = table(measure())
-    print(text)
-    note = (
-        f"`python -m bench.path`, {now:%Y-%m-%d %H:%M} UTC,"
-        f" {_ROUNDS} rounds of {_CALLS} calls, least to largest."
-    )
-    write_section(PAGE, "path", f"{note}\n\n{text}")
+    details = f"{_ROUNDS} rounds of {_CALLS} calls, least to largest"
+    report(PAGE, "path", began, details, text)
 
 
 if __name__ == "__main__":
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from bench.results import write_section
+from bench.results import report
 from bench.timing import Timing, closed_loop, session
 from support import EngineSpec, Layout, ServiceSpec, Stack
 
@@ -143,14 +143,10 @@
 
 def main() -> None:
     """Measures all sizes and writes the section of the page."""
-    now = datetime.datetime.now(datetime.UTC)
+    began = datetime.datetime.now(datetime.UTC)
     text = table([measure(count) for count in _SIZES])
-    print(text)
-    note = (
-        f"`python -m bench.recovery`, {now:%Y-%m-%d %H:%M} UTC, lease of"
-        f" 3 s, {_SAMPLE} programs asked at once after the kill."
-    )
-    write_section(PAGE, "recovery", f"{note}\n\n{text}")
+    details = f"lease of 3 s, {_SAMPLE} programs asked at once after the kill"
+    report(PAGE, "recovery", began, details, text)
 
 
 if __name__ == "__main__":
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -178,7 +178,6 @@
         self.fences: dict[str, int] = {}
         self.models = list(options.models)
         self.role = "mixed"
-        self.imported = 0
 
     def app(self) -> web.Application:
         app = super().app()
--- a/tests/support/client.py
+++ b/tests/support/client.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import urllib.parse
 from typing import Any
 
 import msgspec
@@ -155,8 +154,3 @@
             if all(f'{k}="{v}"' in line for k, v in labels.items()):
                 total += float(line.rsplit(" ", 1)[1])
         return total
-
-
-def quote(text: str) -> str:
-    """Returns text as part of a URL."""
-    return urllib.parse.quote(text, safe="")
