--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
-LIBS = core wire platform programs policy entry cli
+LIBS = core wire platform keeper forward programs policy entry cli
 STAMP = $(VENV)/.installed-requirements
 export PYTHONPATH = $(subst $(eval ) ,:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)/src)):$(CURDIR)/tests:$(CURDIR)
 
--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -18,7 +18,14 @@
     UnreachableError,
     UsageError,
 )
+from rattanmill_core.events import (
+    configure_events,
+    log_event,
+    wall_seconds,
+    warn_event,
+)
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
+from rattanmill_core.instance import InstanceSettings
 from rattanmill_core.logs import configure_logs, log_ids, part_logger
 from rattanmill_core.loops import start_loop
 from rattanmill_core.metrics import Metrics
@@ -30,6 +37,7 @@
     InstanceStatus,
     PeerStatus,
 )
+from rattanmill_core.process import METRICS_PORT, Signals, serve_metrics
 from rattanmill_core.refusal import Ran, Reason, Refusal, refuse
 from rattanmill_core.settings import (
     Settings,
@@ -47,7 +55,9 @@
     "InstanceStatus",
     "CrashNote",
     "EndpointNote",
+    "InstanceSettings",
     "InvariantError",
+    "METRICS_PORT",
     "Metrics",
     "NotReachedError",
     "PeerStatus",
@@ -59,15 +69,18 @@
     "RefusedError",
     "Settings",
     "SettingsError",
+    "Signals",
     "UnreachableError",
     "Sign",
     "UsageError",
     "WorkClass",
+    "configure_events",
     "configure_logs",
     "decode_config",
     "default_config",
     "encode_config",
     "load_settings",
+    "log_event",
     "log_ids",
     "new_id",
     "open_secrets",
@@ -75,5 +88,8 @@
     "part_logger",
     "read_config",
     "refuse",
+    "serve_metrics",
     "start_loop",
+    "wall_seconds",
+    "warn_event",
 ]
--- /dev/null
+++ b/libs/core/src/rattanmill_core/process.py
@@ -0,0 +1,71 @@
+"""What every process does: signals, its metrics' address, its last error."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from aiohttp import web
+
+from rattanmill_core.errors import InvariantError
+from rattanmill_core.events import log_event, warn_event
+from rattanmill_core.metrics import Metrics
+
+METRICS_PORT = 9464
+
+
+class Signals:
+    """Signals of this process.
+
+    Attributes:
+        stop: Set when the process is to end.
+        broken: The broken invariant that ends it, if one does.
+    """
+
+    def __init__(self) -> None:
+        self.stop = asyncio.Event()
+        self.broken: InvariantError | None = None
+
+    def install(self, on_reload: Callable[[], None]) -> None:
+        """Listens for signals and for the end of tasks that must not end."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop, number.name)
+        loop.add_signal_handler(signal.SIGHUP, on_reload)
+        loop.set_exception_handler(self._on_error)
+
+    def _stop(self, name: str) -> None:
+        log_event("stopping", signal=name)
+        self.stop.set()
+
+    def _on_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict
+    ) -> None:
+        error = context.get("exception")
+        warn_event(
+            "task_failed",
+            message=context.get("message"),
+            error=repr(error),
+            cause=repr(getattr(error, "__cause__", None)),
+        )
+        if isinstance(error, InvariantError):
+            self.broken = error
+            self.stop.set()
+
+
+async def serve_metrics(ip: str, metrics: Metrics) -> web.AppRunner:
+    """Serves ``/metrics`` in the Prometheus text format."""
+
+    async def show(request: web.Request) -> web.Response:
+        return web.Response(
+            body=metrics.exposition(), content_type="text/plain"
+        )
+
+    app = web.Application()
+    app.router.add_get("/metrics", show)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, ip, METRICS_PORT).start()
+    except OSError as error:
+        warn_event("metrics_not_served", why=str(error))
+    return runner
--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -23,6 +23,11 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     BODY_TOO_SLOW = "body_too_slow"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    NO_ROUTE = "no_route"
+    UNKNOWN_TURN = "unknown_turn"
+    TURN_UNSURE = "turn_unsure"
+    NOT_CONFIGURED = "not_configured"
     NO_SUCH_CALL = "no_such_call"
     UNAUTHORIZED = "unauthorized"
     FOREIGN_PROGRAM = "foreign_program"
@@ -69,6 +74,11 @@
     Reason.BAD_REQUEST: _Rule(400),
     Reason.BODY_TOO_LARGE: _Rule(413),
     Reason.BODY_TOO_SLOW: _Rule(408),
+    Reason.HEADERS_TOO_LARGE: _Rule(431),
+    Reason.NO_ROUTE: _Rule(404),
+    Reason.UNKNOWN_TURN: _Rule(404),
+    Reason.TURN_UNSURE: _Rule(503, retry_after=0.5),
+    Reason.NOT_CONFIGURED: _Rule(503, retry_after=1.0),
     Reason.NO_SUCH_CALL: _Rule(404),
     Reason.UNAUTHORIZED: _Rule(401),
     Reason.FOREIGN_PROGRAM: _Rule(403),
--- /dev/null
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -0,0 +1,236 @@
+"""A front process."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+
+from rattanmill_core import (
+    InstanceSettings,
+    Metrics,
+    SettingsError,
+    Signals,
+    log_event,
+    serve_metrics,
+    start_loop,
+    warn_event,
+)
+from rattanmill_forward.calls import Dialect
+from rattanmill_forward.dispatch import Dispatcher
+from rattanmill_forward.endpoints import Endpoint, EndpointBook
+from rattanmill_forward.exchange import Pool
+from rattanmill_forward.front import Front
+from rattanmill_forward.routes import RouteTable
+from rattanmill_forward.stats import Knowledge
+from rattanmill_forward.turns import Turns
+from rattanmill_keeper import KeeperClient, Members
+from rattanmill_platform import KeyValue, PrefixWatch, Removal
+
+# The balancer asks once a second and passes over an instance after two
+# misses; until then it goes on sending new connections.
+_NOTICE_SECONDS = 2.6
+# Left between the last request's end and SIGKILL.
+_EXIT_SECONDS = 0.8
+_SWEEP_SECONDS = 0.5
+_MOST_HEAD_BYTES = 64 * 1024
+_BACKLOG = 1024
+# A watch that is silent for longer is given up; this bounds how late a change
+# of the configuration is noticed after a connection has gone silent.
+_WATCH_SECONDS = 5.0
+
+
+class Sources(msgspec.Struct, frozen=True):
+    """Where the store holds what a front follows, and how it reads it.
+
+    Attributes:
+        config_prefix: Prefix of the operators' configuration.
+        read_config: Decodes it; None if the key holds something else, a
+            string names what is wrong with it.
+        endpoint_prefix: Prefix of the endpoints' entries.
+        read_endpoint: Decodes one; a string names what is wrong with it.
+    """
+
+    config_prefix: str
+    read_config: Callable[[str, bytes], RouteTable | str | None]
+    endpoint_prefix: str
+    read_endpoint: Callable[[str, bytes], Endpoint | str]
+
+
+class View:
+    """Keeps a front's beliefs current from the store.
+
+    Args:
+        kv: The store.
+        sources: What to follow.
+        front: Gets the configuration.
+        book: Gets the endpoints.
+    """
+
+    def __init__(
+        self, kv: KeyValue, sources: Sources, front: Front, book: EndpointBook
+    ) -> None:
+        self.sources = sources
+        self.front = front
+        self.book = book
+        self.watches = (
+            PrefixWatch(
+                kv,
+                sources.config_prefix,
+                _WATCH_SECONDS,
+                self._config,
+                lambda key, how: None,
+            ),
+            PrefixWatch(
+                kv,
+                sources.endpoint_prefix,
+                _WATCH_SECONDS,
+                self._endpoint,
+                self._endpoint_gone,
+            ),
+        )
+
+    @property
+    def synced(self) -> bool:
+        """Whether configuration and endpoints are known."""
+        return self.front.table is not None and self.watches[1].synced
+
+    def _config(self, key: str, value: bytes) -> None:
+        table = self.sources.read_config(key, value)
+        if table is None:
+            return
+        if isinstance(table, str):
+            warn_event("config_unreadable", key=key, why=table)
+            return
+        known = self.front.table.version if self.front.table else 0
+        if table.version < known:
+            log_event("config_old", version=table.version, known=known)
+            return
+        self.front.table = table
+        log_event("config_in_force", version=table.version, before=known)
+
+    def _endpoint(self, key: str, value: bytes) -> None:
+        endpoint = self.sources.read_endpoint(key, value)
+        if isinstance(endpoint, str):
+            log_event("endpoint_unreadable", key=key, why=endpoint)
+            self._endpoint_gone(key, Removal.SEEN)
+            return
+        self.book.take(endpoint)
+
+    def _endpoint_gone(self, key: str, how: Removal) -> None:
+        name = key.removeprefix(self.sources.endpoint_prefix)
+        self.book.remove(name, how)
+
+
+async def run_front(
+    settings: InstanceSettings,
+    kv: KeyValue,
+    members: Members,
+    dialect: Dialect,
+    sources: Sources,
+    metrics: Metrics,
+    on_reload: Callable[[], None],
+) -> None:
+    """Runs until SIGTERM, then finishes what is under way.
+
+    Raises:
+        SettingsError: An address cannot be used.
+        InvariantError: The state was found to be impossible.
+    """
+    signals = Signals()
+    signals.install(on_reload)
+    book = EndpointBook()
+    known = Knowledge(settings.domain)
+    book.on_gone = known.forget
+    pool = Pool(settings.ip, dialect, metrics)
+    keepers = KeeperClient(
+        settings.domain, settings.lost_disks + 1, members, metrics
+    )
+    front = Front(
+        dialect,
+        Dispatcher(book, known, pool, dialect, metrics),
+        Turns(keepers, metrics),
+        metrics,
+    )
+    view = View(kv, sources, front, book)
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(members)
+        for watch in view.watches:
+            await stack.enter_async_context(watch)
+        stack.callback(pool.close)
+        sweeper = start_loop("sweep of connections", _sweep(pool))
+        stack.callback(sweeper.cancel)
+        callers = await _listen(
+            settings.callers, front.serve, handler_cancellation=True
+        )
+        stack.push_async_callback(callers.cleanup)
+        ready = await _listen(
+            settings.readiness,
+            _readiness(lambda: view.synced and not front.ending),
+        )
+        stack.push_async_callback(ready.cleanup)
+        shown = await serve_metrics(settings.ip, metrics)
+        stack.push_async_callback(shown.cleanup)
+        log_event("started", role="front", domain=settings.domain)
+        await signals.stop.wait()
+        if not signals.broken:
+            await _drain(front, callers, settings.grace_seconds)
+    if signals.broken:
+        raise signals.broken
+    log_event("stopped")
+
+
+def _readiness(is_ready: Callable[[], bool]) -> Callable:
+    said: list[bool] = [False]
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        ready = is_ready()
+        if ready != said[0]:
+            log_event("readiness", ready=ready)
+        said[0] = ready
+        return web.Response(status=200 if ready else 503)
+
+    return answer
+
+
+async def _listen(
+    address: str, serve: Callable, handler_cancellation: bool = False
+) -> web.ServerRunner:
+    server = web.Server(
+        serve,
+        handler_cancellation=handler_cancellation,
+        access_log=None,
+        max_line_size=_MOST_HEAD_BYTES,
+        max_field_size=_MOST_HEAD_BYTES,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.5)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
+    try:
+        await site.start()
+    except OSError as error:
+        raise SettingsError(f"{address} cannot be used: {error}") from error
+    return runner
+
+
+async def _sweep(pool: Pool) -> None:
+    while True:
+        await asyncio.sleep(_SWEEP_SECONDS)
+        pool.sweep()
+
+
+async def _drain(
+    front: Front, callers: web.ServerRunner, grace_seconds: float
+) -> None:
+    """Finishes what is under way, and what the balancer still sends."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + grace_seconds - _EXIT_SECONDS
+    front.ending = True
+    await asyncio.sleep(_NOTICE_SECONDS)
+    for site in list(callers.sites):
+        await site.stop()
+    while front.active and loop.time() < until:
+        await asyncio.sleep(0.02)
+    log_event("drained", cut=front.active)
--- /dev/null
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -0,0 +1,373 @@
+"""The life of a caller's request in a front."""
+
+import asyncio
+
+from aiohttp import web
+
+from rattanmill_core import Metrics, Reason, Refusal, log_event, refuse
+from rattanmill_forward.calls import AnswerHead, Call, Dialect, Headers
+from rattanmill_forward.dispatch import Dispatcher, Running, Task
+from rattanmill_forward.events import Event, EventReader
+from rattanmill_forward.exchange import BrokenError
+from rattanmill_forward.routes import Kind, Route, RouteTable, Service
+from rattanmill_forward.turns import Turn, Turns
+
+# Answers up to this size are read whole before the caller gets the first
+# byte: one that breaks off before can still be had elsewhere.
+_WHOLE_BYTES = 256 * 1024
+# The caller's deadline and the operators' time-out are met by this much.
+_ANSWER_MARGIN_SECONDS = 0.02
+
+
+class Front:
+    """Serves callers.
+
+    Attributes:
+        table: The configuration in force, or None.
+        ending: Whether the process is shutting down.
+        active: Requests under way.
+
+    Args:
+        dialect: How callers and endpoints are spoken to.
+        dispatcher: Sends calls to endpoints.
+        turns: Budgets and histories.
+        metrics: Counters and times.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        dispatcher: Dispatcher,
+        turns: Turns,
+        metrics: Metrics,
+    ) -> None:
+        self.dialect = dialect
+        self.dispatcher = dispatcher
+        self.turns = turns
+        self.metrics = metrics
+        self.table: RouteTable | None = None
+        self.ending = False
+        self.active = 0
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        self.active += 1
+        try:
+            return await self._serve(request)
+        finally:
+            self.active -= 1
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = _now()
+        call = self.dialect.read_call(
+            request.method, request.raw_path, _raw_headers(request)
+        )
+        if isinstance(call, str):
+            return self._refuse(request, None, refuse(Reason.BAD_REQUEST, call))
+        call.arrived = arrived
+        route = self._admit(request, call)
+        if isinstance(route, Refusal):
+            return self._refuse(request, call, route)
+        table = self.table
+        body = await _read_body(request, table.limits.body_bytes)
+        if isinstance(body, Refusal):
+            return self._refuse(request, call, body)
+        call.body = body
+        service = table.service_of(route)
+        log_event(
+            "admitted",
+            request=call.request,
+            program=call.program,
+            route=route.name,
+            version=table.version,
+            service=service.name,
+            previous=call.previous,
+            bytes=len(body),
+            left_ms=_ms(call.seconds_left),
+            finish_ms=_ms(call.finish_seconds),
+        )
+        try:
+            return await self._run(request, call, route, service)
+        except asyncio.CancelledError:
+            log_event("caller_left", request=call.request)
+            raise
+
+    def _admit(self, request: web.BaseRequest, call: Call) -> Route | Refusal:
+        """Finds a request's route and checks what its head says."""
+        if self.table is None:
+            return refuse(Reason.NOT_CONFIGURED, "no configuration yet")
+        limits = self.table.limits
+        if sum(len(k) + len(v) + 4 for k, v in request.raw_headers) > (
+            limits.header_bytes
+        ):
+            return refuse(
+                Reason.HEADERS_TOO_LARGE,
+                f"headers of more than {limits.header_bytes} bytes",
+            )
+        route = self.table.match(call.host, call.path)
+        if route is None:
+            return refuse(Reason.NO_ROUTE, "no route matches host and path")
+        return route
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        route: Route,
+        service: Service,
+    ) -> web.StreamResponse:
+        turn = Turn(call.body)
+        if route.kind is Kind.STREAM:
+            turn = await self.turns.begin(call, route)
+            if isinstance(turn, Refusal):
+                return self._refuse(request, call, turn)
+        task = Task(
+            call,
+            route,
+            service,
+            turn.body,
+            call.arrived + _patience(call, route),
+            last_event=call.last_event,
+        )
+        try:
+            if route.kind is Kind.STREAM:
+                return await self._stream(request, task, turn)
+            return await self._plain(request, task)
+        finally:
+            self.turns.settle(call, turn, service)
+
+    async def _plain(
+        self, request: web.BaseRequest, task: Task
+    ) -> web.StreamResponse:
+        """Passes on the answer of a plain service."""
+        while True:
+            async with self.dispatcher.answered(task) as running:
+                if isinstance(running, Refusal):
+                    return self._refuse(request, task.call, running)
+                try:
+                    return await self._pass_whole(request, task, running)
+                except (BrokenError, TimeoutError) as error:
+                    refusal = self.dispatcher.cut(task, running, error)
+            if refusal:
+                return self._refuse(request, task.call, refusal)
+
+    async def _pass_whole(
+        self, request: web.BaseRequest, task: Task, running: Running
+    ) -> web.StreamResponse:
+        async with asyncio.timeout_at(task.deadline):
+            chunks = running.answer.chunks()
+            body = bytearray()
+            async for chunk in chunks:
+                body += chunk
+                if len(body) > _WHOLE_BYTES:
+                    break
+            if running.answer.ended:
+                self.dispatcher.finished(task, running)
+                self._log_answered(task, running, len(body))
+                return self._response(running.answer.head, bytes(body))
+        response = await self._begin(request, running.answer.head)
+        try:
+            async with asyncio.timeout_at(task.deadline):
+                await response.write(bytes(body))
+                async for chunk in chunks:
+                    await response.write(chunk)
+        except (BrokenError, TimeoutError) as error:
+            return self._break_off(request, task, response, str(error))
+        self._log_answered(task, running, len(body))
+        await response.write_eof()
+        return response
+
+    async def _stream(
+        self, request: web.BaseRequest, task: Task, turn: Turn
+    ) -> web.StreamResponse:
+        """Passes on events as they come, from several runs where allowed."""
+        response: web.StreamResponse | None = None
+        while True:
+            async with self.dispatcher.answered(task) as running:
+                if isinstance(running, Refusal):
+                    if response is None:
+                        return self._refuse(request, task.call, running)
+                    return self._break_off(
+                        request, task, response, running.detail
+                    )
+                head = running.answer.head
+                if response is None:
+                    response = await self._begin(request, head)
+                try:
+                    async with asyncio.timeout_at(task.deadline):
+                        await self._pass_events(response, task, running, turn)
+                    return await self._end(request, task, running, response, turn)
+                except (BrokenError, TimeoutError) as error:
+                    refusal = self.dispatcher.cut(task, running, error)
+            if refusal:
+                return self._break_off(request, task, response, refusal.detail)
+
+    async def _pass_events(
+        self,
+        response: web.StreamResponse,
+        task: Task,
+        running: Running,
+        turn: Turn,
+    ) -> None:
+        reader = EventReader()
+        last = _now()
+        async for chunk in running.answer.chunks():
+            for event in reader.feed(chunk):
+                await self._pass_event(response, task, turn, event)
+                if turn.passed > 1:
+                    self.dispatcher.event_took(task, running, _now() - last)
+                last = _now()
+        if reader.rest:
+            await response.write(reader.rest)
+
+    async def _pass_event(
+        self, response: web.StreamResponse, task: Task, turn: Turn, event: Event
+    ) -> None:
+        # Counted first: what is written may reach the caller even if the
+        # write does not return.
+        turn.passed += 1
+        if task.route.keeps_turns:
+            turn.events.append(event.data)
+        if event.event_id:
+            task.last_event = event.event_id
+        await response.write(event.raw)
+
+    async def _end(
+        self,
+        request: web.BaseRequest,
+        task: Task,
+        running: Running,
+        response: web.StreamResponse,
+        turn: Turn,
+    ) -> web.StreamResponse:
+        """Ends an answer, once the turn is where the next one finds it."""
+        if task.route.keeps_turns and running.answer.head.is_success:
+            kept_by = await self.turns.keep(task.call, task.route, turn)
+            if not kept_by.domains:
+                return self._break_off(
+                    request, task, response, "the turn could not be kept"
+                )
+        self._log_answered(task, running, turn.passed)
+        await response.write_eof()
+        return response
+
+    async def _begin(
+        self, request: web.BaseRequest, head: AnswerHead
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=head.status)
+        _set_headers(response, head.headers)
+        response.enable_chunked_encoding()
+        self._close_if_ending(response)
+        await response.prepare(request)
+        return response
+
+    def _response(self, head: AnswerHead, body: bytes) -> web.Response:
+        response = web.Response(status=head.status, body=body)
+        _set_headers(response, head.headers)
+        self._close_if_ending(response)
+        return response
+
+    def _break_off(
+        self,
+        request: web.BaseRequest,
+        task: Task,
+        response: web.StreamResponse,
+        why: str,
+    ) -> web.StreamResponse:
+        """Ends an answer so that it cannot look complete."""
+        self.metrics.count("rattanmill_answers_cut")
+        log_event(
+            "broken_off",
+            request=task.call.request,
+            program=task.call.program,
+            why=why[:200],
+            left_ms=_ms(task.left()),
+        )
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
+    def _refuse(
+        self, request: web.BaseRequest, call: Call | None, refusal: Refusal
+    ) -> web.Response:
+        self.metrics.refused(refusal)
+        head = self.dialect.write_refusal(refusal)
+        log_event(
+            "refused",
+            request=call.request if call else None,
+            program=call.program if call else None,
+            reason=refusal.reason,
+            status=head.status,
+            ran=refusal.ran,
+            retry_after_s=refusal.retry_after,
+            detail=refusal.detail,
+            after_ms=_ms(_now() - call.arrived) if call else None,
+        )
+        response = web.Response(status=head.status, body=head.body)
+        _set_headers(response, head.headers)
+        self._close_if_ending(response)
+        return response
+
+    def _close_if_ending(self, response: web.StreamResponse) -> None:
+        if self.ending:
+            response.force_close()
+
+    def _log_answered(self, task: Task, running: Running, size: int) -> None:
+        seconds = _now() - task.call.arrived
+        self.metrics.observe("rattanmill_answer_seconds", seconds)
+        log_event(
+            "answered",
+            request=task.call.request,
+            program=task.call.program,
+            endpoint=running.endpoint.name,
+            status=running.answer.head.status,
+            after_ms=_ms(seconds),
+            size=size,
+        )
+
+
+async def _read_body(
+    request: web.BaseRequest, most: int
+) -> bytes | Refusal:
+    """Reads a body whole, up to the operators' bound."""
+    too_large = refuse(
+        Reason.BODY_TOO_LARGE, f"a body of more than {most} bytes"
+    )
+    if (request.content_length or 0) > most:
+        return too_large
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > most:
+            return too_large
+    return bytes(body)
+
+
+def _patience(call: Call, route: Route) -> float:
+    """Returns how long a request may take, in seconds from its arrival."""
+    bounds = [route.timeout_seconds]
+    if call.seconds_left is not None:
+        bounds.append(call.seconds_left)
+    return max(0.0, min(bounds) - _ANSWER_MARGIN_SECONDS)
+
+
+def _raw_headers(request: web.BaseRequest) -> Headers:
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in request.raw_headers
+    ]
+
+
+def _set_headers(response: web.StreamResponse, headers: Headers) -> None:
+    if any(name.lower() == "content-type" for name, _ in headers):
+        response.headers.popall("Content-Type", None)
+    for name, value in headers:
+        response.headers.add(name, value)
+
+
+def _ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -0,0 +1,153 @@
+"""What a turn needs before it runs and leaves behind when it ends."""
+
+import asyncio
+
+import msgspec
+
+from rattanmill_core import (
+    Metrics,
+    Reason,
+    Refusal,
+    log_event,
+    refuse,
+    wall_seconds,
+)
+from rattanmill_forward.calls import Call
+from rattanmill_forward.routes import Route, Service
+from rattanmill_keeper import (
+    KeeperClient,
+    KeptBy,
+    KeptTurn,
+    NoSuchTurn,
+    Reserve,
+    Reserved,
+    Spent,
+    Unsure,
+)
+
+# A home that is away is back within seconds, or its domain's cut is over. A
+# caller that comes back sooner only uses up its tries.
+_AWAY_RETRY_SECONDS = 0.8
+
+
+class Turn(msgspec.Struct):
+    """A turn that may run.
+
+    Attributes:
+        body: Its chain's text and its new input: what the endpoint gets.
+        reserved: Tokens that it may use, or 0 if it has no budget.
+        events: Data of its events so far.
+        passed: Events passed on to the caller.
+    """
+
+    body: bytes
+    reserved: int = 0
+    events: list[bytes] = msgspec.field(default_factory=list)
+    passed: int = 0
+
+
+class Turns:
+    """Budgets and histories of turns.
+
+    Args:
+        keepers: The storage instances.
+        metrics: Counters.
+    """
+
+    def __init__(self, keepers: KeeperClient, metrics: Metrics) -> None:
+        self.keepers = keepers
+        self.metrics = metrics
+
+    async def begin(self, call: Call, route: Route) -> Turn | Refusal:
+        """Finds a turn's chain and gets the permission to run it."""
+        body, permission = await asyncio.gather(
+            self._whole_body(call, route), self._reserve(call)
+        )
+        refusal = next(
+            (x for x in (permission, body) if isinstance(x, Refusal)), None
+        )
+        if refusal is None:
+            return Turn(body, permission)
+        if isinstance(permission, int) and permission:
+            self.keepers.settle_later(call.program, call.request, 0)
+        return refusal
+
+    async def _whole_body(self, call: Call, route: Route) -> bytes | Refusal:
+        if not (route.keeps_turns and call.previous):
+            return call.body
+        found = await self.keepers.find(call.previous)
+        match found:
+            case NoSuchTurn():
+                return refuse(Reason.UNKNOWN_TURN, "no such turn")
+            case Unsure(why=why):
+                return refuse(Reason.TURN_UNSURE, why)
+        texts = [kept.text for kept in reversed(found)]
+        return b"".join([*texts, call.body])
+
+    async def _reserve(self, call: Call) -> int | Refusal:
+        if not call.program or call.budget is None:
+            return 0
+        tokens = call.output_tokens
+        reply = await self.keepers.reserve(
+            Reserve(call.program, call.request, tokens, call.budget)
+        )
+        outcome = type(reply).__name__.lower()
+        log_event(
+            "budget",
+            request=call.request,
+            program=call.program,
+            tokens=tokens,
+            budget=call.budget,
+            outcome=outcome,
+            home=self.keepers.homes.get(call.program),
+            taken=getattr(reply, "taken", None),
+            settled=getattr(reply, "settled", None),
+            why=getattr(reply, "why", None),
+        )
+        match reply:
+            case Reserved():
+                return tokens
+            case Spent():
+                return refuse(
+                    Reason.BUDGET_EXHAUSTED,
+                    f"{reply.settled} of {reply.budget} tokens are used and"
+                    f" {reply.running} may be by turns that run",
+                )
+            case Unsure(why=why):
+                return refuse(
+                    Reason.BUDGET_UNRESERVED,
+                    why,
+                    retry_after=_AWAY_RETRY_SECONDS,
+                )
+
+    def settle(self, call: Call, turn: Turn, service: Service) -> None:
+        """Books what a turn has used, once it has ended in any way."""
+        if not turn.reserved:
+            return
+        used = turn.reserved
+        if service.engine:
+            used = turn.passed * service.engine.tokens_per_event
+        self.keepers.settle_later(call.program, call.request, used)
+
+    async def keep(self, call: Call, route: Route, turn: Turn) -> KeptBy:
+        """Keeps a finished turn for those that continue it."""
+        text = b"".join(
+            [call.body, *(data + b"\n" for data in turn.events)]
+        )
+        kept = KeptTurn(
+            call.request,
+            call.previous,
+            text,
+            wall_seconds() + route.retention_seconds,
+        )
+        kept_by = await self.keepers.keep(kept)
+        log_event(
+            "turn_kept",
+            request=call.request,
+            program=call.program,
+            previous=call.previous,
+            bytes=len(text),
+            domains=kept_by.domains,
+            enough=kept_by.enough,
+        )
+        return kept_by
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -0,0 +1,37 @@
+"""Storage instances: accounts of budgets and kept turns, on their disks."""
+
+from rattanmill_keeper.client import KeeperClient, KeptBy, NoSuchTurn
+from rattanmill_keeper.daemon import run_storage
+from rattanmill_keeper.following import Following
+from rattanmill_keeper.keeper import Keeper
+from rattanmill_keeper.members import Member, Members, Registration
+from rattanmill_keeper.messages import (
+    KeptTurn,
+    Reserve,
+    Reserved,
+    Settle,
+    Spent,
+    Unsure,
+    codec,
+)
+from rattanmill_keeper.relayed import RelayedKv
+
+__all__ = [
+    "Following",
+    "Keeper",
+    "KeeperClient",
+    "KeptBy",
+    "KeptTurn",
+    "Member",
+    "Members",
+    "NoSuchTurn",
+    "Registration",
+    "RelayedKv",
+    "Reserve",
+    "Reserved",
+    "Settle",
+    "Spent",
+    "Unsure",
+    "codec",
+    "run_storage",
+]
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -0,0 +1,314 @@
+"""A front's way to the storage instances."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+
+import msgspec
+
+from rattanmill_core import Metrics, log_event, warn_event
+from rattanmill_keeper.members import Member, Members, rank
+from rattanmill_keeper.messages import (
+    Chain,
+    Done,
+    Elsewhere,
+    Fetch,
+    Keep,
+    KeptTurn,
+    Reserve,
+    Reserved,
+    Settle,
+    Spent,
+    Unsure,
+)
+
+# A reservation takes a trip and a sync, up to 5 ms; the first one of a program
+# asks all others besides. Beyond this the home is taken to be away.
+_RESERVE_SECONDS = 0.35
+_SETTLE_SECONDS = 0.5
+_SETTLE_TRIES = 6
+_SETTLE_PAUSE_SECONDS = 0.4
+_KEEP_SECONDS = 0.4
+_FETCH_SECONDS = 0.3
+# A member that did not answer is asked last for so long.
+_AVOID_SECONDS = 1.0
+_MOST_HOMES = 20_000
+_MOST_REDIRECTS = 3
+# Texts of turns kept at hand; the next turn of a line mostly comes to the
+# same front and then needs no trip.
+_CACHE_BYTES = 24 * 1024 * 1024
+
+
+class NoSuchTurn(msgspec.Struct, frozen=True):
+    """All that could hold the turn have said that they don't."""
+
+
+class KeptBy(msgspec.Struct, frozen=True):
+    """Failure domains in which a turn is on disk.
+
+    Attributes:
+        domains: Their names.
+        enough: Whether these are as many as were asked for.
+    """
+
+    domains: list[str]
+    enough: bool
+
+
+class TurnCache:
+    """Recently used turns, by id."""
+
+    def __init__(self) -> None:
+        self.turns: collections.OrderedDict[str, KeptTurn] = (
+            collections.OrderedDict()
+        )
+        self.bytes = 0
+
+    def add(self, kept: KeptTurn) -> None:
+        """Takes a turn in and drops the least recently used ones."""
+        if kept.turn not in self.turns:
+            self.bytes += len(kept.text)
+        self.turns[kept.turn] = kept
+        self.turns.move_to_end(kept.turn)
+        while self.bytes > _CACHE_BYTES:
+            _, old = self.turns.popitem(last=False)
+            self.bytes -= len(old.text)
+
+    def chain(self, turn: str) -> Iterator[KeptTurn]:
+        """Yields a turn and those that it continues, as far as they go."""
+        while kept := self.turns.get(turn):
+            self.turns.move_to_end(turn)
+            yield kept
+            turn = kept.previous
+
+
+class KeeperClient:
+    """Reserves budgets, keeps turns and finds them again.
+
+    Attributes:
+        homes: Where accounts were found.
+        unheard: Loop time until which a member is asked last, by name.
+
+    Args:
+        domain: Failure domain of this front.
+        copies: Failure domains in which a turn must be on disk.
+        members: The storage instances.
+        metrics: Counters and times.
+    """
+
+    def __init__(
+        self, domain: str, copies: int, members: Members, metrics: Metrics
+    ) -> None:
+        self.domain = domain
+        self.copies = copies
+        self.members = members
+        self.metrics = metrics
+        self.cache = TurnCache()
+        self.homes: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self.unheard: dict[str, float] = {}
+        self.tasks: set[asyncio.Task] = set()
+
+    async def reserve(self, ask: Reserve) -> Reserved | Spent | Unsure:
+        """Asks for the permission to run a turn.
+
+        The program's home answers. A program that has none yet gets one in
+        this failure domain, or elsewhere if nobody answers here.
+        """
+        began = _now()
+        reply: Reserved | Spent | Unsure = Unsure("no storage instance")
+        home = self.homes.get(ask.program)
+        asked: set[str] = set()
+        member = None
+        for _ in range(_MOST_REDIRECTS):
+            member = self._whom_to_ask(ask.program, home, asked)
+            if member is None:
+                break
+            asked.add(member.name)
+            said = await self._ask(member, ask, _RESERVE_SECONDS)
+            if isinstance(said, Elsewhere):
+                home = said.keeper
+                self._remember(ask.program, home)
+                asked.discard(home)
+                continue
+            if isinstance(said, Reserved | Spent):
+                self._remember(ask.program, member.name)
+                reply = said
+                break
+            reply = said if isinstance(said, Unsure) else Unsure("silent")
+            if home or said is None:
+                # The home may have given the permission and its answer may
+                # be lost: nobody else can give it.
+                break
+        if isinstance(reply, Unsure) and member:
+            self._spawn(
+                self._settle(
+                    Settle(ask.program, ask.attempt, 0), home or member.name
+                )
+            )
+        self.metrics.observe("rattanmill_reserve_seconds", _now() - began)
+        return reply
+
+    def _whom_to_ask(
+        self, program: str, home: str | None, asked: set[str]
+    ) -> Member | None:
+        if home:
+            member = self.members.known.get(home)
+            return member if member and home not in asked else None
+        open_to_all = [
+            member
+            for member in self.members.known.values()
+            if member.name not in asked and not member.leaving
+        ]
+        return min(
+            open_to_all,
+            key=lambda member: self._distance(program, member),
+            default=None,
+        )
+
+    def _distance(self, program: str, member: Member) -> tuple:
+        away = self.unheard.get(member.name, 0.0) > _now()
+        order = rank(program, self.members.known)
+        return (
+            away,
+            member.domain != self.domain,
+            order.index(member.name),
+        )
+
+    def _remember(self, program: str, home: str) -> None:
+        self.homes[program] = home
+        self.homes.move_to_end(program)
+        if len(self.homes) > _MOST_HOMES:
+            self.homes.popitem(last=False)
+
+    def settle_later(self, program: str, attempt: str, tokens: int) -> None:
+        """Tells the home what an attempt has used, until it has heard it."""
+        home = self.homes.get(program, "")
+        self._spawn(self._settle(Settle(program, attempt, tokens), home))
+
+    async def _settle(self, said: Settle, home: str) -> None:
+        for _ in range(_SETTLE_TRIES):
+            member = self.members.known.get(home)
+            if member and await self._ask(member, said, _SETTLE_SECONDS):
+                return
+            await asyncio.sleep(_SETTLE_PAUSE_SECONDS)
+        # The reservation stays: the program seems to have used more than it
+        # did, never less.
+        warn_event("settle_lost", program=said.program, attempt=said.attempt)
+
+    async def keep(self, kept: KeptTurn) -> KeptBy:
+        """Returns when a turn is on disk in enough failure domains.
+
+        If fewer can be reached, as in a domain that is cut off, those that
+        have it spread it once they reach another.
+        """
+        self.cache.add(kept)
+        began = _now()
+        replicas = self.members.replicas(kept.turn)
+        pending = {
+            asyncio.create_task(self._keep_at(member, kept)): member
+            for member in replicas
+        }
+        for task in pending:
+            self._hold(task)
+        domains: list[str] = []
+        while pending and len(domains) < self.copies:
+            done, _ = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                member = pending.pop(task)
+                if task.result():
+                    domains.append(member.domain)
+        self.metrics.observe("rattanmill_keep_seconds", _now() - began)
+        return KeptBy(domains, len(domains) >= self.copies)
+
+    async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
+        away = self.unheard.get(member.name, 0.0) > _now()
+        seconds = _KEEP_SECONDS / 4 if away else _KEEP_SECONDS
+        return isinstance(await self._ask(member, Keep(kept), seconds), Done)
+
+    async def find(self, turn: str) -> list[KeptTurn] | NoSuchTurn | Unsure:
+        """Returns a turn and all that it continues, newest first."""
+        found = list(self.cache.chain(turn))
+        missing = found[-1].previous if found else turn
+        if not missing:
+            return found
+        sure = self._could_know_all()
+        began = _now()
+        for group in self._groups(missing):
+            chains = await asyncio.gather(
+                *(
+                    self._ask(member, Fetch(missing), _FETCH_SECONDS)
+                    for member in group
+                )
+            )
+            for chain in chains:
+                if not isinstance(chain, Chain):
+                    sure = False
+                    continue
+                sure = sure and chain.whole
+                missing = self._join(found, missing, chain)
+            if not missing:
+                break
+        self.metrics.observe("rattanmill_find_seconds", _now() - began)
+        if not missing:
+            return found
+        log_event("turn_missing", turn=missing, asked_for=turn, sure=sure)
+        if sure and not found:
+            return NoSuchTurn()
+        return Unsure(f"turn {missing} was not found")
+
+    def _join(
+        self, found: list[KeptTurn], missing: str, chain: Chain
+    ) -> str:
+        """Adds what a chain brings of the missing part; returns what lacks."""
+        for kept in chain.turns:
+            if kept.turn != missing:
+                continue
+            found.append(kept)
+            self.cache.add(kept)
+            missing = kept.previous
+        return missing
+
+    def _groups(self, turn: str) -> list[list[Member]]:
+        """Orders whom to ask: near ones that should have it, then all."""
+        replicas = {m.name for m in self.members.replicas(turn)}
+        now = _now()
+        members = sorted(
+            self.members.known.values(),
+            key=lambda m: (
+                self.unheard.get(m.name, 0.0) > now,
+                m.name not in replicas,
+                m.domain != self.domain,
+            ),
+        )
+        return [members[:1], members[1:]] if members else []
+
+    def _could_know_all(self) -> bool:
+        """Whether every instance that may hold a turn is still listed."""
+        return self.members.synced and not self.members.lost_at
+
+    async def _ask(
+        self, member: Member, message: msgspec.Struct, seconds: float
+    ) -> msgspec.Struct | None:
+        reply = await self.members.link(member).ask(message, seconds)
+        kind = type(message).__name__
+        if reply is None:
+            self.unheard[member.name] = _now() + _AVOID_SECONDS
+            self.metrics.count("rattanmill_keeper_silent", kind=kind)
+        else:
+            self.unheard.pop(member.name, None)
+        return reply
+
+    def _spawn(self, work: collections.abc.Coroutine) -> None:
+        self._hold(asyncio.create_task(work))
+
+    def _hold(self, task: asyncio.Task) -> None:
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -0,0 +1,68 @@
+"""A storage process."""
+
+import contextlib
+import pathlib
+from collections.abc import Callable
+
+from rattanmill_core import (
+    InstanceSettings,
+    Metrics,
+    Signals,
+    log_event,
+    serve_metrics,
+)
+from rattanmill_keeper.following import Following
+from rattanmill_keeper.keeper import Keeper
+from rattanmill_keeper.members import Member, Members, Registration
+from rattanmill_keeper.messages import codec
+from rattanmill_platform import KeyValue
+from rattanmill_wire import RequestServer
+
+
+async def run_storage(
+    settings: InstanceSettings,
+    kv: KeyValue,
+    metrics: Metrics,
+    on_reload: Callable[[], None],
+) -> None:
+    """Runs until SIGTERM.
+
+    Raises:
+        SettingsError: An address or the data folder cannot be used.
+        InvariantError: The state was found to be impossible.
+    """
+    signals = Signals()
+    signals.install(on_reload)
+    members = Members(kv)
+    keeper = Keeper(
+        settings.name,
+        pathlib.Path(settings.data_folder),
+        settings.first_start,
+        members,
+        kv,
+        metrics,
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(keeper)
+        await stack.enter_async_context(
+            RequestServer(settings.peer, codec(), keeper.serve, metrics)
+        )
+        await stack.enter_async_context(members)
+        member = Member(
+            settings.name, settings.domain, settings.peer, keeper.run
+        )
+        await stack.enter_async_context(Registration(kv, member))
+        await stack.enter_async_context(Following(keeper, members))
+        runner = await serve_metrics(settings.ip, metrics)
+        stack.push_async_callback(runner.cleanup)
+        log_event(
+            "started",
+            role="storage",
+            domain=settings.domain,
+            first_start=settings.first_start,
+            whole=keeper.whole,
+        )
+        await signals.stop.wait()
+    if signals.broken:
+        raise signals.broken
+    log_event("stopped")
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -0,0 +1,148 @@
+"""Follows the other storage instances, and fetches what is missing here.
+
+One mechanism fills an empty or replaced disk, heals a cut, and spreads turns
+that only one failure domain could take.
+"""
+
+import asyncio
+from typing import Self
+
+import msgspec
+
+from rattanmill_core import log_event, start_loop
+from rattanmill_keeper.keeper import Keeper
+from rattanmill_keeper.members import Member, Members
+from rattanmill_keeper.messages import FetchTurns, Follow, News, Turns
+
+_POLL_SECONDS = 0.5
+_ASK_SECONDS = 1.0
+_FETCH_TURNS = 40
+# A whole system that starts with empty disks has nobody to follow. The time
+# covers the others' start and registration.
+_ALONE_SECONDS = 8.0
+
+
+class Progress(msgspec.Struct):
+    """How far one member was followed.
+
+    Attributes:
+        run: Its run.
+        position: Position up to which everything was taken.
+        ended: Whether its end was reached once in that run.
+    """
+
+    run: str = ""
+    position: int = 0
+    ended: bool = False
+
+
+class Following:
+    """Keeps one task for each other storage instance.
+
+    Args:
+        keeper: This instance.
+        members: The storage instances.
+    """
+
+    def __init__(self, keeper: Keeper, members: Members) -> None:
+        self.keeper = keeper
+        self.members = members
+        self.progress: dict[str, Progress] = {}
+        self.tasks: dict[str, asyncio.Task] = {}
+        self.started = asyncio.get_running_loop().time()
+        self.task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> Self:
+        self.task = start_loop("following", self._tend())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for task in [self.task, *self.tasks.values()]:
+            if task:
+                task.cancel()
+
+    async def _tend(self) -> None:
+        while True:
+            for name in list(self.members.known):
+                if name != self.keeper.name and name not in self.tasks:
+                    self.tasks[name] = start_loop(
+                        f"following of {name}", self._follow(name)
+                    )
+            if not self.keeper.whole and self._is_complete():
+                self.keeper.mark_whole()
+            await asyncio.sleep(_POLL_SECONDS / 2)
+
+    def _is_complete(self) -> bool:
+        """Whether all that others know has come in."""
+        if not self.members.synced or self.members.watch.away_since:
+            return False
+        others = [n for n in self.members.known if n != self.keeper.name]
+        age = asyncio.get_running_loop().time() - self.started
+        if not others:
+            return age > _ALONE_SECONDS
+        return all(
+            self.progress.get(name, Progress()).ended for name in others
+        )
+
+    async def _follow(self, name: str) -> None:
+        while True:
+            member = self.members.known.get(name)
+            more = False
+            if member:
+                more = await self._step(member)
+            if not more:
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def _step(self, member: Member) -> bool:
+        """Takes the next page; whether there is more at once."""
+        progress = self.progress.setdefault(member.name, Progress())
+        link = self.members.link(member)
+        news = await link.ask(
+            Follow(progress.run, progress.position), _ASK_SECONDS
+        )
+        if not isinstance(news, News):
+            return False
+        if news.run != progress.run:
+            log_event("following_anew", keeper=member.name, run=news.run)
+            progress.ended = False
+        for home in news.homes:
+            change = self.keeper.ledger.learn(home)
+            if change:
+                await self.keeper.write_home(change)
+        if not await self._fetch(member, news.turns):
+            return False
+        progress.run = news.run
+        progress.position = news.position
+        if not news.more and not progress.ended:
+            progress.ended = True
+            log_event(
+                "following_level", keeper=member.name, position=news.position
+            )
+        return news.more
+
+    async def _fetch(self, member: Member, turns: list[str]) -> bool:
+        """Fetches the turns that are missing here; False if that failed."""
+        lacking = [
+            turn
+            for turn in self.keeper.table.lacking(turns)
+            if self._should_hold(turn, member)
+        ]
+        link = self.members.link(member)
+        for start in range(0, len(lacking), _FETCH_TURNS):
+            page = lacking[start : start + _FETCH_TURNS]
+            reply = await link.ask(FetchTurns(page), 2 * _ASK_SECONDS)
+            if not isinstance(reply, Turns):
+                return False
+            await asyncio.gather(*map(self.keeper.keep, reply.turns))
+        if lacking:
+            log_event("turns_fetched", keeper=member.name, count=len(lacking))
+        return True
+
+    def _should_hold(self, turn: str, member: Member) -> bool:
+        """Whether this instance is the one of its domain for the turn.
+
+        Copies between two instances of one domain are of no use, and each
+        would fetch all that the other has.
+        """
+        names = {replica.name for replica in self.members.replicas(turn)}
+        return self.keeper.name in names
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -0,0 +1,244 @@
+"""The storage instances, as the platform's store lists them."""
+
+import asyncio
+import hashlib
+import random
+from collections.abc import Callable, Iterable
+from typing import Self
+
+import msgspec
+
+from rattanmill_core import log_event, start_loop, warn_event
+from rattanmill_platform import (
+    Found,
+    KeyValue,
+    PrefixWatch,
+    Removal,
+    Unavailable,
+)
+from rattanmill_wire import RequestLink
+
+from rattanmill_keeper.messages import codec
+
+PREFIX = "rattanmill/keepers/"
+# Long against the store's usual outages of seconds, so that these lose no
+# registration; short against the time in which a lost disk must be replaced.
+_LEASE_SECONDS = 10.0
+_RENEW_SECONDS = 2.5
+_WAIT_SECONDS = 10.0
+# An entry that is missing after an outage of the store may only have lapsed
+# meanwhile: its holder registers again within about two renewals.
+_GRACE_SECONDS = 6.0
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A storage instance as it registers itself.
+
+    Attributes:
+        name: Name.
+        domain: Failure domain.
+        address: ``IP:PORT`` for requests of other instances.
+        run: Id of the process's run.
+        leaving: Whether it is being emptied and takes nothing new.
+    """
+
+    name: str
+    domain: str
+    address: str
+    run: str
+    leaving: bool = False
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Orders names by highest random weight for a key.
+
+    Every instance comes to the same order without asking anybody, and a name
+    that comes or goes moves only its own share of the keys.
+    """
+    return sorted(
+        names,
+        key=lambda name: hashlib.blake2b(
+            f"{key}/{name}".encode(), digest_size=8
+        ).digest(),
+    )
+
+
+class Members:
+    """Storage instances known here, and a link to each.
+
+    Attributes:
+        known: Members by name.
+        lost_at: Loop time at which a member was last removed that was not
+            leaving, by name.
+
+    Args:
+        kv: The platform's store.
+        on_change: Called after each change.
+    """
+
+    def __init__(
+        self, kv: KeyValue, on_change: Callable[[], None] = lambda: None
+    ) -> None:
+        self.on_change = on_change
+        self.known: dict[str, Member] = {}
+        self.lost_at: dict[str, float] = {}
+        self.links: dict[str, RequestLink] = {}
+        self.codec = codec()
+        self.watch = PrefixWatch(
+            kv, PREFIX, _WAIT_SECONDS, self._written, self._removed
+        )
+
+    @property
+    def synced(self) -> bool:
+        """Whether the store was heard at least once."""
+        return self.watch.synced
+
+    async def __aenter__(self) -> Self:
+        await self.watch.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.watch.__aexit__()
+        for link in self.links.values():
+            link.close()
+
+    def domains(self) -> dict[str, list[Member]]:
+        """Returns members that take something new, by failure domain."""
+        found: dict[str, list[Member]] = {}
+        for member in self.known.values():
+            if not member.leaving:
+                found.setdefault(member.domain, []).append(member)
+        return found
+
+    def replicas(self, key: str) -> list[Member]:
+        """Returns the member of each failure domain that keeps a key."""
+        chosen = []
+        for members in self.domains().values():
+            by_name = {member.name: member for member in members}
+            chosen.append(by_name[rank(key, by_name)[0]])
+        return chosen
+
+    def link(self, member: Member) -> RequestLink:
+        """Returns the link to a member."""
+        link = self.links.get(member.name)
+        if link is None or link.address != member.address:
+            if link:
+                link.close()
+            link = RequestLink(member.address, self.codec)
+            self.links[member.name] = link
+        return link
+
+    def _written(self, key: str, value: bytes) -> None:
+        try:
+            member = msgspec.json.decode(value, type=Member)
+        except msgspec.DecodeError as error:
+            warn_event("keeper_undecodable", key=key, why=str(error))
+            return
+        before = self.known.get(member.name)
+        self.known[member.name] = member
+        self.lost_at.pop(member.name, None)
+        if before != member:
+            log_event(
+                "keeper_seen",
+                keeper=member.name,
+                domain=member.domain,
+                address=member.address,
+                leaving=member.leaving,
+            )
+        self.on_change()
+
+    def _removed(self, key: str, how: Removal) -> None:
+        name = key.removeprefix(PREFIX)
+        if how is Removal.MISSED:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_GRACE_SECONDS, self._drop_missing, key, name)
+            return
+        self._drop(name)
+
+    def _drop_missing(self, key: str, name: str) -> None:
+        if key not in self.watch.values:
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        member = self.known.pop(name, None)
+        if member is None:
+            return
+        if not member.leaving:
+            self.lost_at[name] = asyncio.get_running_loop().time()
+        log_event("keeper_gone", keeper=name, leaving=member.leaving)
+        self.on_change()
+
+
+class Registration:
+    """Keeps this storage instance registered under a lease.
+
+    Args:
+        kv: The platform's store.
+        member: This instance.
+    """
+
+    def __init__(self, kv: KeyValue, member: Member) -> None:
+        self.kv = kv
+        self.member = member
+        self.lease = ""
+        self.task: asyncio.Task | None = None
+        self.wake = asyncio.Event()
+
+    async def __aenter__(self) -> Self:
+        self.task = start_loop("registration", self._keep_up())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.task:
+            self.task.cancel()
+
+    def change(self, member: Member) -> None:
+        """Registers this instance anew, as it is now."""
+        self.member = member
+        self.wake.set()
+
+    async def _keep_up(self) -> None:
+        while True:
+            if self.lease:
+                renewed = await self.kv.renew(self.lease)
+                if renewed is False:
+                    log_event("registration_lapsed", lease=self.lease)
+                    self.lease = ""
+            await self._register()
+            self.wake.clear()
+            pause = random.uniform(0.8, 1.0) * _RENEW_SECONDS
+            if not self.lease:
+                pause = random.uniform(0.1, 0.4)
+            try:
+                async with asyncio.timeout(pause):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _register(self) -> None:
+        """Writes the entry unless the store holds it as it should be.
+
+        The store may take a key away though its lease goes on.
+        """
+        if not self.lease:
+            granted = await self.kv.grant(_LEASE_SECONDS)
+            if isinstance(granted, Unavailable):
+                return
+            self.lease = granted
+        key = PREFIX + self.member.name
+        value = msgspec.json.encode(self.member)
+        revision = 0
+        match await self.kv.read(key):
+            case Unavailable():
+                return
+            case Found(entry=entry):
+                if entry.value == value and entry.lease == self.lease:
+                    return
+                revision = entry.revision
+        outcome = await self.kv.write(key, value, revision, self.lease)
+        log_event(
+            "registered",
+            lease=self.lease,
+            leaving=self.member.leaving,
+            outcome=type(outcome).__name__,
+        )
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -0,0 +1,120 @@
+"""Kept turns in memory, by id; the journal holds them on disk."""
+
+import itertools
+from collections.abc import Iterable
+
+import msgspec
+
+from rattanmill_core import wall_seconds
+from rattanmill_keeper.messages import Chain, KeptTurn
+
+# Beyond its time a turn is kept this long, against clocks that differ
+# between instances or jump by seconds.
+_MARGIN_SECONDS = 15.0
+
+
+class HeldTurn(msgspec.Struct):
+    """A turn and until when it is held.
+
+    Attributes:
+        kept: The turn.
+        expires: Seconds since 1970; later than the turn's own if another
+            one continues it.
+        segment: Segment of the journal that it lies in.
+    """
+
+    kept: KeptTurn
+    expires: float
+    segment: int
+
+
+class TurnTable:
+    """Turns held by this storage instance.
+
+    Attributes:
+        held: Turns by id.
+        bytes: Size of their texts.
+    """
+
+    def __init__(self) -> None:
+        self.held: dict[str, HeldTurn] = {}
+        self.bytes = 0
+
+    def add(self, kept: KeptTurn, segment: int) -> bool:
+        """Takes a turn in; False if it is held already."""
+        if kept.turn in self.held:
+            return False
+        self.held[kept.turn] = HeldTurn(kept, kept.expires, segment)
+        self.bytes += len(kept.text)
+        self._extend(kept.previous, kept.expires)
+        return True
+
+    def _extend(self, turn: str, expires: float) -> None:
+        """Keeps a chain for as long as the turn at its end."""
+        while (held := self.held.get(turn)) and held.expires < expires:
+            held.expires = expires
+            turn = held.kept.previous
+
+    def chain(self, turn: str, whole: bool) -> Chain:
+        """Returns a turn and all that it continues, as far as held here."""
+        turns = []
+        while held := self.held.get(turn):
+            turns.append(held.kept)
+            turn = held.kept.previous
+        return Chain(turns, turn, whole)
+
+    def pick(self, turns: Iterable[str]) -> list[KeptTurn]:
+        """Returns those of the turns that are held."""
+        return [self.held[t].kept for t in turns if t in self.held]
+
+    def lacking(self, turns: Iterable[str]) -> list[str]:
+        """Returns those of the turns that are not held."""
+        return [turn for turn in turns if turn not in self.held]
+
+    def expire(self) -> list[str]:
+        """Drops turns whose time is over and returns their ids."""
+        now = wall_seconds() - _MARGIN_SECONDS
+        old = [t for t, held in self.held.items() if held.expires < now]
+        for turn in old:
+            self.bytes -= len(self.held.pop(turn).kept.text)
+        return old
+
+    def segments(self) -> set[int]:
+        """Returns the segments of the journal that hold turns still held."""
+        return {held.segment for held in self.held.values()}
+
+
+class Intake:
+    """Order in which turns and homes came in, for those who follow.
+
+    Attributes:
+        position: Position of the newest entry.
+        entries: What came in, by position: the id of a turn or of a program.
+    """
+
+    def __init__(self) -> None:
+        self.position = 0
+        self.entries: dict[int, str] = {}
+        self.positions: dict[str, int] = {}
+
+    def add(self, entry: str) -> None:
+        """Appends an entry; one that is there already moves to the end."""
+        self.remove(entry)
+        self.position += 1
+        self.entries[self.position] = entry
+        self.positions[entry] = self.position
+
+    def remove(self, entry: str) -> None:
+        """Forgets an entry."""
+        position = self.positions.pop(entry, 0)
+        self.entries.pop(position, None)
+
+    def since(self, after: int, most: int) -> list[tuple[int, str]]:
+        """Returns the oldest entries after a position, up to ``most``."""
+        newer = list(
+            itertools.takewhile(
+                lambda pair: pair[0] > after, reversed(self.entries.items())
+            )
+        )
+        newer.reverse()
+        return newer[:most]
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -1,14 +1,17 @@
 """Clients of the platform: key-value service, lease, live view, directory."""
 
+from rattanmill_platform.calls import Breaker, Reply, StoreCalls, Unavailable
 from rattanmill_platform.directory import Directory, Endpoint
+from rattanmill_platform.follow import PrefixWatch, Removal
 from rattanmill_platform.kv import (
     Conflict,
     Entry,
     Found,
+    HistoryLost,
+    KeyValue,
     KvClient,
     Missing,
     Range,
-    Unavailable,
     WatchEvents,
     Written,
 )
@@ -21,19 +24,26 @@
 )
 
 __all__ = [
+    "Breaker",
     "Conflict",
     "Directory",
     "DomainShards",
     "Endpoint",
     "Entry",
     "Found",
+    "HistoryLost",
     "InstanceLease",
     "InstanceRecord",
+    "KeyValue",
     "KvClient",
     "LiveView",
     "Missing",
+    "PrefixWatch",
     "Range",
+    "Removal",
+    "Reply",
     "ShardOwner",
+    "StoreCalls",
     "Unavailable",
     "WatchEvents",
     "Written",
--- a/libs/platform/src/rattanmill_platform/kv.py
+++ b/libs/platform/src/rattanmill_platform/kv.py
@@ -5,30 +5,30 @@
 ``KvClient.create_unique`` settles that by reading.
 """
 
-import asyncio
 import base64
-import random
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import aiohttp
 import msgspec
 
 from rattanmill_core import Metrics
+from rattanmill_platform.calls import CALL_SECONDS, StoreCalls, Unavailable
 
 _T = TypeVar("_T")
-_CALL_SECONDS = 2.0
 _LIST_SECONDS = 10.0
-_BREAKER_FAILURES = 3
-_BREAKER_LEAST_SECONDS = 0.2
-_BREAKER_MOST_SECONDS = 2.0
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """A key, its value and the revision that wrote it."""
+    """A key, its value and the revision that wrote it.
+
+    Attributes:
+        lease: Lease with which the key ends, where the service tells it.
+    """
 
     key: str
     value: bytes
     revision: int
+    lease: str = ""
 
 
 class Found(msgspec.Struct, frozen=True):
@@ -53,12 +53,6 @@
     revision: int
 
 
-class Unavailable(msgspec.Struct, frozen=True):
-    """No answer; a write may have taken effect all the same."""
-
-    why: str
-
-
 class Range(msgspec.Struct, frozen=True):
     """All entries under a prefix as of ``revision``."""
 
@@ -73,6 +67,10 @@
     revision: int
 
 
+class HistoryLost(msgspec.Struct, frozen=True):
+    """The changes after a revision are no longer kept; read everything."""
+
+
 class _WireEntry(msgspec.Struct):
     key: str
     value: str | None
@@ -92,35 +90,36 @@
     lease: str
 
 
-class Breaker:
-    """Stops calls for a while after several failures in a row.
+class KeyValue(Protocol):
+    """What the product needs of a key-value service.
 
-    Without it each request of an outage would wait for its own time-out, and
-    the returning service would meet all of them at once.
+    ``KvClient`` and the adapter of the users' platform provide it.
     """
 
-    def __init__(self) -> None:
-        self.failures = 0
-        self.open_until = 0.0
+    async def read(self, key: str) -> Found | Missing | Unavailable:
+        """Reads one key."""
 
-    def is_open(self) -> bool:
-        """Whether calls should fail at once."""
-        return asyncio.get_running_loop().time() < self.open_until
+    async def list(self, prefix: str) -> Range | Unavailable:
+        """Reads all keys under a prefix."""
 
-    def succeeded(self) -> None:
-        """Records an answer."""
-        self.failures = 0
-        self.open_until = 0.0
+    async def write(
+        self, key: str, value: bytes, expect: int, lease: str = ""
+    ) -> Written | Conflict | Unavailable:
+        """Writes if the key's revision is ``expect`` (0: no such key)."""
 
-    def failed(self) -> None:
-        """Records a missing answer; opens with jittered back-off."""
-        self.failures += 1
-        if self.failures < _BREAKER_FAILURES:
-            return
-        steps = min(self.failures - _BREAKER_FAILURES, 8)
-        most = min(_BREAKER_LEAST_SECONDS * 2**steps, _BREAKER_MOST_SECONDS)
-        pause = random.uniform(most / 2, most)
-        self.open_until = asyncio.get_running_loop().time() + pause
+    async def grant(self, seconds: float) -> str | Unavailable:
+        """Creates a lease and returns its id."""
+
+    async def renew(self, lease: str) -> bool | Unavailable:
+        """Renews a lease; False if it has lapsed."""
+
+    async def revoke(self, lease: str) -> None:
+        """Ends a lease and deletes its keys, if the service answers."""
+
+    async def watch(
+        self, prefix: str, after: int, seconds: float
+    ) -> WatchEvents | HistoryLost | Unavailable:
+        """Waits up to ``seconds`` for changes after a revision."""
 
 
 class KvClient:
@@ -135,10 +134,8 @@
     def __init__(
         self, base: str, session: aiohttp.ClientSession, metrics: Metrics
     ) -> None:
-        self.base = base.rstrip("/")
-        self.session = session
-        self.metrics = metrics
-        self.breaker = Breaker()
+        self.calls = StoreCalls(base, session, metrics)
+        self.breaker = self.calls.breaker
 
     async def read(self, key: str) -> Found | Missing | Unavailable:
         """Reads one key."""
@@ -232,7 +229,7 @@
         """Waits up to ``seconds`` for changes after a revision."""
         path = f"/watch?prefix={prefix}&after={after}&wait={seconds}"
         status, body, _ = await self._call(
-            "GET", path, timeout=seconds + _CALL_SECONDS
+            "GET", path, timeout=seconds + CALL_SECONDS
         )
         wire = _decode(body, _WireRange) if status == 200 else None
         if wire is None:
@@ -248,36 +245,17 @@
         method: str,
         path: str,
         data: bytes | None = None,
-        timeout: float = _CALL_SECONDS,
+        timeout: float = CALL_SECONDS,
         try_always: bool = False,
     ) -> tuple[int, bytes, int]:
-        """Returns status (0: no answer), body or reason, and revision.
-
-        Renewals are tried even while the breaker is open: a few refused
-        writes would otherwise cost the instance its lease. They are few, and
-        the first one answered closes the breaker.
-        """
+        """Returns status (0: no answer), body or reason, and revision."""
         kind = f"{method} {path.split('?')[0].split('/')[1]}"
-        if self.breaker.is_open() and not try_always:
-            return 0, b"circuit open", 0
-        self.metrics.count("rattanmill_kv_calls", kind=kind)
-        try:
-            async with self.session.request(
-                method,
-                self.base + path,
-                data=data,
-                timeout=aiohttp.ClientTimeout(total=timeout),
-            ) as answer:
-                body = await answer.read()
-                if answer.status >= 500 or answer.status == 429:
-                    raise aiohttp.ClientError(f"status {answer.status}")
-                self.breaker.succeeded()
-                revision = int(answer.headers.get("KV-Revision", 0))
-                return answer.status, body, revision
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            self.breaker.failed()
-            self.metrics.count("rattanmill_kv_failures", kind=kind)
-            return 0, str(error or "time-out").encode(), 0
+        reply = await self.calls.call(
+            kind, method, path, data, timeout=timeout, try_always=try_always
+        )
+        if isinstance(reply, Unavailable):
+            return 0, reply.why.encode(), 0
+        return reply.status, reply.body, reply.revision
 
 
 def _decode(body: bytes, kind: type[_T]) -> _T | None:
--- a/libs/wire/src/rattanmill_wire/__init__.py
+++ b/libs/wire/src/rattanmill_wire/__init__.py
@@ -19,12 +19,14 @@
     encode_message,
 )
 from rattanmill_wire.peers import PeerHub, PeerSecret, load_secret
+from rattanmill_wire.requests import Codec, RequestLink, RequestServer
 
 __all__ = [
     "CallCancel",
     "CallCredit",
     "CallKind",
     "CallStart",
+    "Codec",
     "ConfigAsk",
     "ConfigTell",
     "EndpointNotes",
@@ -37,6 +39,8 @@
     "ReplyEnd",
     "ReplyHead",
     "ReplyRefused",
+    "RequestLink",
+    "RequestServer",
     "decode_message",
     "encode_message",
     "load_secret",
--- /dev/null
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -0,0 +1,229 @@
+"""Requests and replies between instances over ZeroMQ.
+
+One ROUTER socket answers, one DEALER socket a peer asks. A request that gets
+no reply in its time yields None, and the connection is made anew: one that
+has gone silent without a reset would otherwise swallow all that follow.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any, Self
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from rattanmill_core import (
+    Metrics,
+    SettingsError,
+    log_event,
+    start_loop,
+    warn_event,
+)
+
+_QUEUE_MESSAGES = 1000
+_CONNECT_MS = 500
+_RECONNECT_MS = 30
+_RECONNECT_MOST_MS = 300
+# Requests under way at a time; more means that this process can't keep up,
+# and the asker does better to ask another one.
+_MOST_SERVED = 2000
+
+Serve = Callable[[Any], Awaitable[Any]]
+
+
+class Codec:
+    """Encodes and decodes a union of tagged structs as msgpack."""
+
+    def __init__(self, messages: Any) -> None:
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(messages)
+
+    def encode(self, message: msgspec.Struct) -> bytes:
+        """Returns a message's bytes."""
+        return self.encoder.encode(message)
+
+    def decode(self, data: bytes) -> Any:
+        """Returns the message, or None if it is of no kind known here."""
+        try:
+            return self.decoder.decode(data)
+        except msgspec.DecodeError as error:
+            warn_event("message_undecodable", why=str(error), bytes=len(data))
+            return None
+
+
+class RequestServer:
+    """Answers requests at one address, each in a task of its own.
+
+    Args:
+        address: ``IP:PORT`` to bind.
+        codec: Messages understood.
+        serve: Returns the reply to a message.
+        metrics: Where requests that were dropped are counted.
+    """
+
+    def __init__(
+        self, address: str, codec: Codec, serve: Serve, metrics: Metrics
+    ) -> None:
+        self.address = address
+        self.codec = codec
+        self.serve = serve
+        self.metrics = metrics
+        self.context = zmq.asyncio.Context.instance()
+        self.tasks: set[asyncio.Task] = set()
+        self.loop_task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> Self:
+        self.socket = self.context.socket(zmq.ROUTER)
+        _bound(self.socket)
+        try:
+            self.socket.bind(f"tcp://{self.address}")
+        except zmq.ZMQError as error:
+            self.socket.close(linger=0)
+            raise SettingsError(
+                f"{self.address} cannot be used between instances: {error}"
+            ) from error
+        self.loop_task = start_loop("requests", self._receive())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self.loop_task:
+            self.loop_task.cancel()
+        for task in self.tasks:
+            task.cancel()
+        self.socket.close(linger=100)
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self.socket.recv_multipart()
+            if len(frames) != 3 or len(self.tasks) >= _MOST_SERVED:
+                self.metrics.count("rattanmill_requests_dropped")
+                continue
+            task = asyncio.create_task(self._answer(*frames))
+            self.tasks.add(task)
+            task.add_done_callback(self._ended)
+
+    async def _answer(self, sender: bytes, number: bytes, data: bytes) -> None:
+        message = self.codec.decode(data)
+        if message is None:
+            return
+        reply = await self.serve(message)
+        frames = [sender, number, self.codec.encode(reply)]
+        await self.socket.send_multipart(frames)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            task.get_loop().call_exception_handler(
+                {"message": "A request failed.", "exception": task.exception()}
+            )
+
+
+class RequestLink:
+    """Asks one peer.
+
+    Attributes:
+        failures: Requests in a row that got no reply.
+        heard_at: Loop time of the last reply.
+
+    Args:
+        address: ``IP:PORT`` of the peer.
+        codec: Messages understood.
+    """
+
+    def __init__(self, address: str, codec: Codec) -> None:
+        self.address = address
+        self.codec = codec
+        self.failures = 0
+        self.heard_at = float("-inf")
+        self.numbers = itertools.count()
+        self.waiting: dict[bytes, asyncio.Future] = {}
+        self.context = zmq.asyncio.Context.instance()
+        self.socket: zmq.asyncio.Socket | None = None
+        self.task: asyncio.Task | None = None
+
+    async def ask(self, message: msgspec.Struct, seconds: float) -> Any:
+        """Returns the reply, or None if there was none in time.
+
+        None says nothing about whether the request was carried out.
+        """
+        number = next(self.numbers).to_bytes(8, "big")
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        asked_at = loop.time()
+        socket = self._open()
+        self.waiting[number] = future
+        try:
+            async with asyncio.timeout(seconds):
+                await socket.send_multipart(
+                    [number, self.codec.encode(message)]
+                )
+                reply = self.codec.decode(await future)
+        except (TimeoutError, zmq.ZMQError) as error:
+            self._failed(socket, message, error, asked_at)
+            return None
+        finally:
+            self.waiting.pop(number, None)
+        if self.failures:
+            log_event("peer_back", peer=self.address, failures=self.failures)
+        self.failures = 0
+        return reply
+
+    def close(self) -> None:
+        """Closes the connection; those who wait get no reply."""
+        if self.task:
+            self.task.cancel()
+        if self.socket:
+            self.socket.close(linger=0)
+        self.socket = None
+        self.task = None
+
+    def _open(self) -> zmq.asyncio.Socket:
+        if self.socket is None:
+            self.socket = self.context.socket(zmq.DEALER)
+            _bound(self.socket)
+            # Without it, requests queue for a peer that is down, and reach
+            # it long after their askers have given up.
+            self.socket.immediate = True
+            self.socket.connect(f"tcp://{self.address}")
+            self.task = start_loop(
+                "replies", self._receive(self.socket, self.address)
+            )
+        return self.socket
+
+    async def _receive(self, socket: zmq.asyncio.Socket, peer: str) -> None:
+        while True:
+            number, data = await socket.recv_multipart()
+            self.heard_at = asyncio.get_running_loop().time()
+            future = self.waiting.get(number)
+            if future is not None and not future.done():
+                future.set_result(data)
+
+    def _failed(
+        self,
+        socket: zmq.asyncio.Socket,
+        message: msgspec.Struct,
+        error: Exception,
+        asked_at: float,
+    ) -> None:
+        if not self.failures:
+            log_event(
+                "peer_silent",
+                peer=self.address,
+                asked=type(message).__name__,
+                why=str(error) or "timeout",
+            )
+        self.failures += 1
+        # One that answers others is only slow; theirs would be lost with it.
+        if socket is self.socket and self.heard_at < asked_at:
+            self.close()
+
+
+def _bound(socket: zmq.asyncio.Socket) -> None:
+    socket.sndhwm = _QUEUE_MESSAGES
+    socket.rcvhwm = _QUEUE_MESSAGES
+    socket.linger = 0
+    socket.connect_timeout = _CONNECT_MS
+    socket.reconnect_ivl = _RECONNECT_MS
+    socket.reconnect_ivl_max = _RECONNECT_MOST_MS
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -10,7 +10,7 @@
     Unavailable,
     Written,
 )
-from rattanmill_platform.kv import Breaker, Entry
+from rattanmill_platform import Breaker, Entry
 
 
 class Crash(Exception):
