Keep tasks alive when a link to a peer is made anew; never reopen a lost account

Cause: closing a ZeroMQ socket cancels whoever sends on it. The cancellation went through the watches of the store, which ended silently, and through handlers, which closed callers' connections without an answer. And a home that had lost its disk did not learn from the others that it had been home, and the mark of a whole disk was not synced.

--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -38,7 +38,7 @@
 _BACKLOG = 1024
 # A watch that is silent for longer is given up; this bounds how late a change
 # of the configuration is noticed after a connection has gone silent.
-_WATCH_SECONDS = 5.0
+_WATCH_SECONDS = 2.5
 
 
 class Sources(msgspec.Struct, frozen=True):
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections
-import socket
 from collections.abc import AsyncIterator
 from typing import Self
 
@@ -17,15 +16,11 @@
 from rattanmill_core import Metrics
 from rattanmill_forward.calls import AnswerHead, Dialect, Headers
 from rattanmill_forward.endpoints import Endpoint
+from rattanmill_platform import bound_silence
 
 # A trip takes a few milliseconds; an endpoint whose first packet was dropped,
 # or that is cut off, is not worth more of a caller's time.
 _CONNECT_SECONDS = 0.25
-# Bytes that are not acknowledged for so long mean that the way is cut. Twice
-# the least retransmission time of TCP and some.
-_UNACKNOWLEDGED_MS = 700
-_KEEPALIVE_SECONDS = 1
-_KEEPALIVE_PROBES = 2
 # Idle connections are closed this long before the endpoint would: a request
 # that crosses its close may have run.
 _IDLE_MARGIN_SECONDS = 1.0
@@ -323,7 +318,7 @@
                 )
         except (OSError, TimeoutError) as error:
             return ConnectFailed(str(error) or "timeout")
-        _bound_silence(wire.transport.get_extra_info("socket"))
+        bound_silence(wire.transport.get_extra_info("socket"))
         return Connection(endpoint, wire)
 
     def give_back(
@@ -382,22 +377,5 @@
     ]
 
 
-def _bound_silence(sock: socket.socket) -> None:
-    """Makes a cut-off peer show as an error.
-
-    Otherwise a call to an endpoint behind a partition waits until its caller
-    gives up, though it could run elsewhere.
-    """
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
-    )
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
-        sock.setsockopt(socket.IPPROTO_TCP, option, _KEEPALIVE_SECONDS)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES
-    )
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -1,6 +1,7 @@
 """A storage instance: accounts of budgets and kept turns."""
 
 import asyncio
+import os
 import pathlib
 import uuid
 from typing import Self
@@ -121,10 +122,16 @@
         """Says, also on disk, that nothing is missing here."""
         mark = self.folder / _MARK
         if not mark.exists():
-            mark.touch()
+            # Synced, or a power loss takes it, and the instance that comes
+            # back with all its data takes itself for one that lost its disk.
+            with mark.open("w") as file:
+                file.write(self.run)
+                file.flush()
+                os.fsync(file.fileno())
         if not self.whole:
             log_event("keeper_whole", turns=len(self.table.held))
         self.whole = True
+        self.ledger.is_whole = True
 
     async def serve(self, message: msgspec.Struct) -> msgspec.Struct:
         """Answers one request."""
@@ -161,6 +168,8 @@
         """Gives a permission once it is on disk."""
         if self.leaving:
             return Unsure("being emptied")
+        if self.ledger.is_lost(ask.program):
+            return Unsure("the account was lost with this instance's disk")
         decision = self.ledger.reserve(ask)
         if isinstance(decision, Opening):
             opened = await self._open(ask.program, ask.budget)
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -49,6 +49,7 @@
         accounts: Accounts at home here.
         homes: Where other accounts are, and since when that is known.
         opening: Programs whose account is being opened here.
+        is_whole: Whether this instance has all that its disk should hold.
     """
 
     def __init__(self, name: str) -> None:
@@ -56,6 +57,7 @@
         self.accounts: dict[str, Account] = {}
         self.homes: dict[str, HomeChange] = {}
         self.opening: set[str] = set()
+        self.is_whole = False
 
     def reserve(
         self, ask: Reserve
@@ -127,7 +129,10 @@
 
     def learn(self, home: Home) -> HomeChange | None:
         """Writes down where an account is; None if that is no news."""
-        if home.program in self.accounts or home.keeper == self.name:
+        if home.program in self.accounts:
+            return None
+        if home.keeper == self.name and self.is_whole:
+            # Somebody agreed to an account that was not opened in the end.
             return None
         known = self.homes.get(home.program)
         if known and known.home.version >= home.version:
@@ -136,6 +141,15 @@
         self.homes[home.program] = change
         return change
 
+    def is_lost(self, program: str) -> bool:
+        """Whether the account was here and went with the disk.
+
+        What its turns have used is not known any more; opened anew, the
+        program could use its budget a second time.
+        """
+        known = self.homes.get(program)
+        return known is not None and known.home.keeper == self.name
+
     def restore(self, change: AccountChange | HomeChange) -> None:
         """Takes back what the journal says; later records replace earlier."""
         if isinstance(change, AccountChange):
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -23,6 +23,8 @@
     ShardOwner,
 )
 
+from rattanmill_platform.sockets import bound_silence, watchful_socket
+
 __all__ = [
     "Breaker",
     "Conflict",
@@ -47,4 +49,6 @@
     "Unavailable",
     "WatchEvents",
     "Written",
+    "bound_silence",
+    "watchful_socket",
 ]
--- a/libs/platform/src/rattanmill_platform/calls.py
+++ b/libs/platform/src/rattanmill_platform/calls.py
@@ -15,6 +15,10 @@
 _BREAKER_FAILURES = 3
 _BREAKER_LEAST_SECONDS = 0.2
 _BREAKER_MOST_SECONDS = 2.0
+# A connection attempt whose first packet is lost is made anew instead of
+# waiting for the next packet, a second later: after a cut that would cost
+# most of the time in which a configuration must be in force.
+_CONNECT_SECONDS = 0.4
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -42,7 +46,8 @@
     the returning service would meet all of them at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most_seconds: float = _BREAKER_MOST_SECONDS) -> None:
+        self.most_seconds = most_seconds
         self.failures = 0
         self.open_until = 0.0
 
@@ -65,7 +70,7 @@
         if self.failures == _BREAKER_FAILURES:
             warn_event("store_away", why=why, failures=self.failures)
         steps = min(self.failures - _BREAKER_FAILURES, 8)
-        most = min(_BREAKER_LEAST_SECONDS * 2**steps, _BREAKER_MOST_SECONDS)
+        most = min(_BREAKER_LEAST_SECONDS * 2**steps, self.most_seconds)
         pause = random.uniform(most / 2, most)
         self.open_until = asyncio.get_running_loop().time() + pause
 
@@ -77,15 +82,20 @@
         base: Base URL.
         session: HTTP session of the process.
         metrics: Where calls are counted.
+        pause_seconds: Longest pause after failures in a row.
     """
 
     def __init__(
-        self, base: str, session: aiohttp.ClientSession, metrics: Metrics
+        self,
+        base: str,
+        session: aiohttp.ClientSession,
+        metrics: Metrics,
+        pause_seconds: float = _BREAKER_MOST_SECONDS,
     ) -> None:
         self.base = base.rstrip("/")
         self.session = session
         self.metrics = metrics
-        self.breaker = Breaker()
+        self.breaker = Breaker(pause_seconds)
 
     async def call(
         self,
@@ -121,7 +131,9 @@
                 self.base + path,
                 data=data,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout),
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout, sock_connect=_CONNECT_SECONDS
+                ),
             ) as answer:
                 body = await answer.read()
                 if answer.status >= 500 or answer.status == 429:
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -120,12 +120,67 @@
             )
 
 
+class _Channel:
+    """One connection to a peer.
+
+    It is closed only once nobody waits on it: closing a ZeroMQ socket cancels
+    whoever is sending there, which looks as if that task itself had been
+    cancelled, and its caller would be left without an answer.
+    """
+
+    def __init__(self, context: zmq.asyncio.Context, address: str) -> None:
+        self.socket = context.socket(zmq.DEALER)
+        _bound(self.socket)
+        # Without it, requests queue for a peer that is down, and reach it
+        # long after their askers have given up.
+        self.socket.immediate = True
+        self.socket.connect(f"tcp://{address}")
+        self.waiting: dict[bytes, asyncio.Future] = {}
+        self.heard_at = float("-inf")
+        self.is_given_up = False
+        self.task = start_loop("replies", self._receive())
+
+    async def ask(self, number: bytes, data: bytes, seconds: float) -> bytes:
+        """Sends a request and returns the reply.
+
+        Raises:
+            TimeoutError: There was none in time.
+            zmq.ZMQError: It could not be sent.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            async with asyncio.timeout(seconds):
+                await self.socket.send_multipart([number, data])
+                return await future
+        finally:
+            del self.waiting[number]
+            self._close_if_unused()
+
+    def give_up(self) -> None:
+        """Closes it once nobody waits on it any more."""
+        self.is_given_up = True
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self.is_given_up and not self.waiting:
+            self.task.cancel()
+            self.socket.close(linger=0)
+
+    async def _receive(self) -> None:
+        while True:
+            number, data = await self.socket.recv_multipart()
+            self.heard_at = asyncio.get_running_loop().time()
+            future = self.waiting.get(number)
+            if future is not None and not future.done():
+                future.set_result(data)
+
+
 class RequestLink:
     """Asks one peer.
 
     Attributes:
         failures: Requests in a row that got no reply.
-        heard_at: Loop time of the last reply.
 
     Args:
         address: ``IP:PORT`` of the peer.
@@ -136,73 +191,41 @@
         self.address = address
         self.codec = codec
         self.failures = 0
-        self.heard_at = float("-inf")
         self.numbers = itertools.count()
-        self.waiting: dict[bytes, asyncio.Future] = {}
         self.context = zmq.asyncio.Context.instance()
-        self.socket: zmq.asyncio.Socket | None = None
-        self.task: asyncio.Task | None = None
+        self.channel: _Channel | None = None
 
     async def ask(self, message: msgspec.Struct, seconds: float) -> Any:
         """Returns the reply, or None if there was none in time.
 
         None says nothing about whether the request was carried out.
         """
+        if self.channel is None:
+            self.channel = _Channel(self.context, self.address)
+        channel = self.channel
         number = next(self.numbers).to_bytes(8, "big")
-        loop = asyncio.get_running_loop()
-        future = loop.create_future()
-        asked_at = loop.time()
-        socket = self._open()
-        self.waiting[number] = future
+        asked_at = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(seconds):
-                await socket.send_multipart(
-                    [number, self.codec.encode(message)]
-                )
-                reply = self.codec.decode(await future)
+            data = await channel.ask(
+                number, self.codec.encode(message), seconds
+            )
         except (TimeoutError, zmq.ZMQError) as error:
-            self._failed(socket, message, error, asked_at)
+            self._failed(channel, message, error, asked_at)
             return None
-        finally:
-            self.waiting.pop(number, None)
         if self.failures:
             log_event("peer_back", peer=self.address, failures=self.failures)
         self.failures = 0
-        return reply
+        return self.codec.decode(data)
 
     def close(self) -> None:
-        """Closes the connection; those who wait get no reply."""
-        if self.task:
-            self.task.cancel()
-        if self.socket:
-            self.socket.close(linger=0)
-        self.socket = None
-        self.task = None
-
-    def _open(self) -> zmq.asyncio.Socket:
-        if self.socket is None:
-            self.socket = self.context.socket(zmq.DEALER)
-            _bound(self.socket)
-            # Without it, requests queue for a peer that is down, and reach
-            # it long after their askers have given up.
-            self.socket.immediate = True
-            self.socket.connect(f"tcp://{self.address}")
-            self.task = start_loop(
-                "replies", self._receive(self.socket, self.address)
-            )
-        return self.socket
-
-    async def _receive(self, socket: zmq.asyncio.Socket, peer: str) -> None:
-        while True:
-            number, data = await socket.recv_multipart()
-            self.heard_at = asyncio.get_running_loop().time()
-            future = self.waiting.get(number)
-            if future is not None and not future.done():
-                future.set_result(data)
+        """Closes the connection once nobody waits for a reply on it."""
+        if self.channel:
+            self.channel.give_up()
+        self.channel = None
 
     def _failed(
         self,
-        socket: zmq.asyncio.Socket,
+        channel: _Channel,
         message: msgspec.Struct,
         error: Exception,
         asked_at: float,
@@ -215,8 +238,8 @@
                 why=str(error) or "timeout",
             )
         self.failures += 1
-        # One that answers others is only slow; theirs would be lost with it.
-        if socket is self.socket and self.heard_at < asked_at:
+        # One that answers others is only slow.
+        if channel is self.channel and channel.heard_at < asked_at:
             self.close()
 
 
