--- a/libs/core/src/rattanmill_core/process.py
+++ b/libs/core/src/rattanmill_core/process.py
@@ -37,9 +37,7 @@
         log_event("stopping", signal=name)
         self.stop.set()
 
-    def _on_error(
-        self, loop: asyncio.AbstractEventLoop, context: dict
-    ) -> None:
+    def _on_error(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
         error = context.get("exception")
         warn_event(
             "task_failed",
--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from rattanmill_core import Refusal
-
 from rattanmill_forward.endpoints import Endpoint
 
 Headers = list[tuple[str, str]]
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -34,6 +34,7 @@
 # Left between the last request's end and SIGKILL.
 _EXIT_SECONDS = 0.8
 _SWEEP_SECONDS = 0.5
+_LOOK_SECONDS = 0.02
 _MOST_HEAD_BYTES = 64 * 1024
 _BACKLOG = 1024
 # A watch that is silent for longer is given up; this bounds how late a change
@@ -161,13 +162,21 @@
         stack.callback(pool.close)
         sweeper = start_loop("sweep of connections", _sweep(pool))
         stack.callback(sweeper.cancel)
+        pings = start_loop("pings", keepers.ping_for_ever())
+        stack.callback(pings.cancel)
         callers = await _listen(
             settings.callers, front.serve, handler_cancellation=True
         )
         stack.push_async_callback(callers.cleanup)
         ready = await _listen(
             settings.readiness,
-            _readiness(lambda: view.synced and not front.ending),
+            _readiness(
+                lambda: (
+                    view.synced
+                    and not front.ending
+                    and not keepers.is_cut_off()
+                )
+            ),
         )
         stack.push_async_callback(ready.cleanup)
         shown = await serve_metrics(settings.ip, metrics)
@@ -231,6 +240,8 @@
     await asyncio.sleep(_NOTICE_SECONDS)
     for site in list(callers.sites):
         await site.stop()
-    while front.active and loop.time() < until:
-        await asyncio.sleep(0.02)
+    while front.active:
+        if loop.time() > until:
+            break
+        await asyncio.sleep(_LOOK_SECONDS)
     log_event("drained", cut=front.active)
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -39,6 +39,7 @@
         deadline: Loop time at which the caller gets an answer at the latest.
         ran_on: Endpoints at which it may have run.
         tried: Endpoints that can't run it now.
+        ended: Endpoints at which it may have run and that have ended since.
         last_event: Id of the last event that the caller has, or empty.
     """
 
@@ -49,6 +50,7 @@
     deadline: float
     ran_on: list[str] = msgspec.field(default_factory=list)
     tried: set[str] = msgspec.field(default_factory=set)
+    ended: set[str] = msgspec.field(default_factory=set)
     last_event: str = ""
 
     @property
@@ -63,6 +65,15 @@
             return f"event/{self.service.name}"
         return f"call/{self.route.name}"
 
+    @property
+    def may_run_anywhere(self) -> bool:
+        """Whether one more endpoint may run it.
+
+        One that has ended is not counted: whoever ran there needs another.
+        """
+        counted = set(self.ran_on) - self.ended
+        return len(counted) < self.route.most_runs
+
     def left(self) -> float:
         """Seconds until the deadline."""
         return self.deadline - asyncio.get_running_loop().time()
@@ -168,15 +179,13 @@
         other: each further one counts against the route's bound.
         """
         there = self.book.by_service.get(task.service.name, ())
-        if len(task.ran_on) >= task.route.most_runs:
+        if not task.may_run_anywhere:
             there = [e for e in there if e.name in task.ran_on]
         fresh = [e for e in there if e.name not in task.tried]
         well = [e for e in fresh if not self.known.is_avoided(e)]
         return well or fresh
 
-    async def _send(
-        self, task: Task, pick: Pick
-    ) -> Running | Refusal | None:
+    async def _send(self, task: Task, pick: Pick) -> Running | Refusal | None:
         """Sends a call to an endpoint; None if another one may be tried."""
         endpoint = pick.endpoint
         self._log_placed(task, pick)
@@ -206,6 +215,8 @@
         match answer:
             case ConnectFailed(why=why):
                 self.known.failed(endpoint, is_unreached=True)
+                if endpoint.name in task.ran_on:
+                    task.ended.add(endpoint.name)
                 return self._not_run(task, endpoint, "not_connected", why)
             case Broken(why=why):
                 return self._broken(task, endpoint, why)
@@ -241,12 +252,12 @@
     ) -> Refusal | None:
         """Decides what follows from a call that may have run."""
         self.known.failed(endpoint, is_unreached=False)
-        if endpoint.name not in task.ran_on:
-            task.ran_on.append(endpoint.name)
-        task.tried.add(endpoint.name)
-        may_repeat = (
-            task.route.is_repeatable
-            and len(task.ran_on) < task.route.most_runs
+        task.ran_on.append(endpoint.name)
+        if not task.route.resumable:
+            task.tried.add(endpoint.name)
+        # A stream that may be resumed goes on where it ran, if nowhere else.
+        may_repeat = task.route.is_repeatable and (
+            task.may_run_anywhere or task.route.resumable
         )
         if may_repeat:
             self._log_retry(task, endpoint, "broken", why)
@@ -278,9 +289,7 @@
                 running.endpoint, task.kind, _now() - running.sent_at
             )
 
-    def event_took(
-        self, task: Task, running: Running, seconds: float
-    ) -> None:
+    def event_took(self, task: Task, running: Running, seconds: float) -> None:
         """Learns from the time between two events of a stream."""
         self.known.measured_event(running.endpoint, task.kind, seconds)
 
--- a/libs/forward/src/rattanmill_forward/endpoints.py
+++ b/libs/forward/src/rattanmill_forward/endpoints.py
@@ -87,9 +87,7 @@
         if timer:
             timer.cancel()
         endpoint = self.endpoints.pop(name)
-        log_event(
-            "endpoint_gone", endpoint=name, service=endpoint.service
-        )
+        log_event("endpoint_gone", endpoint=name, service=endpoint.service)
         self._index()
         self.on_gone(endpoint)
 
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -123,7 +123,9 @@
         """Whether the next request may go over it."""
         return self.wire.is_clean and _now() < self.idle_until
 
-    def send(self, method: str, target: str, headers: Headers, body: bytes):
+    def send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
         """Writes a whole request.
 
         Raises:
@@ -138,7 +140,7 @@
         self.wire.transport.write(data)
         self.used = True
 
-    async def next_event(self):
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of the answer.
 
         Raises:
@@ -164,7 +166,19 @@
         """
         rest, _ = self.http.trailing_data
         self.http = _new_http()
-        self.http.send(self.request)
+        # Tells the parser which request is out, nothing is sent again.
+        bare = [
+            (name, value)
+            for name, value in self.request.headers
+            if name != b"content-length"
+        ]
+        self.http.send(
+            h11.Request(
+                method=self.request.method,
+                target=self.request.target,
+                headers=bare,
+            )
+        )
         self.http.send(h11.EndOfMessage())
         self.http.receive_data(rest)
 
@@ -264,11 +278,12 @@
             return connection
         try:
             connection.send(method, target, headers, body)
-            head = await self._head(connection, request)
         except h11.LocalProtocolError as error:
             connection.abort()
             return ConnectFailed(f"cannot be sent: {error}")
-        except BrokenError as error:
+        try:
+            head = await self._head(connection, request)
+        except (BrokenError, h11.LocalProtocolError) as error:
             connection.abort()
             return Broken(str(error))
         except BaseException:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -196,7 +196,9 @@
                 try:
                     async with asyncio.timeout_at(task.deadline):
                         await self._pass_events(response, task, running, turn)
-                    return await self._end(request, task, running, response, turn)
+                    return await self._end(
+                        request, task, running, response, turn
+                    )
                 except (BrokenError, TimeoutError) as error:
                     refusal = self.dispatcher.cut(task, running, error)
             if refusal:
@@ -326,9 +328,7 @@
         )
 
 
-async def _read_body(
-    request: web.BaseRequest, most: int
-) -> bytes | Refusal:
+async def _read_body(request: web.BaseRequest, most: int) -> bytes | Refusal:
     """Reads a body whole, up to the operators' bound."""
     too_large = refuse(
         Reason.BODY_TOO_LARGE, f"a body of more than {most} bytes"
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -257,9 +257,7 @@
         unreached = self.unreached.setdefault(endpoint.domain, {})
         unreached[endpoint.name] = now
         fresh = [
-            at
-            for at in unreached.values()
-            if now - at < _DOMAIN_WINDOW_SECONDS
+            at for at in unreached.values() if now - at < _DOMAIN_WINDOW_SECONDS
         ]
         if len(fresh) >= 2:
             self.avoid_domains[endpoint.domain] = now + _DOMAIN_AVOID_SECONDS
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -131,9 +131,7 @@
 
     async def keep(self, call: Call, route: Route, turn: Turn) -> KeptBy:
         """Keeps a finished turn for those that continue it."""
-        text = b"".join(
-            [call.body, *(data + b"\n" for data in turn.events)]
-        )
+        text = b"".join([call.body, *(data + b"\n" for data in turn.events)])
         kept = KeptTurn(
             call.request,
             call.previous,
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -2,6 +2,7 @@
 
 from rattanmill_keeper.client import KeeperClient, KeptBy, NoSuchTurn
 from rattanmill_keeper.daemon import run_storage
+from rattanmill_keeper.emptying import EmptyingOrders
 from rattanmill_keeper.following import Following
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members, Registration
@@ -17,6 +18,7 @@
 from rattanmill_keeper.relayed import RelayedKv
 
 __all__ = [
+    "EmptyingOrders",
     "Following",
     "Keeper",
     "KeeperClient",
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -15,6 +15,7 @@
     Fetch,
     Keep,
     KeptTurn,
+    Ping,
     Reserve,
     Reserved,
     Settle,
@@ -30,8 +31,14 @@
 _SETTLE_PAUSE_SECONDS = 0.4
 _KEEP_SECONDS = 0.4
 _FETCH_SECONDS = 0.3
-# A member that did not answer is asked last for so long.
-_AVOID_SECONDS = 1.0
+# A member that did not answer is asked last for so long, unless it answers a
+# ping before.
+_AVOID_SECONDS = 1.5
+# Each member is asked for a sign of life so often. A front that hears none
+# from another domain, nor the store, for the bound is cut off: its callers
+# are better served elsewhere, and the balancer needs two more seconds.
+_PING_SECONDS = 0.4
+_CUT_SECONDS = 1.0
 _MOST_HOMES = 20_000
 _MOST_REDIRECTS = 3
 # Texts of turns kept at hand; the next turn of a line mostly comes to the
@@ -88,6 +95,7 @@
     Attributes:
         homes: Where accounts were found.
         unheard: Loop time until which a member is asked last, by name.
+        heard: Loop time of each member's last answer.
 
     Args:
         domain: Failure domain of this front.
@@ -108,6 +116,7 @@
             collections.OrderedDict()
         )
         self.unheard: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
 
     async def reserve(self, ask: Reserve) -> Reserved | Spent | Unsure:
@@ -117,8 +126,10 @@
         this failure domain, or elsewhere if nobody answers here.
         """
         began = _now()
-        reply: Reserved | Spent | Unsure = Unsure("no storage instance")
         home = self.homes.get(ask.program)
+        reply: Reserved | Spent | Unsure = Unsure(
+            f"home {home} is away" if home else "no storage instance"
+        )
         asked: set[str] = set()
         member = None
         for _ in range(_MOST_REDIRECTS):
@@ -137,9 +148,8 @@
                 reply = said
                 break
             reply = said if isinstance(said, Unsure) else Unsure("silent")
-            if home or said is None:
-                # The home may have given the permission and its answer may
-                # be lost: nobody else can give it.
+            if home:
+                # Nobody else can give the permission.
                 break
         if isinstance(reply, Unsure) and member:
             self._spawn(
@@ -155,7 +165,9 @@
     ) -> Member | None:
         if home:
             member = self.members.known.get(home)
-            return member if member and home not in asked else None
+            if member is None or home in asked or self._is_away(member):
+                return None
+            return member
         open_to_all = [
             member
             for member in self.members.known.values()
@@ -168,7 +180,7 @@
         )
 
     def _distance(self, program: str, member: Member) -> tuple:
-        away = self.unheard.get(member.name, 0.0) > _now()
+        away = self._is_away(member)
         order = rank(program, self.members.known)
         return (
             away,
@@ -225,7 +237,7 @@
         return KeptBy(domains, len(domains) >= self.copies)
 
     async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
-        away = self.unheard.get(member.name, 0.0) > _now()
+        away = self._is_away(member)
         seconds = _KEEP_SECONDS / 4 if away else _KEEP_SECONDS
         return isinstance(await self._ask(member, Keep(kept), seconds), Done)
 
@@ -260,9 +272,7 @@
             return NoSuchTurn()
         return Unsure(f"turn {missing} was not found")
 
-    def _join(
-        self, found: list[KeptTurn], missing: str, chain: Chain
-    ) -> str:
+    def _join(self, found: list[KeptTurn], missing: str, chain: Chain) -> str:
         """Adds what a chain brings of the missing part; returns what lacks."""
         for kept in chain.turns:
             if kept.turn != missing:
@@ -275,17 +285,48 @@
     def _groups(self, turn: str) -> list[list[Member]]:
         """Orders whom to ask: near ones that should have it, then all."""
         replicas = {m.name for m in self.members.replicas(turn)}
-        now = _now()
         members = sorted(
             self.members.known.values(),
             key=lambda m: (
-                self.unheard.get(m.name, 0.0) > now,
+                self._is_away(m),
                 m.name not in replicas,
                 m.domain != self.domain,
             ),
         )
         return [members[:1], members[1:]] if members else []
 
+    def _is_away(self, member: Member) -> bool:
+        return self.unheard.get(member.name, 0.0) > _now()
+
+    def is_cut_off(self) -> bool:
+        """Whether hardly any program can be served from here.
+
+        Budgets need a storage instance, and new programs one of another
+        domain or the store.
+        """
+        if not self.members.known:
+            return True
+        now = _now()
+        near = far = float("-inf")
+        for member in self.members.known.values():
+            at = self.heard.get(member.name, float("-inf"))
+            if member.domain == self.domain:
+                near = max(near, at)
+            else:
+                far = max(far, at)
+        if now - max(near, far) > _CUT_SECONDS:
+            return True
+        has_store = self.members.watch.away_since is None
+        is_alone = len(self.members.domains()) < 2
+        return now - far > _CUT_SECONDS and not has_store and not is_alone
+
+    async def ping_for_ever(self) -> None:
+        """Asks all members for signs of life."""
+        while True:
+            for member in list(self.members.known.values()):
+                self._spawn(self._ask(member, Ping(), _PING_SECONDS))
+            await asyncio.sleep(_PING_SECONDS)
+
     def _could_know_all(self) -> bool:
         """Whether every instance that may hold a turn is still listed."""
         return self.members.synced and not self.members.lost_at
@@ -300,6 +341,7 @@
             self.metrics.count("rattanmill_keeper_silent", kind=kind)
         else:
             self.unheard.pop(member.name, None)
+            self.heard[member.name] = _now()
         return reply
 
     def _spawn(self, work: collections.abc.Coroutine) -> None:
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -11,6 +11,7 @@
     log_event,
     serve_metrics,
 )
+from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from rattanmill_keeper.following import Following
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members, Registration
@@ -22,6 +23,7 @@
 async def run_storage(
     settings: InstanceSettings,
     kv: KeyValue,
+    orders: EmptyingOrders,
     metrics: Metrics,
     on_reload: Callable[[], None],
 ) -> None:
@@ -51,8 +53,12 @@
         member = Member(
             settings.name, settings.domain, settings.peer, keeper.run
         )
-        await stack.enter_async_context(Registration(kv, member))
+        registration = Registration(kv, member)
+        await stack.enter_async_context(registration)
         await stack.enter_async_context(Following(keeper, members))
+        await stack.enter_async_context(
+            Emptying(keeper, members, registration, kv, orders)
+        )
         runner = await serve_metrics(settings.ip, metrics)
         stack.push_async_callback(runner.cleanup)
         log_event(
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -0,0 +1,196 @@
+"""Empties this storage instance when operators ask for it.
+
+It takes nothing new, sees to it that every turn of its own lies in the other
+failure domains, hands its accounts over, and only then says that it is done:
+from that moment its disk may be gone.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Self
+
+import msgspec
+
+from rattanmill_core import log_event, start_loop
+from rattanmill_keeper.keeper import Keeper
+from rattanmill_keeper.members import Member, Members, Registration, rank
+from rattanmill_keeper.messages import (
+    Account,
+    Adopt,
+    Done,
+    Home,
+    Keep,
+    Lacking,
+)
+from rattanmill_platform import Found, KeyValue, PrefixWatch, Unavailable
+
+_WAIT_SECONDS = 5.0
+_ASK_SECONDS = 2.0
+_PAUSE_SECONDS = 0.25
+# Fronts learn within a watch's answer that nothing new goes here; what was on
+# its way by then has come in.
+_SETTLE_SECONDS = 0.6
+_PAGE = 40
+_ACCOUNTS = 200
+
+
+class EmptyingOrders(msgspec.Struct, frozen=True):
+    """Where operators ask for it and how they are answered.
+
+    Attributes:
+        prefix: Prefix of the orders; the name of an instance follows.
+        status_prefix: Prefix of the answers.
+        running: What is written while it is under way.
+        completed: What is written when it is over.
+    """
+
+    prefix: str
+    status_prefix: str
+    running: bytes
+    completed: bytes
+
+
+class Emptying:
+    """Waits for the order and carries it out.
+
+    Args:
+        keeper: This instance.
+        members: The storage instances.
+        registration: This instance's registration.
+        kv: The platform's store.
+        orders: Where the order stands.
+    """
+
+    def __init__(
+        self,
+        keeper: Keeper,
+        members: Members,
+        registration: Registration,
+        kv: KeyValue,
+        orders: EmptyingOrders,
+    ) -> None:
+        self.keeper = keeper
+        self.members = members
+        self.registration = registration
+        self.kv = kv
+        self.orders = orders
+        self.ordered = asyncio.Event()
+        self.watch = PrefixWatch(
+            kv,
+            orders.prefix + keeper.name,
+            _WAIT_SECONDS,
+            lambda key, value: self.ordered.set(),
+            lambda key, how: None,
+        )
+        self.task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> Self:
+        await self.watch.__aenter__()
+        self.task = start_loop("emptying", self._run())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.watch.__aexit__()
+        if self.task:
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        await self.ordered.wait()
+        log_event("emptying_begun", turns=len(self.keeper.table.held))
+        await self._say(self.orders.running)
+        self.keeper.leaving = True
+        member = msgspec.structs.replace(self.registration.member, leaving=True)
+        self.registration.change(member)
+        await self._until(self._is_known_leaving)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        await self._until(self._hand_over)
+        await self._until(self._spread)
+        await self._say(self.orders.completed)
+        log_event("emptying_done")
+        await asyncio.Event().wait()
+
+    async def _is_known_leaving(self) -> bool:
+        mine = self.members.known.get(self.keeper.name)
+        return mine is not None and mine.leaving
+
+    async def _until(self, step: Callable[[], Awaitable[bool]]) -> None:
+        while True:
+            if await step():
+                return
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def _say(self, value: bytes) -> None:
+        """Writes the state; whoever empties a machine waits for it."""
+        key = self.orders.status_prefix + self.keeper.name
+        while True:
+            found = await self.kv.read(key)
+            if not isinstance(found, Unavailable):
+                entry = found.entry if isinstance(found, Found) else None
+                if entry and entry.value == value:
+                    return
+                await self.kv.write(key, value, entry.revision if entry else 0)
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def _hand_over(self) -> bool:
+        """Hands accounts over; whether none is left."""
+        accounts = list(self.keeper.ledger.accounts.values())
+        takers = [
+            m.name for each in self.members.domains().values() for m in each
+        ]
+        by_taker: dict[str, list[Account]] = {}
+        for account in accounts:
+            if not takers:
+                return False
+            taker = rank(account.program, takers)[0]
+            by_taker.setdefault(taker, []).append(account)
+        for taker, given in by_taker.items():
+            for start in range(0, len(given), _ACCOUNTS):
+                page = given[start : start + _ACCOUNTS]
+                if not await self._give(self.members.known[taker], page):
+                    return False
+        return not self.keeper.ledger.accounts
+
+    async def _give(self, taker: Member, accounts: list[Account]) -> bool:
+        """Gives accounts away.
+
+        They end here first: if the answer is lost, the taker may have them,
+        and both would give permissions. The same taker is asked again.
+        """
+        moved = [
+            msgspec.structs.replace(a, version=a.version + 1) for a in accounts
+        ]
+        for account in moved:
+            home = Home(account.program, taker.name, account.version)
+            await self.keeper.write_home(
+                self.keeper.ledger.give_away(account.program, home)
+            )
+        link = self.members.link(taker)
+        while not isinstance(await link.ask(Adopt(moved), _ASK_SECONDS), Done):
+            log_event("handover_repeated", keeper=taker.name)
+            await asyncio.sleep(_PAUSE_SECONDS)
+        log_event("accounts_given", keeper=taker.name, count=len(moved))
+        return True
+
+    async def _spread(self) -> bool:
+        """Sees to it that the others hold all turns; whether they do."""
+        turns = list(self.keeper.table.held)
+        wanted: dict[str, list[str]] = {}
+        for turn in turns:
+            for replica in self.members.replicas(turn):
+                wanted.setdefault(replica.name, []).append(turn)
+        if turns and not wanted:
+            return False
+        for name, theirs in wanted.items():
+            if not await self._push(self.members.known[name], theirs):
+                return False
+        return True
+
+    async def _push(self, member: Member, turns: list[str]) -> bool:
+        link = self.members.link(member)
+        reply = await link.ask(Lacking(turns), _ASK_SECONDS)
+        if not isinstance(reply, Lacking):
+            return False
+        for turn in self.keeper.table.pick(reply.turns):
+            if not isinstance(await link.ask(Keep(turn), _ASK_SECONDS), Done):
+                return False
+        return True
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -17,9 +17,9 @@
 _POLL_SECONDS = 0.5
 _ASK_SECONDS = 1.0
 _FETCH_TURNS = 40
-# A whole system that starts with empty disks has nobody to follow. The time
-# covers the others' start and registration.
-_ALONE_SECONDS = 8.0
+# With an empty disk and nobody to follow, others may only be slow to start;
+# after this the only storage instance has to go on with what it has.
+_ALONE_SECONDS = 60.0
 
 
 class Progress(msgspec.Struct):
@@ -80,9 +80,7 @@
         age = asyncio.get_running_loop().time() - self.started
         if not others:
             return age > _ALONE_SECONDS
-        return all(
-            self.progress.get(name, Progress()).ended for name in others
-        )
+        return all(self.progress.get(name, Progress()).ended for name in others)
 
     async def _follow(self, name: str) -> None:
         while True:
@@ -98,7 +96,8 @@
         progress = self.progress.setdefault(member.name, Progress())
         link = self.members.link(member)
         news = await link.ask(
-            Follow(progress.run, progress.position), _ASK_SECONDS
+            Follow(self.keeper.name, progress.run, progress.position),
+            _ASK_SECONDS,
         )
         if not isinstance(news, News):
             return False
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -12,6 +12,7 @@
     Metrics,
     log_event,
     start_loop,
+    wall_seconds,
     warn_event,
 )
 from rattanmill_keeper.homes import Consent, may_open
@@ -21,6 +22,7 @@
     HomeChange,
     Ledger,
     Opening,
+    RosterChange,
 )
 from rattanmill_keeper.members import Members
 from rattanmill_keeper.messages import (
@@ -37,6 +39,8 @@
     KeptTurn,
     Lacking,
     News,
+    Outdated,
+    Ping,
     Refused,
     Reserve,
     Reserved,
@@ -59,7 +63,7 @@
 # or was lost.
 _MARK = "whole"
 
-Record = AccountChange | HomeChange | KeptTurn
+Record = AccountChange | HomeChange | RosterChange | KeptTurn
 
 
 class Keeper:
@@ -103,6 +107,7 @@
         self.run = uuid.uuid4().hex[:12]
         self.whole = first_start
         self.leaving = False
+        self.noted: set[str] = set()
         self.sweeper: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -158,6 +163,8 @@
                 return self._news(message)
             case Adopt():
                 return await self._adopt(message)
+            case Ping():
+                return Done()
             case StoreList() | StoreWatch():
                 return await self._ask_store(message)
         return Unsure("not understood")
@@ -166,7 +173,7 @@
         self, ask: Reserve
     ) -> Reserved | Spent | Elsewhere | Unsure:
         """Gives a permission once it is on disk."""
-        if self.leaving:
+        if self.leaving and ask.program not in self.ledger.homes:
             return Unsure("being emptied")
         if self.ledger.is_lost(ask.program):
             return Unsure("the account was lost with this instance's disk")
@@ -193,9 +200,7 @@
             return Unsure("the account is being opened")
         self.ledger.opening.add(program)
         try:
-            found = await may_open(
-                program, self.ledger, self.members, self.kv
-            )
+            found = await may_open(program, self.ledger, self.members, self.kv)
             if not isinstance(found, Consent):
                 return found
             change = self.ledger.open(program, budget)
@@ -210,6 +215,12 @@
     async def _agree(self, ask: Agree) -> Agreed | Refused | Unsure:
         if not self.whole:
             return Unsure("not whole yet")
+        roster = self.members.roster()
+        if not roster <= set(ask.roster):
+            return Outdated(sorted(roster))
+        unknown = set(ask.roster) - roster
+        if unknown:
+            self.members.seen.update(dict.fromkeys(unknown, wall_seconds()))
         decision = self.ledger.may_open(ask.program, ask.keeper)
         if isinstance(decision, Refused):
             return decision
@@ -229,6 +240,7 @@
             self.intake.add(kept.turn)
 
     def _news(self, ask: Follow) -> News:
+        self.members.seen[ask.asker] = wall_seconds()
         after = ask.after if ask.run == self.run else 0
         entries = self.intake.since(after, _PAGE)
         homes = [
@@ -255,9 +267,7 @@
     async def _adopt(self, ask: Adopt) -> Done | Unsure:
         if self.leaving or not self.whole:
             return Unsure("takes nothing new")
-        changes = [
-            self.ledger.adopt(account) for account in ask.accounts
-        ]
+        changes = [self.ledger.adopt(account) for account in ask.accounts]
         for change in changes:
             self.intake.add(change.account.program)
         await asyncio.gather(
@@ -290,6 +300,8 @@
             record = _decode(stored.data)
             if isinstance(record, KeptTurn):
                 self.table.add(record, stored.segment)
+            elif isinstance(record, RosterChange):
+                self.members.seen.update(record.seen)
             elif record is not None:
                 self.ledger.restore(record)
             records += 1
@@ -307,7 +319,16 @@
         )
 
     def _snapshot(self) -> list[bytes]:
-        return [_encode(change) for change in self.ledger.snapshot()]
+        changes = [RosterChange(self.members.seen), *self.ledger.snapshot()]
+        return [_encode(change) for change in changes]
+
+    def _note_roster(self) -> None:
+        """Writes down who there is, for the time after a restart."""
+        names = self.members.roster()
+        if names != self.noted:
+            self.noted = names
+            self.journal.note(_encode(RosterChange(self.members.seen)))
+            self.journal.wake.set()
 
     async def _sweep(self) -> None:
         while True:
@@ -317,6 +338,7 @@
             for program in self.ledger.forget_old():
                 self.intake.remove(program)
             self._drop_segments()
+            self._note_roster()
 
     def _drop_segments(self) -> None:
         """Removes segments whose turns are over.
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -37,6 +37,12 @@
     at: float
 
 
+class RosterChange(msgspec.Struct, frozen=True, tag="roster"):
+    """The storage instances known of, as written to the journal."""
+
+    seen: dict[str, float]
+
+
 class Opening(msgspec.Struct, frozen=True):
     """The account must be opened first, with the others' consent."""
 
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
-from rattanmill_core import log_event, start_loop, warn_event
+from rattanmill_core import (
+    log_event,
+    start_loop,
+    wall_seconds,
+    warn_event,
+)
+from rattanmill_keeper.messages import codec
 from rattanmill_platform import (
     Found,
     KeyValue,
@@ -18,14 +24,15 @@
 )
 from rattanmill_wire import RequestLink
 
-from rattanmill_keeper.messages import codec
-
 PREFIX = "rattanmill/keepers/"
 # Long against the store's usual outages of seconds, so that these lose no
 # registration; short against the time in which a lost disk must be replaced.
 _LEASE_SECONDS = 10.0
 _RENEW_SECONDS = 2.5
 _WAIT_SECONDS = 10.0
+# A member that was not seen for so long is no longer counted when an account
+# is opened. One that was cut off opens none after half of it, see ``homes``.
+ROSTER_SECONDS = 3600.0
 # An entry that is missing after an outage of the store may only have lapsed
 # meanwhile: its holder registers again within about two renewals.
 _GRACE_SECONDS = 6.0
@@ -70,6 +77,7 @@
         known: Members by name.
         lost_at: Loop time at which a member was last removed that was not
             leaving, by name.
+        seen: Seconds since 1970 at which each member was last known of.
 
     Args:
         kv: The platform's store.
@@ -82,6 +90,7 @@
         self.on_change = on_change
         self.known: dict[str, Member] = {}
         self.lost_at: dict[str, float] = {}
+        self.seen: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
         self.codec = codec()
         self.watch = PrefixWatch(
@@ -93,6 +102,20 @@
         """Whether the store was heard at least once."""
         return self.watch.synced
 
+    def roster(self) -> set[str]:
+        """Returns all members that may still open accounts.
+
+        One that is no longer listed may only be cut off.
+        """
+        now = wall_seconds()
+        self.seen.update(dict.fromkeys(self.known, now))
+        oldest = now - ROSTER_SECONDS
+        return {name for name, at in self.seen.items() if at > oldest}
+
+    def store_silence(self) -> float:
+        """Returns the seconds since the store was last heard."""
+        return asyncio.get_running_loop().time() - self.watch.heard_at
+
     async def __aenter__(self) -> Self:
         await self.watch.__aenter__()
         return self
@@ -135,6 +158,7 @@
             warn_event("keeper_undecodable", key=key, why=str(error))
             return
         before = self.known.get(member.name)
+        self.seen[member.name] = wall_seconds()
         self.known[member.name] = member
         self.lost_at.pop(member.name, None)
         if before != member:
@@ -163,6 +187,7 @@
         member = self.known.pop(name, None)
         if member is None:
             return
+        self.seen[name] = wall_seconds()
         if not member.leaving:
             self.lost_at[name] = asyncio.get_running_loop().time()
         log_event("keeper_gone", keeper=name, leaving=member.leaving)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -110,10 +110,15 @@
 
 
 class Agree(msgspec.Struct, tag=8):
-    """Asks whether ``keeper`` may open the account of a program."""
+    """Asks whether ``keeper`` may open the account of a program.
+
+    Attributes:
+        roster: All storage instances that the asker knows of.
+    """
 
     program: str
     keeper: str
+    roster: list[str]
 
 
 class Agreed(msgspec.Struct, tag=9):
@@ -126,6 +131,16 @@
     keeper: str
 
 
+class Outdated(msgspec.Struct, tag=23):
+    """The asker does not know of all these storage instances."""
+
+    roster: list[str]
+
+
+class Ping(msgspec.Struct, tag=24):
+    """Asks whether anybody is there; answered with ``Done``."""
+
+
 class Keep(msgspec.Struct, tag=11):
     """Asks to keep a turn; answered when it is on disk."""
 
@@ -153,8 +168,16 @@
 
 
 class Follow(msgspec.Struct, tag=14):
-    """Asks what was taken in since a position of a run."""
+    """Asks what was taken in since a position of a run.
+
+    Attributes:
+        asker: Name of the asking storage instance. Whoever is followed
+            counts it from then on when an account is opened.
+        run: Run of the one that is asked.
+        after: Position up to which everything was taken.
+    """
 
+    asker: str
     run: str
     after: int
 
@@ -255,6 +278,8 @@
     | StoreList
     | StoreWatch
     | StoreItems
+    | Outdated
+    | Ping
 )
 
 
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -85,8 +85,9 @@
     ) -> WatchEvents | HistoryLost | Unavailable:
         """Waits for changes after a revision."""
         seen = await self.direct.watch(
-            prefix, after, min(seconds, _WATCH_SECONDS)
-            if self.relayed else seconds
+            prefix,
+            after,
+            min(seconds, _WATCH_SECONDS) if self.relayed else seconds,
         )
         if not isinstance(seen, Unavailable):
             self._direct_again()
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -22,7 +22,6 @@
     LiveView,
     ShardOwner,
 )
-
 from rattanmill_platform.sockets import bound_silence, watchful_socket
 
 __all__ = [
--- /dev/null
+++ b/tests/features/steps/site.py
@@ -0,0 +1,306 @@
+"""Steps with a whole system on stand-ins of the users' platform."""
+
+import json
+
+from behave import given, then, when
+
+from support import wait_until
+from support.site import Site
+
+_DOMAINS = ("east", "west", "north")
+_FORGED = {
+    "X_Hold": "h1",
+    "X_Pin_Ms": "4000",
+    "X_Kv_Backup": "10.0.0.1:1",
+    "Kv_From": "10.0.0.1:1/2",
+    "X_Target_Instance": "llm-9",
+    "X_Request_Priority": "0",
+}
+_OURS = ("x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "x-request-priority")
+
+
+def site(context):
+    return context.feature_site
+
+
+def turn(context, domain, text, program, **headers):
+    """Sends a turn of at most 40 tokens."""
+    fields = {
+        "X_Program_Id": program,
+        "X_Session_Id": program,
+        "X_Token_Budget": "400",
+        "X_Token_Usage": "10,40",
+        **headers,
+    }
+    context.request, context.answer = site(context).ask(
+        domain, "POST", "/stream/talk/a", text.encode(), **fields
+    )
+
+
+def pay(context, domain, size=4):
+    context.request, context.answer = site(context).ask(
+        domain, "POST", "/pay/a", b"x" * size
+    )
+    return context.request, context.answer
+
+
+@given("a system on the users' platform")
+def step_site(context):
+    if not hasattr(context.feature, "site"):
+        context.feature.site = context.feature_stack.enter_context(Site(61))
+    context.feature_site = context.feature.site
+
+
+@given('runner "{name}" will {faults}')
+def step_runner(context, name, faults):
+    site(context).runner(name, *(f.strip(' "') for f in faults.split(",")))
+
+
+@given('every desk will "{fault}"')
+def step_desks(context, fault):
+    _all(context, "desk", fault)
+
+
+@given('every engine will "{fault}"')
+def step_engines(context, fault):
+    _all(context, "llm", fault)
+
+
+def _all(context, service, fault):
+    """Sets one fault at each runner and takes what is left away later."""
+    for index in range(len(_DOMAINS)):
+        site(context).runner(f"{service}-{index}", fault)
+    context.scenario_stack.callback(_drain_faults, site(context), service)
+
+
+def _drain_faults(system, service):
+    for index in range(len(_DOMAINS)):
+        client_faults = system.runner(f"{service}-{index}", "clear")
+        assert client_faults is not None
+
+
+@when('a turn "{text}" of program "{program}" is sent to "{domain}"')
+def step_turn(context, text, program, domain):
+    turn(context, domain, text, program)
+    context.first = (context.request, text, context.answer)
+
+
+@when('the next turn "{text}" of program "{program}" is sent to "{domain}"')
+def step_next_turn(context, text, program, domain):
+    turn(context, domain, text, program, X_Previous_Turn=context.request)
+
+
+@when('a turn after the unknown "{previous}" is sent to "{domain}"')
+def step_other_turn(context, previous, domain):
+    turn(context, domain, "two", "unknown", X_Previous_Turn=previous)
+
+
+@when('a turn with forged headers is sent to "{domain}"')
+def step_forged(context, domain):
+    turn(context, domain, "x", "forged", **_FORGED)
+
+
+@when(
+    'turns of program "{program}" with a budget of {budget:d} tokens,'
+    " {most:d} at most each, are sent to all fronts until one is refused"
+)
+def step_budget(context, program, budget, most):
+    context.used = 0
+    for number in range(20):
+        turn(
+            context,
+            _DOMAINS[number % 3],
+            f"turn {number} ",
+            program,
+            X_Token_Budget=str(budget),
+            X_Token_Usage=f"10,{most}",
+        )
+        if context.answer.status != 200:
+            return
+        context.used += 10 * context.answer.body.count(b"data:")
+    raise AssertionError("no turn was refused")
+
+
+@when('a payment is sent to "{domain}"')
+def step_pay(context, domain):
+    pay(context, domain)
+
+
+@when('a payment of {size:d} bytes is sent to "{domain}"')
+def step_pay_size(context, size, domain):
+    pay(context, domain, size)
+
+
+@when('{count:d} payments are sent to "{domain}"')
+def step_pay_several(context, count, domain):
+    context.paid = [pay(context, domain) for _ in range(count)]
+
+
+@when('a look-up is sent to "{domain}" until a desk was muted')
+def step_look_up(context, domain):
+    for _ in range(20):
+        context.request, context.answer = site(context).ask(
+            domain, "GET", "/seek/a"
+        )
+        assert context.answer.status == 200, context.answer
+        if len(site(context).seen(context.request)) > 1:
+            return
+    raise AssertionError("no desk was muted")
+
+
+@when('a plan is sent to "{domain}"')
+def step_plan(context, domain):
+    context.request, context.answer = site(context).ask(
+        domain, "POST", "/stream/plan/a", b"plan", X_Token_Usage="10,40"
+    )
+
+
+@then("it is answered with {status:d}")
+def step_status(context, status):
+    assert context.answer.status == status, (context.request, context.answer)
+
+
+@then("it is answered with {status:d} within its route's time")
+def step_status_in_time(context, status):
+    # The runner would have answered with 200 after twice that time.
+    assert context.answer.status == status, context.answer
+
+
+@then("all are answered with {status:d}")
+def step_all_status(context, status):
+    wrong = [pair for pair in context.paid if pair[1].status != status]
+    assert not wrong, wrong
+
+
+@then("the connection ends without a complete answer")
+def step_cut(context):
+    assert context.answer.status == 0, context.answer
+
+
+@then('the runner got the first turn\'s input and events, and then "{text}"')
+def step_chain(context, text):
+    _, first_text, first_answer = context.first
+    data = [
+        line[6:] + b"\n"
+        for line in first_answer.body.splitlines()
+        if line.startswith(b"data: ")
+    ]
+    expected = b"".join([first_text.encode(), *data, text.encode()])
+    (seen,) = site(context).seen(context.request)
+    assert seen["body"].encode("latin-1") == expected, (seen, expected)
+    assert data, first_answer
+
+
+@then("no runner has seen it")
+def step_unseen(context):
+    assert not site(context).seen(context.request)
+
+
+@then("the turns before used {tokens:d} tokens at most")
+def step_used(context, tokens):
+    assert 0 < context.used <= tokens, context.used
+
+
+@then("the runner has seen none of the forged headers")
+def step_no_forged(context):
+    (seen,) = site(context).seen(context.request)
+    assert not set(_OURS) & set(seen["headers"]), seen
+    assert seen["headers"]["x-target-instance"] == seen["runner"], seen
+
+
+@then("each payment ran once")
+def step_each_once(context):
+    for request, _ in context.paid:
+        ran = [s for s in site(context).seen(request) if s["fault"] != "shed"]
+        assert len(ran) == 1, (request, ran)
+
+
+@then("it ran once")
+def step_ran_once(context):
+    assert len(site(context).seen(context.request)) == 1
+
+
+@then("each answer names the desk that ran it")
+def step_own_answer(context):
+    for request, answer in context.paid:
+        ran = [s["runner"] for s in site(context).seen(request)]
+        assert answer.body == f"done by {ran[-1]}".encode(), (answer, ran)
+
+
+@then("its events are 1 to {last:d}, each once")
+def step_events(context, last):
+    ids = [
+        int(line[4:])
+        for line in context.answer.body.splitlines()
+        if line.startswith(b"id: ")
+    ]
+    assert ids == list(range(1, last + 1)), ids
+
+
+@given('runner "{name}" says that it is draining')
+def step_draining(context, name):
+    service, _, index = name.partition("-")
+    site(context).register(name, service, int(index), state="draining")
+    context.scenario_stack.callback(
+        site(context).register, name, service, int(index)
+    )
+
+
+@then('payments reach only "{names}" within {seconds:d} seconds')
+def step_reach_only(context, names, seconds):
+    allowed = set(names.split(", "))
+
+    def only_allowed():
+        for domain in _DOMAINS * 2:
+            request, answer = pay(context, domain)
+            assert answer.status == 200, answer
+            ran = {s["runner"] for s in site(context).seen(request)}
+            if not ran <= allowed:
+                return False
+        return True
+
+    wait_until(only_allowed, "payments avoid it", float(seconds))
+
+
+@given("forged entries among the runners")
+def step_forged_entries(context):
+    for key, value in (
+        ("servers/forged-1", b"\xff\xfe no text"),
+        ("servers/forged-2", b'{"service":"desk"}'),
+        (
+            "servers/forged-3",
+            json.dumps(
+                {
+                    "service": "desk",
+                    "address": "nowhere",
+                    "zone": "east",
+                    "version": "v1",
+                    "slots": 4,
+                    "state": "ready",
+                    "cold_remaining_ms": 0,
+                    "sequence": 1,
+                }
+            ).encode(),
+        ),
+    ):
+        site(context).put(key, value)
+
+
+@given(
+    "the store forgets its history and gets a configuration that bounds"
+    " bodies at {size:d} bytes"
+)
+def step_compact(context, size):
+    site(context).store.request("POST", "/compact", {})
+    site(context).configure(max_body_bytes=size)
+    context.scenario_stack.callback(site(context).configure)
+
+
+@then("a payment of {size:d} bytes is answered with {status:d} at every front")
+def step_size_everywhere(context, size, status):
+    for domain in _DOMAINS:
+        wait_until(
+            lambda d=domain: pay(context, d, size)[1].status == status,
+            f"the bound is in force in {domain}",
+            5.0,
+        )
--- /dev/null
+++ b/tests/standins/siterunner.py
@@ -0,0 +1,186 @@
+"""Stand-in for a runner of the users' platform, on bare sockets.
+
+It speaks HTTP/1.1 by hand, so that it can break it: answers without a length
+that are reset, a second answer after the first, an answer before the body.
+
+Usage: python -m standins.siterunner ADDRESS ID
+"""
+
+import asyncio
+import collections
+import contextlib
+import json
+import socket
+import struct
+
+from standins.common import argument
+
+_EVENTS = 4
+
+
+class Runner:
+    """One runner.
+
+    Attributes:
+        faults: What goes wrong with the next request, oldest first: ``shed``,
+            ``mute`` (reset without an answer), ``cut`` (in the middle of the
+            answer), ``unframed_reset``, ``extra`` (a second answer),
+            ``unsigned``, ``encoded``, ``foreign`` (an answer to another
+            request goes first), ``slow`` (2 s).
+        requests: Each request that ran or was refused.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.faults: collections.deque[str] = collections.deque()
+        self.requests: list[dict] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await self._request(reader, writer):
+                pass
+        writer.close()
+
+    async def _request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = first.split(" ")
+        headers = {}
+        for line in filter(None, lines):
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if target == "/control":
+            return await self._control(writer, body)
+        fault = self.faults.popleft() if self.faults else ""
+        seen = {
+            "method": method,
+            "target": target,
+            "headers": headers,
+            "body": body.decode("latin-1"),
+            "fault": fault,
+        }
+        self.requests.append(seen)
+        return await self._answer(writer, seen, fault)
+
+    async def _control(self, writer: asyncio.StreamWriter, body: bytes) -> bool:
+        asked = json.loads(body or b"{}")
+        if "clear" in asked.get("faults", []):
+            self.faults.clear()
+        else:
+            self.faults.extend(asked.get("faults", []))
+        shown = json.dumps(self.requests).encode()
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(shown)
+            + shown
+        )
+        await writer.drain()
+        return True
+
+    async def _answer(
+        self, writer: asyncio.StreamWriter, seen: dict, fault: str
+    ) -> bool:
+        request = seen["headers"].get("x-request-id", "")
+        if seen["headers"].get("x-target-instance") != self.name:
+            writer.write(_head(421, request, {"X-Instance-Id": self.name}, 0))
+            return True
+        if fault == "shed":
+            writer.write(_head(503, request, {"X-Not-Executed": "1"}, 0))
+            return True
+        if fault == "mute":
+            _reset(writer)
+            return False
+        if fault == "slow":
+            await asyncio.sleep(2)
+        if fault == "foreign":
+            writer.write(_head(200, "another", _SIGNED, 5) + b"other")
+        if seen["target"].startswith("/stream/"):
+            return await self._stream(writer, seen, fault)
+        body = f"done by {self.name}".encode()
+        headers = dict(_SIGNED)
+        if fault == "unsigned":
+            headers = {}
+        if fault == "encoded":
+            headers["Content-Encoding"] = "gzip"
+        if fault == "unframed_reset":
+            writer.write(_head(200, request, headers, None) + body)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            _reset(writer)
+            return False
+        if fault == "cut":
+            writer.write(_head(200, request, headers, 100) + body)
+            await writer.drain()
+            return False
+        writer.write(_head(200, request, headers, len(body)) + body)
+        if fault == "extra":
+            writer.write(_head(200, request, headers, len(body)) + body)
+        await writer.drain()
+        return True
+
+    async def _stream(
+        self, writer: asyncio.StreamWriter, seen: dict, fault: str
+    ) -> bool:
+        headers = seen["headers"]
+        start = int(headers.get("last-event-id") or 0)
+        writer.write(_head(200, headers["x-request-id"], _STREAM, None, True))
+        for number in range(start + 1, _EVENTS + 1):
+            event = f"id: {number}\ndata: word{number} by {self.name}\n\n"
+            data = event.encode()
+            if fault == "cut" and number == 3:
+                # In the middle of an event.
+                writer.write(b"%x\r\n" % len(data) + data[:8])
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n" % len(data) + data + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+_SIGNED = {"X-Response-Signature": "sealed", "X-Server-Load": "1,0,4"}
+_STREAM = {**_SIGNED, "Content-Type": "text/event-stream"}
+
+
+def _head(
+    status: int,
+    request: str,
+    headers: dict[str, str],
+    length: int | None,
+    chunked: bool = False,
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {request}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    elif length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+async def main() -> None:
+    """Serves until the process is told to stop."""
+    host, _, port = argument(1).rpartition(":")
+    runner = Runner(argument(2))
+    server = await asyncio.start_server(runner.serve, host, int(port))
+    async with server:
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable
 
 from rattanmill_platform import (
+    Breaker,
     Conflict,
+    Entry,
     Found,
     Missing,
     Range,
     Unavailable,
     Written,
 )
-from rattanmill_platform import Breaker, Entry
 
 
 class Crash(Exception):
--- /dev/null
+++ b/tests/support/site.py
@@ -0,0 +1,271 @@
+"""A system on the users' platform: real processes against its stand-ins."""
+
+import http.client
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import urllib.parse
+from typing import Any, Self
+
+from support.client import Answer, Client
+from support.process import Process
+from support.waiting import wait_until
+
+_MAIN = pathlib.Path(__file__).resolve().parents[2] / "platform" / "main.py"
+_DOMAINS = ("east", "west", "north")
+_PORT = 18300
+_HOST = "tents.example"
+
+
+class SiteProcess(Process):
+    """A process of the system, started as the platform starts it."""
+
+    def __init__(self, name: str, role: str, file: str, folder: str) -> None:
+        super().__init__(name, [], folder)
+        self.arguments = [sys.executable, str(_MAIN), role]
+        self.file = file
+
+    def __enter__(self) -> Self:
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                self.arguments,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "RATTANMILL_NODE_FILE": self.file},
+            )
+        return self
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Returns its log lines of one event."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        found = [json.loads(line) for line in lines if line.startswith("{")]
+        return [line for line in found if line["event"] == name]
+
+
+class Site:
+    """Store, runners, three storage and three front processes.
+
+    Args:
+        number: Tells the addresses of several apart: 127.NUMBER.*.*.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.folder = tempfile.TemporaryDirectory()
+        self.store_address = f"127.{number}.0.1:{_PORT}"
+        self.processes: dict[str, Process] = {}
+        self.version = 0
+        self.asked = 0
+
+    def __enter__(self) -> Self:
+        self._start(
+            Process(
+                "store",
+                ["standins.sitestore", self.store_address],
+                self.folder.name,
+            )
+        )
+        wait_until(self._store_answers, "the store answers")
+        for index, _ in enumerate(_DOMAINS):
+            self.start_runner("llm", index)
+            self.start_runner("desk", index)
+        self.configure()
+        for domain in _DOMAINS:
+            self.start("storage", domain, first=True)
+            self.start("front", domain)
+        for domain in _DOMAINS:
+            wait_until(lambda d=domain: self.is_ready(d), f"{domain} is ready")
+        wait_until(self._all_follow, "the storage instances know each other")
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for process in self.processes.values():
+            process.kill()
+        self.folder.cleanup()
+
+    def start(self, role: str, domain: str, first: bool = False) -> None:
+        """Starts, or starts again, the process of a role in a domain."""
+        index = _DOMAINS.index(domain) + 1
+        host = f"127.{self.number}.{index}.{1 if role == 'front' else 2}"
+        name = f"{role}-{domain}"
+        data = pathlib.Path(self.folder.name, "data", name)
+        file = pathlib.Path(self.folder.name, f"{name}.conf")
+        fields = {
+            "node_name": name,
+            "zone": domain,
+            "ip": host,
+            "port_range": f"{_PORT + 5},{_PORT + 9}",
+            "listen_addrs.front": f"{host}:{_PORT}",
+            "listen_addrs.ready": f"{host}:{_PORT + 1}",
+            "platform.address": self.store_address,
+            "bootstrap": "true" if first else "false",
+            "fault_tolerance.machines": "1",
+            "bounds.grace_s": "8",
+            "data_dir": str(data),
+        }
+        file.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
+        self._start(SiteProcess(name, role, str(file), self.folder.name))
+
+    def start_runner(self, service: str, index: int) -> None:
+        """Starts a runner and registers it."""
+        name = f"{service}-{index}"
+        host = f"127.{self.number}.{index + 1}.{30 + (service == 'desk')}"
+        address = f"{host}:{_PORT}"
+        runner = Process(
+            name, ["standins.siterunner", address, name], self.folder.name
+        )
+        runner.address = address
+        self._start(runner)
+        wait_until(lambda: self._accepts(address), f"{name} listens")
+        self.register(name, service, index)
+
+    def register(
+        self, name: str, service: str, index: int, **changes: Any
+    ) -> None:
+        """Writes a runner's entry, as it does itself."""
+        entry = {
+            "service": service,
+            "address": self.processes[name].address,
+            "zone": _DOMAINS[index],
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+            **changes,
+        }
+        self.put(f"servers/{name}", json.dumps(entry).encode())
+
+    def configure(self, **limits: int) -> None:
+        """Writes the next configuration."""
+        self.version += 3
+        common = {"host": _HOST, "target_latency_ms": 200, "max_attempts": 2}
+        stream = {
+            **common,
+            "kind": "stream",
+            "timeout_ms": 4000,
+            "service": "llm",
+            "retention_s": 60.0,
+        }
+        desk = {**common, "timeout_ms": 1000, "service": "desk"}
+        routes = [
+            {
+                **stream,
+                "name": "talk",
+                "prefix": "/stream/talk/",
+                "retention_enabled": True,
+            },
+            {
+                **stream,
+                "name": "plan",
+                "prefix": "/stream/plan/",
+                "resumable": True,
+            },
+            {**desk, "name": "seek", "prefix": "/seek/", "kind": "idempotent"},
+            {
+                **desk,
+                "name": "pay",
+                "prefix": "/pay/",
+                "kind": "non_idempotent",
+            },
+        ]
+        engine = {"slots": 4, "kv_capacity": 90000, "tokens_per_event": 10}
+        config = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "llm", "engine": engine}, {"name": "desk"}],
+            "limits": {"max_body_bytes": 100_000, **limits},
+        }
+        self.put("op/config", json.dumps(config).encode())
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes a key of the store past all conditions."""
+        path = f"/put?key={urllib.parse.quote(key, safe='')}"
+        assert self.store.request("PUT", path, value).status == 200
+
+    @property
+    def store(self) -> Client:
+        """A client of the store."""
+        return Client(self.store_address)
+
+    def faults(self, **faults: Any) -> None:
+        """Sets faults of the store."""
+        self.store.request("POST", "/faults", faults)
+
+    def runner(self, name: str, *faults: str) -> list[dict[str, Any]]:
+        """Adds faults to a runner and returns the requests it has seen."""
+        body = json.dumps({"faults": faults}).encode()
+        client = Client(self.processes[name].address)
+        return client.request("POST", "/control", body).json
+
+    def seen(self, request: str) -> list[dict[str, Any]]:
+        """Returns what all runners have seen of a request, with their name."""
+        return [
+            {**seen, "runner": name}
+            for name in self.processes
+            if name.startswith(("llm-", "desk-"))
+            for seen in self.runner(name)
+            if seen["headers"].get("x-request-id") == request
+        ]
+
+    def ask(
+        self,
+        domain: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        **headers: str,
+    ) -> tuple[str, Answer]:
+        """Sends a request; returns its id and the answer (0: none)."""
+        self.asked += 1
+        request = f"{self.number:04x}{self.asked:012x}"
+        fields = {
+            "Host": _HOST,
+            "X-Request-Id": request,
+            "X-Deadline-Ms": "3000",
+            **{name.replace("_", "-"): text for name, text in headers.items()},
+        }
+        host, _, port = self.front(domain).rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        try:
+            connection.request(method, path, body or None, fields)
+            response = connection.getresponse()
+            read = response.read()
+            found = {k.lower(): v for k, v in response.getheaders()}
+            return request, Answer(response.status, found, read)
+        except (OSError, http.client.HTTPException):
+            return request, Answer(0, {}, b"")
+        finally:
+            connection.close()
+
+    def front(self, domain: str) -> str:
+        """Returns a front's address for callers."""
+        index = _DOMAINS.index(domain) + 1
+        return f"127.{self.number}.{index}.1:{_PORT}"
+
+    def is_ready(self, domain: str) -> bool:
+        """Whether a front says that it is ready."""
+        index = _DOMAINS.index(domain) + 1
+        address = f"127.{self.number}.{index}.1:{_PORT + 1}"
+        return Client(address).request("GET", "/v1/readiness").status == 200
+
+    def _all_follow(self) -> bool:
+        return all(
+            len(self.processes[f"storage-{d}"].events("following_level")) >= 2
+            for d in _DOMAINS
+        )
+
+    def _start(self, process: Process) -> None:
+        process.__enter__()
+        self.processes[process.name] = process
+
+    def _store_answers(self) -> bool:
+        return self.store.request("GET", "/faults").status == 200
+
+    def _accepts(self, address: str) -> bool:
+        return Client(address).request("POST", "/control", b"{}").status == 200
