--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -233,8 +233,9 @@
                 self.known.answered(endpoint, head.load)
             with running.answer, contextlib.suppress(BrokenError):
                 await running.answer.read()
-            why = "other_instance" if head.other_instance else "shed"
-            return self._not_run(task, endpoint, why, f"status {head.status}")
+            return self._not_run(
+                task, endpoint, "rejected", f"status {head.status}"
+            )
         if not head.is_signed or head.is_encoded:
             with running.answer:
                 return self._broken(task, endpoint, "an answer not its own")
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -216,7 +216,9 @@
         async for chunk in running.answer.chunks():
             for event in reader.feed(chunk):
                 await self._pass_event(response, task, turn, event)
-                if turn.passed > 1:
+                if turn.passed == 1:
+                    self._first_event(task)
+                else:
                     self.dispatcher.event_took(task, running, _now() - last)
                 last = _now()
         if reader.rest:
@@ -314,6 +316,11 @@
         if self.ending:
             response.force_close()
 
+    def _first_event(self, task: Task) -> None:
+        self.metrics.observe(
+            "rattanmill_first_token_seconds", _now() - task.call.arrived
+        )
+
     def _log_answered(self, task: Task, running: Running, size: int) -> None:
         seconds = _now() - task.call.arrived
         self.metrics.observe("rattanmill_answer_seconds", seconds)
--- a/scripts/check_imports.py
+++ b/scripts/check_imports.py
@@ -8,6 +8,8 @@
     "core": set(),
     "wire": {"core"},
     "platform": {"core"},
+    "keeper": {"core", "wire", "platform"},
+    "forward": {"core", "platform", "keeper"},
     "programs": {"core", "platform"},
     "policy": {"core", "platform"},
     "entry": {"core", "wire", "platform", "programs", "policy"},
--- /dev/null
+++ b/tests/features/steps/site_logs.py
@@ -0,0 +1,131 @@
+"""Steps about structured log lines and the page that lists them."""
+
+import ast
+import json
+import os
+import pathlib
+import re
+
+from behave import then, when
+from loguru import logger
+
+from rattanmill_core.events import LineWriter, log_event, warn_event
+
+_PAGE = pathlib.Path("docs/LOGS.md")
+_WRITERS = ("log_event", "warn_event", "_line")
+_GENERAL = {"time", "level", "instance", "event", "message", "error", "cause"}
+
+
+def events_of_code():
+    """Returns fields by event, from the calls in the sources."""
+    found = {}
+    paths = [
+        *pathlib.Path("libs").glob("*/src/**/*.py"),
+        *pathlib.Path("platform").glob("**/*.py"),
+    ]
+    for path in paths:
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            name = getattr(node.func, "id", getattr(node.func, "attr", ""))
+            event = node.args[-2] if name == "_line" else node.args[0]
+            if name in _WRITERS and isinstance(event, ast.Constant):
+                fields = found.setdefault(event.value, set())
+                fields |= {keyword.arg for keyword in node.keywords}
+                if name == "_line":
+                    fields.add("count")
+    return found
+
+
+@when("docs/LOGS.md is compared with the code")
+def step_compare(context):
+    context.code = events_of_code()
+    context.page = _PAGE.read_text(encoding="utf-8")
+    rows = [
+        line.split("|")[1]
+        for line in context.page.splitlines()
+        if line.startswith("| `")
+    ]
+    context.words = set(re.findall(r"`([a-z_]+)`", context.page))
+    context.first_columns = set(re.findall(r"`([a-z_]+)`", " ".join(rows)))
+
+
+@then("both have the same events")
+def step_events(context):
+    missing = set(context.code) - context.first_columns
+    assert not missing, missing
+    tables = context.page.split("## One line for each decision", 1)[1]
+    listed = {
+        name
+        for line in tables.splitlines()
+        if line.startswith("| `")
+        for name in re.findall(r"`([a-z_]+)`", line.split("|")[1])
+    }
+    assert listed == set(context.code), listed ^ set(context.code)
+
+
+@then("every field of the code is on the page")
+def step_fields(context):
+    for event, fields in context.code.items():
+        unknown = fields - context.words - _GENERAL
+        assert not unknown, (event, unknown)
+
+
+@when("5000 decisions and 50 warnings are logged in one second")
+def step_many(context):
+    reader, writer = os.pipe()
+    lines = LineWriter(writer, "test")
+    # One second, however long the loop takes.
+    lines.decisions.second = lines.errors.second = None
+    lines.decisions.take = _in_one_second(lines.decisions)
+    lines.errors.take = _in_one_second(lines.errors)
+    number = logger.add(lines, format="{message}", level="INFO")
+    for count in range(5000):
+        log_event("placed", request=str(count))
+        if count % 100 == 0:
+            warn_event("task_failed", message=str(count))
+    logger.remove(number)
+    lines.decisions.take(0)
+    warnings = lines.errors
+    lines.descriptor = writer
+    lines._report_dropped(0.0)
+    os.close(writer)
+    with os.fdopen(reader) as file:
+        context.lines = [json.loads(line) for line in file]
+    assert warnings.dropped == 0
+
+
+def _in_one_second(budget):
+    take = budget.take
+    return lambda second: take(1)
+
+
+@then(
+    "at most 250 decisions are written, all warnings, and a count of the rest"
+)
+def step_bounded(context):
+    events = [line["event"] for line in context.lines]
+    assert events.count("placed") <= 250, events.count("placed")
+    assert events.count("task_failed") == 50
+    dropped = [x for x in context.lines if x["event"] == "log_lines_dropped"]
+    left_out = sum(line["count"] for line in dropped)
+    assert left_out + events.count("placed") >= 5000, left_out
+
+
+@when("lines are logged to a pipe that nobody reads")
+def step_stuck(context):
+    reader, writer = os.pipe()
+    lines = LineWriter(writer, "test")
+    number = logger.add(lines, format="{message}", level="INFO")
+    for _ in range(40):
+        warn_event("task_failed", message="x" * 20_000)
+    logger.remove(number)
+    reported = b"log_lines_dropped" in lines.buffer
+    context.left_out = lines.errors.dropped or reported
+    os.close(reader)
+    os.close(writer)
+
+
+@then("the process goes on and counts what it left out")
+def step_goes_on(context):
+    assert context.left_out
