--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -34,7 +34,6 @@
 # Left between the last request's end and SIGKILL.
 _EXIT_SECONDS = 0.8
 _SWEEP_SECONDS = 0.5
-_LOOK_SECONDS = 0.02
 _MOST_HEAD_BYTES = 64 * 1024
 _BACKLOG = 1024
 # A watch that is silent for longer is given up; this bounds how late a change
@@ -165,7 +164,10 @@
         pings = start_loop("pings", keepers.ping_for_ever())
         stack.callback(pings.cancel)
         callers = await _listen(
-            settings.callers, front.serve, handler_cancellation=True
+            settings.callers,
+            front.serve,
+            settings.grace_seconds - _NOTICE_SECONDS - _EXIT_SECONDS,
+            handler_cancellation=True,
         )
         stack.push_async_callback(callers.cleanup)
         ready = await _listen(
@@ -175,7 +177,8 @@
                     view.synced
                     and not front.ending
                     and not keepers.is_cut_off()
-                )
+                ),
+                _EXIT_SECONDS / 2,
             ),
         )
         stack.push_async_callback(ready.cleanup)
@@ -184,7 +187,7 @@
         log_event("started", role="front", domain=settings.domain)
         await signals.stop.wait()
         if not signals.broken:
-            await _drain(front, callers, settings.grace_seconds)
+            await _drain(front, callers)
     if signals.broken:
         raise signals.broken
     log_event("stopped")
@@ -204,7 +207,10 @@
 
 
 async def _listen(
-    address: str, serve: Callable, handler_cancellation: bool = False
+    address: str,
+    serve: Callable,
+    shutdown_seconds: float,
+    handler_cancellation: bool = False,
 ) -> web.ServerRunner:
     server = web.Server(
         serve,
@@ -213,7 +219,7 @@
         max_line_size=_MOST_HEAD_BYTES,
         max_field_size=_MOST_HEAD_BYTES,
     )
-    runner = web.ServerRunner(server, shutdown_timeout=0.5)
+    runner = web.ServerRunner(server, shutdown_timeout=shutdown_seconds)
     await runner.setup()
     host, _, port = address.rpartition(":")
     site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
@@ -230,18 +236,14 @@
         pool.sweep()
 
 
-async def _drain(
-    front: Front, callers: web.ServerRunner, grace_seconds: float
-) -> None:
-    """Finishes what is under way, and what the balancer still sends."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + grace_seconds - _EXIT_SECONDS
+async def _drain(front: Front, callers: web.ServerRunner) -> None:
+    """Finishes what is under way, and what the balancer still sends.
+
+    Idle connections are closed at once, busy ones when their request is done:
+    one that were closed between its request and its answer would leave a
+    caller not knowing whether it ran.
+    """
     front.ending = True
     await asyncio.sleep(_NOTICE_SECONDS)
-    for site in list(callers.sites):
-        await site.stop()
-    while front.active:
-        if loop.time() > until:
-            break
-        await asyncio.sleep(_LOOK_SECONDS)
+    await callers.cleanup()
     log_event("drained", cut=front.active)
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -69,6 +69,7 @@
         if isinstance(route, Refusal):
             return self._refuse(request, call, route)
         table = self.table
+        _bound_idle_time(request, table.limits.idle_seconds)
         body = await _read_body(request, table.limits.body_bytes)
         if isinstance(body, Refusal):
             return self._refuse(request, call, body)
@@ -350,6 +351,16 @@
     return bytes(body)
 
 
+def _bound_idle_time(request: web.BaseRequest, seconds: float) -> None:
+    """Closes a caller's connection that then stays idle for so long.
+
+    The server is started before the bound is known, and the bound changes
+    with the configuration; aiohttp has no public way to set it later.
+    """
+    if request.protocol is not None:
+        request.protocol._keepalive_timeout = seconds
+
+
 def _patience(call: Call, route: Route) -> float:
     """Returns how long a request may take, in seconds from its arrival."""
     bounds = [route.timeout_seconds]
--- a/tests/features/site.feature
+++ b/tests/features/site.feature
@@ -118,3 +118,26 @@
   Scenario: The store forgets its history and changes meanwhile
     Given the store forgets its history and gets a configuration that bounds bodies at 50 bytes
     Then a payment of 51 bytes is answered with 413 at every front
+
+  Scenario: A caller's connection that stays idle
+    Given a configuration that closes connections idle for 300 ms
+    When a caller sends a payment and keeps its connection
+    Then the connection is closed by the front
+
+  Scenario: A front is told to end while a stream runs
+    The platform restarts a front. Its running answers must end whole, and the
+    balancer must send no more.
+
+    When a payment that takes 2 seconds runs at "north" and the front is told to end
+    Then the payment is answered with 200
+    And "north" is not ready
+    And the front ends by itself
+
+  Scenario: Settings that lack what is needed
+    When a front is started with settings that lack its addresses and have a wrong IP address
+    Then it exits with 3 and names all of them
+
+  Scenario: The home of a program is killed and comes back
+    When turns of program "p9" are sent to "west" while its storage instance is killed and started again
+    Then the program has used no more than its budget
+    And a turn is answered with 200 in the end
--- a/tests/features/steps/site.py
+++ b/tests/features/steps/site.py
@@ -1,6 +1,13 @@
 """Steps with a whole system on stand-ins of the users' platform."""
 
+import concurrent.futures
+import http.client
 import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
 
 from behave import given, then, when
 
@@ -306,3 +313,162 @@
             f"the bound is in force in {domain}",
             5.0,
         )
+
+
+@given("a configuration that closes connections idle for {milliseconds:d} ms")
+def step_idle_bound(context, milliseconds):
+    site(context).configure(idle_timeout_ms=milliseconds)
+    context.scenario_stack.callback(site(context).configure)
+    wait_until(
+        lambda: all(
+            site(context)
+            .processes[f"front-{domain}"]
+            .events("config_in_force")[-1]["version"]
+            == site(context).version
+            for domain in _DOMAINS
+        ),
+        "the configuration is in force",
+    )
+
+
+@when("a caller sends a payment and keeps its connection")
+def step_keep_connection(context):
+    host, _, port = site(context).front("east").rpartition(":")
+    context.connection = http.client.HTTPConnection(host, int(port), timeout=20)
+    context.connection.request(
+        "POST",
+        "/pay/a",
+        b"x",
+        {"Host": "tents.example", "X-Request-Id": "1d1e"},
+    )
+    assert context.connection.getresponse().read()
+
+
+@then("the connection is closed by the front")
+def step_closed(context):
+    assert context.connection.sock.recv(1) == b""
+    context.connection.close()
+
+
+@when(
+    'a payment that takes 2 seconds runs at "{domain}" and the front is told'
+    " to end"
+)
+def step_end_front(context, domain):
+    # Its own time-out is far off, so that the front's end alone could cut it.
+    site(context).configure(pay_timeout_ms=4000)
+    context.scenario_stack.callback(site(context).configure)
+    front = site(context).processes[f"front-{domain}"]
+    wait_until(
+        lambda: (
+            front.events("config_in_force")[-1]["version"]
+            == site(context).version
+        ),
+        "the configuration is in force",
+    )
+    _all(context, "desk", "slow")
+    context.scenario_stack.callback(site(context).start, "front", domain)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        paying = pool.submit(pay, context, domain)
+        wait_until(
+            lambda: any(
+                site(context).seen(line["request"])
+                for line in front.events("placed")[-1:]
+            ),
+            "the payment runs",
+        )
+        front.terminate()
+        wait_until(
+            lambda: not site(context).is_ready(domain), "it is not ready"
+        )
+        context.was_unready = True
+        context.answer = paying.result()[1]
+    context.front = front
+
+
+@then("the payment is answered with {status:d}")
+def step_payment(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then('"{domain}" is not ready')
+def step_not_ready(context, domain):
+    assert context.was_unready
+
+
+@then("the front ends by itself")
+def step_ends(context):
+    assert context.front.wait(30.0) == 0
+    assert context.front.events("drained")[-1]["cut"] == 0
+
+
+@when(
+    "a front is started with settings that lack its addresses and have a"
+    " wrong IP address"
+)
+def step_wrong_settings(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write("node_name=f\nzone=east\nip=10.1.0\n")
+        file.flush()
+        main = pathlib.Path("platform/main.py").resolve()
+        context.done = subprocess.run(
+            [sys.executable, str(main), "front"],
+            capture_output=True,
+            text=True,
+            env={**os.environ, "RATTANMILL_NODE_FILE": file.name},
+            check=False,
+            timeout=60,
+        )
+
+
+@then("it exits with {code:d} and names all of them")
+def step_names_all(context, code):
+    assert context.done.returncode == code, context.done
+    for name in (
+        "port_range",
+        "platform.address",
+        "listen_addrs.front",
+        "listen_addrs.ready",
+        "ip: '10.1.0'",
+    ):
+        assert name in context.done.stderr, (name, context.done.stderr)
+
+
+@when(
+    'turns of program "{program}" are sent to "{domain}" while its storage'
+    " instance is killed and started again"
+)
+def step_kill_home(context, program, domain):
+    context.used = 0
+    home = f"storage-{domain}"
+
+    def send(number):
+        turn(
+            context,
+            domain,
+            f"turn {number} ",
+            program,
+            X_Token_Budget="200",
+            X_Token_Usage="10,40",
+        )
+        context.used += 10 * context.answer.body.count(b"data:")
+        return context.answer.status
+
+    assert send(0) == 200
+    site(context).processes[home].kill()
+    assert send(1) == 503, context.answer
+    site(context).start("storage", domain)
+    wait_until(lambda: send(2) == 200, "a turn runs again")
+    context.last_status = context.answer.status
+    for number in range(3, 12):
+        send(number)
+
+
+@then("the program has used no more than its budget")
+def step_within(context):
+    assert context.used <= 200, context.used
+
+
+@then("a turn is answered with 200 in the end")
+def step_in_the_end(context):
+    assert context.last_status == 200
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -141,7 +141,7 @@
         }
         self.put(f"servers/{name}", json.dumps(entry).encode())
 
-    def configure(self, **limits: int) -> None:
+    def configure(self, pay_timeout_ms: int = 1000, **limits: int) -> None:
         """Writes the next configuration."""
         self.version += 3
         common = {"host": _HOST, "target_latency_ms": 200, "max_attempts": 2}
@@ -172,6 +172,7 @@
                 "name": "pay",
                 "prefix": "/pay/",
                 "kind": "non_idempotent",
+                "timeout_ms": pay_timeout_ms,
             },
         ]
         engine = {"slots": 4, "kv_capacity": 90000, "tokens_per_event": 10}
