--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -177,9 +177,9 @@
                     view.synced
                     and not front.ending
                     and not keepers.is_cut_off()
-                ),
-                _EXIT_SECONDS / 2,
+                )
             ),
+            _EXIT_SECONDS / 2,
         )
         stack.push_async_callback(ready.cleanup)
         shown = await serve_metrics(settings.ip, metrics)
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -251,6 +251,8 @@
 
     def is_ready(self, domain: str) -> bool:
         """Whether a front says that it is ready."""
+        front = self.processes[f"front-{domain}"]
+        assert front.alive, front.tail()
         index = _DOMAINS.index(domain) + 1
         address = f"127.{self.number}.{index}.1:{_PORT + 1}"
         return Client(address).request("GET", "/v1/readiness").status == 200
