Send callers of a cut-off front to another domain with their next connection

Also: the store's part of opening an account fits into the wait for a permission; a lost storage instance makes 404 unsure for 120 s, not for ever.

--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -314,6 +314,10 @@
         response = web.Response(status=head.status, body=head.body)
         _set_headers(response, head.headers)
         self._close_if_ending(response)
+        if self.turns.keepers.is_cut_off():
+            # The caller's next connection goes to a domain that can serve it;
+            # on this one it would be refused for as long as the cut lasts.
+            response.force_close()
         return response
 
     def _close_if_ending(self, response: web.StreamResponse) -> None:
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -23,9 +23,9 @@
     Unsure,
 )
 
-# A reservation takes a trip and a sync, up to 5 ms; the first one of a program
-# asks all others besides. Beyond this the home is taken to be away.
-_RESERVE_SECONDS = 0.35
+# A reservation takes a trip and a sync, up to 5 ms. The first one of a program
+# asks the others besides (0.15 s at most) and perhaps the store (0.3 s).
+_RESERVE_SECONDS = 0.55
 _SETTLE_SECONDS = 0.5
 # A home that is away is back within seconds, in the worst case after all
 # machines have lost power. What it does not hear counts as used in full, and
@@ -42,6 +42,9 @@
 # are better served elsewhere, and the balancer needs two more seconds.
 _PING_SECONDS = 0.4
 _CUT_SECONDS = 1.0
+# A storage instance that was lost longer ago held no turn that is still kept;
+# twice the retention in use.
+_LOSS_SECONDS = 120.0
 _MOST_HOMES = 20_000
 _MOST_REDIRECTS = 3
 # Texts of turns kept at hand; the next turn of a line mostly comes to the
@@ -337,7 +340,9 @@
 
     def _could_know_all(self) -> bool:
         """Whether every instance that may hold a turn is still listed."""
-        return self.members.synced and not self.members.lost_at
+        oldest = _now() - _LOSS_SECONDS
+        lost = [at for at in self.members.lost_at.values() if at > oldest]
+        return self.members.synced and not lost
 
     async def _ask(
         self, member: Member, message: msgspec.Struct, seconds: float
