Hold a chain as long as the turn at its end, in whatever order they came in

Cause: only what was held already was extended when a turn came in; an ancestor that was fetched from another disk later expired by its own time. Found by reading; keeping.feature failed before and passes.

--- a/libs/keeper/src/rattanmill_keeper/turns.py
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -14,17 +14,14 @@
 
 
 class HeldTurn(msgspec.Struct):
-    """A turn and until when it is held.
+    """A turn and where it lies.
 
     Attributes:
         kept: The turn.
-        expires: Seconds since 1970; later than the turn's own if another
-            one continues it.
         segment: Segment of the journal that it lies in.
     """
 
     kept: KeptTurn
-    expires: float
     segment: int
 
 
@@ -44,17 +41,10 @@
         """Takes a turn in; False if it is held already."""
         if kept.turn in self.held:
             return False
-        self.held[kept.turn] = HeldTurn(kept, kept.expires, segment)
+        self.held[kept.turn] = HeldTurn(kept, segment)
         self.bytes += len(kept.text)
-        self._extend(kept.previous, kept.expires)
         return True
 
-    def _extend(self, turn: str, expires: float) -> None:
-        """Keeps a chain for as long as the turn at its end."""
-        while (held := self.held.get(turn)) and held.expires < expires:
-            held.expires = expires
-            turn = held.kept.previous
-
     def chain(self, turn: str, whole: bool) -> Chain:
         """Returns a turn and all that it continues, as far as held here."""
         turns = []
@@ -72,9 +62,20 @@
         return [turn for turn in turns if turn not in self.held]
 
     def expire(self) -> list[str]:
-        """Drops turns whose time is over and returns their ids."""
+        """Drops turns whose time is over and returns their ids.
+
+        One that another turn continues is held for as long as that one, in
+        whatever order the two came in.
+        """
         now = wall_seconds() - _MARGIN_SECONDS
-        old = [t for t, held in self.held.items() if held.expires < now]
+        needed = {t for t, h in self.held.items() if h.kept.expires >= now}
+        look_at = list(needed)
+        while look_at:
+            previous = self.held[look_at.pop()].kept.previous
+            if previous in self.held and previous not in needed:
+                needed.add(previous)
+                look_at.append(previous)
+        old = [turn for turn in self.held if turn not in needed]
         for turn in old:
             self.bytes -= len(self.held.pop(turn).kept.text)
         return old
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -70,10 +70,16 @@
     Then "b" has the turn
 
   Scenario: A chain is kept for as long as the turn at its end
+    The first turn of a conversation is over when the last one ends. Dropped by
+    its own time, the conversation could not go on; it may also have come here
+    later than the one that continues it, from another disk.
+
     Given storage instances "a, b, c"
     When "a" keeps a turn that expires at once and one that continues it
+    And "b" keeps them in the other order
     And the sweep has run
     Then "a" has both turns
+    And "b" has both turns
 
   Scenario: The journal after a power loss, cut at each byte
     The newest segment ends anywhere, with or without garbage behind. All
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -369,6 +369,12 @@
     keep(context, name, "t2", "t1")
 
 
+@when('"{name}" keeps them in the other order')
+def step_keep_reversed(context, name):
+    keep(context, name, "t2", "t1")
+    keep(context, name, "t1", seconds=-100.0)
+
+
 @when('"{name}" keeps {size:d} MB of turns that expire at once')
 def step_keep_many(context, name, size):
     for number in range(size):
