Wait for an instance that starts before it is asked; name jobs apart from tasks; split made-up stories from steps

ownership.feature, 'An instance is restarted under its name', failed once under load (average 23): the instance was alive at the check and listened at 01:53:58.497, after it (connection refused); the turn before had been answered by another one. The step now waits until every living instance answers and then asks for the same as before.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -28,7 +28,7 @@
 _USUAL_EVENTS = 12.0
 
 
-class Task(msgspec.Struct):
+class Job(msgspec.Struct):
     """A call on its way to an endpoint.
 
     Attributes:
@@ -123,22 +123,22 @@
         self.metrics = metrics
 
     @contextlib.asynccontextmanager
-    async def answered(self, task: Task) -> AsyncIterator[Running | Refusal]:
+    async def answered(self, job: Job) -> AsyncIterator[Running | Refusal]:
         """Yields the answer of the first endpoint that gives one.
 
         The call counts as being there until the block ends.
         """
         for _ in range(_MOST_TRIES):
-            if task.left() < _LEAST_SECONDS:
-                yield self._refuse(task, Reason.DEADLINE, "no time is left")
+            if job.left() < _LEAST_SECONDS:
+                yield self._refuse(job, Reason.DEADLINE, "no time is left")
                 return
-            pick = self.pick(task)
+            pick = self.pick(job)
             if pick is None:
-                yield self._nowhere(task)
+                yield self._nowhere(job)
                 return
             stats = self.known.of(pick.endpoint)
-            with Stay(stats, task.call.request) as stay:
-                result = await self._send(task, pick)
+            with Stay(stats, job.call.request) as stay:
+                result = await self._send(job, pick)
                 if isinstance(result, Running):
                     stay.answered()
                     with result.answer:
@@ -147,18 +147,18 @@
             if isinstance(result, Refusal):
                 yield result
                 return
-        yield self._nowhere(task)
+        yield self._nowhere(job)
 
-    def pick(self, task: Task) -> Pick | None:
+    def pick(self, job: Job) -> Pick | None:
         """Chooses an endpoint; None if none may get the call."""
-        candidates = self._candidates(task)
+        candidates = self._candidates(job)
         if not candidates:
             return None
-        events = task.events()
+        events = job.events()
         views = {
             endpoint.name: (
                 endpoint,
-                self.known.view(endpoint, task.call, task.kind, events),
+                self.known.view(endpoint, job.call, job.kind, events),
             )
             for endpoint in candidates
         }
@@ -168,62 +168,62 @@
             endpoint,
             expected_seconds(best),
             best.busy,
-            self.known.of(endpoint).cached_tokens(task.call.parts),
+            self.known.of(endpoint).cached_tokens(job.call.parts),
             len(candidates),
         )
 
-    def _candidates(self, task: Task) -> list[Endpoint]:
+    def _candidates(self, job: Job) -> list[Endpoint]:
         """Endpoints that may get a call, those that seem well if any do.
 
         One at which it may have run gets it again only if it can get no
         other: each further one counts against the route's bound.
         """
-        there = self.book.by_service.get(task.service.name, ())
-        if not task.may_run_anywhere:
-            there = [e for e in there if e.name in task.ran_on]
-        fresh = [e for e in there if e.name not in task.tried]
+        there = self.book.by_service.get(job.service.name, ())
+        if not job.may_run_anywhere:
+            there = [e for e in there if e.name in job.ran_on]
+        fresh = [e for e in there if e.name not in job.tried]
         well = [e for e in fresh if not self.known.is_avoided(e)]
         return well or fresh
 
-    async def _send(self, task: Task, pick: Pick) -> Running | Refusal | None:
+    async def _send(self, job: Job, pick: Pick) -> Running | Refusal | None:
         """Sends a call to an endpoint; None if another one may be tried."""
         endpoint = pick.endpoint
-        self._log_placed(task, pick)
+        self._log_placed(job, pick)
         sent_at = _now()
-        self.known.of(endpoint).sent(task.call.parts)
+        self.known.of(endpoint).sent(job.call.parts)
         try:
-            async with asyncio.timeout_at(task.deadline):
+            async with asyncio.timeout_at(job.deadline):
                 answer = await self.pool.ask(
                     endpoint,
-                    task.call.method,
-                    task.call.target,
+                    job.call.method,
+                    job.call.target,
                     self.dialect.endpoint_headers(
-                        task.call,
+                        job.call,
                         endpoint,
-                        task.left(),
-                        task.last_event,
-                        len(task.body),
+                        job.left(),
+                        job.last_event,
+                        len(job.body),
                     ),
-                    task.body,
-                    task.call.request,
+                    job.body,
+                    job.call.request,
                 )
         except TimeoutError:
-            task.ran_on.append(endpoint.name)
+            job.ran_on.append(endpoint.name)
             return self._refuse(
-                task, Reason.DEADLINE, f"{endpoint.name} did not answer in time"
+                job, Reason.DEADLINE, f"{endpoint.name} did not answer in time"
             )
         match answer:
             case ConnectFailed(why=why):
                 self.known.failed(endpoint, is_unreached=True)
-                if endpoint.name in task.ran_on:
-                    task.ended.add(endpoint.name)
-                return self._not_run(task, endpoint, "not_connected", why)
+                if endpoint.name in job.ran_on:
+                    job.ended.add(endpoint.name)
+                return self._not_run(job, endpoint, "not_connected", why)
             case Broken(why=why):
-                return self._broken(task, endpoint, why)
-        return await self._judge(task, Running(endpoint, answer, sent_at))
+                return self._broken(job, endpoint, why)
+        return await self._judge(job, Running(endpoint, answer, sent_at))
 
     async def _judge(
-        self, task: Task, running: Running
+        self, job: Job, running: Running
     ) -> Running | Refusal | None:
         """Decides whether an answer is the endpoint's own."""
         head = running.answer.head
@@ -234,41 +234,39 @@
             with running.answer, contextlib.suppress(BrokenError):
                 await running.answer.read()
             return self._not_run(
-                task, endpoint, "rejected", f"status {head.status}"
+                job, endpoint, "rejected", f"status {head.status}"
             )
         if not head.is_signed or head.is_encoded:
             with running.answer:
-                return self._broken(task, endpoint, "an answer not its own")
+                return self._broken(job, endpoint, "an answer not its own")
         self.known.answered(endpoint, head.load)
         return running
 
     def _not_run(
-        self, task: Task, endpoint: Endpoint, reason: str, why: str
+        self, job: Job, endpoint: Endpoint, reason: str, why: str
     ) -> None:
-        task.tried.add(endpoint.name)
-        self._log_retry(task, endpoint, reason, why)
+        job.tried.add(endpoint.name)
+        self._log_retry(job, endpoint, reason, why)
 
-    def _broken(
-        self, task: Task, endpoint: Endpoint, why: str
-    ) -> Refusal | None:
+    def _broken(self, job: Job, endpoint: Endpoint, why: str) -> Refusal | None:
         """Decides what follows from a call that may have run."""
         self.known.failed(endpoint, is_unreached=False)
-        task.ran_on.append(endpoint.name)
-        if not task.route.resumable:
-            task.tried.add(endpoint.name)
+        job.ran_on.append(endpoint.name)
+        if not job.route.resumable:
+            job.tried.add(endpoint.name)
         # A stream that may be resumed goes on where it ran, if nowhere else.
-        may_repeat = task.route.is_repeatable and (
-            task.may_run_anywhere or task.route.resumable
+        may_repeat = job.route.is_repeatable and (
+            job.may_run_anywhere or job.route.resumable
         )
         if may_repeat:
-            self._log_retry(task, endpoint, "broken", why)
+            self._log_retry(job, endpoint, "broken", why)
             return None
         return self._refuse(
-            task, Reason.ENDPOINT_FAILED, f"{endpoint.name}: {why}"
+            job, Reason.ENDPOINT_FAILED, f"{endpoint.name}: {why}"
         )
 
     def cut(
-        self, task: Task, running: Running, error: Exception
+        self, job: Job, running: Running, error: Exception
     ) -> Refusal | None:
         """Decides what follows from an answer that was cut off.
 
@@ -276,46 +274,46 @@
         """
         endpoint = running.endpoint
         if isinstance(error, TimeoutError):
-            task.ran_on.append(endpoint.name)
-            return self._refuse(task, Reason.DEADLINE, "the time is over")
+            job.ran_on.append(endpoint.name)
+            return self._refuse(job, Reason.DEADLINE, "the time is over")
         if not running.answer.head.is_success:
-            task.ran_on.append(endpoint.name)
-            return self._refuse(task, Reason.ANSWER_CUT, str(error))
-        return self._broken(task, endpoint, str(error))
+            job.ran_on.append(endpoint.name)
+            return self._refuse(job, Reason.ANSWER_CUT, str(error))
+        return self._broken(job, endpoint, str(error))
 
-    def finished(self, task: Task, running: Running) -> None:
+    def finished(self, job: Job, running: Running) -> None:
         """Learns from a call of a plain service that has ended."""
         if running.answer.head.is_success:
             self.known.measured_call(
-                running.endpoint, task.kind, _now() - running.sent_at
+                running.endpoint, job.kind, _now() - running.sent_at
             )
 
-    def event_took(self, task: Task, running: Running, seconds: float) -> None:
+    def event_took(self, job: Job, running: Running, seconds: float) -> None:
         """Learns from the time between two events of a stream."""
-        self.known.measured_event(running.endpoint, task.kind, seconds)
+        self.known.measured_event(running.endpoint, job.kind, seconds)
 
-    def _nowhere(self, task: Task) -> Refusal:
-        if task.ran_on:
+    def _nowhere(self, job: Job) -> Refusal:
+        if job.ran_on:
             return self._refuse(
-                task, Reason.ENDPOINT_FAILED, "no other endpoint may run it"
+                job, Reason.ENDPOINT_FAILED, "no other endpoint may run it"
             )
-        if task.tried:
+        if job.tried:
             return refuse(
                 Reason.OVERLOADED,
                 "no endpoint has taken it",
                 retry_after=_FULL_RETRY_SECONDS,
             )
-        return refuse(Reason.NO_ENDPOINT, f"none of {task.service.name}")
+        return refuse(Reason.NO_ENDPOINT, f"none of {job.service.name}")
 
-    def _refuse(self, task: Task, reason: Reason, detail: str) -> Refusal:
-        return refuse(reason, detail, ran=task.ran)
+    def _refuse(self, job: Job, reason: Reason, detail: str) -> Refusal:
+        return refuse(reason, detail, ran=job.ran)
 
-    def _log_placed(self, task: Task, pick: Pick) -> None:
+    def _log_placed(self, job: Job, pick: Pick) -> None:
         stats = self.known.of(pick.endpoint)
         log_event(
             "placed",
-            request=task.call.request,
-            program=task.call.program,
+            request=job.call.request,
+            program=job.call.program,
             endpoint=pick.endpoint.name,
             candidates=pick.candidates,
             busy=round(pick.busy, 1),
@@ -323,21 +321,21 @@
             pace=round(stats.pace, 2),
             expected_ms=round(pick.expected_seconds * 1000),
             cached_tokens=pick.cached_tokens,
-            left_ms=round(task.left() * 1000),
-            tries=len(task.tried),
+            left_ms=round(job.left() * 1000),
+            tries=len(job.tried),
         )
 
     def _log_retry(
-        self, task: Task, endpoint: Endpoint, reason: str, why: str
+        self, job: Job, endpoint: Endpoint, reason: str, why: str
     ) -> None:
         self.metrics.retried(reason)
         log_event(
             "retried",
-            request=task.call.request,
+            request=job.call.request,
             endpoint=endpoint.name,
             reason=reason,
             why=why[:200],
-            ran=task.ran,
+            ran=job.ran,
         )
 
 
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -6,7 +6,7 @@
 
 from rattanmill_core import Metrics, Reason, Refusal, log_event, refuse
 from rattanmill_forward.calls import AnswerHead, Call, Dialect, Headers
-from rattanmill_forward.dispatch import Dispatcher, Running, Task
+from rattanmill_forward.dispatch import Dispatcher, Job, Running
 from rattanmill_forward.events import Event, EventReader
 from rattanmill_forward.exchange import BrokenError
 from rattanmill_forward.routes import Kind, Limits, Route, RouteTable, Service
@@ -125,7 +125,7 @@
             turn = await self.turns.begin(call, route)
             if isinstance(turn, Refusal):
                 return self._refuse(request, call, turn)
-        task = Task(
+        job = Job(
             call,
             route,
             service,
@@ -135,30 +135,30 @@
         )
         try:
             if route.kind is Kind.STREAM:
-                return await self._stream(request, task, turn)
-            return await self._plain(request, task)
+                return await self._stream(request, job, turn)
+            return await self._plain(request, job)
         finally:
             self.turns.settle(call, turn, service)
 
     async def _plain(
-        self, request: web.BaseRequest, task: Task
+        self, request: web.BaseRequest, job: Job
     ) -> web.StreamResponse:
         """Passes on the answer of a plain service."""
         while True:
-            async with self.dispatcher.answered(task) as running:
+            async with self.dispatcher.answered(job) as running:
                 if isinstance(running, Refusal):
-                    return self._refuse(request, task.call, running)
+                    return self._refuse(request, job.call, running)
                 try:
-                    return await self._pass_whole(request, task, running)
+                    return await self._pass_whole(request, job, running)
                 except (BrokenError, TimeoutError) as error:
-                    refusal = self.dispatcher.cut(task, running, error)
+                    refusal = self.dispatcher.cut(job, running, error)
             if refusal:
-                return self._refuse(request, task.call, refusal)
+                return self._refuse(request, job.call, refusal)
 
     async def _pass_whole(
-        self, request: web.BaseRequest, task: Task, running: Running
+        self, request: web.BaseRequest, job: Job, running: Running
     ) -> web.StreamResponse:
-        async with asyncio.timeout_at(task.deadline):
+        async with asyncio.timeout_at(job.deadline):
             chunks = running.answer.chunks()
             body = bytearray()
             async for chunk in chunks:
@@ -166,52 +166,52 @@
                 if len(body) > _WHOLE_BYTES:
                     break
             if running.answer.ended:
-                self.dispatcher.finished(task, running)
-                self._log_answered(task, running, len(body))
+                self.dispatcher.finished(job, running)
+                self._log_answered(job, running, len(body))
                 return self._response(running.answer.head, bytes(body))
         response = await self._begin(request, running.answer.head)
         try:
-            async with asyncio.timeout_at(task.deadline):
+            async with asyncio.timeout_at(job.deadline):
                 await response.write(bytes(body))
                 async for chunk in chunks:
                     await response.write(chunk)
         except (BrokenError, TimeoutError) as error:
-            return self._break_off(request, task, response, str(error))
-        self._log_answered(task, running, len(body))
+            return self._break_off(request, job, response, str(error))
+        self._log_answered(job, running, len(body))
         await response.write_eof()
         return response
 
     async def _stream(
-        self, request: web.BaseRequest, task: Task, turn: Turn
+        self, request: web.BaseRequest, job: Job, turn: Turn
     ) -> web.StreamResponse:
         """Passes on events as they come, from several runs where allowed."""
         response: web.StreamResponse | None = None
         while True:
-            async with self.dispatcher.answered(task) as running:
+            async with self.dispatcher.answered(job) as running:
                 if isinstance(running, Refusal):
                     if response is None:
-                        return self._refuse(request, task.call, running)
+                        return self._refuse(request, job.call, running)
                     return self._break_off(
-                        request, task, response, running.detail
+                        request, job, response, running.detail
                     )
                 head = running.answer.head
                 if response is None:
                     response = await self._begin(request, head)
                 try:
-                    async with asyncio.timeout_at(task.deadline):
-                        await self._pass_events(response, task, running, turn)
+                    async with asyncio.timeout_at(job.deadline):
+                        await self._pass_events(response, job, running, turn)
                     return await self._end(
-                        request, task, running, response, turn
+                        request, job, running, response, turn
                     )
                 except (BrokenError, TimeoutError) as error:
-                    refusal = self.dispatcher.cut(task, running, error)
+                    refusal = self.dispatcher.cut(job, running, error)
             if refusal:
-                return self._break_off(request, task, response, refusal.detail)
+                return self._break_off(request, job, response, refusal.detail)
 
     async def _pass_events(
         self,
         response: web.StreamResponse,
-        task: Task,
+        job: Job,
         running: Running,
         turn: Turn,
     ) -> None:
@@ -219,43 +219,43 @@
         last = _now()
         async for chunk in running.answer.chunks():
             for event in reader.feed(chunk):
-                await self._pass_event(response, task, turn, event)
+                await self._pass_event(response, job, turn, event)
                 if turn.passed == 1:
-                    self._first_event(task)
+                    self._first_event(job)
                 else:
-                    self.dispatcher.event_took(task, running, _now() - last)
+                    self.dispatcher.event_took(job, running, _now() - last)
                 last = _now()
         if reader.rest:
             await response.write(reader.rest)
 
     async def _pass_event(
-        self, response: web.StreamResponse, task: Task, turn: Turn, event: Event
+        self, response: web.StreamResponse, job: Job, turn: Turn, event: Event
     ) -> None:
         # Counted first: what is written may reach the caller even if the
         # write does not return.
         turn.passed += 1
-        if task.route.keeps_turns:
+        if job.route.keeps_turns:
             turn.events.append(event.data)
         if event.event_id:
-            task.last_event = event.event_id
+            job.last_event = event.event_id
         await response.write(event.raw)
 
     async def _end(
         self,
         request: web.BaseRequest,
-        task: Task,
+        job: Job,
         running: Running,
         response: web.StreamResponse,
         turn: Turn,
     ) -> web.StreamResponse:
         """Ends an answer, once the turn is where the next one finds it."""
-        if task.route.keeps_turns and running.answer.head.is_success:
-            kept_by = await self.turns.keep(task.call, task.route, turn)
+        if job.route.keeps_turns and running.answer.head.is_success:
+            kept_by = await self.turns.keep(job.call, job.route, turn)
             if not kept_by.domains:
                 return self._break_off(
-                    request, task, response, "the turn could not be kept"
+                    request, job, response, "the turn could not be kept"
                 )
-        self._log_answered(task, running, turn.passed)
+        self._log_answered(job, running, turn.passed)
         await response.write_eof()
         return response
 
@@ -278,7 +278,7 @@
     def _break_off(
         self,
         request: web.BaseRequest,
-        task: Task,
+        job: Job,
         response: web.StreamResponse,
         why: str,
     ) -> web.StreamResponse:
@@ -286,10 +286,10 @@
         self.metrics.count("rattanmill_answers_cut")
         log_event(
             "broken_off",
-            request=task.call.request,
-            program=task.call.program,
+            request=job.call.request,
+            program=job.call.program,
             why=why[:200],
-            left_ms=_ms(task.left()),
+            left_ms=_ms(job.left()),
         )
         if request.transport is not None:
             request.transport.abort()
@@ -324,18 +324,18 @@
         if self.ending:
             response.force_close()
 
-    def _first_event(self, task: Task) -> None:
+    def _first_event(self, job: Job) -> None:
         self.metrics.observe(
-            "rattanmill_first_token_seconds", _now() - task.call.arrived
+            "rattanmill_first_token_seconds", _now() - job.call.arrived
         )
 
-    def _log_answered(self, task: Task, running: Running, size: int) -> None:
-        seconds = _now() - task.call.arrived
+    def _log_answered(self, job: Job, running: Running, size: int) -> None:
+        seconds = _now() - job.call.arrived
         self.metrics.observe("rattanmill_answer_seconds", seconds)
         log_event(
             "answered",
-            request=task.call.request,
-            program=task.call.program,
+            request=job.call.request,
+            program=job.call.program,
             endpoint=running.endpoint.name,
             status=running.answer.head.status,
             after_ms=_ms(seconds),
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -6,7 +6,6 @@
 
 import hypothesis
 from behave import given, then, when
-from hypothesis import strategies as st
 
 from rattanmill_core import wall_seconds
 from rattanmill_keeper import KeptTurn, Reserve, Reserved, Settle, Spent, Unsure
@@ -16,155 +15,11 @@
 from rattanmill_keeper.messages import Keep, Ping, codec
 from rattanmill_wire import RequestLink
 from support.keepers import Network
+from support.stories import BUDGET, OPERATIONS, TOKENS, play
 
 _SETTINGS = hypothesis.settings(
     max_examples=300, deadline=None, derandomize=True, database=None
 )
-_NAMES = ["a", "b", "c"]
-_BUDGET = 60
-_TOKENS = 40
-_name = st.sampled_from(_NAMES)
-_OPERATIONS = st.lists(
-    st.one_of(
-        st.tuples(st.just("ask"), _name),
-        st.tuples(st.just("ask"), _name),
-        st.tuples(st.just("ask"), _name),
-        st.tuples(st.just("race"), _name),
-        st.tuples(st.just("settle"), st.integers(0, 2)),
-        st.tuples(st.just("isolate"), _name),
-        st.tuples(st.just("heal"), _name),
-        st.tuples(st.just("kill"), _name),
-        st.tuples(st.just("start"), _name),
-        st.tuples(st.just("wipe"), _name),
-        st.tuples(st.just("replace"), _name),
-        st.tuples(st.just("follow"), _name),
-        st.tuples(st.just("store"), st.booleans()),
-        st.tuples(st.just("lose"), st.integers(1, 2)),
-    ),
-    min_size=3,
-    max_size=14,
-)
-
-
-class Story:
-    """A sequence of events, and what programs have got in it."""
-
-    def __init__(self, network: Network) -> None:
-        self.network = network
-        self.granted: list[tuple[str, str, str]] = []
-        self.used: dict[str, int] = {}
-        self.attempts = 0
-
-    async def play(self, operations: list[tuple]) -> None:
-        """Plays operations, and brings back whoever is down at the end."""
-        for kind, argument in operations:
-            await getattr(self, kind)(argument)
-
-    async def ask(self, name: str, program: str = "p") -> None:
-        """A turn asks at one storage instance."""
-        self.attempts += 1
-        attempt = f"attempt-{self.attempts}"
-        reply = await self.network.reserve(
-            name, Reserve(program, attempt, _TOKENS, _BUDGET)
-        )
-        if isinstance(reply, Reserved):
-            self.used[program] = self.used.get(program, 0) + _TOKENS
-            self.granted.append((name, program, attempt))
-
-    async def race(self, name: str) -> None:
-        """Turns of one program ask at two at the same moment."""
-        other = _NAMES[_NAMES.index(name) - 1]
-        await asyncio.gather(self.ask(name), self.ask(other))
-
-    async def settle(self, number: int) -> None:
-        """A turn has used half of what it might have."""
-        if number >= len(self.granted):
-            return
-        name, program, attempt = self.granted[number]
-        keeper = self.network.keepers.get(name)
-        if keeper is None:
-            return
-        running = keeper.ledger.accounts.get(program)
-        if running and attempt in running.running:
-            await keeper.serve(Settle(program, attempt, _TOKENS // 2))
-            self.used[program] -= _TOKENS // 2
-
-    async def isolate(self, name: str) -> None:
-        """One is cut off from the others."""
-        self.network.cuts |= {
-            frozenset((name, other))
-            for other in (*_NAMES, "d")
-            if other != name
-        }
-
-    async def heal(self, name: str) -> None:
-        """All reach each other again."""
-        self.network.cuts.clear()
-
-    async def kill(self, name: str) -> None:
-        """One is killed."""
-        if name in self.network.keepers:
-            await self.network.kill(name)
-
-    async def start(self, name: str) -> None:
-        """One that was killed comes back."""
-        if name not in self.network.keepers and name in self.network.names:
-            await self.network.start(name)
-
-    async def wipe(self, name: str) -> None:
-        """One loses its disk; as many as may be lost at once."""
-        keepers = self.network.keepers
-        all_run = len(keepers) == len(self.network.names)
-        all_whole = all(k.whole for k in keepers.values())
-        if name in keepers and all_run and all_whole:
-            await self.network.wipe(name)
-            await self.network.start(name)
-
-    async def replace(self, name: str) -> None:
-        """One is gone for good, and an empty one comes under a new name."""
-        network = self.network
-        if len(network.names) > len(_NAMES) or name not in network.keepers:
-            return
-        if not all(k.whole for k in network.keepers.values()):
-            return
-        if len(network.keepers) < len(network.names):
-            return
-        await network.wipe(name)
-        network.names = [n for n in network.names if n != name] + ["d"]
-        await network.start("d")
-        # The others learn of it from the store, or when it follows them.
-        for other, members in network.members.items():
-            if other in network.keepers and not network.is_cut(other, name):
-                network.introduce(members, "d")
-
-    async def follow(self, name: str) -> None:
-        """One takes in what the others have."""
-        for each in (name, "d"):
-            if each in self.network.keepers:
-                await self.network.follow(each)
-
-    async def store(self, away: bool) -> None:
-        """The store goes away or comes back."""
-        self.network.kv.away = away
-
-    async def lose(self, count: int) -> None:
-        """The next replies between storage instances get lost."""
-        self.network.lose_replies = count
-
-
-async def play(operations, prepare=lambda network: None):
-    """Plays a story on new storage instances; returns tokens by program."""
-    folder = tempfile.mkdtemp()
-    network = Network(folder, list(_NAMES))
-    await network.start_all()
-    prepare(network)
-    story = Story(network)
-    try:
-        await story.play(operations)
-    finally:
-        await network.stop_all()
-        shutil.rmtree(folder)
-    return story.used
 
 
 @then(
@@ -172,11 +27,11 @@
     " use more than its budget"
 )
 def step_any_story(context):
-    @hypothesis.given(_OPERATIONS)
+    @hypothesis.given(OPERATIONS)
     @_SETTINGS
     def hold(operations):
         used = asyncio.run(play(operations))
-        assert all(tokens <= _BUDGET for tokens in used.values()), used
+        assert all(tokens <= BUDGET for tokens in used.values()), used
 
     hold()
 
@@ -202,7 +57,7 @@
 
 @then("the program uses more than its budget")
 def step_over(context):
-    assert context.used["p"] > _BUDGET, context.used
+    assert context.used["p"] > BUDGET, context.used
 
 
 def network(context, work):
@@ -238,8 +93,8 @@
         context.network.cuts.add(frozenset((name, other)))
 
 
-def ask(context, name, program, attempt="first", tokens=_TOKENS):
-    asked = Reserve(program, attempt, tokens, _BUDGET)
+def ask(context, name, program, attempt="first", tokens=TOKENS):
+    asked = Reserve(program, attempt, tokens, BUDGET)
     return network(context, lambda n: n.reserve(name, asked))
 
 
@@ -296,7 +151,7 @@
 @then('the program gets a permission for all its budget at "{name}"')
 def step_all_budget(context, name):
     network(context, lambda n: n.follow(name))
-    reply = ask(context, name, "moved", "two", _BUDGET)
+    reply = ask(context, name, "moved", "two", BUDGET)
     assert isinstance(reply, Reserved), reply
 
 
--- a/tests/features/steps/state.py
+++ b/tests/features/steps/state.py
@@ -226,6 +226,11 @@
 @then("every living instance shows turns {turns}")
 def step_all_show(context, turns):
     expected = [int(turn) for turn in turns.split(",")]
+    # One that was started again lives before it listens.
+    running = [i for i in context.system.instances if i.process.alive]
+    wait_until(
+        lambda: all(map(status, running)), "every living instance answers"
+    )
     for client in living(context):
         found = turns_of(context, client, context.program)
         assert found == expected, (client.address, found)
