Take back a permission whose caller left or whose answer was lost

Cause: a caller that left while its turn waited for the permission cancelled the front's request; the home had written the reservation down and nobody took it back, so the program was told too early that its budget is spent. Found by reading. keeping.feature failed before (nothing was ever told to the home) and passes. Also: a turn is fetched from those that are there before those that are away are waited for.

--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -60,9 +60,15 @@
 
     async def begin(self, call: Call, route: Route) -> Turn | Refusal:
         """Finds a turn's chain and gets the permission to run it."""
-        body, permission = await asyncio.gather(
-            self._whole_body(call, route), self._reserve(call)
-        )
+        try:
+            body, permission = await asyncio.gather(
+                self._whole_body(call, route), self._reserve(call)
+            )
+        except asyncio.CancelledError:
+            # The caller left. The permission may have been given already.
+            if call.program and call.budget is not None:
+                self.keepers.settle_later(call.program, call.request, 0)
+            raise
         refusal = next(
             (x for x in (permission, body) if isinstance(x, Refusal)), None
         )
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -132,42 +132,60 @@
         this failure domain, or elsewhere if nobody answers here.
         """
         began = _now()
+        asked: list[str] = []
+        reply: Reserved | Spent | Unsure = Unsure("the caller left")
+        try:
+            reply = await self._find_home(ask, asked)
+        finally:
+            if isinstance(reply, Unsure):
+                self._release(ask, asked)
+        self.metrics.observe("rattanmill_reserve_seconds", _now() - began)
+        return reply
+
+    async def _find_home(
+        self, ask: Reserve, asked: list[str]
+    ) -> Reserved | Spent | Unsure:
+        """Asks a program's home, or who may become it.
+
+        Args:
+            ask: What is asked for.
+            asked: Gets the names of those that were asked.
+        """
         home = self.homes.get(ask.program)
-        reply: Reserved | Spent | Unsure = Unsure(
+        reply = Unsure(
             f"home {home} is away" if home else "no storage instance"
         )
-        asked: set[str] = set()
-        member = None
         for _ in range(_MOST_REDIRECTS):
             member = self._whom_to_ask(ask.program, home, asked)
             if member is None:
                 break
-            asked.add(member.name)
+            asked.append(member.name)
             said = await self._ask(member, ask, _RESERVE_SECONDS)
             if isinstance(said, Elsewhere):
                 home = said.keeper
                 self._remember(ask.program, home)
-                asked.discard(home)
                 continue
             if isinstance(said, Reserved | Spent):
                 self._remember(ask.program, member.name)
-                reply = said
-                break
+                return said
             reply = said if isinstance(said, Unsure) else Unsure("silent")
             if home:
                 # Nobody else can give the permission.
                 break
-        if isinstance(reply, Unsure) and member:
-            self._spawn(
-                self._settle(
-                    Settle(ask.program, ask.attempt, 0), home or member.name
-                )
-            )
-        self.metrics.observe("rattanmill_reserve_seconds", _now() - began)
         return reply
 
+    def _release(self, ask: Reserve, asked: list[str]) -> None:
+        """Takes a permission back that may have been given.
+
+        Its answer was lost, or the caller left meanwhile. Kept, it would
+        count against the program for ever.
+        """
+        for name in asked:
+            said = Settle(ask.program, ask.attempt, 0)
+            self._spawn(self._settle(said, name, _RESERVE_SECONDS))
+
     def _whom_to_ask(
-        self, program: str, home: str | None, asked: set[str]
+        self, program: str, home: str | None, asked: list[str]
     ) -> Member | None:
         if home:
             member = self.members.known.get(home)
@@ -205,7 +223,11 @@
         home = self.homes.get(program, "")
         self._spawn(self._settle(Settle(program, attempt, tokens), home))
 
-    async def _settle(self, said: Settle, home: str) -> None:
+    async def _settle(
+        self, said: Settle, home: str, after_seconds: float = 0.0
+    ) -> None:
+        # Behind a reservation that may still be under way there.
+        await asyncio.sleep(after_seconds)
         for _ in range(_SETTLE_TRIES):
             member = self.members.known.get(home)
             if member and not self._is_away(member):
@@ -294,17 +316,19 @@
         return missing
 
     def _groups(self, turn: str) -> list[list[Member]]:
-        """Orders whom to ask: near ones that should have it, then all."""
+        """Orders whom to ask: near ones that should have it, then all.
+
+        Those that are away come last: waiting for them would hold up a turn
+        that another one has.
+        """
         replicas = {m.name for m in self.members.replicas(turn)}
         members = sorted(
             self.members.known.values(),
-            key=lambda m: (
-                self._is_away(m),
-                m.name not in replicas,
-                m.domain != self.domain,
-            ),
+            key=lambda m: (m.name not in replicas, m.domain != self.domain),
         )
-        return [members[:1], members[1:]] if members else []
+        there = [m for m in members if not self._is_away(m)]
+        away = [m for m in members if self._is_away(m)]
+        return [group for group in (there[:1], there[1:], away) if group]
 
     def _is_away(self, member: Member) -> bool:
         return self.unheard.get(member.name, 0.0) > _now()
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -49,6 +49,15 @@
     And the turn's use of 0 tokens is told to "a" and where it sends
     Then the program gets a permission for all its budget at "c"
 
+  Scenario: A caller leaves while its turn waits for the permission
+    The caller closes its connection just as the home writes the permission
+    down. If nobody takes it back, the program is told too early that its
+    budget is spent.
+
+    Given storage instances "a, b, c"
+    When a front asks for a permission and its caller leaves meanwhile
+    Then the permission is taken back
+
   Scenario: A power loss takes what was not synced
     An instance loses power. It comes back with all that it has acknowledged.
     Taking itself for one that has lost its disk, it would serve nobody.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -7,14 +7,22 @@
 import hypothesis
 from behave import given, then, when
 
-from rattanmill_core import wall_seconds
-from rattanmill_keeper import KeptTurn, Reserve, Reserved, Settle, Spent, Unsure
+from rattanmill_core import Metrics, wall_seconds
+from rattanmill_keeper import (
+    KeeperClient,
+    KeptTurn,
+    Reserve,
+    Reserved,
+    Settle,
+    Spent,
+    Unsure,
+)
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from rattanmill_keeper.homes import Consent
 from rattanmill_keeper.journal import frame, read_frames
 from rattanmill_keeper.messages import Keep, Ping, codec
 from rattanmill_wire import RequestLink
-from support.keepers import Network
+from support.keepers import LocalMembers, Network
 from support.stories import BUDGET, OPERATIONS, TOKENS, play
 
 _SETTINGS = hypothesis.settings(
@@ -155,6 +163,38 @@
     assert isinstance(reply, Reserved), reply
 
 
+@when("a front asks for a permission and its caller leaves meanwhile")
+def step_leave(context):
+    async def leave(n):
+        members = LocalMembers(n, "front")
+        for name in n.names:
+            n.introduce(members, name)
+        context.front = KeeperClient("domain-a", 2, members, Metrics())
+        asking = asyncio.create_task(
+            context.front.reserve(Reserve("left", "one", TOKENS, BUDGET))
+        )
+        for _ in range(10_000):
+            if "left" in n.keepers["a"].ledger.accounts:
+                break
+            await asyncio.sleep(0)
+        asking.cancel()
+        await asyncio.wait([asking])
+        assert asking.cancelled()
+
+    network(context, leave)
+    account = context.network.keepers["a"].ledger.accounts["left"]
+    assert account.running, account
+
+
+@then("the permission is taken back")
+def step_taken_back(context):
+    async def wait(n):
+        await asyncio.wait(context.front.tasks)
+        assert not n.keepers["a"].ledger.accounts["left"].running
+
+    network(context, wait)
+
+
 @when('"{name}" loses its disk and has followed the others')
 def step_lose_disk(context, name):
     async def lose(n):
