Fill a replaced storage instance whole while its predecessor is still listed

A new storage instance fetched only its share of the domain's turns, by rank among all listed members; its dead predecessor is listed for up to 10 s, and its share was passed over for good. After several replacements no disk had the turn. Change: members that do not answer have no share, and a change of who shares follows all journals anew. Test: keeping.feature, machines are replaced one after the other; with silent members counted again it fails.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -11,7 +11,7 @@
 
 from rattanmill_core import log_event, start_loop
 from rattanmill_keeper.keeper import Keeper
-from rattanmill_keeper.members import Member, Members
+from rattanmill_keeper.members import Member, Members, rank
 from rattanmill_keeper.messages import FetchTurns, Follow, News, Turns
 
 _POLL_SECONDS = 0.5
@@ -49,6 +49,7 @@
         self.members = members
         self.progress: dict[str, Progress] = {}
         self.tasks: dict[str, asyncio.Task] = {}
+        self.sharing: frozenset[str] = frozenset()
         self.started = asyncio.get_running_loop().time()
         self.task: asyncio.Task | None = None
 
@@ -68,10 +69,42 @@
                     self.tasks[name] = start_loop(
                         f"following of {name}", self._follow(name)
                     )
+            self.review_share()
             if not self.keeper.whole and self.is_complete():
                 self.keeper.mark_whole()
             await asyncio.sleep(_POLL_SECONDS / 2)
 
+    def review_share(self) -> None:
+        """Follows all anew when this instance has to hold other turns.
+
+        Members of its domain share the turns. When one comes, goes or falls
+        silent, turns that were passed over before may have to be here now.
+        """
+        sharing = self._sharing()
+        if sharing == self.sharing:
+            return
+        self.sharing = sharing
+        for progress in self.progress.values():
+            progress.run = ""
+            progress.ended = False
+        log_event("share_reviewed", keepers=sorted(sharing))
+
+    def _sharing(self) -> frozenset[str]:
+        """Returns the members of this domain that can hold turns now.
+
+        One that was replaced stays listed for some seconds. If it counted,
+        its successor would pass over the turns that it had held, and with the
+        next lost disk they would be gone.
+        """
+        mine = self.members.known.get(self.keeper.name)
+        found = {self.keeper.name}
+        for member in self.members.known.values():
+            same = mine is not None and member.domain == mine.domain
+            there = not self.members.link(member).failures
+            if same and there and not member.leaving:
+                found.add(member.name)
+        return frozenset(found)
+
     def is_complete(self) -> bool:
         """Whether all that others know has come in."""
         if not self.members.synced or self.members.watch.away_since:
@@ -124,7 +157,7 @@
         lacking = [
             turn
             for turn in self.keeper.table.lacking(turns)
-            if self._should_hold(turn, member)
+            if rank(turn, self.sharing)[0] == self.keeper.name
         ]
         link = self.members.link(member)
         for start in range(0, len(lacking), _FETCH_TURNS):
@@ -136,12 +169,3 @@
         if lacking:
             log_event("turns_fetched", keeper=member.name, count=len(lacking))
         return True
-
-    def _should_hold(self, turn: str, member: Member) -> bool:
-        """Whether this instance is the one of its domain for the turn.
-
-        Copies between two instances of one domain are of no use, and each
-        would fetch all that the other has.
-        """
-        names = {replica.name for replica in self.members.replicas(turn)}
-        return self.keeper.name in names
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -78,6 +78,19 @@
     And "a" is killed
     Then "b" has the turn
 
+  Scenario: Machines are replaced one after the other
+    Each new machine fills itself from the others, while its predecessor is
+    still listed. If it leaves the predecessor's share of the turns to that,
+    the turns are gone once all have been replaced, though never more than one
+    disk was lost at a time.
+
+    Given storage instances "a, b, c"
+    When "a, b, c" keep 40 turns
+    And "a" is replaced by "d" of its domain, which is still listed
+    And "b" is replaced by "e" of its domain, which is still listed
+    And "c" is replaced by "f" of its domain, which is still listed
+    Then "d, e, f" have all 40 turns
+
   Scenario: A chain is kept for as long as the turn at its end
     The first turn of a conversation is over when the last one ends. Dropped by
     its own time, the conversation could not go on; it may also have come here
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -243,6 +243,35 @@
     network(context, lambda n: n.keepers[name].serve(Keep(kept)))
 
 
+@when('"{names}" keep {count:d} turns')
+def step_keep_all(context, names, count):
+    for name in names.split(", "):
+        for number in range(count):
+            keep(context, name, f"turn-{number}")
+
+
+@when('"{old}" is replaced by "{new}" of its domain, which is still listed')
+def step_replace(context, old, new):
+    async def replace(n):
+        await n.wipe(old)
+        n.domains[new] = n.domains.get(old, f"domain-{old}")
+        n.names.append(new)
+        await n.start(new)
+        for name in n.keepers:
+            n.introduce(n.members[name], new)
+        await n.follow(new)
+
+    network(context, replace)
+
+
+@then('"{names}" have all {count:d} turns')
+def step_have_all(context, names, count):
+    for name in names.split(", "):
+        held = context.network.keepers[name].table.held
+        missing = {f"turn-{n}" for n in range(count)} - set(held)
+        assert not missing, (name, missing)
+
+
 @when('"{name}" keeps a turn alone')
 def step_keep(context, name):
     keep(context, name, "t1")
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -50,7 +50,11 @@
         self.network = network
         self.asker = asker
         self.name = name
-        self.failures = 0
+
+    @property
+    def failures(self) -> int:
+        """Requests in a row that got no reply."""
+        return self.network.failures.get((self.asker, self.name), 0)
 
     async def ask(
         self, message: msgspec.Struct, seconds: float
@@ -59,7 +63,9 @@
         network = self.network
         keeper = network.keepers.get(self.name)
         if keeper is None or network.is_cut(self.asker, self.name):
+            network.failures[self.asker, self.name] = 1
             return None
+        network.failures.pop((self.asker, self.name), None)
         copy = _CODEC.decode(_CODEC.encode(message))
         reply = await keeper.serve(copy)
         if network.lose_replies:
@@ -93,6 +99,8 @@
         keepers: Those that run, by name.
         cuts: Pairs that don't reach each other.
         lose_replies: So many further replies get lost.
+        failures: Requests in a row without a reply, by asker and asked.
+        domains: Failure domains of those that have none of their own.
     """
 
     def __init__(self, folder: str, names: list[str]) -> None:
@@ -102,6 +110,8 @@
         self.members: dict[str, LocalMembers] = {}
         self.cuts: set[frozenset[str]] = set()
         self.lose_replies = 0
+        self.failures: dict[tuple[str, str], int] = {}
+        self.domains: dict[str, str] = {}
         self.names = names
 
     async def start_all(self) -> None:
@@ -123,7 +133,8 @@
 
     def introduce(self, members: LocalMembers, name: str) -> None:
         """Lets one know of another, as the store's list would."""
-        member = Member(name, f"domain-{name}", f"{name}:1", "run")
+        domain = self.domains.get(name, f"domain-{name}")
+        member = Member(name, domain, f"{name}:1", "run")
         members.known[name] = member
 
     async def kill(self, name: str) -> None:
@@ -150,14 +161,21 @@
         """Lets one take in what the others have."""
         keeper = self.keepers[name]
         following = Following(keeper, self.members[name])
-        for member in list(self.members[name].known.values()):
-            if member.name != name:
-                for _ in range(100):
-                    if not await following.step(member):
-                        break
+        # Twice: whoever is silent is known only after it was asked.
+        for _ in range(2):
+            following.review_share()
+            await self._step_all(following, name)
         if not keeper.whole and following.is_complete():
             keeper.mark_whole()
 
+    async def _step_all(self, following: Following, name: str) -> None:
+        for member in list(self.members[name].known.values()):
+            if member.name == name:
+                continue
+            for _ in range(100):
+                if not await following.step(member):
+                    break
+
     async def reserve(
         self, name: str, ask: Reserve
     ) -> Reserved | Spent | Unsure:
