Do not take an empty rest for the end of a connection

Cause: after an answer to another request, the parser was fed what was left behind it; nothing left, when the own answer comes in a packet of its own, is the parser's sign for the connection's end. The caller got 502 for a request that ran. Ruled out: a fault left over from the scenario before (all were cleared).

--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -180,7 +180,9 @@
             )
         )
         self.http.send(h11.EndOfMessage())
-        self.http.receive_data(rest)
+        # No bytes would mean the connection's end to the parser.
+        if rest:
+            self.http.receive_data(rest)
 
     def abort(self) -> None:
         """Closes it at once, which ends the endpoint's work on it."""
--- a/tests/features/site.feature
+++ b/tests/features/site.feature
@@ -78,9 +78,10 @@
     And each answer names the desk that ran it
 
     Examples:
-      | fault   |
-      | foreign |
-      | extra   |
+      | fault         |
+      | foreign       |
+      | foreign_apart |
+      | extra         |
 
   Scenario: A stream that may be resumed is cut in the middle of an event
     Given every engine will "cut"
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -26,7 +26,8 @@
             ``mute`` (reset without an answer), ``cut`` (in the middle of the
             answer), ``unframed_reset``, ``extra`` (a second answer),
             ``unsigned``, ``encoded``, ``foreign`` (an answer to another
-            request goes first), ``slow`` (2 s).
+            request goes first, ``foreign_apart``: in a packet of its own),
+            ``slow`` (2 s).
         requests: Each request that ran or was refused.
     """
 
@@ -97,8 +98,11 @@
             return False
         if fault == "slow":
             await asyncio.sleep(2)
-        if fault == "foreign":
+        if fault.startswith("foreign"):
             writer.write(_head(200, "another", _SIGNED, 5) + b"other")
+        if fault == "foreign_apart":
+            await writer.drain()
+            await asyncio.sleep(0.1)
         if seen["target"].startswith("/stream/"):
             return await self._stream(writer, seen, fault)
         body = f"done by {self.name}".encode()
