--- a/libs/forward/src/rattanmill_forward/events.py
+++ b/libs/forward/src/rattanmill_forward/events.py
@@ -2,8 +2,6 @@
 
 import msgspec
 
-_MOST_EVENT_BYTES = 4 * 1024 * 1024
-
 
 class Event(msgspec.Struct, frozen=True):
     """One whole event.
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -115,7 +115,6 @@
         self.endpoint = endpoint
         self.wire = wire
         self.http = _new_http()
-        self.used = False
         self.idle_until = 0.0
 
     @property
@@ -138,7 +137,6 @@
         data += self.http.send(h11.EndOfMessage()) or b""
         self.request = request
         self.wire.transport.write(data)
-        self.used = True
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of the answer.
--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -30,7 +30,6 @@
 # Fronts learn within a watch's answer that nothing new goes here; what was on
 # its way by then has come in.
 _SETTLE_SECONDS = 0.6
-_PAGE = 40
 _ACCOUNTS = 200
 
 
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -1,6 +1,5 @@
 """Storage instances in one process, with a network that tests can break."""
 
-import asyncio
 import pathlib
 import shutil
 
@@ -189,8 +188,3 @@
                 return reply
             name = reply.keeper
         return Unsure("sent round in a circle")
-
-
-def run(work) -> None:  # noqa: ANN001
-    """Runs a test's coroutine."""
-    asyncio.run(work)
