Take an order to empty a storage instance only for one's own name

Cause: the order is watched by prefix, so that for storage-x-10 moved storage-x-1 as well. Found by reading the change once more; it needs ten storage instances in a domain. keeping.feature failed before and passes.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -78,7 +78,7 @@
             kv,
             orders.prefix + keeper.name,
             _WAIT_SECONDS,
-            lambda key, value: self.ordered.set(),
+            self.notice,
             lambda key, how: None,
         )
         self.task: asyncio.Task | None = None
@@ -93,6 +93,11 @@
         if self.task:
             self.task.cancel()
 
+    def notice(self, key: str, value: bytes) -> None:
+        """Takes an order; one for another may begin with this one's name."""
+        if key == self.orders.prefix + self.keeper.name:
+            self.ordered.set()
+
     async def _run(self) -> None:
         await self.ordered.wait()
         log_event("emptying_begun", turns=len(self.keeper.table.held))
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -49,6 +49,14 @@
     And the turn's use of 0 tokens is told to "a" and where it sends
     Then the program gets a permission for all its budget at "c"
 
+  Scenario: The order to empty an instance whose name begins with another's
+    Storage instance "a10" is to be taken away. If "a" took the order for its
+    own, it would hand over all it has and serve nobody any more.
+
+    Given storage instances "a, b, c"
+    Then the order to empty "a10" does not move "a"
+    And the order to empty "a" does
+
   Scenario: A caller leaves while its turn waits for the permission
     The caller closes its connection just as the home writes the permission
     down. If nobody takes it back, the program is told too early that its
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -163,6 +163,33 @@
     assert isinstance(reply, Reserved), reply
 
 
+def is_ordered(context, keeper, name):
+    """Whether a keeper takes the order to empty an instance for its own."""
+
+    async def order(n):
+        emptying = Emptying(
+            n.keepers[keeper],
+            n.members[keeper],
+            None,
+            n.kv,
+            EmptyingOrders("orders/", "", b"", b""),
+        )
+        emptying.watch.on_write(f"orders/{name}", b"")
+        return emptying.ordered.is_set()
+
+    return network(context, order)
+
+
+@then('the order to empty "{name}" does not move "{keeper}"')
+def step_not_ordered(context, name, keeper):
+    assert not is_ordered(context, keeper, name)
+
+
+@then('the order to empty "{name}" does')
+def step_ordered(context, name):
+    assert is_ordered(context, name, name)
+
+
 @when("a front asks for a permission and its caller leaves meanwhile")
 def step_leave(context):
     async def leave(n):
