--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -165,19 +165,16 @@
         stack.callback(pings.cancel)
         callers = await _listen(
             settings.callers,
-            front.serve,
+            _Server(front.serve, front.idle_seconds, True),
             settings.grace_seconds - _NOTICE_SECONDS - _EXIT_SECONDS,
-            handler_cancellation=True,
         )
         stack.push_async_callback(callers.cleanup)
         ready = await _listen(
             settings.readiness,
-            _readiness(
-                lambda: (
-                    view.synced
-                    and not front.ending
-                    and not keepers.is_cut_off()
-                )
+            _Server(
+                _readiness(lambda: _is_ready(view, front, keepers)),
+                front.idle_seconds,
+                False,
             ),
             _EXIT_SECONDS / 2,
         )
@@ -193,6 +190,10 @@
     log_event("stopped")
 
 
+def _is_ready(view: View, front: Front, keepers: KeeperClient) -> bool:
+    return view.synced and not front.ending and not keepers.is_cut_off()
+
+
 def _readiness(is_ready: Callable[[], bool]) -> Callable:
     said: list[bool] = [False]
 
@@ -206,19 +207,39 @@
     return answer
 
 
+class _Server(web.Server):
+    """Makes connections with the idle time that is in force.
+
+    Args:
+        serve: Answers a request.
+        idle_seconds: Returns how long a connection may stay idle.
+        handler_cancellation: Whether a caller that leaves ends its request.
+    """
+
+    def __init__(
+        self,
+        serve: Callable,
+        idle_seconds: Callable[[], float],
+        handler_cancellation: bool,
+    ) -> None:
+        super().__init__(serve, handler_cancellation=handler_cancellation)
+        self.idle_seconds = idle_seconds
+
+    def __call__(self) -> web.RequestHandler:
+        """Makes the protocol of a new connection."""
+        return web.RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=self.idle_seconds(),
+            access_log=None,
+            max_line_size=_MOST_HEAD_BYTES,
+            max_field_size=_MOST_HEAD_BYTES,
+        )
+
+
 async def _listen(
-    address: str,
-    serve: Callable,
-    shutdown_seconds: float,
-    handler_cancellation: bool = False,
+    address: str, server: _Server, shutdown_seconds: float
 ) -> web.ServerRunner:
-    server = web.Server(
-        serve,
-        handler_cancellation=handler_cancellation,
-        access_log=None,
-        max_line_size=_MOST_HEAD_BYTES,
-        max_field_size=_MOST_HEAD_BYTES,
-    )
     runner = web.ServerRunner(server, shutdown_timeout=shutdown_seconds)
     await runner.setup()
     host, _, port = address.rpartition(":")
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -24,7 +24,7 @@
 # Idle connections are closed this long before the endpoint would: a request
 # that crosses its close may have run.
 _IDLE_MARGIN_SECONDS = 1.0
-_IDLE_SECONDS = 4.0
+_IDLE_SECONDS = 20.0
 _MOST_IDLE = 24
 _MOST_HEAD_BYTES = 64 * 1024
 _PAUSE_BYTES = 256 * 1024
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -9,7 +9,7 @@
 from rattanmill_forward.dispatch import Dispatcher, Running, Task
 from rattanmill_forward.events import Event, EventReader
 from rattanmill_forward.exchange import BrokenError
-from rattanmill_forward.routes import Kind, Route, RouteTable, Service
+from rattanmill_forward.routes import Kind, Limits, Route, RouteTable, Service
 from rattanmill_forward.turns import Turn, Turns
 
 # Answers up to this size are read whole before the caller gets the first
@@ -49,6 +49,10 @@
         self.ending = False
         self.active = 0
 
+    def idle_seconds(self) -> float:
+        """Returns how long a caller's connection may stay idle."""
+        return (self.table.limits if self.table else Limits()).idle_seconds
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         self.active += 1
@@ -69,7 +73,6 @@
         if isinstance(route, Refusal):
             return self._refuse(request, call, route)
         table = self.table
-        _bound_idle_time(request, table.limits.idle_seconds)
         body = await _read_body(request, table.limits.body_bytes)
         if isinstance(body, Refusal):
             return self._refuse(request, call, body)
@@ -351,16 +354,6 @@
     return bytes(body)
 
 
-def _bound_idle_time(request: web.BaseRequest, seconds: float) -> None:
-    """Closes a caller's connection that then stays idle for so long.
-
-    The server is started before the bound is known, and the bound changes
-    with the configuration; aiohttp has no public way to set it later.
-    """
-    if request.protocol is not None:
-        request.protocol._keepalive_timeout = seconds
-
-
 def _patience(call: Call, route: Route) -> float:
     """Returns how long a request may take, in seconds from its arrival."""
     bounds = [route.timeout_seconds]
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -27,8 +27,11 @@
 # asks all others besides. Beyond this the home is taken to be away.
 _RESERVE_SECONDS = 0.35
 _SETTLE_SECONDS = 0.5
-_SETTLE_TRIES = 6
-_SETTLE_PAUSE_SECONDS = 0.4
+# A home that is away is back within seconds, in the worst case after all
+# machines have lost power. What it does not hear counts as used in full, and
+# the program would be told too early that its budget is spent.
+_SETTLE_TRIES = 40
+_SETTLE_PAUSE_SECONDS = 0.75
 _KEEP_SECONDS = 0.4
 _FETCH_SECONDS = 0.3
 # A member that did not answer is asked last for so long, unless it answers a
@@ -202,8 +205,13 @@
     async def _settle(self, said: Settle, home: str) -> None:
         for _ in range(_SETTLE_TRIES):
             member = self.members.known.get(home)
-            if member and await self._ask(member, said, _SETTLE_SECONDS):
-                return
+            if member and not self._is_away(member):
+                reply = await self._ask(member, said, _SETTLE_SECONDS)
+                if isinstance(reply, Elsewhere):
+                    home = reply.keeper
+                    continue
+                if reply is not None:
+                    return
             await asyncio.sleep(_SETTLE_PAUSE_SECONDS)
         # The reservation stays: the program seems to have used more than it
         # did, never less.
--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -103,7 +103,7 @@
         self.registration.change(member)
         await self._until(self._is_known_leaving)
         await asyncio.sleep(_SETTLE_SECONDS)
-        await self._until(self._hand_over)
+        await self._until(self.hand_over)
         await self._until(self._spread)
         await self._say(self.orders.completed)
         log_event("emptying_done")
@@ -131,7 +131,7 @@
                 await self.kv.write(key, value, entry.revision if entry else 0)
             await asyncio.sleep(_PAUSE_SECONDS)
 
-    async def _hand_over(self) -> bool:
+    async def hand_over(self) -> bool:
         """Hands accounts over; whether none is left."""
         accounts = list(self.keeper.ledger.accounts.values())
         takers = [
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -146,10 +146,7 @@
             case Reserve():
                 return await self.reserve(message)
             case Settle():
-                change = self.ledger.settle(message)
-                if change:
-                    self.journal.note(_encode(change))
-                return Done()
+                return self.settle(message)
             case Agree():
                 return await self._agree(message)
             case Keep(kept=kept):
@@ -193,6 +190,16 @@
             return Unsure("the account is being opened")
         return decision
 
+    def settle(self, said: Settle) -> Done | Elsewhere:
+        """Books what a turn has used."""
+        known = self.ledger.homes.get(said.program)
+        if known and known.home.keeper != self.name:
+            return Elsewhere(known.home.keeper)
+        change = self.ledger.settle(said)
+        if change:
+            self.journal.note(_encode(change))
+        return Done()
+
     async def _open(
         self, program: str, budget: int
     ) -> Elsewhere | Unsure | None:
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -39,6 +39,16 @@
     Then the program is refused as not certain at "a"
     And the program is refused as not certain at "b"
 
+  Scenario: A home is emptied while a turn runs
+    The account moves to another storage instance before the front has told
+    what the turn used. If nobody hears it, the program is told too early that
+    its budget is spent.
+
+    Given storage instances "a, b, c"
+    When a program has a turn running at "a", whose account moves to "b"
+    And the turn's use of 0 tokens is told to "a" and where it sends
+    Then the program gets a permission for all its budget at "c"
+
   Scenario: A power loss takes what was not synced
     An instance loses power. It comes back with all that it has acknowledged.
     Taking itself for one that has lost its disk, it would serve nobody.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -10,6 +10,7 @@
 
 from rattanmill_core import wall_seconds
 from rattanmill_keeper import KeptTurn, Reserve, Reserved, Settle, Spent, Unsure
+from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from rattanmill_keeper.homes import Consent
 from rattanmill_keeper.journal import frame, read_frames
 from rattanmill_keeper.messages import Keep, Ping, codec
@@ -261,6 +262,44 @@
     assert isinstance(ask(context, name, "old", "two", 40), Reserved)
 
 
+@when('a program has a turn running at "{name}", whose account moves to "{to}"')
+def step_move(context, name, to):
+    assert isinstance(ask(context, name, "moved", "one"), Reserved)
+
+    async def move(n):
+        emptying = Emptying(
+            n.keepers[name],
+            n.members[name],
+            None,
+            n.kv,
+            EmptyingOrders("", "", b"", b""),
+        )
+        for other in n.names:
+            if other != to:
+                n.members[name].known.pop(other, None)
+        assert await emptying.hand_over()
+        for other in n.names:
+            n.introduce(n.members[name], other)
+
+    network(context, move)
+
+
+@when(
+    'the turn\'s use of {tokens:d} tokens is told to "{name}" and'
+    " where it sends"
+)
+def step_settle(context, tokens, name):
+    said = Settle("moved", "one", tokens)
+    network(context, lambda n: n.reserve(name, said))
+
+
+@then('the program gets a permission for all its budget at "{name}"')
+def step_all_budget(context, name):
+    network(context, lambda n: n.follow(name))
+    reply = ask(context, name, "moved", "two", _BUDGET)
+    assert isinstance(reply, Reserved), reply
+
+
 @when('"{name}" loses its disk and has followed the others')
 def step_lose_disk(context, name):
     async def lose(n):
