Run suspects of a crash one after the other, and count only runs against a call's tries

The poisoned call's second crash was shared with an innocent suspect that another instance had sent to the same engine, so it took a third one; and an innocent call that had run once met two engines that were down, which used up its three tries though it had run nowhere else. Ruled out: a lost report of the crash (the third one condemned it at once), and the lock that keeps suspects apart (it holds within one instance only). Change: suspects of one crash run again in an order that every instance works out alike, 0.4 s apart, instead of after a random pause; endpoints that could not be reached count towards a bound of their own (8), not towards the three runs.

--- a/libs/entry/src/rattanmill_entry/quarantine.py
+++ b/libs/entry/src/rattanmill_entry/quarantine.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import hashlib
-import random
 import time
 from collections.abc import AsyncIterator
 
@@ -28,7 +27,9 @@
 _MANY = 3
 _LOOKED_AT = 4
 _MOST_EXCUSED = 10_000
-_RETRY_SPREAD_SECONDS = 0.5
+# Time that a suspect has for itself before the next one runs: a request that
+# crashes its endpoint mostly does so within it.
+_APART_SECONDS = 0.4
 # Longest time that a suspect waits for another to leave an endpoint.
 _ALONE_SECONDS = 2.0
 # Shorter ones, such as "go on", are said in many programs: what one program's
@@ -93,13 +94,15 @@
         return await asyncio.shield(task)
 
     async def before_retry(self, prints: list[bytes]) -> None:
-        """Lets suspects wait, each for another time, before they run again.
+        """Lets suspects of a crash run again one after the other.
 
-        Instances that moved them on at the same moment would put them on the
-        same endpoint again.
+        Instances that moved them on at the same moment would put two on the
+        same endpoint again. Its crash would tell nothing of either, and the
+        one to blame would cost a third endpoint.
         """
-        if any(map(self.signs.quarantine.is_suspected, prints)):
-            await asyncio.sleep(random.uniform(0, _RETRY_SPREAD_SECONDS))
+        places = map(self.signs.quarantine.place_of, prints)
+        pause = max(places, default=0) * _APART_SECONDS
+        await asyncio.sleep(min(pause, _ALONE_SECONDS))
 
     async def _count_crash(
         self, prints: list[bytes], state: EndpointState
--- a/libs/policy/src/rattanmill_policy/quarantine.py
+++ b/libs/policy/src/rattanmill_policy/quarantine.py
@@ -88,6 +88,23 @@
         )
         return known.condemned
 
+    def place_of(self, fingerprint: bytes) -> int:
+        """Returns how many suspects of the same crash run again before it.
+
+        All instances come to the same order without asking each other.
+        """
+        known = self._fresh(fingerprint)
+        if known is None or not known.crashes:
+            return 0
+        last = known.crashes[-1]
+        requests = {
+            crash.request
+            for other in self.suspicions.values()
+            for crash in other.crashes
+            if is_same_crash(last, crash)
+        }
+        return sorted(requests).index(last.request)
+
     def notes(self, most: int) -> list[CrashNote]:
         """Returns what is held, the newest ``most`` events."""
         events = [
--- a/libs/policy/src/rattanmill_policy/retries.py
+++ b/libs/policy/src/rattanmill_policy/retries.py
@@ -8,7 +8,11 @@
 _SHARE = 0.08
 _FIRST_TOKENS = 10.0
 _MOST_TOKENS = 10.0
-_MOST_TRIES = 3
+_MOST_RUNS = 3
+# Endpoints that could not be reached cost a call its time only. Counted like
+# runs, three of them that are down just then would end a call that has run
+# nowhere, while the others stand idle; a caller notices a refusal.
+_MOST_TRIES = 8
 _PAUSE_SECONDS = 0.05
 _NEVER = (Outcome.REJECTED, Outcome.ABANDONED, Outcome.ANSWERED)
 
@@ -43,6 +47,7 @@
     """Whether another try may help, budget aside."""
     return (
         outcome not in _NEVER
+        and work.runs < _MOST_RUNS
         and len(work.tried) < _MOST_TRIES
         and work.left(now) > 0
     )
--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -74,6 +74,8 @@
 
     def may_retry(self, work: Work, outcome: Outcome) -> bool:
         """Whether one more attempt is worth it and in the retry budget."""
+        if outcome not in _NOT_RUN:
+            work.runs += 1
         if not is_worth_retrying(work, outcome, _now()):
             return False
         if outcome in _NOT_RUN:
--- a/libs/policy/src/rattanmill_policy/work.py
+++ b/libs/policy/src/rattanmill_policy/work.py
@@ -29,6 +29,7 @@
         attained_seconds: Service that the program has had so far.
         body_digest: Digest of the body, to recognise a call sent again.
         tried: Endpoints on which this call has failed.
+        runs: How many of these may have run it.
         began: Loop time of the first try; set by the scheduler.
         deadline: Loop time of the caller's deadline; set by the scheduler.
     """
@@ -48,6 +49,7 @@
     attained_seconds: float = 0.0
     body_digest: bytes = b""
     tried: list[str] = msgspec.field(default_factory=list)
+    runs: int = 0
     began: float = 0.0
     deadline: float = 0.0
 
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -74,6 +74,13 @@
     And the same call loses its engine again
     Then it is answered
 
+  Scenario: Several suspects of one crash
+    An engine dies with a poisoned call and innocent ones in flight. If two of
+    them meet at the next engine, its crash tells nothing of either, and a
+    third engine is lost before the poisoned one is refused.
+
+    Then suspects of one crash run again one after the other, everywhere alike
+
   Scenario: Reports of crashes in any order
     Given any crashes and finished runs of requests
     Then instances that hear of them in any order agree on whom to refuse
--- a/tests/features/retries.feature
+++ b/tests/features/retries.feature
@@ -19,6 +19,15 @@
     When calls are made until one fails at "a"
     Then it is answered by "b"
 
+  Scenario: Endpoints that are down beside one that dies
+    A call loses its endpoint to a crash, and the next ones that it tries are
+    down as well. It has run once; refused now, its caller would be told of a
+    failure while another endpoint stands idle.
+
+    Given runners "a, b, c, d" of which "a" breaks each call and "b, c" are down
+    When calls are made until one fails at "a, b, c"
+    Then it is answered by "d"
+
   Scenario: A runner dies with a call in flight
     The process of a runner ends between two tokens. The caller has seen
     nothing yet and should not need to know.
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -335,6 +335,19 @@
     assert not quarantine.is_condemned(innocent)
 
 
+@then("suspects of one crash run again one after the other, everywhere alike")
+def step_places_differ(context):
+    crash = [CrashNote(each, "engine-1", BASE, each) for each in PRINTS]
+    # Of another crash: no reason to wait for it.
+    beside = CrashNote(b"beside" * 2, "engine-2", BASE, b"beside" * 2)
+    for order in itertools.permutations([*crash, beside]):
+        quarantine = told(order)
+        places = list(map(quarantine.place_of, PRINTS))
+        assert places == [0, 1, 2], places
+        assert quarantine.place_of(beside.fingerprint) == 0
+    assert quarantine.place_of(b"never seen") == 0
+
+
 @then("a request that is finished between crashes is never refused")
 def step_finished_between(context):
     now = int(time.time() * 1000)
--- a/tests/features/steps/retries.py
+++ b/tests/features/steps/retries.py
@@ -74,23 +74,35 @@
     context.make = _ours
 
 
-@when('calls are made until one fails at "a"')
-def step_until(context):
+@given('runners "a, b, c, d" of which "a" breaks each call and "b, c" are down')
+def step_a_breaks_others_down(context):
+    context.make = _ours
+    context.names = "abcd"
+    context.down = "bc"
+
+
+@when('calls are made until one fails at "{failing}"')
+def step_until(context, failing):
+    names = getattr(context, "names", "ab")
+    context.failed_at = set(failing.split(", "))
+
     async def run():
-        fleet = _broken("ab", "a", context.make)
+        fleet = _broken(names, "a", context.make)
+        fleet.down = set(getattr(context, "down", ""))
         for number in range(100):
             placed = await fleet.call(chat_work(f"program-{number}"))
-            if placed.work.tried:
+            if set(placed.work.tried) == context.failed_at:
                 return placed
-        raise AssertionError("a never got a call")
+        raise AssertionError(f"no call met all of {failing}")
 
     context.placed = run_virtually(run())
 
 
-@then('it is answered by "b"')
-def step_by_b(context):
-    assert context.placed.work.tried == ["a"]
-    assert context.placed.state.endpoint.name == "b"
+@then('it is answered by "{name}"')
+def step_by(context, name):
+    tried = context.placed.work.tried
+    assert sorted(tried) == sorted(context.failed_at), tried
+    assert context.placed.state.endpoint.name == name
     assert context.placed.outcome is Outcome.ANSWERED
 
 
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -59,6 +59,7 @@
 
     Attributes:
         failing: Names of endpoints that break each call.
+        down: Names of endpoints that cannot be reached.
         ran: Calls that each endpoint was given.
         classes: Classes in force; may be replaced at any time.
     """
@@ -70,6 +71,7 @@
     ) -> None:
         self.seconds = seconds
         self.failing: set[str] = set()
+        self.down: set[str] = set()
         self.ran: collections.Counter[str] = collections.Counter()
         self.classes = {"default": WorkClass()}
         self.table = EndpointTable()
@@ -108,6 +110,10 @@
     async def finish(self, placed: Placement) -> None:
         """Runs a call that has a place to its end."""
         name = placed.state.endpoint.name
+        if name in self.down:
+            with placed:
+                placed.outcome = Outcome.NOT_CONNECTED
+            return
         self.ran[name] += 1
         with placed:
             if name in self.failing:
