Pass long bodies on as they arrive; bound slow heads and bodies; answer Expect

Cause: a front read every body whole before it chose an endpoint, waited for a slow one without bound, held a connection with half a head open for ever, and left a caller that waits for '100 Continue' waiting. Ruled out: one bound of the HTTP library for all of it (it has none for heads and answers Expect only in its application class, which fronts do not use). A body that is partly gone is not sent to a second endpoint; its refusal says that it has not run.

--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -24,6 +24,7 @@
     BODY_TOO_LARGE = "body_too_large"
     BODY_TOO_SLOW = "body_too_slow"
     HEADERS_TOO_LARGE = "headers_too_large"
+    HEADERS_TOO_SLOW = "headers_too_slow"
     NO_ROUTE = "no_route"
     UNKNOWN_TURN = "unknown_turn"
     TURN_UNSURE = "turn_unsure"
@@ -75,6 +76,7 @@
     Reason.BODY_TOO_LARGE: _Rule(413),
     Reason.BODY_TOO_SLOW: _Rule(408),
     Reason.HEADERS_TOO_LARGE: _Rule(431),
+    Reason.HEADERS_TOO_SLOW: _Rule(408),
     Reason.NO_ROUTE: _Rule(404),
     Reason.UNKNOWN_TURN: _Rule(404),
     Reason.TURN_UNSURE: _Rule(503, retry_after=0.5),
--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -122,12 +122,15 @@
         read_call: Decodes method, target and headers; a string names what is
             wrong with them.
         endpoint_headers: Headers of a call for an endpoint, given the seconds
-            left and the last event that the caller has.
+            left, the last event that the caller has and the bytes of the body
+            (None: only its end will tell).
         read_answer: Decodes status and headers of an answer.
         write_refusal: Encodes a refusal.
     """
 
     read_call: Callable[[str, str, Headers], Call | str]
-    endpoint_headers: Callable[[Call, Endpoint, float, str, int], Headers]
+    endpoint_headers: Callable[
+        [Call, Endpoint, float, str, int | None], Headers
+    ]
     read_answer: Callable[[int, Headers], AnswerHead]
     write_refusal: Callable[[Refusal], RefusalHead]
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -10,13 +10,13 @@
 from rattanmill_core import (
     InstanceSettings,
     Metrics,
-    SettingsError,
     Signals,
     log_event,
     serve_metrics,
     start_loop,
     warn_event,
 )
+from rattanmill_forward.callers import Bounds, listen
 from rattanmill_forward.calls import Dialect
 from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.endpoints import Endpoint, EndpointBook
@@ -34,8 +34,6 @@
 # Left between the last request's end and SIGKILL.
 _EXIT_SECONDS = 0.8
 _SWEEP_SECONDS = 0.5
-_MOST_HEAD_BYTES = 64 * 1024
-_BACKLOG = 1024
 # A watch that is silent for longer is given up; this bounds how late a change
 # of the configuration is noticed after a connection has gone silent.
 _WATCH_SECONDS = 2.5
@@ -163,19 +161,17 @@
         stack.callback(sweeper.cancel)
         pings = start_loop("pings", keepers.ping_for_ever())
         stack.callback(pings.cancel)
-        callers = await _listen(
+        callers = await listen(
             settings.callers,
-            _Server(front.serve, front.idle_seconds, True),
+            front.serve,
+            Bounds(front.limits, True, metrics),
             settings.grace_seconds - _NOTICE_SECONDS - _EXIT_SECONDS,
         )
         stack.push_async_callback(callers.cleanup)
-        ready = await _listen(
+        ready = await listen(
             settings.readiness,
-            _Server(
-                _readiness(lambda: _is_ready(view, front, keepers)),
-                front.idle_seconds,
-                False,
-            ),
+            _readiness(lambda: _is_ready(view, front, keepers)),
+            Bounds(front.limits, False, metrics),
             _EXIT_SECONDS / 2,
         )
         stack.push_async_callback(ready.cleanup)
@@ -207,50 +203,6 @@
     return answer
 
 
-class _Server(web.Server):
-    """Makes connections with the idle time that is in force.
-
-    Args:
-        serve: Answers a request.
-        idle_seconds: Returns how long a connection may stay idle.
-        handler_cancellation: Whether a caller that leaves ends its request.
-    """
-
-    def __init__(
-        self,
-        serve: Callable,
-        idle_seconds: Callable[[], float],
-        handler_cancellation: bool,
-    ) -> None:
-        super().__init__(serve, handler_cancellation=handler_cancellation)
-        self.idle_seconds = idle_seconds
-
-    def __call__(self) -> web.RequestHandler:
-        """Makes the protocol of a new connection."""
-        return web.RequestHandler(
-            self,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=self.idle_seconds(),
-            access_log=None,
-            max_line_size=_MOST_HEAD_BYTES,
-            max_field_size=_MOST_HEAD_BYTES,
-        )
-
-
-async def _listen(
-    address: str, server: _Server, shutdown_seconds: float
-) -> web.ServerRunner:
-    runner = web.ServerRunner(server, shutdown_timeout=shutdown_seconds)
-    await runner.setup()
-    host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
-    try:
-        await site.start()
-    except OSError as error:
-        raise SettingsError(f"{address} cannot be used: {error}") from error
-    return runner
-
-
 async def _sweep(pool: Pool) -> None:
     while True:
         await asyncio.sleep(_SWEEP_SECONDS)
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from rattanmill_core import Metrics, Ran, Reason, Refusal, log_event, refuse
+from rattanmill_forward.bodies import Rest
 from rattanmill_forward.calls import Call, Dialect
 from rattanmill_forward.endpoints import Endpoint, EndpointBook
 from rattanmill_forward.exchange import (
@@ -41,6 +42,7 @@
         tried: Endpoints that can't run it now.
         ended: Endpoints at which it may have run and that have ended since.
         last_event: Id of the last event that the caller has, or empty.
+        rest: The part of a long body that is still to come, or None.
     """
 
     call: Call
@@ -52,6 +54,17 @@
     tried: set[str] = msgspec.field(default_factory=set)
     ended: set[str] = msgspec.field(default_factory=set)
     last_event: str = ""
+    rest: Rest | None = None
+
+    @property
+    def body_bytes(self) -> int | None:
+        """Bytes of the body, or None if only its end will tell."""
+        return self.rest.size if self.rest else len(self.body)
+
+    @property
+    def can_send(self) -> bool:
+        """Whether all of the body is still at hand."""
+        return self.rest is None or not self.rest.taken
 
     @property
     def ran(self) -> Ran:
@@ -202,10 +215,11 @@
                         endpoint,
                         job.left(),
                         job.last_event,
-                        len(job.body),
+                        job.body_bytes,
                     ),
                     job.body,
                     job.call.request,
+                    job.rest.chunks() if job.rest else None,
                 )
         except TimeoutError:
             job.ran_on.append(endpoint.name)
@@ -244,19 +258,31 @@
 
     def _not_run(
         self, job: Job, endpoint: Endpoint, reason: str, why: str
-    ) -> None:
+    ) -> Refusal | None:
         job.tried.add(endpoint.name)
+        if not job.can_send:
+            return refuse(
+                Reason.OVERLOADED,
+                f"{endpoint.name} did not take it: {why}",
+                ran=job.ran,
+                retry_after=_FULL_RETRY_SECONDS,
+            )
         self._log_retry(job, endpoint, reason, why)
+        return None
 
     def _broken(self, job: Job, endpoint: Endpoint, why: str) -> Refusal | None:
         """Decides what follows from a call that may have run."""
+        if job.rest and job.rest.refusal:
+            return job.rest.refusal
         self.known.failed(endpoint, is_unreached=False)
         job.ran_on.append(endpoint.name)
         if not job.route.resumable:
             job.tried.add(endpoint.name)
         # A stream that may be resumed goes on where it ran, if nowhere else.
-        may_repeat = job.route.is_repeatable and (
-            job.may_run_anywhere or job.route.resumable
+        may_repeat = (
+            job.can_send
+            and job.route.is_repeatable
+            and (job.may_run_anywhere or job.route.resumable)
         )
         if may_repeat:
             self._log_retry(job, endpoint, "broken", why)
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -56,6 +56,14 @@
         self.error: Exception | None = None
         self.waiter: asyncio.Future | None = None
         self.paused = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    def pause_writing(self) -> None:
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        self.writable.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -76,6 +84,13 @@
         if not self.eof:
             self.error = exc or ConnectionResetError("closed")
         self.eof = True
+        self.writable.set()
+        self._wake()
+
+    def fail(self, error: Exception) -> None:
+        """Ends what is being received with an error of our own."""
+        self.error = error
+        self.eof = True
         self._wake()
 
     @property
@@ -116,6 +131,7 @@
         self.wire = wire
         self.http = _new_http()
         self.idle_until = 0.0
+        self.pump: asyncio.Task | None = None
 
     @property
     def is_reusable(self) -> bool:
@@ -123,9 +139,14 @@
         return self.wire.is_clean and _now() < self.idle_until
 
     def send(
-        self, method: str, target: str, headers: Headers, body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        rest: AsyncIterator[bytes] | None = None,
     ) -> None:
-        """Writes a whole request.
+        """Writes a request; the rest of its body follows as it comes.
 
         Raises:
             h11.LocalProtocolError: It can't be written as a request.
@@ -134,9 +155,25 @@
         data = self.http.send(request)
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
-        data += self.http.send(h11.EndOfMessage()) or b""
+        if rest is None:
+            data += self.http.send(h11.EndOfMessage()) or b""
         self.request = request
         self.wire.transport.write(data)
+        if rest is not None:
+            self.pump = asyncio.create_task(self._send_rest(rest))
+
+    async def _send_rest(self, rest: AsyncIterator[bytes]) -> None:
+        """Passes the rest of a body on, as fast as the endpoint reads it."""
+        try:
+            async for chunk in rest:
+                await self.wire.writable.wait()
+                if self.wire.eof:
+                    return
+                self.wire.transport.write(self.http.send(h11.Data(data=chunk)))
+            self.wire.transport.write(self.http.send(h11.EndOfMessage()) or b"")
+        except (BrokenError, OSError, h11.LocalProtocolError) as error:
+            # Whoever waits for the answer learns it from the connection.
+            self.wire.fail(error)
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of the answer.
@@ -184,6 +221,8 @@
 
     def abort(self) -> None:
         """Closes it at once, which ends the endpoint's work on it."""
+        if self.pump:
+            self.pump.cancel()
         if self.wire.transport:
             self.wire.transport.abort()
 
@@ -268,6 +307,7 @@
         headers: Headers,
         body: bytes,
         request: str,
+        rest: AsyncIterator[bytes] | None = None,
     ) -> Answer | ConnectFailed | Broken:
         """Sends a request and returns its answer once the head is there.
 
@@ -277,7 +317,7 @@
         if isinstance(connection, ConnectFailed):
             return connection
         try:
-            connection.send(method, target, headers, body)
+            connection.send(method, target, headers, body, rest)
         except h11.LocalProtocolError as error:
             connection.abort()
             return ConnectFailed(f"cannot be sent: {error}")
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from rattanmill_core import Metrics, Reason, Refusal, log_event, refuse
+from rattanmill_forward.bodies import Rest, read_body
 from rattanmill_forward.calls import AnswerHead, Call, Dialect, Headers
 from rattanmill_forward.dispatch import Dispatcher, Job, Running
 from rattanmill_forward.events import Event, EventReader
@@ -49,9 +50,9 @@
         self.ending = False
         self.active = 0
 
-    def idle_seconds(self) -> float:
-        """Returns how long a caller's connection may stay idle."""
-        return (self.table.limits if self.table else Limits()).idle_seconds
+    def limits(self) -> Limits:
+        """Returns the operators' bounds that are in force."""
+        return self.table.limits if self.table else Limits()
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
@@ -73,10 +74,10 @@
         if isinstance(route, Refusal):
             return self._refuse(request, call, route)
         table = self.table
-        body = await _read_body(request, table.limits.body_bytes)
-        if isinstance(body, Refusal):
-            return self._refuse(request, call, body)
-        call.body = body
+        read = await self._read(request, call, route)
+        if isinstance(read, Refusal):
+            return self._refuse(request, call, read)
+        call.body, rest = read
         service = table.service_of(route)
         log_event(
             "admitted",
@@ -86,12 +87,13 @@
             version=table.version,
             service=service.name,
             previous=call.previous,
-            bytes=len(body),
+            bytes=len(call.body),
+            streamed=rest is not None,
             left_ms=_ms(call.seconds_left),
             finish_ms=_ms(call.finish_seconds),
         )
         try:
-            return await self._run(request, call, route, service)
+            return await self._run(request, call, rest, route, service)
         except asyncio.CancelledError:
             log_event("caller_left", request=call.request)
             raise
@@ -113,10 +115,26 @@
             return refuse(Reason.NO_ROUTE, "no route matches host and path")
         return route
 
+    async def _read(
+        self, request: web.BaseRequest, call: Call, route: Route
+    ) -> tuple[bytes, Rest | None] | Refusal:
+        """Reads a request's body while there is time to serve it."""
+        is_whole = route.kind is Kind.STREAM
+        try:
+            async with asyncio.timeout_at(
+                call.arrived + _patience(call, route)
+            ):
+                return await read_body(
+                    request, self.limits().body_bytes, is_whole
+                )
+        except TimeoutError:
+            return refuse(Reason.BODY_TOO_SLOW, "the body took too long")
+
     async def _run(
         self,
         request: web.BaseRequest,
         call: Call,
+        rest: Rest | None,
         route: Route,
         service: Service,
     ) -> web.StreamResponse:
@@ -132,6 +150,7 @@
             turn.body,
             call.arrived + _patience(call, route),
             last_event=call.last_event,
+            rest=rest,
         )
         try:
             if route.kind is Kind.STREAM:
@@ -343,21 +362,6 @@
         )
 
 
-async def _read_body(request: web.BaseRequest, most: int) -> bytes | Refusal:
-    """Reads a body whole, up to the operators' bound."""
-    too_large = refuse(
-        Reason.BODY_TOO_LARGE, f"a body of more than {most} bytes"
-    )
-    if (request.content_length or 0) > most:
-        return too_large
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > most:
-            return too_large
-    return bytes(body)
-
-
 def _patience(call: Call, route: Route) -> float:
     """Returns how long a request may take, in seconds from its arrival."""
     bounds = [route.timeout_seconds]
--- /dev/null
+++ b/tests/features/steps/site_bodies.py
@@ -0,0 +1,173 @@
+"""Steps of callers that send heads and bodies by hand."""
+
+import http.client
+import io
+import itertools
+import socket
+
+from behave import given, then, when
+from steps.site import site
+
+from support import wait_until
+
+_HOST = "Host: tents.example\r\nX-Deadline-Ms: 3000\r\n"
+_HIDDEN = "X-Request-Id: hidden01\r\n"
+_IDS = itertools.count(1)
+
+
+def connect(context, domain="east"):
+    host, _, port = site(context).front(domain).rpartition(":")
+    context.sock = socket.create_connection((host, int(port)), timeout=10)
+    context.scenario_stack.callback(context.sock.close)
+    context.request = f"b0d1{next(_IDS):08x}"
+    return context.sock
+
+
+def head(context, *lines, path="/pay/long"):
+    return (
+        f"POST {path} HTTP/1.1\r\n{_HOST}X-Request-Id: {context.request}\r\n"
+        + "".join(f"{line}\r\n" for line in lines)
+        + "\r\n"
+    ).encode()
+
+
+def answer(context):
+    """Reads one answer; returns its status."""
+    response = http.client.HTTPResponse(context.sock)
+    response.begin()
+    response.read()
+    return response.status
+
+
+@given('a configuration with "{name}" of {value:d}')
+def step_limit(context, name, value):
+    site(context).configure(**{name: value})
+    context.scenario_stack.callback(site(context).configure)
+    version = site(context).version
+    for domain in ("east", "west", "north"):
+        front = site(context).processes[f"front-{domain}"]
+        wait_until(
+            lambda f=front: (
+                f.events("config_in_force")[-1]["version"] == version
+            ),
+            "the configuration is in force",
+        )
+
+
+@when('half a head is sent to "{domain}"')
+def step_half_head(context, domain):
+    connect(context, domain).sendall(b"POST /pay/a HTTP/1.1\r\nHost: te")
+
+
+@then("the connection is answered with {status:d} and closed")
+def step_answered_closed(context, status):
+    data = b""
+    while part := context.sock.recv(4096):
+        data += part
+    assert data.startswith(f"HTTP/1.1 {status} ".encode()), data
+
+
+@then("the connection is answered with {status:d}")
+def step_answered(context, status):
+    found = answer(context)
+    assert found == status, found
+
+
+@when("a payment announces {size:d} bytes and sends {sent:d}")
+def step_announces(context, size, sent):
+    sock = connect(context)
+    sock.sendall(head(context, f"Content-Length: {size}") + b"x" * sent)
+
+
+@when('a payment that expects "{what}" is sent to "{domain}"')
+def step_expects(context, what, domain):
+    sock = connect(context, domain)
+    sock.sendall(head(context, "Content-Length: 4", f"Expect: {what}"))
+
+
+@then("the caller is told to go on, and then answered with {status:d}")
+def step_told(context, status):
+    told = context.sock.recv(25, socket.MSG_WAITALL)
+    assert told == b"HTTP/1.1 100 Continue\r\n\r\n", told
+    context.sock.sendall(b"body")
+    step_answered(context, status)
+
+
+@then("the runner has got its body and no expectation")
+def step_got_body(context):
+    (seen,) = site(context).seen(context.request)
+    assert seen["body"] == "body", seen
+    assert "expect" not in seen["headers"], seen
+
+
+def hidden():
+    return (
+        f"POST /pay/hidden HTTP/1.1\r\n{_HOST}{_HIDDEN}"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+@when("a request framed by {framing} hides another one")
+def step_smuggle(context, framing):
+    inside = hidden()
+    chunked = "Transfer-Encoding: chunked"
+    lines, body = {
+        "both": (
+            [f"Content-Length: {len(inside) + 5}", chunked],
+            b"0\r\n\r\n" + inside,
+        ),
+        "two lengths": (
+            ["Content-Length: 0", f"Content-Length: {len(inside)}"],
+            inside,
+        ),
+        "a bad chunk": ([chunked], b"0x0\r\n\r\n" + inside),
+        "a signed size": (["Content-Length: +0"], inside),
+    }[framing]
+    connect(context).sendall(head(context, *lines) + body)
+
+
+@then("no runner has seen it or the hidden one")
+def step_not_seen(context):
+    assert not site(context).seen(context.request)
+    assert not site(context).seen("hidden01")
+
+
+def send_chunks(sock, data):
+    for start in range(0, len(data), 7000):
+        part = data[start : start + 7000]
+        sock.sendall(b"%x\r\n%s\r\n" % (len(part), part))
+
+
+def is_streamed(context, domain):
+    front = site(context).processes[f"front-{domain}"]
+    return any(
+        line["request"] == context.request and line["streamed"]
+        for line in front.events("admitted")
+    )
+
+
+@when('a payment of {size:d} bytes in chunks is sent to "{domain}"')
+def step_chunks(context, size, domain):
+    sock = connect(context, domain)
+    sent = io.BytesIO(bytes(i % 251 for i in range(size)))
+    context.body = sent.getvalue()
+    sock.sendall(head(context, "Transfer-Encoding: chunked"))
+    send_chunks(sock, sent.read(80_000))
+    # What is kept at hand could be sent again: the end waits until the front
+    # has begun to pass the body on.
+    wait_until(lambda: is_streamed(context, domain), "the body goes on")
+    send_chunks(sock, sent.read())
+    sock.sendall(b"0\r\n\r\n")
+
+
+@then("the runner has got all {size:d} bytes")
+def step_got_all(context, size):
+    (seen,) = site(context).seen(context.request)
+    assert len(context.body) == size
+    assert seen["body"].encode("latin-1") == context.body
+
+
+@then("it was offered to one runner")
+def step_offered_once(context):
+    (seen,) = site(context).seen(context.request)
+    assert seen["fault"] == "shed", seen
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -27,7 +27,7 @@
             answer), ``unframed_reset``, ``extra`` (a second answer),
             ``unsigned``, ``encoded``, ``foreign`` (an answer to another
             request goes first, ``foreign_apart``: in a packet of its own),
-            ``slow`` (2 s).
+            ``slow`` (2 s), ``early`` (a whole answer before the body is in).
         requests: Each request that ran or was refused.
     """
 
@@ -55,7 +55,13 @@
         for line in filter(None, lines):
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
-        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        next_fault = self.faults[0] if self.faults else ""
+        early = target != "/control" and next_fault == "early"
+        if early:
+            head = _head(200, headers.get("x-request-id", ""), _SIGNED, 5)
+            writer.write(head + b"early")
+            await writer.drain()
+        body = await _read_body(reader, headers)
         if target == "/control":
             return await self._control(writer, body)
         fault = self.faults.popleft() if self.faults else ""
@@ -67,6 +73,8 @@
             "fault": fault,
         }
         self.requests.append(seen)
+        if early:
+            return True
         return await self._answer(writer, seen, fault)
 
     async def _control(self, writer: asyncio.StreamWriter, body: bytes) -> bool:
@@ -153,6 +161,19 @@
 _STREAM = {**_SIGNED, "Content-Type": "text/event-stream"}
 
 
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str]
+) -> bytes:
+    if headers.get("transfer-encoding") != "chunked":
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readline()
+    await reader.readline()
+    return body
+
+
 def _head(
     status: int,
     request: str,
