--- /dev/null
+++ b/tests/features/steps/site_store.py
@@ -0,0 +1,109 @@
+"""Steps of a platform's store that misbehaves."""
+
+from behave import then, when
+from steps.site import pay, site
+
+from support import wait_until
+
+_DOMAINS = ("east", "west", "north")
+_DESKS = ("desk-0", "desk-1", "desk-2")
+
+
+def front(context, domain):
+    return site(context).processes[f"front-{domain}"]
+
+
+def repair(context):
+    site(context).faults(refuse_sources=[], down=False)
+
+
+@when("all waiting watches go silent")
+def step_silent(context):
+    status = site(context).store.request("POST", "/silence", {}).status
+    assert status == 200, status
+
+
+@when("bodies are bounded at {size:d} bytes")
+def step_bound(context, size):
+    site(context).configure(max_body_bytes=size)
+    context.scenario_stack.callback(site(context).configure)
+
+
+@when('the store turns the front of "{domain}" away')
+def step_refuse(context, domain):
+    host, _, _ = site(context).front(domain).rpartition(":")
+    site(context).faults(refuse_sources=[host])
+    context.scenario_stack.callback(repair, context)
+
+
+@when("the store serves everybody again")
+def step_serve_all(context):
+    repair(context)
+
+
+@then('the front of "{domain}" read the store through a storage instance')
+def step_relayed(context, domain):
+    assert front(context, domain).events("store_relayed")
+
+
+@then('the front of "{domain}" reads the store directly')
+def step_direct(context, domain):
+    wait_until(
+        lambda: front(context, domain).events("store_direct"),
+        "the store is read directly",
+    )
+
+
+@when("the store is away and the entries of the desks lapse")
+def step_lapse(context):
+    context.scenario_stack.callback(register, context, _DESKS)
+    context.scenario_stack.callback(repair, context)
+    lost = {d: len(front(context, d).events("watch_lost")) for d in _DOMAINS}
+    site(context).faults(down=True)
+    for domain in _DOMAINS:
+        # Runners, configuration and storage instances.
+        wait_until(
+            lambda d=domain: (
+                len(front(context, d).events("watch_lost")) >= lost[d] + 2
+            ),
+            "the front has noticed",
+        )
+    for name in _DESKS:
+        site(context).remove(f"servers/{name}")
+
+
+def register(context, names):
+    for name in names:
+        service, _, index = name.partition("-")
+        site(context).register(name, service, int(index))
+
+
+@then("payments at every front are answered with {status:d}")
+def step_pay_everywhere(context, status):
+    for domain in _DOMAINS * 3:
+        _, answer = pay(context, domain)
+        assert answer.status == status, answer
+
+
+@when('the store is back, and so are the entries of "{names}"')
+def step_back(context, names):
+    back = {d: len(front(context, d).events("watch_back")) for d in _DOMAINS}
+    repair(context)
+    for domain in _DOMAINS:
+        wait_until(
+            lambda d=domain: (
+                len(front(context, d).events("watch_back")) >= back[d] + 2
+            ),
+            "the front follows the store again",
+        )
+    register(context, names.split(", "))
+
+
+@then('no front has taken "{names}" for gone')
+def step_not_gone(context, names):
+    for domain in _DOMAINS:
+        gone = {
+            line["endpoint"]
+            for line in front(context, domain).events("endpoint_gone")
+        }
+        assert not gone & set(names.split(", ")), (domain, gone)
--- a/tests/standins/sitestore.py
+++ b/tests/standins/sitestore.py
@@ -56,6 +56,8 @@
         self.leases: dict[int, Lease] = {}
         self.revision = 1
         self.oldest = 0
+        # Watches of an earlier round are never answered.
+        self.round = 0
         self.changed = asyncio.Condition()
 
     def app(self) -> web.Application:
@@ -72,6 +74,7 @@
         app.router.add_put("/put", self.put)
         app.router.add_delete("/put", self.remove)
         app.router.add_post("/compact", self.compact)
+        app.router.add_post("/silence", self.silence)
         app.cleanup_ctx.append(self._lapse_leases)
         return app
 
@@ -135,7 +138,10 @@
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         end = loop.time() + int(request.query["wait_ms"]) / 1000
+        began = self.round
         while True:
+            if self.round != began:
+                await asyncio.sleep(3600)
             if after < self.oldest:
                 return web.Response(status=410)
             news = sorted(
@@ -209,6 +215,11 @@
             self.changed.notify_all()
         return web.json_response({})
 
+    async def silence(self, request: web.Request) -> web.Response:
+        """Lets the connections of all waiting watches go silent."""
+        self.round += 1
+        return web.json_response({})
+
     async def grant(self, request: web.Request) -> web.Response:
         """Answers ``POST /v1/kv-lease``."""
         seconds = (await request.json())["ttl_ms"] / 1000
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -189,6 +189,11 @@
         path = f"/put?key={urllib.parse.quote(key, safe='')}"
         assert self.store.request("PUT", path, value).status == 200
 
+    def remove(self, key: str) -> None:
+        """Removes a key of the store past all conditions."""
+        path = f"/put?key={urllib.parse.quote(key, safe='')}"
+        assert self.store.request("DELETE", path).status == 200
+
     @property
     def store(self) -> Client:
         """A client of the store."""
