--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -171,7 +171,13 @@
         views = {
             endpoint.name: (
                 endpoint,
-                self.known.view(endpoint, job.call, job.kind, events),
+                self.known.view(
+                    endpoint,
+                    job.call,
+                    job.kind,
+                    events,
+                    self.pool.has_idle(endpoint),
+                ),
             )
             for endpoint in candidates
         }
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -191,7 +191,12 @@
         return usual
 
     def view(
-        self, endpoint: Endpoint, call: Call, kind: str, events: float
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        kind: str,
+        events: float,
+        is_connected: bool,
     ) -> View:
         """Returns an endpoint as a decision about a call sees it.
 
@@ -200,6 +205,7 @@
             call: The call.
             kind: Kind of call, for its usual time.
             events: Events that the answer should have; 0: no stream.
+            is_connected: Whether an idle connection to it is at hand.
         """
         now = _now()
         stats = self.of(endpoint)
@@ -222,6 +228,7 @@
             stats.busy(now),
             run,
             read,
+            is_connected,
             overdue,
         )
 
