--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -171,13 +171,7 @@
         views = {
             endpoint.name: (
                 endpoint,
-                self.known.view(
-                    endpoint,
-                    job.call,
-                    job.kind,
-                    events,
-                    self.pool.has_idle(endpoint),
-                ),
+                self.known.view(endpoint, job.call, job.kind, events),
             )
             for endpoint in candidates
         }
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -376,13 +376,6 @@
         bound_silence(wire.transport.get_extra_info("socket"))
         return Connection(endpoint, wire)
 
-    def has_idle(self, endpoint: Endpoint) -> bool:
-        """Whether a call to it needs no new connection."""
-        return any(
-            connection.is_reusable
-            for connection in self.idle.get(endpoint.address, ())
-        )
-
     def give_back(
         self, connection: Connection, head: AnswerHead, ended: bool
     ) -> None:
--- a/libs/forward/src/rattanmill_forward/placing.py
+++ b/libs/forward/src/rattanmill_forward/placing.py
@@ -14,10 +14,6 @@
 # A trip to another failure domain and back, with the first bytes; settles
 # ties and no more.
 _FAR_SECONDS = 0.002
-# A connection has to be made first: a trip and the endpoint's time to accept.
-# Without it calls go to ever other endpoints of equal speed, and connections
-# that nobody uses for a while are closed and made anew.
-_CONNECT_SECONDS = 0.004
 
 
 class View(msgspec.Struct):
@@ -30,7 +26,6 @@
         busy: Requests running or waiting there, as far as known.
         run_seconds: Time the call should take there once it runs.
         read_seconds: Time to read the part of its prompt not cached there.
-        is_connected: Whether an idle connection to it is at hand.
         overdue_seconds: How much longer than usual its oldest call has been
             waiting for the first byte.
     """
@@ -41,7 +36,6 @@
     busy: float
     run_seconds: float
     read_seconds: float
-    is_connected: bool = True
     overdue_seconds: float = 0.0
 
 
@@ -52,9 +46,7 @@
     ahead = max(0.0, view.busy + 1 - slots)
     wait = ahead / slots * view.run_seconds
     far = 0.0 if view.is_near else _FAR_SECONDS
-    connect = 0.0 if view.is_connected else _CONNECT_SECONDS
-    way = far + connect
-    return wait + view.read_seconds + run + way + view.overdue_seconds
+    return wait + view.read_seconds + run + far + view.overdue_seconds
 
 
 def choose(views: list[View]) -> View | None:
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -191,12 +191,7 @@
         return usual
 
     def view(
-        self,
-        endpoint: Endpoint,
-        call: Call,
-        kind: str,
-        events: float,
-        is_connected: bool,
+        self, endpoint: Endpoint, call: Call, kind: str, events: float
     ) -> View:
         """Returns an endpoint as a decision about a call sees it.
 
@@ -205,7 +200,6 @@
             call: The call.
             kind: Kind of call, for its usual time.
             events: Events that the answer should have; 0: no stream.
-            is_connected: Whether an idle connection to it is at hand.
         """
         now = _now()
         stats = self.of(endpoint)
@@ -228,7 +222,6 @@
             stats.busy(now),
             run,
             read,
-            is_connected,
             overdue,
         )
 
