Quarantine requests that crash runners, over all fronts

Cause: on the users' platform nothing counted the endpoints that a request had crashed; its caller could send it again without end, each time through another front, each time at the cost of one or two endpoints for seconds. Ruled out: asking a storage instance before each call (a trip on every plain call), and links between fronts (they do not know each other). Condemning after two crashes, as the native interface does: a runner that fails by itself takes innocent calls along, and a short request may be the same for many callers. Change: a front that loses an endpoint with a request in flight tells one storage instance of each domain; the others hear it with their next sign of life, 0.4 s later, as a difference to what they heard before. Three crashes without a whole answer condemn a request: 503, not run, 30 s. A gone endpoint is known by its entry, its other connections, or one refused connection. Before: site_quarantine.feature fails (each front sends the poisoned payment on). After: 2 of 2; without telling, or without clearing, one of the two fails.

--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -18,6 +18,7 @@
 )
 from rattanmill_forward.callers import Bounds, listen
 from rattanmill_forward.calls import Dialect
+from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.endpoints import Endpoint, EndpointBook
 from rattanmill_forward.exchange import Pool
@@ -145,9 +146,10 @@
     keepers = KeeperClient(
         settings.domain, settings.lost_disks + 1, members, metrics
     )
+    guard = CrashGuard(book, pool, keepers, metrics)
     front = Front(
         dialect,
-        Dispatcher(book, known, pool, dialect, metrics),
+        Dispatcher(book, known, pool, guard, dialect, metrics),
         Turns(keepers, metrics),
         metrics,
     )
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -9,6 +9,7 @@
 from rattanmill_core import Metrics, Ran, Reason, Refusal, log_event, refuse
 from rattanmill_forward.bodies import Rest
 from rattanmill_forward.calls import Call, Dialect
+from rattanmill_forward.crashes import CrashGuard, fingerprint_of
 from rattanmill_forward.endpoints import Endpoint, EndpointBook
 from rattanmill_forward.exchange import (
     Answer,
@@ -43,6 +44,7 @@
         ended: Endpoints at which it may have run and that have ended since.
         last_event: Id of the last event that the caller has, or empty.
         rest: The part of a long body that is still to come, or None.
+        fingerprint: What stays the same when it is sent again.
     """
 
     call: Call
@@ -55,6 +57,10 @@
     ended: set[str] = msgspec.field(default_factory=set)
     last_event: str = ""
     rest: Rest | None = None
+    fingerprint: bytes = b""
+
+    def __post_init__(self) -> None:
+        self.fingerprint = fingerprint_of(self.call, self.body)
 
     @property
     def body_bytes(self) -> int | None:
@@ -118,6 +124,7 @@
         known: What was learned of them.
         pool: Connections to them.
         dialect: How they are spoken to.
+        guard: Refuses calls that crash endpoints.
         metrics: Counters and times.
     """
 
@@ -126,12 +133,14 @@
         book: EndpointBook,
         known: Knowledge,
         pool: Pool,
+        guard: CrashGuard,
         dialect: Dialect,
         metrics: Metrics,
     ) -> None:
         self.book = book
         self.known = known
         self.pool = pool
+        self.guard = guard
         self.dialect = dialect
         self.metrics = metrics
 
@@ -145,6 +154,10 @@
             if job.left() < _LEAST_SECONDS:
                 yield self._refuse(job, Reason.DEADLINE, "no time is left")
                 return
+            quarantined = self.guard.refusal(job.fingerprint, job.ran)
+            if quarantined:
+                yield quarantined
+                return
             pick = self.pick(job)
             if pick is None:
                 yield self._nowhere(job)
@@ -275,6 +288,7 @@
         if job.rest and job.rest.refusal:
             return job.rest.refusal
         self.known.failed(endpoint, is_unreached=False)
+        self.guard.broken(job.call, job.fingerprint, endpoint)
         job.ran_on.append(endpoint.name)
         if not job.route.resumable:
             job.tried.add(endpoint.name)
@@ -308,7 +322,11 @@
         return self._broken(job, endpoint, str(error))
 
     def finished(self, job: Job, running: Running) -> None:
-        """Learns from a call of a plain service that has ended."""
+        """Learns from a call that has ended."""
+        self.guard.finished(job.fingerprint)
+        if job.route.kind is Kind.STREAM:
+            # Its events were measured one by one.
+            return
         if running.answer.head.is_success:
             self.known.measured_call(
                 running.endpoint, job.kind, _now() - running.sent_at
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -376,6 +376,31 @@
         bound_silence(wire.transport.get_extra_info("socket"))
         return Connection(endpoint, wire)
 
+    def has_open(self, endpoint: Endpoint) -> bool:
+        """Whether an idle connection to it is still open."""
+        return any(
+            connection.endpoint == endpoint and connection.wire.is_clean
+            for connection in self.idle.get(endpoint.address, ())
+        )
+
+    async def is_refused(self, endpoint: Endpoint) -> bool:
+        """Whether nobody listens at an endpoint's address."""
+        host, _, port = endpoint.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.metrics.count("rattanmill_endpoint_connections")
+        try:
+            async with asyncio.timeout(_CONNECT_SECONDS):
+                transport, _ = await loop.create_connection(
+                    _Wire, host, int(port), local_addr=(self.source, 0)
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            # Out of reach: it may run on.
+            return False
+        transport.abort()
+        return False
+
     def give_back(
         self, connection: Connection, head: AnswerHead, ended: bool
     ) -> None:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -274,6 +274,7 @@
                 return self._break_off(
                     request, job, response, "the turn could not be kept"
                 )
+        self.dispatcher.finished(job, running)
         self._log_answered(job, running, turn.passed)
         await response.write_eof()
         return response
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -6,16 +6,18 @@
 
 import msgspec
 
-from rattanmill_core import Metrics, log_event, warn_event
+from rattanmill_core import CrashNote, Metrics, log_event, warn_event
+from rattanmill_keeper.crashes import CrashNews, whom_to_tell
 from rattanmill_keeper.members import Member, Members, rank
 from rattanmill_keeper.messages import (
     Chain,
+    Crashed,
     Done,
     Elsewhere,
     Fetch,
     Keep,
     KeptTurn,
-    Ping,
+    Pong,
     Reserve,
     Reserved,
     Settle,
@@ -102,6 +104,7 @@
         homes: Where accounts were found.
         unheard: Loop time until which a member is asked last, by name.
         heard: Loop time of each member's last answer.
+        crashes: What other fronts have told of crashes.
 
     Args:
         domain: Failure domain of this front.
@@ -123,6 +126,7 @@
         )
         self.unheard: dict[str, float] = {}
         self.heard: dict[str, float] = {}
+        self.crashes = CrashNews()
         self.tasks: set[asyncio.Task] = set()
 
     async def reserve(self, ask: Reserve) -> Reserved | Spent | Unsure:
@@ -359,9 +363,20 @@
         """Asks all members for signs of life."""
         while True:
             for member in list(self.members.known.values()):
-                self._spawn(self._ask(member, Ping(), _PING_SECONDS))
+                self._spawn(self._ping(member))
             await asyncio.sleep(_PING_SECONDS)
 
+    async def _ping(self, member: Member) -> None:
+        ping = self.crashes.ping(member)
+        pong = await self._ask(member, ping, _PING_SECONDS)
+        if isinstance(pong, Pong):
+            self.crashes.take(member, pong)
+
+    def tell_crashes(self, notes: list[CrashNote]) -> None:
+        """Tells other fronts what this one has seen."""
+        for member in whom_to_tell(self.members):
+            self._spawn(self._ask(member, Crashed(notes), _SETTLE_SECONDS))
+
     def _could_know_all(self) -> bool:
         """Whether every instance that may hold a turn is still listed."""
         oldest = _now() - _LOSS_SECONDS
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -15,6 +15,7 @@
     wall_seconds,
     warn_event,
 )
+from rattanmill_keeper.crashes import CrashBoard
 from rattanmill_keeper.homes import Consent, may_open
 from rattanmill_keeper.journal import Journal
 from rattanmill_keeper.ledger import (
@@ -29,6 +30,7 @@
     Adopt,
     Agree,
     Agreed,
+    Crashed,
     Done,
     Elsewhere,
     Fetch,
@@ -76,6 +78,7 @@
             opens no account, agrees to none and denies no turn.
         leaving: Whether it is being emptied.
         run: Id of this run of the process.
+        crashes: What fronts told of crashes.
         may_open: Finds out whether an account may be opened here.
 
     Args:
@@ -106,6 +109,7 @@
         self.intake = Intake()
         self.journal = Journal(folder / _FOLDER, self._snapshot)
         self.run = uuid.uuid4().hex[:12]
+        self.crashes = CrashBoard(self.run)
         self.whole = first_start
         self.leaving = False
         self.may_open = may_open
@@ -163,6 +167,9 @@
             case Adopt():
                 return await self._adopt(message)
             case Ping():
+                return self.crashes.answer(message)
+            case Crashed(notes=notes):
+                self.crashes.add(notes)
                 return Done()
             case StoreList() | StoreWatch():
                 return await self._ask_store(message)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rattanmill_core import CrashNote
 from rattanmill_wire import Codec
 
 
@@ -138,7 +139,35 @@
 
 
 class Ping(msgspec.Struct, tag=24):
-    """Asks whether anybody is there; answered with ``Done``."""
+    """Asks whether anybody is there; answered with ``Pong``.
+
+    Attributes:
+        run: Run of the process whose last ``Pong`` was heard, or empty.
+        after: Position of that ``Pong``.
+    """
+
+    run: str = ""
+    after: int = 0
+
+
+class Pong(msgspec.Struct, tag=28):
+    """Says what fronts have told of crashes since.
+
+    Attributes:
+        run: Id of the process's run.
+        position: Of the newest note.
+        notes: Crashes and finished runs.
+    """
+
+    run: str
+    position: int
+    notes: list[CrashNote]
+
+
+class Crashed(msgspec.Struct, tag=29):
+    """Tells of crashes and finished runs; answered with ``Done``."""
+
+    notes: list[CrashNote]
 
 
 class Keep(msgspec.Struct, tag=11):
@@ -280,6 +309,8 @@
     | StoreItems
     | Outdated
     | Ping
+    | Pong
+    | Crashed
 )
 
 
--- a/libs/policy/src/rattanmill_policy/quarantine.py
+++ b/libs/policy/src/rattanmill_policy/quarantine.py
@@ -18,6 +18,7 @@
 _CONDEMNED_MS = 3_600_000
 _SUSPECTED_MS = 24 * 3_600_000
 _MOST_SUSPECTS = 10_000
+_LEAST_CRASHES = 2
 # So many crashes condemn a request, whatever was in flight beside it.
 _MOST_CRASHES = 4
 
@@ -42,9 +43,14 @@
 
 
 class Quarantine:
-    """Suspected requests by fingerprint, as many as are kept."""
+    """Suspected requests by fingerprint, as many as are kept.
 
-    def __init__(self) -> None:
+    Args:
+        least_crashes: Crashes without which no request is condemned.
+    """
+
+    def __init__(self, least_crashes: int = _LEAST_CRASHES) -> None:
+        self.least_crashes = least_crashes
         self.suspicions: dict[bytes, Suspicion] = {}
 
     def take(self, note: CrashNote) -> bool:
@@ -76,7 +82,7 @@
         for a day, so that its next crash condemns it at once.
         """
         known = self._fresh(fingerprint)
-        if known is None or len(known.crashes) < 2:
+        if known is None or len(known.crashes) < self.least_crashes:
             return False
         if _now_ms() - known.crashes[-1].at > _CONDEMNED_MS:
             return False
--- a/scripts/check_imports.py
+++ b/scripts/check_imports.py
@@ -9,7 +9,7 @@
     "wire": {"core"},
     "platform": {"core"},
     "keeper": {"core", "wire", "platform"},
-    "forward": {"core", "platform", "keeper"},
+    "forward": {"core", "platform", "keeper", "policy"},
     "programs": {"core", "platform"},
     "policy": {"core", "platform"},
     "entry": {"core", "wire", "platform", "programs", "policy"},
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -10,12 +10,15 @@
 import collections
 import contextlib
 import json
+import os
 import socket
 import struct
 
 from standins.common import argument
 
 _EVENTS = 4
+# A body that holds this ends the process of each runner that runs it.
+_POISON = b"poisoned"
 
 
 class Runner:
@@ -27,7 +30,8 @@
             answer), ``unframed_reset``, ``extra`` (a second answer),
             ``unsigned``, ``encoded``, ``foreign`` (an answer to another
             request goes first, ``foreign_apart``: in a packet of its own),
-            ``slow`` (2 s), ``early`` (a whole answer before the body is in).
+            ``slow`` (2 s), ``die`` (the process ends),
+            ``early`` (a whole answer before the body is in).
         requests: Each request that ran or was refused.
     """
 
@@ -73,6 +77,8 @@
             "fault": fault,
         }
         self.requests.append(seen)
+        if fault == "die" or _POISON in body:
+            os._exit(1)
         if early:
             return True
         return await self._answer(writer, seen, fault)
