--- a/libs/forward/src/rattanmill_forward/crashes.py
+++ b/libs/forward/src/rattanmill_forward/crashes.py
@@ -29,8 +29,10 @@
 _LEAST_CRASHES = 3
 # A process that ends may close our connection before its listening socket.
 _CLOSING_SECONDS = 0.1
-# Coming back helps once somebody has looked at the request or the endpoints.
-_RETRY_SECONDS = 30.0
+# Then it may run once more. Long against the seconds that an endpoint needs to
+# come back; short, since an outage of several endpoints at a time may condemn
+# a look-up that is the same for all callers.
+_CONDEMNED_SECONDS = 30.0
 
 
 class CrashGuard:
@@ -54,7 +56,9 @@
         self.pool = pool
         self.keepers = keepers
         self.metrics = metrics
-        self.quarantine = Quarantine(_LEAST_CRASHES)
+        self.quarantine = Quarantine(
+            _LEAST_CRASHES, round(_CONDEMNED_SECONDS * 1000)
+        )
         self.tasks: set[asyncio.Task] = set()
         keepers.crashes.on_notes = self.hear
 
@@ -66,7 +70,7 @@
             Reason.QUARANTINED,
             "endpoints crashed whenever they ran this request",
             ran=ran,
-            retry_after=_RETRY_SECONDS,
+            retry_after=_CONDEMNED_SECONDS,
         )
 
     def broken(self, call: Call, fingerprint: bytes, there: Endpoint) -> None:
--- a/libs/policy/src/rattanmill_policy/quarantine.py
+++ b/libs/policy/src/rattanmill_policy/quarantine.py
@@ -47,10 +47,16 @@
 
     Args:
         least_crashes: Crashes without which no request is condemned.
+        condemned_ms: How long after its last crash it stays condemned.
     """
 
-    def __init__(self, least_crashes: int = _LEAST_CRASHES) -> None:
+    def __init__(
+        self,
+        least_crashes: int = _LEAST_CRASHES,
+        condemned_ms: int = _CONDEMNED_MS,
+    ) -> None:
         self.least_crashes = least_crashes
+        self.condemned_ms = condemned_ms
         self.suspicions: dict[bytes, Suspicion] = {}
 
     def take(self, note: CrashNote) -> bool:
@@ -78,13 +84,13 @@
     def is_condemned(self, fingerprint: bytes) -> bool:
         """Whether the request must not run.
 
-        That ends an hour after the last crash. The request is still suspected
-        for a day, so that its next crash condemns it at once.
+        That ends some time after the last crash. The request is still
+        suspected for a day, so that its next crash condemns it at once.
         """
         known = self._fresh(fingerprint)
         if known is None or len(known.crashes) < self.least_crashes:
             return False
-        if _now_ms() - known.crashes[-1].at > _CONDEMNED_MS:
+        if _now_ms() - known.crashes[-1].at > self.condemned_ms:
             return False
         # Kept, since a storm of repeats must not search all suspects each.
         known.condemned = (
