Know of a cut within a second, and refuse there at once

Ruled out: the runners (few refusals named one), the balancer's two questions. Change: a front that misses other domains asks the store for a sign of life; whoever has one answer does not ask those that are known to be silent; a refusal in a cut says 1.5 s, the balancer's time. Tests: two scenarios of keeping.feature, both fail without the change.

--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -28,6 +28,9 @@
 # A home that is away is back within seconds, or its domain's cut is over. A
 # caller that comes back sooner only uses up its tries.
 _AWAY_RETRY_SECONDS = 0.8
+# In a domain that is cut off, callers get to another one once the balancer
+# has passed this front over: two of its questions, a second apart.
+_CUT_RETRY_SECONDS = 1.5
 
 
 class Turn(msgspec.Struct):
@@ -120,10 +123,13 @@
                     f" {reply.running} may be by turns that run",
                 )
             case Unsure(why=why):
+                is_cut = self.keepers.is_cut_off()
                 return refuse(
                     Reason.BUDGET_UNRESERVED,
                     why,
-                    retry_after=_AWAY_RETRY_SECONDS,
+                    retry_after=(
+                        _CUT_RETRY_SECONDS if is_cut else _AWAY_RETRY_SECONDS
+                    ),
                 )
 
     def settle(self, call: Call, turn: Turn, service: Service) -> None:
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import collections
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
 from rattanmill_core import CrashNote, Metrics, log_event, warn_event
 from rattanmill_keeper.crashes import CrashNews, whom_to_tell
-from rattanmill_keeper.members import Member, Members, rank
+from rattanmill_keeper.members import PREFIX, Member, Members, rank
 from rattanmill_keeper.messages import (
     Chain,
     Crashed,
@@ -24,6 +24,7 @@
     Spent,
     Unsure,
 )
+from rattanmill_platform import Unavailable
 
 # A reservation takes a trip and a sync, up to 5 ms. The first one of a program
 # asks the others besides (0.15 s at most) and perhaps the store (0.3 s).
@@ -44,6 +45,10 @@
 # are better served elsewhere, and the balancer needs two more seconds.
 _PING_SECONDS = 0.4
 _CUT_SECONDS = 1.0
+# Once other domains have missed a sign of life, the store is asked whether it
+# is there. A watch that waits for changes would tell seconds later.
+_DOUBT_SECONDS = 0.7
+_PROBE_SECONDS = 0.4
 # A storage instance that was lost longer ago held no turn that is still kept;
 # twice the retention in use.
 _LOSS_SECONDS = 120.0
@@ -104,6 +109,7 @@
         homes: Where accounts were found.
         unheard: Loop time until which a member is asked last, by name.
         heard: Loop time of each member's last answer.
+        store_answers: Whether the store answered when it was last asked.
         crashes: What other fronts have told of crashes.
 
     Args:
@@ -126,6 +132,7 @@
         )
         self.unheard: dict[str, float] = {}
         self.heard: dict[str, float] = {}
+        self.store_answers = True
         self.crashes = CrashNews()
         self.tasks: set[asyncio.Task] = set()
 
@@ -199,7 +206,11 @@
         open_to_all = [
             member
             for member in self.members.known.values()
-            if member.name not in asked and not member.leaving
+            if member.name not in asked
+            and not member.leaving
+            # Whoever has asked one has an answer: waiting for those that are
+            # out of reach would only hold it back, by a second in a cut.
+            and not (asked and self._is_away(member))
         ]
         return min(
             open_to_all,
@@ -345,25 +356,50 @@
         """
         if not self.members.known:
             return True
-        now = _now()
-        near = far = float("-inf")
-        for member in self.members.known.values():
-            at = self.heard.get(member.name, float("-inf"))
-            if member.domain == self.domain:
-                near = max(near, at)
-            else:
-                far = max(far, at)
-        if now - max(near, far) > _CUT_SECONDS:
+        if self._silence(self.members.known.values()) > _CUT_SECONDS:
             return True
-        has_store = self.members.watch.away_since is None
-        is_alone = len(self.members.domains()) < 2
-        return now - far > _CUT_SECONDS and not has_store and not is_alone
+        return (
+            self._silence(self._far()) > _CUT_SECONDS
+            and not self.store_answers
+            and len(self.members.domains()) > 1
+        )
+
+    def _far(self) -> list[Member]:
+        return [
+            member
+            for member in self.members.known.values()
+            if member.domain != self.domain
+        ]
+
+    def _silence(self, members: Iterable[Member]) -> float:
+        """Returns for how long none of them has answered, in seconds."""
+        never = float("-inf")
+        heard = [self.heard.get(member.name, never) for member in members]
+        return _now() - max(heard, default=never)
+
+    async def look_at_store(self) -> None:
+        """Asks the store for a sign of life if other domains are silent."""
+        answers = True
+        if self._silence(self._far()) > _DOUBT_SECONDS:
+            answers = await self._store_answers()
+        if answers != self.store_answers:
+            log_event("store_probed", answers=answers)
+        self.store_answers = answers
+
+    async def _store_answers(self) -> bool:
+        try:
+            async with asyncio.timeout(_PROBE_SECONDS):
+                said = await self.members.kv.read(PREFIX)
+        except TimeoutError:
+            return False
+        return not isinstance(said, Unavailable)
 
     async def ping_for_ever(self) -> None:
         """Asks all members for signs of life."""
         while True:
             for member in list(self.members.known.values()):
                 self._spawn(self._ping(member))
+            self._spawn(self.look_at_store())
             await asyncio.sleep(_PING_SECONDS)
 
     async def _ping(self, member: Member) -> None:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -87,6 +87,7 @@
     def __init__(
         self, kv: KeyValue, on_change: Callable[[], None] = lambda: None
     ) -> None:
+        self.kv = kv
         self.on_change = on_change
         self.known: dict[str, Member] = {}
         self.lost_at: dict[str, float] = {}
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -28,6 +28,25 @@
     Then a new program gets no permission at "a"
     And the same program gets a permission at "b"
 
+  Scenario: A front whose failure domain is cut off
+    It still hears its own storage instance, and a watch of the store waits
+    there without a sign that nobody will answer. While it says that it is
+    ready, the balancer sends it new callers that it can only refuse.
+
+    Given a front of "east" that hears only the storage instance of "east"
+    When the store does not answer
+    Then the front is cut off
+    When the store answers
+    Then the front is not cut off
+
+  Scenario: A new program in a failure domain that is cut off
+    Its storage instance refuses at once. Asking those that are out of reach
+    as well would hold the refusal back until the caller's time is half over.
+
+    Given a front of "east" that hears only the storage instance of "east"
+    When the store does not answer
+    Then a new program is refused without asking "west, north"
+
   Scenario: A home that lost its disk
     The home of a program comes back with an empty disk. What the program has
     used is not known any more; it must not begin anew, also in the words of a
--- /dev/null
+++ b/tests/features/steps/keeping_cut.py
@@ -0,0 +1,122 @@
+"""Steps of a front whose failure domain is cut off."""
+
+import asyncio
+
+from behave import given, then, when
+
+from rattanmill_core import Metrics
+from rattanmill_keeper import KeeperClient, Member, Members
+from rattanmill_keeper.messages import Reserve, Unsure
+from support.keepers import AwayKv
+from support.virtual import run_virtually
+
+_DOMAINS = ("east", "west", "north")
+# Pings and the bound of a cut are shorter.
+_LONG_SECONDS = 2.0
+
+
+class SilentLink:
+    """Counts what is asked; answers as told, else after the asker's time."""
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.asked = 0
+
+    async def ask(self, message, seconds):
+        """Returns the reply, or None after the asker's time."""
+        self.asked += 1
+        if self.reply is None:
+            await asyncio.sleep(seconds)
+        return self.reply
+
+
+class CutMembers(Members):
+    """One storage instance a domain, of which one answers."""
+
+    def __init__(self, kv, near):
+        super().__init__(kv)
+        reply = Unsure("cut off from all other storage instances")
+        for domain in _DOMAINS:
+            self.known[domain] = Member(domain, domain, "127.0.0.1:9", "r")
+            self.links[domain] = SilentLink(reply if domain == near else None)
+
+    def link(self, member):
+        """Returns the link to a member."""
+        return self.links[member.name]
+
+
+@given('a front of "{domain}" that hears only the storage instance of "{near}"')
+def step_front(context, domain, near):
+    context.kv = AwayKv()
+
+    def make():
+        members = CutMembers(context.kv, near)
+        return KeeperClient(domain, 2, members, Metrics())
+
+    context.make_client = make
+
+
+@when("the store does not answer")
+def step_store_away(context):
+    context.kv.away = True
+
+
+@when("the store answers")
+def step_store_there(context):
+    context.kv.away = False
+
+
+async def after_a_while(context):
+    """Returns a front that has asked for signs of life for a while."""
+    client = context.make_client()
+    # Heard before the cut.
+    now = asyncio.get_running_loop().time()
+    client.heard = dict.fromkeys(_DOMAINS, now)
+    pings = asyncio.create_task(client.ping_for_ever())
+    await asyncio.sleep(_LONG_SECONDS)
+    pings.cancel()
+    return client
+
+
+async def end(client):
+    """Ends what the front still asks for."""
+    tasks = list(client.tasks)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def is_cut_off(context):
+    async def run():
+        client = await after_a_while(context)
+        found = client.is_cut_off()
+        await end(client)
+        return found
+
+    return run_virtually(run())
+
+
+@then("the front is cut off")
+def step_cut(context):
+    assert is_cut_off(context)
+
+
+@then("the front is not cut off")
+def step_not_cut(context):
+    assert not is_cut_off(context)
+
+
+@then('a new program is refused without asking "{names}"')
+def step_refused(context, names):
+    async def run():
+        client = await after_a_while(context)
+        links = client.members.links
+        before = {name: links[name].asked for name in names.split(", ")}
+        reply = await client.reserve(Reserve("p", "a", 10, 100))
+        after = {name: links[name].asked for name in before}
+        await end(client)
+        return reply, before, after
+
+    reply, before, after = run_virtually(run())
+    assert isinstance(reply, Unsure), reply
+    assert after == before, (before, after)
