--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -21,6 +21,7 @@
 from rattanmill_core.events import (
     configure_events,
     log_event,
+    loop_seconds,
     wall_seconds,
     warn_event,
 )
@@ -81,6 +82,7 @@
     "encode_config",
     "load_settings",
     "log_event",
+    "loop_seconds",
     "log_ids",
     "new_id",
     "open_secrets",
--- a/libs/core/src/rattanmill_core/events.py
+++ b/libs/core/src/rattanmill_core/events.py
@@ -5,6 +5,7 @@
 a reader that does not keep up never blocks the event loop.
 """
 
+import asyncio
 import os
 import time
 from typing import TYPE_CHECKING, Any
@@ -149,6 +150,11 @@
     logger.bind(fields=fields).warning(event)
 
 
+def loop_seconds() -> float:
+    """Returns the running loop's time, for spans within the process."""
+    return asyncio.get_running_loop().time()
+
+
 def wall_seconds() -> float:
     """Returns seconds since 1970, for expiry that outlives the process."""
     return time.time()
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -17,7 +17,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import Aspect, Sign, part_logger, start_loop
+from rattanmill_core import Aspect, Sign, loop_seconds, part_logger, start_loop
 from rattanmill_entry.node import Node
 from rattanmill_entry.upstream import Failed
 from rattanmill_policy import EndpointState, Load, Outcome
@@ -182,13 +182,13 @@
 
     def _is_stuck(self, state: EndpointState) -> bool:
         """Whether our calls there have made no progress for a while."""
-        idle = _now() - state.progress_at
+        idle = loop_seconds() - state.progress_at
         return bool(state.running) and idle > _STALL_SECONDS
 
     async def _probe(self, state: EndpointState, record: _Record) -> Probe:
-        began = _now()
+        began = loop_seconds()
         found, load = await self._ask(state)
-        if _now() - began > _PAUSE_SECONDS:
+        if loop_seconds() - began > _PAUSE_SECONDS:
             # We were stopped, not the endpoint: its answer may have been
             # there all the time.
             found = Probe.VOID
@@ -267,7 +267,7 @@
         answered = found in (Probe.GOOD, Probe.DRAINING)
         if answered and not self._is_stuck(state):
             state.avoid_until = 0.0
-        now = _now()
+        now = loop_seconds()
         if state.reach.probed(answered and moves, now):
             table.reopen(state, Aspect.REACH)
             _log.info("Endpoint {} works again.", state.endpoint.name)
@@ -282,7 +282,7 @@
         In an outage a call would else be moved from one dead endpoint to the
         next until its tries are used up.
         """
-        since = _now() - _OUTAGE_SECONDS
+        since = loop_seconds() - _OUTAGE_SECONDS
         beside = self._beside(state)
         if any(s.reach.closed and s.reach.changed_at > since for s in beside):
             self.node.spawn(self.look_beside(state, _PROBES_IN_OUTAGE))
@@ -330,7 +330,7 @@
     that a healthy engine may keep.
     """
     if not state.running:
-        state.progress_at = _now()
+        state.progress_at = loop_seconds()
     async with contextlib.aclosing(parts):
         while True:
             timer = asyncio.timeout(None)
@@ -345,14 +345,10 @@
                 return
             finally:
                 state.running.discard(timer)
-            state.progress_at = _now()
+            state.progress_at = loop_seconds()
             yield part
 
 
 def _weight(instance: str, endpoint: str) -> bytes:
     text = f"{instance}\n{endpoint}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/entry/src/rattanmill_entry/memory.py
+++ b/libs/entry/src/rattanmill_entry/memory.py
@@ -15,7 +15,12 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import parse_program_id, part_logger, start_loop
+from rattanmill_core import (
+    loop_seconds,
+    parse_program_id,
+    part_logger,
+    start_loop,
+)
 from rattanmill_entry.attempts import ChatRun
 from rattanmill_entry.engines import EndpointWatch
 from rattanmill_entry.expiry import end_expired
@@ -72,7 +77,7 @@
     def turn_began(self, program: str) -> None:
         """Learns how long the program's tool pause was."""
         if pinned := self.programs.get(program):
-            pinned.returned(_now())
+            pinned.returned(loop_seconds())
 
     def turn_ended(self, run: ChatRun, state: EndpointState) -> None:
         """Keeps the program's cache where its turn ran, if that is worth it."""
@@ -82,18 +87,18 @@
             return
         shard, _ = found
         pinned = self.programs.setdefault(program, Pinned())
-        pinned.paused_at = _now()
+        pinned.paused_at = loop_seconds()
         name = state.endpoint.name
         for other in [n for n in pinned.pins if n != name]:
             self._release(shard, program, other, "moved")
         tokens = sum(tokens for _, tokens in run.work.prefixes)
         if pinned.covers(name, tokens):
-            pinned.pins[name].until = pinned.deadline(_now())
+            pinned.pins[name].until = pinned.deadline(loop_seconds())
         elif pinned.is_worth_keeping(tokens) and has_room(
             state, tokens, self._tokens_at(name)
         ):
             # Noted first: if the answer is lost, the pin may be there.
-            pinned.pins[name] = Pin(tokens, pinned.deadline(_now()))
+            pinned.pins[name] = Pin(tokens, pinned.deadline(loop_seconds()))
             self.node.spawn(self._pin(run, state))
 
     def hear(self, message: PinsHeld) -> None:
@@ -120,7 +125,7 @@
         pinned = self.programs.setdefault(program, Pinned())
         if not pinned.pins:
             # Pinned by an owner before us.
-            pinned.pins[engine] = Pin(0, pinned.deadline(_now()))
+            pinned.pins[engine] = Pin(0, pinned.deadline(loop_seconds()))
             self._count("adopted")
         elif engine not in pinned.pins:
             self._release(shard, program, engine, "swept")
@@ -130,15 +135,15 @@
             await asyncio.sleep(_ROUND_SECONDS)
             await end_expired(self.node)
             self._let_go()
-            if _now() >= self.sweep_at and (state := self._to_sweep()):
-                self.sweep_at = _now() + _LEAST_SWEEP_SECONDS
+            if loop_seconds() >= self.sweep_at and (state := self._to_sweep()):
+                self.sweep_at = loop_seconds() + _LEAST_SWEEP_SECONDS
                 self.node.spawn(self._sweep(state))
 
     def _let_go(self) -> None:
         """Releases what ended programs and overdue pauses hold."""
         if not self.node.lease.holds():
             return
-        now = _now()
+        now = loop_seconds()
         for program, pinned in list(self.programs.items()):
             found = self._owned(program)
             if found is None:
@@ -230,7 +235,7 @@
             return
         self.node.metrics.count("rattanmill_pin_sweeps")
         seconds = len(held) * _PIN_BYTES / _SWEEP_BYTES_PER_SECOND
-        self.sweep_at = _now() + max(_LEAST_SWEEP_SECONDS, seconds)
+        self.sweep_at = loop_seconds() + max(_LEAST_SWEEP_SECONDS, seconds)
         by_shard: dict[tuple[str, int], list[tuple[str, int]]] = {}
         for pin in held:
             if parsed := parse_program_id(pin.owner):
@@ -263,7 +268,3 @@
 
     def _count(self, order: str) -> None:
         self.node.metrics.count("rattanmill_pins", order=order)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
-from rattanmill_core import Metrics, Ran, Reason, Refusal, log_event, refuse
+from rattanmill_core import (
+    Metrics,
+    Ran,
+    Reason,
+    Refusal,
+    log_event,
+    loop_seconds,
+    refuse,
+)
 from rattanmill_forward.bodies import Rest
 from rattanmill_forward.calls import Call, Dialect
 from rattanmill_forward.crashes import CrashGuard, fingerprint_of
@@ -215,7 +223,7 @@
         """Sends a call to an endpoint; None if another one may be tried."""
         endpoint = pick.endpoint
         self._log_placed(job, pick)
-        sent_at = _now()
+        sent_at = loop_seconds()
         self.known.of(endpoint).sent(job.call.parts)
         try:
             async with asyncio.timeout_at(job.deadline):
@@ -329,7 +337,7 @@
             return
         if running.answer.head.is_success:
             self.known.measured_call(
-                running.endpoint, job.kind, _now() - running.sent_at
+                running.endpoint, job.kind, loop_seconds() - running.sent_at
             )
 
     def event_took(self, job: Job, running: Running, seconds: float) -> None:
@@ -361,7 +369,9 @@
             endpoint=pick.endpoint.name,
             candidates=pick.candidates,
             busy=round(pick.busy, 1),
-            load_age_s=round(_now() - stats.load_at, 3) if stats.load else None,
+            load_age_s=round(loop_seconds() - stats.load_at, 3)
+            if stats.load
+            else None,
             pace=round(stats.pace, 2),
             expected_ms=round(pick.expected_seconds * 1000),
             cached_tokens=pick.cached_tokens,
@@ -381,7 +391,3 @@
             why=why[:200],
             ran=job.ran,
         )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-from rattanmill_core import Metrics
+from rattanmill_core import Metrics, loop_seconds
 from rattanmill_forward.calls import AnswerHead, Dialect, Headers
 from rattanmill_forward.endpoints import Endpoint
 from rattanmill_platform import bound_silence
@@ -136,7 +136,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the next request may go over it."""
-        return self.wire.is_clean and _now() < self.idle_until
+        return self.wire.is_clean and loop_seconds() < self.idle_until
 
     def send(
         self,
@@ -422,7 +422,7 @@
         limit = _IDLE_SECONDS
         if head.idle_seconds is not None:
             limit = min(limit, head.idle_seconds - _IDLE_MARGIN_SECONDS)
-        connection.idle_until = _now() + limit
+        connection.idle_until = loop_seconds() + limit
         idle = self.idle.setdefault(
             connection.endpoint.address, collections.deque()
         )
@@ -455,7 +455,3 @@
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in raw.raw_items()
     ]
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -4,7 +4,14 @@
 
 from aiohttp import web
 
-from rattanmill_core import Metrics, Reason, Refusal, log_event, refuse
+from rattanmill_core import (
+    Metrics,
+    Reason,
+    Refusal,
+    log_event,
+    loop_seconds,
+    refuse,
+)
 from rattanmill_forward.bodies import Rest, read_body
 from rattanmill_forward.calls import AnswerHead, Call, Dialect, Headers
 from rattanmill_forward.dispatch import Dispatcher, Job, Running
@@ -63,7 +70,7 @@
             self.active -= 1
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived = _now()
+        arrived = loop_seconds()
         call = self.dialect.read_call(
             request.method, request.raw_path, _raw_headers(request)
         )
@@ -235,15 +242,17 @@
         turn: Turn,
     ) -> None:
         reader = EventReader()
-        last = _now()
+        last = loop_seconds()
         async for chunk in running.answer.chunks():
             for event in reader.feed(chunk):
                 await self._pass_event(response, job, turn, event)
                 if turn.passed == 1:
                     self._first_event(job)
                 else:
-                    self.dispatcher.event_took(job, running, _now() - last)
-                last = _now()
+                    self.dispatcher.event_took(
+                        job, running, loop_seconds() - last
+                    )
+                last = loop_seconds()
         if reader.rest:
             await response.write(reader.rest)
 
@@ -329,7 +338,7 @@
             ran=refusal.ran,
             retry_after_s=refusal.retry_after,
             detail=refusal.detail,
-            after_ms=_ms(_now() - call.arrived) if call else None,
+            after_ms=_ms(loop_seconds() - call.arrived) if call else None,
         )
         response = web.Response(status=head.status, body=head.body)
         _set_headers(response, head.headers)
@@ -346,11 +355,11 @@
 
     def _first_event(self, job: Job) -> None:
         self.metrics.observe(
-            "rattanmill_first_token_seconds", _now() - job.call.arrived
+            "rattanmill_first_token_seconds", loop_seconds() - job.call.arrived
         )
 
     def _log_answered(self, job: Job, running: Running, size: int) -> None:
-        seconds = _now() - job.call.arrived
+        seconds = loop_seconds() - job.call.arrived
         self.metrics.observe("rattanmill_answer_seconds", seconds)
         log_event(
             "answered",
@@ -387,7 +396,3 @@
 
 def _ms(seconds: float | None) -> int | None:
     return None if seconds is None else round(seconds * 1000)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -1,6 +1,5 @@
 """What a front learns of endpoints from the calls it makes there."""
 
-import asyncio
 import collections
 import math
 import random
@@ -8,7 +7,7 @@
 
 import msgspec
 
-from rattanmill_core import log_event
+from rattanmill_core import log_event, loop_seconds
 from rattanmill_forward.calls import Call, Load, PromptPart
 from rattanmill_forward.endpoints import Endpoint
 from rattanmill_forward.placing import View
@@ -143,7 +142,7 @@
 
     def __enter__(self) -> Self:
         self.stats.own += 1
-        self.stats.waiting[self.request] = _now()
+        self.stats.waiting[self.request] = loop_seconds()
         return self
 
     def answered(self) -> None:
@@ -201,7 +200,7 @@
             kind: Kind of call, for its usual time.
             events: Events that the answer should have; 0: no stream.
         """
-        now = _now()
+        now = loop_seconds()
         stats = self.of(endpoint)
         pace = stats.pace_now(now) * random.uniform(1, 1 + _JITTER)
         uncached = call.prompt_tokens - stats.cached_tokens(call.parts)
@@ -227,7 +226,7 @@
 
     def is_avoided(self, endpoint: Endpoint) -> bool:
         """Whether it should get no work if others can."""
-        now = _now()
+        now = loop_seconds()
         return (
             self.of(endpoint).avoid_until > now
             or self.avoid_domains.get(endpoint.domain, 0.0) > now
@@ -240,7 +239,7 @@
         other mean that the domain is cut off. Trying each of its endpoints
         in turn would cost a call its whole time.
         """
-        now = _now()
+        now = loop_seconds()
         stats = self.of(endpoint)
         stats.failures += 1
         pause = _AVOID_LEAST_SECONDS * 2 ** min(stats.failures - 1, 3)
@@ -271,7 +270,7 @@
         self.avoid_domains.pop(endpoint.domain, None)
         self.unreached.pop(endpoint.domain, None)
         if load:
-            stats.report(load, _now())
+            stats.report(load, loop_seconds())
 
     def measured(
         self, endpoint: Endpoint, kind: str, seconds: float, first: float
@@ -279,7 +278,9 @@
         """Learns from the time that a call, or an event of it, has taken."""
         usual = self.usual_of(kind, first)
         if usual.samples:
-            self.of(endpoint).learn_pace(seconds / usual.seconds, _now())
+            self.of(endpoint).learn_pace(
+                seconds / usual.seconds, loop_seconds()
+            )
         usual.learn(seconds)
 
     def measured_call(
@@ -303,7 +304,3 @@
     busy: float
     cached_tokens: int
     candidates: int
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from rattanmill_core import CrashNote, Metrics, log_event, warn_event
+from rattanmill_core import (
+    CrashNote,
+    Metrics,
+    log_event,
+    loop_seconds,
+    warn_event,
+)
 from rattanmill_keeper.crashes import CrashNews, whom_to_tell
 from rattanmill_keeper.members import PREFIX, Member, Members, rank
 from rattanmill_keeper.messages import (
@@ -142,7 +148,7 @@
         The program's home answers. A program that has none yet gets one in
         this failure domain, or elsewhere if nobody answers here.
         """
-        began = _now()
+        began = loop_seconds()
         asked: list[str] = []
         reply: Reserved | Spent | Unsure = Unsure("the caller left")
         try:
@@ -150,7 +156,9 @@
         finally:
             if isinstance(reply, Unsure):
                 self._release(ask, asked)
-        self.metrics.observe("rattanmill_reserve_seconds", _now() - began)
+        self.metrics.observe(
+            "rattanmill_reserve_seconds", loop_seconds() - began
+        )
         return reply
 
     async def _find_home(
@@ -264,7 +272,7 @@
         have it spread it once they reach another.
         """
         self.cache.add(kept)
-        began = _now()
+        began = loop_seconds()
         replicas = self.members.replicas(kept.turn)
         pending = {
             asyncio.create_task(self._keep_at(member, kept)): member
@@ -281,7 +289,7 @@
                 member = pending.pop(task)
                 if task.result():
                     domains.append(member.domain)
-        self.metrics.observe("rattanmill_keep_seconds", _now() - began)
+        self.metrics.observe("rattanmill_keep_seconds", loop_seconds() - began)
         return KeptBy(domains, len(domains) >= self.copies)
 
     async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
@@ -296,7 +304,7 @@
         if not missing:
             return found
         sure = self._could_know_all()
-        began = _now()
+        began = loop_seconds()
         for group in self._groups(missing):
             chains = await asyncio.gather(
                 *(
@@ -312,7 +320,7 @@
                 missing = self._join(found, missing, chain)
             if not missing:
                 break
-        self.metrics.observe("rattanmill_find_seconds", _now() - began)
+        self.metrics.observe("rattanmill_find_seconds", loop_seconds() - began)
         if not missing:
             return found
         log_event("turn_missing", turn=missing, asked_for=turn, sure=sure)
@@ -346,7 +354,7 @@
         return [group for group in (there[:1], there[1:], away) if group]
 
     def _is_away(self, member: Member) -> bool:
-        return self.unheard.get(member.name, 0.0) > _now()
+        return self.unheard.get(member.name, 0.0) > loop_seconds()
 
     def is_cut_off(self) -> bool:
         """Whether hardly any program can be served from here.
@@ -375,7 +383,7 @@
         """Returns for how long none of them has answered, in seconds."""
         never = float("-inf")
         heard = [self.heard.get(member.name, never) for member in members]
-        return _now() - max(heard, default=never)
+        return loop_seconds() - max(heard, default=never)
 
     async def look_at_store(self) -> None:
         """Asks the store for a sign of life if other domains are silent."""
@@ -415,7 +423,7 @@
 
     def _could_know_all(self) -> bool:
         """Whether every instance that may hold a turn is still listed."""
-        oldest = _now() - _LOSS_SECONDS
+        oldest = loop_seconds() - _LOSS_SECONDS
         lost = [at for at in self.members.lost_at.values() if at > oldest]
         return self.members.synced and not lost
 
@@ -425,11 +433,11 @@
         reply = await self.members.link(member).ask(message, seconds)
         kind = type(message).__name__
         if reply is None:
-            self.unheard[member.name] = _now() + _AVOID_SECONDS
+            self.unheard[member.name] = loop_seconds() + _AVOID_SECONDS
             self.metrics.count("rattanmill_keeper_silent", kind=kind)
         else:
             self.unheard.pop(member.name, None)
-            self.heard[member.name] = _now()
+            self.heard[member.name] = loop_seconds()
         return reply
 
     def _spawn(self, work: collections.abc.Coroutine) -> None:
@@ -438,7 +446,3 @@
     def _hold(self, task: asyncio.Task) -> None:
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/platform/src/rattanmill_platform/lease.py
+++ b/libs/platform/src/rattanmill_platform/lease.py
@@ -22,7 +22,7 @@
 import time
 from typing import Self
 
-from rattanmill_core import new_id, part_logger, start_loop
+from rattanmill_core import loop_seconds, new_id, part_logger, start_loop
 from rattanmill_platform.kv import Conflict, KvClient, Unavailable, Written
 
 _log = part_logger("lease")
@@ -65,7 +65,7 @@
         self.last_tick = 0.0
         self.interrupted = True
         self.interruptions = 0
-        self.resumed_at = _now()
+        self.resumed_at = loop_seconds()
         self.service_silent = False
         self.peers_known = 0
         self.peer_heard = 0.0
@@ -98,11 +98,11 @@
 
     def valid(self) -> bool:
         """Whether the service's word is that the lease is alive."""
-        return not self._was_paused() and _now() < self.valid_until
+        return not self._was_paused() and loop_seconds() < self.valid_until
 
     def outage(self) -> bool:
         """Whether it holds without the service's word."""
-        return self.holds() and _now() >= self.valid_until
+        return self.holds() and loop_seconds() >= self.valid_until
 
     def confirm(self, interruption: int) -> bool:
         """Ends an interruption, unless another one began meanwhile."""
@@ -115,7 +115,7 @@
         # lease may have gone to another meanwhile: the gap betrays the pause.
         if self._was_paused():
             return False
-        now = _now()
+        now = loop_seconds()
         if now < self.valid_until:
             return True
         if not self.service_silent:
@@ -150,7 +150,7 @@
         while True:
             if self._was_paused():
                 _log.warning("Paused {:.2f} s.", _clock() - self.last_tick)
-                self.resumed_at = _now()
+                self.resumed_at = loop_seconds()
                 self.valid_until = 0.0
                 self._interrupt()
             elif not self.interrupted and not self._is_exclusive():
@@ -174,7 +174,7 @@
                 task.add_done_callback(self.renewals.discard)
 
     async def _renew(self) -> None:
-        asked = _now()
+        asked = loop_seconds()
         lease = self.lease
         renewed = await self._ask_renewal(lease) if lease else False
         if renewed is True:
@@ -201,7 +201,7 @@
         async with self.acquiring:
             if self.lease != lapsed:
                 return
-            asked = _now()
+            asked = loop_seconds()
             lease = await self.kv.grant(self.seconds)
             if isinstance(lease, Unavailable):
                 self._note_silence(lease.why)
@@ -230,7 +230,7 @@
             self._interrupt()
         until = asked + self.seconds * (1 - _CLOCK_ERROR_SHARE)
         self.valid_until = max(self.valid_until, until)
-        if _now() - asked < self.answer_seconds:
+        if loop_seconds() - asked < self.answer_seconds:
             self.service_silent = False
 
     def _note_silence(self, why: str) -> None:
@@ -244,10 +244,6 @@
     return new_id()
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 def _clock() -> float:
     """Returns seconds of a clock that also runs while a machine is asleep."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -6,7 +6,14 @@
 import time
 from collections.abc import Callable
 
-from rattanmill_core import ConfigDocument, Metrics, Reason, Refusal, refuse
+from rattanmill_core import (
+    ConfigDocument,
+    Metrics,
+    Reason,
+    Refusal,
+    loop_seconds,
+    refuse,
+)
 from rattanmill_policy.admission import Verdict
 from rattanmill_policy.choosing import Choice, choose
 from rattanmill_policy.knowledge import Group, Knowledge, Rules
@@ -67,7 +74,7 @@
             self._begin(work)
         if refusal := self._unserved(work):
             return refusal
-        choice = choose(self.known, work, _now())
+        choice = choose(self.known, work, loop_seconds())
         if refusal := self._check(work, choice):
             return refusal
         return self._take_free(work, choice) or await self._wait(work)
@@ -76,7 +83,7 @@
         """Whether one more attempt is worth it and in the retry budget."""
         if outcome not in _NOT_RUN:
             work.runs += 1
-        if not is_worth_retrying(work, outcome, _now()):
+        if not is_worth_retrying(work, outcome, loop_seconds()):
             return False
         if outcome in _NOT_RUN:
             # It cost the endpoint nothing, so trying elsewhere adds no load;
@@ -93,16 +100,16 @@
         state = self.table.states.get(name)
         if state and self.rules.reports:
             stats = self.known.candidates.stats_of(state)
-            stats.take_report(_now(), report, state.in_flight)
+            stats.take_report(loop_seconds(), report, state.in_flight)
 
     def finished(self, placement: Placement) -> None:
         """Learns from an attempt that ended and serves who waits."""
-        learn(self.known, placement, _now())
+        learn(self.known, placement, loop_seconds())
         self._serve_waiting(self.known.group_of(placement.work))
 
     def _begin(self, work: Work) -> None:
         """Notes the first try of a call."""
-        now = work.began = _now()
+        now = work.began = loop_seconds()
         work.deadline = now + work.seconds_left
         name = self.known.class_name(work)
         use = self.known.use_of(work, now)
@@ -130,7 +137,7 @@
         """Refuses at once what cannot meet its target or its deadline."""
         if not self.rules.admission or not work.model:
             return None
-        known, now = self.known, _now()
+        known, now = self.known, loop_seconds()
         group = known.group_of(work)
         rate = max(group.finished.per_second(now), _LEAST_RATE)
         there = choice.estimate.wait if choice else 0.0
@@ -163,7 +170,7 @@
         full = choice.state.in_flight >= choice.stats.limit
         if work.model and self.rules.admission and full:
             return None
-        return self._take(work, choice, _now())
+        return self._take(work, choice, loop_seconds())
 
     def _take(self, work: Work, choice: Choice, now: float) -> Placement:
         placement = Placement(work, choice.state, self.finished)
@@ -232,7 +239,7 @@
 
     async def _wait(self, work: Work) -> Placement | Refusal:
         """Waits until the call has a place or its deadline is over."""
-        began = _now()
+        began = loop_seconds()
         group = self.known.group_of(work)
         deadline = began
         if self.rules.order:
@@ -251,7 +258,7 @@
         finally:
             if waiter in group.waiting:
                 group.waiting.remove(waiter)
-            self._observe_wait(work, _now() - began)
+            self._observe_wait(work, loop_seconds() - began)
 
     async def _wait_for_place(
         self, waiter: Waiter, group: Group
@@ -270,7 +277,7 @@
 
     def _past(self, waiter: Waiter) -> Refusal | None:
         """Refuses a call that has waited for too long or in vain."""
-        left = waiter.work.left(_now())
+        left = waiter.work.left(loop_seconds())
         if left <= 0:
             verdict = self.known.admission.check_deadline(1.0, left)
             return self._overloaded(waiter.work, verdict)
@@ -281,7 +288,7 @@
         for waiter in group.waiting[:_LOOK_AHEAD]:
             if waiter.place.cancelled():
                 continue
-            choice = choose(self.known, waiter.work, _now())
+            choice = choose(self.known, waiter.work, loop_seconds())
             if placement := self._take_free(waiter.work, choice):
                 group.waiting.remove(waiter)
                 waiter.place.set_result(placement)
@@ -296,7 +303,3 @@
             name = "rattanmill_queue_seconds"
             klass = self.known.class_name(work)
             self.metrics.observe(name, seconds, klass=klass)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/libs/policy/src/rattanmill_policy/table.py
+++ b/libs/policy/src/rattanmill_policy/table.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from rattanmill_core import Aspect, EndpointNote, Sign
+from rattanmill_core import Aspect, EndpointNote, Sign, loop_seconds
 from rattanmill_platform import Endpoint
 from rattanmill_policy.health import Load, Mark
 from rattanmill_policy.outcome import Outcome
@@ -126,7 +126,7 @@
         if state.listed:
             state.listed = False
             self.close(state, Aspect.DEPARTURE, Sign.UNLISTED)
-        elif _now() - state.departure.changed_at > _FORGET_SECONDS:
+        elif loop_seconds() - state.departure.changed_at > _FORGET_SECONDS:
             del self.states[name]
 
     def engines(self, model: str) -> list[EndpointState]:
@@ -153,7 +153,7 @@
         It gets no work for a moment, until a probe has told whether it is
         well; calls for it had better wait than be refused.
         """
-        now = _now()
+        now = loop_seconds()
         return any(
             not state.closed
             and state.listed
@@ -195,14 +195,14 @@
     def close(self, state: EndpointState, aspect: Aspect, sign: Sign) -> None:
         """Keeps new work away from an endpoint and tells others."""
         mark = _mark(state, aspect)
-        if mark.close(sign, _now()):
+        if mark.close(sign, loop_seconds()):
             self._closed(state, mark)
             self.on_note(mark.note(state.endpoint.name))
 
     def reopen(self, state: EndpointState, aspect: Aspect) -> None:
         """Lets new work in again, a little at first, and tells others."""
         mark = _mark(state, aspect)
-        if mark.reopen(_now()):
+        if mark.reopen(loop_seconds()):
             state.failures = 0
             self.on_note(mark.note(state.endpoint.name))
 
@@ -212,7 +212,7 @@
         if state is None:
             return False
         mark = _mark(state, note.aspect)
-        if not mark.take(note, _now()):
+        if not mark.take(note, loop_seconds()):
             return False
         if mark.closed:
             self._closed(state, mark)
@@ -225,15 +225,15 @@
         # minute; given up now, it still finishes elsewhere. A connection
         # that is refused says nothing about the calls that are running.
         if mark.sign in (Sign.SILENT, Sign.STALLED):
-            state.abort(_now())
+            state.abort(loop_seconds())
 
     def avoid(self, name: str, seconds: float) -> None:
         """Gives an endpoint no new work for a while."""
         if state := self.states.get(name):
-            state.avoid_until = max(state.avoid_until, _now() + seconds)
+            state.avoid_until = max(state.avoid_until, loop_seconds() + seconds)
 
     def _open(self) -> list[EndpointState]:
-        now = _now()
+        now = loop_seconds()
         return [
             state
             for name, state in self.states.items()
@@ -243,7 +243,3 @@
 
 def _mark(state: EndpointState, aspect: Aspect) -> Mark:
     return state.departure if aspect is Aspect.DEPARTURE else state.reach
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
