--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	$(BIN)/python -m bench
 	$(BIN)/python -m bench.path
 	$(BIN)/python -m bench.recovery
+	$(BIN)/python -m bench.keeping
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
