Give each feature of the users' platform its own addresses; end a system that does not start

A system whose start failed also left its processes behind, and they held the addresses for the next run, which hung. Ruled out: load (the fronts answered, with other systems' members). Change: the addresses follow from the feature's name; a failed start ends what it has started.

--- a/tests/features/steps/site.py
+++ b/tests/features/steps/site.py
@@ -15,6 +15,8 @@
 from support.site import Site
 
 _DOMAINS = ("east", "west", "north")
+# Second byte of the loopback addresses of the first feature's system.
+_FIRST_SITE = 61
 _FORGED = {
     "X_Hold": "h1",
     "X_Pin_Ms": "4000",
@@ -51,10 +53,22 @@
     return context.request, context.answer
 
 
+def site_number(feature):
+    """Returns a number of its own for each feature.
+
+    Several run at the same time; on the same addresses they would take each
+    other's processes for their own.
+    """
+    files = sorted(pathlib.Path("tests/features").glob("site*.feature"))
+    names = [path.name for path in files]
+    return _FIRST_SITE + names.index(pathlib.Path(feature).name)
+
+
 @given("a system on the users' platform")
 def step_site(context):
     if not hasattr(context.feature, "site"):
-        context.feature.site = context.feature_stack.enter_context(Site(61))
+        number = site_number(context.feature.filename)
+        context.feature.site = context.feature_stack.enter_context(Site(number))
     context.feature_site = context.feature.site
 
 
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -62,6 +62,15 @@
         self.asked = 0
 
     def __enter__(self) -> Self:
+        try:
+            self._start_all()
+        except BaseException:
+            # What is left running holds the addresses of the next one.
+            self.__exit__()
+            raise
+        return self
+
+    def _start_all(self) -> None:
         self._start(
             Process(
                 "store",
@@ -80,7 +89,6 @@
         for domain in _DOMAINS:
             wait_until(lambda d=domain: self.is_ready(d), f"{domain} is ready")
         wait_until(self._all_follow, "the storage instances know each other")
-        return self
 
     def __exit__(self, *exc_info: object) -> None:
         for process in self.processes.values():
