--- a/libs/forward/src/rattanmill_forward/crashes.py
+++ b/libs/forward/src/rattanmill_forward/crashes.py
@@ -60,7 +60,7 @@
             _LEAST_CRASHES, round(_CONDEMNED_SECONDS * 1000)
         )
         self.tasks: set[asyncio.Task] = set()
-        keepers.crashes.on_notes = self.hear
+        keepers.reach.crashes.on_notes = self.hear
 
     def refusal(self, fingerprint: bytes, ran: Ran) -> Refusal | None:
         """Returns the refusal for a request that must not run."""
@@ -124,7 +124,7 @@
         if self.quarantine.take(note):
             event = "suspected" if note.endpoint else "cleared"
             self.metrics.count("rattanmill_quarantine", event=event)
-            self.keepers.tell_crashes([note])
+            self.keepers.reach.tell_crashes([note])
 
 
 def fingerprint_of(call: Call, body: bytes) -> bytes:
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -161,7 +161,7 @@
         stack.callback(pool.close)
         sweeper = start_loop("sweep of connections", _sweep(pool))
         stack.callback(sweeper.cancel)
-        pings = start_loop("pings", keepers.ping_for_ever())
+        pings = start_loop("pings", keepers.reach.ping_for_ever())
         stack.callback(pings.cancel)
         callers = await listen(
             settings.callers,
@@ -189,7 +189,7 @@
 
 
 def _is_ready(view: View, front: Front, keepers: KeeperClient) -> bool:
-    return view.synced and not front.ending and not keepers.is_cut_off()
+    return view.synced and not front.ending and not keepers.reach.is_cut_off()
 
 
 def _readiness(is_ready: Callable[[], bool]) -> Callable:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -343,7 +343,7 @@
         response = web.Response(status=head.status, body=head.body)
         _set_headers(response, head.headers)
         self._close_if_ending(response)
-        if self.turns.keepers.is_cut_off():
+        if self.turns.keepers.reach.is_cut_off():
             # The caller's next connection goes to a domain that can serve it;
             # on this one it would be refused for as long as the cut lasts.
             response.force_close()
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -70,7 +70,7 @@
         except asyncio.CancelledError:
             # The caller left. The permission may have been given already.
             if call.program and call.budget is not None:
-                self.keepers.settle_later(call.program, call.request, 0)
+                self.keepers.permits.settle_later(call.program, call.request, 0)
             raise
         refusal = next(
             (x for x in (permission, body) if isinstance(x, Refusal)), None
@@ -78,13 +78,13 @@
         if refusal is None:
             return Turn(body, permission)
         if isinstance(permission, int) and permission:
-            self.keepers.settle_later(call.program, call.request, 0)
+            self.keepers.permits.settle_later(call.program, call.request, 0)
         return refusal
 
     async def _whole_body(self, call: Call, route: Route) -> bytes | Refusal:
         if not (route.keeps_turns and call.previous):
             return call.body
-        found = await self.keepers.find(call.previous)
+        found = await self.keepers.lookup.find(call.previous)
         match found:
             case NoSuchTurn():
                 return refuse(Reason.UNKNOWN_TURN, "no such turn")
@@ -97,7 +97,7 @@
         if not call.program or call.budget is None:
             return 0
         tokens = call.output_tokens
-        reply = await self.keepers.reserve(
+        reply = await self.keepers.permits.reserve(
             Reserve(call.program, call.request, tokens, call.budget)
         )
         outcome = type(reply).__name__.lower()
@@ -108,7 +108,8 @@
             tokens=tokens,
             budget=call.budget,
             outcome=outcome,
-            home=self.keepers.homes.get(call.program),
+            holders=self.keepers.permits.holders_of(call.program),
+            alone=call.request in self.keepers.permits.alone,
             taken=getattr(reply, "taken", None),
             settled=getattr(reply, "settled", None),
             why=getattr(reply, "why", None),
@@ -123,7 +124,7 @@
                     f" {reply.running} may be by turns that run",
                 )
             case Unsure(why=why):
-                is_cut = self.keepers.is_cut_off()
+                is_cut = self.keepers.reach.is_cut_off()
                 return refuse(
                     Reason.BUDGET_UNRESERVED,
                     why,
@@ -139,7 +140,7 @@
         used = turn.reserved
         if service.engine:
             used = turn.passed * service.engine.tokens_per_event
-        self.keepers.settle_later(call.program, call.request, used)
+        self.keepers.permits.settle_later(call.program, call.request, used)
 
     async def keep(self, call: Call, route: Route, turn: Turn) -> KeptBy:
         """Keeps a finished turn for those that continue it."""
@@ -150,7 +151,7 @@
             text,
             wall_seconds() + route.retention_seconds,
         )
-        kept_by = await self.keepers.keep(kept)
+        kept_by = await self.keepers.lookup.keep(kept)
         log_event(
             "turn_kept",
             request=call.request,
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -1,10 +1,11 @@
 """Storage instances: accounts of budgets and kept turns, on their disks."""
 
-from rattanmill_keeper.client import KeeperClient, KeptBy, NoSuchTurn
+from rattanmill_keeper.client import KeeperClient
 from rattanmill_keeper.daemon import run_storage
 from rattanmill_keeper.emptying import EmptyingOrders
 from rattanmill_keeper.following import Following
 from rattanmill_keeper.keeper import Keeper
+from rattanmill_keeper.lookup import KeptBy, NoSuchTurn
 from rattanmill_keeper.members import Member, Members, Registration
 from rattanmill_keeper.messages import (
     KeptTurn,
--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -13,14 +13,13 @@
 
 from rattanmill_core import log_event, start_loop
 from rattanmill_keeper.keeper import Keeper
-from rattanmill_keeper.members import Member, Members, Registration, rank
+from rattanmill_keeper.members import Member, Members, Registration
 from rattanmill_keeper.messages import (
     Account,
-    Adopt,
     Done,
-    Home,
     Keep,
     Lacking,
+    Merge,
 )
 from rattanmill_platform import Found, KeyValue, PrefixWatch, Unavailable
 
@@ -109,7 +108,10 @@
         await asyncio.sleep(_SETTLE_SECONDS)
         await self._until(self.hand_over)
         await self._until(self._spread)
+        await self._until(self._is_followed)
         await self._say(self.orders.completed)
+        # Counted until its lease ends, it would keep others from being whole.
+        await self.registration.end()
         log_event("emptying_done")
         await asyncio.Event().wait()
 
@@ -117,6 +119,18 @@
         mine = self.members.known.get(self.keeper.name)
         return mine is not None and mine.leaving
 
+    async def _is_followed(self) -> bool:
+        """Whether the others have all that was agreed to here.
+
+        They do not count this instance any more once it is gone.
+        """
+        position = self.keeper.intake.position
+        return all(
+            self.keeper.followed.get(name, -1) >= position
+            for name, member in self.members.known.items()
+            if not member.leaving and not self.members.link(member).failures
+        )
+
     async def _until(self, step: Callable[[], Awaitable[bool]]) -> None:
         while True:
             if await step():
@@ -136,45 +150,31 @@
             await asyncio.sleep(_PAUSE_SECONDS)
 
     async def hand_over(self) -> bool:
-        """Hands accounts over; whether none is left."""
-        accounts = list(self.keeper.ledger.accounts.values())
-        takers = [
-            m.name for each in self.members.domains().values() for m in each
-        ]
-        by_taker: dict[str, list[Account]] = {}
-        for account in accounts:
-            if not takers:
-                return False
-            taker = rank(account.program, takers)[0]
-            by_taker.setdefault(taker, []).append(account)
-        for taker, given in by_taker.items():
-            for start in range(0, len(given), _ACCOUNTS):
-                page = given[start : start + _ACCOUNTS]
-                if not await self._give(self.members.known[taker], page):
+        """Tells the other holders of accounts all; whether they know it."""
+        by_holder: dict[str, list[Account]] = {}
+        await self.keeper.leave_shares()
+        for account in self.keeper.ledger.accounts.values():
+            for holder in account.place.holders:
+                if holder in self.members.known and holder != self.keeper.name:
+                    by_holder.setdefault(holder, []).append(account)
+        for holder, accounts in by_holder.items():
+            for start in range(0, len(accounts), _ACCOUNTS):
+                page = accounts[start : start + _ACCOUNTS]
+                if not await self._tell(self.members.known[holder], page):
                     return False
-        return not self.keeper.ledger.accounts
-
-    async def _give(self, taker: Member, accounts: list[Account]) -> bool:
-        """Gives accounts away.
-
-        They end here first: if the answer is lost, the taker may have them,
-        and both would give permissions. The same taker is asked again.
-        """
-        moved = [
-            msgspec.structs.replace(a, version=a.version + 1) for a in accounts
-        ]
-        for account in moved:
-            home = Home(account.program, taker.name, account.version)
-            await self.keeper.write_home(
-                self.keeper.ledger.give_away(account.program, home)
-            )
-        link = self.members.link(taker)
-        while not isinstance(await link.ask(Adopt(moved), _ASK_SECONDS), Done):
-            log_event("handover_repeated", keeper=taker.name)
-            await asyncio.sleep(_PAUSE_SECONDS)
-        log_event("accounts_given", keeper=taker.name, count=len(moved))
         return True
 
+    async def _tell(self, holder: Member, accounts: list[Account]) -> bool:
+        link = self.members.link(holder)
+        reply = await link.ask(Merge(accounts), _ASK_SECONDS)
+        log_event(
+            "accounts_told",
+            keeper=holder.name,
+            count=len(accounts),
+            outcome=type(reply).__name__,
+        )
+        return isinstance(reply, Done)
+
     async def _spread(self) -> bool:
         """Sees to it that the others hold all turns; whether they do."""
         turns = list(self.keeper.table.held)
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -129,7 +129,12 @@
         progress = self.progress.setdefault(member.name, Progress())
         link = self.members.link(member)
         news = await link.ask(
-            Follow(self.keeper.name, progress.run, progress.position),
+            Follow(
+                self.keeper.name,
+                progress.run,
+                progress.position,
+                with_accounts=not self.keeper.whole,
+            ),
             _ASK_SECONDS,
         )
         if not isinstance(news, News):
@@ -141,6 +146,7 @@
             change = self.keeper.ledger.learn(home)
             if change:
                 await self.keeper.write_home(change)
+        await self.keeper.take_accounts(news.accounts)
         if not await self._fetch(member, news.turns):
             return False
         progress.run = news.run
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -19,6 +19,7 @@
 from rattanmill_keeper.messages import (
     Agree,
     Agreed,
+    CutOff,
     Elsewhere,
     Home,
     Outdated,
@@ -33,12 +34,21 @@
 _CONSENT_SECONDS = 0.15
 # A caller's front waits little longer; a slow store answers in 0.2 s.
 _STORE_SECONDS = 0.3
-# With fewer members, all but one may be nobody else.
-_LEAST_ROSTER = 3
+# With two members, all but one would be each for itself.
+_LEAST_CONSENTS = 2
 
 
 class Consent(msgspec.Struct, frozen=True):
-    """The account may be opened here."""
+    """The account may be opened here.
+
+    Attributes:
+        missing: Storage instances that did not agree. At most one of them may
+            have granted tokens alone: others only do with three in all.
+        having: Those that agreed and may have granted tokens alone.
+    """
+
+    missing: frozenset[str] = frozenset()
+    having: frozenset[str] = frozenset()
 
 
 class Next(enum.Enum):
@@ -57,7 +67,7 @@
         agreed: Others that agreed.
     """
     consents = agreed + 1
-    if roster >= _LEAST_ROSTER and consents >= roster - 1:
+    if consents >= max(_LEAST_CONSENTS, roster - 1):
         return Next.OPEN
     if agreed or roster == 1:
         return Next.ASK_STORE
@@ -65,75 +75,97 @@
 
 
 async def may_open(
-    program: str, ledger: Ledger, members: Members, kv: KeyValue
-) -> Consent | Elsewhere | Unsure:
-    """Finds out whether the account of a program may be opened here."""
+    program: str,
+    holders: tuple[str, ...],
+    ledger: Ledger,
+    members: Members,
+    kv: KeyValue,
+) -> Consent | Elsewhere | Unsure | CutOff:
+    """Finds out whether a program's account may be opened at these holders.
+
+    Args:
+        program: The program.
+        holders: Who is to hold it.
+        ledger: What this instance knows.
+        members: The storage instances.
+        kv: The platform's store.
+    """
     if members.store_silence() > ROSTER_SECONDS / 2:
         return Unsure("cut off for too long to know all others")
     roster = members.roster() | {ledger.name}
-    replies = await _ask_others(program, ledger.name, members, roster)
-    newer = [set(r.roster) for r in replies if isinstance(r, Outdated)]
+    replies = await _ask_others(program, holders, ledger.name, members, roster)
+    newer = [r for r in replies.values() if isinstance(r, Outdated)]
     if newer:
-        unknown = set().union(*newer) - roster
+        unknown = set().union(*(r.roster for r in newer)) - roster
         members.seen.update(dict.fromkeys(unknown, wall_seconds()))
         roster |= unknown
-        replies = await _ask_others(program, ledger.name, members, roster)
-    refused = [reply for reply in replies if isinstance(reply, Refused)]
+        replies = await _ask_others(
+            program, holders, ledger.name, members, roster
+        )
+    refused = [r for r in replies.values() if isinstance(r, Refused)]
     if refused:
         return _refused(program, refused, ledger)
-    agreed = sum(isinstance(reply, Agreed) for reply in replies)
-    match judge(len(roster), agreed):
+    agreed = {n: r for n, r in replies.items() if isinstance(r, Agreed)}
+    missing = roster - set(agreed) - {ledger.name}
+    having = {name for name, reply in agreed.items() if reply.has_share}
+    if program in ledger.shares:
+        having.add(ledger.name)
+    consent = Consent(frozenset(missing), frozenset(having))
+    match judge(len(roster), len(agreed)):
         case Next.OPEN:
-            return Consent()
+            return consent
         case Next.ASK_STORE:
-            return await _ask_store(program, ledger.name, kv)
-    return Unsure("cut off from all other storage instances")
+            found = await _ask_store(program, holders, kv)
+            return consent if isinstance(found, Consent) else found
+    return CutOff()
 
 
 async def _ask_others(
-    program: str, name: str, members: Members, roster: set[str]
-) -> list[Agreed | Refused | Outdated | Unsure | None]:
-    """Asks all others that are not known to be silent."""
-    ask = Agree(program, name, sorted(roster))
-    links = [
-        members.link(member)
+    program: str,
+    holders: tuple[str, ...],
+    name: str,
+    members: Members,
+    roster: set[str],
+) -> dict[str, Agreed | Refused | Outdated | Unsure | None]:
+    """Asks all others that are not known to be silent; replies by name."""
+    ask = Agree(program, name, holders, sorted(roster))
+    links = {
+        member.name: members.link(member)
         for member in members.known.values()
         if member.name != name
-    ]
-    return await asyncio.gather(
-        *(
-            link.ask(ask, _CONSENT_SECONDS)
-            for link in links
-            if not link.failures
-        )
+    }
+    there = {name: link for name, link in links.items() if not link.failures}
+    replies = await asyncio.gather(
+        *(link.ask(ask, _CONSENT_SECONDS) for link in there.values())
     )
+    return dict(zip(there, replies, strict=True))
 
 
 def _refused(
     program: str, refused: list[Refused], ledger: Ledger
 ) -> Elsewhere | Unsure:
     for reply in refused:
-        if reply.keeper:
-            ledger.learn(Home(program, reply.keeper))
-            return Elsewhere(reply.keeper)
+        if reply.holders:
+            ledger.learn(Home(program, reply.holders))
+            return Elsewhere(reply.holders)
     return Unsure("another instance is opening the account")
 
 
 async def _ask_store(
-    program: str, name: str, kv: KeyValue
+    program: str, holders: tuple[str, ...], kv: KeyValue
 ) -> Consent | Elsewhere | Unsure:
     try:
         async with asyncio.timeout(_STORE_SECONDS):
-            return await _claim(program, name, kv)
+            return await _claim(program, holders, kv)
     except TimeoutError:
         return Unsure("the store does not answer in time")
 
 
 async def _claim(
-    program: str, name: str, kv: KeyValue
+    program: str, holders: tuple[str, ...], kv: KeyValue
 ) -> Consent | Elsewhere | Unsure:
     key = HOME_PREFIX + program
-    outcome = await kv.write(key, name.encode(), 0)
+    outcome = await kv.write(key, msgspec.json.encode(holders), 0)
     if isinstance(outcome, Unavailable | Conflict):
         # Without an answer it may have taken effect all the same.
         outcome = await kv.read(key)
@@ -142,6 +174,6 @@
             log_event("home_by_store", program=program)
             return Consent()
         case Found(entry=entry):
-            keeper = entry.value.decode(errors="replace")
-            return Consent() if keeper == name else Elsewhere(keeper)
+            known = msgspec.json.decode(entry.value, type=tuple[str, ...])
+            return Consent() if known == holders else Elsewhere(known)
     return Unsure("too few storage instances agreed, and no store")
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import uuid
+from collections.abc import Callable
 from typing import Self
 
 import msgspec
@@ -19,41 +20,57 @@
 from rattanmill_keeper.homes import Consent, may_open
 from rattanmill_keeper.journal import Journal
 from rattanmill_keeper.ledger import (
+    FORGET_SECONDS,
     AccountChange,
     HomeChange,
     Ledger,
     Opening,
+    Recording,
     RosterChange,
+    ShareChange,
+    UseChange,
 )
 from rattanmill_keeper.members import Members
 from rattanmill_keeper.messages import (
-    Adopt,
+    MOST_SHARING,
+    Account,
     Agree,
     Agreed,
     Crashed,
+    CutOff,
     Done,
     Elsewhere,
     Fetch,
     FetchTurns,
     Follow,
+    Full,
+    GiveBack,
+    GivenBack,
     Home,
     Keep,
     KeptTurn,
     Lacking,
+    Merge,
     News,
+    Open,
+    Opened,
     Outdated,
     Ping,
+    Place,
+    Recorded,
     Refused,
     Reserve,
     Reserved,
     Settle,
-    Spent,
+    Show,
+    Shown,
     StoreItem,
     StoreItems,
     StoreList,
     StoreWatch,
     Turns,
     Unsure,
+    most_alone,
 )
 from rattanmill_keeper.turns import Intake, TurnTable
 from rattanmill_platform import KeyValue, Range, WatchEvents
@@ -65,7 +82,24 @@
 # or was lost.
 _MARK = "whole"
 
-Record = AccountChange | HomeChange | RosterChange | KeptTurn
+Record = (
+    AccountChange
+    | UseChange
+    | ShareChange
+    | HomeChange
+    | RosterChange
+    | KeptTurn
+)
+
+
+class Mark(msgspec.Struct, frozen=True):
+    """What stands on the disk of an instance that has all that it should.
+
+    Attributes:
+        alone_from: As in ``Keeper``.
+    """
+
+    alone_from: float
 
 
 class Keeper:
@@ -78,6 +112,10 @@
             opens no account, agrees to none and denies no turn.
         leaving: Whether it is being emptied.
         run: Id of this run of the process.
+        is_confirmed: Whether the others still count this instance.
+        followed: Position up to which each other one has followed this run.
+        alone_from: Seconds since 1970 from which it may grant alone to
+            programs that it has not heard of.
         crashes: What fronts told of crashes.
         may_open: Finds out whether an account may be opened here.
 
@@ -111,6 +149,10 @@
         self.run = uuid.uuid4().hex[:12]
         self.crashes = CrashBoard(self.run)
         self.whole = first_start
+        # A disk that is new or was lost may have held what was granted alone.
+        self.alone_from = 0.0 if first_start else float("inf")
+        self.is_confirmed: Callable[[], bool] = lambda: True
+        self.followed: dict[str, int] = {}
         self.leaving = False
         self.may_open = may_open
         self.noted: set[str] = set()
@@ -131,24 +173,43 @@
 
     def mark_whole(self) -> None:
         """Says, also on disk, that nothing is missing here."""
-        mark = self.folder / _MARK
-        if not mark.exists():
-            # Synced, or a power loss takes it, and the instance that comes
-            # back with all its data takes itself for one that lost its disk.
-            with mark.open("w") as file:
-                file.write(self.run)
-                file.flush()
-                os.fsync(file.fileno())
         if not self.whole:
             log_event("keeper_whole", turns=len(self.table.held))
+            self.alone_from = wall_seconds() + FORGET_SECONDS
         self.whole = True
-        self.ledger.is_whole = True
+        mark = self.folder / _MARK
+        if mark.exists():
+            return
+        # Synced, or a power loss takes it, and the instance that comes back
+        # with all its data takes itself for one that lost its disk.
+        with mark.open("wb") as file:
+            file.write(msgspec.json.encode(Mark(self.alone_from)))
+            file.flush()
+            os.fsync(file.fileno())
+
+    def _read_mark(self) -> None:
+        mark = self.folder / _MARK
+        if not mark.exists():
+            return
+        self.whole = True
+        try:
+            said = msgspec.json.decode(mark.read_bytes(), type=Mark)
+        except msgspec.DecodeError as error:
+            warn_event("mark_undecodable", why=str(error))
+            return
+        self.alone_from = said.alone_from
 
     async def serve(self, message: msgspec.Struct) -> msgspec.Struct:
         """Answers one request."""
         match message:
             case Reserve():
                 return await self.reserve(message)
+            case Open():
+                return await self.open(message)
+            case Show(program=program):
+                return self.show(program)
+            case GiveBack(program=program):
+                return await self.give_back(program)
             case Settle():
                 return self.settle(message)
             case Agree():
@@ -164,8 +225,11 @@
                 return Lacking(self.table.lacking(turns))
             case Follow():
                 return self._news(message)
-            case Adopt():
-                return await self._adopt(message)
+            case Merge(accounts=accounts):
+                if not self.whole:
+                    return Unsure("not whole yet")
+                await self.take_accounts(accounts)
+                return Done()
             case Ping():
                 return self.crashes.answer(message)
             case Crashed(notes=notes):
@@ -177,99 +241,199 @@
 
     async def reserve(
         self, ask: Reserve
-    ) -> Reserved | Spent | Elsewhere | Unsure:
-        """Gives a permission once it is on disk."""
-        if self.leaving and ask.program not in self.ledger.homes:
-            return Unsure("being emptied")
-        if self.ledger.is_lost(ask.program):
-            return Unsure("the account was lost with this instance's disk")
-        decision = self.ledger.reserve(ask)
-        if isinstance(decision, Opening):
-            opened = await self._open(ask.program, ask.budget)
-            if opened is not None:
-                return opened
-            decision = self.ledger.reserve(ask)
-        if isinstance(decision, AccountChange):
-            taken = decision.account.taken
-            await self.journal.append(_encode(decision))
-            return Reserved(taken)
-        if isinstance(decision, Opening):
-            return Unsure("the account is being opened")
-        return decision
+    ) -> Recorded | Full | Reserved | Elsewhere | Unsure:
+        """Records a reservation, and answers once it is on disk."""
+        if ask.alone:
+            return await self._reserve_alone(ask)
+        if not self.whole:
+            return Unsure("not whole yet")
+        decision = self.ledger.record(ask)
+        if not isinstance(decision, Recording):
+            return decision
+        self.intake.add(ask.program)
+        await self._append(decision.change)
+        return decision.reply
+
+    async def _reserve_alone(self, ask: Reserve) -> Reserved | Full | Unsure:
+        may_begin = self.may_begin_share() and self.members.are_silent(
+            self.name
+        )
+        decision = self.ledger.record_alone(ask, may_begin)
+        if not isinstance(decision, ShareChange):
+            return decision
+        self.intake.add(ask.program)
+        await self._append(decision)
+        return Reserved(decision.share.taken)
+
+    def may_begin_share(self) -> bool:
+        """Whether it may grant alone to programs that it has not heard of.
+
+        Not where it may have done so on a disk that was lost since. Nor with
+        more than three storage instances: then the consent of others may
+        leave out several, and each would grant.
+        """
+        return (
+            self.whole
+            and not self.leaving
+            and wall_seconds() > self.alone_from
+            and self.is_confirmed()
+            and len(self.members.roster() | {self.name}) <= MOST_SHARING
+        )
 
-    def settle(self, said: Settle) -> Done | Elsewhere:
+    async def give_back(self, program: str) -> GivenBack | Unsure:
+        """Grants no more alone; answers once that is on disk."""
+        if wall_seconds() < self.alone_from:
+            return Unsure("what was granted alone went with the disk")
+        change = self.ledger.close_share(program)
+        await self._append(change)
+        return GivenBack(change.share.taken)
+
+    async def leave_shares(self) -> None:
+        """Returns when what this instance alone may grant is given back."""
+        changes = [
+            change
+            for program in self.ledger.accounts
+            for change in self.ledger.leave_share(program)
+        ]
+        await asyncio.gather(*map(self._append, changes))
+
+    def show(self, program: str) -> Shown | Unsure:
+        """Shows an account as it is known here."""
+        account = self.ledger.accounts.get(program)
+        return Shown(account) if account else Unsure("not held here")
+
+    def merge(self, accounts: list[Account]) -> list[AccountChange]:
+        """Takes what other holders know; returns what has to be on disk."""
+        changes = [
+            change
+            for account in accounts
+            if (change := self.ledger.merge(account)) is not None
+        ]
+        for change in changes:
+            self.intake.add(change.account.program)
+        return changes
+
+    def settle(self, said: Settle) -> Done:
         """Books what a turn has used."""
-        known = self.ledger.homes.get(said.program)
-        if known and known.home.keeper != self.name:
-            return Elsewhere(known.home.keeper)
-        change = self.ledger.settle(said)
-        if change:
+        for change in self.ledger.settle(said):
             self.journal.note(_encode(change))
         return Done()
 
-    async def _open(
-        self, program: str, budget: int
-    ) -> Elsewhere | Unsure | None:
+    async def open(self, ask: Open) -> Opened | Elsewhere | Unsure | CutOff:
+        """Returns where an account is, and opens it if it has none."""
+        found = self.ledger.find(ask.program)
+        if not isinstance(found, Opening):
+            return found
         if not self.whole:
             return Unsure("not whole yet")
-        if program in self.ledger.opening:
+        if self.leaving:
+            return Unsure("being emptied")
+        if ask.program in self.ledger.opening:
             return Unsure("the account is being opened")
-        self.ledger.opening.add(program)
+        self.ledger.opening.add(ask.program)
         try:
-            found = await self.may_open(
-                program, self.ledger, self.members, self.kv
-            )
-            if not isinstance(found, Consent):
-                return found
-            change = self.ledger.open(program, budget)
+            return await self._open(ask, found.holders)
         finally:
-            self.ledger.opening.discard(program)
+            self.ledger.opening.discard(ask.program)
+
+    async def _open(
+        self, ask: Open, agreed_before: tuple[str, ...]
+    ) -> Opened | Elsewhere | Unsure | CutOff:
+        """Opens an account at new holders, or at those agreed to before."""
+        program = ask.program
+        holders = agreed_before or self.members.choose_holders(
+            self.name, program
+        )
+        # Its own consent is on disk as well before the account counts as
+        # open. Not known in memory yet: it would refuse another that opens
+        # the account at the same time, and both would give up.
+        home = HomeChange(Home(program, holders), wall_seconds())
+        found, _ = await asyncio.gather(
+            self.may_open(program, holders, self.ledger, self.members, self.kv),
+            self._append(home),
+        )
+        if not isinstance(found, Consent):
+            return found
+        place = self._place(ask, holders, found, bool(agreed_before))
+        change = self.ledger.open(Account(program, ask.budget, place))
         if change is None:
-            return Elsewhere(self.ledger.homes[program].home.keeper)
-        self.intake.add(program)
+            return self.ledger.find(program)
+        self.ledger.homes[program] = home
         self.journal.note(_encode(change))
-        return None
+        if place.sharers == (self.name,):
+            self.journal.note(_encode(self.ledger.begin_share(program)))
+        self.intake.add(program)
+        return Opened(place)
+
+    def _place(
+        self,
+        ask: Open,
+        holders: tuple[str, ...],
+        consent: Consent,
+        is_old: bool,
+    ) -> Place:
+        """Finds out for whom a part of the budget has to be reserved."""
+        sharers = consent.having | consent.missing
+        if not sharers and not is_old and self.may_begin_share():
+            sharers = frozenset([self.name])
+        # What callers allow beyond the budget is one turn, for all together.
+        granting = len(consent.having) + min(len(sharers - consent.having), 1)
+        most = granting * most_alone(ask.budget, ask.tokens)
+        reserved = max(0, most - ask.tokens)
+        return Place(holders, tuple(sorted(sharers)), reserved)
 
     async def _agree(self, ask: Agree) -> Agreed | Refused | Unsure:
         if not self.whole:
             return Unsure("not whole yet")
+        if self.leaving:
+            return Unsure("being emptied")
         roster = self.members.roster()
         if not roster <= set(ask.roster):
             return Outdated(sorted(roster))
         unknown = set(ask.roster) - roster
         if unknown:
             self.members.seen.update(dict.fromkeys(unknown, wall_seconds()))
-        decision = self.ledger.may_open(ask.program, ask.keeper)
+        decision = self.ledger.agree(ask.program, ask.keeper, ask.holders)
         if isinstance(decision, Refused):
             return decision
         if decision is not None:
             await self.write_home(decision)
-        return Agreed()
+        return Agreed(ask.program in self.ledger.shares)
 
     async def write_home(self, change: HomeChange) -> None:
         """Writes down where an account is, for the journal and followers."""
         self.intake.add(change.home.program)
-        await self.journal.append(_encode(change))
+        await self._append(change)
+
+    async def _append(self, record: Record) -> int:
+        return await self.journal.append(_encode(record))
 
     async def keep(self, kept: KeptTurn) -> None:
         """Takes a turn in and returns when it is on disk."""
-        segment = await self.journal.append(_encode(kept))
+        segment = await self._append(kept)
         if self.table.add(kept, segment):
             self.intake.add(kept.turn)
 
     def _news(self, ask: Follow) -> News:
         self.members.seen[ask.asker] = wall_seconds()
         after = ask.after if ask.run == self.run else 0
+        self.followed[ask.asker] = after
         entries = self.intake.since(after, _PAGE)
+        accounts = [
+            account
+            for _, entry in entries
+            if (account := self.ledger.accounts.get(entry))
+        ]
         homes = [
             change.home
             for _, entry in entries
             if (change := self.ledger.homes.get(entry))
         ]
-        homes += [
-            Home(entry, self.name, account.version)
-            for _, entry in entries
-            if (account := self.ledger.accounts.get(entry))
+        homes += [Home(each.program, each.place.holders) for each in accounts]
+        wanted = [
+            account
+            for account in accounts
+            if ask.with_accounts and ask.asker in account.place.holders
         ]
         turns = [entry for _, entry in entries if entry in self.table.held]
         position = entries[-1][0] if entries else self.intake.position
@@ -278,21 +442,14 @@
             position,
             turns,
             homes,
+            wanted,
             self.whole,
             position < self.intake.position,
         )
 
-    async def _adopt(self, ask: Adopt) -> Done | Unsure:
-        if self.leaving or not self.whole:
-            return Unsure("takes nothing new")
-        changes = [self.ledger.adopt(account) for account in ask.accounts]
-        for change in changes:
-            self.intake.add(change.account.program)
-        await asyncio.gather(
-            *(self.journal.append(_encode(change)) for change in changes)
-        )
-        log_event("accounts_adopted", count=len(changes))
-        return Done()
+    async def take_accounts(self, accounts: list[Account]) -> None:
+        """Returns when what other holders know is on disk here."""
+        await asyncio.gather(*map(self._append, self.merge(accounts)))
 
     async def _ask_store(
         self, ask: StoreList | StoreWatch
@@ -312,7 +469,7 @@
         return StoreItems(items, revision)
 
     def _restore(self) -> None:
-        self.whole = self.whole or (self.folder / _MARK).exists()
+        self._read_mark()
         records = 0
         for stored in self.journal.read():
             record = _decode(stored.data)
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -1,27 +1,35 @@
 """Accounts of programs: who may use how many tokens.
 
-The permission to run a turn is a reservation that is on the disk of the
-program's home. It needs no clock and no lease: a home that was paused or cut
-off goes on from what it has written down, and nobody else opens the account.
+The permission to run a turn is a reservation that is on the disks of a
+majority of the account's holders. It needs no clock and no lease: a holder
+that was paused, cut off or killed goes on from what it has written down, and
+the others do not wait for it. The holders never change while the account
+lives, so no two majorities are without a common member.
 """
 
 import msgspec
 
 from rattanmill_core import wall_seconds
+from rattanmill_keeper.accounts import digest_of, join
 from rattanmill_keeper.messages import (
     Account,
     Elsewhere,
+    Full,
     Home,
+    Opened,
+    Recorded,
     Refused,
     Reserve,
-    Reserved,
     Settle,
-    Spent,
+    Share,
+    Unsure,
+    Use,
+    most_alone,
 )
 
 # A program whose account was not used for so long has ended. The longest
 # retention of a turn that operators ask for is far below.
-_FORGET_SECONDS = 3600.0
+FORGET_SECONDS = 3600.0
 
 
 class AccountChange(msgspec.Struct, frozen=True, tag="account"):
@@ -30,6 +38,21 @@
     account: Account
 
 
+class UseChange(msgspec.Struct, frozen=True, tag="use"):
+    """A use of an account, as written to the journal."""
+
+    program: str
+    attempt: str
+    use: Use
+
+
+class ShareChange(msgspec.Struct, frozen=True, tag="share"):
+    """What was granted alone here, as written to the journal."""
+
+    program: str
+    share: Share
+
+
 class HomeChange(msgspec.Struct, frozen=True, tag="home"):
     """Where an account is, as written to the journal."""
 
@@ -44,146 +67,274 @@
 
 
 class Opening(msgspec.Struct, frozen=True):
-    """The account must be opened first, with the others' consent."""
+    """The account must be opened first, with the others' consent.
+
+    Attributes:
+        holders: Who is to hold it, if that was agreed to already.
+    """
+
+    holders: tuple[str, ...] = ()
+
+
+class Recording(msgspec.Struct, frozen=True):
+    """A use that counts once it is on disk, and the reply to give then."""
+
+    change: UseChange
+    reply: Recorded
 
 
 class Ledger:
-    """Accounts at home here, and the homes of others.
+    """What one storage instance knows of accounts.
 
     Attributes:
         name: Name of this storage instance.
-        accounts: Accounts at home here.
-        homes: Where other accounts are, and since when that is known.
+        accounts: Open accounts held here.
+        digests: Digest of each account's uses.
+        shares: What this instance has granted alone, by program.
+        homes: Where accounts are, whether open or only agreed to.
         opening: Programs whose account is being opened here.
-        is_whole: Whether this instance has all that its disk should hold.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.accounts: dict[str, Account] = {}
+        self.digests: dict[str, int] = {}
+        self.shares: dict[str, Share] = {}
         self.homes: dict[str, HomeChange] = {}
         self.opening: set[str] = set()
-        self.is_whole = False
 
-    def reserve(
-        self, ask: Reserve
-    ) -> AccountChange | Reserved | Spent | Elsewhere | Opening:
-        """Decides on a permission; a change must be on disk before it counts.
+    def find(self, program: str) -> Opened | Elsewhere | Opening:
+        """Returns where an account is, or that it must be opened here."""
+        account = self.accounts.get(program)
+        if account is not None:
+            return Opened(account.place)
+        known = self.homes.get(program)
+        if known is None:
+            return Opening()
+        holders = known.home.holders
+        if self.name in holders:
+            return Opening(holders)
+        return Elsewhere(holders)
+
+    def record(self, ask: Reserve) -> Recording | Recorded | Full | Unsure:
+        """Decides on a reservation; a change must be on disk to count.
 
         An attempt that asks again, because the reply was lost, has its
-        permission already.
+        reservation already.
         """
+        if ask.place is None or self.name not in ask.place.holders:
+            return Unsure("not held here")
         account = self.accounts.get(ask.program)
         if account is None:
             known = self.homes.get(ask.program)
-            return Elsewhere(known.home.keeper) if known else Opening()
-        if ask.attempt in account.running:
-            return Reserved(account.taken)
-        if account.taken + ask.tokens > account.budget:
-            running = account.taken - account.settled
-            return Spent(account.budget, account.settled, running)
-        account.running[ask.attempt] = ask.tokens
-        return self._changed(account)
-
-    def settle(self, said: Settle) -> AccountChange | None:
-        """Books what an attempt used; None if it had no reservation."""
+            if known and known.home.holders != ask.place.holders:
+                return Unsure("other holders were agreed to here")
+            # It is open, and this holder only was out of reach just then. It
+            # has recorded nothing, so no majority relied on it.
+            account = Account(ask.program, ask.budget, ask.place)
+            self._hold(account)
+        if account.place.holders != ask.place.holders:
+            return Unsure("other holders were agreed to here")
+        use = account.uses.get(ask.attempt)
+        if use is not None and use.settled:
+            return Unsure("the attempt has ended")
+        if use is not None:
+            return self._recorded(account)
+        if account.taken + ask.tokens > account.limit:
+            return Full()
+        change = self._use(account, ask.attempt, Use(ask.tokens))
+        return Recording(change, self._recorded(account))
+
+    def record_alone(
+        self, ask: Reserve, may_begin: bool
+    ) -> ShareChange | Full | Unsure:
+        """Grants out of the part that one domain may grant alone.
+
+        That is the opener's domain if all have agreed to the account, and
+        else the one that was not asked: whoever has agreed begins no share.
+
+        Args:
+            ask: What is asked for.
+            may_begin: Whether this instance knows what it granted before, and
+                may begin a share for a program that it has not heard of.
+        """
+        share = self.shares.get(ask.program)
+        if share is None:
+            is_known = ask.program in self.homes or ask.program in self.accounts
+            if is_known or not may_begin:
+                return Unsure("nothing of the budget is set aside here")
+            share = self.shares[ask.program] = Share()
+        if ask.attempt not in share.uses:
+            taken = share.taken + ask.tokens
+            if share.is_closed or taken > most_alone(ask.budget, ask.tokens):
+                return Full()
+            share.uses[ask.attempt] = Use(ask.tokens)
+        return self._share_changed(ask.program)
+
+    def close_share(self, program: str) -> ShareChange:
+        """Grants nothing more alone; what was granted stands in the change."""
+        share = self.shares.setdefault(program, Share())
+        share.is_closed = True
+        return self._share_changed(program)
+
+    def leave_share(self, program: str) -> list[ShareChange | AccountChange]:
+        """Ends what this instance alone may grant, and gives the rest back."""
+        account = self.accounts[program]
+        if account.place.sharers != (self.name,):
+            return []
+        change = self.close_share(program)
+        spare = account.place.reserved - change.share.taken
+        account.given = max(account.given, spare)
+        return [change, self._changed(account)]
+
+    def settle(self, said: Settle) -> list[UseChange | ShareChange]:
+        """Books what an attempt used.
+
+        A holder that has not heard of the attempt notes it as well: its
+        reservation may still be under way here, and would then stay for ever.
+        """
+        changes: list[UseChange | ShareChange] = []
         account = self.accounts.get(said.program)
-        if account is None or said.attempt not in account.running:
-            return None
-        most = account.running.pop(said.attempt)
-        account.settled += min(said.tokens, most)
-        return self._changed(account)
-
-    def may_open(self, program: str, asker: str) -> Refused | HomeChange | None:
-        """Decides whether another instance may become a program's home.
+        if account is not None:
+            tokens = 0 if said.alone else said.tokens
+            use = account.uses.get(said.attempt, Use(tokens))
+            if not use.settled:
+                ended = Use(min(tokens, use.tokens), True)
+                changes.append(self._use(account, said.attempt, ended))
+        share = self.shares.get(said.program)
+        use = share.uses.get(said.attempt) if share else None
+        if use and not use.settled:
+            ended = Use(min(said.tokens, use.tokens), True)
+            share.uses[said.attempt] = ended
+            changes.append(self._share_changed(said.program))
+        return changes
+
+    def agree(
+        self, program: str, asker: str, holders: tuple[str, ...]
+    ) -> Refused | HomeChange | None:
+        """Decides whether an account may be opened at these holders.
 
         Two that open the same account at once meet here: the smaller name
-        goes on, and the other finds its home written down.
+        goes on, and the other finds its holders written down.
         """
-        if program in self.accounts:
-            return Refused(self.name)
-        known = self.homes.get(program)
+        account = self.accounts.get(program)
+        if account is not None:
+            known = account.place.holders
+        elif program in self.homes:
+            known = self.homes[program].home.holders
+        else:
+            known = ()
         if known:
-            home = known.home.keeper
-            return None if home == asker else Refused(home)
+            return None if known == holders else Refused(known)
         if program in self.opening and self.name < asker:
-            return Refused("")
-        return self.learn(Home(program, asker))
+            return Refused(())
+        return self.learn(Home(program, holders))
 
-    def open(self, program: str, budget: int) -> AccountChange | None:
-        """Opens an account here, unless its home became known meanwhile."""
-        if program in self.homes:
+    def open(self, account: Account) -> AccountChange | None:
+        """Opens an account here, unless other holders became known."""
+        known = self.homes.get(account.program)
+        if known and known.home.holders != account.place.holders:
             return None
-        account = self.accounts.get(program)
-        if account is None:
-            account = Account(program, budget)
-            self.accounts[program] = account
-        return self._changed(account)
+        if account.program not in self.accounts:
+            self._hold(account)
+        return self._changed(self.accounts[account.program])
 
-    def adopt(self, account: Account) -> AccountChange:
-        """Takes an account over from a home that is being emptied."""
-        self.homes.pop(account.program, None)
-        self.accounts[account.program] = account
-        return self._changed(account)
+    def begin_share(self, program: str) -> ShareChange:
+        """Lets this instance grant alone: all have agreed to the account.
 
-    def give_away(self, program: str, home: Home) -> HomeChange:
-        """Ends an account here that another home has taken over."""
-        self.accounts.pop(program, None)
-        change = HomeChange(home, wall_seconds())
-        self.homes[program] = change
-        return change
+        Only for an account that nobody had heard of before; one that has lost
+        its disk can't tell what it granted.
+        """
+        self.shares.setdefault(program, Share())
+        return self._share_changed(program)
 
-    def learn(self, home: Home) -> HomeChange | None:
-        """Writes down where an account is; None if that is no news."""
-        if home.program in self.accounts:
+    def merge(self, account: Account) -> AccountChange | None:
+        """Takes what other holders know; None if that is no news."""
+        if self.name not in account.place.holders:
             return None
-        if home.keeper == self.name and self.is_whole:
-            # Somebody agreed to an account that was not opened in the end.
+        held = self.accounts.get(account.program)
+        joined = join([held, account]) if held else account
+        if held and (joined.uses, joined.given) == (held.uses, held.given):
             return None
-        known = self.homes.get(home.program)
-        if known and known.home.version >= home.version:
+        self._hold(joined)
+        return self._changed(joined)
+
+    def learn(self, home: Home) -> HomeChange | None:
+        """Writes down where an account is; None if that is no news."""
+        if home.program in self.accounts or home.program in self.homes:
             return None
         change = HomeChange(home, wall_seconds())
         self.homes[home.program] = change
         return change
 
-    def is_lost(self, program: str) -> bool:
-        """Whether the account was here and went with the disk.
-
-        What its turns have used is not known any more; opened anew, the
-        program could use its budget a second time.
-        """
-        known = self.homes.get(program)
-        return known is not None and known.home.keeper == self.name
-
-    def restore(self, change: AccountChange | HomeChange) -> None:
+    def restore(
+        self, change: AccountChange | UseChange | ShareChange | HomeChange
+    ) -> None:
         """Takes back what the journal says; later records replace earlier."""
-        if isinstance(change, AccountChange):
-            program = change.account.program
-            self.accounts[program] = change.account
-            self.homes.pop(program, None)
-        else:
-            program = change.home.program
-            self.homes[program] = change
-            self.accounts.pop(program, None)
-
-    def snapshot(self) -> list[AccountChange | HomeChange]:
+        match change:
+            case AccountChange(account=account):
+                self._hold(account)
+            case UseChange(program=program, attempt=attempt, use=use):
+                account = self.accounts.get(program)
+                if account is not None:
+                    self._use(account, attempt, use)
+            case ShareChange(program=program, share=share):
+                self.shares[program] = share
+            case HomeChange(home=home):
+                self.homes[home.program] = change
+
+    def snapshot(self) -> list[AccountChange | ShareChange | HomeChange]:
         """Returns records from which all of this can be restored."""
         return [
-            *map(AccountChange, self.accounts.values()),
             *self.homes.values(),
+            *map(AccountChange, self.accounts.values()),
+            *(ShareChange(p, share) for p, share in self.shares.items()),
         ]
 
     def forget_old(self) -> list[str]:
         """Drops programs that have ended long ago and returns them."""
-        oldest = wall_seconds() - _FORGET_SECONDS
+        oldest = wall_seconds() - FORGET_SECONDS
         accounts = [p for p, a in self.accounts.items() if a.touched < oldest]
-        homes = [p for p, change in self.homes.items() if change.at < oldest]
         for program in accounts:
             del self.accounts[program]
+            del self.digests[program]
+        homes = [
+            program
+            for program, change in self.homes.items()
+            if change.at < oldest and program not in self.accounts
+        ]
         for program in homes:
             del self.homes[program]
-        return [*accounts, *homes]
+        shares = [p for p, s in self.shares.items() if s.touched < oldest]
+        for program in shares:
+            del self.shares[program]
+        return sorted({*accounts, *homes})
+
+    def _hold(self, account: Account) -> None:
+        self.accounts[account.program] = account
+        digest = 0
+        for attempt, use in account.uses.items():
+            digest ^= digest_of(attempt, use)
+        self.digests[account.program] = digest
+
+    def _use(self, account: Account, attempt: str, use: Use) -> UseChange:
+        before = account.uses.get(attempt)
+        if before:
+            self.digests[account.program] ^= digest_of(attempt, before)
+        account.uses[attempt] = use
+        self.digests[account.program] ^= digest_of(attempt, use)
+        account.touched = wall_seconds()
+        return UseChange(account.program, attempt, use)
+
+    def _recorded(self, account: Account) -> Recorded:
+        digest = self.digests[account.program]
+        return Recorded(account.taken, account.limit, digest)
+
+    def _share_changed(self, program: str) -> ShareChange:
+        share = self.shares[program]
+        share.touched = wall_seconds()
+        copy = msgspec.structs.replace(share, uses=dict(share.uses))
+        return ShareChange(program, copy)
 
     def _changed(self, account: Account) -> AccountChange:
         account.touched = wall_seconds()
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -0,0 +1,187 @@
+"""A front's way to kept turns: keeps them, and finds them again."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+
+import msgspec
+
+from rattanmill_core import log_event, loop_seconds
+from rattanmill_keeper.members import Member
+from rattanmill_keeper.messages import (
+    Chain,
+    Done,
+    Fetch,
+    Keep,
+    KeptTurn,
+    Unsure,
+)
+from rattanmill_keeper.reach import Reach
+
+_KEEP_SECONDS = 0.4
+_FETCH_SECONDS = 0.3
+# A storage instance that was lost longer ago held no turn that is still kept;
+# twice the retention in use.
+_LOSS_SECONDS = 120.0
+# Texts of turns kept at hand; the next turn of a line mostly comes to the
+# same front and then needs no trip.
+_CACHE_BYTES = 24 * 1024 * 1024
+
+
+class NoSuchTurn(msgspec.Struct, frozen=True):
+    """All that could hold the turn have said that they don't."""
+
+
+class KeptBy(msgspec.Struct, frozen=True):
+    """Failure domains in which a turn is on disk.
+
+    Attributes:
+        domains: Their names.
+        enough: Whether these are as many as were asked for.
+    """
+
+    domains: list[str]
+    enough: bool
+
+
+class TurnCache:
+    """Recently used turns, by id."""
+
+    def __init__(self) -> None:
+        self.turns: collections.OrderedDict[str, KeptTurn] = (
+            collections.OrderedDict()
+        )
+        self.bytes = 0
+
+    def add(self, kept: KeptTurn) -> None:
+        """Takes a turn in and drops the least recently used ones."""
+        if kept.turn not in self.turns:
+            self.bytes += len(kept.text)
+        self.turns[kept.turn] = kept
+        self.turns.move_to_end(kept.turn)
+        while self.bytes > _CACHE_BYTES:
+            _, old = self.turns.popitem(last=False)
+            self.bytes -= len(old.text)
+
+    def chain(self, turn: str) -> Iterator[KeptTurn]:
+        """Yields a turn and those that it continues, as far as they go."""
+        while kept := self.turns.get(turn):
+            self.turns.move_to_end(turn)
+            yield kept
+            turn = kept.previous
+
+
+class Lookup:
+    """Keeps turns and finds chains of them.
+
+    Args:
+        reach: The storage instances.
+        copies: Failure domains in which a turn must be on disk.
+    """
+
+    def __init__(self, reach: Reach, copies: int) -> None:
+        self.reach = reach
+        self.copies = copies
+        self.cache = TurnCache()
+
+    async def keep(self, kept: KeptTurn) -> KeptBy:
+        """Returns when a turn is on disk in enough failure domains.
+
+        If fewer can be reached, as in a domain that is cut off, those that
+        have it spread it once they reach another.
+        """
+        self.cache.add(kept)
+        began = loop_seconds()
+        replicas = self.reach.members.replicas(kept.turn)
+        pending = {
+            self.reach.spawn(self._keep_at(member, kept)): member
+            for member in replicas
+        }
+        domains: list[str] = []
+        while pending and len(domains) < self.copies:
+            done, _ = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                member = pending.pop(task)
+                if task.result():
+                    domains.append(member.domain)
+        self.reach.metrics.observe(
+            "rattanmill_keep_seconds", loop_seconds() - began
+        )
+        return KeptBy(domains, len(domains) >= self.copies)
+
+    async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
+        away = self.reach.is_away(member)
+        seconds = _KEEP_SECONDS / 4 if away else _KEEP_SECONDS
+        return isinstance(
+            await self.reach.ask(member, Keep(kept), seconds), Done
+        )
+
+    async def find(self, turn: str) -> list[KeptTurn] | NoSuchTurn | Unsure:
+        """Returns a turn and all that it continues, newest first."""
+        found = list(self.cache.chain(turn))
+        missing = found[-1].previous if found else turn
+        if not missing:
+            return found
+        sure = self._could_know_all()
+        began = loop_seconds()
+        for group in self._groups(missing):
+            chains = await asyncio.gather(
+                *(
+                    self.reach.ask(member, Fetch(missing), _FETCH_SECONDS)
+                    for member in group
+                )
+            )
+            for chain in chains:
+                if not isinstance(chain, Chain):
+                    sure = False
+                    continue
+                sure = sure and chain.whole
+                missing = self._join(found, missing, chain)
+            if not missing:
+                break
+        self.reach.metrics.observe(
+            "rattanmill_find_seconds", loop_seconds() - began
+        )
+        if not missing:
+            return found
+        log_event("turn_missing", turn=missing, asked_for=turn, sure=sure)
+        if sure and not found:
+            return NoSuchTurn()
+        return Unsure(f"turn {missing} was not found")
+
+    def _join(self, found: list[KeptTurn], missing: str, chain: Chain) -> str:
+        """Adds what a chain brings of the missing part; returns what lacks."""
+        for kept in chain.turns:
+            if kept.turn != missing:
+                continue
+            found.append(kept)
+            self.cache.add(kept)
+            missing = kept.previous
+        return missing
+
+    def _groups(self, turn: str) -> list[list[Member]]:
+        """Orders whom to ask: near ones that should have it, then all.
+
+        Those that are away come last: waiting for them would hold up a turn
+        that another one has.
+        """
+        replicas = {m.name for m in self.reach.members.replicas(turn)}
+        members = sorted(
+            self.reach.members.known.values(),
+            key=lambda m: (
+                m.name not in replicas,
+                m.domain != self.reach.domain,
+            ),
+        )
+        there = [m for m in members if not self.reach.is_away(m)]
+        away = [m for m in members if self.reach.is_away(m)]
+        return [group for group in (there[:1], there[1:], away) if group]
+
+    def _could_know_all(self) -> bool:
+        """Whether every instance that may hold a turn is still listed."""
+        members = self.reach.members
+        oldest = loop_seconds() - _LOSS_SECONDS
+        lost = [at for at in members.lost_at.values() if at > oldest]
+        return members.synced and not lost
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import random
+import time
 from collections.abc import Callable, Iterable
 from typing import Self
 
@@ -33,6 +34,17 @@
 # A member that was not seen for so long is no longer counted when an account
 # is opened. One that was cut off opens none after half of it, see ``homes``.
 ROSTER_SECONDS = 3600.0
+# A member whose registration has lapsed for so long is not counted any more,
+# see ``Members.roster``. By then it has stopped to grant alone, which it does
+# only for ``CONFIRMED_SECONDS`` after its last renewal: a lease less, so that
+# neither a slow answer of the store nor clocks that run apart matter.
+_LAPSED_SECONDS = 10.0
+CONFIRMED_SECONDS = 8.0
+# Without the store nobody can tell whether it has come back meanwhile.
+_HEARD_SECONDS = 12.0
+# With three holders one may be away, and a permission waits for one trip to
+# another failure domain.
+HOLDERS = 3
 # An entry that is missing after an outage of the store may only have lapsed
 # meanwhile: its holder registers again within about two renewals.
 _GRACE_SECONDS = 6.0
@@ -77,6 +89,7 @@
         known: Members by name.
         lost_at: Loop time at which a member was last removed that was not
             leaving, by name.
+        emptied: Members that were emptied and are gone.
         seen: Seconds since 1970 at which each member was last known of.
 
     Args:
@@ -91,6 +104,7 @@
         self.on_change = on_change
         self.known: dict[str, Member] = {}
         self.lost_at: dict[str, float] = {}
+        self.emptied: set[str] = set()
         self.seen: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
         self.codec = codec()
@@ -106,12 +120,33 @@
     def roster(self) -> set[str]:
         """Returns all members that may still open accounts.
 
-        One that is no longer listed may only be cut off.
+        One that is no longer listed may only be cut off. If it opens an
+        account it needs all but one of those that it knows and of those that
+        these know, so also all but one of the members here; two such sets
+        share one that refuses the second. So one that is away for long need
+        not be counted: a machine that was replaced would keep new programs
+        waiting for as long as another one is away. Not more than one: with
+        several out of sight nothing says that they reach any of these. One
+        that was emptied has told the others all that it agreed to.
         """
         now = wall_seconds()
         self.seen.update(dict.fromkeys(self.known, now))
         oldest = now - ROSTER_SECONDS
-        return {name for name, at in self.seen.items() if at > oldest}
+        left_out = self.emptied | self._lapsed()
+        return {
+            name
+            for name, at in self.seen.items()
+            if at > oldest and (name in self.known or name not in left_out)
+        }
+
+    def _lapsed(self) -> set[str]:
+        """Returns the one member that was lost first, if long enough ago."""
+        now = asyncio.get_running_loop().time()
+        if self.store_silence() > _HEARD_SECONDS or not self.lost_at:
+            return set()
+        first = min(self.lost_at, key=self.lost_at.__getitem__)
+        is_long = now - self.lost_at[first] > _LAPSED_SECONDS
+        return {first} if is_long else set()
 
     def store_silence(self) -> float:
         """Returns the seconds since the store was last heard."""
@@ -142,6 +177,38 @@
             chosen.append(by_name[rank(key, by_name)[0]])
         return chosen
 
+    def are_silent(self, name: str) -> bool:
+        """Whether none but ``name`` itself answered when it was last asked."""
+        others = [
+            member for member in self.known.values() if member.name != name
+        ]
+        return all(self.link(member).failures for member in others)
+
+    def choose_holders(self, name: str, key: str) -> tuple[str, ...]:
+        """Chooses who is to hold an account, in different domains if it can.
+
+        Args:
+            name: The one that opens it, the first of them.
+            key: The program.
+        """
+        mine = self.known.get(name)
+        others = {
+            member.name: member
+            for member in self.known.values()
+            if member.name != name and not member.leaving
+        }
+        taken = {mine.domain if mine else ""}
+        chosen = [name]
+        ranked = rank(key, others)
+        # One that is silent would only leave a majority with nobody to spare.
+        ranked.sort(key=lambda other: bool(self.link(others[other]).failures))
+        for other in ranked:
+            if others[other].domain not in taken:
+                taken.add(others[other].domain)
+                chosen.append(other)
+        chosen += [other for other in ranked if other not in chosen]
+        return tuple(chosen[:HOLDERS])
+
     def link(self, member: Member) -> RequestLink:
         """Returns the link to a member."""
         link = self.links.get(member.name)
@@ -189,7 +256,9 @@
         if member is None:
             return
         self.seen[name] = wall_seconds()
-        if not member.leaving:
+        if member.leaving:
+            self.emptied.add(name)
+        else:
             self.lost_at[name] = asyncio.get_running_loop().time()
         log_event("keeper_gone", keeper=name, leaving=member.leaving)
         self.on_change()
@@ -207,6 +276,7 @@
         self.kv = kv
         self.member = member
         self.lease = ""
+        self.confirmed_at = float("-inf")
         self.task: asyncio.Task | None = None
         self.wake = asyncio.Event()
 
@@ -218,6 +288,21 @@
         if self.task:
             self.task.cancel()
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the lease was renewed so lately that it can't have lapsed.
+
+        By a clock that goes on while the machine is suspended.
+        """
+        return _boot_seconds() - self.confirmed_at < CONFIRMED_SECONDS
+
+    async def end(self) -> None:
+        """Ends the registration at once."""
+        if self.task:
+            self.task.cancel()
+        if self.lease:
+            await self.kv.revoke(self.lease)
+
     def change(self, member: Member) -> None:
         """Registers this instance anew, as it is now."""
         self.member = member
@@ -226,7 +311,10 @@
     async def _keep_up(self) -> None:
         while True:
             if self.lease:
+                asked_at = _boot_seconds()
                 renewed = await self.kv.renew(self.lease)
+                if renewed is True:
+                    self.confirmed_at = asked_at
                 if renewed is False:
                     log_event("registration_lapsed", lease=self.lease)
                     self.lease = ""
@@ -247,10 +335,12 @@
         The store may take a key away though its lease goes on.
         """
         if not self.lease:
+            asked_at = _boot_seconds()
             granted = await self.kv.grant(_LEASE_SECONDS)
             if isinstance(granted, Unavailable):
                 return
             self.lease = granted
+            self.confirmed_at = asked_at
         key = PREFIX + self.member.name
         value = msgspec.json.encode(self.member)
         revision = 0
@@ -268,3 +358,7 @@
             leaving=self.member.leaving,
             outcome=type(outcome).__name__,
         )
+
+
+def _boot_seconds() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -7,6 +7,10 @@
 from rattanmill_core import CrashNote
 from rattanmill_wire import Codec
 
+# Instances grant alone only where there are no more than these: with more, the
+# consent of others may leave out several that grant.
+MOST_SHARING = 3
+
 
 class KeptTurn(msgspec.Struct, frozen=True, tag="turn"):
     """A finished turn, as the next ones of its line need it.
@@ -29,51 +33,169 @@
 
     Attributes:
         program: The program.
-        keeper: Name of the storage instance.
-        version: Grows each time the account moves.
+        holders: Names of the storage instances that hold it, each in another
+            failure domain. The first one opened it.
     """
 
     program: str
-    keeper: str
-    version: int = 1
+    holders: tuple[str, ...]
+
+
+class Use(msgspec.Struct, frozen=True, array_like=True):
+    """What one attempt takes of a budget.
+
+    Attributes:
+        tokens: What it used or, while it runs, the most that it may use.
+        settled: Whether it has ended.
+    """
+
+    tokens: int
+    settled: bool = False
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where an open account is.
+
+    Attributes:
+        holders: As in ``Home``.
+        sharers: Names of those that may have granted tokens alone.
+        reserved: Tokens that the holders do not grant, since these may have.
+    """
+
+    holders: tuple[str, ...]
+    sharers: tuple[str, ...] = ()
+    reserved: int = 0
 
 
 class Account(msgspec.Struct):
-    """What a program may use and has used, in tokens.
+    """What a program may use and has used, in tokens, as one holder knows it.
 
     Attributes:
         program: The program.
         budget: All that it may use.
-        settled: Used by turns that have ended.
-        running: The most that each running turn may still use, by attempt.
+        place: Who holds it.
+        uses: By attempt.
+        given: How much of what is reserved for sharers they have given back.
         touched: Seconds since 1970 of its last use.
-        version: Version of its home, see ``Home``.
     """
 
     program: str
     budget: int
-    settled: int = 0
-    running: dict[str, int] = msgspec.field(default_factory=dict)
+    place: Place
+    uses: dict[str, Use] = msgspec.field(default_factory=dict)
+    given: int = 0
+    touched: float = 0.0
+
+    @property
+    def settled(self) -> int:
+        """What attempts that have ended used."""
+        return sum(use.tokens for use in self.uses.values() if use.settled)
+
+    @property
+    def taken(self) -> int:
+        """The most that has been used, running attempts included."""
+        return sum(use.tokens for use in self.uses.values())
+
+    @property
+    def limit(self) -> int:
+        """What the holders may grant together."""
+        return self.budget - self.place.reserved + self.given
+
+
+def most_alone(budget: int, tokens: int) -> int:
+    """Returns the most that one instance may grant a program alone.
+
+    A failure domain that is cut off goes on with it. Callers allow a program
+    its budget and one turn; at most three instances grant alone, so three of
+    these parts together stay within that also if all are cut off from each
+    other. It is one turn of the smallest budgets in use, and five of others.
+
+    Args:
+        budget: All that the program may use.
+        tokens: The most that one turn uses.
+    """
+    return (budget + tokens) // MOST_SHARING
+
+
+class Share(msgspec.Struct):
+    """What one storage instance has granted alone to a program.
+
+    Attributes:
+        uses: By attempt.
+        is_closed: Whether it grants nothing more.
+        touched: Seconds since 1970 of its last change.
+    """
+
+    uses: dict[str, Use] = msgspec.field(default_factory=dict)
+    is_closed: bool = False
     touched: float = 0.0
-    version: int = 1
 
     @property
     def taken(self) -> int:
-        """The most that has been used, running turns included."""
-        return self.settled + sum(self.running.values())
+        """The most that was used."""
+        return sum(use.tokens for use in self.uses.values())
+
+
+class Open(msgspec.Struct, tag=32):
+    """Asks where the account of a program is; opened if it has none.
+
+    Attributes:
+        program: The program.
+        budget: All that it may use.
+        tokens: The most that one turn uses.
+    """
+
+    program: str
+    budget: int
+    tokens: int
+
+
+class Opened(msgspec.Struct, tag=33):
+    """The account is open."""
+
+    place: Place
 
 
 class Reserve(msgspec.Struct, tag=1):
-    """Asks for the permission to use up to ``tokens`` in one attempt."""
+    """Asks for the permission to use up to ``tokens`` in one attempt.
+
+    Attributes:
+        program: The program.
+        attempt: The attempt.
+        tokens: The most that it may use.
+        budget: All that the program may use.
+        place: Where the account is, if it is known to be open.
+        alone: Whether one instance is to grant it out of its own share.
+    """
 
     program: str
     attempt: str
     tokens: int
     budget: int
+    place: Place | None = None
+    alone: bool = False
+
+
+class Recorded(msgspec.Struct, tag=31):
+    """The reservation is on the disk of one holder.
+
+    Attributes:
+        taken: The most that was used, as known there, this one included.
+        limit: What the holders may grant together, as known there.
+        digest: Holders with the same digest know the same uses.
+    """
+
+    taken: int
+    limit: int
+    digest: int
+
+
+class Full(msgspec.Struct, tag=34):
+    """A holder knows of so many uses that there is no room."""
 
 
 class Reserved(msgspec.Struct, tag=2):
-    """The permission, written to disk."""
+    """The permission: enough holders have recorded it."""
 
     taken: int
 
@@ -87,9 +209,9 @@
 
 
 class Elsewhere(msgspec.Struct, tag=4):
-    """The account is at another storage instance."""
+    """These are to hold the account; whether it is open, they know."""
 
-    keeper: str
+    holders: tuple[str, ...]
 
 
 class Unsure(msgspec.Struct, tag=5):
@@ -98,38 +220,94 @@
     why: str
 
 
+class CutOff(msgspec.Struct, tag=39):
+    """It reaches no other storage instance, and opens no account."""
+
+
 class Settle(msgspec.Struct, tag=6):
-    """Says what an attempt used in the end."""
+    """Says what an attempt used in the end.
+
+    Attributes:
+        program: The program.
+        attempt: The attempt.
+        tokens: What it used.
+        alone: Whether one instance has granted it out of its own share.
+    """
 
     program: str
     attempt: str
     tokens: int
+    alone: bool = False
 
 
 class Done(msgspec.Struct, tag=7):
     """It was done."""
 
 
+class Show(msgspec.Struct, tag=35):
+    """Asks a holder for an account; answered with ``Shown``."""
+
+    program: str
+
+
+class Shown(msgspec.Struct, tag=36):
+    """An account as one holder knows it."""
+
+    account: Account
+
+
+class Merge(msgspec.Struct, tag=18):
+    """Tells holders what others know of accounts."""
+
+    accounts: list[Account]
+
+
+class GiveBack(msgspec.Struct, tag=37):
+    """Asks one that may have granted tokens alone to grant no more."""
+
+    program: str
+
+
+class GivenBack(msgspec.Struct, tag=38):
+    """It grants no more alone, which is on its disk.
+
+    Attributes:
+        used: The most that was used of what it has granted.
+    """
+
+    used: int
+
+
 class Agree(msgspec.Struct, tag=8):
-    """Asks whether ``keeper`` may open the account of a program.
+    """Asks whether ``keeper`` may open an account at these holders.
 
     Attributes:
+        program: The program.
+        keeper: Who asks.
+        holders: Who is to hold it.
         roster: All storage instances that the asker knows of.
     """
 
     program: str
     keeper: str
+    holders: tuple[str, ...]
     roster: list[str]
 
 
 class Agreed(msgspec.Struct, tag=9):
-    """Yes, and it is written down."""
+    """Yes, and it is written down.
+
+    Attributes:
+        has_share: Whether it has granted tokens alone, or may do so.
+    """
+
+    has_share: bool = False
 
 
 class Refused(msgspec.Struct, tag=10):
-    """No: ``keeper`` has it, or, if empty, somebody is opening it."""
+    """No: these have it, or, if empty, somebody is opening it."""
 
-    keeper: str
+    holders: tuple[str, ...]
 
 
 class Outdated(msgspec.Struct, tag=23):
@@ -204,11 +382,14 @@
             counts it from then on when an account is opened.
         run: Run of the one that is asked.
         after: Position up to which everything was taken.
+        with_accounts: Whether accounts that the asker should hold are wanted
+            too: its disk is new or was lost.
     """
 
     asker: str
     run: str
     after: int
+    with_accounts: bool = False
 
 
 class News(msgspec.Struct, tag=15):
@@ -219,6 +400,7 @@
         position: Where to go on.
         turns: Ids of turns kept.
         homes: Homes written down.
+        accounts: Accounts that the asker should hold, if it wants them.
         whole: Whether the instance has all that it should.
         more: Whether there is more at once.
     """
@@ -227,6 +409,7 @@
     position: int
     turns: list[str]
     homes: list[Home]
+    accounts: list[Account]
     whole: bool
     more: bool
 
@@ -243,12 +426,6 @@
     turns: list[KeptTurn]
 
 
-class Adopt(msgspec.Struct, tag=18):
-    """Hands accounts over to another home."""
-
-    accounts: list[Account]
-
-
 class Lacking(msgspec.Struct, tag=19):
     """Asks which of these turns are not there."""
 
@@ -287,9 +464,18 @@
 Message = (
     Reserve
     | Reserved
+    | Recorded
+    | Full
+    | Open
+    | Opened
+    | Show
+    | Shown
+    | GiveBack
+    | GivenBack
     | Spent
     | Elsewhere
     | Unsure
+    | CutOff
     | Settle
     | Done
     | Agree
@@ -302,7 +488,7 @@
     | News
     | FetchTurns
     | Turns
-    | Adopt
+    | Merge
     | Lacking
     | StoreList
     | StoreWatch
