Notice a failure domain that is cut off by its silence; give up what waits there

Cause: in the six seconds of a cut, payments of fronts outside went on into the cut domain (four of its six endpoints each look free) and ended as unknown, up to two seconds after the cut began; streams that had stopped were waited for until the callers left, 2.5 s; conversations that began inside were stuck outside (of fifteen, eleven).

Ruled out: permissions (majority and parts granted alone were in place), TCP alone (keep-alive needs 3 s, unacknowledged data is seen only when sending).

Change: signs of life of storage instances each 0.2 s; a domain whose storage and endpoints are silent is tried, and taken for cut off if two endpoints can't be reached: nothing is placed there, streams and calls that may be repeated are given up, payments wait. A front that is cut off begins no conversation whose turns would be kept there alone, and is not ready after 0.6 s (was 1.0).

--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -20,6 +21,7 @@
 from rattanmill_forward.calls import Dialect
 from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.dispatch import Dispatcher
+from rattanmill_forward.domains import Domains
 from rattanmill_forward.endpoints import Endpoint, EndpointBook
 from rattanmill_forward.exchange import Pool
 from rattanmill_forward.front import Front
@@ -147,9 +149,15 @@
         settings.domain, settings.lost_disks + 1, members, metrics
     )
     guard = CrashGuard(book, pool, keepers, metrics)
+    domains = Domains(
+        settings.domain,
+        keepers.reach.domain_silences,
+        lambda domain: _reaches(domain, book, pool),
+    )
+    domains.on_cut = pool.cut
     front = Front(
         dialect,
-        Dispatcher(book, known, pool, guard, dialect, metrics),
+        Dispatcher(book, known, pool, guard, domains, dialect, metrics),
         Turns(keepers, metrics),
         metrics,
     )
@@ -163,6 +171,8 @@
         stack.callback(sweeper.cancel)
         pings = start_loop("pings", keepers.reach.ping_for_ever())
         stack.callback(pings.cancel)
+        cuts = start_loop("failure domains", domains.watch_for_ever())
+        stack.callback(cuts.cancel)
         callers = await listen(
             settings.callers,
             front.serve,
@@ -205,6 +215,13 @@
     return answer
 
 
+async def _reaches(domain: str, book: EndpointBook, pool: Pool) -> bool:
+    """Whether an endpoint of a domain can be reached; two are tried."""
+    there = [e for e in book.endpoints.values() if e.domain == domain]
+    tried = random.sample(there, min(len(there), 2))
+    return any(await asyncio.gather(*map(pool.reaches, tried)))
+
+
 async def _sweep(pool: Pool) -> None:
     while True:
         await asyncio.sleep(_SWEEP_SECONDS)
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -18,6 +18,7 @@
 from rattanmill_forward.bodies import Rest
 from rattanmill_forward.calls import Call, Dialect
 from rattanmill_forward.crashes import CrashGuard, fingerprint_of
+from rattanmill_forward.domains import Domains
 from rattanmill_forward.endpoints import Endpoint, EndpointBook
 from rattanmill_forward.exchange import (
     Answer,
@@ -34,6 +35,8 @@
 _LEAST_SECONDS = 0.005
 # When all endpoints are full, a slot is free after about one call's time.
 _FULL_RETRY_SECONDS = 0.3
+# A cut lasts for seconds; meanwhile callers get to fronts of other domains.
+_CUT_RETRY_SECONDS = 1.0
 _MOST_TRIES = 6
 _USUAL_EVENTS = 12.0
 
@@ -133,6 +136,7 @@
         pool: Connections to them.
         dialect: How they are spoken to.
         guard: Refuses calls that crash endpoints.
+        domains: Failure domains that are out of reach.
         metrics: Counters and times.
     """
 
@@ -142,6 +146,7 @@
         known: Knowledge,
         pool: Pool,
         guard: CrashGuard,
+        domains: Domains,
         dialect: Dialect,
         metrics: Metrics,
     ) -> None:
@@ -149,6 +154,7 @@
         self.known = known
         self.pool = pool
         self.guard = guard
+        self.domains = domains
         self.dialect = dialect
         self.metrics = metrics
 
@@ -215,7 +221,13 @@
         there = self.book.by_service.get(job.service.name, ())
         if not job.may_run_anywhere:
             there = [e for e in there if e.name in job.ran_on]
-        fresh = [e for e in there if e.name not in job.tried]
+        # What is sent into a cut may run, and nobody could tell.
+        fresh = [
+            endpoint
+            for endpoint in there
+            if endpoint.name not in job.tried
+            and endpoint.domain not in self.domains.cut
+        ]
         well = [e for e in fresh if not self.known.is_avoided(e)]
         return well or fresh
 
@@ -241,6 +253,8 @@
                     job.body,
                     job.call.request,
                     job.rest.chunks() if job.rest else None,
+                    may_break=job.route.kind is Kind.STREAM
+                    or job.route.is_repeatable,
                 )
         except TimeoutError:
             job.ran_on.append(endpoint.name)
@@ -263,6 +277,7 @@
         """Decides whether an answer is the endpoint's own."""
         head = running.answer.head
         endpoint = running.endpoint
+        self.domains.hear(endpoint.domain)
         if head.other_instance or head.not_run:
             if head.load:
                 self.known.answered(endpoint, head.load)
@@ -298,6 +313,8 @@
         self.known.failed(endpoint, is_unreached=False)
         self.guard.broken(job.call, job.fingerprint, endpoint)
         job.ran_on.append(endpoint.name)
+        if endpoint.domain in self.domains.cut:
+            job.ended.add(endpoint.name)
         if not job.route.resumable:
             job.tried.add(endpoint.name)
         # A stream that may be resumed goes on where it ran, if nowhere else.
@@ -342,6 +359,7 @@
 
     def event_took(self, job: Job, running: Running, seconds: float) -> None:
         """Learns from the time between two events of a stream."""
+        self.domains.hear(running.endpoint.domain)
         self.known.measured_event(running.endpoint, job.kind, seconds)
 
     def _nowhere(self, job: Job) -> Refusal:
@@ -355,6 +373,12 @@
                 "no endpoint has taken it",
                 retry_after=_FULL_RETRY_SECONDS,
             )
+        if self.domains.cut:
+            return refuse(
+                Reason.NO_ENDPOINT,
+                f"none of {job.service.name} can be reached",
+                retry_after=_CUT_RETRY_SECONDS,
+            )
         return refuse(Reason.NO_ENDPOINT, f"none of {job.service.name}")
 
     def _refuse(self, job: Job, reason: Reason, detail: str) -> Refusal:
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-from rattanmill_core import Metrics, loop_seconds
+from rattanmill_core import Metrics, log_event, loop_seconds
 from rattanmill_forward.calls import AnswerHead, Dialect, Headers
 from rattanmill_forward.endpoints import Endpoint
 from rattanmill_platform import bound_silence
@@ -131,6 +131,7 @@
         self.wire = wire
         self.http = _new_http()
         self.idle_until = 0.0
+        self.may_break = False
         self.pump: asyncio.Task | None = None
 
     @property
@@ -298,6 +299,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.idle: dict[str, collections.deque[Connection]] = {}
+        self.active: set[Connection] = set()
 
     async def ask(
         self,
@@ -308,29 +310,83 @@
         body: bytes,
         request: str,
         rest: AsyncIterator[bytes] | None = None,
+        may_break: bool = False,
     ) -> Answer | ConnectFailed | Broken:
         """Sends a request and returns its answer once the head is there.
 
         A request whose caller cancels it ends the endpoint's work.
+
+        Args:
+            endpoint: Where to.
+            method: HTTP method.
+            target: Path and query.
+            headers: Headers.
+            body: What is at hand of the body.
+            request: Id that the answer bears.
+            rest: What follows of the body.
+            may_break: Whether it is given up once the endpoint's domain is
+                out of reach.
         """
         connection = await self._connect(endpoint)
         if isinstance(connection, ConnectFailed):
             return connection
+        connection.may_break = may_break
+        self.active.add(connection)
         try:
             connection.send(method, target, headers, body, rest)
         except h11.LocalProtocolError as error:
-            connection.abort()
+            self._drop(connection)
             return ConnectFailed(f"cannot be sent: {error}")
         try:
             head = await self._head(connection, request)
         except (BrokenError, h11.LocalProtocolError) as error:
-            connection.abort()
+            self._drop(connection)
             return Broken(str(error))
         except BaseException:
-            connection.abort()
+            self._drop(connection)
             raise
         return Answer(self, connection, head)
 
+    def _drop(self, connection: Connection) -> None:
+        self.active.discard(connection)
+        connection.abort()
+
+    def cut(self, domain: str) -> None:
+        """Gives up what waits for a domain that is out of reach.
+
+        Left waiting, a stream ends when its caller's patience does, after two
+        seconds and more. Connections that are idle may be dead too.
+        """
+        broken = [
+            connection
+            for connection in self.active
+            if connection.may_break and connection.endpoint.domain == domain
+        ]
+        for connection in broken:
+            connection.wire.fail(BrokenError("its failure domain is cut off"))
+        idle = [
+            address
+            for address, connections in self.idle.items()
+            if connections and connections[0].endpoint.domain == domain
+        ]
+        for address in idle:
+            for connection in self.idle.pop(address):
+                connection.abort()
+        log_event(
+            "domain_given_up",
+            domain=domain,
+            exchanges=len(broken),
+            idle=len(idle),
+        )
+
+    async def reaches(self, endpoint: Endpoint) -> bool:
+        """Whether a connection to an endpoint can be made."""
+        connection = await self._open(endpoint)
+        if isinstance(connection, ConnectFailed):
+            return False
+        connection.abort()
+        return True
+
     async def _head(self, connection: Connection, request: str) -> AnswerHead:
         while True:
             event = await connection.next_event()
@@ -363,6 +419,9 @@
             if same and connection.is_reusable:
                 return connection
             connection.abort()
+        return await self._open(endpoint)
+
+    async def _open(self, endpoint: Endpoint) -> Connection | ConnectFailed:
         host, _, port = endpoint.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.metrics.count("rattanmill_endpoint_connections")
@@ -405,6 +464,7 @@
         self, connection: Connection, head: AnswerHead, ended: bool
     ) -> None:
         """Keeps a connection whose answer was whole and nothing more."""
+        self.active.discard(connection)
         http = connection.http
         rest, _ = http.trailing_data
         is_done = (
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -63,6 +63,12 @@
 
     async def begin(self, call: Call, route: Route) -> Turn | Refusal:
         """Finds a turn's chain and gets the permission to run it."""
+        if self._would_strand(call, route):
+            return refuse(
+                Reason.TURN_UNSURE,
+                "cut off: its next turns would not be found elsewhere",
+                retry_after=_CUT_RETRY_SECONDS,
+            )
         try:
             body, permission = await asyncio.gather(
                 self._whole_body(call, route), self._reserve(call)
@@ -81,6 +87,19 @@
             self.keepers.permits.settle_later(call.program, call.request, 0)
         return refusal
 
+    def _would_strand(self, call: Call, route: Route) -> bool:
+        """Whether a conversation would begin where it can't go on.
+
+        Its turns would be kept in a domain that is cut off. Callers are taken
+        elsewhere soon, where nobody has them: of fifteen conversations that
+        began so, eleven waited for the end of the cut.
+        """
+        return (
+            route.keeps_turns
+            and not call.previous
+            and self.keepers.reach.is_cut_off()
+        )
+
     async def _whole_body(self, call: Call, route: Route) -> bytes | Refusal:
         if not (route.keeps_turns and call.previous):
             return call.body
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -15,15 +15,17 @@
 # A member that did not answer is asked last for so long, unless it answers a
 # ping before.
 _AVOID_SECONDS = 1.5
-# Each member is asked for a sign of life so often. A front that hears none
-# from another domain, nor the store, for the bound is cut off: its callers
-# are better served elsewhere, and the balancer needs two more seconds.
-_PING_SECONDS = 0.4
-_CUT_SECONDS = 1.0
+# Each member is asked for a sign of life so often, 0.1 KB each, and has so
+# long to answer. A front that hears none from another domain, nor the store,
+# for the bound is cut off: its callers are better served elsewhere, and the
+# balancer needs two more seconds.
+_PING_SECONDS = 0.2
+_PONG_SECONDS = 0.4
+_CUT_SECONDS = 0.6
 # Once other domains have missed a sign of life, the store is asked whether it
 # is there. A watch that waits for changes would tell seconds later.
-_DOUBT_SECONDS = 0.7
-_PROBE_SECONDS = 0.4
+_DOUBT_SECONDS = 0.3
+_PROBE_SECONDS = 0.3
 
 
 class Reach:
@@ -88,6 +90,13 @@
             and len(self.members.domains()) > 1
         )
 
+    def domain_silences(self) -> dict[str, float]:
+        """Returns for how long each domain's members were silent, seconds."""
+        return {
+            domain: self._silence(there)
+            for domain, there in self.members.domains().items()
+        }
+
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Starts a task in the background and holds on to it."""
         task = asyncio.create_task(work)
@@ -127,7 +136,7 @@
 
     async def _ping(self, member: Member) -> None:
         ping = self.crashes.ping(member)
-        pong = await self.ask(member, ping, _PING_SECONDS)
+        pong = await self.ask(member, ping, _PONG_SECONDS)
         if isinstance(pong, Pong):
             self.crashes.take(member, pong)
 
