Read the store through storage instances; keep a conversation's turns in one place

Ruled out: longer watches alone (each change wakes every process), and asking on alone (a trip for each link).

Change: storage instances mirror configuration and endpoints, fronts ask by turns one of their own domain and another, and the store itself if none answers. A watch that ends counts as away since its last answer. A turn's chain decides where it is kept; a front asks on while it gains. Registrations are checked by the watch, not by a read.

Both new scenarios of many storage instances fail with turns kept by id and one pass.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -54,6 +54,7 @@
             settings.name, settings.domain, settings.peer, keeper.run
         )
         registration = Registration(kv, member)
+        registration.is_listed = members.is_listed
         keeper.is_confirmed = lambda: registration.is_confirmed
         await stack.enter_async_context(registration)
         await stack.enter_async_context(Following(keeper, members))
--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -23,7 +23,7 @@
 )
 from rattanmill_platform import Found, KeyValue, PrefixWatch, Unavailable
 
-_WAIT_SECONDS = 5.0
+_WAIT_SECONDS = 20.0
 _ASK_SECONDS = 2.0
 _PAUSE_SECONDS = 0.25
 # Fronts learn within a watch's answer that nothing new goes here; what was on
@@ -177,10 +177,10 @@
 
     async def _spread(self) -> bool:
         """Sees to it that the others hold all turns; whether they do."""
-        turns = list(self.keeper.table.held)
+        turns = self.keeper.table.held
         wanted: dict[str, list[str]] = {}
-        for turn in turns:
-            for replica in self.members.replicas(turn):
+        for turn, held in turns.items():
+            for replica in self.members.replicas(held.kept.key):
                 wanted.setdefault(replica.name, []).append(turn)
         if turns and not wanted:
             return False
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -12,7 +12,13 @@
 from rattanmill_core import log_event, start_loop
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members, rank
-from rattanmill_keeper.messages import FetchTurns, Follow, News, Turns
+from rattanmill_keeper.messages import (
+    FetchTurns,
+    Follow,
+    News,
+    TurnRef,
+    Turns,
+)
 
 _POLL_SECONDS = 0.5
 _ASK_SECONDS = 1.0
@@ -158,13 +164,14 @@
             )
         return news.more
 
-    async def _fetch(self, member: Member, turns: list[str]) -> bool:
+    async def _fetch(self, member: Member, turns: list[TurnRef]) -> bool:
         """Fetches the turns that are missing here; False if that failed."""
-        lacking = [
-            turn
-            for turn in self.keeper.table.lacking(turns)
-            if rank(turn, self.sharing)[0] == self.keeper.name
+        mine = [
+            ref.turn
+            for ref in turns
+            if rank(ref.key, self.sharing)[0] == self.keeper.name
         ]
+        lacking = self.keeper.table.lacking(mine)
         link = self.members.link(member)
         for start in range(0, len(lacking), _FETCH_TURNS):
             page = lacking[start : start + _FETCH_TURNS]
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -64,16 +64,16 @@
     Settle,
     Show,
     Shown,
-    StoreItem,
-    StoreItems,
     StoreList,
     StoreWatch,
+    TurnRef,
     Turns,
     Unsure,
     most_alone,
 )
+from rattanmill_keeper.mirror import Mirrors
 from rattanmill_keeper.turns import Intake, TurnTable
-from rattanmill_platform import KeyValue, Range, WatchEvents
+from rattanmill_platform import KeyValue
 
 _PAGE = 500
 _SWEEP_SECONDS = 1.0
@@ -145,6 +145,7 @@
         self.ledger = Ledger(name)
         self.table = TurnTable()
         self.intake = Intake()
+        self.mirrors = Mirrors(kv)
         self.journal = Journal(folder / _FOLDER, self._snapshot)
         self.run = uuid.uuid4().hex[:12]
         self.crashes = CrashBoard(self.run)
@@ -161,6 +162,7 @@
     async def __aenter__(self) -> Self:
         self._restore()
         await self.journal.__aenter__()
+        await self.mirrors.__aenter__()
         if self.whole:
             self.mark_whole()
         self.sweeper = start_loop("sweep of turns", self._sweep_for_ever())
@@ -169,6 +171,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         if self.sweeper:
             self.sweeper.cancel()
+        await self.mirrors.__aexit__(*exc_info)
         await self.journal.__aexit__(*exc_info)
 
     def mark_whole(self) -> None:
@@ -236,7 +239,7 @@
                 self.crashes.add(notes)
                 return Done()
             case StoreList() | StoreWatch():
-                return await self._ask_store(message)
+                return await self.mirrors.serve(message)
         return Unsure("not understood")
 
     async def reserve(
@@ -435,7 +438,11 @@
             for account in accounts
             if ask.with_accounts and ask.asker in account.place.holders
         ]
-        turns = [entry for _, entry in entries if entry in self.table.held]
+        turns = [
+            TurnRef(entry, held.kept.key)
+            for _, entry in entries
+            if (held := self.table.held.get(entry))
+        ]
         position = entries[-1][0] if entries else self.intake.position
         return News(
             self.run,
@@ -451,23 +458,6 @@
         """Returns when what other holders know is on disk here."""
         await asyncio.gather(*map(self._append, self.merge(accounts)))
 
-    async def _ask_store(
-        self, ask: StoreList | StoreWatch
-    ) -> StoreItems | Unsure:
-        """Asks the store for an instance that it turns away."""
-        if isinstance(ask, StoreList):
-            said = await self.kv.list(ask.prefix)
-        else:
-            said = await self.kv.watch(ask.prefix, ask.after, ask.seconds)
-        match said:
-            case Range(entries=entries, revision=revision):
-                items = [StoreItem(e.key, e.value, e.revision) for e in entries]
-            case WatchEvents(changes=changes, revision=revision):
-                items = [StoreItem(key, value, 0) for key, value in changes]
-            case _:
-                return Unsure("the store does not answer here either")
-        return StoreItems(items, revision)
-
     def _restore(self) -> None:
         self._read_mark()
         records = 0
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -20,6 +20,8 @@
 
 _KEEP_SECONDS = 0.4
 _FETCH_SECONDS = 0.3
+# One that is known to be silent mostly stays so.
+_AWAY_SECONDS = 0.06
 # A storage instance that was lost longer ago held no turn that is still kept;
 # twice the retention in use.
 _LOSS_SECONDS = 120.0
@@ -92,7 +94,7 @@
         """
         self.cache.add(kept)
         began = loop_seconds()
-        replicas = self.reach.members.replicas(kept.turn)
+        replicas = self.reach.members.replicas(kept.key)
         pending = {
             self.reach.spawn(self._keep_at(member, kept)): member
             for member in replicas
@@ -118,20 +120,53 @@
             await self.reach.ask(member, Keep(kept), seconds), Done
         )
 
-    async def find(self, turn: str) -> list[KeptTurn] | NoSuchTurn | Unsure:
-        """Returns a turn and all that it continues, newest first."""
+    async def find(
+        self, turn: str, chain: str
+    ) -> list[KeptTurn] | NoSuchTurn | Unsure:
+        """Returns a turn and all that it continues, newest first.
+
+        Args:
+            turn: Its id.
+            chain: What its chain most likely has in common; where that is
+                wrong, all storage instances are asked.
+        """
         found = list(self.cache.chain(turn))
         missing = found[-1].previous if found else turn
+        key = found[0].key if found else chain or turn
+        began = loop_seconds()
+        sure = True
+        while missing:
+            before = missing
+            missing, sure = await self._look(found, missing, key)
+            if missing == before:
+                break
+        self.reach.metrics.observe(
+            "rattanmill_find_seconds", loop_seconds() - began
+        )
         if not missing:
             return found
+        log_event("turn_missing", turn=missing, asked_for=turn, sure=sure)
+        if sure and not found:
+            return NoSuchTurn()
+        return Unsure(f"turn {missing} was not found")
+
+    async def _look(
+        self, found: list[KeptTurn], missing: str, key: str
+    ) -> tuple[str, bool]:
+        """Asks all for the rest of a chain, near ones first.
+
+        The turns of a chain may lie on different instances after some came or
+        went. What one adds may be all that another needs to go on from, so
+        whoever has answered is asked again while anything is gained.
+
+        Returns:
+            Where the chain still lacks a turn, or empty, and whether all have
+            said for certain that they don't have it.
+        """
         sure = self._could_know_all()
-        began = loop_seconds()
-        for group in self._groups(missing):
+        for group in self._groups(key):
             chains = await asyncio.gather(
-                *(
-                    self.reach.ask(member, Fetch(missing), _FETCH_SECONDS)
-                    for member in group
-                )
+                *(self._fetch(member, missing) for member in group)
             )
             for chain in chains:
                 if not isinstance(chain, Chain):
@@ -141,15 +176,12 @@
                 missing = self._join(found, missing, chain)
             if not missing:
                 break
-        self.reach.metrics.observe(
-            "rattanmill_find_seconds", loop_seconds() - began
-        )
-        if not missing:
-            return found
-        log_event("turn_missing", turn=missing, asked_for=turn, sure=sure)
-        if sure and not found:
-            return NoSuchTurn()
-        return Unsure(f"turn {missing} was not found")
+        return missing, sure
+
+    async def _fetch(self, member: Member, turn: str) -> msgspec.Struct | None:
+        away = self.reach.is_away(member)
+        seconds = _AWAY_SECONDS if away else _FETCH_SECONDS
+        return await self.reach.ask(member, Fetch(turn), seconds)
 
     def _join(self, found: list[KeptTurn], missing: str, chain: Chain) -> str:
         """Adds what a chain brings of the missing part; returns what lacks."""
@@ -161,13 +193,13 @@
             missing = kept.previous
         return missing
 
-    def _groups(self, turn: str) -> list[list[Member]]:
+    def _groups(self, key: str) -> list[list[Member]]:
         """Orders whom to ask: near ones that should have it, then all.
 
         Those that are away come last: waiting for them would hold up a turn
         that another one has.
         """
-        replicas = {m.name for m in self.reach.members.replicas(turn)}
+        replicas = {m.name for m in self.reach.members.replicas(key)}
         members = sorted(
             self.reach.members.known.values(),
             key=lambda m: (
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -148,6 +148,11 @@
         is_long = now - self.lost_at[first] > _LAPSED_SECONDS
         return {first} if is_long else set()
 
+    def is_listed(self, key: str, value: bytes) -> bool:
+        """Whether the store lists a registration just so, as last heard."""
+        is_heard = self.watch.synced and self.watch.away_since is None
+        return is_heard and self.watch.values.get(key) == value
+
     def store_silence(self) -> float:
         """Returns the seconds since the store was last heard."""
         return asyncio.get_running_loop().time() - self.watch.heard_at
@@ -267,6 +272,13 @@
 class Registration:
     """Keeps this storage instance registered under a lease.
 
+    Attributes:
+        lease: The lease, or empty.
+        written: The lease under which the entry was last seen in the store.
+        is_listed: Whether a watch shows a key with a value just now; saves a
+            call to the store with each renewal.
+        confirmed_at: When the newest renewal that was answered was asked for.
+
     Args:
         kv: The platform's store.
         member: This instance.
@@ -276,6 +288,8 @@
         self.kv = kv
         self.member = member
         self.lease = ""
+        self.written = ""
+        self.is_listed: Callable[[str, bytes], bool] = lambda key, value: False
         self.confirmed_at = float("-inf")
         self.task: asyncio.Task | None = None
         self.wake = asyncio.Event()
@@ -343,12 +357,15 @@
             self.confirmed_at = asked_at
         key = PREFIX + self.member.name
         value = msgspec.json.encode(self.member)
+        if self.lease == self.written and self.is_listed(key, value):
+            return
         revision = 0
         match await self.kv.read(key):
             case Unavailable():
                 return
             case Found(entry=entry):
                 if entry.value == value and entry.lease == self.lease:
+                    self.written = self.lease
                     return
                 revision = entry.revision
         outcome = await self.kv.write(key, value, revision, self.lease)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -20,12 +20,27 @@
         previous: The turn that it continues, or empty.
         text: Its new input and then its output, as an endpoint reads them.
         expires: Seconds since 1970 until which it is kept at least.
+        chain: What all turns of its chain have in common: it decides which
+            storage instances keep them, so that one has them all.
     """
 
     turn: str
     previous: str
     text: bytes
     expires: float
+    chain: str = ""
+
+    @property
+    def key(self) -> str:
+        """What decides which storage instances keep it."""
+        return self.chain or self.turn
+
+
+class TurnRef(msgspec.Struct, frozen=True, array_like=True):
+    """A turn that a storage instance holds; its fields as in ``KeptTurn``."""
+
+    turn: str
+    key: str
 
 
 class Home(msgspec.Struct, frozen=True):
@@ -398,7 +413,7 @@
     Attributes:
         run: Id of the process's run; positions begin anew with each.
         position: Where to go on.
-        turns: Ids of turns kept.
+        turns: Turns kept.
         homes: Homes written down.
         accounts: Accounts that the asker should hold, if it wants them.
         whole: Whether the instance has all that it should.
@@ -407,7 +422,7 @@
 
     run: str
     position: int
-    turns: list[str]
+    turns: list[TurnRef]
     homes: list[Home]
     accounts: list[Account]
     whole: bool
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -21,11 +21,15 @@
 # balancer needs two more seconds.
 _PING_SECONDS = 0.2
 _PONG_SECONDS = 0.4
-_CUT_SECONDS = 0.6
+_CUT_SECONDS = 0.45
 # Once other domains have missed a sign of life, the store is asked whether it
 # is there. A watch that waits for changes would tell seconds later.
-_DOUBT_SECONDS = 0.3
-_PROBE_SECONDS = 0.3
+_DOUBT_SECONDS = 0.25
+_PROBE_SECONDS = 0.2
+# The balancer asks a front each second whether it is ready, and passes it over
+# after two misses.
+_MOVED_SECONDS = 2.0
+_LEAST_RETRY_SECONDS = 0.25
 
 
 class Reach:
@@ -37,6 +41,7 @@
         unheard: Loop time until which a member is asked last, by name.
         heard: Loop time of each member's last answer.
         store_answers: Whether the store answered when it was last asked.
+        cut_at: Loop time from which on this front was cut off, or None.
         crashes: What other fronts have told of crashes.
         tasks: What goes on in the background.
 
@@ -53,6 +58,7 @@
         self.unheard: dict[str, float] = {}
         self.heard: dict[str, float] = {}
         self.store_answers = True
+        self.cut_at: float | None = None
         self.crashes = CrashNews()
         self.tasks: set[asyncio.Task] = set()
 
@@ -80,6 +86,21 @@
         Budgets need storage instances of two domains, and new programs those
         or the store.
         """
+        is_cut = self._is_cut_off()
+        if not is_cut:
+            self.cut_at = None
+        elif self.cut_at is None:
+            self.cut_at = loop_seconds()
+        return is_cut
+
+    def moved_in(self) -> float:
+        """Returns when callers of a cut-off front get to others, seconds."""
+        if self.cut_at is None:
+            return _MOVED_SECONDS
+        left = self.cut_at + _MOVED_SECONDS - loop_seconds()
+        return max(_LEAST_RETRY_SECONDS, left)
+
+    def _is_cut_off(self) -> bool:
         if not self.members.known:
             return True
         if self._silence(self.members.known.values()) > _CUT_SECONDS:
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -1,16 +1,19 @@
-"""Reads the platform's store through a storage instance, when it must.
+"""Reads the platform's store through storage instances where that is enough.
 
-The store may turn some instances away and serve the others. Without another
-way, such an instance goes on with an old configuration and sends work to
-endpoints that have left.
+The store counts each call, and with a watch or two for each process it would
+count some hundred a second for a few dozen processes. It may also turn some
+instances away and serve the others; without another way, such an instance goes
+on with an old configuration and sends work to endpoints that have left.
 """
 
 import asyncio
+import itertools
+import random
 
 import msgspec
 
 from rattanmill_core import log_event
-from rattanmill_keeper.members import Members
+from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import StoreItems, StoreList, StoreWatch
 from rattanmill_platform import (
     Conflict,
@@ -26,22 +29,34 @@
 )
 
 _LIST_SECONDS = 1.0
-# A watch through another instance is short: that one may be cut off as well.
+# A watch through another instance is short: that one may be behind, and the
+# next one that is asked then tells what it lacks.
 _WATCH_SECONDS = 1.0
 _ANSWER_SECONDS = 0.7
 
 
 class RelayedKv:
-    """A key-value service asked directly, and else through a member.
+    """A key-value service, asked through members or directly.
+
+    Attributes:
+        members: The storage instances, once they are known.
+        relayed: Whether the last answer came through one.
 
     Args:
         direct: The service.
+        domain: Failure domain of this instance.
+        mirrored: Prefixes that are read through members first.
     """
 
-    def __init__(self, direct: KeyValue) -> None:
+    def __init__(
+        self, direct: KeyValue, domain: str, mirrored: tuple[str, ...]
+    ) -> None:
         self.direct = direct
+        self.domain = domain
+        self.mirrored = mirrored
         self.members: Members | None = None
         self.relayed = False
+        self.turns = itertools.count()
 
     async def read(self, key: str) -> Found | Missing | Unavailable:
         """Reads one key."""
@@ -67,13 +82,16 @@
 
     async def list(self, prefix: str) -> Range | Unavailable:
         """Reads all keys under a prefix."""
-        listed = await self.direct.list(prefix)
-        if not isinstance(listed, Unavailable):
-            self._direct_again()
-            return listed
-        reply = await self._ask_members(StoreList(prefix), _LIST_SECONDS)
+        message = StoreList(prefix)
+        reply = await self._ask_first(message, prefix, _LIST_SECONDS)
         if reply is None:
-            return listed
+            listed = await self.direct.list(prefix)
+            if not isinstance(listed, Unavailable):
+                self._came(False, message)
+                return listed
+            reply = await self._ask_all(message, _LIST_SECONDS)
+            if reply is None:
+                return listed
         entries = [
             Entry(item.key, item.value or b"", item.revision)
             for item in reply.items
@@ -84,30 +102,64 @@
         self, prefix: str, after: int, seconds: float
     ) -> WatchEvents | HistoryLost | Unavailable:
         """Waits for changes after a revision."""
-        seen = await self.direct.watch(
-            prefix,
-            after,
-            min(seconds, _WATCH_SECONDS) if self.relayed else seconds,
-        )
-        if not isinstance(seen, Unavailable):
-            self._direct_again()
-            return seen
-        reply = await self._ask_members(
-            StoreWatch(prefix, after, _WATCH_SECONDS),
-            _WATCH_SECONDS + _ANSWER_SECONDS,
-        )
+        message = StoreWatch(prefix, after, _WATCH_SECONDS)
+        patience = _WATCH_SECONDS + _ANSWER_SECONDS
+        reply = await self._ask_first(message, prefix, patience)
         if reply is None:
-            return seen
+            # Shorter where a member can take over again.
+            if self.relayed or prefix in self.mirrored:
+                seconds = min(seconds, _WATCH_SECONDS)
+            seen = await self.direct.watch(prefix, after, seconds)
+            if not isinstance(seen, Unavailable):
+                self._came(False, message)
+                return seen
+            reply = await self._ask_all(message, patience)
+            if reply is None:
+                return seen
         return WatchEvents(
             [(item.key, item.value) for item in reply.items], reply.revision
         )
 
-    def _direct_again(self) -> None:
-        if self.relayed:
-            log_event("store_direct")
-        self.relayed = False
+    def _came(self, relayed: bool, message: msgspec.Struct) -> None:
+        if relayed and not self.relayed:
+            log_event("store_relayed", kind=type(message).__name__)
+        if self.relayed and not relayed:
+            log_event("store_direct", kind=type(message).__name__)
+        self.relayed = relayed
+
+    async def _ask_first(
+        self, message: msgspec.Struct, prefix: str, seconds: float
+    ) -> StoreItems | None:
+        """Asks one member, if the prefix is read so."""
+        member = self._choose() if prefix in self.mirrored else None
+        if member is None:
+            return None
+        reply = await self.members.link(member).ask(message, seconds)
+        if not isinstance(reply, StoreItems):
+            return None
+        self._came(True, message)
+        return reply
+
+    def _choose(self) -> Member | None:
+        """Chooses a member of this domain and others by turns.
+
+        One that is cut off from the store, and does not know yet, has nothing
+        new to tell. The next one, a second later, has.
+        """
+        if self.members is None:
+            return None
+        there = [
+            member
+            for member in self.members.known.values()
+            if not member.leaving and not self.members.link(member).failures
+        ]
+        near = [member for member in there if member.domain == self.domain]
+        far = [member for member in there if member.domain != self.domain]
+        first, second = (near, far) if next(self.turns) % 2 else (far, near)
+        chosen = first or second
+        return random.choice(chosen) if chosen else None
 
-    async def _ask_members(
+    async def _ask_all(
         self, message: msgspec.Struct, seconds: float
     ) -> StoreItems | None:
         """Asks all members at once and takes the first answer."""
@@ -121,9 +173,7 @@
             for next_one in asyncio.as_completed(asks):
                 reply = await next_one
                 if isinstance(reply, StoreItems):
-                    if not self.relayed:
-                        log_event("store_relayed", kind=type(message).__name__)
-                    self.relayed = True
+                    self._came(True, message)
                     return reply
         finally:
             for ask in asks:
--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -134,8 +134,10 @@
     def _was_away(self) -> bool:
         if self.away_since is None:
             return False
+        # Since the last answer: that nothing comes any more shows only when a
+        # watch's time is over, and the service may be back by then.
         now = asyncio.get_running_loop().time()
-        return now - self.away_since > _AWAY_SECONDS
+        return now - self.heard_at > _AWAY_SECONDS
 
     async def _watch(self) -> bool:
         events = await self.kv.watch(
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -210,6 +210,32 @@
     And "c" is replaced by "f" of its domain, which is still listed
     Then "d, e, f" have all 40 turns
 
+  Scenario Outline: A long conversation over many storage instances
+    Its turns come through fronts of different domains, and each new one asks
+    for the whole chain. One link that nobody is asked for makes the caller
+    wait until it gives up, on calm days too.
+
+    Given <count> storage instances in 3 failure domains
+    When a conversation of 11 turns goes through fronts that have just started
+    Then a new front of each domain finds all 11 turns, the first asking 1 instance
+    When <away> storage instances of different domains are away
+    Then a new front of each domain finds all 11 turns
+    When a storage instance joins each domain and 3 more turns are kept
+    Then a new front of each domain finds all 14 turns
+
+    Examples:
+      | count | away |
+      | 8     | 1    |
+      | 12    | 1    |
+
+  Scenario: A conversation that another program continues
+    Its turns lie where the first program's are. Nobody tells the front which
+    program that was.
+
+    Given 8 storage instances in 3 failure domains
+    When a conversation of 11 turns goes through fronts that have just started
+    Then a front that takes it for another program's finds all 11 turns
+
   Scenario: A chain is kept for as long as the turn at its end
     The first turn of a conversation is over when the last one ends. Dropped by
     its own time, the conversation could not go on; it may also have come here
--- a/tests/features/site_store.feature
+++ b/tests/features/site_store.feature
@@ -20,8 +20,24 @@
     And bodies are bounded at 50 bytes
     Then a payment of 51 bytes is answered with 413 at every front
     And the front of "east" read the store through a storage instance
-    When the store serves everybody again
-    Then the front of "east" reads the store directly
+
+  Scenario: No storage instance answers
+    Fronts read the store through them. With all of them down, the operators'
+    next change must be in force all the same.
+
+    When all storage instances are killed
+    And bodies are bounded at 50 bytes
+    Then a payment of 51 bytes is answered with 413 at every front
+    And the front of "east" reads the store directly
+
+  Scenario: A storage instance does not hear the store any more
+    It has not noticed yet, and tells those that ask it that nothing is new. A
+    front that believes only this one works by old rules.
+
+    When the store is silent towards the storage instance of "east"
+    And bodies are bounded at 50 bytes
+    Then a payment of 51 bytes is answered with 413 at every front
+    And the storage instance of "east" had not noticed
 
   Scenario: Runners' entries lapse while the store is away
     The runners live and work, but could not renew. Taken for gone, they leave
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -478,6 +478,121 @@
     assert "t1" in context.network.keepers[name].table.held
 
 
+@given("{count:d} storage instances in 3 failure domains")
+def step_many(context, count):
+    names = [f"s{number}" for number in range(count)]
+    context.domains = {
+        name: f"domain-{number % 3}" for number, name in enumerate(names)
+    }
+    folder = tempfile.mkdtemp()
+    context.loop = asyncio.new_event_loop()
+    context.network = Network(folder, names)
+    context.network.domains = context.domains
+    context.turns = 0
+    network(context, lambda n: n.start_all())
+
+    def clean():
+        network(context, lambda n: n.stop_all())
+        context.loop.close()
+        shutil.rmtree(folder)
+
+    context.scenario_stack.callback(clean)
+
+
+def go_on(context, count):
+    """Keeps further turns of a conversation, each through another front."""
+
+    async def keep_all(n):
+        for number in range(context.turns, context.turns + count):
+            previous = f"t{number - 1}" if number else ""
+            front = n.front(f"s{number % 3}")
+            if previous:
+                found = await front.lookup.find(previous, "p")
+                assert len(found) == number, (number, found)
+            expires = wall_seconds() + 60.0
+            kept = KeptTurn(f"t{number}", previous, b"text", expires, "p")
+            assert (await front.lookup.keep(kept)).enough
+
+    network(context, keep_all)
+    context.turns += count
+
+
+@when(
+    "a conversation of {count:d} turns goes through fronts that have just"
+    " started"
+)
+def step_converse(context, count):
+    go_on(context, count)
+
+
+def find_all(context, name, chain="p"):
+    """Returns the turns that a new front finds, and whom it asked."""
+    asked = []
+
+    async def find(n):
+        front = n.front(name)
+        ask = front.reach.ask
+
+        async def count(member, message, seconds):
+            asked.append(member.name)
+            return await ask(member, message, seconds)
+
+        front.reach.ask = count
+        return await front.lookup.find(f"t{context.turns - 1}", chain)
+
+    found = network(context, find)
+    assert isinstance(found, list), found
+    assert [kept.turn for kept in found] == [
+        f"t{number}" for number in reversed(range(context.turns))
+    ], found
+    return asked
+
+
+@then(
+    "a new front of each domain finds all {count:d} turns, the first asking"
+    " {most:d} instance"
+)
+def step_find_near(context, count, most):
+    for name in ("s0", "s1", "s2"):
+        asked = find_all(context, name)
+        assert len(asked) <= most, asked
+
+
+@then("a new front of each domain finds all {count:d} turns")
+def step_find(context, count):
+    for name in ("s0", "s1", "s2"):
+        find_all(context, name)
+
+
+@then("a front that takes it for another program's finds all {count:d} turns")
+def step_find_other(context, count):
+    find_all(context, "s0", "another")
+
+
+@when("{count:d} storage instances of different domains are away")
+def step_away(context, count):
+    async def kill(n):
+        for name in list(n.keepers)[-count:]:
+            await n.kill(name)
+
+    network(context, kill)
+
+
+@when("a storage instance joins each domain and {count:d} more turns are kept")
+def step_join(context, count):
+    async def join(n):
+        for number in range(3):
+            name = f"new{number}"
+            n.domains[name] = f"domain-{number}"
+            n.names.append(name)
+            await n.start(name)
+            for each in n.keepers:
+                n.introduce(n.members[each], name)
+
+    network(context, join)
+    go_on(context, count)
+
+
 @when('"{name}" keeps a turn that expires at once and one that continues it')
 def step_keep_chain(context, name):
     keep(context, name, "t1", seconds=-100.0)
--- a/tests/features/steps/site_store.py
+++ b/tests/features/steps/site_store.py
@@ -13,8 +13,12 @@
     return site(context).processes[f"front-{domain}"]
 
 
+def storage(context, domain):
+    return site(context).processes[f"storage-{domain}"]
+
+
 def repair(context):
-    site(context).faults(refuse_sources=[], down=False)
+    site(context).faults(refuse_sources=[], silent_sources=[], down=False)
 
 
 @when("all waiting watches go silent")
@@ -36,9 +40,30 @@
     context.scenario_stack.callback(repair, context)
 
 
-@when("the store serves everybody again")
-def step_serve_all(context):
-    repair(context)
+@when("all storage instances are killed")
+def step_kill_storage(context):
+    for domain in _DOMAINS:
+        site(context).processes[f"storage-{domain}"].kill()
+
+    def start():
+        for domain in _DOMAINS:
+            site(context).start("storage", domain)
+
+    context.scenario_stack.callback(start)
+
+
+@when('the store is silent towards the storage instance of "{domain}"')
+def step_mute(context, domain):
+    host, _, _ = site(context).front(domain).rpartition(".")
+    site(context).faults(silent_sources=[f"{host}.2"])
+    context.scenario_stack.callback(repair, context)
+    context.lost = len(storage(context, domain).events("watch_lost"))
+
+
+@then('the storage instance of "{domain}" had not noticed')
+def step_not_noticed(context, domain):
+    lost = len(storage(context, domain).events("watch_lost"))
+    assert lost == context.lost, (lost, context.lost)
 
 
 @then('the front of "{domain}" read the store through a storage instance')
--- a/tests/standins/sitestore.py
+++ b/tests/standins/sitestore.py
@@ -23,12 +23,15 @@
         silent: Calls are not answered at all.
         lose_answers: So many further writes take effect without an answer.
         refuse_sources: Addresses whose calls are refused.
+        silent_sources: Addresses whose calls get no answer, also those that
+            wait.
     """
 
     down: bool = False
     silent: bool = False
     lose_answers: int = 0
     refuse_sources: list[str] = msgspec.field(default_factory=list)
+    silent_sources: list[str] = msgspec.field(default_factory=list)
 
 
 class Item(msgspec.Struct):
@@ -89,6 +92,8 @@
         if faults.down or request.remote in faults.refuse_sources:
             return web.Response(status=503)
         answer = await handler(request)
+        if request.remote in faults.silent_sources:
+            await asyncio.sleep(3600)
         if request.method == "POST" and faults.lose_answers:
             faults.lose_answers -= 1
             await drop(request)
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -181,7 +181,7 @@
         """Ends one; what it has not synced is lost."""
         keeper = self.keepers.pop(name)
         keeper.journal.waiting.clear()
-        await keeper.__aexit__()
+        await keeper.__aexit__(None, None, None)
 
     async def wipe(self, name: str) -> None:
         """Ends one and takes its disk."""
