Place by what has to be read and whom it delays; come back when callers have moved

Cause: when a domain is cut off, each front sent all that was broken to the engine that looked fastest; turns took 2 to 3 s of an expected 0.2. Its speed came from single gaps between events, which are nothing for those that come together, so the busiest looked fastest; reading was taken for three times as fast as it is here, and what it does to others for nothing.

Change: the time of a first event and of reading a token are learned, a stream's mean in place of its gaps; placing adds what is still to be read before, and a share of the delay of those that run. Refusals of a front that is cut off say when the balancer has moved callers.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -39,6 +39,8 @@
 _CUT_RETRY_SECONDS = 1.0
 _MOST_TRIES = 6
 _USUAL_EVENTS = 12.0
+# Streams of fewer events say little of the time between them.
+_LEAST_EVENTS = 3
 
 
 class Job(msgspec.Struct):
@@ -120,11 +122,25 @@
 
 
 class Running(msgspec.Struct):
-    """A call that an endpoint has begun to answer."""
+    """A call that an endpoint has begun to answer.
+
+    Attributes:
+        endpoint: The endpoint.
+        answer: Its answer.
+        sent_at: Loop time at which the call was sent.
+        unread: Tokens of its prompt that were not cached, as far as known.
+        first_at: Loop time of the first event of a stream.
+        last_at: Loop time of its newest event.
+        events: Events of this run.
+    """
 
     endpoint: Endpoint
     answer: Answer
     sent_at: float
+    unread: int = 0
+    first_at: float = 0.0
+    last_at: float = 0.0
+    events: int = 0
 
 
 class Dispatcher:
@@ -177,8 +193,9 @@
                 yield self._nowhere(job)
                 return
             stats = self.known.of(pick.endpoint)
-            with Stay(stats, job.call.request) as stay:
-                result = await self._send(job, pick)
+            unread = stats.uncached(job.call)
+            with Stay(stats, job.call.request, unread) as stay:
+                result = await self._send(job, pick, unread)
                 if isinstance(result, Running):
                     stay.answered()
                     with result.answer:
@@ -231,7 +248,9 @@
         well = [e for e in fresh if not self.known.is_avoided(e)]
         return well or fresh
 
-    async def _send(self, job: Job, pick: Pick) -> Running | Refusal | None:
+    async def _send(
+        self, job: Job, pick: Pick, unread: int
+    ) -> Running | Refusal | None:
         """Sends a call to an endpoint; None if another one may be tried."""
         endpoint = pick.endpoint
         self._log_placed(job, pick)
@@ -269,7 +288,8 @@
                 return self._not_run(job, endpoint, "not_connected", why)
             case Broken(why=why):
                 return self._broken(job, endpoint, why)
-        return await self._judge(job, Running(endpoint, answer, sent_at))
+        running = Running(endpoint, answer, sent_at, unread)
+        return await self._judge(job, running)
 
     async def _judge(
         self, job: Job, running: Running
@@ -350,17 +370,40 @@
         """Learns from a call that has ended."""
         self.guard.finished(job.fingerprint)
         if job.route.kind is Kind.STREAM:
-            # Its events were measured one by one.
+            self._stream_took(job, running)
             return
         if running.answer.head.is_success:
             self.known.measured_call(
                 running.endpoint, job.kind, loop_seconds() - running.sent_at
             )
 
-    def event_took(self, job: Job, running: Running, seconds: float) -> None:
-        """Learns from the time between two events of a stream."""
+    def event_came(self, job: Job, running: Running) -> None:
+        """Learns from an event of a stream."""
+        now = loop_seconds()
         self.domains.hear(running.endpoint.domain)
-        self.known.measured_event(running.endpoint, job.kind, seconds)
+        running.events += 1
+        running.last_at = now
+        if running.events == 1:
+            running.first_at = now
+            self.known.measured_first(
+                running.endpoint,
+                job.kind,
+                now - running.sent_at,
+                running.unread,
+            )
+
+    def _stream_took(self, job: Job, running: Running) -> None:
+        """Learns from a whole stream.
+
+        Its mean, not each gap: events that come together, as from an engine
+        with many at a time, would make it look several times as fast as it is.
+        """
+        if running.events < _LEAST_EVENTS:
+            return
+        seconds = running.last_at - running.first_at
+        self.known.measured_event(
+            running.endpoint, job.kind, seconds / (running.events - 1)
+        )
 
     def _nowhere(self, job: Job) -> Refusal:
         if job.ran_on:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -242,17 +242,12 @@
         turn: Turn,
     ) -> None:
         reader = EventReader()
-        last = loop_seconds()
         async for chunk in running.answer.chunks():
             for event in reader.feed(chunk):
+                self.dispatcher.event_came(job, running)
                 await self._pass_event(response, job, turn, event)
                 if turn.passed == 1:
                     self._first_event(job)
-                else:
-                    self.dispatcher.event_took(
-                        job, running, loop_seconds() - last
-                    )
-                last = loop_seconds()
         if reader.rest:
             await response.write(reader.rest)
 
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -17,8 +17,9 @@
 _LEAST_PACE = 0.2
 _MOST_PACE = 8.0
 # An endpoint that was not measured for so long is taken to be as fast as
-# others, so that one that has recovered gets work again.
-_TRUST_SECONDS = 12.0
+# others, so that one that has recovered gets work again. Slow ones get little
+# work, and must not look fast again before the next wave of it.
+_TRUST_SECONDS = 40.0
 # Load of other fronts that an answer reported fades: their calls last about
 # as long.
 _LOAD_SECONDS = 1.0
@@ -27,9 +28,15 @@
 _DOMAIN_AVOID_SECONDS = 0.7
 _DOMAIN_WINDOW_SECONDS = 1.0
 _MOST_PREFIXES = 4000
-# Prompt tokens that an engine reads in a second, where nothing is known yet;
-# of the size that the engines in use show.
-_READ_TOKENS_PER_SECOND = 180_000.0
+# Seconds in which an engine reads a prompt token, where nothing is known yet;
+# engines in use take 5 to 16 microseconds.
+_READ_SECONDS = 8e-6
+# Prompts that are cached up to so many tokens show the time of a first event
+# without reading; those with more to read show how long reading takes.
+_LITTLE_TOKENS = 400
+_MUCH_TOKENS = 1_500
+# A first event without reading, where nothing is known yet.
+_FIRST_TOKEN_SECONDS = 0.03
 _FIRST_EVENT_SECONDS = 0.03
 _FIRST_CALL_SECONDS = 0.03
 # Calls on one runner differ this much by chance; ties go by lot within it.
@@ -59,6 +66,7 @@
         avoid_until: Loop time until which it gets no work if others can.
         failures: Failures in a row.
         waiting: When each call there that has no first byte was sent.
+        unread: Tokens that are to be read for each of these.
     """
 
     def __init__(self) -> None:
@@ -71,6 +79,7 @@
         self.avoid_until = 0.0
         self.failures = 0
         self.waiting: dict[str, float] = {}
+        self.unread: dict[str, int] = {}
         self.prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -115,6 +124,10 @@
             tokens += part.tokens
         return tokens
 
+    def uncached(self, call: Call) -> int:
+        """Returns how many tokens of a prompt it has to read."""
+        return max(0, call.prompt_tokens - self.cached_tokens(call.parts))
+
     def sent(self, parts: tuple[PromptPart, ...]) -> None:
         """Notes that it reads a prompt."""
         for key in _prefix_keys(parts):
@@ -136,18 +149,21 @@
 class Stay:
     """A call's stay at an endpoint, counted there while it lasts."""
 
-    def __init__(self, stats: EndpointStats, request: str) -> None:
+    def __init__(self, stats: EndpointStats, request: str, unread: int) -> None:
         self.stats = stats
         self.request = request
+        self.unread = unread
 
     def __enter__(self) -> Self:
         self.stats.own += 1
         self.stats.waiting[self.request] = loop_seconds()
+        self.stats.unread[self.request] = self.unread
         return self
 
     def answered(self) -> None:
         """The first byte has come."""
         self.stats.waiting.pop(self.request, None)
+        self.stats.unread.pop(self.request, None)
 
     def __exit__(self, *exc_info: object) -> None:
         self.stats.own -= 1
@@ -203,15 +219,17 @@
         now = loop_seconds()
         stats = self.of(endpoint)
         pace = stats.pace_now(now) * random.uniform(1, 1 + _JITTER)
-        uncached = call.prompt_tokens - stats.cached_tokens(call.parts)
+        read = ahead = 0.0
         if events:
             usual = self.usual_of(kind, _FIRST_EVENT_SECONDS)
-            run = events * usual.seconds * pace
-            read = max(0, uncached) / _READ_TOKENS_PER_SECOND * pace
+            first = self.usual_of(f"first/{kind}", _FIRST_TOKEN_SECONDS)
+            token = self.usual_of(f"read/{kind}", _READ_SECONDS)
+            run = (first.seconds + events * usual.seconds) * pace
+            read = stats.uncached(call) * token.seconds * pace
+            ahead = sum(stats.unread.values()) * token.seconds * pace
         else:
             usual = self.usual_of(kind, _FIRST_CALL_SECONDS)
             run = usual.seconds * pace
-            read = 0.0
         oldest = min(stats.waiting.values(), default=now)
         overdue = max(0.0, now - oldest - 3 * (run + read) - 0.1)
         return View(
@@ -221,6 +239,7 @@
             stats.busy(now),
             run,
             read,
+            ahead,
             overdue,
         )
 
@@ -292,9 +311,28 @@
     def measured_event(
         self, endpoint: Endpoint, kind: str, seconds: float
     ) -> None:
-        """Learns from the time between events of a stream."""
+        """Learns from the mean time between events of a stream."""
         self.measured(endpoint, kind, seconds, _FIRST_EVENT_SECONDS)
 
+    def measured_first(
+        self, endpoint: Endpoint, kind: str, seconds: float, unread: int
+    ) -> None:
+        """Learns from the time to the first event of a stream.
+
+        Args:
+            endpoint: Where it ran.
+            kind: Kind of call.
+            seconds: From sending the call.
+            unread: Tokens that were to be read.
+        """
+        seconds /= self.of(endpoint).pace_now(loop_seconds())
+        first = self.usual_of(f"first/{kind}", _FIRST_TOKEN_SECONDS)
+        if unread <= _LITTLE_TOKENS:
+            first.learn(seconds)
+        elif unread >= _MUCH_TOKENS:
+            token = self.usual_of(f"read/{kind}", _READ_SECONDS)
+            token.learn(max(0.0, seconds - first.seconds) / unread)
+
 
 class Pick(msgspec.Struct, frozen=True):
     """An endpoint chosen for a call, and what spoke for it."""
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -28,9 +28,6 @@
 # A home that is away is back within seconds, or its domain's cut is over. A
 # caller that comes back sooner only uses up its tries.
 _AWAY_RETRY_SECONDS = 0.8
-# In a domain that is cut off, callers get to another one once the balancer
-# has passed this front over: two of its questions, a second apart.
-_CUT_RETRY_SECONDS = 1.5
 
 
 class Turn(msgspec.Struct):
@@ -39,16 +36,30 @@
     Attributes:
         body: Its chain's text and its new input: what the endpoint gets.
         reserved: Tokens that it may use, or 0 if it has no budget.
+        chain: What the turns of its chain have in common, or empty.
         events: Data of its events so far.
         passed: Events passed on to the caller.
     """
 
     body: bytes
     reserved: int = 0
+    chain: str = ""
     events: list[bytes] = msgspec.field(default_factory=list)
     passed: int = 0
 
 
+class History(msgspec.Struct, frozen=True):
+    """What a turn continues.
+
+    Attributes:
+        body: Its chain's text and its new input.
+        chain: What the turns of its chain have in common, or empty.
+    """
+
+    body: bytes
+    chain: str
+
+
 class Turns:
     """Budgets and histories of turns.
 
@@ -67,11 +78,11 @@
             return refuse(
                 Reason.TURN_UNSURE,
                 "cut off: its next turns would not be found elsewhere",
-                retry_after=_CUT_RETRY_SECONDS,
+                retry_after=self.keepers.reach.moved_in(),
             )
         try:
-            body, permission = await asyncio.gather(
-                self._whole_body(call, route), self._reserve(call)
+            history, permission = await asyncio.gather(
+                self._history(call, route), self._reserve(call)
             )
         except asyncio.CancelledError:
             # The caller left. The permission may have been given already.
@@ -79,10 +90,10 @@
                 self.keepers.permits.settle_later(call.program, call.request, 0)
             raise
         refusal = next(
-            (x for x in (permission, body) if isinstance(x, Refusal)), None
+            (x for x in (permission, history) if isinstance(x, Refusal)), None
         )
         if refusal is None:
-            return Turn(body, permission)
+            return Turn(history.body, permission, history.chain)
         if isinstance(permission, int) and permission:
             self.keepers.permits.settle_later(call.program, call.request, 0)
         return refusal
@@ -100,17 +111,17 @@
             and self.keepers.reach.is_cut_off()
         )
 
-    async def _whole_body(self, call: Call, route: Route) -> bytes | Refusal:
+    async def _history(self, call: Call, route: Route) -> History | Refusal:
         if not (route.keeps_turns and call.previous):
-            return call.body
-        found = await self.keepers.lookup.find(call.previous)
+            return History(call.body, call.program)
+        found = await self.keepers.lookup.find(call.previous, call.program)
         match found:
             case NoSuchTurn():
                 return refuse(Reason.UNKNOWN_TURN, "no such turn")
             case Unsure(why=why):
                 return refuse(Reason.TURN_UNSURE, why)
         texts = [kept.text for kept in reversed(found)]
-        return b"".join([*texts, call.body])
+        return History(b"".join([*texts, call.body]), found[0].key)
 
     async def _reserve(self, call: Call) -> int | Refusal:
         if not call.program or call.budget is None:
@@ -143,13 +154,12 @@
                     f" {reply.running} may be by turns that run",
                 )
             case Unsure(why=why):
-                is_cut = self.keepers.reach.is_cut_off()
+                reach = self.keepers.reach
+                seconds = _AWAY_RETRY_SECONDS
+                if reach.is_cut_off():
+                    seconds = reach.moved_in()
                 return refuse(
-                    Reason.BUDGET_UNRESERVED,
-                    why,
-                    retry_after=(
-                        _CUT_RETRY_SECONDS if is_cut else _AWAY_RETRY_SECONDS
-                    ),
+                    Reason.BUDGET_UNRESERVED, why, retry_after=seconds
                 )
 
     def settle(self, call: Call, turn: Turn, service: Service) -> None:
@@ -169,6 +179,7 @@
             call.previous,
             text,
             wall_seconds() + route.retention_seconds,
+            turn.chain,
         )
         kept_by = await self.keepers.lookup.keep(kept)
         log_event(
--- /dev/null
+++ b/tests/features/steps/site_placing.py
@@ -0,0 +1,165 @@
+"""Steps about calls that are placed at engines, in virtual time."""
+
+import asyncio
+import collections
+
+from behave import given, then, when
+
+from rattanmill_core import Metrics
+from rattanmill_forward import Backend, Endpoint, Kind, Route, Service
+from rattanmill_forward.calls import Call, Load, PromptPart
+from rattanmill_forward.dispatch import Dispatcher, Job, Running
+from rattanmill_forward.domains import Domains
+from rattanmill_forward.endpoints import EndpointBook
+from rattanmill_forward.stats import Knowledge, Stay
+from support.virtual import run_virtually
+
+_SLOTS = 24
+# What engines of the usual speed take to read a token.
+_READ_SECONDS = 16e-6
+_PARTS = (PromptPart("shared", 1000), PromptPart("own", 4000))
+_ROUTE = Route(
+    *("turns", "a", "/", Kind.STREAM, 4.0, 0.5, 1),
+    backends=(Backend("llm", 1.0),),
+    most_runs=1,
+)
+
+
+class Front:
+    """A front's decisions about engines of set speeds."""
+
+    def __init__(self, paces):
+        self.paces = paces
+        self.book = EndpointBook()
+        self.known = Knowledge("east")
+        domains = Domains("east", dict, None)
+        self.dispatcher = Dispatcher(
+            self.book, self.known, None, None, domains, None, Metrics()
+        )
+        self.engines = {}
+        now = asyncio.get_running_loop().time()
+        for name, pace in paces.items():
+            engine = Endpoint(name, "llm", "east", f"{name}:1", _SLOTS, False)
+            self.engines[name] = engine
+            self.book.take(engine)
+            stats = self.known.of(engine)
+            stats.pace, stats.measured_at = pace, now
+        for _ in range(50):
+            self.known.usual_of("read/event/llm", 0).learn(_READ_SECONDS)
+            self.known.usual_of("event/llm", 0).learn(0.03)
+
+    def job(self, number):
+        """Returns a turn of eight events."""
+        call = Call(
+            request=str(number),
+            method="POST",
+            host="a",
+            target="/",
+            headers=[],
+            prompt_tokens=5000,
+            output_tokens=8,
+            parts=_PARTS,
+        )
+        deadline = asyncio.get_running_loop().time() + 4
+        return Job(call, _ROUTE, Service("llm"), b"", deadline)
+
+    def place(self, job):
+        """Places a turn; it stays there."""
+        pick = self.dispatcher.pick(job)
+        stats = self.known.of(pick.endpoint)
+        Stay(stats, job.call.request, stats.uncached(job.call)).__enter__()
+        return pick.endpoint.name
+
+
+@given(
+    'engines "{names}" that take {one:f}, {two:f} and {three:f} of the usual'
+    " time"
+)
+def step_engines(context, names, one, two, three):
+    context.paces = dict(zip(names.split(", "), (one, two, three), strict=True))
+    context.prepare = []
+
+
+@given('{count:d} streams run at "{name}"')
+def step_run(context, count, name):
+    def run(front):
+        load = Load(count, 0, _SLOTS)
+        front.known.answered(front.engines[name], load)
+
+    context.prepare.append(run)
+
+
+@given('the conversation is cached at "{name}"')
+def step_cached(context, name):
+    context.prepare.append(
+        lambda front: front.known.of(front.engines[name]).sent(_PARTS)
+    )
+
+
+@when("{count:d} turns with 5000 tokens to read are sent at once")
+def step_send(context, count):
+    async def send():
+        front = Front(context.paces)
+        for prepare in context.prepare:
+            prepare(front)
+        return [front.place(front.job(number)) for number in range(count)]
+
+    context.placed = collections.Counter(run_virtually(send()))
+
+
+@then("each engine gets at least {least:d} and at most {most:d} of them")
+def step_spread(context, least, most):
+    for name in context.paces:
+        assert least <= context.placed[name] <= most, context.placed
+
+
+@then(
+    "the last prompt has been read within half of the time that one engine"
+    " would need"
+)
+def step_read(context):
+    read = {
+        name: count * 5000 * _READ_SECONDS * context.paces[name]
+        for name, count in context.placed.items()
+    }
+    alone = sum(context.placed.values()) * 5000 * _READ_SECONDS
+    assert max(read.values()) <= alone / 2, read
+
+
+@then('"{name}" gets it')
+def step_gets(context, name):
+    assert set(context.placed) == {name}, context.placed
+
+
+@when(
+    'a stream of {count:d} events within {seconds:f} s comes from "{name}",'
+    " all but the first at once"
+)
+def step_burst(context, count, seconds, name):
+    async def stream():
+        front = Front(context.paces)
+        front.dispatcher.guard = _Guard()
+        job = front.job(1)
+        running = Running(front.engines[name], None, 0.0)
+        front.dispatcher.event_came(job, running)
+        await asyncio.sleep(seconds)
+        for _ in range(count - 1):
+            front.dispatcher.event_came(job, running)
+        front.dispatcher.finished(job, running)
+        now = asyncio.get_running_loop().time()
+        return {
+            each: front.known.of(engine).pace_now(now)
+            for each, engine in front.engines.items()
+        }
+
+    context.learned = run_virtually(stream())
+
+
+class _Guard:
+    def finished(self, fingerprint):
+        """Takes the end of a run."""
+
+
+@then('"{name}" is not taken for faster than "{other}"')
+def step_not_faster(context, name, other):
+    assert context.learned[name] >= context.learned[other], context.learned
