--- /dev/null
+++ b/tests/features/steps/keeping_turns.py
@@ -0,0 +1,269 @@
+"""Steps about kept turns and the journal, run in this process."""
+
+import asyncio
+import shutil
+import tempfile
+
+from behave import given, then, when
+
+from rattanmill_core import wall_seconds
+from rattanmill_keeper import (
+    KeptTurn,
+)
+from rattanmill_keeper.journal import frame, read_frames
+from rattanmill_keeper.messages import Keep, Ping, codec
+from rattanmill_wire import RequestLink
+from support.keepers import Network
+from support.keepers import run_in as network
+
+
+def keep(context, name, turn, previous="", text=b"text", seconds=60.0):
+    kept = KeptTurn(turn, previous, text, wall_seconds() + seconds)
+    network(context, lambda n: n.keepers[name].serve(Keep(kept)))
+
+
+@when('"{names}" keep {count:d} turns')
+def step_keep_all(context, names, count):
+    for name in names.split(", "):
+        for number in range(count):
+            keep(context, name, f"turn-{number}")
+
+
+@when('"{old}" is replaced by "{new}" of its domain, which is still listed')
+def step_replace(context, old, new):
+    async def replace(n):
+        await n.wipe(old)
+        n.domains[new] = n.domains.get(old, f"domain-{old}")
+        n.names.append(new)
+        await n.start(new)
+        for name in n.keepers:
+            n.introduce(n.members[name], new)
+        await n.follow(new)
+
+    network(context, replace)
+
+
+@then('"{names}" have all {count:d} turns')
+def step_have_all(context, names, count):
+    for name in names.split(", "):
+        held = context.network.keepers[name].table.held
+        missing = {f"turn-{n}" for n in range(count)} - set(held)
+        assert not missing, (name, missing)
+
+
+@when('"{name}" keeps a turn alone')
+def step_keep(context, name):
+    keep(context, name, "t1")
+
+
+@when('"{name}" has followed the others')
+def step_follow(context, name):
+    network(context, lambda n: n.follow(name))
+
+
+@then('"{name}" has the turn')
+def step_has(context, name):
+    assert "t1" in context.network.keepers[name].table.held
+
+
+@given("{count:d} storage instances in 3 failure domains")
+def step_many(context, count):
+    names = [f"s{number}" for number in range(count)]
+    context.domains = {
+        name: f"domain-{number % 3}" for number, name in enumerate(names)
+    }
+    folder = tempfile.mkdtemp()
+    context.loop = asyncio.new_event_loop()
+    context.network = Network(folder, names)
+    context.network.domains = context.domains
+    context.turns = 0
+    network(context, lambda n: n.start_all())
+
+    def clean():
+        network(context, lambda n: n.stop_all())
+        context.loop.close()
+        shutil.rmtree(folder)
+
+    context.scenario_stack.callback(clean)
+
+
+def go_on(context, count):
+    """Keeps further turns of a conversation, each through another front."""
+
+    async def keep_all(n):
+        for number in range(context.turns, context.turns + count):
+            previous = f"t{number - 1}" if number else ""
+            front = n.front(f"s{number % 3}")
+            if previous:
+                found = await front.lookup.find(previous, "p")
+                assert len(found) == number, (number, found)
+            expires = wall_seconds() + 60.0
+            kept = KeptTurn(f"t{number}", previous, b"text", expires, "p")
+            assert (await front.lookup.keep(kept)).enough
+
+    network(context, keep_all)
+    context.turns += count
+
+
+@when(
+    "a conversation of {count:d} turns goes through fronts that have just"
+    " started"
+)
+def step_converse(context, count):
+    go_on(context, count)
+
+
+def find_all(context, name, chain="p"):
+    """Returns the turns that a new front finds, and whom it asked."""
+    asked = []
+
+    async def find(n):
+        front = n.front(name)
+        ask = front.reach.ask
+
+        async def count(member, message, seconds):
+            asked.append(member.name)
+            return await ask(member, message, seconds)
+
+        front.reach.ask = count
+        return await front.lookup.find(f"t{context.turns - 1}", chain)
+
+    found = network(context, find)
+    assert isinstance(found, list), found
+    assert [kept.turn for kept in found] == [
+        f"t{number}" for number in reversed(range(context.turns))
+    ], found
+    return asked
+
+
+@then(
+    "a new front of each domain finds all {count:d} turns, the first asking"
+    " {most:d} instance"
+)
+def step_find_near(context, count, most):
+    for name in ("s0", "s1", "s2"):
+        asked = find_all(context, name)
+        assert len(asked) <= most, asked
+
+
+@then("a new front of each domain finds all {count:d} turns")
+def step_find(context, count):
+    for name in ("s0", "s1", "s2"):
+        find_all(context, name)
+
+
+@then("a front that takes it for another program's finds all {count:d} turns")
+def step_find_other(context, count):
+    find_all(context, "s0", "another")
+
+
+@when("{count:d} storage instances of different domains are away")
+def step_away(context, count):
+    async def kill(n):
+        for name in list(n.keepers)[-count:]:
+            await n.kill(name)
+
+    network(context, kill)
+
+
+@when("a storage instance joins each domain and {count:d} more turns are kept")
+def step_join(context, count):
+    async def join(n):
+        for number in range(3):
+            name = f"new{number}"
+            n.domains[name] = f"domain-{number}"
+            n.names.append(name)
+            await n.start(name)
+            for each in n.keepers:
+                n.introduce(n.members[each], name)
+
+    network(context, join)
+    go_on(context, count)
+
+
+@when('"{name}" keeps a turn that expires at once and one that continues it')
+def step_keep_chain(context, name):
+    keep(context, name, "t1", seconds=-100.0)
+    keep(context, name, "t2", "t1")
+
+
+@when('"{name}" keeps them in the other order')
+def step_keep_reversed(context, name):
+    keep(context, name, "t2", "t1")
+    keep(context, name, "t1", seconds=-100.0)
+
+
+@when('"{name}" keeps {size:d} MB of turns that expire at once')
+def step_keep_many(context, name, size):
+    for number in range(size):
+        text = bytes(1_000_000)
+        keep(context, name, f"old-{number}", text=text, seconds=-100.0)
+
+
+@when("the sweep has run")
+def step_sweep(context):
+    async def sweep(n):
+        for keeper in n.keepers.values():
+            keeper.sweep()
+
+    network(context, sweep)
+
+
+@then('"{name}" has both turns')
+def step_has_both(context, name):
+    assert {"t1", "t2"} <= set(context.network.keepers[name].table.held)
+
+
+@then('the first segment of "{name}" is gone')
+def step_segment_gone(context, name):
+    segments = context.network.keepers[name].journal.segments()
+    assert 1 not in segments, segments
+
+
+_RECORDS = [b"one", b"", b"x" * 300, b"last"]
+
+
+@then("a journal cut at any byte gives back a prefix of its records")
+def step_cut_anywhere(context):
+    content = b"".join(map(frame, _RECORDS))
+    ends = [0]
+    for record in _RECORDS:
+        ends.append(ends[-1] + len(frame(record)))
+    for garbage in (b"", bytes(40), b"\xff" * 40):
+        for at in range(len(content) + 1):
+            found = list(read_frames(content[:at] + garbage))
+            whole = sum(end <= at for end in ends[1:])
+            assert found == _RECORDS[:whole], (at, garbage, found)
+
+
+@then("so it does with each byte of its last record changed")
+def step_change_each(context):
+    content = b"".join(map(frame, _RECORDS))
+    start = len(content) - len(frame(_RECORDS[-1]))
+    for at in range(start, len(content)):
+        changed = bytearray(content)
+        changed[at] ^= 0x55
+        found = list(read_frames(bytes(changed)))
+        assert found == _RECORDS[:-1], (at, found)
+
+
+@when(
+    "{count:d} ask a peer that does not listen, one after the other giving up"
+)
+def step_ask_silent(context, count):
+    async def ask_all():
+        link = RequestLink("127.0.0.1:9", codec())
+        asks = [
+            asyncio.create_task(link.ask(Ping(), 0.05 + number / 100))
+            for number in range(count)
+        ]
+        done = await asyncio.gather(*asks, return_exceptions=True)
+        link.close()
+        return done
+
+    context.replies = asyncio.run(ask_all())
+
+
+@then("each learns that there is no reply")
+def step_no_reply(context):
+    assert context.replies and set(context.replies) == {None}, context.replies
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -5,7 +5,8 @@
 import contextlib
 import pathlib
 import shutil
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import msgspec
 
@@ -247,3 +248,8 @@
     async def pass_time(self, seconds: float) -> None:
         """Lets fronts and storage instances go on for a while."""
         await asyncio.sleep(seconds)
+
+
+def run_in(context: Any, work: Callable[[Network], Coroutine]) -> Any:
+    """Runs a coroutine with the scenario's storage instances."""
+    return context.loop.run_until_complete(work(context.network))
