Hold an account on five disks where two may be lost at once

With three holders a permission may be on two disks only; both lost, the third gives the same tokens again.

Change: holders are twice the lost disks and one, balanced over domains; an account opened with the store needs as many others as disks may be lost. With one lost disk nothing changes.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -36,6 +36,7 @@
     signals = Signals()
     signals.install(on_reload)
     members = Members(kv)
+    members.lost_disks = settings.lost_disks
     keeper = Keeper(
         settings.name,
         pathlib.Path(settings.data_folder),
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -59,17 +59,19 @@
     GIVE_UP = enum.auto()
 
 
-def judge(roster: int, agreed: int) -> Next:
+def judge(roster: int, agreed: int, lost_disks: int) -> Next:
     """Decides what consents are enough for.
 
     Args:
         roster: Storage instances there may be, the asker included.
         agreed: Others that agreed.
+        lost_disks: Disks that may be lost at once. Who opens an account with
+            the store must not be the only one to know when they are.
     """
     consents = agreed + 1
     if consents >= max(_LEAST_CONSENTS, roster - 1):
         return Next.OPEN
-    if agreed or roster == 1:
+    if agreed >= min(lost_disks, roster - 1):
         return Next.ASK_STORE
     return Next.GIVE_UP
 
@@ -111,7 +113,7 @@
     if program in ledger.shares:
         having.add(ledger.name)
     consent = Consent(frozenset(missing), frozenset(having))
-    match judge(len(roster), len(agreed)):
+    match judge(len(roster), len(agreed), members.lost_disks):
         case Next.OPEN:
             return consent
         case Next.ASK_STORE:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -1,7 +1,9 @@
 """The storage instances, as the platform's store lists them."""
 
 import asyncio
+import collections
 import hashlib
+import itertools
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -42,9 +44,8 @@
 CONFIRMED_SECONDS = 8.0
 # Without the store nobody can tell whether it has come back meanwhile.
 _HEARD_SECONDS = 12.0
-# With three holders one may be away, and a permission waits for one trip to
-# another failure domain.
-HOLDERS = 3
+# Disks that may be lost at once where nothing else is said.
+_LOST_DISKS = 1
 # An entry that is missing after an outage of the store may only have lapsed
 # meanwhile: its holder registers again within about two renewals.
 _GRACE_SECONDS = 6.0
@@ -87,6 +88,7 @@
 
     Attributes:
         known: Members by name.
+        lost_disks: Disks that may be lost at once.
         lost_at: Loop time at which a member was last removed that was not
             leaving, by name.
         emptied: Members that were emptied and are gone.
@@ -102,6 +104,7 @@
     ) -> None:
         self.kv = kv
         self.on_change = on_change
+        self.lost_disks = _LOST_DISKS
         self.known: dict[str, Member] = {}
         self.lost_at: dict[str, float] = {}
         self.emptied: set[str] = set()
@@ -192,6 +195,10 @@
     def choose_holders(self, name: str, key: str) -> tuple[str, ...]:
         """Chooses who is to hold an account, in different domains if it can.
 
+        A permission is on the disks of a majority. That majority must be more
+        than may be lost at once, and another one must be left then: with one
+        lost disk three holders, with two five.
+
         Args:
             name: The one that opens it, the first of them.
             key: The program.
@@ -202,17 +209,22 @@
             for member in self.known.values()
             if member.name != name and not member.leaving
         }
-        taken = {mine.domain if mine else ""}
-        chosen = [name]
         ranked = rank(key, others)
         # One that is silent would only leave a majority with nobody to spare.
         ranked.sort(key=lambda other: bool(self.link(others[other]).failures))
-        for other in ranked:
-            if others[other].domain not in taken:
-                taken.add(others[other].domain)
-                chosen.append(other)
-        chosen += [other for other in ranked if other not in chosen]
-        return tuple(chosen[:HOLDERS])
+        chosen = [name]
+        taken = collections.Counter([mine.domain if mine else ""])
+        wanted = min(2 * self.lost_disks + 1, len(others) + 1)
+        for most in itertools.count(1):
+            for other in ranked:
+                domain = others[other].domain
+                if other in chosen or taken[domain] >= most:
+                    continue
+                if len(chosen) < wanted:
+                    chosen.append(other)
+                    taken[domain] += 1
+            if len(chosen) >= wanted:
+                return tuple(chosen)
 
     def link(self, member: Member) -> RequestLink:
         """Returns the link to a member."""
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -220,6 +220,15 @@
     And "c" is replaced by "f" of its domain, which is still listed
     Then "d, e, f" have all 40 turns
 
+  Scenario: Two disks are lost at once where two may be
+    The two that have recorded a permission come back empty. If nobody else
+    has it, the program gets the same tokens again.
+
+    Given 8 storage instances in 3 failure domains, two of which may lose their disks at once
+    When a program has used half of its budget at "s0" while one holder was away
+    And two holders that were there lose their disks and have followed the others
+    Then the program gets no more than the rest of its budget and one turn
+
   Scenario Outline: A long conversation over many storage instances
     Its turns come through fronts of different domains, and each new one asks
     for the whole chain. One link that nobody is asked for makes the caller
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -198,6 +198,50 @@
     network(context, lose)
 
 
+@when(
+    'a program has used half of its budget at "{name}" while one holder was'
+    " away"
+)
+def step_used_without_one(context, name):
+    assert isinstance(ask(context, name, "old", "one"), Reserved)
+    holders = context.network.fronts["one"].permits.holders_of("old")
+    context.holders = holders
+    for each in context.network.names:
+        if each != holders[-1]:
+            context.network.cuts.add(frozenset((each, holders[-1])))
+    for attempt in ("two", "three"):
+        reply = ask(context, name, "old", attempt)
+        assert isinstance(reply, Reserved), reply
+    context.network.cuts.clear()
+
+
+@when(
+    "two holders that were there lose their disks and have followed the others"
+)
+def step_lose_two(context):
+    async def lose(n):
+        lost = context.holders[:2]
+        for name in lost:
+            await n.wipe(name)
+        for name in lost:
+            await n.start(name)
+            n.members[name].lost_disks = 2
+        for name in [*lost, *lost]:
+            await n.follow(name)
+
+    network(context, lose)
+
+
+@then("the program gets no more than the rest of its budget and one turn")
+def step_rest(context):
+    used = 3 * TOKENS
+    for number in range(8):
+        name = context.holders[number % len(context.holders)]
+        reply = ask(context, name, "old", f"rest-{number}")
+        used += TOKENS * isinstance(reply, Reserved)
+    assert used <= BUDGET + TOKENS, used
+
+
 @when('"{names}" are killed and started again')
 def step_restart_all(context, names):
     async def restart(n):
--- a/tests/features/steps/keeping_turns.py
+++ b/tests/features/steps/keeping_turns.py
@@ -87,6 +87,16 @@
     context.scenario_stack.callback(clean)
 
 
+@given(
+    "{count:d} storage instances in 3 failure domains, two of which may lose"
+    " their disks at once"
+)
+def step_many_two_lost(context, count):
+    step_many(context, count)
+    for members in context.network.members.values():
+        members.lost_disks = 2
+
+
 def go_on(context, count):
     """Keeps further turns of a conversation, each through another front."""
 
