Make one piece of code serve what the permissions and cuts wrote twice

Found in a read of the whole change, no behaviour meant to change: - Pool.is_refused opened connections by itself beside Pool._open; - members.py had lease.py's clock of a sleeping machine again (boot_seconds in core now), and the loop's time by hand; - three places chose a shorter wait for members known to be silent (Reach.ask); - RelayedKv.list and watch each spelt out: a member, the store, all members; - Ledger asked twice for the holders agreed to; - the tokens to read of a prompt were worked out again for each call placed; - two test files set up storage instances and calls alike.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -19,6 +19,7 @@
     UsageError,
 )
 from rattanmill_core.events import (
+    boot_seconds,
     configure_events,
     log_event,
     loop_seconds,
@@ -47,6 +48,7 @@
 )
 
 __all__ = [
+    "boot_seconds",
     "Aspect",
     "ConfigDocument",
     "ConfigReach",
--- a/libs/core/src/rattanmill_core/events.py
+++ b/libs/core/src/rattanmill_core/events.py
@@ -155,6 +155,11 @@
     return asyncio.get_running_loop().time()
 
 
+def boot_seconds() -> float:
+    """Returns seconds of a clock that also runs while a machine is asleep."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def wall_seconds() -> float:
     """Returns seconds since 1970, for expiry that outlives the process."""
     return time.time()
--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -65,6 +65,10 @@
         """Path without the query."""
         return self.target.split("?", 1)[0]
 
+    def unread_tokens(self, cached_tokens: int) -> int:
+        """Returns what is to be read of the prompt where a part is cached."""
+        return max(0, self.prompt_tokens - cached_tokens)
+
 
 class Load(msgspec.Struct, frozen=True):
     """Load that an endpoint reports with an answer."""
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -193,9 +193,8 @@
                 yield self._nowhere(job)
                 return
             stats = self.known.of(pick.endpoint)
-            unread = stats.uncached(job.call)
-            with Stay(stats, job.call.request, unread) as stay:
-                result = await self._send(job, pick, unread)
+            with Stay(stats, job.call.request, pick.unread_tokens) as stay:
+                result = await self._send(job, pick)
                 if isinstance(result, Running):
                     stay.answered()
                     with result.answer:
@@ -221,11 +220,13 @@
         }
         best = choose([view for _, view in views.values()])
         endpoint = views[best.name][0]
+        cached = self.known.of(endpoint).cached_tokens(job.call.parts)
         return Pick(
             endpoint,
             expected_seconds(best),
             best.busy,
-            self.known.of(endpoint).cached_tokens(job.call.parts),
+            cached,
+            job.call.unread_tokens(cached),
             len(candidates),
         )
 
@@ -248,9 +249,7 @@
         well = [e for e in fresh if not self.known.is_avoided(e)]
         return well or fresh
 
-    async def _send(
-        self, job: Job, pick: Pick, unread: int
-    ) -> Running | Refusal | None:
+    async def _send(self, job: Job, pick: Pick) -> Running | Refusal | None:
         """Sends a call to an endpoint; None if another one may be tried."""
         endpoint = pick.endpoint
         self._log_placed(job, pick)
@@ -288,7 +287,7 @@
                 return self._not_run(job, endpoint, "not_connected", why)
             case Broken(why=why):
                 return self._broken(job, endpoint, why)
-        running = Running(endpoint, answer, sent_at, unread)
+        running = Running(endpoint, answer, sent_at, pick.unread_tokens)
         return await self._judge(job, running)
 
     async def _judge(
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -31,9 +31,15 @@
 
 
 class ConnectFailed(msgspec.Struct, frozen=True):
-    """Nothing was sent."""
+    """Nothing was sent.
+
+    Attributes:
+        why: What happened.
+        is_refused: Whether nobody listens at the address.
+    """
 
     why: str
+    is_refused: bool = False
 
 
 class Broken(msgspec.Struct, frozen=True):
@@ -431,7 +437,8 @@
                     _Wire, host, int(port), local_addr=(self.source, 0)
                 )
         except (OSError, TimeoutError) as error:
-            return ConnectFailed(str(error) or "timeout")
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return ConnectFailed(str(error) or "timeout", is_refused)
         bound_silence(wire.transport.get_extra_info("socket"))
         return Connection(endpoint, wire)
 
@@ -443,21 +450,14 @@
         )
 
     async def is_refused(self, endpoint: Endpoint) -> bool:
-        """Whether nobody listens at an endpoint's address."""
-        host, _, port = endpoint.address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self.metrics.count("rattanmill_endpoint_connections")
-        try:
-            async with asyncio.timeout(_CONNECT_SECONDS):
-                transport, _ = await loop.create_connection(
-                    _Wire, host, int(port), local_addr=(self.source, 0)
-                )
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            # Out of reach: it may run on.
-            return False
-        transport.abort()
+        """Whether nobody listens at an endpoint's address.
+
+        One that is out of reach may run on.
+        """
+        connection = await self._open(endpoint)
+        if isinstance(connection, ConnectFailed):
+            return connection.is_refused
+        connection.abort()
         return False
 
     def give_back(
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -126,7 +126,7 @@
 
     def uncached(self, call: Call) -> int:
         """Returns how many tokens of a prompt it has to read."""
-        return max(0, call.prompt_tokens - self.cached_tokens(call.parts))
+        return call.unread_tokens(self.cached_tokens(call.parts))
 
     def sent(self, parts: tuple[PromptPart, ...]) -> None:
         """Notes that it reads a prompt."""
@@ -341,4 +341,5 @@
     expected_seconds: float
     busy: float
     cached_tokens: int
+    unread_tokens: int
     candidates: int
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -244,7 +244,7 @@
 
     async def reserve(
         self, ask: Reserve
-    ) -> Recorded | Full | Reserved | Elsewhere | Unsure:
+    ) -> Recorded | Full | Reserved | Unsure:
         """Records a reservation, and answers once it is on disk."""
         if ask.alone:
             return await self._reserve_alone(ask)
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -132,19 +132,16 @@
         """
         if ask.place is None or self.name not in ask.place.holders:
             return Unsure("not held here")
+        if self._holders_of(ask.program) not in ((), ask.place.holders):
+            return Unsure("other holders were agreed to here")
         account = self.accounts.get(ask.program)
         adopted = None
         if account is None:
-            known = self.homes.get(ask.program)
-            if known and known.home.holders != ask.place.holders:
-                return Unsure("other holders were agreed to here")
             # It is open, and this holder only was out of reach just then. It
             # has recorded nothing, so no majority relied on it.
             account = Account(ask.program, ask.budget, ask.place)
             self._hold(account)
             adopted = self._changed(account)
-        if account.place.holders != ask.place.holders:
-            return Unsure("other holders were agreed to here")
         use = account.uses.get(ask.attempt)
         if use is not None and use.settled:
             return Unsure("the attempt has ended")
@@ -227,13 +224,7 @@
         Two that open the same account at once meet here: the smaller name
         goes on, and the other finds its holders written down.
         """
-        account = self.accounts.get(program)
-        if account is not None:
-            known = account.place.holders
-        elif program in self.homes:
-            known = self.homes[program].home.holders
-        else:
-            known = ()
+        known = self._holders_of(program)
         if known:
             return None if known == holders else Refused(known)
         if program in self.opening and self.name < asker:
@@ -320,6 +311,14 @@
             del self.shares[program]
         return sorted({*accounts, *homes})
 
+    def _holders_of(self, program: str) -> tuple[str, ...]:
+        """Returns the holders that were agreed to here, or nobody."""
+        account = self.accounts.get(program)
+        if account is not None:
+            return account.place.holders
+        known = self.homes.get(program)
+        return known.home.holders if known else ()
+
     def _hold(self, account: Account) -> None:
         self.accounts[account.program] = account
         digest = 0
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -20,7 +20,6 @@
 
 _KEEP_SECONDS = 0.4
 _FETCH_SECONDS = 0.3
-# One that is known to be silent mostly stays so.
 _AWAY_SECONDS = 0.06
 # A storage instance that was lost longer ago held no turn that is still kept;
 # twice the retention in use.
@@ -114,11 +113,10 @@
         return KeptBy(domains, len(domains) >= self.copies)
 
     async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
-        away = self.reach.is_away(member)
-        seconds = _KEEP_SECONDS / 4 if away else _KEEP_SECONDS
-        return isinstance(
-            await self.reach.ask(member, Keep(kept), seconds), Done
+        reply = await self.reach.ask(
+            member, Keep(kept), _KEEP_SECONDS, _KEEP_SECONDS / 4
         )
+        return isinstance(reply, Done)
 
     async def find(
         self, turn: str, chain: str
@@ -166,7 +164,12 @@
         sure = self._could_know_all()
         for group in self._groups(key):
             chains = await asyncio.gather(
-                *(self._fetch(member, missing) for member in group)
+                *(
+                    self.reach.ask(
+                        member, Fetch(missing), _FETCH_SECONDS, _AWAY_SECONDS
+                    )
+                    for member in group
+                )
             )
             for chain in chains:
                 if not isinstance(chain, Chain):
@@ -178,11 +181,6 @@
                 break
         return missing, sure
 
-    async def _fetch(self, member: Member, turn: str) -> msgspec.Struct | None:
-        away = self.reach.is_away(member)
-        seconds = _AWAY_SECONDS if away else _FETCH_SECONDS
-        return await self.reach.ask(member, Fetch(turn), seconds)
-
     def _join(self, found: list[KeptTurn], missing: str, chain: Chain) -> str:
         """Adds what a chain brings of the missing part; returns what lacks."""
         for kept in chain.turns:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -5,14 +5,15 @@
 import hashlib
 import itertools
 import random
-import time
 from collections.abc import Callable, Iterable
 from typing import Self
 
 import msgspec
 
 from rattanmill_core import (
+    boot_seconds,
     log_event,
+    loop_seconds,
     start_loop,
     wall_seconds,
     warn_event,
@@ -144,7 +145,7 @@
 
     def _lapsed(self) -> set[str]:
         """Returns the one member that was lost first, if long enough ago."""
-        now = asyncio.get_running_loop().time()
+        now = loop_seconds()
         if self.store_silence() > _HEARD_SECONDS or not self.lost_at:
             return set()
         first = min(self.lost_at, key=self.lost_at.__getitem__)
@@ -158,7 +159,7 @@
 
     def store_silence(self) -> float:
         """Returns the seconds since the store was last heard."""
-        return asyncio.get_running_loop().time() - self.watch.heard_at
+        return loop_seconds() - self.watch.heard_at
 
     async def __aenter__(self) -> Self:
         await self.watch.__aenter__()
@@ -276,7 +277,7 @@
         if member.leaving:
             self.emptied.add(name)
         else:
-            self.lost_at[name] = asyncio.get_running_loop().time()
+            self.lost_at[name] = loop_seconds()
         log_event("keeper_gone", keeper=name, leaving=member.leaving)
         self.on_change()
 
@@ -320,7 +321,7 @@
 
         By a clock that goes on while the machine is suspended.
         """
-        return _boot_seconds() - self.confirmed_at < CONFIRMED_SECONDS
+        return boot_seconds() - self.confirmed_at < CONFIRMED_SECONDS
 
     async def end(self) -> None:
         """Ends the registration at once."""
@@ -337,7 +338,7 @@
     async def _keep_up(self) -> None:
         while True:
             if self.lease:
-                asked_at = _boot_seconds()
+                asked_at = boot_seconds()
                 renewed = await self.kv.renew(self.lease)
                 if renewed is True:
                     self.confirmed_at = asked_at
@@ -361,7 +362,7 @@
         The store may take a key away though its lease goes on.
         """
         if not self.lease:
-            asked_at = _boot_seconds()
+            asked_at = boot_seconds()
             granted = await self.kv.grant(_LEASE_SECONDS)
             if isinstance(granted, Unavailable):
                 return
@@ -387,7 +388,3 @@
             leaving=self.member.leaving,
             outcome=type(outcome).__name__,
         )
-
-
-def _boot_seconds() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -43,7 +43,7 @@
 # that can be reached opens an account in 20 ms.
 _CUT_SECONDS = 0.08
 # A holder answers after a trip and a sync, 10 ms. Under load some take five
-# times as long; one that is known to be silent mostly stays so.
+# times as long.
 _RECORD_SECONDS = 0.25
 _AWAY_SECONDS = 0.05
 _COMPARE_SECONDS = 0.15
@@ -232,7 +232,9 @@
     ) -> list[Recorded | Full]:
         """Returns what holders say, once that is enough or all was said."""
         asks = {
-            self.reach.spawn(self._ask_holder(member, ask))
+            self.reach.spawn(
+                self.reach.ask(member, ask, _RECORD_SECONDS, _AWAY_SECONDS)
+            )
             for member in self._members(place.holders)
         }
         replies: list[Recorded | Full] = []
@@ -246,13 +248,6 @@
                 break
         return replies
 
-    async def _ask_holder(
-        self, member: Member, ask: Reserve
-    ) -> msgspec.Struct | None:
-        is_away = self.reach.is_away(member)
-        seconds = _AWAY_SECONDS if is_away else _RECORD_SECONDS
-        return await self.reach.ask(member, ask, seconds)
-
     def _members(self, names: Iterable[str]) -> list[Member]:
         known = self.reach.members.known
         return [known[name] for name in names if name in known]
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -63,9 +63,23 @@
         self.tasks: set[asyncio.Task] = set()
 
     async def ask(
-        self, member: Member, message: msgspec.Struct, seconds: float
+        self,
+        member: Member,
+        message: msgspec.Struct,
+        seconds: float,
+        away_seconds: float | None = None,
     ) -> msgspec.Struct | None:
-        """Returns a member's reply; None if there was none in time."""
+        """Returns a member's reply; None if there was none in time.
+
+        Args:
+            member: Whom to ask.
+            message: What is asked.
+            seconds: How long to wait.
+            away_seconds: How long instead if it was silent when it was last
+                asked; one that is known to be silent mostly stays so.
+        """
+        if away_seconds is not None and self.is_away(member):
+            seconds = away_seconds
         reply = await self.members.link(member).ask(message, seconds)
         kind = type(message).__name__
         if reply is None:
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import msgspec
 
@@ -26,6 +28,7 @@
     Written,
 )
 
+_Direct = TypeVar("_Direct")
 _LIST_SECONDS = 1.0
 # A watch through another instance is short: that one may be behind, and the
 # next one that is asked then tells what it lacks. An endpoint must get nothing
@@ -83,43 +86,60 @@
 
     async def list(self, prefix: str) -> Range | Unavailable:
         """Reads all keys under a prefix."""
-        message = StoreList(prefix)
-        reply = await self._ask_first(message, prefix, _LIST_SECONDS)
-        if reply is None:
-            listed = await self.direct.list(prefix)
-            if not isinstance(listed, Unavailable):
-                self._came(False, message)
-                return listed
-            reply = await self._ask_all(message, _LIST_SECONDS)
-            if reply is None:
-                return listed
+        said = await self._ask(
+            StoreList(prefix), _LIST_SECONDS, lambda: self.direct.list(prefix)
+        )
+        if not isinstance(said, StoreItems):
+            return said
         entries = [
             Entry(item.key, item.value or b"", item.revision)
-            for item in reply.items
+            for item in said.items
         ]
-        return Range(entries, reply.revision)
+        return Range(entries, said.revision)
 
     async def watch(
         self, prefix: str, after: int, seconds: float
     ) -> WatchEvents | HistoryLost | Unavailable:
         """Waits for changes after a revision."""
-        message = StoreWatch(prefix, after, _WATCH_SECONDS)
-        patience = _WATCH_SECONDS + _ANSWER_SECONDS
-        reply = await self._ask_first(message, prefix, patience)
-        if reply is None:
+
+        def watch_directly() -> Awaitable:
             # Shorter where a member can take over again.
-            if self.relayed or prefix in self.mirrored:
-                seconds = min(seconds, _DIRECT_SECONDS)
-            seen = await self.direct.watch(prefix, after, seconds)
-            if not isinstance(seen, Unavailable):
-                self._came(False, message)
-                return seen
-            reply = await self._ask_all(message, patience)
-            if reply is None:
-                return seen
-        return WatchEvents(
-            [(item.key, item.value) for item in reply.items], reply.revision
+            is_short = self.relayed or prefix in self.mirrored
+            most = min(seconds, _DIRECT_SECONDS) if is_short else seconds
+            return self.direct.watch(prefix, after, most)
+
+        said = await self._ask(
+            StoreWatch(prefix, after, _WATCH_SECONDS),
+            _WATCH_SECONDS + _ANSWER_SECONDS,
+            watch_directly,
         )
+        if not isinstance(said, StoreItems):
+            return said
+        changes = [(item.key, item.value) for item in said.items]
+        return WatchEvents(changes, said.revision)
+
+    async def _ask(
+        self,
+        message: StoreList | StoreWatch,
+        seconds: float,
+        ask_directly: Callable[[], Awaitable[_Direct]],
+    ) -> StoreItems | _Direct:
+        """Asks one member, then the service itself, and then all members.
+
+        Args:
+            message: What members are asked.
+            seconds: How long a member may take.
+            ask_directly: Asks the service the same.
+        """
+        reply = await self._ask_first(message, seconds)
+        if reply is not None:
+            return reply
+        said = await ask_directly()
+        if not isinstance(said, Unavailable):
+            self._came(False, message)
+            return said
+        reply = await self._ask_all(message, seconds)
+        return said if reply is None else reply
 
     def _came(self, relayed: bool, message: msgspec.Struct) -> None:
         if relayed and not self.relayed:
@@ -129,9 +149,10 @@
         self.relayed = relayed
 
     async def _ask_first(
-        self, message: msgspec.Struct, prefix: str, seconds: float
+        self, message: StoreList | StoreWatch, seconds: float
     ) -> StoreItems | None:
         """Asks one member, if the prefix is read so."""
+        prefix = message.prefix
         member = self._choose(prefix) if prefix in self.mirrored else None
         if member is None:
             return None
--- a/libs/platform/src/rattanmill_platform/lease.py
+++ b/libs/platform/src/rattanmill_platform/lease.py
@@ -19,10 +19,15 @@
 import asyncio
 import contextlib
 import random
-import time
 from typing import Self
 
-from rattanmill_core import loop_seconds, new_id, part_logger, start_loop
+from rattanmill_core import (
+    boot_seconds,
+    loop_seconds,
+    new_id,
+    part_logger,
+    start_loop,
+)
 from rattanmill_platform.kv import Conflict, KvClient, Unavailable, Written
 
 _log = part_logger("lease")
@@ -124,14 +129,14 @@
         return self.peers_known == 0 or heard
 
     def _was_paused(self) -> bool:
-        return _clock() - self.last_tick > self.pause_bound
+        return boot_seconds() - self.last_tick > self.pause_bound
 
     def _interrupt(self) -> None:
         self.interrupted = True
         self.interruptions += 1
 
     async def __aenter__(self) -> Self:
-        self.last_tick = _clock()
+        self.last_tick = boot_seconds()
         await self._acquire(self.lease)
         self.tasks = [
             start_loop("clock", self._tick()),
@@ -149,14 +154,16 @@
     async def _tick(self) -> None:
         while True:
             if self._was_paused():
-                _log.warning("Paused {:.2f} s.", _clock() - self.last_tick)
+                _log.warning(
+                    "Paused {:.2f} s.", boot_seconds() - self.last_tick
+                )
                 self.resumed_at = loop_seconds()
                 self.valid_until = 0.0
                 self._interrupt()
             elif not self.interrupted and not self._is_exclusive():
                 _log.warning("Does not hold its shards any more.")
                 self._interrupt()
-            self.last_tick = _clock()
+            self.last_tick = boot_seconds()
             await asyncio.sleep(self.pause_bound / 4)
 
     async def _renew_for_ever(self) -> None:
@@ -242,8 +249,3 @@
 def new_incarnation() -> str:
     """Returns the id of this run of the process."""
     return new_id()
-
-
-def _clock() -> float:
-    """Returns seconds of a clock that also runs while a machine is asleep."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/features/steps/domains.py
+++ b/tests/features/steps/domains.py
@@ -7,12 +7,13 @@
 
 from rattanmill_core import Metrics, Ran, Refusal
 from rattanmill_forward import Backend, Endpoint, Kind, Route, Service
-from rattanmill_forward.calls import AnswerHead, Call, Dialect
+from rattanmill_forward.calls import AnswerHead, Dialect
 from rattanmill_forward.dispatch import Dispatcher, Job
 from rattanmill_forward.domains import Domains
 from rattanmill_forward.endpoints import EndpointBook
 from rattanmill_forward.exchange import Broken, Pool
 from rattanmill_forward.stats import Knowledge
+from support.calls import make_call
 from support.virtual import run_virtually
 
 _STEP_SECONDS = 0.05
@@ -242,13 +243,7 @@
         service = Service("app")
         found = []
         for number in range(count):
-            call = Call(
-                request=str(number),
-                method="POST",
-                host="a",
-                target="/",
-                headers=[],
-            )
+            call = make_call(number)
             job = Job(
                 call, route, service, b"", asyncio.get_running_loop().time() + 2
             )
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -1,8 +1,6 @@
 """Steps about accounts of budgets, run in this process."""
 
 import asyncio
-import shutil
-import tempfile
 
 from behave import given, then, when
 
@@ -15,24 +13,14 @@
     Unsure,
 )
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
-from support.keepers import LocalMembers, Network
+from support.keepers import LocalMembers, begin
 from support.keepers import run_in as network
 from support.stories import BUDGET, TOKENS
 
 
 @given('storage instances "{names}"')
 def step_instances(context, names):
-    folder = tempfile.mkdtemp()
-    context.loop = asyncio.new_event_loop()
-    context.network = Network(folder, names.split(", "))
-    network(context, lambda n: n.start_all())
-
-    def clean():
-        network(context, lambda n: n.stop_all())
-        context.loop.close()
-        shutil.rmtree(folder)
-
-    context.scenario_stack.callback(clean)
+    begin(context, names.split(", "))
 
 
 @when('"{name}" is killed and the store is away')
--- a/tests/features/steps/keeping_turns.py
+++ b/tests/features/steps/keeping_turns.py
@@ -1,8 +1,6 @@
 """Steps about kept turns and the journal, run in this process."""
 
 import asyncio
-import shutil
-import tempfile
 
 from behave import given, then, when
 
@@ -13,7 +11,7 @@
 from rattanmill_keeper.journal import frame, read_frames
 from rattanmill_keeper.messages import Keep, Ping, codec
 from rattanmill_wire import RequestLink
-from support.keepers import Network
+from support.keepers import begin
 from support.keepers import run_in as network
 
 
@@ -69,22 +67,11 @@
 @given("{count:d} storage instances in 3 failure domains")
 def step_many(context, count):
     names = [f"s{number}" for number in range(count)]
-    context.domains = {
+    domains = {
         name: f"domain-{number % 3}" for number, name in enumerate(names)
     }
-    folder = tempfile.mkdtemp()
-    context.loop = asyncio.new_event_loop()
-    context.network = Network(folder, names)
-    context.network.domains = context.domains
+    begin(context, names, domains)
     context.turns = 0
-    network(context, lambda n: n.start_all())
-
-    def clean():
-        network(context, lambda n: n.stop_all())
-        context.loop.close()
-        shutil.rmtree(folder)
-
-    context.scenario_stack.callback(clean)
 
 
 @given(
@@ -131,9 +118,9 @@
         front = n.front(name)
         ask = front.reach.ask
 
-        async def count(member, message, seconds):
+        async def count(member, *how):
             asked.append(member.name)
-            return await ask(member, message, seconds)
+            return await ask(member, *how)
 
         front.reach.ask = count
         return await front.lookup.find(f"t{context.turns - 1}", chain)
--- a/tests/features/steps/site_placing.py
+++ b/tests/features/steps/site_placing.py
@@ -7,11 +7,12 @@
 
 from rattanmill_core import Metrics
 from rattanmill_forward import Backend, Endpoint, Kind, Route, Service
-from rattanmill_forward.calls import Call, Load, PromptPart
+from rattanmill_forward.calls import Load, PromptPart
 from rattanmill_forward.dispatch import Dispatcher, Job, Running
 from rattanmill_forward.domains import Domains
 from rattanmill_forward.endpoints import EndpointBook
 from rattanmill_forward.stats import Knowledge, Stay
+from support.calls import make_call
 from support.virtual import run_virtually
 
 _SLOTS = 24
@@ -50,12 +51,8 @@
 
     def job(self, number):
         """Returns a turn of eight events."""
-        call = Call(
-            request=str(number),
-            method="POST",
-            host="a",
-            target="/",
-            headers=[],
+        call = make_call(
+            number,
             prompt_tokens=5000,
             output_tokens=8,
             parts=_PARTS,
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -5,6 +5,7 @@
 import contextlib
 import pathlib
 import shutil
+import tempfile
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -250,6 +251,24 @@
         await asyncio.sleep(seconds)
 
 
+def begin(
+    context: Any, names: list[str], domains: dict[str, str] | None = None
+) -> None:
+    """Starts a scenario's storage instances, which end with it."""
+    folder = tempfile.mkdtemp()
+    context.loop = asyncio.new_event_loop()
+    context.network = Network(folder, names)
+    context.network.domains = domains or {}
+    run_in(context, lambda network: network.start_all())
+
+    def clean() -> None:
+        run_in(context, lambda network: network.stop_all())
+        context.loop.close()
+        shutil.rmtree(folder)
+
+    context.scenario_stack.callback(clean)
+
+
 def run_in(context: Any, work: Callable[[Network], Coroutine]) -> Any:
     """Runs a coroutine with the scenario's storage instances."""
     return context.loop.run_until_complete(work(context.network))
