Let calls find an engine that was slow just before

Cause: the scenarios before freeze and hang engine-1. Calls that were there end late, and an instance that saw two of them takes the engine for three times as slow as the others (steps of a quarter, clipped at four), for up to a minute. Twelve calls at a time leave the others free, so none goes there, and an engine that no call reaches cannot be found to be cut off. Ruled out: the mark opening again (it stays closed while probes fail), kept connections (each request is dropped, not each connection).

Change: the scenario now has the engine slow first, so that the case is there each time, and steps that look for an engine by calls slow the others down meanwhile. Placement is as it was.

--- a/tests/features/steps/leaving.py
+++ b/tests/features/steps/leaving.py
@@ -1,5 +1,6 @@
 """Steps of endpoints that leave, die or hang."""
 
+import contextlib
 import itertools
 import threading
 import time
@@ -18,6 +19,8 @@
 from support import wait_until
 
 _MOST_BATCHES = 20
+# Far more than what a few calls that an engine kept waiting make it seem.
+_SLOW_FACTOR = 10.0
 
 
 def set_faults(context, name, **faults):
@@ -31,6 +34,19 @@
     )
 
 
+@contextlib.contextmanager
+def slowed(context, names):
+    """Makes engines slow for a while."""
+    standins = [context.system.standins[name] for name in names]
+    for standin in standins:
+        standin.faults(slow_factor=_SLOW_FACTOR)
+    try:
+        yield
+    finally:
+        for standin in standins:
+            standin.faults(slow_factor=1.0)
+
+
 @when('engine "{name}" begins to drain')
 def step_drain(context, name):
     set_faults(context, name, draining=True)
@@ -51,26 +67,31 @@
     set_faults(context, name, hang=False)
 
 
-def call_until(context, count, is_reached, domain=0):
+def call_until(context, count, name, is_reached, domain=0):
     """Makes batches of calls through a domain until one is at the engine.
 
-    Which engine a call goes to is the placement's to say, and it has learned
-    from the scenarios before. An engine that no call reaches cannot be found
-    to hang by calls.
+    Which engine a call goes to is the placement's to say. An engine that was
+    slow or frozen a moment ago gets no call while others are free, and one
+    that no call reaches cannot be found to hang by calls: the others are
+    slower meanwhile, which placement learns from their answers.
     """
     clients = [i.client for i in context.system.in_domain(domain)]
+    others = [
+        spec.name for spec in context.system.layout.engines if spec.name != name
+    ]
     context.answers = []
-    for _ in range(_MOST_BATCHES):
-        context.answers += make_calls(context, count, clients)
-        if is_reached():
-            return
+    with slowed(context, others):
+        for _ in range(_MOST_BATCHES):
+            context.answers += make_calls(context, count, clients)
+            if is_reached():
+                return
     raise AssertionError("no call reached the engine")
 
 
 @when('{count:d} calls at once are made until one is at engine "{name}"')
 def step_calls_until(context, count, name):
     before = received(context)[name]
-    call_until(context, count, lambda: received(context)[name] > before)
+    call_until(context, count, name, lambda: received(context)[name] > before)
 
 
 @when('engine "{name}" is frozen')
@@ -98,7 +119,7 @@
 
     thread = threading.Thread(target=kill)
     thread.start()
-    call_until(context, count, lambda: not thread.is_alive())
+    call_until(context, count, "engine-1", lambda: not thread.is_alive())
     thread.join()
 
 
@@ -167,6 +188,15 @@
     }
 
 
+@when('"{name}" is slow while {count:d} calls reach it from the second domain')
+def step_slow_before(context, name, count):
+    enough = received(context)[name] + count
+    clients = [i.client for i in context.system.in_domain(1)]
+    with slowed(context, [name]):
+        while received(context)[name] < enough:
+            make_calls(context, 12, clients)
+
+
 @when('"{name}" is cut off from the second failure domain')
 def step_cut(context, name):
     context.signs_before = closing_signs(context)
@@ -181,7 +211,7 @@
         found = phases(context, "engine-1")
         return any(found[name] == "down" for name in names)
 
-    call_until(context, count, has_failed, domain=1)
+    call_until(context, count, "engine-1", has_failed, domain=1)
 
 
 def closing_signs(context):
