Count a peer that was heard although its record is gone

The owner is back first; its peer, which lives, has not registered again when the service goes away once more, so the owner counts no peers and goes on by itself. Reproduced each time by a new scenario that keeps the peer from the service: 200 with a receipt. Not only the test is at fault: had the service been away for the owner alone, the peer could have taken over beside it. Ruled out: the stand-in answering again (it was down, 'Server disconnected'), a pause (none noted).

--- a/libs/platform/src/rattanmill_platform/lease.py
+++ b/libs/platform/src/rattanmill_platform/lease.py
@@ -50,6 +50,9 @@
             paused instance heard, or did not hear, means nothing: silence is
             counted from here at the earliest.
         peers_known: Other instances of the domain, by the service's last word.
+        peer_heard: Loop time of the last sign of life of one of them.
+        told_at: Loop time at which the service was last asked with success
+            to keep the lease.
 
     Args:
         kv: Client of the key-value service.
@@ -73,7 +76,8 @@
         self.resumed_at = loop_seconds()
         self.service_silent = False
         self.peers_known = 0
-        self.peer_heard = 0.0
+        self.peer_heard = float("-inf")
+        self.told_at = self.resumed_at
         self.acquiring = asyncio.Lock()
         self.renewals: set[asyncio.Task] = set()
         self.tasks: list[asyncio.Task] = []
@@ -126,7 +130,18 @@
         if not self.service_silent:
             return False
         heard = now - self.peer_heard < self.silence_seconds
-        return self.peers_known == 0 or heard
+        return heard or self._had_no_peer()
+
+    def _had_no_peer(self) -> bool:
+        """Whether nobody could take over when the service was last heard.
+
+        After an outage that outlasted the leases, an instance may be back
+        before its peer has registered again. Going by records alone it would
+        go on by itself in the next outage, beside the peer that takes over
+        from it; callers would get answers to one turn from two owners.
+        """
+        was_silent = self.told_at - self.peer_heard >= self.silence_seconds
+        return self.peers_known == 0 and was_silent
 
     def _was_paused(self) -> bool:
         return boot_seconds() - self.last_tick > self.pause_bound
@@ -235,6 +250,7 @@
     def _extend(self, asked: float) -> None:
         if not self.interrupted and not self._is_exclusive():
             self._interrupt()
+        self.told_at = max(self.told_at, asked)
         until = asked + self.seconds * (1 - _CLOCK_ERROR_SHARE)
         self.valid_until = max(self.valid_until, until)
         if loop_seconds() - asked < self.answer_seconds:
--- a/tests/features/outage.feature
+++ b/tests/features/outage.feature
@@ -49,3 +49,18 @@
     Then meanwhile a next turn gets ownership_lost
     When the key-value service answers again
     Then meanwhile a next turn gets 200 and no receipt
+
+  Scenario: The owner's peer has not registered again when the next outage comes
+    An outage outlasts all leases. The owner has registered again, its peer
+    has not, when the service goes away once more and the peer falls silent.
+    The owner has heard it, so it cannot tell whether it is cut off by itself:
+    if it went on, callers would get two answers to one turn from two owners.
+
+    Given a system of three failure domains
+    And a program whose first turn is kept
+    When the owner's peer loses its record and lives on
+    And the service is away
+    And the owner's peer dies and 1 lease time passes
+    Then meanwhile a next turn gets ownership_lost
+    When the key-value service answers again
+    Then meanwhile a next turn gets 200 and no receipt
--- a/tests/features/steps/outage.py
+++ b/tests/features/steps/outage.py
@@ -29,6 +29,23 @@
         )
 
 
+@when("the owner's peer loses its record and lives on")
+def step_unregistered(context):
+    context.owner = context.system.owner_of(context.program)
+    peer = other_in_domain(context, context.owner)
+    address, _, _ = peer.http.rpartition(":")
+    kv_faults(context, cut_sources=[address])
+
+    def is_gone():
+        instances = (status(context.owner) or {}).get("instances", [])
+        return not any(
+            each["name"] == peer.name and each["registered"]
+            for each in instances
+        )
+
+    wait_until(is_gone, "the owner does not see the peer's record")
+
+
 @when("the owner's peer dies and {count:d} lease time passes")
 def step_alone(context, count):
     peer = other_in_domain(context, context.owner)
