Keep to the holders that an account became known with

An account may become known through a front, with holders that another instance has chosen, while this one waits for consent. Ledger.open looked at homes only: it went on with its own choice and told a front holders who refuse the account ('other holders were agreed to here'), so the program got 503 until it ended.

--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -233,8 +233,8 @@
 
     def open(self, account: Account) -> AccountChange | None:
         """Opens an account here, unless other holders became known."""
-        known = self.homes.get(account.program)
-        if known and known.home.holders != account.place.holders:
+        known = self._holders_of(account.program)
+        if known not in ((), account.place.holders):
             return None
         if account.program not in self.accounts:
             self._hold(account)
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -106,6 +106,16 @@
     When the store does not answer
     Then a new program is refused without asking "west, north"
 
+  Scenario: An account becomes known with other holders while it is opened here
+    Two instances open the account of a new program at the same time, and a
+    front that the other has answered tells of it here first. If this one went
+    on with the holders that it had chosen, a front would ask holders who
+    refuse it, and the program would get 503 until it ends.
+
+    Given a storage instance that chooses the holders of a new account
+    When the account becomes known there with other holders
+    Then the instance names those holders and not its own
+
   Scenario: A storage instance that opened accounts is away
     It is killed just as the next turn of a program asks. The other holders of
     the account know what was used, and the program must not wait for it.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -13,6 +13,8 @@
     Unsure,
 )
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
+from rattanmill_keeper.ledger import Ledger
+from rattanmill_keeper.messages import Account, Opened, Place
 from support.keepers import LocalMembers, begin
 from support.keepers import run_in as network
 from support.stories import BUDGET, TOKENS
@@ -278,3 +280,21 @@
         n.lapse(name)
 
     network(context, lapse)
+
+
+@given("a storage instance that chooses the holders of a new account")
+def step_choosing_holders(context):
+    context.ledger = Ledger("a")
+    context.chosen = Account("p", 1_000, Place(("a", "b", "c")))
+
+
+@when("the account becomes known there with other holders")
+def step_other_holders(context):
+    context.other = Place(("a", "d", "e"))
+    context.ledger.merge(Account("p", 1_000, context.other))
+
+
+@then("the instance names those holders and not its own")
+def step_names_others(context):
+    assert context.ledger.open(context.chosen) is None
+    assert context.ledger.find("p") == Opened(context.other)
