Let a query whether a front is cut off change nothing

Reach.is_cut_off noted the time as a side effect, so that the time told to callers hung on who had asked before.

--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -41,7 +41,8 @@
         unheard: Loop time until which a member is asked last, by name.
         heard: Loop time of each member's last answer.
         store_answers: Whether the store answered when it was last asked.
-        cut_at: Loop time from which on this front was cut off, or None.
+        cut_at: Loop time at which it was found that this front is cut off,
+            or None.
         crashes: What other fronts have told of crashes.
         tasks: What goes on in the background.
 
@@ -100,21 +101,6 @@
         Budgets need storage instances of two domains, and new programs those
         or the store.
         """
-        is_cut = self._is_cut_off()
-        if not is_cut:
-            self.cut_at = None
-        elif self.cut_at is None:
-            self.cut_at = loop_seconds()
-        return is_cut
-
-    def moved_in(self) -> float:
-        """Returns when callers of a cut-off front get to others, seconds."""
-        if self.cut_at is None:
-            return _MOVED_SECONDS
-        left = self.cut_at + _MOVED_SECONDS - loop_seconds()
-        return max(_LEAST_RETRY_SECONDS, left)
-
-    def _is_cut_off(self) -> bool:
         if not self.members.known:
             return True
         if self._silence(self.members.known.values()) > _CUT_SECONDS:
@@ -125,6 +111,20 @@
             and len(self.members.domains()) > 1
         )
 
+    def moved_in(self) -> float:
+        """Returns when callers of a cut-off front get to others, seconds."""
+        if self.cut_at is None:
+            return _MOVED_SECONDS
+        left = self.cut_at + _MOVED_SECONDS - loop_seconds()
+        return max(_LEAST_RETRY_SECONDS, left)
+
+    def review(self) -> None:
+        """Notes since when this front has been cut off, if it is."""
+        if not self.is_cut_off():
+            self.cut_at = None
+        elif self.cut_at is None:
+            self.cut_at = loop_seconds()
+
     def domain_silences(self) -> dict[str, float]:
         """Returns for how long each domain's members were silent, seconds."""
         return {
@@ -142,6 +142,7 @@
     async def ping_for_ever(self) -> None:
         """Asks all members for signs of life."""
         while True:
+            self.review()
             for member in list(self.members.known.values()):
                 self.spawn(self._ping(member))
             self.spawn(self.look_at_store())
