--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -1,7 +1,6 @@
 """A storage instance: accounts of budgets and kept turns."""
 
 import asyncio
-import os
 import pathlib
 import uuid
 from collections.abc import Callable
@@ -14,7 +13,6 @@
     log_event,
     start_loop,
     wall_seconds,
-    warn_event,
 )
 from rattanmill_keeper.crashes import CrashBoard
 from rattanmill_keeper.homes import Consent, may_open
@@ -28,7 +26,6 @@
     Recording,
     RosterChange,
     ShareChange,
-    UseChange,
 )
 from rattanmill_keeper.members import Members
 from rattanmill_keeper.messages import (
@@ -72,34 +69,20 @@
     most_alone,
 )
 from rattanmill_keeper.mirror import Mirrors
+from rattanmill_keeper.records import (
+    Mark,
+    Record,
+    decode,
+    encode,
+    read_mark,
+    write_mark,
+)
 from rattanmill_keeper.turns import Intake, TurnTable
 from rattanmill_platform import KeyValue
 
 _PAGE = 500
 _SWEEP_SECONDS = 1.0
 _FOLDER = "journal"
-# Written once the instance has all that it should; a disk without it is new
-# or was lost.
-_MARK = "whole"
-
-Record = (
-    AccountChange
-    | UseChange
-    | ShareChange
-    | HomeChange
-    | RosterChange
-    | KeptTurn
-)
-
-
-class Mark(msgspec.Struct, frozen=True):
-    """What stands on the disk of an instance that has all that it should.
-
-    Attributes:
-        alone_from: As in ``Keeper``.
-    """
-
-    alone_from: float
 
 
 class Keeper:
@@ -180,27 +163,7 @@
             log_event("keeper_whole", turns=len(self.table.held))
             self.alone_from = wall_seconds() + FORGET_SECONDS
         self.whole = True
-        mark = self.folder / _MARK
-        if mark.exists():
-            return
-        # Synced, or a power loss takes it, and the instance that comes back
-        # with all its data takes itself for one that lost its disk.
-        with mark.open("wb") as file:
-            file.write(msgspec.json.encode(Mark(self.alone_from)))
-            file.flush()
-            os.fsync(file.fileno())
-
-    def _read_mark(self) -> None:
-        mark = self.folder / _MARK
-        if not mark.exists():
-            return
-        self.whole = True
-        try:
-            said = msgspec.json.decode(mark.read_bytes(), type=Mark)
-        except msgspec.DecodeError as error:
-            warn_event("mark_undecodable", why=str(error))
-            return
-        self.alone_from = said.alone_from
+        write_mark(self.folder, Mark(self.alone_from))
 
     async def serve(self, message: msgspec.Struct) -> msgspec.Struct:
         """Answers one request."""
@@ -255,7 +218,7 @@
             return decision
         self.intake.add(ask.program)
         if decision.account is not None:
-            self.journal.note(_encode(decision.account))
+            self.journal.note(encode(decision.account))
         await self._append(decision.change)
         return decision.reply
 
@@ -321,7 +284,7 @@
     def settle(self, said: Settle) -> Done:
         """Books what a turn has used."""
         for change in self.ledger.settle(said):
-            self.journal.note(_encode(change))
+            self.journal.note(encode(change))
         return Done()
 
     async def open(self, ask: Open) -> Opened | Elsewhere | Unsure | CutOff:
@@ -364,9 +327,9 @@
         if change is None:
             return self.ledger.find(program)
         self.ledger.homes[program] = home
-        self.journal.note(_encode(change))
+        self.journal.note(encode(change))
         if place.sharers == (self.name,):
-            self.journal.note(_encode(self.ledger.begin_share(program)))
+            self.journal.note(encode(self.ledger.begin_share(program)))
         self.intake.add(program)
         return Opened(place)
 
@@ -411,7 +374,7 @@
         await self._append(change)
 
     async def _append(self, record: Record) -> int:
-        return await self.journal.append(_encode(record))
+        return await self.journal.append(encode(record))
 
     async def keep(self, kept: KeptTurn) -> None:
         """Takes a turn in and returns when it is on disk."""
@@ -461,10 +424,13 @@
         await asyncio.gather(*map(self._append, self.merge(accounts)))
 
     def _restore(self) -> None:
-        self._read_mark()
+        mark = read_mark(self.folder)
+        if mark is not None:
+            self.whole = True
+            self.alone_from = mark.alone_from
         records = 0
         for stored in self.journal.read():
-            record = _decode(stored.data)
+            record = decode(stored.data)
             if isinstance(record, KeptTurn):
                 self.table.add(record, stored.segment)
             elif isinstance(record, RosterChange):
@@ -487,14 +453,14 @@
 
     def _snapshot(self) -> list[bytes]:
         changes = [RosterChange(self.members.seen), *self.ledger.snapshot()]
-        return [_encode(change) for change in changes]
+        return [encode(change) for change in changes]
 
     def _note_roster(self) -> None:
         """Writes down who there is, for the time after a restart."""
         names = self.members.roster()
         if names != self.noted:
             self.noted = names
-            self.journal.note(_encode(RosterChange(self.members.seen)))
+            self.journal.note(encode(RosterChange(self.members.seen)))
             self.journal.wake.set()
 
     async def _sweep_for_ever(self) -> None:
@@ -522,20 +488,3 @@
         for number in numbers[:-2]:
             if number not in needed:
                 self.journal.drop(number)
-
-
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Record)
-
-
-def _encode(record: Record) -> bytes:
-    return _ENCODER.encode(record)
-
-
-def _decode(data: bytes) -> Record | None:
-    try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
-        # Written by a newer version, or damaged where the checksum fits.
-        warn_event("record_undecodable", why=str(error), bytes=len(data))
-        return None
