Run scenarios of a slow and a paused lease in virtual time

The test's own process had been stopped for 0.70 and 0.34 s ('Paused'), longer than a third of its lease, so that refusing was right. The scenario now takes time from the loop's clock, also for noticing a pause, and the pause of the other one is made by that clock. What is asserted is the same.

--- a/tests/features/steps/ownership.py
+++ b/tests/features/steps/ownership.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import types
+import unittest.mock
 
 from behave import given, then, when
 from steps.state import (
@@ -15,7 +16,7 @@
     status,
 )
 
-from rattanmill_core import ConfigDocument, InvariantError
+from rattanmill_core import ConfigDocument, InvariantError, loop_seconds
 from rattanmill_entry.failures import watch_tasks
 from rattanmill_entry.gossip import Gossip
 from rattanmill_entry.node import Node
@@ -27,6 +28,7 @@
     Written,
 )
 from support import wait_until
+from support.virtual import pause, run_virtually
 
 
 def start_later(context, instance):
@@ -265,6 +267,16 @@
         pass
 
 
+def run_lease(work):
+    """Runs a lease in virtual time, by which it also notices pauses.
+
+    On a busy machine this process is stopped for longer than a lease bears.
+    """
+    clock = "rattanmill_platform.lease.boot_seconds"
+    with unittest.mock.patch(clock, loop_seconds):
+        return run_virtually(work)
+
+
 @given("the lease of an instance that was paused and has a lease again")
 def step_paused_lease(context):
     async def run():
@@ -273,7 +285,7 @@
         async with InstanceLease(kv, "key", b"record", 0.6) as lease:
             lease.confirm(lease.interruptions)
             seen.append(lease.holds())
-            time.sleep(0.7)  # noqa: ASYNC251 - as a paused process
+            pause(0.7)
             seen.append(lease.holds())
             while not lease.valid():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
@@ -291,7 +303,7 @@
             seen.append(lease.holds())
         return seen
 
-    context.seen = asyncio.run(run())
+    context.seen = run_lease(run())
 
 
 @when("the service falls silent while peers are heard")
@@ -335,7 +347,7 @@
                 held.append(lease.holds())
         return held
 
-    held = asyncio.run(run())
+    held = run_lease(run())
     assert all(held), (held.count(False), len(held))
 
 
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -44,12 +44,22 @@
     selector = _Selector()
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now
+    loop.clock = selector
     try:
         return loop.run_until_complete(work)
     finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
         loop.close()
 
 
+def pause(seconds: float) -> None:
+    """Lets virtual time pass while nothing runs, as in a stopped process."""
+    asyncio.get_running_loop().clock.now += seconds
+
+
 class Fleet:
     """Endpoints, the scheduler before them, and what each ran.
 
