--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -48,13 +48,17 @@
     try:
         return loop.run_until_complete(work)
     finally:
-        left = asyncio.all_tasks(loop)
-        for task in left:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        loop.run_until_complete(_end(asyncio.all_tasks(loop)))
         loop.close()
 
 
+async def _end(tasks: set[asyncio.Task]) -> None:
+    """Cancels what a coroutine has left running."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def pause(seconds: float) -> None:
     """Lets virtual time pass while nothing runs, as in a stopped process."""
     asyncio.get_running_loop().clock.now += seconds
