Tell the story of a request or program from logs

rattanmill explain ID FILE... reads the logs of several instances, puts lines in order of time, names clocks that cannot be right (a turn admitted before the one that it continues was kept), and says last how it ended and what befell those who took part. No running system is needed. Ways weighed: lines by id alone (grep, as before: a front that was killed leaves no line at all); all lines of those who took part (a program of 72 requests: over 480 lines, few of which matter); what befell them around requests that went wrong only, which is built.

--- a/libs/cli/src/rattanmill_cli/main.py
+++ b/libs/cli/src/rattanmill_cli/main.py
@@ -4,11 +4,12 @@
 
 import defopt
 
-from rattanmill_cli import classes, config, system
+from rattanmill_cli import classes, config, explain, system
 from rattanmill_core import RattanmillError
 
 COMMANDS = {
     "status": system.status,
+    "explain": explain.explain,
     "config": {
         "show": config.show,
         "check": config.check,
