Look at each log line once for the events of a story

rattanmill explain took the spaces out of every line anew for each of some thirty events that it looked for. One pattern, made at import, looks for all.

Nothing that is played changes.

--- a/libs/cli/src/rattanmill_cli/story.py
+++ b/libs/cli/src/rattanmill_cli/story.py
@@ -1,11 +1,12 @@
 """Puts the lines of several instances together to the story of a request."""
 
+import re
 from collections.abc import Iterable, Sequence
 
 import msgspec
 
 from rattanmill_cli.courses import OF_INSTANCES, OF_OTHERS, courses
-from rattanmill_cli.lines import Line, Reading, read_lines
+from rattanmill_cli.lines import Line, read_lines
 
 # Fields that may name what the story is about.
 _IDS = ("request", "program", "attempt", "turn", "asked_for", "previous")
@@ -13,6 +14,8 @@
 _OF_REQUESTS = ("retried", "turn_missing", "caller_left", "refused")
 # Tells which instance an address belongs to.
 _ADDRESSES = "keeper_seen"
+_EVENTS = (*_OF_REQUESTS, *OF_INSTANCES, *OF_OTHERS, _ADDRESSES)
+_AROUND = re.compile(f'"event": *"({"|".join(_EVENTS)})"'.encode())
 
 
 class Skew(msgspec.Struct, frozen=True):
@@ -64,13 +67,7 @@
         for name in ("request", "attempt")
         if line.get(name)
     }
-    marks = [
-        f'"event":"{event}"'.encode()
-        for event in (*_OF_REQUESTS, *OF_INSTANCES, *OF_OTHERS, _ADDRESSES)
-    ]
-    around = read_lines(
-        paths, lambda raw: any(mark in raw.replace(b" ", b"") for mark in marks)
-    )
+    around = read_lines(paths, lambda raw: _AROUND.search(raw) is not None)
     own = _merge(named, [x for x in around.lines if _names(x, requests)])
     skews = find_skews(own)
     others = _beliefs(own, around.lines) if own else []
@@ -78,7 +75,7 @@
         _in_order(_merge(own, others), skews),
         _in_order(own, skews),
         skews,
-        _unreadable(direct, around),
+        max(direct.unreadable, around.unreadable),
     )
 
 
@@ -97,10 +94,6 @@
     return line.time, line.instance, line.event, str(line.fields)
 
 
-def _unreadable(*readings: Reading) -> int:
-    return max(reading.unreadable for reading in readings)
-
-
 def find_skews(lines: Iterable[Line]) -> list[Skew]:
     """Finds clocks that are wrong, by what must come after what.
 
