Log which storage instances a look-up knew, and where a turn is kept

An incident's record shows a turn that one front kept and another one did not find a quarter of a second later. The logs told the failure domains that a turn lies in, not the storage instances, and not which of these the other front knew by then, nor how old its list was: a list that lags, a lost turn and an answer counted wrongly look alike.

turn_kept names the storage instances; turn_missing names those that were known, the store's revision up to which and when it was last heard; keeper_seen and keeper_gone bear the revision. No decision changes.

--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -189,6 +189,7 @@
             previous=call.previous,
             bytes=len(text),
             domains=kept_by.domains,
+            keepers=kept_by.keepers,
             enough=kept_by.enough,
         )
         return kept_by
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -34,14 +34,16 @@
 
 
 class KeptBy(msgspec.Struct, frozen=True):
-    """Failure domains in which a turn is on disk.
+    """Where a turn is on disk.
 
     Attributes:
-        domains: Their names.
+        domains: Failure domains, one for each storage instance.
+        keepers: The storage instances.
         enough: Whether these are as many as were asked for.
     """
 
     domains: list[str]
+    keepers: list[str]
     enough: bool
 
 
@@ -98,19 +100,23 @@
             self.reach.spawn(self._keep_at(member, kept)): member
             for member in replicas
         }
-        domains: list[str] = []
-        while pending and len(domains) < self.copies:
+        kept_at: list[Member] = []
+        while pending and len(kept_at) < self.copies:
             done, _ = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
                 member = pending.pop(task)
                 if task.result():
-                    domains.append(member.domain)
+                    kept_at.append(member)
         self.reach.metrics.observe(
             "rattanmill_keep_seconds", loop_seconds() - began
         )
-        return KeptBy(domains, len(domains) >= self.copies)
+        return KeptBy(
+            [member.domain for member in kept_at],
+            [member.name for member in kept_at],
+            len(kept_at) >= self.copies,
+        )
 
     async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
         reply = await self.reach.ask(
@@ -143,7 +149,16 @@
         )
         if not missing:
             return found
-        log_event("turn_missing", turn=missing, asked_for=turn, sure=sure)
+        members = self.reach.members
+        log_event(
+            "turn_missing",
+            turn=missing,
+            asked_for=turn,
+            sure=sure,
+            keepers=sorted(members.known),
+            revision=members.watch.revision,
+            heard_s=round(members.store_silence(), 3),
+        )
         if sure and not found:
             return NoSuchTurn()
         return Unsure(f"turn {missing} was not found")
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -254,6 +254,7 @@
                 domain=member.domain,
                 address=member.address,
                 leaving=member.leaving,
+                revision=self.watch.revision,
             )
         self.on_change()
 
@@ -278,7 +279,12 @@
             self.emptied.add(name)
         else:
             self.lost_at[name] = loop_seconds()
-        log_event("keeper_gone", keeper=name, leaving=member.leaving)
+        log_event(
+            "keeper_gone",
+            keeper=name,
+            leaving=member.leaving,
+            revision=self.watch.revision,
+        )
         self.on_change()
 
 
