Deny a turn only once the store has told who there is

Cause: a look-up was certain by the list of storage instances that this front happened to know; 'synced' only means that it was heard once. When the waiting watch goes silent the list lags until it times out: 1.7 s for a front, 10.7 s for a storage instance. A conversation whose place is on a new one in each domain is then nowhere for a front that lags.

Change: a front that has found nothing, and has no other doubt, takes in all changes of the list up to now from the store itself (a linearizable watch that does not wait; the list if the history is lost), asks again if anybody is new, and answers 503 if the store is silent. The reading begins after the question came, so it lists whoever had taken the turn. Look-ups in doubt at once share a reading: one store call at a time, whatever callers name. A chain whose rest lies on instances not heard of is found as well; it was 503 until the watch timed out.

Ruled out: asking storage instances for the revision of their lists (all may lag alike), and holding new ones back until all fronts know them.

--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -47,6 +47,18 @@
     enough: bool
 
 
+class Gap(msgspec.Struct):
+    """What is still missing of a chain.
+
+    Attributes:
+        turn: The newest turn that was not found, or empty.
+        doubt: Why it may exist all the same, or empty.
+    """
+
+    turn: str
+    doubt: str = ""
+
+
 class TurnCache:
     """Recently used turns, by id."""
 
@@ -134,67 +146,87 @@
             chain: What its chain most likely has in common; where that is
                 wrong, all storage instances are asked.
         """
+        began = loop_seconds()
         found = list(self.cache.chain(turn))
-        missing = found[-1].previous if found else turn
         key = found[0].key if found else chain or turn
-        began = loop_seconds()
-        sure = True
-        while missing:
-            before = missing
-            missing, sure = await self._look(found, missing, key)
-            if missing == before:
-                break
+        gap = Gap(found[-1].previous if found else turn)
+        asked = dict(self.reach.members.known)
+        await self._search(found, gap, key)
+        if gap.turn and not gap.doubt and await self._has_news(asked, gap):
+            await self._search(found, gap, key)
         self.reach.metrics.observe(
             "rattanmill_find_seconds", loop_seconds() - began
         )
-        if not missing:
+        if not gap.turn:
             return found
+        gap.doubt = gap.doubt or self._doubt_lost()
+        self._log_missing(turn, gap)
+        if gap.doubt or found:
+            return Unsure(f"turn {gap.turn} was not found")
+        return NoSuchTurn()
+
+    def _log_missing(self, turn: str, gap: Gap) -> None:
         members = self.reach.members
         log_event(
             "turn_missing",
-            turn=missing,
+            turn=gap.turn,
             asked_for=turn,
-            sure=sure,
+            sure=not gap.doubt,
+            why=gap.doubt,
             keepers=sorted(members.known),
             revision=members.watch.revision,
             heard_s=round(members.store_silence(), 3),
         )
-        if sure and not found:
-            return NoSuchTurn()
-        return Unsure(f"turn {missing} was not found")
 
-    async def _look(
-        self, found: list[KeptTurn], missing: str, key: str
-    ) -> tuple[str, bool]:
-        """Asks all for the rest of a chain, near ones first.
+    async def _has_news(self, asked: dict[str, Member], gap: Gap) -> bool:
+        """Whether there are others to ask than those that were.
+
+        This front's list may lag behind that of the one that kept the turn,
+        so only the store's own tells who there is.
+        """
+        gap.doubt = self._doubt_lost()
+        if gap.doubt:
+            return False
+        members = self.reach.members
+        if not await members.catch_up():
+            gap.doubt = "the store does not tell who there is"
+            return False
+        return members.known != asked
+
+    async def _search(self, found: list[KeptTurn], gap: Gap, key: str) -> None:
+        """Asks all for the rest of a chain for as long as it grows.
 
         The turns of a chain may lie on different instances after some came or
         went. What one adds may be all that another needs to go on from, so
         whoever has answered is asked again while anything is gained.
-
-        Returns:
-            Where the chain still lacks a turn, or empty, and whether all have
-            said for certain that they don't have it.
         """
-        sure = self._could_know_all()
+        while gap.turn:
+            before = gap.turn
+            await self._look(found, gap, key)
+            if gap.turn == before:
+                return
+
+    async def _look(self, found: list[KeptTurn], gap: Gap, key: str) -> None:
+        """Asks all once for the rest of a chain, near ones first."""
+        gap.doubt = ""
         for group in self._groups(key):
             chains = await asyncio.gather(
                 *(
                     self.reach.ask(
-                        member, Fetch(missing), _FETCH_SECONDS, _AWAY_SECONDS
+                        member, Fetch(gap.turn), _FETCH_SECONDS, _AWAY_SECONDS
                     )
                     for member in group
                 )
             )
-            for chain in chains:
+            for member, chain in zip(group, chains, strict=True):
                 if not isinstance(chain, Chain):
-                    sure = False
+                    gap.doubt = f"{member.name} is silent"
                     continue
-                sure = sure and chain.whole
-                missing = self._join(found, missing, chain)
-            if not missing:
-                break
-        return missing, sure
+                if not chain.whole:
+                    gap.doubt = f"{member.name} is not whole"
+                gap.turn = self._join(found, gap.turn, chain)
+            if not gap.turn:
+                return
 
     def _join(self, found: list[KeptTurn], missing: str, chain: Chain) -> str:
         """Adds what a chain brings of the missing part; returns what lacks."""
@@ -224,9 +256,9 @@
         away = [m for m in members if self.reach.is_away(m)]
         return [group for group in (there[:1], there[1:], away) if group]
 
-    def _could_know_all(self) -> bool:
-        """Whether every instance that may hold a turn is still listed."""
-        members = self.reach.members
+    def _doubt_lost(self) -> str:
+        """Names instances that may hold a turn and are not listed any more."""
         oldest = loop_seconds() - _LOSS_SECONDS
-        lost = [at for at in members.lost_at.values() if at > oldest]
-        return members.synced and not lost
+        lost_at = self.reach.members.lost_at
+        lost = [name for name, at in lost_at.items() if at > oldest]
+        return f"{', '.join(lost)} may hold it" if lost else ""
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import hashlib
 import itertools
 import random
@@ -50,6 +51,8 @@
 # An entry that is missing after an outage of the store may only have lapsed
 # meanwhile: its holder registers again within about two renewals.
 _GRACE_SECONDS = 6.0
+# A slow store answers in 0.2 s; a caller waits meanwhile.
+_CATCH_UP_SECONDS = 0.3
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -98,12 +101,17 @@
     Args:
         kv: The platform's store.
         on_change: Called after each change.
+        store: The store itself, where ``kv`` may answer through others.
     """
 
     def __init__(
-        self, kv: KeyValue, on_change: Callable[[], None] = lambda: None
+        self,
+        kv: KeyValue,
+        on_change: Callable[[], None] = lambda: None,
+        store: KeyValue | None = None,
     ) -> None:
         self.kv = kv
+        self.store = store or kv
         self.on_change = on_change
         self.lost_disks = _LOST_DISKS
         self.known: dict[str, Member] = {}
@@ -115,6 +123,9 @@
         self.watch = PrefixWatch(
             kv, PREFIX, _WAIT_SECONDS, self._written, self._removed
         )
+        self.reading = asyncio.Lock()
+        self.readings = 0
+        self.is_level = False
 
     @property
     def synced(self) -> bool:
@@ -161,6 +172,34 @@
         """Returns the seconds since the store was last heard."""
         return loop_seconds() - self.watch.heard_at
 
+    async def catch_up(self) -> bool:
+        """Takes in who is registered by now; False if the store is silent.
+
+        Those who ask while the store is being read share the next reading, so
+        that it is asked once at a time however many are in doubt.
+        """
+        begun = self.readings
+        async with self.reading:
+            if self.readings == begun:
+                self.readings += 1
+                self.is_level = False
+                self.is_level = await self._read_store()
+            return self.is_level
+
+    async def _read_store(self) -> bool:
+        before = self.watch.revision
+        answers = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CATCH_UP_SECONDS):
+                answers = await self.watch.catch_up(self.store)
+        log_event(
+            "keepers_read",
+            answers=answers,
+            before=before,
+            revision=self.watch.revision,
+        )
+        return answers
+
     async def __aenter__(self) -> Self:
         await self.watch.__aenter__()
         return self
--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -115,6 +115,32 @@
         self._heard()
         return True
 
+    async def catch_up(self, kv: KeyValue) -> bool:
+        """Takes in what the service holds by now; False if it is silent.
+
+        Afterwards nothing is older here than it was there when this was
+        called, whatever the waiting watch has missed.
+
+        Args:
+            kv: The service itself. An answer of another instance may be as
+                old as what is known here.
+        """
+        if self.synced and self.away_since is None:
+            events = await kv.watch(self.prefix, self.revision, 0.0)
+            if isinstance(events, WatchEvents):
+                self._take(events)
+                return True
+            if isinstance(events, Unavailable):
+                return False
+        listed = await kv.list(self.prefix)
+        if isinstance(listed, Unavailable):
+            return False
+        # An older one: the watch has heard of more meanwhile.
+        if listed.revision >= self.revision:
+            self._take_all(listed)
+        self.synced = True
+        return True
+
     def _take_all(self, listed: Range) -> None:
         now = {entry.key: entry.value for entry in listed.entries}
         how = Removal.MISSED if self._was_away() else Removal.SEEN
--- a/tests/features/lookups.feature
+++ b/tests/features/lookups.feature
@@ -49,3 +49,23 @@
     And a conversation is kept by those that have joined
     And the store forgets its history
     Then a front that knows what "s0" knows finds the conversation
+
+  Scenario: Many callers name turns that were never kept
+    Each is answered for certain, and the store is asked for all at once.
+
+    Given 8 storage instances in 3 failure domains
+    When the store's answers take a while
+    And 200 callers name turns that were never kept at the same time
+    Then all are told that there is no such turn
+    And the store was asked at most 2 times
+
+  Scenario: Storage instances join while the store is being read
+    Another caller's look-up has asked the store already. Its answer, on the
+    way for a while, is older than the turn that this one looks for.
+
+    Given 8 storage instances in 3 failure domains
+    When the store's answers take a while
+    And one caller's look-up has asked the store
+    And a storage instance joins each domain, and "s0" does not hear of it
+    And a conversation is kept by those that have joined
+    Then the same front finds the conversation
--- a/tests/features/steps/lookups.py
+++ b/tests/features/steps/lookups.py
@@ -1,5 +1,6 @@
 """Steps about turns that a front does not find where it looks."""
 
+import asyncio
 import itertools
 
 from behave import then, when
@@ -114,3 +115,69 @@
 def step_new_denies(context, name, wanted):
     found = find(context, new_front, name, wanted)
     assert isinstance(found, NoSuchTurn), found
+
+
+@when("{count:d} callers name turns that were never kept at the same time")
+def step_many_ask(context, count):
+    async def ask_all(n):
+        front = n.front("s0")
+        finds = [front.lookup.find(f"never{i}", "p") for i in range(count)]
+        return await asyncio.gather(*finds)
+
+    before = context.network.kv.calls
+    context.answers = network(context, ask_all)
+    context.calls = context.network.kv.calls - before
+
+
+@then("all are told that there is no such turn")
+def step_all_denied(context):
+    assert all(isinstance(a, NoSuchTurn) for a in context.answers)
+
+
+@then("the store was asked at most {count:d} times")
+def step_asked(context, count):
+    assert 1 <= context.calls <= count, context.calls
+
+
+@when("the store's answers take a while")
+def step_slow_answers(context):
+    kv = context.network.kv
+    watch = kv.watch
+
+    async def watch_slowly(*how):
+        answer = await watch(*how)
+        await asyncio.sleep(0.05)
+        return answer
+
+    kv.watch = watch_slowly
+
+
+async def wait_for_call(n, calls):
+    """Returns once the store has been called again."""
+    for _ in range(1000):
+        await asyncio.sleep(0)
+        if n.kv.calls > calls:
+            return
+    raise AssertionError("the store was not asked")
+
+
+@when("one caller's look-up has asked the store")
+def step_ask_first(context):
+    async def ask(n):
+        context.front = n.front("s0")
+        look = context.front.lookup.find("never", "p")
+        calls = n.kv.calls
+        context.first = asyncio.create_task(look)
+        await wait_for_call(n, calls)
+
+    network(context, ask)
+
+
+@then("the same front finds the conversation")
+def step_same_front_finds(context):
+    async def find_both(n):
+        look = context.front.lookup.find("t2", context.chain)
+        return await asyncio.gather(look, context.first)
+
+    found, _ = network(context, find_both)
+    check_conversation(found)
