Let storage instances tell whom they have known lately

A front that has just started answers 404 for a turn that a storage instance took alone while its failure domain was cut off: the registration of that one has lapsed, and who was lost is known only to those that saw it happen.

Found by looking for more of the same cause: what this instance does not list was taken for gone.

Change: an answer to a look-up that lacks a turn names the storage instances that were known lately (twice the retention) and are not listed; a front that can't place them, after the store's own list, is not certain.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -33,6 +33,7 @@
     Account,
     Agree,
     Agreed,
+    Chain,
     Crashed,
     CutOff,
     Done,
@@ -184,7 +185,7 @@
                 await self.keep(kept)
                 return Done()
             case Fetch(turn=turn):
-                return self.table.chain(turn, self.whole)
+                return self.fetch(turn)
             case FetchTurns(turns=turns):
                 return Turns(self.table.pick(turns))
             case Lacking(turns=turns):
@@ -281,6 +282,14 @@
             self.intake.add(change.account.program)
         return changes
 
+    def fetch(self, turn: str) -> Chain:
+        """Returns a turn and all that it continues, as far as held here."""
+        chain = self.table.chain(turn)
+        chain.whole = self.whole
+        if chain.missing:
+            chain.unlisted = self.members.unlisted()
+        return chain
+
     def settle(self, said: Settle) -> Done:
         """Books what a turn has used."""
         for change in self.ledger.settle(said):
@@ -434,7 +443,7 @@
             if isinstance(record, KeptTurn):
                 self.table.add(record, stored.segment)
             elif isinstance(record, RosterChange):
-                self.members.seen.update(record.seen)
+                self.members.recall(record.seen)
             elif record is not None:
                 self.ledger.restore(record)
             records += 1
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rattanmill_core import log_event, loop_seconds
-from rattanmill_keeper.members import Member
+from rattanmill_keeper.members import HELD_SECONDS, Member
 from rattanmill_keeper.messages import (
     Chain,
     Done,
@@ -21,9 +21,6 @@
 _KEEP_SECONDS = 0.4
 _FETCH_SECONDS = 0.3
 _AWAY_SECONDS = 0.06
-# A storage instance that was lost longer ago held no turn that is still kept;
-# twice the retention in use.
-_LOSS_SECONDS = 120.0
 # Texts of turns kept at hand; the next turn of a line mostly comes to the
 # same front and then needs no trip.
 _CACHE_BYTES = 24 * 1024 * 1024
@@ -53,10 +50,13 @@
     Attributes:
         turn: The newest turn that was not found, or empty.
         doubt: Why it may exist all the same, or empty.
+        unlisted: Storage instances that others have known lately and do not
+            know any more, or have not heard register yet.
     """
 
     turn: str
     doubt: str = ""
+    unlisted: set[str] = msgspec.field(default_factory=set)
 
 
 class TurnCache:
@@ -159,7 +159,7 @@
         )
         if not gap.turn:
             return found
-        gap.doubt = gap.doubt or self._doubt_lost()
+        gap.doubt = gap.doubt or self._doubt_lost(gap)
         self._log_missing(turn, gap)
         if gap.doubt or found:
             return Unsure(f"turn {gap.turn} was not found")
@@ -184,9 +184,6 @@
         This front's list may lag behind that of the one that kept the turn,
         so only the store's own tells who there is.
         """
-        gap.doubt = self._doubt_lost()
-        if gap.doubt:
-            return False
         members = self.reach.members
         if not await members.catch_up():
             gap.doubt = "the store does not tell who there is"
@@ -209,6 +206,7 @@
     async def _look(self, found: list[KeptTurn], gap: Gap, key: str) -> None:
         """Asks all once for the rest of a chain, near ones first."""
         gap.doubt = ""
+        gap.unlisted.clear()
         for group in self._groups(key):
             chains = await asyncio.gather(
                 *(
@@ -219,12 +217,10 @@
                 )
             )
             for member, chain in zip(group, chains, strict=True):
-                if not isinstance(chain, Chain):
-                    gap.doubt = f"{member.name} is silent"
-                    continue
-                if not chain.whole:
-                    gap.doubt = f"{member.name} is not whole"
-                gap.turn = self._join(found, gap.turn, chain)
+                gap.doubt = gap.doubt or _doubt(member, chain)
+                if isinstance(chain, Chain):
+                    gap.turn = self._join(found, gap.turn, chain)
+                    gap.unlisted.update(chain.unlisted)
             if not gap.turn:
                 return
 
@@ -256,9 +252,17 @@
         away = [m for m in members if self.reach.is_away(m)]
         return [group for group in (there[:1], there[1:], away) if group]
 
-    def _doubt_lost(self) -> str:
-        """Names instances that may hold a turn and are not listed any more."""
-        oldest = loop_seconds() - _LOSS_SECONDS
-        lost_at = self.reach.members.lost_at
-        lost = [name for name, at in lost_at.items() if at > oldest]
-        return f"{', '.join(lost)} may hold it" if lost else ""
+    def _doubt_lost(self, gap: Gap) -> str:
+        """Names instances that may have a turn and are not listed any more."""
+        members = self.reach.members
+        oldest = loop_seconds() - HELD_SECONDS
+        lost = {name for name, at in members.lost_at.items() if at > oldest}
+        lost |= gap.unlisted - members.known.keys() - members.emptied
+        return f"{', '.join(sorted(lost))} may have it" if lost else ""
+
+
+def _doubt(member: Member, reply: msgspec.Struct | None) -> str:
+    """Says why an answer leaves open whether a turn exists, or nothing."""
+    if not isinstance(reply, Chain):
+        return f"{member.name} is silent"
+    return "" if reply.whole else f"{member.name} is not whole"
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -38,6 +38,9 @@
 # A member that was not seen for so long is no longer counted when an account
 # is opened. One that was cut off opens none after half of it, see ``homes``.
 ROSTER_SECONDS = 3600.0
+# Whoever was lost longer ago held no turn that is still kept; twice the
+# retention in use.
+HELD_SECONDS = 120.0
 # A member whose registration has lapsed for so long is not counted any more,
 # see ``Members.roster``. By then it has stopped to grant alone, which it does
 # only for ``CONFIRMED_SECONDS`` after its last renewal: a lease less, so that
@@ -97,6 +100,8 @@
             leaving, by name.
         emptied: Members that were emptied and are gone.
         seen: Seconds since 1970 at which each member was last known of.
+        recalled: Loop time until which members count that there were before
+            this process started.
 
     Args:
         kv: The platform's store.
@@ -118,6 +123,7 @@
         self.lost_at: dict[str, float] = {}
         self.emptied: set[str] = set()
         self.seen: dict[str, float] = {}
+        self.recalled: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
         self.codec = codec()
         self.watch = PrefixWatch(
@@ -163,6 +169,29 @@
         is_long = now - self.lost_at[first] > _LAPSED_SECONDS
         return {first} if is_long else set()
 
+    def recall(self, seen: dict[str, float]) -> None:
+        """Takes what was written down before this process started.
+
+        That is done when somebody comes or goes, perhaps hours ago: all that
+        were there may have been until just now.
+        """
+        newest = max(seen.values(), default=0.0)
+        self.seen.update(seen)
+        until = loop_seconds() + HELD_SECONDS
+        self.recalled = {
+            name: until
+            for name, at in seen.items()
+            if at > newest - HELD_SECONDS
+        }
+
+    def unlisted(self) -> list[str]:
+        """Returns members that may hold turns though nobody lists them."""
+        oldest = wall_seconds() - HELD_SECONDS
+        now = loop_seconds()
+        late = {name for name, at in self.seen.items() if at > oldest}
+        late |= {name for name, at in self.recalled.items() if at > now}
+        return sorted(late - self.known.keys() - self.emptied)
+
     def is_listed(self, key: str, value: bytes) -> bool:
         """Whether the store lists a registration just so, as last heard."""
         is_heard = self.watch.synced and self.watch.away_since is None
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -382,11 +382,14 @@
         turns: Each continues the next one.
         missing: Where the chain ends here though it goes on, or empty.
         whole: Whether this instance would know of the missing one.
+        unlisted: Storage instances that it has known lately, which are not
+            registered any more; they may have the missing one.
     """
 
     turns: list[KeptTurn]
     missing: str
-    whole: bool
+    whole: bool = False
+    unlisted: list[str] = []
 
 
 class Follow(msgspec.Struct, tag=14):
--- a/libs/keeper/src/rattanmill_keeper/turns.py
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -45,13 +45,13 @@
         self.bytes += len(kept.text)
         return True
 
-    def chain(self, turn: str, whole: bool) -> Chain:
+    def chain(self, turn: str) -> Chain:
         """Returns a turn and all that it continues, as far as held here."""
         turns = []
         while held := self.held.get(turn):
             turns.append(held.kept)
             turn = held.kept.previous
-        return Chain(turns, turn, whole)
+        return Chain(turns, turn)
 
     def pick(self, turns: Iterable[str]) -> list[KeptTurn]:
         """Returns those of the turns that are held."""
--- a/tests/features/lookups.feature
+++ b/tests/features/lookups.feature
@@ -69,3 +69,14 @@
     And a storage instance joins each domain, and "s0" does not hear of it
     And a conversation is kept by those that have joined
     Then the same front finds the conversation
+
+  Scenario: A front that starts after a registration has lapsed
+    A storage instance is cut off, with a turn that only it could take. A front
+    that has just started has never heard of it; the others have.
+
+    Given storage instances "a, b, c"
+    When "a" keeps a turn alone
+    And "a" is cut off until its registration lapses
+    Then a new front beside "b" is not certain of the turn "t1"
+    When "b, c" are started again on what their disks and the store tell
+    Then a new front beside "b" is not certain of the turn "t1"
--- a/tests/features/steps/lookups.py
+++ b/tests/features/steps/lookups.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import itertools
+import unittest.mock
 
 from behave import then, when
 
 from rattanmill_core import wall_seconds
-from rattanmill_keeper import KeptTurn, NoSuchTurn, Unsure
+from rattanmill_keeper import KeptTurn, NoSuchTurn, Unsure, members
 from support.keepers import run_in as network
 
 
@@ -17,12 +18,12 @@
     return KeptTurn(f"t{number}", previous, b"text", expires, chain)
 
 
-def conversation_at(members, names):
+def conversation_at(known, names):
     """Returns a conversation that only some members are to keep."""
     return next(
         chain
         for chain in map("c{}".format, itertools.count())
-        if {member.name for member in members.replicas(chain)} <= set(names)
+        if {member.name for member in known.replicas(chain)} <= set(names)
     )
 
 
@@ -64,8 +65,46 @@
     context.network.kv.forget_changes()
 
 
+def long_ago():
+    """Returns when storage instances last wrote down who there is."""
+    return wall_seconds() - 1000.0
+
+
+@when('"{name}" is cut off until its registration lapses')
+def step_cut_and_lapse(context, name):
+    async def cut(n):
+        others = set(n.keepers) - {name}
+        with unittest.mock.patch.object(members, "wall_seconds", long_ago):
+            for other in others:
+                n.keepers[other].sweep()
+        await n.pass_time(0.05)
+        n.cuts |= {frozenset((name, other)) for other in others}
+        n.lapse(name)
+
+    network(context, cut)
+
+
+@when('"{names}" are started again on what their disks and the store tell')
+def step_restart_all(context, names):
+    async def restart(n):
+        for name in names.split(", "):
+            await n.kill(name)
+            known = n.members[name].known
+            await n.start(name)
+            n.members[name].known = dict(known)
+
+    network(context, restart)
+
+
 def new_front(n, name):
-    """Returns a front that has just started and reads the store's list."""
+    """Returns a front that has just read the list of the store."""
+    front = n.front(name)
+    front.reach.members.watch.revision = n.kv.revision
+    return front
+
+
+def lagging_front(n, name):
+    """Returns a front that knows what a storage instance knows."""
     return n.front(name)
 
 
@@ -81,7 +120,7 @@
 
 @then('a front that knows what "{name}" knows finds the conversation')
 def step_finds_all(context, name):
-    check_conversation(find(context, new_front, name, "t2", context.chain))
+    check_conversation(find(context, lagging_front, name, "t2", context.chain))
 
 
 @then(
@@ -101,7 +140,7 @@
     'a front that knows what "{name}" knows is not certain of the conversation'
 )
 def step_not_certain(context, name):
-    found = find(context, new_front, name, "t2", context.chain)
+    found = find(context, lagging_front, name, "t2", context.chain)
     assert isinstance(found, Unsure), found
 
 
