Let an instance that was emptied say so itself

A storage instance that is killed or cut off while operators empty it was taken for one that is done: its registration vanishes while it says that it leaves. Turns that only it has were denied (404), and it was left out at once where accounts are opened, though it may not have told others what it agreed to.

Found by looking for more of the same cause: a partial view taken for a whole one.

Change: an instance registers itself as emptied once the others have all, waits until the store lists it so, and only then answers the order. One that vanishes before counts as lost. One write to the store more for each order.

The scenario "An instance is cut off while it is being emptied" fails on the code before (NoSuchTurn); "An instance that was emptied is gone" holds on both.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -102,22 +102,27 @@
         log_event("emptying_begun", turns=len(self.keeper.table.held))
         await self._say(self.orders.running)
         self.keeper.leaving = True
-        member = msgspec.structs.replace(self.registration.member, leaving=True)
-        self.registration.change(member)
-        await self._until(self._is_known_leaving)
+        await self._register(leaving=True)
         await asyncio.sleep(_SETTLE_SECONDS)
         await self._until(self.hand_over)
-        await self._until(self._spread)
+        await self._until(self.spread)
         await self._until(self._is_followed)
+        await self._register(emptied=True)
         await self._say(self.orders.completed)
         # Counted until its lease ends, it would keep others from being whole.
         await self.registration.end()
         log_event("emptying_done")
         await asyncio.Event().wait()
 
-    async def _is_known_leaving(self) -> bool:
+    async def _register(self, **state: bool) -> None:
+        """Returns when the store lists this instance in a new state."""
+        member = msgspec.structs.replace(self.registration.member, **state)
+        self.registration.change(member)
+        await self._until(self._is_listed)
+
+    async def _is_listed(self) -> bool:
         mine = self.members.known.get(self.keeper.name)
-        return mine is not None and mine.leaving
+        return mine == self.registration.member
 
     async def _is_followed(self) -> bool:
         """Whether the others have all that was agreed to here.
@@ -175,7 +180,7 @@
         )
         return isinstance(reply, Done)
 
-    async def _spread(self) -> bool:
+    async def spread(self) -> bool:
         """Sees to it that the others hold all turns; whether they do."""
         turns = self.keeper.table.held
         wanted: dict[str, list[str]] = {}
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -67,6 +67,7 @@
         address: ``IP:PORT`` for requests of other instances.
         run: Id of the process's run.
         leaving: Whether it is being emptied and takes nothing new.
+        emptied: Whether all that it holds lies elsewhere.
     """
 
     name: str
@@ -74,6 +75,7 @@
     address: str
     run: str
     leaving: bool = False
+    emptied: bool = False
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
@@ -96,8 +98,8 @@
     Attributes:
         known: Members by name.
         lost_disks: Disks that may be lost at once.
-        lost_at: Loop time at which a member was last removed that was not
-            leaving, by name.
+        lost_at: Loop time at which a member was last removed that had not
+            been emptied, by name.
         emptied: Members that were emptied and are gone.
         seen: Seconds since 1970 at which each member was last known of.
         recalled: Loop time until which members count that there were before
@@ -343,7 +345,8 @@
         if member is None:
             return
         self.seen[name] = wall_seconds()
-        if member.leaving:
+        # One that was killed or cut off while it was emptied only leaves.
+        if member.emptied:
             self.emptied.add(name)
         else:
             self.lost_at[name] = loop_seconds()
@@ -351,6 +354,7 @@
             "keeper_gone",
             keeper=name,
             leaving=member.leaving,
+            emptied=member.emptied,
             revision=self.watch.revision,
         )
         self.on_change()
--- a/tests/features/lookups.feature
+++ b/tests/features/lookups.feature
@@ -80,3 +80,22 @@
     Then a new front beside "b" is not certain of the turn "t1"
     When "b, c" are started again on what their disks and the store tell
     Then a new front beside "b" is not certain of the turn "t1"
+
+  Scenario: An instance is cut off while it is being emptied
+    It has said that it leaves, and not yet that all it holds lies elsewhere.
+    Its registration lapses like that of one that is done.
+
+    Given storage instances "a, b, c"
+    When "a" keeps a turn alone
+    And "a" begins to be emptied
+    And "a" is cut off until its registration lapses
+    Then a front that has heard so beside "b" is not certain of the turn "t1"
+
+  Scenario: An instance that was emptied is gone
+    It has said so itself. What nobody has now exists nowhere.
+
+    Given storage instances "a, b, c"
+    When "a" keeps a turn alone
+    And "a" is emptied and gone
+    Then a front that has heard so beside "b" finds the turn "t1"
+    And a front that has heard so beside "b" denies the turn "never"
--- a/tests/features/steps/lookups.py
+++ b/tests/features/steps/lookups.py
@@ -4,10 +4,12 @@
 import itertools
 import unittest.mock
 
+import msgspec
 from behave import then, when
 
 from rattanmill_core import wall_seconds
 from rattanmill_keeper import KeptTurn, NoSuchTurn, Unsure, members
+from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from support.keepers import run_in as network
 
 
@@ -96,6 +98,46 @@
     network(context, restart)
 
 
+def say(context, name, **state):
+    """Lets the store list an instance with a new state, and all hear of it."""
+    n = context.network
+    member = msgspec.structs.replace(n.member(name), **state)
+    n.list_as(member)
+
+
+@when('"{name}" begins to be emptied')
+def step_begin_emptying(context, name):
+    say(context, name, leaving=True)
+
+
+async def empty(n, name):
+    """Empties an instance as operators' orders do, up to its last word."""
+    emptying = Emptying(
+        n.keepers[name],
+        n.members[name],
+        None,
+        n.kv,
+        EmptyingOrders("", "", b"", b""),
+    )
+    n.keepers[name].leaving = True
+    assert await emptying.hand_over()
+    assert await emptying.spread()
+
+
+@when('"{name}" is emptied')
+def step_empty(context, name):
+    say(context, name, leaving=True)
+    network(context, lambda n: empty(n, name))
+
+
+@when('"{name}" is emptied and gone')
+def step_empty_and_go(context, name):
+    step_empty(context, name)
+    say(context, name, leaving=True, emptied=True)
+    network(context, lambda n: n.kill(name))
+    context.network.lapse(name)
+
+
 def new_front(n, name):
     """Returns a front that has just read the list of the store."""
     front = n.front(name)
@@ -108,6 +150,15 @@
     return n.front(name)
 
 
+def experienced_front(n, name):
+    """Returns a front that has heard all that a storage instance has."""
+    front = n.front(name)
+    theirs = n.members[name]
+    front.reach.members.lost_at = dict(theirs.lost_at)
+    front.reach.members.emptied = set(theirs.emptied)
+    return front
+
+
 def find(context, make, name, wanted, chain="p"):
     """Returns what a front finds."""
     return network(context, lambda n: make(n, name).lookup.find(wanted, chain))
@@ -220,3 +271,24 @@
 
     found, _ = network(context, find_both)
     check_conversation(found)
+
+
+@then(
+    'a front that has heard so beside "{name}" is not certain of the turn'
+    ' "{wanted}"'
+)
+def step_experienced_not_certain(context, name, wanted):
+    found = find(context, experienced_front, name, wanted)
+    assert isinstance(found, Unsure), found
+
+
+@then('a front that has heard so beside "{name}" finds the turn "{wanted}"')
+def step_experienced_finds(context, name, wanted):
+    found = find(context, experienced_front, name, wanted)
+    assert [kept.turn for kept in found] == [wanted], found
+
+
+@then('a front that has heard so beside "{name}" denies the turn "{wanted}"')
+def step_experienced_denies(context, name, wanted):
+    found = find(context, experienced_front, name, wanted)
+    assert isinstance(found, NoSuchTurn), found
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -183,12 +183,20 @@
         value = msgspec.json.encode(self.member(name))
         self.kv.put(PREFIX + name, value)
 
+    def list_as(self, member: Member) -> None:
+        """Lets the store list one with another state, which all hear."""
+        value = msgspec.json.encode(member)
+        self.kv.put(PREFIX + member.name, value)
+        for members in self.members.values():
+            members._written(PREFIX + member.name, value)
+
     def lapse(self, name: str) -> None:
         """The others have not seen one's registration for long."""
         self.kv.put(PREFIX + name, None)
         for other, members in self.members.items():
             if other != name and name in members.known:
                 members._drop(name)
+            if name in members.lost_at:
                 members.lost_at[name] -= _LONG_SECONDS
         if name in self.keepers:
             self.keepers[name].is_confirmed = lambda: False
