Take nothing on a disk that is about to be taken away

A front whose list of storage instances lags goes on sending turns and reservations to one that operators empty, also after that one has handed over all that it holds. The turn counts as kept in one failure domain more than it is: with the next lost disk it is gone. A permission that two of three holders have recorded is then known to one.

Change: once all lies elsewhere the instance takes neither turns nor reservations any more (the front counts it as one that did not answer), and hands over what came in meanwhile before it registers as emptied.

The scenario 'A front does not know yet that an instance was emptied' fails with the rule taken out: the turn counts as kept there, the permission is recorded.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -104,8 +104,7 @@
         self.keeper.leaving = True
         await self._register(leaving=True)
         await asyncio.sleep(_SETTLE_SECONDS)
-        await self._until(self.hand_over)
-        await self._until(self.spread)
+        await self.hand_over_all()
         await self._until(self._is_followed)
         await self._register(emptied=True)
         await self._say(self.orders.completed)
@@ -154,6 +153,18 @@
                 await self.kv.write(key, value, entry.revision if entry else 0)
             await asyncio.sleep(_PAUSE_SECONDS)
 
+    async def hand_over_all(self) -> None:
+        """Returns when the others have all, and nothing more is taken here.
+
+        Fronts whose list lags go on sending turns and reservations. Taken,
+        they would be gone with this disk.
+        """
+        await self._until(self.hand_over)
+        await self._until(self.spread)
+        self.keeper.is_closed = True
+        await self._until(self.hand_over)
+        await self._until(self.spread)
+
     async def hand_over(self) -> bool:
         """Tells the other holders of accounts all; whether they know it."""
         by_holder: dict[str, list[Account]] = {}
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -95,6 +95,7 @@
         whole: Whether it has all that its disk should hold. Until then it
             opens no account, agrees to none and denies no turn.
         leaving: Whether it is being emptied.
+        is_closed: Whether it takes neither turns nor reservations any more.
         run: Id of this run of the process.
         is_confirmed: Whether the others still count this instance.
         followed: Position up to which each other one has followed this run.
@@ -139,6 +140,7 @@
         self.is_confirmed: Callable[[], bool] = lambda: True
         self.followed: dict[str, int] = {}
         self.leaving = False
+        self.is_closed = False
         self.may_open = may_open
         self.noted: set[str] = set()
         self.sweeper: asyncio.Task | None = None
@@ -183,7 +185,7 @@
                 return await self._agree(message)
             case Keep(kept=kept):
                 await self.keep(kept)
-                return Done()
+                return Unsure("emptied") if self.is_closed else Done()
             case Fetch(turn=turn):
                 return self.fetch(turn)
             case FetchTurns(turns=turns):
@@ -210,6 +212,8 @@
         self, ask: Reserve
     ) -> Recorded | Full | Reserved | Unsure:
         """Records a reservation, and answers once it is on disk."""
+        if self.is_closed:
+            return Unsure("emptied")
         if ask.alone:
             return await self._reserve_alone(ask)
         if not self.whole:
--- a/tests/features/lookups.feature
+++ b/tests/features/lookups.feature
@@ -99,3 +99,12 @@
     And "a" is emptied and gone
     Then a front that has heard so beside "b" finds the turn "t1"
     And a front that has heard so beside "b" denies the turn "never"
+
+  Scenario: A front does not know yet that an instance was emptied
+    It would count the turn as kept on a disk that is taken away, and the next
+    lost disk would take the turn as well.
+
+    Given storage instances "a, b, c"
+    When "a" is emptied
+    Then a front that has not heard so keeps a turn at "b, c" alone
+    And "a" records no permission any more
--- a/tests/features/steps/lookups.py
+++ b/tests/features/steps/lookups.py
@@ -8,7 +8,7 @@
 from behave import then, when
 
 from rattanmill_core import wall_seconds
-from rattanmill_keeper import KeptTurn, NoSuchTurn, Unsure, members
+from rattanmill_keeper import KeptTurn, NoSuchTurn, Reserve, Unsure, members
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from support.keepers import run_in as network
 
@@ -120,8 +120,7 @@
         EmptyingOrders("", "", b"", b""),
     )
     n.keepers[name].leaving = True
-    assert await emptying.hand_over()
-    assert await emptying.spread()
+    await emptying.hand_over_all()
 
 
 @when('"{name}" is emptied')
@@ -292,3 +291,23 @@
 def step_experienced_denies(context, name, wanted):
     found = find(context, experienced_front, name, wanted)
     assert isinstance(found, NoSuchTurn), found
+
+
+@then('a front that has not heard so keeps a turn at "{names}" alone')
+def step_keeps_elsewhere(context, names):
+    async def keep(n):
+        front = n.front("b")
+        for name in n.names:
+            n.introduce(front.reach.members, name)
+        front.lookup.copies = len(n.names)
+        return await front.lookup.keep(turn(0, "p"))
+
+    kept_by = network(context, keep)
+    assert sorted(kept_by.keepers) == names.split(", "), kept_by
+
+
+@then('"{name}" records no permission any more')
+def step_records_none(context, name):
+    ask = Reserve("p", "attempt", 10, 100)
+    reply = network(context, lambda n: n.keepers[name].serve(ask))
+    assert isinstance(reply, Unsure), reply
