Say that a budget is spent only when that is certain

Callers saw (in the test): 402 for a program that had used 40 of 180 tokens. A 402 ends the program at once.

Cause: what a turn has used is told to each holder by itself. With the holder that has heard it out of reach, as in a cut, the other two count ended turns in full, and a front that hears a majority took their view for all that is known.

Change: with a holder missing, a budget counts as spent only if the turns that are known to have ended leave no room; otherwise 503, as for what is set aside out of reach.

Evidence: views.feature, "What turns have used is known to a holder out of reach": Spent(budget=180, settled=0, running=180) before, not certain after, and a permission once all reach each other. Its counterpart, a budget that was used up, still ends with 402.

--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -321,6 +321,10 @@
         if not is_given and joined.limit < joined.budget:
             return Unsure("part of the budget is set aside out of reach")
         running = joined.taken - joined.settled
+        # What a turn used may be known only to one that is out of reach.
+        is_sure = len(shown) == len(place.holders)
+        if not is_sure and joined.settled + ask.tokens <= joined.limit:
+            return Unsure("turns may have ended that count in full here")
         return Spent(joined.budget, joined.settled, running)
 
     async def _tell(
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -20,3 +20,23 @@
     When the store was away for 4 seconds and the entry of "one" is missing after it
     And "one" registers again 4.0 seconds after its return
     Then from 4.6 to 20.0 seconds after its return the front knows "one, two"
+
+  Scenario: What turns have used is known to a holder out of reach
+    A front heard of their ends and reached one holder only. The others count
+    them in full. They must not say that the budget is spent, which ends the
+    program; it goes on when the third is heard again.
+
+    Given storage instances "a, b, c"
+    When a program that began at "b" has 4 turns running at "a"
+    And "a" is cut off from "b, c", and the turns end there with little used
+    Then its next turn is refused as not certain at "b"
+    When all reach each other and are listed
+    Then its next turn gets a permission at "b"
+
+  Scenario: A program that has used its budget while a holder is out of reach
+    That is certain, whatever the third knows, and has to end it.
+
+    Given storage instances "a, b, c"
+    When a program that began at "b" has 4 turns running at "a"
+    And the turns end with all used, and "a" is cut off from "b, c"
+    Then its next turn is refused as spent at "b"
