Answer for a record only once it is on disk, also when asked again

A permission or a consent could count at a holder that forgets it with the next power loss.

Cause: what a storage instance knows in memory was taken for what is on its disk. It answers the first question when its record is synced, but answered a second one for the same, or one that another holder's telling had come before, at once. A front asks a second time after it has put accounts together, and an opener after it learned of a newer list or when the next turn comes; with a disk that is held up for longer than they wait, the first record is still on its way.

Change: what is known already is written again, behind the first record.

Evidence: views.feature, "A storage instance is asked again while its disk is slow": all three examples were answered before the disk went on; with the change none is.

--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -124,11 +124,12 @@
             return Opening(holders)
         return Elsewhere(holders)
 
-    def record(self, ask: Reserve) -> Recording | Recorded | Full | Unsure:
+    def record(self, ask: Reserve) -> Recording | Full | Unsure:
         """Decides on a reservation; a change must be on disk to count.
 
         An attempt that asks again, because the reply was lost, has its
-        reservation already.
+        reservation already. It is written again, as the first record, or what
+        another holder told of it, may still be on its way to the disk.
         """
         if ask.place is None or self.name not in ask.place.holders:
             return Unsure("not held here")
@@ -146,7 +147,8 @@
         if use is not None and use.settled:
             return Unsure("the attempt has ended")
         if use is not None:
-            return self._recorded(account)
+            again = UseChange(ask.program, ask.attempt, use)
+            return Recording(adopted, again, self._recorded(account))
         if account.taken + ask.tokens > account.limit:
             return Full()
         change = self._use(account, ask.attempt, Use(ask.tokens))
@@ -218,18 +220,20 @@
 
     def agree(
         self, program: str, asker: str, holders: tuple[str, ...]
-    ) -> Refused | HomeChange | None:
+    ) -> Refused | HomeChange:
         """Decides whether an account may be opened at these holders.
 
         Two that open the same account at once meet here: the smaller name
-        goes on, and the other finds its holders written down.
+        goes on, and the other finds its holders written down. What is known
+        already is written again: it may still be on its way to the disk.
         """
         known = self._holders_of(program)
-        if known:
-            return None if known == holders else Refused(known)
-        if program in self.opening and self.name < asker:
+        if known and known != holders:
+            return Refused(known)
+        if not known and program in self.opening and self.name < asker:
             return Refused(())
-        return self.learn(Home(program, holders))
+        home = Home(program, holders)
+        return self.learn(home) or HomeChange(home, wall_seconds())
 
     def open(self, account: Account) -> AccountChange | None:
         """Opens an account here, unless other holders became known."""
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -40,3 +40,21 @@
     When a program that began at "b" has 4 turns running at "a"
     And the turns end with all used, and "a" is cut off from "b, c"
     Then its next turn is refused as spent at "b"
+
+  Scenario Outline: A storage instance is asked again while its disk is slow
+    It knows what it was asked for before, but only in memory. An answer now
+    counts elsewhere as a record on its disk, which a power loss takes.
+
+    Given storage instances "a, b, c"
+    When a turn of a new program runs at "a"
+    And the disk of "b" is held up
+    And "b" is asked twice for <what>
+    Then neither was answered
+    When the disk of "b" goes on
+    Then both were answered
+
+    Examples:
+      | what                                       |
+      | a further turn                             |
+      | its consent to where another account is    |
+      | a turn of which another holder has told it |
