Let holders take in the permissions that they have missed

Callers saw (in the test): a program got 252 of 180 tokens, 216 are allowed.

Cause: a storage instance that comes back with its disk counts as whole, and a whole one did not take in accounts from the others. What two holders recorded while it was away it learned only near the end of a budget, or never. With one of these two replaced and the other one's disk lost after that, one at a time, the permissions were on no disk any more, and two holders that count as whole gave them out again.

Change: a whole instance asks for accounts as well when it follows the others.

Evidence: views.feature, "Machines lose their disks one after the other": 252 tokens before, within 216 after.

Run: views.feature 8 scenarios, keeping.feature 33 scenarios passed (with the 300 stories, and rules broken on purpose still noticed).

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -139,7 +139,9 @@
                 self.keeper.name,
                 progress.run,
                 progress.position,
-                with_accounts=not self.keeper.whole,
+                # Also when whole: it may have been away when others
+                # recorded permissions, and be the last to hold the account.
+                with_accounts=True,
             ),
             _ASK_SECONDS,
         )
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -21,6 +21,22 @@
     And "one" registers again 4.0 seconds after its return
     Then from 4.6 to 20.0 seconds after its return the front knows "one, two"
 
+  Scenario: Machines lose their disks one after the other
+    One was killed while turns began. The next one is replaced, and when its
+    successor has followed all others the third loses its disk. No more than
+    one disk is lost at a time, so the first must have taken in by then what
+    it had missed.
+
+    Given storage instances "a, b, c"
+    When a turn of a new program runs at "a"
+    And 2 further turns run at "b" while "a" is killed
+    And "c" is replaced by "d" of its domain, which is still listed
+    And the registration of "c" has lapsed for long
+    And "b" loses its disk and starts where "c" is not listed
+    And "b" has followed those that are listed
+    Then "b" is whole
+    And the program's turns at "a, b" stay within its budget and one turn
+
   Scenario: What turns have used is known to a holder out of reach
     A front heard of their ends and reached one holder only. The others count
     them in full. They must not say that the budget is spent, which ends the
