Show what is concluded from a partial list or an old one

- One that has lost its disk counts as whole once it has followed those that are listed.
- One that is emptied hands over to those that are listed, however few, says that it is done, and goes on to record permissions and to keep turns all the while.

--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -14,6 +14,7 @@
     Spent,
     Unsure,
 )
+from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from rattanmill_keeper.messages import (
     Agree,
     Agreed,
@@ -128,7 +129,7 @@
         await n.wipe(name)
         await n.start(name)
         members = n.members[name]
-        members.known.pop(other)
+        members.known.pop(other, None)
         members.seen.pop(other, None)
 
     network(context, lose)
@@ -327,3 +328,153 @@
 def step_both(context):
     replies = [ask.result() for ask in context.asks]
     assert isinstance(replies[1], Recorded | Agreed), replies
+
+
+class ListedRegistration:
+    """Registers an instance in a network's lists."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.member = network.members[name].known[name]
+
+    def change(self, member):
+        """Shows the instance to all as it is now."""
+        for members in self.network.members.values():
+            if member.name in members.known:
+                members.known[member.name] = member
+
+    async def end(self):
+        """Takes it off all lists."""
+        for members in self.network.members.values():
+            members._drop(self.member.name)
+
+
+_ORDERS = EmptyingOrders("orders/", "status/", b"running", b"completed")
+
+
+async def empty(context, n, name):
+    """Lets an instance empty itself, and the others follow it."""
+    emptying = Emptying(
+        n.keepers[name],
+        n.members[name],
+        ListedRegistration(n, name),
+        n.kv,
+        _ORDERS,
+    )
+    emptying.ordered.set()
+    work = asyncio.create_task(emptying._run())
+    context.scenario_stack.callback(work.cancel)
+
+
+async def says_completed(n, name, seconds):
+    """Whether it says so in time, while the others follow all."""
+    for _ in range(round(seconds / 0.2)):
+        found = n.kv.items.get(f"status/{name}", (b"", 0))
+        if found[0] == _ORDERS.completed:
+            return True
+        for other in list(n.keepers):
+            await n.follow(other)
+        await n.pass_time(0.2)
+    return False
+
+
+@when('"{name}" is ordered to be emptied')
+def step_order(context, name):
+    network(context, lambda n: empty(context, n, name))
+
+
+@then('{seconds:d} seconds later "{name}" does not say that it is emptied')
+def step_not_emptied(context, seconds, name):
+    assert not network(context, lambda n: says_completed(n, name, seconds))
+
+
+@then('"{name}" says that it is emptied')
+def step_emptied(context, name):
+    assert network(context, lambda n: says_completed(n, name, 5.0))
+
+
+@when('a turn is kept at "{names}"')
+def step_keep_there(context, names):
+    kept = KeptTurn("t", "", b"text", wall_seconds() + 60.0)
+
+    async def keep(n):
+        for name in names.split(", "):
+            await n.keepers[name].serve(Keep(kept))
+
+    network(context, keep)
+
+
+@when('{count:d} further turns run at "{name}"')
+def step_further(context, count, name):
+    run_turns(context, name, count)
+
+
+@then('"{names}" have the turn and the {count:d} permissions')
+def step_have(context, names, count):
+    for name in names.split(", "):
+        keeper = context.network.keepers[name]
+        assert "t" in keeper.table.held, name
+        uses = keeper.ledger.accounts["p"].uses
+        assert len(uses) == count, (name, uses)
+
+
+@when('"{name}" is ordered to be emptied, and the store is too slow to be told')
+def step_order_slow(context, name):
+    """Ends when all was handed over and only the word of it is missing."""
+
+    async def order(n):
+        said = asyncio.Event()
+        write = n.kv.write
+
+        async def write_slowly(key, value, *how):
+            if value == _ORDERS.completed:
+                said.set()
+                await asyncio.Event().wait()
+            return await write(key, value, *how)
+
+        n.kv.write = write_slowly
+        context.front = n.front("b")
+        await empty(context, n, name)
+        following = asyncio.create_task(says_completed(n, name, 10.0))
+        await asyncio.wait_for(said.wait(), 10.0)
+        following.cancel()
+
+    network(context, order)
+
+
+@when('{count:d} further turns ask at "{name}" while "{away}" is killed')
+def step_ask_without(context, count, name, away):
+    async def ask(n):
+        await n.kill(away)
+        for _ in range(count):
+            await context.program.ask(n, name)
+        await n.start(away)
+
+    network(context, ask)
+
+
+@when('"{name}" is taken away')
+def step_take_away(context, name):
+    async def take(n):
+        await n.wipe(name)
+        n.names.remove(name)
+        for members in n.members.values():
+            members._drop(name)
+
+    network(context, take)
+
+
+@then(
+    'a front with the list of before does not count a turn as kept at "{name}"'
+)
+def step_not_kept(context, name):
+    kept = KeptTurn("t", "", b"text", wall_seconds() + 60.0)
+
+    async def keep(n):
+        others = [other for other in n.keepers if other not in (name, "b")]
+        for other in others:
+            await n.kill(other)
+        return await context.front.lookup.keep(kept)
+
+    domains = network(context, keep).domains
+    assert f"domain-{name}" not in domains, domains
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -21,6 +21,36 @@
     And "one" registers again 4.0 seconds after its return
     Then from 4.6 to 20.0 seconds after its return the front knows "one, two"
 
+  Scenario: One that has lost its disk starts while another one is not listed
+    The other one is cut off for so long that its registration has lapsed. It
+    alone knows of permissions that the third missed while it was killed. If
+    the list is taken for all that there are, two holders count that have
+    forgotten them, and the program spends them twice.
+
+    Given storage instances "a, b, c"
+    When a turn of a new program runs at "a"
+    And 2 further turns run at "b" while "a" is killed and does not follow them
+    And "c" is cut off from "a, b", and its registration has lapsed for long
+    And "b" loses its disk and starts where "c" is not listed
+    And "b" has followed those that are listed
+    Then the program's turns at "a, b" stay within its budget and one turn
+    And "b" is not whole
+    When all reach each other and are listed
+    And "b" has followed those that are listed
+    Then "b" is whole
+    And the program's turns at "a, b, c" stay within its budget and one turn
+
+  Scenario: A turn of before, where one that lost its disk has not heard of all
+    Both that are listed say that they have all and don't have it; the one that
+    has it is cut off. A front that has just started denies the turn.
+
+    Given storage instances "a, b, c"
+    When a turn is kept at "b, c" while "a" is killed and does not follow them
+    And "c" is cut off from "a, b", and its registration has lapsed for long
+    And "b" loses its disk and starts where "c" is not listed
+    And "b" has followed those that are listed
+    Then a front that starts beside "b" does not deny the turn
+
   Scenario: Machines lose their disks one after the other
     One was killed while turns began. The next one is replaced, and when its
     successor has followed all others the third loses its disk. No more than
@@ -37,6 +67,17 @@
     Then "b" is whole
     And the program's turns at "a, b" stay within its budget and one turn
 
+  Scenario: One whose registration had lapsed is listed again
+    The others have not counted it for a while and opened accounts without
+    it. It is heard by the store again before it hears any of them, and must
+    not grant alone what they have given away.
+
+    Given storage instances "a, b, c"
+    When "c" is cut off from "a, b", and its registration has lapsed for long
+    And turns of a new program use up its budget at "a"
+    And "c" is listed again while it is cut off
+    Then the program's turns at "c" stay within its budget and one turn
+
   Scenario: What turns have used is known to a holder out of reach
     A front heard of their ends and reached one holder only. The others count
     them in full. They must not say that the budget is spent, which ends the
@@ -74,3 +115,41 @@
       | a further turn                             |
       | its consent to where another account is    |
       | a turn of which another holder has told it |
+
+  Scenario: An instance is emptied while another one is not listed
+    That one is cut off for so long that its registration has lapsed. Turns
+    that lie in one other domain only, and permissions that only one other
+    holder has heard of, go with the next disk that is lost; the emptied one
+    does not count as lost.
+
+    Given storage instances "a, b, c"
+    When a turn of a new program runs at "a"
+    And "c" is cut off from "a, b", and its registration has lapsed for long
+    And a turn is kept at "a, b"
+    And 2 further turns run at "a"
+    And "a" is ordered to be emptied
+    Then 2 seconds later "a" does not say that it is emptied
+    When all reach each other and are listed
+    Then "a" says that it is emptied
+    And "b, c" have the turn and the 3 permissions
+
+  Scenario: A permission is recorded where accounts have been handed over
+    Its machine is taken away with the disk as soon as it has said that it is
+    emptied. What it records after the others were told is known to one of
+    them only, and counts as if it were on two disks.
+
+    Given storage instances "a, b, c"
+    When a turn of a new program runs at "a"
+    And "c" is ordered to be emptied, and the store is too slow to be told
+    And 2 further turns ask at "b" while "a" is killed
+    And "c" is taken away
+    And "b" loses its disk and starts where "c" is not listed
+    And "b" has followed those that are listed
+    Then the program's turns at "a, b" stay within its budget and one turn
+
+  Scenario: A turn is kept where all turns have been handed over
+    A front whose list is old sends it there. It must not count as kept.
+
+    Given storage instances "a, b, c"
+    When "c" is ordered to be emptied, and the store is too slow to be told
+    Then a front with the list of before does not count a turn as kept at "c"
