Take a domain for cut off until something there is reached

Callers would see calls that are placed into a cut and time out; payments among them fail, since nobody can say whether they ran. Found by reading.

Cause: the storage instances of a domain that is cut off for longer than a lease are not listed any more, and a domain without listed ones was taken for reachable: "not listed" for "nothing wrong".

Evidence: views.feature, "A cut that outlasts the registrations of its domain", fails without the change.

--- a/libs/forward/src/rattanmill_forward/domains.py
+++ b/libs/forward/src/rattanmill_forward/domains.py
@@ -96,8 +96,10 @@
             for domain, seconds in self.storage_silence().items()
             if domain != self.own
         }
+        # Its storage instances are not listed any more, as after a long cut.
         for domain in self.cut - set(silences):
-            self.hear(domain)
+            heard = self.heard.get(domain, never)
+            silences[domain] = Silence(float("inf"), now - heard)
         await asyncio.gather(
             *(self._look_at(domain, each) for domain, each in silences.items())
         )
--- a/tests/features/steps/views.py
+++ b/tests/features/steps/views.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from rattanmill_forward import Endpoint
+from rattanmill_forward.domains import Domains
 from rattanmill_forward.endpoints import EndpointBook
 from rattanmill_keeper import Member, RelayedKv
 from rattanmill_keeper.mirror import Mirrors
@@ -210,3 +211,69 @@
             if at >= first and known != set(names.split(", "))
         ]
         assert not wrong, (seed, wrong[:5])
+
+
+class CutDomain:
+    """A front's view of a domain that is cut off.
+
+    Attributes:
+        silences: What is heard of storage instances that are listed.
+        reached: Whether a connection attempt succeeds.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.silences = {name: 10.0}
+        self.reached = False
+
+    async def play(self, phases):
+        """Plays phases of changes and seconds; returns what is cut then."""
+
+        async def try_domain(domain):
+            return self.reached
+
+        domains = Domains("east", lambda: self.silences, try_domain)
+        watch = asyncio.create_task(domains.watch_for_ever())
+        await asyncio.sleep(1.0)
+        assert self.name in domains.cut
+        for change, seconds in phases:
+            change()
+            await asyncio.sleep(seconds)
+        watch.cancel()
+        return domains.cut
+
+
+@given('a front that has taken "{name}" for cut off')
+def step_has_cut(context, name):
+    context.domain = CutDomain(name)
+    context.phases = []
+
+
+@when(
+    'the storage instances of "{name}" are not listed any more for'
+    " {seconds:d} seconds"
+)
+def step_not_listed(context, name, seconds):
+    def unlist():
+        context.domain.silences.clear()
+
+    context.phases.append((unlist, seconds))
+
+
+@when('endpoints of "{name}" can be reached again for {seconds:d} second')
+def step_reached(context, name, seconds):
+    def reach():
+        context.domain.reached = True
+
+    context.phases.append((reach, seconds))
+
+
+@then('"{name}" is still taken for cut off')
+def step_still_cut(context, name):
+    assert name in run_virtually(context.domain.play(context.phases))
+    context.domain = CutDomain(name)
+
+
+@then('"{name}" is not taken for cut off')
+def step_not_cut(context, name):
+    assert name not in run_virtually(context.domain.play(context.phases))
--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -15,6 +15,7 @@
     Unsure,
 )
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
+from rattanmill_keeper.members import PREFIX
 from rattanmill_keeper.messages import (
     Agree,
     Agreed,
@@ -23,6 +24,7 @@
     Recorded,
     Show,
 )
+from rattanmill_platform import Removal
 from support.keepers import InlineExecutor
 from support.keepers import run_in as network
 
@@ -478,3 +480,29 @@
 
     domains = network(context, keep).domains
     assert f"domain-{name}" not in domains, domains
+
+
+@when('the store takes the registrations of "{names}" away')
+def step_revoke(context, names):
+    """All of them run, and reach each other; none reaches the store."""
+
+    async def revoke(n):
+        for members in n.members.values():
+            for name in names.split(", "):
+                # A watch that is turned away goes on with what it has heard.
+                if members.name not in names.split(", "):
+                    members._removed(PREFIX + name, Removal.SEEN)
+
+    network(context, revoke)
+
+
+@then('a front beside "{name}" keeps a turn in {count:d} failure domains')
+def step_kept_in(context, name, count):
+    kept = KeptTurn("t", "", b"text", wall_seconds() + 60.0)
+    found = network(context, lambda n: n.front(name).lookup.keep(kept))
+    assert len(found.domains) >= count, found
+
+
+@then('its next {count:d} turns get permissions at "{name}"')
+def step_all_permitted(context, count, name):
+    run_turns(context, name, count)
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -153,3 +153,13 @@
     Given storage instances "a, b, c"
     When "c" is ordered to be emptied, and the store is too slow to be told
     Then a front with the list of before does not count a turn as kept at "c"
+
+  Scenario: A cut that outlasts the registrations of its domain
+    Its storage instances are not listed any more after ten seconds. That says
+    nothing of the way there, and calls placed there again get lost.
+
+    Given a front that has taken "west" for cut off
+    When the storage instances of "west" are not listed any more for 3 seconds
+    Then "west" is still taken for cut off
+    When endpoints of "west" can be reached again for 1 second
+    Then "west" is not taken for cut off
