Show what fails while the store takes registrations away

Two of three storage instances whose leases were ended by the store, and that it turns away, are there and answer. Fronts ask neither of them: a turn is kept on one disk and its answer ends all the same; programs get what one instance may grant alone and are refused after that.

--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -163,3 +163,20 @@
     Then "west" is still taken for cut off
     When endpoints of "west" can be reached again for 1 second
     Then "west" is not taken for cut off
+
+  Scenario: The store takes the registrations of two away, which are there
+    It turns these machines away for some seconds and has ended their leases.
+    All of them answer. A turn that is kept by one only is lost with the next
+    disk, though two others could have taken it.
+
+    Given storage instances "a, b, c"
+    When the store takes the registrations of "b, c" away
+    Then a front beside "a" keeps a turn in 2 failure domains
+
+  Scenario: The store takes the registrations of two away, and turns ask
+    All holders answer, and still all but a few turns would be refused.
+
+    Given storage instances "a, b, c"
+    When a turn of a new program runs at "a"
+    And the store takes the registrations of "b, c" away
+    Then its next 4 turns get permissions at "a"
