Test look-ups of long conversations in four failure domains, and with links apart

Change: the outline takes the number of domains (12 in 4, with one and two away); its fronts and joining instances follow from it. A new scenario has each of 11 turns on another of 12 storage instances.

--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -244,7 +244,7 @@
     for the whole chain. One link that nobody is asked for makes the caller
     wait until it gives up, on calm days too.
 
-    Given <count> storage instances in 3 failure domains
+    Given <count> storage instances in <domains> failure domains
     When a conversation of 11 turns goes through fronts that have just started
     Then a new front of each domain finds all 11 turns, the first asking 1 instance
     When <away> storage instances of different domains are away
@@ -253,9 +253,20 @@
     Then a new front of each domain finds all 14 turns
 
     Examples:
-      | count | away |
-      | 8     | 1    |
-      | 12    | 1    |
+      | count | domains | away |
+      | 8     | 3       | 1    |
+      | 12    | 3       | 1    |
+      | 12    | 4       | 1    |
+      | 12    | 4       | 2    |
+
+  Scenario: Each turn of a conversation lies on another storage instance
+    Storage instances came and went again and again. Whoever has one turn does
+    not have the one before, and a front that asks each of them once misses it
+    for good.
+
+    Given 12 storage instances in 4 failure domains
+    When 11 turns of a conversation lie on a storage instance each
+    Then a new front of each domain finds all 11 turns
 
   Scenario: A conversation that another program continues
     Its turns lie where the first program's are. Nobody tells the front which
--- a/tests/features/steps/keeping_turns.py
+++ b/tests/features/steps/keeping_turns.py
@@ -15,8 +15,10 @@
 from support.keepers import run_in as network
 
 
-def keep(context, name, turn, previous="", text=b"text", seconds=60.0):
-    kept = KeptTurn(turn, previous, text, wall_seconds() + seconds)
+def keep(
+    context, name, turn, previous="", text=b"text", seconds=60.0, chain=""
+):
+    kept = KeptTurn(turn, previous, text, wall_seconds() + seconds, chain)
     network(context, lambda n: n.keepers[name].serve(Keep(kept)))
 
 
@@ -64,14 +66,17 @@
     assert "t1" in context.network.keepers[name].table.held
 
 
-@given("{count:d} storage instances in 3 failure domains")
-def step_many(context, count):
+@given("{count:d} storage instances in {domains:d} failure domains")
+def step_many(context, count, domains):
     names = [f"s{number}" for number in range(count)]
-    domains = {
-        name: f"domain-{number % 3}" for number, name in enumerate(names)
-    }
-    begin(context, names, domains)
+    begin(
+        context,
+        names,
+        {name: f"domain-{n % domains}" for n, name in enumerate(names)},
+    )
     context.turns = 0
+    # One of each domain.
+    context.near = names[:domains]
 
 
 @given(
@@ -79,7 +84,7 @@
     " their disks at once"
 )
 def step_many_two_lost(context, count):
-    step_many(context, count)
+    step_many(context, count, 3)
     for members in context.network.members.values():
         members.lost_disks = 2
 
@@ -90,7 +95,7 @@
     async def keep_all(n):
         for number in range(context.turns, context.turns + count):
             previous = f"t{number - 1}" if number else ""
-            front = n.front(f"s{number % 3}")
+            front = n.front(context.near[number % len(context.near)])
             if previous:
                 found = await front.lookup.find(previous, "p")
                 assert len(found) == number, (number, found)
@@ -110,6 +115,14 @@
     go_on(context, count)
 
 
+@when("{count:d} turns of a conversation lie on a storage instance each")
+def step_scatter(context, count):
+    for number in range(count):
+        previous = f"t{number - 1}" if number else ""
+        keep(context, f"s{number}", f"t{number}", previous, chain="p")
+    context.turns = count
+
+
 def find_all(context, name, chain="p"):
     """Returns the turns that a new front finds, and whom it asked."""
     asked = []
@@ -138,14 +151,14 @@
     " {most:d} instance"
 )
 def step_find_near(context, count, most):
-    for name in ("s0", "s1", "s2"):
+    for name in context.near:
         asked = find_all(context, name)
         assert len(asked) <= most, asked
 
 
 @then("a new front of each domain finds all {count:d} turns")
 def step_find(context, count):
-    for name in ("s0", "s1", "s2"):
+    for name in context.near:
         find_all(context, name)
 
 
@@ -166,7 +179,7 @@
 @when("a storage instance joins each domain and {count:d} more turns are kept")
 def step_join(context, count):
     async def join(n):
-        for number in range(3):
+        for number in range(len(context.near)):
             name = f"new{number}"
             n.domains[name] = f"domain-{number}"
             n.names.append(name)
