Known red: two openers of an account divide the storage instances for good

Cause: `choose_holders` depends on the opener. Two that open the account of a program at once ask for consent to different holders; the others agree to whichever they hear of first and write it down; each opener is refused by some and learns the other's holders. `Ledger.agree` compares holders and refuses all others for good, and a holder that is asked to open is refused again.

The two scenarios bring it about in one process, with 12 instances in four domains and with three; requests can be delayed there by asker and asked.

--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -116,6 +116,24 @@
     When the account becomes known there with other holders
     Then the instance names those holders and not its own
 
+  Scenario: Half of the storage instances heard of one opener first
+    Two open the account of a new program at the same time, and the others are
+    divided over whom they have agreed to. If each sticks to it for good, no
+    front ever gets a permission, and the program gets 503 until it ends.
+
+    Given 12 storage instances in 4 failure domains
+    When two of them open an account at once and half of the others hear of each first
+    Then new fronts of all domains get permissions from the same holders
+
+  Scenario: The third storage instance heard of the later opener first
+    The opener whose name comes first refuses the other one, to which the third
+    has agreed already. Nobody gives way, and the program gets 503 until it
+    ends.
+
+    Given 3 storage instances in 3 failure domains
+    When two of them open an account at once and half of the others hear of each first
+    Then new fronts of all domains get permissions from the same holders
+
   Scenario: A storage instance that opened accounts is away
     It is killed just as the next turn of a program asks. The other holders of
     the account know what was used, and the program must not wait for it.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -14,11 +14,17 @@
 )
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from rattanmill_keeper.ledger import Ledger
-from rattanmill_keeper.messages import Account, Opened, Place
+from rattanmill_keeper.messages import Account, Open, Opened, Place
 from support.keepers import LocalMembers, begin
 from support.keepers import run_in as network
 from support.stories import BUDGET, TOKENS
 
+# A request that another one overtakes.
+_LATE_SECONDS = 0.02
+# A caller that is refused comes back a few times.
+_OPEN_TRIES = 4
+_OPEN_PAUSE_SECONDS = 0.2
+
 
 @given('storage instances "{names}"')
 def step_instances(context, names):
@@ -56,6 +62,40 @@
     assert isinstance(reply, Unsure), reply
 
 
+@when(
+    "two of them open an account at once and half of the others hear of each"
+    " first"
+)
+def step_open_at_once(context):
+    async def open_both(n):
+        one, other, *rest = n.names
+        for number, name in enumerate(rest):
+            n.delays[other if number % 2 else one, name] = _LATE_SECONDS
+        n.delays[one, other] = n.delays[other, one] = _LATE_SECONDS
+        message = Open("new", BUDGET, TOKENS)
+        await asyncio.gather(
+            n.keepers[one].open(message), n.keepers[other].open(message)
+        )
+        n.delays.clear()
+
+    network(context, open_both)
+
+
+@then("new fronts of all domains get permissions from the same holders")
+def step_same_holders(context):
+    found = set()
+    for name in context.near:
+        for attempt in range(_OPEN_TRIES):
+            attempt = f"{name}-{attempt}"
+            reply = ask(context, name, "new", attempt, BUDGET // 10)
+            if isinstance(reply, Reserved):
+                break
+            network(context, lambda n: n.pass_time(_OPEN_PAUSE_SECONDS))
+        assert isinstance(reply, Reserved), (name, reply)
+        found.add(context.network.fronts[attempt].permits.holders_of("new"))
+    assert len(found) == 1, found
+
+
 @when('a program has used its budget at "{name}"')
 def step_used_up(context, name):
     for attempt in ("one", "two", "three"):
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -87,6 +87,9 @@
             network.failures[self.asker, self.name] = 1
             return None
         network.failures.pop((self.asker, self.name), None)
+        delay = network.delays.get((self.asker, self.name), 0.0)
+        if delay:
+            await asyncio.sleep(delay)
         copy = _CODEC.decode(_CODEC.encode(message))
         reply = await keeper.serve(copy)
         if network.lose_replies:
@@ -119,6 +122,7 @@
     Attributes:
         keepers: Those that run, by name.
         cuts: Pairs that don't reach each other.
+        delays: Seconds that a request takes, by asker and asked.
         lose_replies: So many further replies get lost.
         failures: Requests in a row without a reply, by asker and asked.
         domains: Failure domains of those that have none of their own.
@@ -130,6 +134,7 @@
         self.keepers: dict[str, Keeper] = {}
         self.members: dict[str, LocalMembers] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.delays: dict[tuple[str, str], float] = {}
         self.lose_replies = 0
         self.failures: dict[tuple[str, str], int] = {}
         self.domains: dict[str, str] = {}
