--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -116,6 +116,24 @@
     When the account becomes known there with other holders
     Then the instance names those holders and not its own
 
+  Scenario: Half of the storage instances heard of one opener first
+    Two open the account of a new program at the same time, and the others are
+    divided over whom they have agreed to. If each sticks to it for good, no
+    front ever gets a permission, and the program gets 503 until it ends.
+
+    Given 12 storage instances in 4 failure domains
+    When two of them open an account at once and half of the others hear of each first
+    Then new fronts of all domains get permissions from the same holders
+
+  Scenario: The third storage instance heard of the later opener first
+    The opener whose name comes first refuses the other one, to which the third
+    has agreed already. Nobody gives way, and the program gets 503 until it
+    ends.
+
+    Given 3 storage instances in 3 failure domains
+    When two of them open an account at once and half of the others hear of each first
+    Then new fronts of all domains get permissions from the same holders
+
   Scenario: A storage instance that opened accounts is away
     It is killed just as the next turn of a program asks. The other holders of
     the account know what was used, and the program must not wait for it.
@@ -244,7 +262,7 @@
     for the whole chain. One link that nobody is asked for makes the caller
     wait until it gives up, on calm days too.
 
-    Given <count> storage instances in 3 failure domains
+    Given <count> storage instances in <domains> failure domains
     When a conversation of 11 turns goes through fronts that have just started
     Then a new front of each domain finds all 11 turns, the first asking 1 instance
     When <away> storage instances of different domains are away
@@ -253,9 +271,20 @@
     Then a new front of each domain finds all 14 turns
 
     Examples:
-      | count | away |
-      | 8     | 1    |
-      | 12    | 1    |
+      | count | domains | away |
+      | 8     | 3       | 1    |
+      | 12    | 3       | 1    |
+      | 12    | 4       | 1    |
+      | 12    | 4       | 2    |
+
+  Scenario: Each turn of a conversation lies on another storage instance
+    Storage instances came and went again and again. Whoever has one turn does
+    not have the one before, and a front that asks each of them once misses it
+    for good.
+
+    Given 12 storage instances in 4 failure domains
+    When 11 turns of a conversation lie on a storage instance each
+    Then a new front of each domain finds all 11 turns
 
   Scenario: A conversation that another program continues
     Its turns lie where the first program's are. Nobody tells the front which
