Let the store decide between two openers of an account

Cause: two storage instances open the account of a program at once, when the first one is slow to answer. Each chooses itself as a holder, so they ask for consent to different holders; the others agree to whichever they hear of first and refuse the other one for good. Nobody gets the consent of all but one.

Ruled out: the same holders for any opener (what each knows and reaches differs), and giving way by name alone (who gives way can't call back what others wrote down).

Change: an opener that enough others have agreed to, and that others refuse, lets the store decide, which takes the first holders that it is told; the others are told what it says and take that in place of what they agreed to. Safe, as an opener first keeps to its own holders itself, on disk, before it asks the store: with one other it keeps everybody else from the consent of all but one. That holds now for each opening with the store's help; before, such an opener could agree to others while it waited for the store. An account that is open is never taken over.

A store call more where openers are divided, none elsewhere.

--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -51,6 +51,18 @@
     having: frozenset[str] = frozenset()
 
 
+class Contested(msgspec.Struct, frozen=True):
+    """The store must decide, and may: nobody gets all others' consent.
+
+    Attributes:
+        consent: What is agreed to here if the store says so.
+        is_divided: Whether some agreed to other holders.
+    """
+
+    consent: Consent
+    is_divided: bool
+
+
 class Next(enum.Enum):
     """What follows from the consents that were given."""
 
@@ -59,19 +71,20 @@
     GIVE_UP = enum.auto()
 
 
-def judge(roster: int, agreed: int, lost_disks: int) -> Next:
+def judge(roster: int, agreed: int, refused: int, lost_disks: int) -> Next:
     """Decides what consents are enough for.
 
     Args:
         roster: Storage instances there may be, the asker included.
         agreed: Others that agreed.
+        refused: Others that agreed to other holders.
         lost_disks: Disks that may be lost at once. Who opens an account with
             the store must not be the only one to know when they are.
     """
     consents = agreed + 1
-    if consents >= max(_LEAST_CONSENTS, roster - 1):
+    if not refused and consents >= max(_LEAST_CONSENTS, roster - 1):
         return Next.OPEN
-    if agreed >= min(lost_disks, roster - 1):
+    if agreed >= min(max(lost_disks, 1), roster - 1):
         return Next.ASK_STORE
     return Next.GIVE_UP
 
@@ -81,8 +94,7 @@
     holders: tuple[str, ...],
     ledger: Ledger,
     members: Members,
-    kv: KeyValue,
-) -> Consent | Elsewhere | Unsure | CutOff:
+) -> Consent | Contested | Elsewhere | Unsure | CutOff:
     """Finds out whether a program's account may be opened at these holders.
 
     Args:
@@ -90,51 +102,80 @@
         holders: Who is to hold it.
         ledger: What this instance knows.
         members: The storage instances.
-        kv: The platform's store.
     """
     if members.store_silence() > ROSTER_SECONDS / 2:
         return Unsure("cut off for too long to know all others")
     roster = members.roster() | {ledger.name}
-    replies = await _ask_others(program, holders, ledger.name, members, roster)
+    ask = Agree(program, ledger.name, holders, sorted(roster))
+    replies = await _ask_others(ask, members)
     newer = [r for r in replies.values() if isinstance(r, Outdated)]
     if newer:
         unknown = set().union(*(r.roster for r in newer)) - roster
         members.seen.update(dict.fromkeys(unknown, wall_seconds()))
         roster |= unknown
-        replies = await _ask_others(
-            program, holders, ledger.name, members, roster
-        )
+        ask = msgspec.structs.replace(ask, roster=sorted(roster))
+        replies = await _ask_others(ask, members)
     refused = [r for r in replies.values() if isinstance(r, Refused)]
-    if refused:
-        return _refused(program, refused, ledger)
-    agreed = {n: r for n, r in replies.items() if isinstance(r, Agreed)}
-    missing = roster - set(agreed) - {ledger.name}
-    having = {name for name, reply in agreed.items() if reply.has_share}
-    if program in ledger.shares:
-        having.add(ledger.name)
-    consent = Consent(frozenset(missing), frozenset(having))
-    match judge(len(roster), len(agreed), members.lost_disks):
+    if not all(reply.holders for reply in refused):
+        return Unsure("another instance is opening the account")
+    consent = _consent(replies, ask, ledger)
+    agreed = len(roster - consent.missing) - 1
+    match judge(len(roster), agreed, len(refused), members.lost_disks):
         case Next.OPEN:
             return consent
         case Next.ASK_STORE:
-            found = await _ask_store(program, holders, kv)
-            return consent if isinstance(found, Consent) else found
-    return CutOff()
+            return Contested(consent, bool(refused))
+    if not refused:
+        return CutOff()
+    ledger.learn(Home(program, refused[0].holders))
+    return Elsewhere(refused[0].holders)
 
 
-async def _ask_others(
-    program: str,
-    holders: tuple[str, ...],
-    name: str,
+async def decide(
+    home: Home,
+    contested: Contested,
+    ledger: Ledger,
     members: Members,
-    roster: set[str],
+    kv: KeyValue,
+) -> Consent | Elsewhere | Unsure:
+    """Lets the store decide where an account is, and tells the others.
+
+    It takes the first holders that it is told. Whoever asks must have agreed
+    to them itself, on disk: with the others that did, it keeps any other
+    opener from the consent of all but one.
+    """
+    found = await _ask_store(home.program, home.holders, kv)
+    if isinstance(found, Unsure):
+        return found
+    if isinstance(found, Elsewhere):
+        home = Home(home.program, found.holders)
+    if not contested.is_divided:
+        return contested.consent if found is None else found
+    roster = sorted(members.roster() | {ledger.name})
+    ask = Agree(home.program, ledger.name, home.holders, roster, True)
+    replies = await _ask_others(ask, members)
+    log_event("home_decided", program=home.program, holders=home.holders)
+    return _consent(replies, ask, ledger) if found is None else found
+
+
+def _consent(replies: dict, ask: Agree, ledger: Ledger) -> Consent:
+    """Returns who agreed and who did not."""
+    agreed = {n: r for n, r in replies.items() if isinstance(r, Agreed)}
+    missing = set(ask.roster) - set(agreed) - {ledger.name}
+    having = {name for name, reply in agreed.items() if reply.has_share}
+    if ask.program in ledger.shares:
+        having.add(ledger.name)
+    return Consent(frozenset(missing), frozenset(having))
+
+
+async def _ask_others(
+    ask: Agree, members: Members
 ) -> dict[str, Agreed | Refused | Outdated | Unsure | None]:
     """Asks all others that are not known to be silent; replies by name."""
-    ask = Agree(program, name, holders, sorted(roster))
     links = {
         member.name: members.link(member)
         for member in members.known.values()
-        if member.name != name
+        if member.name != ask.keeper
     }
     there = {name: link for name, link in links.items() if not link.failures}
     replies = await asyncio.gather(
@@ -143,19 +184,10 @@
     return dict(zip(there, replies, strict=True))
 
 
-def _refused(
-    program: str, refused: list[Refused], ledger: Ledger
-) -> Elsewhere | Unsure:
-    for reply in refused:
-        if reply.holders:
-            ledger.learn(Home(program, reply.holders))
-            return Elsewhere(reply.holders)
-    return Unsure("another instance is opening the account")
-
-
 async def _ask_store(
     program: str, holders: tuple[str, ...], kv: KeyValue
-) -> Consent | Elsewhere | Unsure:
+) -> Elsewhere | Unsure | None:
+    """Tells the store; None if it has these holders now."""
     try:
         async with asyncio.timeout(_STORE_SECONDS):
             return await _claim(program, holders, kv)
@@ -165,7 +197,7 @@
 
 async def _claim(
     program: str, holders: tuple[str, ...], kv: KeyValue
-) -> Consent | Elsewhere | Unsure:
+) -> Elsewhere | Unsure | None:
     key = HOME_PREFIX + program
     outcome = await kv.write(key, msgspec.json.encode(holders), 0)
     if isinstance(outcome, Unavailable | Conflict):
@@ -174,8 +206,8 @@
     match outcome:
         case Written():
             log_event("home_by_store", program=program)
-            return Consent()
+            return None
         case Found(entry=entry):
             known = msgspec.json.decode(entry.value, type=tuple[str, ...])
-            return Consent() if known == holders else Elsewhere(known)
+            return None if known == holders else Elsewhere(known)
     return Unsure("too few storage instances agreed, and no store")
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -15,7 +15,7 @@
     wall_seconds,
 )
 from rattanmill_keeper.crashes import CrashBoard
-from rattanmill_keeper.homes import Consent, may_open
+from rattanmill_keeper.homes import Consent, Contested, decide, may_open
 from rattanmill_keeper.journal import Journal
 from rattanmill_keeper.ledger import (
     FORGET_SECONDS,
@@ -332,9 +332,11 @@
         # the account at the same time, and both would give up.
         home = HomeChange(Home(program, holders), wall_seconds())
         found, _ = await asyncio.gather(
-            self.may_open(program, holders, self.ledger, self.members, self.kv),
+            self.may_open(program, holders, self.ledger, self.members),
             self._append(home),
         )
+        if isinstance(found, Contested):
+            found = await self._decide(home.home, found)
         if not isinstance(found, Consent):
             return found
         place = self._place(ask, holders, found, bool(agreed_before))
@@ -348,6 +350,23 @@
         self.intake.add(program)
         return Opened(place)
 
+    async def _decide(
+        self, home: Home, contested: Contested
+    ) -> Consent | Elsewhere | Unsure:
+        """Lets the store decide; this instance's consent is on disk."""
+        self.ledger.learn(home)
+        known = self.ledger.holders_of(home.program)
+        if known != home.holders:
+            return Elsewhere(known)
+        found = await decide(
+            home, contested, self.ledger, self.members, self.kv
+        )
+        if isinstance(found, Elsewhere):
+            adopted = self.ledger.adopt(Home(home.program, found.holders))
+            if adopted:
+                await self.write_home(adopted)
+        return found
+
     def _place(
         self,
         ask: Open,
@@ -376,7 +395,7 @@
         unknown = set(ask.roster) - roster
         if unknown:
             self.members.seen.update(dict.fromkeys(unknown, wall_seconds()))
-        decision = self.ledger.agree(ask.program, ask.keeper, ask.holders)
+        decision = self.ledger.agree(ask)
         if isinstance(decision, Refused):
             return decision
         if decision is not None:
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -13,6 +13,7 @@
 from rattanmill_keeper.accounts import digest_of, join
 from rattanmill_keeper.messages import (
     Account,
+    Agree,
     Elsewhere,
     Full,
     Home,
@@ -133,7 +134,7 @@
         """
         if ask.place is None or self.name not in ask.place.holders:
             return Unsure("not held here")
-        if self._holders_of(ask.program) not in ((), ask.place.holders):
+        if self.holders_of(ask.program) not in ((), ask.place.holders):
             return Unsure("other holders were agreed to here")
         account = self.accounts.get(ask.program)
         adopted = None
@@ -218,26 +219,37 @@
             changes.append(self._share_changed(said.program))
         return changes
 
-    def agree(
-        self, program: str, asker: str, holders: tuple[str, ...]
-    ) -> Refused | HomeChange:
+    def agree(self, ask: Agree) -> Refused | HomeChange:
         """Decides whether an account may be opened at these holders.
 
         Two that open the same account at once meet here: the smaller name
         goes on, and the other finds its holders written down. What is known
         already is written again: it may still be on its way to the disk.
         """
-        known = self._holders_of(program)
+        program, holders = ask.program, ask.holders
+        if ask.is_decided:
+            self.adopt(Home(program, holders))
+        known = self.holders_of(program)
         if known and known != holders:
             return Refused(known)
-        if not known and program in self.opening and self.name < asker:
+        if not known and program in self.opening and self.name < ask.keeper:
             return Refused(())
         home = Home(program, holders)
         return self.learn(home) or HomeChange(home, wall_seconds())
 
+    def adopt(self, home: Home) -> HomeChange | None:
+        """Takes the holders that the store says, whatever was agreed to.
+
+        None if the account is open with others, which the store would know.
+        """
+        if home.program in self.accounts:
+            return None
+        self.homes.pop(home.program, None)
+        return self.learn(home)
+
     def open(self, account: Account) -> AccountChange | None:
         """Opens an account here, unless other holders became known."""
-        known = self._holders_of(account.program)
+        known = self.holders_of(account.program)
         if known not in ((), account.place.holders):
             return None
         if account.program not in self.accounts:
@@ -315,7 +327,7 @@
             del self.shares[program]
         return sorted({*accounts, *homes})
 
-    def _holders_of(self, program: str) -> tuple[str, ...]:
+    def holders_of(self, program: str) -> tuple[str, ...]:
         """Returns the holders that were agreed to here, or nobody."""
         account = self.accounts.get(program)
         if account is not None:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -301,12 +301,14 @@
         keeper: Who asks.
         holders: Who is to hold it.
         roster: All storage instances that the asker knows of.
+        is_decided: Whether the store says that these are the holders.
     """
 
     program: str
     keeper: str
     holders: tuple[str, ...]
     roster: list[str]
+    is_decided: bool = False
 
 
 class Agreed(msgspec.Struct, tag=9):
--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -342,6 +342,7 @@
 
     def change(self, member):
         """Shows the instance to all as it is now."""
+        self.member = member
         for members in self.network.members.values():
             if member.name in members.known:
                 members.known[member.name] = member
