Let the store's stand-in be silent towards watches that wait

Its page says that sources it is silent towards get no answer, 'also those that wait'. Each call looked at the faults as they were when it began: a watch that waited when the fault was set still got the next event, so that a storage instance that 'does not hear the store any more' heard of the next configuration. Seen with one watch and one write on the stand-in alone: 200 with the event before, no answer now. Sources that are turned away now lose their waiting watches as well.

--- a/tests/standins/sitestore.py
+++ b/tests/standins/sitestore.py
@@ -22,7 +22,8 @@
         down: Every call is answered with 503.
         silent: Calls are not answered at all.
         lose_answers: So many further writes take effect without an answer.
-        refuse_sources: Addresses whose calls are refused.
+        refuse_sources: Addresses whose calls are refused, also watches that
+            wait.
         silent_sources: Addresses whose calls get no answer, also those that
             wait.
     """
@@ -92,7 +93,7 @@
         if faults.down or request.remote in faults.refuse_sources:
             return web.Response(status=503)
         answer = await handler(request)
-        if request.remote in faults.silent_sources:
+        if request.remote in self.faults.silent_sources:
             await asyncio.sleep(3600)
         if request.method == "POST" and faults.lose_answers:
             faults.lose_answers -= 1
@@ -101,6 +102,13 @@
             await drop(request)
         return answer
 
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        answer = await super()._set_faults(request)
+        # Watches that wait see it at once.
+        async with self.changed:
+            self.changed.notify_all()
+        return answer
+
     async def _set(self, key: str, value: str | None, lease: int) -> None:
         self.items[key] = Item(key, value, self.revision, lease)
         async with self.changed:
@@ -147,6 +155,8 @@
         while True:
             if self.round != began:
                 await asyncio.sleep(3600)
+            if request.remote in self.faults.refuse_sources:
+                return web.Response(status=503)
             if after < self.oldest:
                 return web.Response(status=410)
             news = sorted(
