--- /dev/null
+++ b/tests/features/steps/site_lookups.py
@@ -0,0 +1,307 @@
+"""Steps of turns that lie where a front has not looked yet."""
+
+import asyncio
+import itertools
+
+from behave import given, then, when
+from steps.site import site
+from steps.site_store import front, repair
+
+from rattanmill_keeper import codec
+from rattanmill_keeper.members import PREFIX, rank
+from rattanmill_keeper.messages import Chain, Fetch, StoreItems, StoreList
+from rattanmill_wire import RequestLink
+from support import wait_until
+
+_DOMAINS = ("east", "west", "north")
+_ASK_SECONDS = 5.0
+# What callers say in ``X-Deadline-Ms``.
+_PATIENCE_MS = 3000
+_MOST_CONVERSATIONS = 20
+
+
+def numbers(context):
+    """Returns the numbers of the storage instances in each domain."""
+    return range(1, context.feature.newest + 1)
+
+
+def storage(context, domain, number):
+    name = f"storage-{domain}" + (f"-{number}" if number > 1 else "")
+    return site(context).processes[name]
+
+
+def storages(context):
+    return [storage(context, d, n) for d in _DOMAINS for n in numbers(context)]
+
+
+def new_ones(context):
+    """Returns the names of the storage instances that joined last."""
+    newest = context.feature.newest
+    return {storage(context, d, newest).name for d in _DOMAINS}
+
+
+def knows(process, names):
+    seen = {line["keeper"] for line in process.events("keeper_seen")}
+    return names <= seen
+
+
+@given("every front knows every storage instance")
+def step_all_known(context):
+    if not hasattr(context.feature, "newest"):
+        context.feature.newest = 1
+    names = {process.name for process in storages(context)}
+    for domain in _DOMAINS:
+        wait_until(
+            lambda d=domain: knows(front(context, d), names),
+            f"the front of {domain} knows all storage instances",
+        )
+
+
+@given('the watches of the front of "{domain}" are held back')
+def step_hold_back(context, domain):
+    context.scenario_stack.callback(repair, context)
+    site(context).faults(late_watches=[site(context).host("front", domain)])
+
+
+@given(
+    'the store is silent towards the front of "{domain}" and all storage'
+    " instances"
+)
+def step_mute(context, domain):
+    context.scenario_stack.callback(repair, context)
+    hosts = [site(context).host("front", domain), *storage_hosts(context)]
+    site(context).faults(silent_sources=hosts)
+
+
+def storage_hosts(context):
+    return [
+        site(context).host("storage", d, n)
+        for d in _DOMAINS
+        for n in numbers(context)
+    ]
+
+
+@given(
+    'the front of "{domain}" reads the store through storage instances whose'
+    " watches are held back"
+)
+def step_late_relays(context, domain):
+    context.scenario_stack.callback(repair, context)
+    names = {process.name for process in storages(context)}
+
+    def all_list_all():
+        # A first question lets each of them read the list.
+        replies = ask_storages(context, StoreList(PREFIX)).values()
+        return all(
+            isinstance(reply, StoreItems)
+            and names == {x.key.removeprefix(PREFIX) for x in reply.items}
+            for reply in replies
+        )
+
+    wait_until(all_list_all, "all storage instances list each other")
+    site(context).faults(
+        refuse_sources=[site(context).host("front", domain)],
+        late_watches=storage_hosts(context),
+    )
+
+
+@when("a storage instance joins in each domain")
+def step_join(context):
+    context.feature.newest += 1
+    for domain in _DOMAINS:
+        site(context).start("storage", domain, number=context.feature.newest)
+    for domain in _DOMAINS:
+        process = storage(context, domain, context.feature.newest)
+        # Before, it can't say for certain that it lacks a turn.
+        wait_until(
+            lambda p=process: p.events("keeper_whole"),
+            f"{process.name} is whole",
+        )
+
+
+@when("those that were there share their turns with the new ones")
+def step_share(context):
+    """Until then they would take over turns that the new ones get."""
+
+    def shares(process):
+        reviews = process.events("share_reviewed")
+        return reviews and new_ones(context) & set(reviews[-1]["keepers"])
+
+    for process in storages(context):
+        wait_until(
+            lambda p=process: shares(p), f"{process.name} shares its turns"
+        )
+
+
+@when('a conversation through "{domain}" is kept on the new ones alone')
+def step_converse(context, domain):
+    wait_until(
+        lambda: knows(front(context, domain), new_ones(context)),
+        f"the front of {domain} knows the new ones",
+    )
+    for program in itertools.islice(programs(context), _MOST_CONVERSATIONS):
+        context.conversation = []
+        context.request = ""
+        context.program = program
+        for text in ("one ", "two "):
+            talk(context, domain, text)
+            assert context.answer.status == 200, context.answer
+            context.conversation.append((text, context.answer))
+        wait_until(
+            lambda: holders(context, context.request) >= new_ones(context),
+            "the turn is kept in every domain",
+        )
+        if holders(context, context.request) == new_ones(context):
+            return
+    raise AssertionError("no conversation lies on the new ones alone")
+
+
+def programs(context):
+    """Yields programs whose turns belong on the new ones in every domain."""
+    newest = context.feature.newest
+    for number in itertools.count():
+        program = f"p{newest}-{number}"
+        firsts = {
+            rank(
+                program, [storage(context, d, n).name for n in numbers(context)]
+            )[0]
+            for d in _DOMAINS
+        }
+        if firsts == new_ones(context):
+            yield program
+
+
+def talk(context, domain, text):
+    """Sends the conversation's next turn; with no budget to agree on."""
+    fields = {
+        "X_Program_Id": context.program,
+        "X_Session_Id": context.program,
+        "X_Token_Usage": "10,40",
+    }
+    if context.request:
+        fields["X_Previous_Turn"] = context.request
+    context.request, context.answer = site(context).ask(
+        domain, "POST", "/stream/talk/a", text.encode(), **fields
+    )
+
+
+def holders(context, turn):
+    """Returns the names of the storage instances that hold a turn."""
+    replies = ask_storages(context, Fetch(turn))
+    assert all(isinstance(r, Chain) for r in replies.values()), replies
+    return {name for name, reply in replies.items() if reply.turns}
+
+
+def ask_storages(context, message):
+    """Returns the replies of all storage instances, by name."""
+    addresses = {
+        storage(context, d, n).name: site(context).keeper_address(d, n)
+        for d in _DOMAINS
+        for n in numbers(context)
+    }
+
+    async def ask(address):
+        link = RequestLink(address, codec())
+        try:
+            return await link.ask(message, _ASK_SECONDS)
+        finally:
+            link.close()
+
+    async def ask_all():
+        return await asyncio.gather(*map(ask, addresses.values()))
+
+    return dict(zip(addresses, asyncio.run(ask_all()), strict=True))
+
+
+@when('the front of "{domain}" takes its list for current')
+def step_current(context, domain):
+    def is_current():
+        lines = front(context, domain).lines()
+        about = [line for line in lines if line.get("prefix") == PREFIX]
+        return not about or about[-1]["event"] != "watch_lost"
+
+    wait_until(is_current, "the front hears of storage instances")
+
+
+@when('its next turn is sent to "{domain}"')
+def step_go_on(context, domain):
+    context.last = context.request
+    talk(context, domain, "three")
+
+
+@then('the front of "{domain}" had not heard of the new ones when it was asked')
+def step_unheard(context, domain):
+    def lines_before():
+        lines = front(context, domain).lines()
+        for number, line in enumerate(lines):
+            is_admitted = line["event"] == "admitted"
+            if is_admitted and line["request"] == context.request:
+                return lines[:number]
+        return None
+
+    lines = wait_until(lines_before, "the front has logged the request")
+    heard = {x["keeper"] for x in lines if x["event"] == "keeper_seen"}
+    assert not heard & new_ones(context), heard
+
+
+@then("the runner got the whole conversation")
+def step_whole(context):
+    expected = b""
+    for text, answer in context.conversation:
+        data = [
+            line[6:] + b"\n"
+            for line in answer.body.splitlines()
+            if line.startswith(b"data: ")
+        ]
+        assert data, answer
+        expected += b"".join([text.encode(), *data])
+    (seen,) = site(context).seen(context.request)
+    body = seen["body"].encode("latin-1")
+    assert body == expected + b"three", (body, expected)
+
+
+@then('it is refused with {status:d} for "{reason}" while its caller waits')
+def step_refused(context, status, reason):
+    def refusals():
+        return [
+            line
+            for domain in _DOMAINS
+            for line in front(context, domain).events("refused")
+            if line["request"] == context.request
+        ]
+
+    assert context.answer.status == status, context.answer
+    (refusal,) = wait_until(refusals, "the front has logged the refusal")
+    assert refusal["reason"] == reason, refusal
+    assert refusal["after_ms"] < _PATIENCE_MS, refusal
+
+
+@when("the store answers all again")
+def step_answers_again(context):
+    repair(context)
+
+
+@then(
+    'its next turn is answered with {status:d} by "{domain}", and with'
+    " {before:d} until then"
+)
+def step_in_the_end(context, status, domain, before):
+    def is_answered():
+        context.request = context.last
+        talk(context, domain, "three")
+        assert context.answer.status in (status, before), context.answer
+        return context.answer.status == status
+
+    wait_until(is_answered, "the next turn is answered")
+
+
+@then(
+    'a turn after the unknown "{turn}" is answered with {status:d} at every'
+    " front"
+)
+def step_never_was(context, turn, status):
+    context.program = "never"
+    for domain in _DOMAINS:
+        context.request = turn
+        talk(context, domain, "two")
+        assert context.answer.status == status, (domain, context.answer)
--- a/tests/features/steps/site_store.py
+++ b/tests/features/steps/site_store.py
@@ -18,7 +18,9 @@
 
 
 def repair(context):
-    site(context).faults(refuse_sources=[], silent_sources=[], down=False)
+    site(context).faults(
+        refuse_sources=[], silent_sources=[], late_watches=[], down=False
+    )
 
 
 @when("all waiting watches go silent")
--- a/tests/standins/sitestore.py
+++ b/tests/standins/sitestore.py
@@ -26,6 +26,9 @@
             wait.
         silent_sources: Addresses whose calls get no answer, also those that
             wait.
+        late_watches: Addresses whose watches are held back: they tell of
+            nothing and end after half their time, long before their callers
+            give them up. Other calls are answered.
     """
 
     down: bool = False
@@ -33,6 +36,7 @@
     lose_answers: int = 0
     refuse_sources: list[str] = msgspec.field(default_factory=list)
     silent_sources: list[str] = msgspec.field(default_factory=list)
+    late_watches: list[str] = msgspec.field(default_factory=list)
 
 
 class Item(msgspec.Struct):
@@ -150,7 +154,8 @@
         prefix = request.query["prefix"]
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
-        end = loop.time() + int(request.query["wait_ms"]) / 1000
+        asked = loop.time()
+        seconds = int(request.query["wait_ms"]) / 1000
         began = self.round
         while True:
             if self.round != began:
@@ -159,14 +164,9 @@
                 return web.Response(status=503)
             if after < self.oldest:
                 return web.Response(status=410)
-            news = sorted(
-                (
-                    item
-                    for item in self.items.values()
-                    if item.revision > after and item.key.startswith(prefix)
-                ),
-                key=lambda item: item.revision,
-            )
+            is_late = request.remote in self.faults.late_watches
+            end = asked + seconds * (0.5 if is_late else 1.0)
+            news = [] if is_late else self._news(prefix, after)
             if news or loop.time() >= end:
                 break
             async with self.changed:
@@ -185,9 +185,21 @@
             }
             for item in news
         ]
-        body = {"events": events, "current_rev": self.revision}
+        revision = after if is_late else self.revision
+        body = {"events": events, "current_rev": revision}
         return web.json_response(body)
 
+    def _news(self, prefix: str, after: int) -> list[Item]:
+        """Returns what has changed after a revision, oldest first."""
+        return sorted(
+            (
+                item
+                for item in self.items.values()
+                if item.revision > after and item.key.startswith(prefix)
+            ),
+            key=lambda item: item.revision,
+        )
+
     async def change(self, request: web.Request) -> web.Response:
         """Answers ``POST /v1/kv-txn``."""
         asked = await request.json()
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -41,9 +41,12 @@
 
     def events(self, name: str) -> list[dict[str, Any]]:
         """Returns its log lines of one event."""
+        return [line for line in self.lines() if line["event"] == name]
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Returns its log lines, oldest first."""
         lines = self.log.read_text(errors="replace").splitlines()
-        found = [json.loads(line) for line in lines if line.startswith("{")]
-        return [line for line in found if line["event"] == name]
+        return [json.loads(line) for line in lines if line.startswith("{")]
 
 
 class Site:
@@ -95,11 +98,19 @@
             process.kill()
         self.folder.cleanup()
 
-    def start(self, role: str, domain: str, first: bool = False) -> None:
-        """Starts, or starts again, the process of a role in a domain."""
-        index = _DOMAINS.index(domain) + 1
-        host = f"127.{self.number}.{index}.{1 if role == 'front' else 2}"
-        name = f"{role}-{domain}"
+    def start(
+        self, role: str, domain: str, first: bool = False, number: int = 1
+    ) -> None:
+        """Starts, or starts again, a process of a role in a domain.
+
+        Args:
+            role: Its role.
+            domain: Its failure domain.
+            first: Whether the whole system starts for the first time.
+            number: Tells several of a role and domain apart; one front only.
+        """
+        host = self.host(role, domain, number)
+        name = f"{role}-{domain}" + (f"-{number}" if number > 1 else "")
         data = pathlib.Path(self.folder.name, "data", name)
         file = pathlib.Path(self.folder.name, f"{name}.conf")
         fields = {
@@ -118,6 +129,16 @@
         file.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
         self._start(SiteProcess(name, role, str(file), self.folder.name))
 
+    def host(self, role: str, domain: str, number: int = 1) -> str:
+        """Returns the IP address of a process of a role in a domain."""
+        index = _DOMAINS.index(domain) + 1
+        last = 1 if role == "front" else 1 + number
+        return f"127.{self.number}.{index}.{last}"
+
+    def keeper_address(self, domain: str, number: int = 1) -> str:
+        """Returns a storage instance's address for other instances."""
+        return f"{self.host('storage', domain, number)}:{_PORT + 5}"
+
     def start_runner(self, service: str, index: int) -> None:
         """Starts a runner and registers it."""
         name = f"{service}-{index}"
