--- a/tests/standins/sitestore.py
+++ b/tests/standins/sitestore.py
@@ -22,9 +22,13 @@
         down: Every call is answered with 503.
         silent: Calls are not answered at all.
         lose_answers: So many further writes take effect without an answer.
-        refuse_sources: Addresses whose calls are refused.
+        refuse_sources: Addresses whose calls are refused, also watches that
+            wait.
         silent_sources: Addresses whose calls get no answer, also those that
             wait.
+        late_watches: Addresses whose watches are held back: they tell of
+            nothing and end after half their time, long before their callers
+            give them up. Other calls are answered.
     """
 
     down: bool = False
@@ -32,6 +36,7 @@
     lose_answers: int = 0
     refuse_sources: list[str] = msgspec.field(default_factory=list)
     silent_sources: list[str] = msgspec.field(default_factory=list)
+    late_watches: list[str] = msgspec.field(default_factory=list)
 
 
 class Item(msgspec.Struct):
@@ -92,7 +97,7 @@
         if faults.down or request.remote in faults.refuse_sources:
             return web.Response(status=503)
         answer = await handler(request)
-        if request.remote in faults.silent_sources:
+        if request.remote in self.faults.silent_sources:
             await asyncio.sleep(3600)
         if request.method == "POST" and faults.lose_answers:
             faults.lose_answers -= 1
@@ -101,6 +106,13 @@
             await drop(request)
         return answer
 
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        answer = await super()._set_faults(request)
+        # Watches that wait see it at once.
+        async with self.changed:
+            self.changed.notify_all()
+        return answer
+
     async def _set(self, key: str, value: str | None, lease: int) -> None:
         self.items[key] = Item(key, value, self.revision, lease)
         async with self.changed:
@@ -142,21 +154,19 @@
         prefix = request.query["prefix"]
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
-        end = loop.time() + int(request.query["wait_ms"]) / 1000
+        asked = loop.time()
+        seconds = int(request.query["wait_ms"]) / 1000
         began = self.round
         while True:
             if self.round != began:
                 await asyncio.sleep(3600)
+            if request.remote in self.faults.refuse_sources:
+                return web.Response(status=503)
             if after < self.oldest:
                 return web.Response(status=410)
-            news = sorted(
-                (
-                    item
-                    for item in self.items.values()
-                    if item.revision > after and item.key.startswith(prefix)
-                ),
-                key=lambda item: item.revision,
-            )
+            is_late = request.remote in self.faults.late_watches
+            end = asked + seconds * (0.5 if is_late else 1.0)
+            news = [] if is_late else self._news(prefix, after)
             if news or loop.time() >= end:
                 break
             async with self.changed:
@@ -175,9 +185,21 @@
             }
             for item in news
         ]
-        body = {"events": events, "current_rev": self.revision}
+        revision = after if is_late else self.revision
+        body = {"events": events, "current_rev": revision}
         return web.json_response(body)
 
+    def _news(self, prefix: str, after: int) -> list[Item]:
+        """Returns what has changed after a revision, oldest first."""
+        return sorted(
+            (
+                item
+                for item in self.items.values()
+                if item.revision > after and item.key.startswith(prefix)
+            ),
+            key=lambda item: item.revision,
+        )
+
     async def change(self, request: web.Request) -> web.Response:
         """Answers ``POST /v1/kv-txn``."""
         asked = await request.json()
