Read the list of storage instances anew where it must be certain

The scenario of real processes 'A front that has not heard of new storage instances' went on to fail with 404: the store's stand-in tells a watch that nothing is new although there is news. By the protocol its answers are linearizable, but a watch may also hear nothing for a while as changes are made.

--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -119,19 +119,12 @@
         """Takes in what the service holds by now; False if it is silent.
 
         Afterwards nothing is older here than it was there when this was
-        called, whatever the waiting watch has missed.
+        called. Read anew, as a watch may hear nothing while changes are made.
 
         Args:
             kv: The service itself. An answer of another instance may be as
                 old as what is known here.
         """
-        if self.synced and self.away_since is None:
-            events = await kv.watch(self.prefix, self.revision, 0.0)
-            if isinstance(events, WatchEvents):
-                self._take(events)
-                return True
-            if isinstance(events, Unavailable):
-                return False
         listed = await kv.list(self.prefix)
         if isinstance(listed, Unavailable):
             return False
--- a/tests/features/site_lookups.feature
+++ b/tests/features/site_lookups.feature
@@ -10,9 +10,8 @@
     All that it knows say that they don't have the turn. Told "no such turn",
     the caller gives up on a conversation that was answered whole.
 
-    Given the watches of the front of "west" are held back
+    Given the watches of the front of "west" and of all storage instances are held back
     When a storage instance joins in each domain
-    And those that were there share their turns with the new ones
     And a conversation through "east" is kept on the new ones alone
     And its next turn is sent to "west"
     Then the front of "west" had not heard of the new ones when it was asked
--- a/tests/features/steps/lookups.py
+++ b/tests/features/steps/lookups.py
@@ -231,14 +231,14 @@
 @when("the store's answers take a while")
 def step_slow_answers(context):
     kv = context.network.kv
-    watch = kv.watch
+    read_list = kv.list
 
-    async def watch_slowly(*how):
-        answer = await watch(*how)
+    async def list_slowly(prefix):
+        answer = await read_list(prefix)
         await asyncio.sleep(0.05)
         return answer
 
-    kv.watch = watch_slowly
+    kv.list = list_slowly
 
 
 async def wait_for_call(n, calls):
--- a/tests/features/steps/membership.py
+++ b/tests/features/steps/membership.py
@@ -16,12 +16,12 @@
 
 
 class WatchedKv(MemoryKv):
-    """A store whose waiting watches may be silent.
+    """A store whose watches may be silent.
 
     Attributes:
-        tells: Whether watches that wait hear of changes.
+        tells: Whether watches hear of changes.
         is_away: Whether calls are answered at all.
-        asked: Watches that did not wait.
+        asked: Lists read.
     """
 
     def __init__(self, tells: bool) -> None:
@@ -32,17 +32,13 @@
 
     async def list(self, prefix: str):
         """Reads all keys under a prefix."""
-        return (
-            Unavailable("away") if self.is_away else await super().list(prefix)
-        )
+        self.asked += 1
+        if self.is_away:
+            return Unavailable("away")
+        return await super().list(prefix)
 
     async def watch(self, prefix: str, after: int, seconds: float):
         """Waits for changes, or for nothing at all."""
-        if not seconds:
-            self.asked += 1
-            if self.is_away:
-                return Unavailable("away")
-            return await super().watch(prefix, after, seconds)
         waited = 0.0
         while waited < seconds:
             await asyncio.sleep(_PAUSE_SECONDS)
@@ -93,6 +89,7 @@
             member = Member(context.name, "east", "east:1", "run")
             kv.put(PREFIX + context.name, msgspec.json.encode(member))
             kv.is_away = context.is_away
+            kv.asked = 0
             left = seconds
             while left > 0:
                 if context.told:
--- a/tests/features/steps/site_lookups.py
+++ b/tests/features/steps/site_lookups.py
@@ -57,10 +57,15 @@
         )
 
 
-@given('the watches of the front of "{domain}" are held back')
+@given(
+    'the watches of the front of "{domain}" and of all storage instances are'
+    " held back"
+)
 def step_hold_back(context, domain):
+    """Storage instances that have heard would tell the front."""
     context.scenario_stack.callback(repair, context)
-    site(context).faults(late_watches=[site(context).host("front", domain)])
+    hosts = [site(context).host("front", domain), *storage_hosts(context)]
+    site(context).faults(late_watches=hosts)
 
 
 @given(
@@ -119,20 +124,6 @@
         )
 
 
-@when("those that were there share their turns with the new ones")
-def step_share(context):
-    """Until then they would take over turns that the new ones get."""
-
-    def shares(process):
-        reviews = process.events("share_reviewed")
-        return reviews and new_ones(context) & set(reviews[-1]["keepers"])
-
-    for process in storages(context):
-        wait_until(
-            lambda p=process: shares(p), f"{process.name} shares its turns"
-        )
-
-
 @when('a conversation through "{domain}" is kept on the new ones alone')
 def step_converse(context, domain):
     wait_until(
