Count a storage instance that answers though its registration is gone

The store may turn machines away for some seconds and end their leases. Of three storage instances two are then there and answer, but are not listed: fronts kept turns on one disk only and ended the answer all the same, and programs got what one instance may grant alone and 503 after that, though all holders answered.

Found by looking for more of the same cause: 'not listed' was taken for gone.

Change: a member whose registration is gone stays for as long as it has answered within the last second; everybody asks the others twice a second or more. One that was emptied goes at once, one that is dead within two seconds of its registration. It is counted among those whose consent an account needs, as before.

--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -60,6 +60,8 @@
 _LATE_SECONDS = 0.1
 # A store that did not answer is not asked again sooner.
 _SILENT_SECONDS = 0.5
+# Others are asked for something each half second.
+_THERE_SECONDS = 1.0
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -106,6 +108,7 @@
             been emptied, by name.
         emptied: Members that were emptied and are gone.
         changed: Revision of the store with which ``known`` last changed.
+        unregistered: Members that answer though their registration is gone.
         seen: Seconds since 1970 at which each member was last known of.
         recalled: Loop time until which members count that there were before
             this process started.
@@ -136,6 +139,7 @@
         self.watch = PrefixWatch(
             kv, PREFIX, _WAIT_SECONDS, self._written, self._removed
         )
+        self.unregistered: set[str] = set()
         self.changed = 0
         self.late: asyncio.Task | None = None
         self.reading = asyncio.Lock()
@@ -340,6 +344,7 @@
         self.seen[member.name] = wall_seconds()
         self.known[member.name] = member
         self.lost_at.pop(member.name, None)
+        self.unregistered.discard(member.name)
         if before != member:
             self.changed = self.watch.revision
             log_event(
@@ -365,9 +370,19 @@
             self._drop(name)
 
     def _drop(self, name: str) -> None:
-        member = self.known.pop(name, None)
-        if member is None:
+        """Drops a member whose registration is gone, once it is silent.
+
+        The store may have ended the lease of one that is there: dropped, what
+        it holds would be out of reach, and what it could take would not count.
+        """
+        member = self.known.get(name)
+        if member is None or PREFIX + name in self.watch.values:
             return
+        if not member.emptied and self.link(member).is_heard(_THERE_SECONDS):
+            self._look_again(name)
+            return
+        del self.known[name]
+        self.unregistered.discard(name)
         self.seen[name] = wall_seconds()
         self.changed = self.watch.revision
         # One that was killed or cut off while it was emptied only leaves.
@@ -384,6 +399,13 @@
         )
         self.on_change()
 
+    def _look_again(self, name: str) -> None:
+        if name not in self.unregistered:
+            self.unregistered.add(name)
+            log_event("keeper_unregistered", keeper=name)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_THERE_SECONDS, self._drop, name)
+
 
 class Registration:
     """Keeps this storage instance registered under a lease.
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -181,6 +181,7 @@
 
     Attributes:
         failures: Requests in a row that got no reply.
+        heard_at: Loop time of the last reply.
 
     Args:
         address: ``IP:PORT`` of the peer.
@@ -191,6 +192,7 @@
         self.address = address
         self.codec = codec
         self.failures = 0
+        self.heard_at = float("-inf")
         self.numbers = itertools.count()
         self.context = zmq.asyncio.Context.instance()
         self.channel: _Channel | None = None
@@ -215,8 +217,14 @@
         if self.failures:
             log_event("peer_back", peer=self.address, failures=self.failures)
         self.failures = 0
+        self.heard_at = asyncio.get_running_loop().time()
         return self.codec.decode(data)
 
+    def is_heard(self, seconds: float) -> bool:
+        """Whether the last request got a reply, so many seconds ago at most."""
+        silence = asyncio.get_running_loop().time() - self.heard_at
+        return not self.failures and silence < seconds
+
     def close(self) -> None:
         """Closes the connection once nobody waits for a reply on it."""
         if self.channel:
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -90,6 +90,12 @@
         """Requests in a row that got no reply."""
         return self.network.failures.get((self.asker, self.name), 0)
 
+    def is_heard(self, seconds: float) -> bool:
+        """Whether it answers: each asks the others all the time."""
+        network = self.network
+        is_there = self.name in network.keepers
+        return is_there and not network.is_cut(self.asker, self.name)
+
     async def ask(
         self, message: msgspec.Struct, seconds: float
     ) -> msgspec.Struct | None:
