Empty an instance only where the others can hold all without it

Operators empty a storage instance while another one is cut off for so long that it is not listed any more. It handed all over to the one that is left and said that it was done: a turn or a permission was then on one disk, and went with the next one that was lost. The emptied one does not count as lost.

Found by looking for more of the same cause: those that are listed were taken for all that there are.

Change: with an instance known lately that is not listed, it waits until the others that are lie in one failure domain more than disks may be lost.

'An instance is emptied while another one is not listed' (views.feature, known red) passes.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -104,6 +104,7 @@
         self.keeper.leaving = True
         await self._register(leaving=True)
         await asyncio.sleep(_SETTLE_SECONDS)
+        await self._until(self._are_enough)
         await self.hand_over_all()
         await self._until(self._is_followed)
         await self._register(emptied=True)
@@ -123,6 +124,17 @@
         mine = self.members.known.get(self.keeper.name)
         return mine == self.registration.member
 
+    async def _are_enough(self) -> bool:
+        """Whether the others can hold all that they should without this one.
+
+        One that is out of reach may be the only other one with something, and
+        one disk more may be lost as soon as this one is gone.
+        """
+        if not self.members.unlisted():
+            return True
+        domains = self.members.domains()
+        return len(domains) > self.members.lost_disks
+
     async def _is_followed(self) -> bool:
         """Whether the others have all that was agreed to here.
 
