Write the bound of a watch that must be current once

Mirrors and fronts each had 2.5 s of their own for the same thing: how late a change is noticed after a connection has gone silent.

--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -29,7 +29,12 @@
 from rattanmill_forward.stats import Knowledge
 from rattanmill_forward.turns import Turns
 from rattanmill_keeper import KeeperClient, Members
-from rattanmill_platform import BACK_SECONDS, KeyValue, PrefixWatch
+from rattanmill_platform import (
+    BACK_SECONDS,
+    WATCH_SECONDS,
+    KeyValue,
+    PrefixWatch,
+)
 
 # The balancer asks once a second and passes over an instance after two
 # misses; until then it goes on sending new connections.
@@ -37,9 +42,6 @@
 # Left between the last request's end and SIGKILL.
 _EXIT_SECONDS = 0.8
 _SWEEP_SECONDS = 0.5
-# A watch that is silent for longer is given up; this bounds how late a change
-# of the configuration is noticed after a connection has gone silent.
-_WATCH_SECONDS = 2.5
 
 
 class Sources(msgspec.Struct, frozen=True):
@@ -79,14 +81,14 @@
             PrefixWatch(
                 kv,
                 sources.config_prefix,
-                _WATCH_SECONDS,
+                WATCH_SECONDS,
                 self._config,
                 lambda key: None,
             ),
             PrefixWatch(
                 kv,
                 sources.endpoint_prefix,
-                _WATCH_SECONDS,
+                WATCH_SECONDS,
                 self._endpoint,
                 self._endpoint_gone,
                 BACK_SECONDS,
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -21,10 +21,13 @@
     StoreWatch,
     Unsure,
 )
-from rattanmill_platform import BACK_SECONDS, KeyValue, PrefixWatch
+from rattanmill_platform import (
+    BACK_SECONDS,
+    WATCH_SECONDS,
+    KeyValue,
+    PrefixWatch,
+)
 
-# Bounds how late a change is noticed after a connection has gone silent.
-_WAIT_SECONDS = 2.5
 # A watch answers when its time is over. One that is overdue may be behind.
 _FRESH_SECONDS = 3.4
 # Some minutes of changes; a front asks each second.
@@ -60,7 +63,7 @@
         self.watch = PrefixWatch(
             kv,
             prefix,
-            _WAIT_SECONDS,
+            WATCH_SECONDS,
             self._add,
             lambda key: self._add(key, None),
             BACK_SECONDS,
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -2,7 +2,11 @@
 
 from rattanmill_platform.calls import Breaker, Reply, StoreCalls, Unavailable
 from rattanmill_platform.directory import Directory, Endpoint
-from rattanmill_platform.follow import BACK_SECONDS, PrefixWatch
+from rattanmill_platform.follow import (
+    BACK_SECONDS,
+    WATCH_SECONDS,
+    PrefixWatch,
+)
 from rattanmill_platform.kv import (
     Conflict,
     Entry,
@@ -46,6 +50,7 @@
     "ShardOwner",
     "StoreCalls",
     "Unavailable",
+    "WATCH_SECONDS",
     "WatchEvents",
     "Written",
     "bound_silence",
--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -24,6 +24,9 @@
 # was removed. After a longer absence its holder may not have been able to
 # renew its lease.
 _AWAY_SECONDS = 1.0
+# For what must be current: bounds how late a change is noticed after a
+# connection has gone silent.
+WATCH_SECONDS = 2.5
 # Entries of endpoints that lapsed while the service was away are back within
 # two seconds of its return; whoever is missing then is gone.
 BACK_SECONDS = 2.0
