Let fronts hear of entries that did not come back after an outage

A storage instance lists an entry on for two seconds that was missing when the store was back, and then passes its removal on. It dated that change by the revision that it had told with the list, and a front that asks for changes after this revision never got it: the endpoint that died during the outage stayed in the front's book until its entry was written again or the front read everything anew.

Answers now say at which revision keys were missing that are waited for. A front that was told so, and then hears from a storage instance that waits for none, reads the prefix again. A storage instance answers at once when its waiting is over.

--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -470,10 +470,18 @@
 
 
 class StoreItems(msgspec.Struct, tag=22):
-    """What the store said."""
+    """What the store said.
+
+    Attributes:
+        items: Keys, or changes of them.
+        revision: The store's revision.
+        waits: Revision at which keys were missing that are listed on, as they
+            may be back soon; 0 if there are none.
+    """
 
     items: list[StoreItem]
     revision: int
+    waits: int = 0
 
 
 Message = (
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -82,6 +82,11 @@
             and age < _FRESH_SECONDS
         )
 
+    @property
+    def waits(self) -> int:
+        """Revision at which keys were missing that may be back soon, or 0."""
+        return self.watch.missing_from if self.watch.missing else 0
+
     def list_all(self) -> StoreItems | Unsure:
         """Returns all keys, also those that may be back soon."""
         if not self.is_fresh:
@@ -90,13 +95,20 @@
             self.floor = self.watch.revision
         there = self.watch.values | self.watch.missing
         items = [StoreItem(key, value, 0) for key, value in there.items()]
-        return StoreItems(items, self.watch.revision)
+        return StoreItems(items, self.watch.revision, self.waits)
 
     async def wait(self, after: int, seconds: float) -> StoreItems | Unsure:
-        """Returns changes after a revision, once there are any."""
+        """Returns changes after a revision, once there are any.
+
+        Also once a missing key is waited for no more: its removal is of a
+        revision that was told before.
+        """
+        waited = self.waits
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                while self.is_fresh and not self._since(after):
+                while self.is_fresh and not (
+                    self._since(after) or self.waits < waited
+                ):
                     self.news.clear()
                     await self.news.wait()
         if not self.is_fresh:
@@ -104,7 +116,8 @@
         if self.floor is None or after < self.floor:
             return Unsure("what was changed since is not at hand")
         items = [StoreItem(c.key, c.value, 0) for c in self._since(after)]
-        return StoreItems(items, max(after, self.watch.revision))
+        revision = max(after, self.watch.revision)
+        return StoreItems(items, revision, self.waits)
 
     def _since(self, after: int) -> list[Change]:
         newer = list(
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -45,6 +45,7 @@
     Attributes:
         members: The storage instances, once they are known.
         relayed: Whether the last answer came through one.
+        waiting: Prefixes of which one has listed keys that may be gone.
 
     Args:
         direct: The service.
@@ -61,6 +62,7 @@
         self.members: Members | None = None
         self.relayed = False
         self.asked: dict[str, int] = {}
+        self.waiting: set[str] = set()
 
     async def read(self, key: str) -> Found | Missing | Unavailable:
         """Reads one key."""
@@ -89,8 +91,11 @@
         said = await self._ask(
             StoreList(prefix), _LIST_SECONDS, lambda: self.direct.list(prefix)
         )
+        self.waiting.discard(prefix)
         if not isinstance(said, StoreItems):
             return said
+        if said.waits:
+            self.waiting.add(prefix)
         entries = [
             Entry(item.key, item.value or b"", item.revision)
             for item in said.items
@@ -100,7 +105,12 @@
     async def watch(
         self, prefix: str, after: int, seconds: float
     ) -> WatchEvents | HistoryLost | Unavailable:
-        """Waits for changes after a revision."""
+        """Waits for changes after a revision.
+
+        Keys that were listed though they may be gone are read again when a
+        member waits for none any more: the revision of their removal was told
+        before, so no watch reports it.
+        """
 
         def watch_directly() -> Awaitable:
             # Shorter where a member can take over again.
@@ -115,6 +125,10 @@
         )
         if not isinstance(said, StoreItems):
             return said
+        if said.waits > after:
+            self.waiting.add(prefix)
+        elif not said.waits and prefix in self.waiting:
+            return HistoryLost()
         changes = [(item.key, item.value) for item in said.items]
         return WatchEvents(changes, said.revision)
 
--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -43,6 +43,7 @@
         missing: Last values of keys that were missing when the prefix was read
             again, after the service had been away. Whoever renews their lease
             may be back within the grace.
+        missing_from: Revision at which one was last found missing.
         synced: Whether the prefix was read at least once.
         heard_at: Loop time of the last answer.
 
@@ -74,6 +75,7 @@
         self.values: dict[str, bytes] = {}
         self.missing: dict[str, bytes] = {}
         self.timers: dict[str, asyncio.TimerHandle] = {}
+        self.missing_from = 0
         self.revision = 0
         self.synced = False
         self.heard_at = float("-inf")
@@ -184,6 +186,7 @@
 
     def _miss(self, key: str, value: bytes) -> None:
         self.missing[key] = value
+        self.missing_from = self.revision
         self.timers[key] = asyncio.get_running_loop().call_later(
             self.grace_seconds, self._remove, key
         )
--- a/tests/features/steps/watches.py
+++ b/tests/features/steps/watches.py
@@ -19,7 +19,7 @@
 from support.virtual import run_virtually
 
 _NAME = "one"
-_KEY = PREFIX + _NAME
+_ENDPOINTS = "servers/"
 _VALUE = msgspec.json.encode(Member(_NAME, "east", "127.0.0.1:9", "run"))
 # A prefix is read again within a pause of the store's return.
 _SLACK_SECONDS = 0.3
@@ -29,12 +29,18 @@
     """A store with one entry, which can be away.
 
     Attributes:
+        key: The entry's.
         away: Whether it is.
         was_read: Set when the prefix is read.
+
+    Args:
+        prefix: Prefix of the entry.
     """
 
-    def __init__(self):
-        self.entries = {_KEY: Entry(_KEY, _VALUE, 1)}
+    def __init__(self, prefix):
+        self.prefix = prefix
+        self.key = prefix + _NAME
+        self.entries = {self.key: Entry(self.key, _VALUE, 1)}
         self.revision = 1
         self.history = []
         self.away = False
@@ -67,12 +73,12 @@
     def write(self):
         """Writes the entry."""
         self._add(_VALUE)
-        self.entries[_KEY] = Entry(_KEY, _VALUE, self.revision)
+        self.entries[self.key] = Entry(self.key, _VALUE, self.revision)
 
     def remove(self):
         """Reports the removal of the entry, which may be gone already."""
         self._add(None)
-        self.entries.pop(_KEY, None)
+        self.entries.pop(self.key, None)
 
     def touch(self):
         """Changes something else, so that the watch is answered."""
@@ -81,7 +87,7 @@
 
     def _add(self, value):
         self.revision += 1
-        self.history.append((self.revision, _KEY, value))
+        self.history.append((self.revision, self.key, value))
         self.changed.set()
 
     def go(self):
@@ -91,8 +97,7 @@
 
     def come_back_without(self):
         """Comes back; the entry has lapsed."""
-        self.revision += 1
-        self.entries.clear()
+        self.remove()
         self.away = False
 
     async def read(self):
@@ -136,69 +141,79 @@
     """Who follows the store, and when it took the entry for gone.
 
     Attributes:
-        kv: The store, as it reads it.
+        store: The store.
+        kv: The same, as this one reads it.
         watch: Its watch.
         opened: What it needs besides.
         removals: Loop times.
     """
 
-    def __init__(self):
-        self.kv = None
+    def __init__(self, store):
+        self.store = store
+        self.kv = store
         self.watch = None
         self.opened = contextlib.nullcontext()
         self.removals = []
 
-    def removed(self, key=PREFIX + _NAME):
+    def removed(self, key):
         """Takes a removal."""
-        assert key == _KEY, key
-        self.removals.append(asyncio.get_running_loop().time())
+        assert key == self.store.key, key
+        self.removals.append(self.store.now())
 
-    def follow(self, kv, grace):
-        """Follows a store."""
-        self.kv = kv
+    def follow(self, grace):
+        """Follows the store."""
         self.watch = PrefixWatch(
-            kv, PREFIX, 2.5, lambda key, value: None, self.removed, grace
+            self.kv,
+            self.store.prefix,
+            2.5,
+            lambda key, value: None,
+            self.removed,
+            grace,
         )
 
+    @property
+    def is_listed(self):
+        """Whether the store lists the entry, as heard here."""
+        return self.store.key in self.watch.values
+
     async def is_listed_anew(self):
         """Whether one who starts to follow the store now finds the entry."""
-        another = PrefixWatch(
-            self.kv, PREFIX, 2.5, lambda key, value: None, lambda key: None
-        )
-        async with another:
+        another = Follower(self.store)
+        another.kv = self.kv
+        another.follow(0.0)
+        async with another.watch:
             await asyncio.sleep(1.0)
-            assert another.synced
-            return _KEY in another.values
+            assert another.watch.synced
+            return another.is_listed
 
 
 def _follow_directly(grace):
-    def make(store):
-        follower = Follower()
-        follower.follow(store, grace)
+    def make():
+        follower = Follower(FlakyStore(_ENDPOINTS))
+        follower.follow(grace)
         return follower
 
     return make
 
 
-def _follow_through_instance(store):
-    follower = Follower()
-    kv = RelayedKv(Refusing(), "east", (PREFIX,))
-    kv.members = PassingMember(store)
-    follower.opened = kv.members.mirrors
-    follower.follow(kv, 2.0)
+def _follow_through_instance():
+    follower = Follower(FlakyStore(_ENDPOINTS))
+    follower.kv = RelayedKv(Refusing(), "east", (_ENDPOINTS,))
+    follower.kv.members = PassingMember(follower.store)
+    follower.opened = follower.kv.members.mirrors
+    follower.follow(2.0)
     return follower
 
 
-def _follow_members(store):
-    follower = Follower()
-    members = Members(store)
+def _follow_members():
+    follower = Follower(FlakyStore(PREFIX))
+    members = Members(follower.store)
 
     def note():
         if _NAME not in members.known:
-            follower.removed()
+            follower.removed(follower.store.key)
 
     members.on_change = note
-    follower.kv = store
     follower.watch = members.watch
     return follower
 
@@ -254,11 +269,11 @@
         When removals were heard after the prefix was read again, and whether
         the entry is listed in the end, as heard so far and as read anew.
     """
-    store = FlakyStore()
-    follower = context.make(store)
+    follower = context.make()
+    store = follower.store
     async with follower.opened, follower.watch:
         await asyncio.sleep(1.0)
-        assert _KEY in follower.watch.values
+        assert follower.is_listed
         store.touch()
         await asyncio.sleep(0.1)
         store.go()
@@ -272,7 +287,7 @@
                 await done
         await asyncio.sleep(began + seconds - store.now())
         removals = [at - began for at in follower.removals]
-        listed = _KEY in follower.watch.values
+        listed = follower.is_listed
         return removals, (listed, await follower.is_listed_anew())
 
 
--- a/tests/features/watches.feature
+++ b/tests/features/watches.feature
@@ -63,6 +63,24 @@
     Then one removal is heard within 10.0 seconds, 0.5 seconds later
     And it is listed, also for one who starts to follow the store then
 
+  Scenario: An entry does not come back, at a front
+    The storage instance has listed the entry on, as of the revision at which
+    it was missing already. The front must hear of its removal all the same.
+
+    Given a front that reads an entry through a storage instance
+    When the store was away for 3.0 seconds and the entry was missing after it
+    Then one removal is heard within 10.0 seconds, 2.0 seconds later
+
+  Scenario: An entry comes back within the grace, at a front
+    The front reads all anew when the storage instance waits for nothing more.
+    It must not take the entry for gone on the way.
+
+    Given a front that reads an entry through a storage instance
+    When the store was away for 3.0 seconds and the entry was missing after it
+    And it is written 1.9 seconds later
+    Then no removal is heard within 10.0 seconds
+    And it is listed, also for one who starts to follow the store then
+
   Scenario: A storage instance is missing after two outages
     The time that it had after the first one must not count for the second.
 
