Give missing storage instances their six seconds at mirrors too

A front that the store turns away follows the storage instances through one of them. That one passed a missing registration on after the two seconds of endpoints, and the front took it for seen removed; a storage instance registers again within two renewals, up to five seconds. Mirrors of the storage instances' prefix now wait as long as all others that follow it.

--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -48,7 +48,7 @@
 _LOST_DISKS = 1
 # An entry that is missing after an outage of the store may only have lapsed
 # meanwhile: its holder registers again within about two renewals.
-_GRACE_SECONDS = 6.0
+GRACE_SECONDS = 6.0
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -117,7 +117,7 @@
             _WAIT_SECONDS,
             self._written,
             self._removed,
-            _GRACE_SECONDS,
+            GRACE_SECONDS,
         )
 
     @property
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from rattanmill_core import loop_seconds
+from rattanmill_keeper.members import GRACE_SECONDS, PREFIX
 from rattanmill_keeper.messages import (
     StoreItem,
     StoreItems,
@@ -55,9 +56,16 @@
         watch: Follows the prefix.
         changes: Newest changes, oldest first.
         floor: Revision from which on all changes are at hand.
+
+    Args:
+        kv: The platform's store.
+        prefix: What to follow.
+        grace_seconds: How long a missing key may take to come back.
     """
 
-    def __init__(self, kv: KeyValue, prefix: str) -> None:
+    def __init__(
+        self, kv: KeyValue, prefix: str, grace_seconds: float = BACK_SECONDS
+    ) -> None:
         # A missing entry is not passed on before its grace is over: a live
         # endpoint would be taken for gone.
         self.watch = PrefixWatch(
@@ -66,7 +74,7 @@
             WATCH_SECONDS,
             self._add,
             lambda key: self._add(key, None),
-            BACK_SECONDS,
+            grace_seconds,
         )
         self.changes: collections.deque[Change] = collections.deque()
         self.floor: int | None = None
@@ -161,7 +169,9 @@
         """Answers a front."""
         mirror = self.mirrors.get(ask.prefix)
         if mirror is None:
-            mirror = self.mirrors[ask.prefix] = Mirror(self.kv, ask.prefix)
+            grace = GRACE_SECONDS if ask.prefix == PREFIX else BACK_SECONDS
+            mirror = Mirror(self.kv, ask.prefix, grace)
+            self.mirrors[ask.prefix] = mirror
             await self.stack.enter_async_context(mirror.watch)
         if isinstance(ask, StoreList):
             return mirror.list_all()
--- a/tests/features/steps/watches.py
+++ b/tests/features/steps/watches.py
@@ -155,6 +155,12 @@
         self.opened = contextlib.nullcontext()
         self.removals = []
 
+    def read_through_instance(self, mirrored):
+        """Reads through a storage instance; the store turns this one away."""
+        self.kv = RelayedKv(Refusing(), "east", mirrored)
+        self.kv.members = PassingMember(self.store)
+        self.opened = self.kv.members.mirrors
+
     def removed(self, key):
         """Takes a removal."""
         assert key == self.store.key, key
@@ -198,16 +204,16 @@
 
 def _follow_through_instance():
     follower = Follower(FlakyStore(_ENDPOINTS))
-    follower.kv = RelayedKv(Refusing(), "east", (_ENDPOINTS,))
-    follower.kv.members = PassingMember(follower.store)
-    follower.opened = follower.kv.members.mirrors
+    follower.read_through_instance((_ENDPOINTS,))
     follower.follow(2.0)
     return follower
 
 
-def _follow_members():
+def _follow_members(through_instance):
     follower = Follower(FlakyStore(PREFIX))
-    members = Members(follower.store)
+    if through_instance:
+        follower.read_through_instance(())
+    members = Members(follower.kv)
 
     def note():
         if _NAME not in members.known:
@@ -230,7 +236,12 @@
 
 @given("a process that knows a storage instance")
 def step_member(context):
-    context.make, context.plan = _follow_members, []
+    context.make, context.plan = lambda: _follow_members(False), []
+
+
+@given("a front that the store turns away and that knows storage instances")
+def step_turned_away(context):
+    context.make, context.plan = lambda: _follow_members(True), []
 
 
 @when(
--- a/tests/features/watches.feature
+++ b/tests/features/watches.feature
@@ -89,3 +89,13 @@
     And it is written 1.0 seconds later
     And the store is away again from 2.0 to 5.0 seconds later
     Then one removal is heard within 20.0 seconds, 11.0 seconds later
+
+  Scenario: A storage instance is missing, at a front that the store turns away
+    It registers again within two renewals, not within the two seconds of
+    endpoints. Taken for gone meanwhile, its accounts and turns are not found.
+
+    Given a front that the store turns away and that knows storage instances
+    When the store was away for 3.0 seconds and the entry was missing after it
+    And it is written 5.0 seconds later
+    Then no removal is heard within 20.0 seconds
+    And it is listed, also for one who starts to follow the store then
