--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -74,6 +74,14 @@
     run_turns(context, name, 1)
 
 
+@when(
+    '{count:d} turns of a new program run at "{name}" while "{away}" is killed'
+)
+def step_begin_without(context, count, name, away):
+    context.program = Program()
+    step_missed_for_good(context, count, name, away)
+
+
 @when('{count:d} further turns run at "{name}" while "{away}" is killed')
 def step_missed(context, count, name, away):
     network(context, lambda n: n.kill(away))
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -40,6 +40,17 @@
     Then "b" is whole
     And the program's turns at "a, b, c" stay within its budget and one turn
 
+  Scenario: An account of which one that is listed has not heard
+    One that has lost its disk follows another one that was killed while the
+    account was opened. Neither knows of it, and they open it a second time.
+
+    Given storage instances "a, b, c"
+    When 4 turns of a new program run at "c" while "b" is killed
+    And "a" is cut off from "b, c", and its registration has lapsed for long
+    And "c" loses its disk and starts where "a" is not listed
+    And "c" has followed those that are listed
+    Then the program's turns at "b, c" stay within its budget and one turn
+
   Scenario: A turn of before, where one that lost its disk has not heard of all
     Both that are listed say that they have all and don't have it; the one that
     has it is cut off. A front that has just started denies the turn.
