--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -91,6 +91,16 @@
     And "c" is listed again while it is cut off
     Then the program's turns at "c" stay within its budget and one turn
 
+  Scenario: One whose registration had lapsed starts again
+    The same, and it can't remember that it was not counted.
+
+    Given storage instances "a, b, c"
+    When "c" is cut off from "a, b", and its registration has lapsed for long
+    And turns of a new program use up its budget at "a"
+    And "c" is killed and started again
+    And "c" is listed again while it is cut off
+    Then the program's turns at "c" stay within its budget and one turn
+
   Scenario: What turns have used is known to a holder out of reach
     A front heard of their ends and reached one holder only. The others count
     them in full. They must not say that the budget is spent, which ends the
