Grant nothing alone after a start before the others have told what they agreed to

As for a registration that has lapsed: an instance that was down may have been left out meanwhile. 'One that starts again after its registration had lapsed' (views.feature) failed before and passes; keeping.feature holds.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -136,6 +136,7 @@
         self.journal = Journal(folder / _FOLDER, self._snapshot)
         self.run = uuid.uuid4().hex[:12]
         self.crashes = CrashBoard(self.run)
+        self.first_start = first_start
         self.whole = first_start
         # A disk that is new or was lost may have held what was granted alone.
         self.alone_from = 0.0 if first_start else float("inf")
@@ -150,6 +151,9 @@
 
     async def __aenter__(self) -> Self:
         self._restore()
+        if not self.first_start:
+            # Its registration may have lapsed while it was down.
+            self.stop_to_count()
         await self.journal.__aenter__()
         await self.mirrors.__aenter__()
         if self.whole:
