Wait for one that is out of reach before a lost disk counts as made good

A storage instance that had lost its disk counted as whole once it had followed those that were listed. One that is cut off for longer than a lease is not, and may be the only one that knows of permissions, accounts or turns: a program got 252 or 324 tokens of 216, a turn was denied.

Cause: those that are listed were taken for all that there are.

Ruled out: waiting for whoever was known within the hour (the successor of a replaced machine, and with it most openings, would wait as long), and telling a new one from one that lost its disk by the accounts it holds.

Change: who is followed names those that it has known in the last two minutes and that are not listed, but for those that went before it had all that the asker had had; the asker waits for them. It names none to one that is in its first run: that one had nothing to lose.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rattanmill_core import log_event, start_loop
+from rattanmill_core import log_event, loop_seconds, start_loop
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members, rank
 from rattanmill_keeper.messages import (
@@ -35,11 +35,13 @@
         run: Its run.
         position: Position up to which everything was taken.
         ended: Whether its end was reached once in that run.
+        absent: Who it says may have something that was lost here.
     """
 
     run: str = ""
     position: int = 0
     ended: bool = False
+    absent: frozenset[str] = frozenset()
 
 
 class Following:
@@ -119,7 +121,10 @@
         age = asyncio.get_running_loop().time() - self.started
         if not others:
             return age > _ALONE_SECONDS
-        return all(self.progress.get(name, Progress()).ended for name in others)
+        told = [self.progress.get(name, Progress()) for name in others]
+        # One that is out of reach may be the only one with what was lost here.
+        absent = set().union(*(each.absent for each in told)) - set(others)
+        return all(each.ended for each in told) and not absent
 
     async def _follow(self, name: str) -> None:
         while True:
@@ -134,6 +139,7 @@
         """Takes the next page; whether there is more at once."""
         progress = self.progress.setdefault(member.name, Progress())
         link = self.members.link(member)
+        began = loop_seconds()
         news = await link.ask(
             Follow(
                 self.keeper.name,
@@ -142,6 +148,7 @@
                 # Also when whole: it may have been away when others
                 # recorded permissions, and be the last to hold the account.
                 with_accounts=True,
+                asker_run=self.keeper.run,
             ),
             _ASK_SECONDS,
         )
@@ -160,8 +167,11 @@
             return False
         progress.run = news.run
         progress.position = news.position
+        progress.absent = frozenset(news.absent)
         if news.is_counted and not news.more:
             self.keeper.unheard.discard(member.name)
+        if news.whole and not news.more:
+            self.keeper.level_at[member.name] = began
         if not news.more and not progress.ended:
             progress.ended = True
             log_event(
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -101,6 +101,8 @@
         unheard: Others that have not told what they agreed to since they last
             did not count this instance.
         followed: Position up to which each other one has followed this run.
+        level_at: Loop time at which this one had last all that another one,
+            which was whole, had taken in.
         alone_from: Seconds since 1970 from which it may grant alone to
             programs that it has not heard of.
         crashes: What fronts told of crashes.
@@ -143,6 +145,7 @@
         self.is_confirmed: Callable[[], bool] = lambda: True
         self.unheard: set[str] = set()
         self.followed: dict[str, int] = {}
+        self.level_at: dict[str, float] = {}
         self.leaving = False
         self.is_closed = False
         self.may_open = may_open
@@ -434,7 +437,7 @@
             self.intake.add(kept.turn)
 
     def _news(self, ask: Follow) -> News:
-        self.members.seen[ask.asker] = wall_seconds()
+        self.members.meet(ask.asker, ask.asker_run)
         after = ask.after if ask.run == self.run else 0
         self.followed[ask.asker] = after
         entries = self.intake.since(after, _PAGE)
@@ -470,8 +473,24 @@
             position < self.intake.position,
             self.members.changed,
             ask.asker in self.members.known,
+            self._absent_for(ask),
         )
 
+    def _absent_for(self, ask: Follow) -> list[str]:
+        """Returns who may have what an asker has lost with its disk.
+
+        Not those that went before this instance had all that the asker had.
+        """
+        if self.members.is_new(ask.asker, ask.asker_run):
+            return []
+        level_at = self.level_at.get(ask.asker, float("-inf"))
+        lost_at = self.members.lost_at
+        return [
+            name
+            for name in self.members.unlisted()
+            if name != ask.asker and lost_at.get(name, float("inf")) >= level_at
+        ]
+
     async def take_accounts(self, accounts: list[Account]) -> None:
         """Returns when what other holders know is on disk here."""
         await asyncio.gather(*map(self._append, self.merge(accounts)))
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -107,6 +107,7 @@
         lost_at: Loop time at which a member was last removed that had not
             been emptied, by name.
         emptied: Members that were emptied and are gone.
+        first_runs: First run of each member that nobody had heard of before.
         changed: Revision of the store with which ``known`` last changed.
         unregistered: Members that answer though their registration is gone.
         seen: Seconds since 1970 at which each member was last known of.
@@ -132,6 +133,7 @@
         self.known: dict[str, Member] = {}
         self.lost_at: dict[str, float] = {}
         self.emptied: set[str] = set()
+        self.first_runs: dict[str, str] = {}
         self.seen: dict[str, float] = {}
         self.recalled: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
@@ -202,6 +204,16 @@
             if at > newest - HELD_SECONDS
         }
 
+    def meet(self, name: str, run: str) -> None:
+        """Notes that a member is there, and whether it is new."""
+        if name not in self.seen:
+            self.first_runs[name] = run
+        self.seen[name] = wall_seconds()
+
+    def is_new(self, name: str, run: str) -> bool:
+        """Whether a member is in its first run, with a disk that was empty."""
+        return self.first_runs.get(name) == run
+
     def unlisted(self) -> list[str]:
         """Returns members that may hold turns though nobody lists them."""
         oldest = wall_seconds() - HELD_SECONDS
@@ -346,7 +358,7 @@
             warn_event("keeper_undecodable", key=key, why=str(error))
             return
         before = self.known.get(member.name)
-        self.seen[member.name] = wall_seconds()
+        self.meet(member.name, member.run)
         self.known[member.name] = member
         self.lost_at.pop(member.name, None)
         self.unregistered.discard(member.name)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -405,6 +405,7 @@
             counts it from then on when an account is opened.
         run: Run of the one that is asked.
         after: Position up to which everything was taken.
+        asker_run: Run of the one that asks.
         with_accounts: Whether accounts that the asker should hold are wanted
             too: its disk is new or was lost.
     """
@@ -413,6 +414,7 @@
     run: str
     after: int
     with_accounts: bool = False
+    asker_run: str = ""
 
 
 class News(msgspec.Struct, tag=15):
@@ -428,6 +430,8 @@
         more: Whether there is more at once.
         revision: As in ``Pong``.
         is_counted: Whether the asker is listed here.
+        absent: Others that were known lately and may have something that the
+            asker has lost. None if the asker is new: it had nothing.
     """
 
     run: str
@@ -439,6 +443,7 @@
     more: bool
     revision: int = 0
     is_counted: bool = True
+    absent: list[str] = []
 
 
 class FetchTurns(msgspec.Struct, tag=16):
