Let the store decide only where no holder has the account open

Three instances that know only each other, as may be at the first start, open it by consent, and the store is not told. One that knows six is refused by these three and agreed to by two others: the store knows nothing, takes its holders, and it opens.

Cause: that too few can have agreed elsewhere was taken from the asker's list; who opened it may have known of fewer.

Change: a refusal says whether the account is open there. The store decides only if all who hold it by any refusal have answered that it is not; where one was opened just before it heard of the decision, the store is told so, and nobody opens. All are told of a decision against the asker as well.

--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -120,17 +120,36 @@
         return Unsure("another instance is opening the account")
     consent = _consent(replies, ask, ledger)
     agreed = len(roster - consent.missing) - 1
-    match judge(len(roster), agreed, len(refused), members.lost_disks):
-        case Next.OPEN:
-            return consent
-        case Next.ASK_STORE:
-            return Contested(consent, bool(refused))
+    verdict = judge(len(roster), agreed, len(refused), members.lost_disks)
+    if verdict is Next.OPEN:
+        return consent
+    if verdict is Next.ASK_STORE and _are_closed(refused, replies, ledger):
+        return Contested(consent, bool(refused))
     if not refused:
         return CutOff()
+    refused.sort(key=lambda reply: not reply.is_open)
     ledger.learn(Home(program, refused[0].holders))
     return Elsewhere(refused[0].holders)
 
 
+def _are_closed(refused: list[Refused], replies: dict, ledger: Ledger) -> bool:
+    """Whether all who may have opened the account elsewhere say they have not.
+
+    That too few can have agreed there is no proof: who opened it may have
+    known of fewer storage instances.
+    """
+    answered = {
+        name
+        for name, reply in replies.items()
+        if isinstance(reply, Agreed | Refused)
+    }
+    answered.add(ledger.name)
+    return all(
+        not reply.is_open and answered.issuperset(reply.holders)
+        for reply in refused
+    )
+
+
 async def decide(
     home: Home,
     contested: Contested,
@@ -149,15 +168,37 @@
         return found
     if isinstance(found, Elsewhere):
         home = Home(home.program, found.holders)
-    if not contested.is_divided:
-        return contested.consent if found is None else found
+    elif not contested.is_divided:
+        return contested.consent
     roster = sorted(members.roster() | {ledger.name})
     ask = Agree(home.program, ledger.name, home.holders, roster, True)
     replies = await _ask_others(ask, members)
     log_event("home_decided", program=home.program, holders=home.holders)
+    for reply in replies.values():
+        if isinstance(reply, Refused) and reply.is_open:
+            # Opened just before it heard; nothing was at the store's holders.
+            await _correct(home, reply.holders, kv)
+            return Elsewhere(reply.holders)
     return _consent(replies, ask, ledger) if found is None else found
 
 
+async def _correct(home: Home, holders: tuple[str, ...], kv: KeyValue) -> None:
+    """Lets the store say where an account was opened without it."""
+    key = HOME_PREFIX + home.program
+    found = await kv.read(key)
+    if not isinstance(found, Found):
+        return
+    outcome = await kv.write(
+        key, msgspec.json.encode(holders), found.entry.revision
+    )
+    log_event(
+        "home_corrected",
+        program=home.program,
+        holders=holders,
+        outcome=type(outcome).__name__,
+    )
+
+
 def _consent(replies: dict, ask: Agree, ledger: Ledger) -> Consent:
     """Returns who agreed and who did not."""
     agreed = {n: r for n, r in replies.items() if isinstance(r, Agreed)}
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -231,7 +231,7 @@
             self.adopt(Home(program, holders))
         known = self.holders_of(program)
         if known and known != holders:
-            return Refused(known)
+            return Refused(known, program in self.accounts)
         if not known and program in self.opening and self.name < ask.keeper:
             return Refused(())
         home = Home(program, holders)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -322,9 +322,15 @@
 
 
 class Refused(msgspec.Struct, tag=10):
-    """No: these have it, or, if empty, somebody is opening it."""
+    """No: these have it, or, if empty, somebody is opening it.
+
+    Attributes:
+        holders: Whom the one that was asked has agreed to.
+        is_open: Whether it knows that the account is open there.
+    """
 
     holders: tuple[str, ...]
+    is_open: bool = False
 
 
 class Outdated(msgspec.Struct, tag=23):
