Let nothing come in at an instance that has been emptied

It waits until the others have heard all that came in there at once, and each permission that it still recorded as a holder was one more.

Change: once all has been handed over nothing comes in any more, also not from the others.

What it writes down of who there is leaves out those that were emptied: after a restart they counted for an hour. An agreement that it goes to the store with is passed on to those that follow it.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -130,7 +130,7 @@
         while True:
             member = self.members.known.get(name)
             more = False
-            if member:
+            if member and not self.keeper.is_closed:
                 more = await self.step(member)
             if not more:
                 await asyncio.sleep(_POLL_SECONDS)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -95,7 +95,7 @@
         whole: Whether it has all that its disk should hold. Until then it
             opens no account, agrees to none and denies no turn.
         leaving: Whether it is being emptied.
-        is_closed: Whether it takes neither turns nor reservations any more.
+        is_closed: Whether it takes nothing any more, as the others have all.
         run: Id of this run of the process.
         is_confirmed: Whether the others still count this instance.
         unheard: Others that have not told what they agreed to since they last
@@ -205,8 +205,8 @@
             case Follow():
                 return self._news(message)
             case Merge(accounts=accounts):
-                if not self.whole:
-                    return Unsure("not whole yet")
+                if not self.whole or self.is_closed:
+                    return Unsure("not whole, or emptied")
                 await self.take_accounts(accounts)
                 return Done()
             case Ping():
@@ -374,7 +374,8 @@
         self, home: Home, contested: Contested
     ) -> Consent | Elsewhere | Unsure:
         """Lets the store decide; this instance's consent is on disk."""
-        self.ledger.learn(home)
+        if self.ledger.learn(home):
+            self.intake.add(home.program)
         known = self.ledger.holders_of(home.program)
         if known != home.holders:
             return Elsewhere(known)
@@ -524,15 +525,22 @@
         )
 
     def _snapshot(self) -> list[bytes]:
-        changes = [RosterChange(self.members.seen), *self.ledger.snapshot()]
+        changes = [self._roster(), *self.ledger.snapshot()]
         return [encode(change) for change in changes]
 
+    def _roster(self) -> RosterChange:
+        members = self.members
+        gone = members.emptied - members.known.keys()
+        return RosterChange(
+            {name: at for name, at in members.seen.items() if name not in gone}
+        )
+
     def _note_roster(self) -> None:
         """Writes down who there is, for the time after a restart."""
         names = self.members.roster()
         if names != self.noted:
             self.noted = names
-            self.journal.note(encode(RosterChange(self.members.seen)))
+            self.journal.note(encode(self._roster()))
             self.journal.wake.set()
 
     async def _sweep_for_ever(self) -> None:
--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import itertools
 
 from behave import then, when
 
@@ -515,3 +516,34 @@
 @then('its next {count:d} turns get permissions at "{name}"')
 def step_all_permitted(context, count, name):
     run_turns(context, name, count)
+
+
+@when(
+    'turns of {count:d} programs that began at "{first}" ask at "{name}" again'
+    " and again"
+)
+def step_go_on(context, count, first, name):
+    numbers = itertools.count()
+
+    def ask(program):
+        attempt = f"{program}-{next(numbers)}"
+        return Reserve(program, attempt, 1, 1_000_000)
+
+    async def go_on(n):
+        fronts = {}
+        for number in range(count):
+            program = f"busy-{number}"
+            fronts[program] = n.front(first)
+            reply = await fronts[program].permits.reserve(ask(program))
+            assert isinstance(reply, Reserved), reply
+
+        async def ask_for_ever():
+            while True:
+                for program, front in fronts.items():
+                    await front.permits.reserve(ask(program))
+                    await asyncio.sleep(0.001)
+
+        work = asyncio.create_task(ask_for_ever())
+        context.scenario_stack.callback(work.cancel)
+
+    network(context, go_on)
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -203,3 +203,12 @@
     When a turn of a new program runs at "a"
     And the store takes the registrations of "b, c" away
     Then its next 4 turns get permissions at "a"
+
+  Scenario: An instance is emptied while turns go on
+    Each permission that it records is one more that the others must have heard
+    of. Waiting until they have heard all at once, it is never done.
+
+    Given storage instances "a, b, c"
+    When turns of 10 programs that began at "a" ask at "b" again and again
+    And "a" is ordered to be emptied
+    Then "a" says that it is emptied
