Date a change of the list by its own revision; let no caller end a reading

Who read it late dated the same change by the store's newest revision, and all others read it again for nothing. And when the caller whose look-up had begun a reading left, those that waited for it were told that the store is silent: 503 without cause.

Change: an event's or entry's own revision is passed on; a reading counts only once it has ended. Both scenarios of review.feature failed and pass.

--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -108,7 +108,6 @@
             been emptied, by name.
         emptied: Members that were emptied and are gone.
         first_runs: First run of each member that nobody had heard of before.
-        changed: Revision of the store with which ``known`` last changed.
         unregistered: Members that answer though their registration is gone.
         seen: Seconds since 1970 at which each member was last known of.
         recalled: Loop time until which members count that there were before
@@ -147,10 +146,10 @@
             GRACE_SECONDS,
         )
         self.unregistered: set[str] = set()
-        self.changed = 0
         self.late: asyncio.Task | None = None
         self.reading = asyncio.Lock()
         self.readings = 0
+        self.ended_reading = 0
         self.is_level = False
 
     @property
@@ -227,6 +226,11 @@
         is_heard = self.watch.synced and self.watch.away_since is None
         return is_heard and self.watch.values.get(key) == value
 
+    @property
+    def changed(self) -> int:
+        """Revision of the newest change of the list that was heard of."""
+        return self.watch.changed
+
     def store_silence(self) -> float:
         """Returns the seconds since the store was last heard."""
         return loop_seconds() - self.watch.heard_at
@@ -239,10 +243,10 @@
         """
         begun = self.readings
         async with self.reading:
-            if self.readings == begun:
+            if self.ended_reading <= begun:
                 self.readings += 1
-                self.is_level = False
                 self.is_level = await self._read_store()
+                self.ended_reading = self.readings
             return self.is_level
 
     def hear_of(self, revision: int) -> None:
@@ -363,7 +367,6 @@
         self.lost_at.pop(member.name, None)
         self.unregistered.discard(member.name)
         if before != member:
-            self.changed = self.watch.revision
             log_event(
                 "keeper_seen",
                 keeper=member.name,
@@ -392,7 +395,6 @@
         del self.known[name]
         self.unregistered.discard(name)
         self.seen[name] = wall_seconds()
-        self.changed = self.watch.revision
         # One that was killed or cut off while it was emptied only leaves.
         if member.emptied:
             self.emptied.add(name)
--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -44,6 +44,7 @@
             again, after the service had been away. Whoever renews their lease
             may be back within the grace.
         missing_from: Revision at which one was last found missing.
+        changed: Revision of the newest change that was heard of.
         synced: Whether the prefix was read at least once.
         heard_at: Loop time of the last answer.
 
@@ -77,6 +78,7 @@
         self.timers: dict[str, asyncio.TimerHandle] = {}
         self.missing_from = 0
         self.revision = 0
+        self.changed = 0
         self.synced = False
         self.heard_at = float("-inf")
         self.away_since: float | None = None
@@ -151,6 +153,8 @@
         ]
         self.values = now
         self.revision = listed.revision
+        newest = max((entry.revision for entry in listed.entries), default=0)
+        self.changed = max(self.changed, newest)
         for key, value in gone.items():
             if was_away:
                 self._miss(key, value)
@@ -187,6 +191,7 @@
         if events.revision < self.revision:
             return
         self.revision = events.revision
+        self.changed = max(self.changed, events.newest)
         for key, value in events.changes:
             if value is None:
                 self._remove(key)
--- a/libs/platform/src/rattanmill_platform/kv.py
+++ b/libs/platform/src/rattanmill_platform/kv.py
@@ -61,10 +61,15 @@
 
 
 class WatchEvents(msgspec.Struct, frozen=True):
-    """Changes under a prefix up to ``revision``; a value of None: deleted."""
+    """Changes under a prefix up to ``revision``; a value of None: deleted.
+
+    Attributes:
+        newest: Revision of the newest of them, or 0 if that is not told.
+    """
 
     changes: list[tuple[str, bytes | None]]
     revision: int
+    newest: int = 0
 
 
 class HistoryLost(msgspec.Struct, frozen=True):
@@ -238,7 +243,8 @@
             (e.key, None if e.value is None else base64.b64decode(e.value))
             for e in wire.entries
         ]
-        return WatchEvents(changes, wire.revision)
+        newest = max((e.revision for e in wire.entries), default=0)
+        return WatchEvents(changes, wire.revision, newest)
 
     async def _call(
         self,
--- a/tests/features/steps/membership.py
+++ b/tests/features/steps/membership.py
@@ -132,7 +132,7 @@
     n = context.network
     n.register(name)
     members = n.members[other]
-    members.watch.revision = n.kv.revision
+    members.watch.revision = members.watch.changed = n.kv.revision
     members._written(PREFIX + name, n.kv.items[PREFIX + name][0])
 
 
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -101,11 +101,13 @@
         if after < self.oldest:
             return HistoryLost()
         newer = [
-            (key, value)
-            for revision, key, value in self.changes
-            if revision > after and key.startswith(prefix)
+            change
+            for change in self.changes
+            if change[0] > after and change[1].startswith(prefix)
         ]
-        return WatchEvents(newer, self.revision)
+        changes = [(key, value) for _, key, value in newer]
+        newest = newer[-1][0] if newer else 0
+        return WatchEvents(changes, self.revision, newest)
 
     async def create_unique(
         self, key: str, value: bytes
