Ask the rest of a domain when the first one's sign of life is late

A domain counts as suspect after 0.4 s of silence. With one of several dead storage instances, a domain was silent for longer in 19 of 200 plays (12 instances in 4 domains, at most 0.415 s), since the others were asked with the next round only; signs.feature went by 0.45 s.

Change: 0.1 s without an answer and all of the domain are asked. signs.feature goes by 0.4 s now; 'One of several storage instances of a domain dies', 200 plays (review.feature), failed and passes.

--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -23,8 +23,9 @@
 _PING_SECONDS = 0.2
 _QUIET_SECONDS = 0.6
 _PONG_SECONDS = 0.4
-# A domain whose last sign of life is older has missed one.
-_MISSED_SECONDS = 0.3
+# An answer takes a trip. Without one by then the others of the domain are
+# asked: one that is down must not look like a domain that is cut off.
+_LATE_SECONDS = 0.1
 _CUT_SECONDS = 0.45
 # Once other domains have missed a sign of life, the store is asked whether it
 # is there. A watch that waits for changes would tell seconds later.
@@ -149,33 +150,33 @@
         """Asks members for signs of life."""
         while True:
             self.review()
-            for member in self.whom_to_ping():
-                self.spawn(self._ping(member))
+            for members in self.members_by_domain():
+                self.spawn(self._ping_domain(members))
             self.spawn(self.look_at_store())
             await asyncio.sleep(_PING_SECONDS)
 
-    def whom_to_ping(self) -> list[Member]:
-        """Returns one member of each domain, and those not heard for a while.
-
-        All of a domain that has missed a sign of life: one that is down must
-        not look like a domain that is cut off.
-        """
+    def members_by_domain(self) -> list[list[Member]]:
+        """Returns the members of each domain, in the order of asking them."""
         members = list(self.members.known.values())
         ranked = rank(self.key, [member.name for member in members])
         members.sort(key=lambda m: (self.is_away(m), ranked.index(m.name)))
-        asked = []
-        domains: set[str] = set()
+        domains: dict[str, list[Member]] = {}
         for member in members:
-            there = [m for m in members if m.domain == member.domain]
-            is_first = member.domain not in domains
-            domains.add(member.domain)
-            if (
-                is_first
-                or self._silence([member]) > _QUIET_SECONDS
-                or self._silence(there) > _MISSED_SECONDS
-            ):
-                asked.append(member)
-        return asked
+            domains.setdefault(member.domain, []).append(member)
+        return list(domains.values())
+
+    async def _ping_domain(self, members: list[Member]) -> None:
+        """Asks the first, who was not heard for a while, or at last all."""
+        first, *others = members
+        quiet = [m for m in others if self._silence([m]) > _QUIET_SECONDS]
+        for member in quiet:
+            self.spawn(self._ping(member))
+        asked = self.spawn(self._ping(first))
+        _, late = await asyncio.wait([asked], timeout=_LATE_SECONDS)
+        if late:
+            for member in others:
+                if member not in quiet:
+                    self.spawn(self._ping(member))
 
     def tell_crashes(self, notes: list[CrashNote]) -> None:
         """Tells other fronts what this one has seen."""
--- a/tests/features/signs.feature
+++ b/tests/features/signs.feature
@@ -26,5 +26,5 @@
   Scenario: A failure domain is cut off
     Given a front and 12 storage instances in 4 failure domains
     When one domain is cut off, 50 times at moments of its own
-    Then the domain has been silent for 0.45 seconds within 0.7 seconds
+    Then the domain has been silent for 0.4 seconds within 0.7 seconds
     And it is heard within 0.5 seconds of the end of the cut
--- a/tests/features/steps/signs.py
+++ b/tests/features/steps/signs.py
@@ -16,7 +16,7 @@
 _DELAY_SECONDS = (0.001, 0.02)
 _LOOK_SECONDS = 0.01
 _WARM_SECONDS = 2.0
-_SILENT_SECONDS = 0.45
+_SILENT_SECONDS = 0.4
 _PLAYS = 50
 
 
@@ -183,7 +183,7 @@
     context.found = [play(context, seed, scene) for seed in range(plays)]
 
 
-@then("the domain has been silent for 0.45 seconds within {seconds:g} seconds")
+@then("the domain has been silent for 0.4 seconds within {seconds:g} seconds")
 def step_noticed(context, seconds):
     assert max(took for took, _ in context.found) <= seconds, context.found
 
