--- /dev/null
+++ b/tests/features/steps/review.py
@@ -0,0 +1,232 @@
+"""Steps that try to break how accounts are opened and lists are read."""
+
+import asyncio
+import itertools
+
+import hypothesis
+import msgspec
+from behave import then, when
+from hypothesis import strategies as st
+
+from rattanmill_forward import domains
+from rattanmill_keeper import Member, Members
+from rattanmill_keeper.homes import Consent
+from rattanmill_keeper.members import PREFIX
+from support.keepers import run_in as network
+from support.memory import MemoryKv
+from support.opening import OPERATIONS, play
+from support.virtual import run_virtually
+
+_NAMES = "abcdefghijkl"
+_SEEDS = st.integers(0, 2**20)
+_READ_SECONDS = 0.1
+_PAUSE_SECONDS = 1.0
+
+
+def _settings(count):
+    return hypothesis.settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+
+
+@then(
+    "in {count:d} stories of {instances:d} storage instances, {disks:d} of"
+    " whose disks may be lost, one set of holders grants and all find it"
+)
+def step_stories(context, count, instances, disks):
+    names = list(_NAMES[:instances])
+
+    @hypothesis.given(OPERATIONS, _SEEDS)
+    @_settings(count)
+    def hold(operations, seed):
+        story = play(names, operations, seed, disks)
+        granted, found = run_virtually(story)
+        assert len(granted) <= 1, granted
+        assert len(found) == 1 and () not in found, (granted, found)
+        assert found >= set(granted), (granted, found)
+
+    hold()
+
+
+def _go_on_without_store(n):
+    """Lets openers take the others' word for the store's."""
+
+    async def decide(keeper, home, contested):
+        keeper.ledger.learn(home)
+        consent = contested.consent
+        return Consent(consent.missing, consent.having)
+
+    for keeper in n.keepers.values():
+        keeper._decide = lambda *how, keeper=keeper: decide(keeper, *how)
+
+
+@then(
+    "in stories of {instances:d} storage instances that go on without the"
+    " store's word, two sets of holders grant"
+)
+def step_noticed(context, instances):
+    names = list(_NAMES[:instances])
+    operations = [("cut", (1, 2)), ("race", (0, 2, 2)), ("wait", 0.6)]
+    granted, _ = run_virtually(
+        play(names, operations, 1, prepare=_go_on_without_store)
+    )
+    assert len(granted) == 2, granted
+
+
+@when('"{names}" have not heard of "{others}"')
+def step_not_heard(context, names, others):
+    for name, other in itertools.product(names.split(", "), others.split(", ")):
+        members = context.network.members[name]
+        members.known.pop(other, None)
+        members.seen.pop(other, None)
+
+
+@when('"{names}" are cut off from "{others}"')
+def step_apart(context, names, others):
+    pairs = itertools.product(names.split(", "), others.split(", "))
+    context.network.cuts |= {frozenset(pair) for pair in pairs}
+
+
+@when(
+    '{count:d} turns of a new program run at "{name}", which is killed and not'
+    " listed any more"
+)
+def step_gone(context, count, name):
+    context.execute_steps(
+        f'When a turn of a new program runs at "{name}"\n'
+        f'And {count - 1} further turns run at "{name}"'
+    )
+
+    async def lapse(n):
+        await n.kill(name)
+        n.lapse(name)
+
+    network(context, lapse)
+
+
+@when('"{name}" is killed and starts again')
+def step_restart(context, name):
+    async def restart(n):
+        await n.kill(name)
+        await n.start(name)
+
+    network(context, restart)
+
+
+@when('"{name}" was emptied and is gone, and "{other}" starts again')
+def step_emptied_and_gone(context, name, other):
+    async def go(n):
+        member = n.member(name)
+        n.list_as(msgspec.structs.replace(member, leaving=True, emptied=True))
+        await n.wipe(name)
+        n.names.remove(name)
+        for members in n.members.values():
+            members._drop(name)
+        assert name not in n.members[other].roster()
+        n.keepers[other].sweep()
+        await n.pass_time(_READ_SECONDS)
+        await n.kill(other)
+        await n.start(other)
+
+    network(context, go)
+
+
+@then('"{name}" does not count "{gone}"')
+def step_not_counted(context, name, gone):
+    async def counted(n):
+        return n.members[name].roster(), n.members[name].unlisted()
+
+    found = network(context, counted)
+    assert all(gone not in names for names in found), found
+
+
+class WatchedKv(MemoryKv):
+    """Lets watches wait, and counts how often keys are listed."""
+
+    asked = 0
+
+    async def list(self, prefix):
+        """Reads all keys under a prefix."""
+        self.asked += 1
+        return await super().list(prefix)
+
+    async def watch(self, prefix, after, seconds):
+        """Waits for changes."""
+        until = asyncio.get_running_loop().time() + seconds
+        events = await super().watch(prefix, after, seconds)
+        while not events.changes:
+            if asyncio.get_running_loop().time() > until:
+                break
+            await asyncio.sleep(_READ_SECONDS / 10)
+            events = await super().watch(prefix, after, seconds)
+        return events
+
+
+class SlowListKv(MemoryKv):
+    """Takes its time to list keys."""
+
+    async def list(self, prefix):
+        """Reads all keys under a prefix."""
+        await asyncio.sleep(_READ_SECONDS)
+        return await super().list(prefix)
+
+
+async def _give_up_second():
+    members = Members(SlowListKv())
+    first, second, third = (
+        asyncio.create_task(members.catch_up()) for _ in range(3)
+    )
+    await first
+    await asyncio.sleep(_READ_SECONDS / 2)
+    second.cancel()
+    return await third
+
+
+@when(
+    "three look-ups wait for a reading of the list and the one that reads is"
+    " given up"
+)
+def step_three(context):
+    context.told = run_virtually(_give_up_second())
+
+
+@then("the others know that the store has told")
+def step_told(context):
+    assert context.told
+
+
+async def _tell_later():
+    kv = WatchedKv()
+    async with Members(kv) as early:
+        await asyncio.sleep(_PAUSE_SECONDS)
+        member = Member("new", "east", "east:1", "run")
+        kv.put(PREFIX + "new", msgspec.json.encode(member))
+        await asyncio.sleep(_PAUSE_SECONDS)
+        assert "new" in early.known
+        kv.put("other", b"")
+        late = Members(kv)
+        await late.catch_up()
+        kv.asked = 0
+        early.hear_of(late.changed)
+        await asyncio.sleep(_PAUSE_SECONDS)
+        return kv.asked
+
+
+@when(
+    '"b" hears of a change by its watch, other keys are written, and "a" reads'
+    " the list"
+)
+def step_dated_later(context):
+    context.asked = run_virtually(_tell_later())
+
+
+@then('the answer of "a" does not make "b" read the list')
+def step_not_asked(context):
+    assert not context.asked, context.asked
+
+
+@then("no domain was silent for as long as makes it suspect")
+def step_not_suspect(context):
+    longest = [max(silences.values()) for _, silences in context.found]
+    late = [each for each in longest if each > domains._STORAGE_SECONDS]
+    assert not late, (len(late), max(late))
