--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -1,11 +1,13 @@
 """Opens accounts: finds out that no other storage instance has.
 
 An account is opened with the consent of all storage instances but one, or of
-the platform's store and one other. Two sets of all but one always share a
-member, also if one of them counts members that the other does not know of
-yet; and so do all but one, and any two. Whoever agreed once refuses others,
-so two instances cannot both open an account. Whoever is cut off alone opens
-none.
+the platform's store and one other. Two sets of all but one share a member, and
+so do all but one, and any two. Whoever agreed once refuses others, so two
+instances cannot both open an account. Whoever is cut off alone opens none.
+
+Two that open one account at once may divide the others between them. Then the
+store decides, and what it says takes the place of what was agreed to, provided
+that no holder has the account open.
 """
 
 import asyncio
@@ -55,7 +57,7 @@
     """The store must decide, and may: nobody gets all others' consent.
 
     Attributes:
-        consent: What is agreed to here if the store says so.
+        consent: Who agreed; with it the account is opened if the store says so.
         is_divided: Whether some agreed to other holders.
     """
 
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -98,8 +98,8 @@
         is_closed: Whether it takes nothing any more, as the others have all.
         run: Id of this run of the process.
         is_confirmed: Whether the others still count this instance.
-        unheard: Others that have not told what they agreed to since they last
-            did not count this instance.
+        unheard: Others that may have agreed to accounts without this instance
+            and have not told of them yet.
         followed: Position up to which each other one has followed this run.
         level_at: Loop time at which this one had last all that another one,
             which was whole, had taken in.
@@ -268,7 +268,7 @@
         )
 
     def stop_to_count(self) -> None:
-        """Notes that the others may have agreed to accounts without this one.
+        """Notes that this instance was perhaps not counted by the others.
 
         Until each has told what they agreed to, it grants nothing alone to
         programs that it has not heard of.
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -111,7 +111,12 @@
         unregistered: Members that answer though their registration is gone.
         seen: Seconds since 1970 at which each member was last known of.
         recalled: Loop time until which members count that there were before
-            this process started.
+            this process started, by name.
+        late: Waits for a change that others have heard of.
+        reading: Held while the store is read, by one at a time.
+        readings: Readings begun so far.
+        ended_reading: Number of the newest reading that has ended.
+        is_level: Whether the store answered then.
 
     Args:
         kv: The platform's store.
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -413,7 +413,7 @@
         after: Position up to which everything was taken.
         asker_run: Run of the one that asks.
         with_accounts: Whether accounts that the asker should hold are wanted
-            too: its disk is new or was lost.
+            too: it may have missed permissions, or lost its disk.
     """
 
     asker: str
