--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -145,10 +145,7 @@
                 self.keeper.name,
                 progress.run,
                 progress.position,
-                # Also when whole: it may have been away when others
-                # recorded permissions, and be the last to hold the account.
-                with_accounts=True,
-                asker_run=self.keeper.run,
+                self.keeper.run,
             ),
             _ASK_SECONDS,
         )
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -456,7 +456,7 @@
         wanted = [
             account
             for account in accounts
-            if ask.with_accounts and ask.asker in account.place.holders
+            if ask.asker in account.place.holders
         ]
         turns = [
             TurnRef(entry, held.kept.key)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -412,14 +412,11 @@
         run: Run of the one that is asked.
         after: Position up to which everything was taken.
         asker_run: Run of the one that asks.
-        with_accounts: Whether accounts that the asker should hold are wanted
-            too: it may have missed permissions, or lost its disk.
     """
 
     asker: str
     run: str
     after: int
-    with_accounts: bool = False
     asker_run: str = ""
 
 
@@ -431,7 +428,8 @@
         position: Where to go on.
         turns: Turns kept.
         homes: Homes written down.
-        accounts: Accounts that the asker should hold, if it wants them.
+        accounts: Accounts that the asker should hold. It may have missed
+            permissions, and be the last to hold them.
         whole: Whether the instance has all that it should.
         more: Whether there is more at once.
         revision: As in ``Pong``.
