Take messages of ZeroMQ without a future for each

An answer between instances took some 300 us, most of it the way of the message.

Cause: each message passed through zmq.asyncio, which makes a future for each receive and each send on both sides, a second one for the reply and a time-out context, and goes around the event loop for each.

Change: `wire.requests` polls its sockets itself. ZeroMQ's descriptor is read by the event loop, and all that there is to receive is taken in a row; a message goes out at once if it can, and else when the socket says so. The time-out is one timer. What callers rely on stays: requests that were given up before there was a connection are not sent later; a connection that has heard nothing is made anew; one on which others wait is closed after them.

--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -12,13 +12,11 @@
 
 import msgspec
 import zmq
-import zmq.asyncio
 
 from rattanmill_core import (
     Metrics,
     SettingsError,
     log_event,
-    start_loop,
     warn_event,
 )
 
@@ -29,6 +27,9 @@
 # Requests under way at a time; more means that this process can't keep up,
 # and the asker does better to ask another one.
 _MOST_SERVED = 2000
+# Messages taken in a row before other work has its turn.
+_AT_ONCE = 50
+_LINGER_MS = 100
 
 Serve = Callable[[Any], Awaitable[Any]]
 
@@ -53,6 +54,74 @@
             return None
 
 
+class _Socket:
+    """A ZeroMQ socket on the event loop, without a future for each message.
+
+    Its descriptor becomes readable once for any number of changes, and a call
+    that sends may take that sign away. So what there is to receive is looked
+    for after each sign and after each message sent.
+
+    Args:
+        kind: ZeroMQ's kind of socket.
+        received: Called with the frames of each message.
+        writable: Called when messages may go out again.
+    """
+
+    def __init__(
+        self,
+        kind: int,
+        received: Callable[[list[bytes]], None],
+        writable: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.socket = zmq.Context.instance().socket(kind)
+        _bound(self.socket)
+        self.received = received
+        self.writable = writable
+        self.loop = asyncio.get_running_loop()
+        self.is_due = False
+        self.loop.add_reader(self.socket.fd, self._look)
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Sends a message; False if there is no connection or no room.
+
+        Raises:
+            zmq.ZMQError: It can't be sent.
+        """
+        try:
+            self.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again:
+            is_sent = False
+        else:
+            is_sent = True
+        if self.socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            self._look_soon()
+        return is_sent
+
+    def close(self, linger_ms: int = 0) -> None:
+        """Closes it; what was sent has so long to get out."""
+        if not self.socket.closed:
+            self.loop.remove_reader(self.socket.fd)
+            self.socket.close(linger=linger_ms)
+
+    def _look_soon(self) -> None:
+        if not self.is_due:
+            self.is_due = True
+            self.loop.call_soon(self._look)
+
+    def _look(self) -> None:
+        self.is_due = False
+        for _ in range(_AT_ONCE):
+            if self.socket.closed:
+                return
+            try:
+                frames = self.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                self.writable()
+                return
+            self.received(frames)
+        self._look_soon()
+
+
 class RequestServer:
     """Answers requests at one address, each in a task of its own.
 
@@ -70,47 +139,39 @@
         self.codec = codec
         self.serve = serve
         self.metrics = metrics
-        self.context = zmq.asyncio.Context.instance()
         self.tasks: set[asyncio.Task] = set()
-        self.loop_task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
-        self.socket = self.context.socket(zmq.ROUTER)
-        _bound(self.socket)
+        self.socket = _Socket(zmq.ROUTER, self._receive)
         try:
-            self.socket.bind(f"tcp://{self.address}")
+            self.socket.socket.bind(f"tcp://{self.address}")
         except zmq.ZMQError as error:
-            self.socket.close(linger=0)
+            self.socket.close()
             raise SettingsError(
                 f"{self.address} cannot be used between instances: {error}"
             ) from error
-        self.loop_task = start_loop("requests", self._receive())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        if self.loop_task:
-            self.loop_task.cancel()
         for task in self.tasks:
             task.cancel()
-        self.socket.close(linger=100)
-
-    async def _receive(self) -> None:
-        while True:
-            frames = await self.socket.recv_multipart()
-            if len(frames) != 3 or len(self.tasks) >= _MOST_SERVED:
-                self.metrics.count("rattanmill_requests_dropped")
-                continue
-            task = asyncio.create_task(self._answer(*frames))
-            self.tasks.add(task)
-            task.add_done_callback(self._ended)
+        self.socket.close(_LINGER_MS)
+
+    def _receive(self, frames: list[bytes]) -> None:
+        if len(frames) != 3 or len(self.tasks) >= _MOST_SERVED:
+            self.metrics.count("rattanmill_requests_dropped")
+            return
+        task = asyncio.create_task(self._answer(*frames))
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
 
     async def _answer(self, sender: bytes, number: bytes, data: bytes) -> None:
         message = self.codec.decode(data)
         if message is None:
             return
         reply = await self.serve(message)
-        frames = [sender, number, self.codec.encode(reply)]
-        await self.socket.send_multipart(frames)
+        # A peer that reads nothing gets no more once its queue is full.
+        self.socket.send([sender, number, self.codec.encode(reply)])
 
     def _ended(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
@@ -121,24 +182,18 @@
 
 
 class _Channel:
-    """One connection to a peer.
+    """One connection to a peer; closed only once nobody waits on it."""
 
-    It is closed only once nobody waits on it: closing a ZeroMQ socket cancels
-    whoever is sending there, which looks as if that task itself had been
-    cancelled, and its caller would be left without an answer.
-    """
-
-    def __init__(self, context: zmq.asyncio.Context, address: str) -> None:
-        self.socket = context.socket(zmq.DEALER)
-        _bound(self.socket)
+    def __init__(self, address: str) -> None:
+        self.socket = _Socket(zmq.DEALER, self._receive, self._send_late)
         # Without it, requests queue for a peer that is down, and reach it
         # long after their askers have given up.
-        self.socket.immediate = True
-        self.socket.connect(f"tcp://{address}")
+        self.socket.socket.immediate = True
+        self.socket.socket.connect(f"tcp://{address}")
         self.waiting: dict[bytes, asyncio.Future] = {}
+        self.unsent: dict[bytes, bytes] = {}
         self.heard_at = float("-inf")
         self.is_given_up = False
-        self.task = start_loop("replies", self._receive())
 
     async def ask(self, number: bytes, data: bytes, seconds: float) -> bytes:
         """Sends a request and returns the reply.
@@ -147,14 +202,17 @@
             TimeoutError: There was none in time.
             zmq.ZMQError: It could not be sent.
         """
-        future = asyncio.get_running_loop().create_future()
-        self.waiting[number] = future
+        loop = self.socket.loop
+        future = self.waiting[number] = loop.create_future()
+        timer = loop.call_later(seconds, _time_out, future)
         try:
-            async with asyncio.timeout(seconds):
-                await self.socket.send_multipart([number, data])
-                return await future
+            if not self.socket.send([number, data]):
+                self.unsent[number] = data
+            return await future
         finally:
+            timer.cancel()
             del self.waiting[number]
+            self.unsent.pop(number, None)
             self._close_if_unused()
 
     def give_up(self) -> None:
@@ -164,16 +222,27 @@
 
     def _close_if_unused(self) -> None:
         if self.is_given_up and not self.waiting:
-            self.task.cancel()
-            self.socket.close(linger=0)
+            self.socket.close()
+
+    def _send_late(self) -> None:
+        """Sends what had to wait for a connection, or for room."""
+        while self.unsent:
+            number = next(iter(self.unsent))
+            if not self.socket.send([number, self.unsent[number]]):
+                return
+            del self.unsent[number]
+
+    def _receive(self, frames: list[bytes]) -> None:
+        number, data = frames
+        self.heard_at = self.socket.loop.time()
+        future = self.waiting.get(number)
+        if future is not None and not future.done():
+            future.set_result(data)
+
 
-    async def _receive(self) -> None:
-        while True:
-            number, data = await self.socket.recv_multipart()
-            self.heard_at = asyncio.get_running_loop().time()
-            future = self.waiting.get(number)
-            if future is not None and not future.done():
-                future.set_result(data)
+def _time_out(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_exception(TimeoutError())
 
 
 class RequestLink:
@@ -194,7 +263,6 @@
         self.failures = 0
         self.heard_at = float("-inf")
         self.numbers = itertools.count()
-        self.context = zmq.asyncio.Context.instance()
         self.channel: _Channel | None = None
 
     async def ask(self, message: msgspec.Struct, seconds: float) -> Any:
@@ -203,7 +271,7 @@
         None says nothing about whether the request was carried out.
         """
         if self.channel is None:
-            self.channel = _Channel(self.context, self.address)
+            self.channel = _Channel(self.address)
         channel = self.channel
         number = next(self.numbers).to_bytes(8, "big")
         asked_at = asyncio.get_running_loop().time()
@@ -251,7 +319,7 @@
             self.close()
 
 
-def _bound(socket: zmq.asyncio.Socket) -> None:
+def _bound(socket: zmq.Socket) -> None:
     socket.sndhwm = _QUEUE_MESSAGES
     socket.rcvhwm = _QUEUE_MESSAGES
     socket.linger = 0
