Refuse at once what a shutdown keeps waiting behind a long call

Seen by callers: while an instance shuts down and finishes a long stream, every other call of that stream's shard waited three leases (6 s with the test's leases, 9 s by default) and was then refused `not_owner`. Such calls are turns and acts of the shard's programs, acts without a program whose key falls there, and one in six of the new programs asked for at the instance.

The scenario makes three calls without a program, three new programs and one act, one after the other, beside a stream of ten seconds. The stream had shard 0 of alba-north; the log has 'Draining' at 10:37:31.393, all other shards given by 31.416, and shard 0 at 41.456. Each of the last four calls meets the stream's shard with a chance of 1 in 6. The test was right: the product made callers wait for what could not come.

Change: a shard that is handed over stands with the node, with the time since which it is. For the first second a call waits as before, as a shard without a long call has its next owner within milliseconds. After that a call of it is refused `shutting_down`, not run, with a time to come back; other instances pass that on instead of waiting too. A new program goes to a shard whose owner lives and stays.

Test: 'A long stream keeps its shard from its next owner'. Before the change it failed in its first step (reason `not_owner`), and with that step left out in its second (a new program refused with 503).

--- a/libs/entry/src/rattanmill_entry/handover.py
+++ b/libs/entry/src/rattanmill_entry/handover.py
@@ -4,8 +4,9 @@
 import time
 from collections.abc import Callable
 
+from rattanmill_core import loop_seconds
 from rattanmill_entry.members import share, staying
-from rattanmill_entry.node import Node
+from rattanmill_entry.node import Node, Parting
 from rattanmill_entry.owners import NOBODY, give_shard
 from rattanmill_platform import (
     Conflict,
@@ -24,7 +25,6 @@
     """Shards on their way from this instance to others.
 
     Attributes:
-        leaving: Shards that are neither served here nor owned elsewhere yet.
         unsure: Whether a change of owners may or may not have been stored.
         next_move: When a move is tried again after one that failed.
 
@@ -39,7 +39,6 @@
         self.node = node
         self.domain = node.settings.domain
         self.note = note
-        self.leaving: dict[tuple[str, int], Shard] = {}
         self.unsure = False
         self.moving: asyncio.Task | None = None
         self.next_move = 0.0
@@ -86,13 +85,13 @@
         key = shard.log.name
         if self.node.shards.pop(key, None) is not shard:
             return False
-        self.leaving[key] = shard
+        self.node.parting[key] = Parting(shard, loop_seconds())
         try:
             ready = await shard.drain(patience)
             ready = ready and await shard.log.flush(flush_seconds)
             changed = await self._store_gift(shard, target) if ready else None
         finally:
-            del self.leaving[key]
+            del self.node.parting[key]
         if isinstance(changed, Unavailable):
             # It may be another's already: load it anew if it is not.
             self.unsure = True
@@ -157,7 +156,7 @@
         others = self._successors()
         for number, owner in enumerate(owners.shards if owners else ()):
             key = (self.domain, number)
-            here = key in self.node.shards or key in self.leaving
+            here = key in self.node.shards or key in self.node.parting
             mine = owner.incarnation == self.node.incarnation
             if not mine or here:
                 continue
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -38,6 +38,18 @@
     at: float
 
 
+class Parting(msgspec.Struct, frozen=True):
+    """A shard on its way from this instance to another.
+
+    Attributes:
+        shard: The shard, which takes no calls any more.
+        since: Loop time at which it stopped to.
+    """
+
+    shard: Shard
+    since: float
+
+
 class Node:
     """What the parts of one daemon share.
 
@@ -46,6 +58,7 @@
         incarnation: Random id of this run.
         config: Operators' configuration in force here.
         shards: Shards owned, by failure domain and number.
+        parting: Shards that are neither served here nor owned elsewhere yet.
         addresses: Last known record of each instance ever seen.
         suspects: Owners of our domain whose lease has lapsed, with the loop
             time since which they get heartbeats from here.
@@ -78,6 +91,7 @@
         self.settings = settings
         self.incarnation = incarnation
         self.shards: dict[tuple[str, int], Shard] = {}
+        self.parting: dict[tuple[str, int], Parting] = {}
         self.addresses: dict[str, InstanceRecord] = {}
         self.suspects: dict[str, float] = {}
         self.gone_since: dict[str, float] = {}
--- a/libs/entry/src/rattanmill_entry/ownership.py
+++ b/libs/entry/src/rattanmill_entry/ownership.py
@@ -147,7 +147,8 @@
         stored = await read_owners(node.kv, self.domain, self._count(None))
         if isinstance(stored, Unavailable):
             return
-        held = [*node.shards.values(), *self.handover.leaving.values()]
+        parting = [each.shard for each in node.parting.values()]
+        held = [*node.shards.values(), *parting]
         for shard in held:
             if self._is_lost(shard, stored.owners):
                 self._drop(shard)
@@ -188,7 +189,7 @@
     async def _load_owned(self, owners: DomainShards | None) -> None:
         for number, owner in enumerate(owners.shards if owners else []):
             key = (self.domain, number)
-            here = key in self.node.shards or key in self.handover.leaving
+            here = key in self.node.shards or key in self.node.parting
             paused = time.monotonic() < self.not_before.get(key, 0.0)
             if self._mine(owner) and not here and not paused:
                 await self._load(number, owner.epoch)
--- a/libs/entry/src/rattanmill_entry/route.py
+++ b/libs/entry/src/rattanmill_entry/route.py
@@ -10,9 +10,10 @@
 import random
 
 from rattanmill_core import Ran, Reason, Refusal, parse_program_id, refuse
+from rattanmill_entry.members import staying
 from rattanmill_entry.node import Node
 from rattanmill_entry.replies import Replies, refused
-from rattanmill_entry.serve import serve, serve_loose
+from rattanmill_entry.serve import not_served, serve, serve_loose
 from rattanmill_platform import InstanceRecord, ShardOwner
 from rattanmill_programs import LOOSE_TOKEN
 from rattanmill_wire import CallKind, CallStart, ReplyHead, ReplyRefused
@@ -80,7 +81,7 @@
             yield reply
     elif owner is None or owner.name == node.settings.name:
         detail = "The program has no owner at the moment."
-        yield refused(start, refuse(Reason.NOT_OWNER, detail))
+        yield refused(start, not_served(node, start, detail))
     else:
         peer = node.hub.peer(owner.name, peer_address(node, owner))
 
@@ -107,13 +108,29 @@
 
 
 def home_shard(node: Node) -> str:
-    """Returns a shard for a new program, best one owned by this instance."""
+    """Returns a shard for a new program, best one owned by this instance.
+
+    Else one whose owner lives and stays: a shard that is handed over may have
+    no owner until its last call has ended.
+    """
     domain = node.settings.domain
     own = [shard for name, shard in node.shards if name == domain]
-    if own:
-        return f"{domain}.{random.choice(own)}.{LOOSE_TOKEN}"
-    count = shard_count(node, domain)
-    return f"{domain}.{random.randrange(count)}.{LOOSE_TOKEN}"
+    chosen = random.choice(
+        own or _kept_shards(node) or range(shard_count(node, domain))
+    )
+    return f"{domain}.{chosen}.{LOOSE_TOKEN}"
+
+
+def _kept_shards(node: Node) -> list[int]:
+    """Shards of our domain whose owners are others that stay."""
+    owners = node.live.shards.get(node.settings.domain)
+    others = staying(node)
+    others.pop(node.settings.name, None)
+    return [
+        number
+        for number, owner in enumerate(owners.shards if owners else ())
+        if owner.owner and others.get(owner.owner) == owner.incarnation
+    ]
 
 
 def shard_count(node: Node, domain: str) -> int:
--- a/libs/entry/src/rattanmill_entry/serve.py
+++ b/libs/entry/src/rattanmill_entry/serve.py
@@ -3,6 +3,8 @@
 from rattanmill_core import (
     Ran,
     Reason,
+    Refusal,
+    loop_seconds,
     new_id,
     parse_program_id,
     refuse,
@@ -33,6 +35,9 @@
 from rattanmill_programs import LOOSE_TOKEN, Program, Shard
 from rattanmill_wire import CallKind, CallStart, ReplyChunk, ReplyEnd, ReplyHead
 
+# Shards without a long call have their next owner long before.
+_PARTING_SECONDS = 1.0
+
 
 async def serve(node: Node, start: CallStart) -> Replies:
     """Serves a call of a program (or shard) that this instance owns."""
@@ -40,7 +45,7 @@
     shard = node.shards.get((owned.domain, owned.shard)) if owned else None
     if shard is None or shard.log.fenced:
         detail = "This instance does not own the program."
-        yield refused(start, refuse(Reason.NOT_OWNER, detail))
+        yield refused(start, not_served(node, start, detail))
         return
     if not node.lease.holds():
         yield ownership_lost(start, Ran.NO)
@@ -50,6 +55,27 @@
             yield reply
 
 
+def not_served(node: Node, start: CallStart, detail: str) -> Refusal:
+    """Returns the refusal of a call whose shard is not served here.
+
+    A caller waits for a takeover; not for a shutdown that waits in turn for
+    a call of the shard to end, which may take as long as a shutdown does.
+
+    Args:
+        node: The daemon's context.
+        start: The call.
+        detail: What to say if the next owner is due at any moment.
+    """
+    owned = parse_program_id(start.program)
+    parting = node.parting.get((owned.domain, owned.shard)) if owned else None
+    if parting is None or not node.draining:
+        return refuse(Reason.NOT_OWNER, detail)
+    if loop_seconds() - parting.since < _PARTING_SECONDS:
+        return refuse(Reason.NOT_OWNER, detail)
+    detail = "The program's owner shuts down after a call that is under way."
+    return refuse(Reason.SHUTTING_DOWN, detail)
+
+
 async def _serve_owned(node: Node, shard: Shard, start: CallStart) -> Replies:
     if start.kind is CallKind.CREATE:
         for reply in await lifecycle.create(node, shard, start):
--- a/tests/features/shutdown.feature
+++ b/tests/features/shutdown.feature
@@ -33,6 +33,17 @@
     And every one of those calls is answered whole
     And what was told to end exits with 0
 
+  Scenario: A long stream keeps its shard from its next owner
+    The next owner is due when the stream has ended, which may take as long as
+    a shutdown may. Callers of that shard each waited three leases for it, new
+    programs that happened to be put there, too.
+
+    When a long stream keeps an instance that is told to end
+    Then calls of the stream's shard are told to come back while it runs
+    And new programs are made through that instance while it runs
+    And every one of those calls is answered whole
+    And what was told to end exits with 0
+
   Scenario: A long stream in one shard
     An instance that ends has one long stream. The programs of its other
     shards go on elsewhere long before that stream has ended.
--- a/tests/features/steps/shutdown.py
+++ b/tests/features/steps/shutdown.py
@@ -19,6 +19,7 @@
 # Ten seconds' worth: what is asked meanwhile takes a second, and several on a
 # machine that is busy.
 _LONG_TOKENS = 4000
+_NEW_PROGRAMS = 40
 
 
 @given("a system for shutdowns")
@@ -166,6 +167,34 @@
     assert answers[0].headers.get("connection") == "close", answers[0]
 
 
+@then("calls of the stream's shard are told to come back while it runs")
+def step_kept_shard(context):
+    program = context.long_program
+    calls = [
+        call
+        for client in context.clients[:2]
+        for call in (
+            chat(context, client, program, 2, 32, False),
+            context.pool.submit(client.act, random_text(), program=program),
+        )
+    ]
+    answers = [call.result() for call in calls]
+    assert not context.long.done(), "the stream ended too early to tell"
+    reasons = {a.json["reason"] for a in answers}
+    assert reasons == {"shutting_down"}, answers
+    assert all(a.json["ran"] == "no" for a in answers), answers
+    assert all("retry-after" in a.headers for a in answers), answers
+
+
+@then("new programs are made through that instance while it runs")
+def step_new_programs(context):
+    # One in six met the shard that the stream keeps.
+    for _ in range(_NEW_PROGRAMS):
+        answer = context.ended[0].client.request("POST", "/v1/programs", {})
+        assert answer.status == 201, answer
+    assert not context.long.done(), "the stream ended too early to tell"
+
+
 @then("programs of its other shards are answered while the stream runs")
 def step_elsewhere(context):
     shard = context.long_program.split(".")[1]
