Reserve the ports of a test's system as long as it lasts

A system of the tests drew random ports and looked whether each was free. In the time between that look and the listening of the process, and again between the end of a killed stand-in and its start at the old address, another feature that ran beside could draw the same port. The stand-in then ended with 'address already in use', and what followed was refused.

Made on purpose, a one-off trial: an engine is killed, its port is taken by another socket, and the engine is started again: the start was given up after 60.1 s with '[Errno 98] ... address already in use' in the engine's output.

Change: each address that is drawn is held by a bound socket that does not listen, until the system ends. It is bound without SO_REUSEADDR, so that no two systems get the same; set afterwards, the option lets the system's own processes listen there, and start again there. Fixed ports (`make up`) are as before.

Test: stacks.feature, 'The port of a process that has ended'. Without holding the sockets its third step fails: another system is given the port.

--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -97,7 +97,6 @@
         self.processes: dict[str, Process] = {}
         self.instances: list[Instance] = []
         self.next_port = layout.first_port
-        self.used_ports: set[tuple[str, int]] = set()
 
     def __enter__(self) -> Self:
         try:
@@ -164,19 +163,17 @@
         return engines + services
 
     def address(self, host: str) -> str:
-        """Returns an address that nobody uses."""
+        """Returns an address that nobody else uses as long as this lasts."""
         if self.next_port:
             self.next_port += 1
             return f"{host}:{self.next_port - 1}"
         # Below the range from which the system takes ports for outgoing
-        # connections: one of these would take the port between our look and
-        # the start of its process, which then fails to listen.
+        # connections: they do not stop at a reservation.
         while True:
             port = random.randrange(*_PORTS)
-            if (host, port) in self.used_ports or not _is_free(host, port):
-                continue
-            self.used_ports.add((host, port))
-            return f"{host}:{port}"
+            if reserved := reserve(host, port):
+                self.stack.enter_context(reserved)
+                return f"{host}:{port}"
 
     def start_standin(
         self, name: str, host: str, module: str, *arguments: str
@@ -360,13 +357,21 @@
             self.standins[f"relay-{domain}"].faults(cut_sources=[])
 
 
-def _is_free(host: str, port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
-    return True
+def reserve(host: str, port: int) -> socket.socket | None:
+    """Takes a port until the socket is closed; None if it is in use.
+
+    A stack's process can still listen there, as it binds with SO_REUSEADDR;
+    what looks for a free port binds without, and passes on to another one,
+    also before the process has begun to listen and after it has ended.
+    """
+    reserved = socket.socket()
+    try:
+        reserved.bind((host, port))
+    except OSError:
+        reserved.close()
+        return None
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return reserved
 
 
 def random_text(size: int = 12) -> str:
