A budget scenario gets its owner to wait, whatever a probe meets

That step kills the engine, puts a listener that takes no connection in its place, and waits until the owner has a turn under way there; it starts the engine again last. The engine was left dead, and every further scenario was refused at the engine's address.

The probe of another instance met the moment between the engine's end and the listener's begin: one probe 'refused' there, the sign passed on to the owner (seen_by peer), the engine 'down' for all, and the turn refused at once with `no_endpoint`. The listener never answers, so the engine stays down, the owner has nothing under way, and the step waits in vain. The product is right: the engine was dead.

Change: the step looks for the instance that waits, and freezes that one. If the turn was refused before it could wait, the engine is started again and the situation is set up anew; only the set-up is repeated, none of what is checked. What takes no connections stands in one place for budgets and acts, and no longer fails if a probe has filled its queue before.

Tests: a new scenario replays the cause: the instances have seen the engine die before.

--- a/tests/features/budget.feature
+++ b/tests/features/budget.feature
@@ -26,6 +26,17 @@
     And the old owner wakes up and finishes
     Then the engines made at most 8000 tokens for it
 
+  Scenario: The old owner wakes up after a takeover, its engine died before
+    The same with an engine that had died and is back: whoever saw it dead
+    sends it nothing at first, and the owner must wait for it all the same.
+
+    Given a program with a budget of 8000 tokens
+    And the instances have seen the engine die
+    When the owner is frozen while it waits for an engine
+    And turns are sent through the next owner until the budget is spent
+    And the old owner wakes up and finishes
+    Then the engines made at most 8000 tokens for it
+
   Scenario: An engine cuts every answer
     An engine makes all tokens and its answers are lost each time. Uncounted,
     the program would spend without end.
--- a/tests/features/steps/acts.py
+++ b/tests/features/steps/acts.py
@@ -2,11 +2,11 @@
 
 import concurrent.futures
 import contextlib
-import socket
 
 from behave import given, then, when
 
 from support import Client, Layout, ServiceSpec, start, wait_until
+from support.deaf import deaf
 from support.stack import random_text
 
 _LAYOUT = Layout(
@@ -163,15 +163,8 @@
     context.deaf = context.scenario_stack.enter_context(contextlib.ExitStack())
     for office in _OFFICES:
         step_gone(context, office)
-        host, port = context.system.standins[office].address.split(":")
-        listener = context.deaf.enter_context(socket.socket())
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
-        listener.listen(0)
-        # The first connection fills the queue; later ones get no answer.
-        context.deaf.enter_context(
-            socket.create_connection((host, int(port)), 5)
-        )
+        address = context.system.standins[office].address
+        context.deaf.enter_context(deaf(address))
 
 
 @when("the owner of the program is connecting to an office")
--- a/tests/features/steps/budget.py
+++ b/tests/features/steps/budget.py
@@ -3,12 +3,12 @@
 import concurrent.futures
 import contextlib
 import itertools
-import socket
 import time
 
 from behave import given, then, when
 
 from support import EngineSpec, Layout, start, wait_until
+from support.deaf import deaf
 
 _LAYOUT = Layout(
     domains=("alba-west",),
@@ -149,36 +149,77 @@
         system.wait_ready()
 
 
+@given("the instances have seen the engine die")
+def step_engine_died(context):
+    end_engine(context)
+    wait_until(
+        lambda: all(
+            endpoint["state"] == "down"
+            for i in living(context)
+            for endpoint in endpoints(i)
+            if endpoint["name"] == "engine-1"
+        ),
+        "the engine is down for all",
+    )
+
+
+def endpoints(instance):
+    return instance.client.request("GET", "/v1/admin/endpoints").json
+
+
+def end_engine(context):
+    """Ends the engine; what it has made goes on to count."""
+    context.base = -made(context)
+    context.system.processes["engine-1"].kill()
+
+
+def connecting(context):
+    """Returns the instance that waits for an endpoint, if one does."""
+    for instance in living(context):
+        if any(each["in_flight"] for each in endpoints(instance)):
+            return instance
+    return None
+
+
+def send_to_deaf_engine(context, deafness):
+    """Sends a turn that waits for an engine which takes no connection.
+
+    A probe that meets the moment after the engine's end and before anything
+    listens in its place finds it dead, and then no turn is sent there.
+
+    Returns:
+        The instance that waits, or None if it has refused the turn.
+    """
+    system = context.system
+    deafness.close()
+    if not system.processes["engine-1"].alive:
+        system.restart_engine("engine-1")
+        system.wait_open()
+    end_engine(context)
+    deafness.enter_context(deaf(system.standins["engine-1"].address))
+    client = system.owner_of(context.program).client
+    context.late = context.pool.submit(turn, client, context.program, "x", 1000)
+    wait_until(
+        lambda: connecting(context) or context.late.done(),
+        "the turn waits or is refused",
+    )
+    return connecting(context)
+
+
 @when("the owner is frozen while it waits for an engine")
 def step_frozen(context):
-    system = context.system
-    context.owner = system.owner_of(context.program)
+    with contextlib.ExitStack() as deafness:
+        # The instance that waits is the owner, also where a shard has moved
+        # since the last look.
+        context.owner = wait_until(
+            lambda: send_to_deaf_engine(context, deafness),
+            lambda: f"an owner waits: {context.late.result()}",
+        )
+        context.owner.process.pause()
     context.others = [
         i.client for i in living(context) if i.name != context.owner.name
     ]
-    context.base = -made(context)
-    system.processes["engine-1"].kill()
-    host, port = system.standins["engine-1"].address.split(":")
-    with contextlib.ExitStack() as deaf:
-        listener = deaf.enter_context(socket.socket())
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
-        listener.listen(0)
-        # The first connection fills the queue; later ones get no answer.
-        deaf.enter_context(socket.create_connection((host, int(port)), 5))
-        client = context.owner.client
-        context.late = context.pool.submit(
-            turn, client, context.program, "x", 1000
-        )
-        wait_until(
-            lambda: sum(
-                e["in_flight"]
-                for e in client.request("GET", "/v1/admin/endpoints").json
-            ),
-            "the owner is connecting",
-        )
-        context.owner.process.pause()
-    system.restart_engine("engine-1")
+    context.system.restart_engine("engine-1")
 
 
 @when("turns are sent through the next owner until the budget is spent")
