One scenario's wreck fails no others, and its cause stays in the output

Of the output the last 20,000 letters were kept, so the first failure was cut off, and what had become of the stand-ins was not printed.

Change: after a scenario that failed, or whose clean-up did, the feature's system is ended, and the next scenario starts another. All features whose scenarios share a system keep it in the same place for that; three ways of their own are gone. The output of a failed scenario has the state ('running', 'ended with -9') and the last lines of the stand-ins, too. A long output of a failed feature loses its middle, not its beginning, and the run ends with one line for each failed scenario: file, line, step and message.

Test: stacks.feature, 'A scenario leaves a wreck behind', runs a feature that fails on purpose. With the hooks and the runner as they were it fails in its second step ('0 passed, 3 failed'), also with the new runner alone; with the new hooks alone in its third, as the stand-in's end is cut off.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -18,14 +18,25 @@
 _KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 _AT_ONCE = 4
 _SECONDS = 1200
+# The first failure of a feature is what led to the others.
+_FIRST_LETTERS = 40_000
+_LAST_LETTERS = 20_000
 
 
 class Result(msgspec.Struct):
-    """Scenarios of one feature file by verdict."""
+    """Scenarios of one feature file by verdict.
+
+    Attributes:
+        passed: Scenarios that passed.
+        failed: Scenarios that failed, or whose feature broke off.
+        skipped: Scenarios that were not run.
+        failures: One line for each that failed.
+    """
 
     passed: int = 0
     failed: int = 0
     skipped: int = 0
+    failures: list[str] = []
 
 
 def known_red() -> list[str]:
@@ -64,20 +75,30 @@
         result = read_report(pathlib.Path(report.name))
     if done.returncode and not result.failed:
         result.failed += 1
+        result.failures.append(f"{path.name}: ended with {done.returncode}")
     verdict = "ok" if not result.failed else "FAILED"
     print(f"{verdict:7}{path.name}: {result.passed} passed", flush=True)
     if result.failed:
-        print(done.stdout[-20_000:], done.stderr[-5000:], flush=True)
+        print(shortened(done.stdout), shortened(done.stderr), flush=True)
     return result
 
 
+def shortened(text: str) -> str:
+    """Returns a text without its middle if it is long."""
+    cut = len(text) - _FIRST_LETTERS - _LAST_LETTERS
+    if cut <= 0:
+        return text
+    first, last = text[:_FIRST_LETTERS], text[-_LAST_LETTERS:]
+    return f"{first}\n[{cut} letters left out]\n{last}"
+
+
 def read_report(path: pathlib.Path) -> Result:
     """Counts scenarios in behave's JSON report."""
     result = Result()
     try:
         features = json.loads(path.read_text(encoding="utf-8") or "[]")
-    except json.JSONDecodeError:
-        return Result(failed=1)
+    except json.JSONDecodeError as error:
+        return Result(failed=1, failures=[f"no report: {error}"])
     for feature in features:
         for element in feature.get("elements", []):
             if element["type"] == "background":
@@ -89,9 +110,28 @@
                     result.skipped += 1
                 case _:
                     result.failed += 1
+                    result.failures.append(describe(element))
     return result
 
 
+def describe(element: dict) -> str:
+    """Returns where and why a scenario failed, in one line."""
+    failed = (
+        step
+        for step in element.get("steps", [])
+        if step.get("result", {}).get("status") in ("failed", "error")
+    )
+    step = next(failed, {"name": "no step", "result": {}})
+    message = step["result"].get("error_message", "")
+    lines = message.splitlines() if isinstance(message, str) else message
+    # A traceback tells at its end, a failed check at its beginning.
+    line = (
+        lines[-1] if lines and "Traceback" in lines[0] else "".join(lines[:1])
+    )
+    place = f"{element['location']} {element['name']}"
+    return f"{place}: {step['name']}: {line.strip()}"
+
+
 def main() -> int:
     """Runs the features; returns the exit code."""
     paths = [pathlib.Path(a) for a in sys.argv[1:]]
@@ -103,6 +143,9 @@
     passed = sum(r.passed for r in results)
     failed = sum(r.failed for r in results)
     skipped = sum(r.skipped for r in results)
+    for result in results:
+        for failure in result.failures:
+            print(f"Failed: {failure}")
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 1 if failed or not passed else 0
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -3,6 +3,9 @@
 import contextlib
 import os
 
+from support.shared import end
+
+_LINES = 15
 _KNOWN_RED = frozenset(os.environ.get("KNOWN_RED", "").splitlines())
 
 
@@ -23,10 +26,18 @@
 
 
 def after_scenario(context, scenario):
-    context.scenario_stack.close()
-    if scenario.status.name not in ("passed", "skipped") and context.system:
-        for instance in context.system.instances:
-            print(f"--- {instance.name}\n{instance.process.tail(15)}")
+    is_well = scenario.status.name in ("passed", "skipped")
+    if not is_well and context.system:
+        print(context.system.last_output(_LINES))
+    try:
+        context.scenario_stack.close()
+    except BaseException:
+        is_well = False
+        raise
+    finally:
+        # What a scenario that broke off leaves behind must not fail others.
+        if not is_well:
+            end(context)
 
 
 def before_all(context):
--- a/tests/features/stacks.feature
+++ b/tests/features/stacks.feature
@@ -10,3 +10,13 @@
     When its engine is killed
     Then no other system is given the engine's port
     And the engine starts again at its old address
+
+  Scenario: A scenario leaves a wreck behind
+    A scenario breaks off while a stand-in is dead. The scenarios after it
+    failed at it, the output did not tell of the stand-in, and the first
+    failure was cut from the output, so that its cause could not be found.
+
+    When a feature runs whose first scenario leaves a wreck behind
+    Then its second scenario passes
+    And the output tells how the stand-in ended
+    And the output shows the first failure and its place
--- a/tests/features/steps/cli.py
+++ b/tests/features/steps/cli.py
@@ -14,7 +14,7 @@
 from rattanmill_cli.classes import edit_field
 from rattanmill_cli.link import Link
 from rattanmill_core import RattanmillError
-from support import Layout, Stack, wait_until
+from support import Layout, start, wait_until
 from support.command import run_command
 
 
@@ -52,16 +52,8 @@
 
 @given("a system that all scenarios of the feature share")
 def step_shared(context):
-    """Starts it with the first scenario.
-
-    What a step sets on the context ends with its scenario; the feature's own
-    stack does not.
-    """
-    stack = context.feature_stack
-    if not hasattr(stack, "shared"):
-        stack.shared = stack.enter_context(Stack(Layout()))
-    context.system = stack.shared
-    context.clients = [i.client for i in context.system.instances]
+    """Starts it with the first scenario."""
+    start(context, Layout())
 
 
 @given('the file "{name}" has')
--- a/tests/features/steps/endpoints.py
+++ b/tests/features/steps/endpoints.py
@@ -6,7 +6,7 @@
 import msgspec
 from behave import given, then, when
 
-from support import EngineSpec, Layout, ServiceSpec, Stack, wait_until
+from support import EngineSpec, Layout, ServiceSpec, start, wait_until
 from support.stack import random_text
 
 _AT_ONCE = 24
@@ -17,22 +17,9 @@
 )
 
 
-def start_once(context, layout):
-    """Starts one system for the whole feature.
-
-    What a step sets on the context ends with its scenario; the feature's
-    stack does not.
-    """
-    stack = context.feature_stack
-    if getattr(stack, "system", None) is None:
-        stack.system = stack.enter_context(Stack(layout))
-    context.system = stack.system
-    context.clients = [i.client for i in context.system.instances]
-
-
 @given("endpoints in three failure domains, and a list that lags")
 def step_endpoints(context):
-    start_once(context, LAYOUT)
+    start(context, LAYOUT)
     wait_until(
         lambda: all(
             set(phases(context, name).values()) == {"live"}
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -11,7 +11,7 @@
 
 from behave import given, then, when
 
-from support import Client, Layout, Stack, wait_until
+from support import Client, Layout, start, wait_until
 from support.command import run_command
 from support.stack import Instance, random_text
 
@@ -43,12 +43,8 @@
     "a system with logs in JSON and an instance that asks for token and keys"
 )
 def step_guarded(context):
-    stack = context.feature_stack
-    if not hasattr(stack, "guarded"):
-        stack.guarded = stack.enter_context(Stack(Layout(extra=_JSON)))
-        _guard(stack.guarded)
-    context.system = stack.guarded
-    context.clients = [i.client for i in context.system.instances]
+    if start(context, Layout(extra=_JSON)):
+        _guard(context.system)
     context.guarded = context.clients[_GUARDED]
 
 
--- a/tests/features/steps/memory.py
+++ b/tests/features/steps/memory.py
@@ -4,9 +4,8 @@
 from hypothesis import given as given_any
 from hypothesis import settings, strategies
 
-from features.steps.endpoints import start_once
 from rattanmill_policy import Pin, Pinned
-from support import Client, EngineSpec, Layout, wait_until
+from support import Client, EngineSpec, Layout, start, wait_until
 from support.stack import ALBA, random_text
 
 # The engine stands in the second domain, the programs' owners in the first.
@@ -17,7 +16,7 @@
 
 @given("engines that keep caches for programs, with fencing {fencing}")
 def step_engines(context, fencing):
-    start_once(context, LAYOUT)
+    start(context, LAYOUT)
     context.system.heal()
     for instance in context.system.instances:
         if not instance.process.alive:
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -11,10 +11,10 @@
 from hypothesis import given as given_any
 from hypothesis import settings, strategies
 
-from features.steps.endpoints import phases, start_once
+from features.steps.endpoints import phases
 from rattanmill_core import CrashNote
 from rattanmill_policy import Quarantine
-from support import EngineSpec, Layout, ServiceSpec, wait_until
+from support import EngineSpec, Layout, ServiceSpec, start, wait_until
 from support.stack import random_text
 
 MARKER = "poisoned-text"
@@ -30,7 +30,7 @@
 
 @given("engines that a marked request crashes")
 def step_engines(context):
-    start_once(context, LAYOUT)
+    start(context, LAYOUT)
     restart_dead(context)
     context.marked = f"{MARKER} {random_text(200)}"
     for name in NAMES:
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -47,6 +47,14 @@
         """Whether it runs."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def state(self) -> str:
+        """In words: whether it runs, or how it ended."""
+        if self.process is None:
+            return "not started"
+        code = self.process.poll()
+        return "running" if code is None else f"ended with {code}"
+
     def kill(self) -> None:
         """Ends it at once."""
         if self.process and self.alive:
@@ -74,5 +82,7 @@
 
     def tail(self, lines: int = 30) -> str:
         """Returns the last lines of its output."""
+        if not self.log.exists():
+            return ""
         text = self.log.read_text(errors="replace")
         return "\n".join(text.splitlines()[-lines:])
--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -107,9 +107,24 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Ends all processes; more than once does no harm."""
         self.stack.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def last_output(self, lines: int) -> str:
+        """Returns each process's state and its last lines."""
+        processes = {
+            **{i.name: i.process for i in self.instances},
+            **self.processes,
+        }
+        return "\n".join(
+            f"--- {name}, {process.state}\n{process.tail(lines)}"
+            for name, process in processes.items()
+        )
+
     def _start(self) -> None:
         _, secret = zmq.curve_keypair()
         pathlib.Path(self.folder, "secret").write_bytes(secret)
