One wait a front for all prefixes of the store

What callers saw: nothing.

Change: a front's watches wait together (`joint.py`). One `StoreWatch` names further prefixes in `others`, is answered at a change of any, and the reply bears the further ones in `others`; both fields have defaults, so that an instance of an earlier version still understands a request and is understood. The wait stays 0.5 s: with 1 s `views.feature` ("An entry that lapsed is written again while it is told of") failed, since a storage instance that lags unawares holds a change up for a whole wait. A front leaves a wait as soon as the same instance has missed another request, and goes on at the next instance rather than at the store.

Both prefixes now share their turns of storage instances. What the scenario "Configuration and endpoints are read in step" guards against, one prefix that asks the stale instance each time, can't come about: one request asks for both.

Tests (mirror.feature): on the old code, with the new fields in messages.py, "have not changed for long" fails (4.0 requests a second) and "at which a front waits freezes" fails (50 moments; some beyond 1.2 s). With the new code the latter takes 0.63 s at most. Taking out the check of failures: 1.69 s. "One of two prefixes" fails when the storage instance waits for the first prefix alone. The stub `Passing` of mirror.py answers for all prefixes that it is asked for, as a storage instance does; bounds of old scenarios are unchanged.

--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -475,11 +475,21 @@
 
 
 class StoreWatch(msgspec.Struct, tag=21):
-    """Asks to watch a prefix of the platform's store for the asker."""
+    """Asks to watch prefixes of the platform's store for the asker.
+
+    Answered once one of them has changed, or when the time is over.
+
+    Attributes:
+        prefix: A prefix.
+        after: Revision up to which its changes are known.
+        seconds: How long to wait.
+        others: The same of further prefixes.
+    """
 
     prefix: str
     after: int
     seconds: float
+    others: dict[str, int] = {}
 
 
 class StoreItem(msgspec.Struct):
@@ -498,11 +508,14 @@
         revision: The store's revision.
         waits: Revision at which keys were missing that are listed on, as they
             may be back soon; 0 if there are none.
+        others: The same of the further prefixes that were asked for, without
+            those of which nothing can be said.
     """
 
     items: list[StoreItem]
     revision: int
     waits: int = 0
+    others: dict[str, "StoreItems"] = {}
 
 
 Message = (
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -61,10 +61,15 @@
         kv: The platform's store.
         prefix: What to follow.
         grace_seconds: How long a missing key may take to come back.
+        news: Set at each change; several mirrors may share it.
     """
 
     def __init__(
-        self, kv: KeyValue, prefix: str, grace_seconds: float = BACK_SECONDS
+        self,
+        kv: KeyValue,
+        prefix: str,
+        grace_seconds: float = BACK_SECONDS,
+        news: asyncio.Event | None = None,
     ) -> None:
         # A missing entry is not passed on before its grace is over: a live
         # endpoint would be taken for gone.
@@ -78,7 +83,7 @@
         )
         self.changes: collections.deque[Change] = collections.deque()
         self.floor: int | None = None
-        self.news = asyncio.Event()
+        self.news = news or asyncio.Event()
 
     @property
     def is_fresh(self) -> bool:
@@ -111,14 +116,11 @@
         Also once a missing key is waited for no more: its removal is of a
         revision that was told before.
         """
-        waited = self.waits
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                while self.is_fresh and not (
-                    self._since(after) or self.waits < waited
-                ):
-                    self.news.clear()
-                    await self.news.wait()
+        await wait_for_news(self.news, {self: after}, seconds)
+        return self.tell(after)
+
+    def tell(self, after: int) -> StoreItems | Unsure:
+        """Returns changes after a revision, as far as there are any."""
         if not self.is_fresh:
             return Unsure("the store does not answer here either")
         if self.floor is None or after < self.floor:
@@ -127,6 +129,17 @@
         revision = max(after, self.watch.revision)
         return StoreItems(items, revision, self.waits)
 
+    def has_news(self, after: int, waited: int) -> bool:
+        """Whether one who waits has to be answered.
+
+        Args:
+            after: Revision up to which the changes are known.
+            waited: ``waits`` when the wait began.
+        """
+        return (
+            not self.is_fresh or bool(self._since(after)) or self.waits < waited
+        )
+
     def _since(self, after: int) -> list[Change]:
         newer = list(
             itertools.takewhile(
@@ -146,6 +159,27 @@
         self.news.set()
 
 
+async def wait_for_news(
+    news: asyncio.Event, asked: dict[Mirror, int], seconds: float
+) -> None:
+    """Returns once one of several mirrors has news, or the time is over.
+
+    Args:
+        news: What all of them set.
+        asked: Revision up to which the changes are known, by mirror.
+        seconds: How long to wait.
+    """
+    waited = {mirror: mirror.waits for mirror in asked}
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            while not any(
+                mirror.has_news(after, waited[mirror])
+                for mirror, after in asked.items()
+            ):
+                news.clear()
+                await news.wait()
+
+
 class Mirrors:
     """Mirrors of the prefixes that fronts ask for.
 
@@ -156,6 +190,7 @@
     def __init__(self, kv: KeyValue) -> None:
         self.kv = kv
         self.mirrors: dict[str, Mirror] = {}
+        self.news = asyncio.Event()
         self.stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -167,12 +202,38 @@
 
     async def serve(self, ask: StoreList | StoreWatch) -> StoreItems | Unsure:
         """Answers a front."""
-        mirror = self.mirrors.get(ask.prefix)
-        if mirror is None:
-            grace = GRACE_SECONDS if ask.prefix == PREFIX else BACK_SECONDS
-            mirror = Mirror(self.kv, ask.prefix, grace)
-            self.mirrors[ask.prefix] = mirror
-            await self.stack.enter_async_context(mirror.watch)
+        mirror = await self._mirror(ask.prefix)
         if isinstance(ask, StoreList):
             return mirror.list_all()
-        return await mirror.wait(ask.after, ask.seconds)
+        others = {
+            await self._mirror(prefix): after
+            for prefix, after in ask.others.items()
+        }
+        asked = {mirror: ask.after, **others}
+        await wait_for_news(self.news, asked, ask.seconds)
+        said = mirror.tell(ask.after)
+        if isinstance(said, StoreItems):
+            said.others = _tell_all(others)
+        return said
+
+    async def _mirror(self, prefix: str) -> Mirror:
+        mirror = self.mirrors.get(prefix)
+        if mirror is None:
+            grace = GRACE_SECONDS if prefix == PREFIX else BACK_SECONDS
+            mirror = Mirror(self.kv, prefix, grace, self.news)
+            self.mirrors[prefix] = mirror
+            await self.stack.enter_async_context(mirror.watch)
+        return mirror
+
+
+def _tell_all(asked: dict[Mirror, int]) -> dict[str, StoreItems]:
+    """Returns the changes under each prefix of which something is known."""
+    told = {
+        mirror.watch.prefix: mirror.tell(after)
+        for mirror, after in asked.items()
+    }
+    return {
+        prefix: said
+        for prefix, said in told.items()
+        if isinstance(said, StoreItems)
+    }
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from rattanmill_core import log_event
+from rattanmill_keeper.joint import WATCH_SECONDS, JointWait
 from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import StoreItems, StoreList, StoreWatch
 from rattanmill_platform import (
@@ -30,10 +31,6 @@
 
 _Direct = TypeVar("_Direct")
 _LIST_SECONDS = 1.0
-# A watch through another instance is short: that one may be behind, and the
-# next one that is asked then tells what it lacks. An endpoint must get nothing
-# two seconds after it has said that it leaves.
-_WATCH_SECONDS = 0.5
 _ANSWER_SECONDS = 0.7
 # Directly, for want of a member; one may be there again soon.
 _DIRECT_SECONDS = 1.0
@@ -61,8 +58,11 @@
         self.mirrored = mirrored
         self.members: Members | None = None
         self.relayed = False
-        self.asked: dict[str, int] = {}
+        self.turn = 0
         self.waiting: set[str] = set()
+        self.joint = JointWait(
+            self._choose, lambda member: self.members.link(member)
+        )
 
     async def read(self, key: str) -> Found | Missing | Unavailable:
         """Reads one key."""
@@ -88,8 +88,10 @@
 
     async def list(self, prefix: str) -> Range | Unavailable:
         """Reads all keys under a prefix."""
-        said = await self._ask(
-            StoreList(prefix), _LIST_SECONDS, lambda: self.direct.list(prefix)
+        message = StoreList(prefix)
+        first = await self._list_first(message)
+        said = first or await self._ask_others(
+            message, _LIST_SECONDS, lambda: self.direct.list(prefix)
         )
         self.waiting.discard(prefix)
         if not isinstance(said, StoreItems):
@@ -118,10 +120,14 @@
             most = min(seconds, _DIRECT_SECONDS) if is_short else seconds
             return self.direct.watch(prefix, after, most)
 
-        said = await self._ask(
-            StoreWatch(prefix, after, _WATCH_SECONDS),
-            _WATCH_SECONDS + _ANSWER_SECONDS,
-            watch_directly,
+        message = StoreWatch(prefix, after, WATCH_SECONDS)
+        first = None
+        if prefix in self.mirrored:
+            first = await self.joint.wait(prefix, after)
+        if first is not None:
+            self._came(True, message)
+        said = first or await self._ask_others(
+            message, WATCH_SECONDS + _ANSWER_SECONDS, watch_directly
         )
         if not isinstance(said, StoreItems):
             return said
@@ -132,22 +138,19 @@
         changes = [(item.key, item.value) for item in said.items]
         return WatchEvents(changes, said.revision)
 
-    async def _ask(
+    async def _ask_others(
         self,
         message: StoreList | StoreWatch,
         seconds: float,
         ask_directly: Callable[[], Awaitable[_Direct]],
     ) -> StoreItems | _Direct:
-        """Asks one member, then the service itself, and then all members.
+        """Asks the service itself, and then all members.
 
         Args:
             message: What members are asked.
             seconds: How long a member may take.
             ask_directly: Asks the service the same.
         """
-        reply = await self._ask_first(message, seconds)
-        if reply is not None:
-            return reply
         said = await ask_directly()
         if not isinstance(said, Unavailable):
             self._came(False, message)
@@ -162,31 +165,26 @@
             log_event("store_direct", kind=type(message).__name__)
         self.relayed = relayed
 
-    async def _ask_first(
-        self, message: StoreList | StoreWatch, seconds: float
-    ) -> StoreItems | None:
+    async def _list_first(self, message: StoreList) -> StoreItems | None:
         """Asks one member, if the prefix is read so."""
-        prefix = message.prefix
-        member = self._choose(prefix) if prefix in self.mirrored else None
+        member = self._choose() if message.prefix in self.mirrored else None
         if member is None:
             return None
-        reply = await self.members.link(member).ask(message, seconds)
+        reply = await self.members.link(member).ask(message, _LIST_SECONDS)
         if not isinstance(reply, StoreItems):
             return None
         self._came(True, message)
         return reply
 
-    def _choose(self, prefix: str) -> Member | None:
+    def _choose(self) -> Member | None:
         """Chooses a member of this domain and others by turns.
 
         One that is cut off from the store, and does not know yet, has nothing
-        new to tell. The next one, half a second later, has. Each prefix has
-        turns of its own: with common ones, two that are read in step ask the
-        same member for ever.
+        new to tell. The next one, a wait later, has.
         """
         if self.members is None:
             return None
-        turn = self.asked[prefix] = self.asked.get(prefix, 0) + 1
+        self.turn += 1
         there = [
             member
             for member in self.members.known.values()
@@ -194,9 +192,9 @@
         ]
         near = [member for member in there if member.domain == self.domain]
         far = [member for member in there if member.domain != self.domain]
-        first, second = (near, far) if turn % 2 else (far, near)
+        first, second = (near, far) if self.turn % 2 else (far, near)
         chosen = sorted(first or second, key=lambda member: member.name)
-        return chosen[turn // 2 % len(chosen)] if chosen else None
+        return chosen[self.turn // 2 % len(chosen)] if chosen else None
 
     async def _ask_all(
         self, message: msgspec.Struct, seconds: float
--- a/tests/features/mirror.feature
+++ b/tests/features/mirror.feature
@@ -23,3 +23,31 @@
     Given a storage instance that follows "servers/" with an entry
     When the store was away for 3 seconds and the entry is missing after it
     Then a front that asks hears nothing for 1.9 seconds, and then of its removal
+
+  Scenario: Configuration and endpoints have not changed for long
+    With a wait for each of them, fronts asked twice as often, and more than
+    storage instances did anything else for them.
+
+    Given storage instances of "east, west" of which that of "none" is stale
+    When a front of "east" follows two prefixes for 60 seconds and none changes
+    Then it has asked at most 2 times a second
+
+  Scenario: The storage instance at which a front waits freezes
+    Its connection stays open and nothing comes. A front that waits out its
+    time there sends calls to an endpoint that has said that it leaves.
+
+    Given storage instances of "east, west" of which that of "none" is stale
+    When that of "east" freezes and "servers/" changes, 50 times at moments of its own
+    Then a front of "east" has heard of each change within 1.2 seconds
+
+  Scenario Outline: One of two prefixes that are waited for together changes
+    Told only when the wait is over, each change comes up to a wait later.
+
+    Given a front that follows two prefixes at one storage instance
+    When "<changed>" changes 20 times at moments of its own
+    Then it hears of each change within 0.1 seconds
+
+    Examples:
+      | changed  |
+      | config/  |
+      | servers/ |
