Signs of life do not grow with the storage instances of a domain

What callers saw: nothing.

Change, in reach.py: - A domain is asked for a sign of life 0.2 s after anything was heard from it, instead of each 0.2 s. One sign is asked for each 0.2 s all the same, since crashes and changes of the list come with these only; crashes are therefore told to every storage instance, and `whom_to_tell` is gone. - Of each domain the first and two others are watched, in the front's order. One that is not watched and was not heard for a second gets a sign of life asked beside a request; without one after 0.2 s the request is given up. One that is away is asked until it is heard. - A member whose sign of life is under way is not asked again meanwhile, and the store is looked at as often as before however often rounds come. - Members are put in order once a change (`Members.ranked`), which `Members.domains` and `Reach.members_by_domain` each did for themselves each time. Waits for the store's changes go to the first of each domain, which is asked for signs of life most often, so that a frozen one is left soon.

Why two others: the bound "taken for away within 1.2 seconds" at 12 storage instances in 4 domains stays for all of them.

Tests (signs.feature): new scenarios for 9 to 48 storage instances, one that is not watched, a frozen first one, a domain of which one is reached, and load. Steps changed: `members.key` for `reach.key`; the stub counts signs of life only, as requests are sent as well; the stubs of mirror.py, views.py and watches.py extend `Members`, as they are asked for its order.

--- a/libs/keeper/src/rattanmill_keeper/crashes.py
+++ b/libs/keeper/src/rattanmill_keeper/crashes.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from rattanmill_core import CrashNote
-from rattanmill_keeper.members import Member, Members
+from rattanmill_keeper.members import Member
 from rattanmill_keeper.messages import Ping, Pong
 
 # A crash suspects what was in flight, a few dozen requests; this holds the
@@ -65,12 +65,3 @@
         self.heard[member.name] = Pong(pong.run, pong.position, [])
         if pong.notes:
             self.on_notes(pong.notes)
-
-
-def whom_to_tell(members: Members) -> list[Member]:
-    """Returns a storage instance of each failure domain.
-
-    Each front asks all of them, so one that a cut parts from the others still
-    hears of the crashes in its own domain.
-    """
-    return [there[0] for there in members.domains().values()]
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -6,6 +6,7 @@
 import hashlib
 import itertools
 import random
+import uuid
 from collections.abc import Callable, Iterable
 from typing import Self
 
@@ -98,11 +99,22 @@
     )
 
 
+def _by_domain(key: str, members: list[Member]) -> dict[str, list[Member]]:
+    places = {
+        n: at for at, n in enumerate(rank(key, [m.name for m in members]))
+    }
+    found: dict[str, list[Member]] = {member.domain: [] for member in members}
+    for member in sorted(members, key=lambda m: places[m.name]):
+        found[member.domain].append(member)
+    return found
+
+
 class Members:
     """Storage instances known here, and a link to each.
 
     Attributes:
         known: Members by name.
+        key: Orders members, for each process in another way.
         lost_disks: Disks that may be lost at once.
         lost_at: Loop time at which a member was last removed that had not
             been emptied, by name.
@@ -135,6 +147,9 @@
         self.on_change = on_change
         self.lost_disks = _LOST_DISKS
         self.known: dict[str, Member] = {}
+        self.key = uuid.uuid4().hex
+        self.ordered: list[Member] = []
+        self.by_domain: dict[str, list[Member]] = {}
         self.lost_at: dict[str, float] = {}
         self.emptied: set[str] = set()
         self.first_runs: dict[str, str] = {}
@@ -293,13 +308,25 @@
         for link in self.links.values():
             link.close()
 
+    def ranked(self) -> dict[str, list[Member]]:
+        """Returns all members by failure domain, in this process's order.
+
+        They are put in order once a change, and not each time that they are
+        asked for.
+        """
+        there = list(self.known.values())
+        if there != self.ordered:
+            self.ordered = there
+            self.by_domain = _by_domain(self.key, there)
+        return self.by_domain
+
     def domains(self) -> dict[str, list[Member]]:
         """Returns members that take something new, by failure domain."""
-        found: dict[str, list[Member]] = {}
-        for member in self.known.values():
-            if not member.leaving:
-                found.setdefault(member.domain, []).append(member)
-        return found
+        taking = {
+            domain: [member for member in there if not member.leaving]
+            for domain, there in self.ranked().items()
+        }
+        return {domain: there for domain, there in taking.items() if there}
 
     def replicas(self, key: str) -> list[Member]:
         """Returns the member of each failure domain that keeps a key."""
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -1,14 +1,13 @@
 """Which storage instances a front reaches, and whether it is cut off."""
 
 import asyncio
-import uuid
 from collections.abc import Coroutine, Iterable
 
 import msgspec
 
 from rattanmill_core import CrashNote, Metrics, log_event, loop_seconds
-from rattanmill_keeper.crashes import CrashNews, whom_to_tell
-from rattanmill_keeper.members import PREFIX, Member, Members, rank
+from rattanmill_keeper.crashes import CrashNews
+from rattanmill_keeper.members import PREFIX, Member, Members
 from rattanmill_keeper.messages import Crashed, Pong
 from rattanmill_platform import Unavailable
 
@@ -16,13 +15,23 @@
 # A member that did not answer is asked last for so long, unless it answers a
 # ping before.
 _AVOID_SECONDS = 1.5
-# Each domain is asked for a sign of life so often, 0.1 KB each, and each member
-# that was not heard for a while. It has so long to answer. A front that hears
-# none from another domain, nor the store, for the bound is cut off: its callers
-# are better served elsewhere, and the balancer needs two more seconds.
+# A domain of which nothing was heard for so long is asked for a sign of life,
+# 0.1 KB. It has so long to answer. A front that hears none from another domain,
+# nor the store, for the bound is cut off: its callers are better served
+# elsewhere, and the balancer needs two more seconds.
 _PING_SECONDS = 0.2
-_QUIET_SECONDS = 0.6
 _PONG_SECONDS = 0.4
+# Domains that are due this soon are asked at the same time.
+_ALIGN_SECONDS = 0.05
+# Besides the first of each domain, so many are asked if they were silent for
+# so long, that one that is down is known before it is needed. The others are
+# asked once they are needed, see ``Reach.ask``.
+_WATCHED_OTHERS = 2
+_QUIET_SECONDS = 0.55
+# Whoever was not heard for so long is asked for a sign of life beside a
+# request, and the request given up without one.
+_UNHEARD_SECONDS = 1.0
+_UNHEARD_PONG_SECONDS = 0.2
 # An answer takes a trip. Without one by then the others of the domain are
 # asked: one that is down must not look like a domain that is cut off.
 _LATE_SECONDS = 0.1
@@ -31,6 +40,7 @@
 # is there. A watch that waits for changes would tell seconds later.
 _DOUBT_SECONDS = 0.25
 _PROBE_SECONDS = 0.2
+_LOOK_SECONDS = 0.15
 # The balancer asks a front each second whether it is ready, and passes it over
 # after two misses.
 _MOVED_SECONDS = 2.0
@@ -46,7 +56,9 @@
         unheard: Loop time until which a member is asked last, by name.
         heard: Loop time of each member's last answer.
         store_answers: Whether the store answered when it was last asked.
-        key: Orders whom to ask first, for each front in another way.
+        looked_at: Loop time at which it was.
+        asked: Loop time at which each member was last asked for a sign of life.
+        asked_domains: The same of the first of each domain.
         cut_at: Loop time at which it was found that this front is cut off,
             or None.
         crashes: What other fronts have told of crashes.
@@ -65,7 +77,9 @@
         self.unheard: dict[str, float] = {}
         self.heard: dict[str, float] = {}
         self.store_answers = True
-        self.key = uuid.uuid4().hex
+        self.looked_at = float("-inf")
+        self.asked: dict[str, float] = {}
+        self.asked_domains: dict[str, float] = {}
         self.cut_at: float | None = None
         self.crashes = CrashNews()
         self.tasks: set[asyncio.Task] = set()
@@ -86,8 +100,27 @@
             away_seconds: How long instead if it was silent when it was last
                 asked; one that is known to be silent mostly stays so.
         """
-        if away_seconds is not None and self.is_away(member):
-            seconds = away_seconds
+        if self.is_away(member):
+            return await self._ask(member, message, away_seconds or seconds)
+        if self._silence([member]) > _UNHEARD_SECONDS:
+            return await self._ask_unheard(member, message, seconds)
+        return await self._ask(member, message, seconds)
+
+    async def _ask_unheard(
+        self, member: Member, message: msgspec.Struct, seconds: float
+    ) -> msgspec.Struct | None:
+        """Asks one of which nothing was heard lately, as nobody needed it."""
+        asked = self.spawn(self._ask(member, message, seconds))
+        sign = self.spawn(self._ping(member, _UNHEARD_PONG_SECONDS))
+        await asyncio.wait([asked, sign], return_when=asyncio.FIRST_COMPLETED)
+        if self.is_away(member):
+            asked.cancel()
+            return None
+        return await asked
+
+    async def _ask(
+        self, member: Member, message: msgspec.Struct, seconds: float
+    ) -> msgspec.Struct | None:
         reply = await self.members.link(member).ask(message, seconds)
         kind = type(message).__name__
         if reply is None:
@@ -150,37 +183,106 @@
         """Asks members for signs of life."""
         while True:
             self.review()
-            for members in self.members_by_domain():
-                self.spawn(self._ping_domain(members))
+            domains = self.members.ranked().values()
+            for members in domains:
+                self._ask_quiet(members)
+            due = [each for each in domains if self._is_due(each)]
+            for members in due or self._without_news():
+                self._ask_first(members)
+            self._doubt()
+            await asyncio.sleep(self._pause())
+
+    def _doubt(self) -> None:
+        """Looks at the store while it may be all that can be reached."""
+        is_in_doubt = self._silence(self._far()) > _DOUBT_SECONDS
+        since = loop_seconds() - self.looked_at
+        if (is_in_doubt or not self.store_answers) and since > _LOOK_SECONDS:
+            self.looked_at = loop_seconds()
             self.spawn(self.look_at_store())
-            await asyncio.sleep(_PING_SECONDS)
-
-    def members_by_domain(self) -> list[list[Member]]:
-        """Returns the members of each domain, in the order of asking them."""
-        members = list(self.members.known.values())
-        ranked = rank(self.key, [member.name for member in members])
-        members.sort(key=lambda m: (self.is_away(m), ranked.index(m.name)))
-        domains: dict[str, list[Member]] = {}
-        for member in members:
-            domains.setdefault(member.domain, []).append(member)
-        return list(domains.values())
-
-    async def _ping_domain(self, members: list[Member]) -> None:
-        """Asks the first, who was not heard for a while, or at last all."""
-        first, *others = members
-        quiet = [m for m in others if self._silence([m]) > _QUIET_SECONDS]
-        for member in quiet:
-            self.spawn(self._ping(member))
-        asked = self.spawn(self._ping(first))
-        _, late = await asyncio.wait([asked], timeout=_LATE_SECONDS)
-        if late:
-            for member in others:
-                if member not in quiet:
-                    self.spawn(self._ping(member))
+
+    def _is_due(self, members: list[Member]) -> bool:
+        """Whether a domain has to be asked for a sign of life."""
+        return self._rest(members) > _PING_SECONDS - _ALIGN_SECONDS
+
+    def _rest(self, members: list[Member]) -> float:
+        """Returns since when a domain was neither heard nor asked, seconds."""
+        return min(self._silence(members), self._unasked(members))
+
+    def _pause(self) -> float:
+        """Returns when the next domain, or news, is due, in seconds."""
+        domains = self.members.ranked().values()
+        silent = max(map(self._rest, domains), default=0.0)
+        without_news = min(map(self._unasked, domains), default=0.0)
+        longest = max(silent, without_news)
+        return max(_ALIGN_SECONDS, _PING_SECONDS - longest)
+
+    def _without_news(self) -> list[list[Member]]:
+        """Returns a domain to ask though it was heard, if it is time to.
+
+        Crashes and changes of the list of members are told with signs of life
+        only. Every member is told of them, so that any domain will do.
+        """
+        domains = self.members.ranked().values()
+        unasked = {self._unasked(members): members for members in domains}
+        if not unasked or min(unasked) < _PING_SECONDS - _ALIGN_SECONDS:
+            return []
+        return [unasked[max(unasked)]]
+
+    def _ask_first(self, members: list[Member]) -> None:
+        """Asks the first of a domain, and if it is late all others."""
+        there = [member for member in members if not self.is_away(member)]
+        first = there[0] if there else members[0]
+        others = [member for member in members if member is not first]
+        asked_at = self.asked_domains[first.domain] = loop_seconds()
+        self._ask_for_sign(first)
+        asyncio.get_running_loop().call_later(
+            _LATE_SECONDS, self._ask_others, first, others, asked_at
+        )
+
+    def _ask_for_sign(self, member: Member) -> None:
+        self.asked[member.name] = loop_seconds()
+        self.spawn(self._ping(member))
+
+    def _ask_others(
+        self, first: Member, others: list[Member], asked_at: float
+    ) -> None:
+        if self.heard.get(first.name, float("-inf")) >= asked_at:
+            return
+        for member in others:
+            if not self._is_asked(member):
+                self._ask_for_sign(member)
+
+    def _ask_quiet(self, members: list[Member]) -> None:
+        """Asks those that have not been heard for a while.
+
+        Not all: with many members, most messages were such. One that is away
+        is asked until it is heard.
+        """
+        for place, member in enumerate(members):
+            is_watched = place <= _WATCHED_OTHERS or self.is_away(member)
+            is_quiet = self._silence([member]) > _QUIET_SECONDS
+            if is_watched and is_quiet and not self._is_asked(member):
+                self._ask_for_sign(member)
+
+    def _is_asked(self, member: Member) -> bool:
+        """Whether a sign of life was asked for that may still come."""
+        never = float("-inf")
+        asked_at = self.asked.get(member.name, never)
+        is_new = loop_seconds() - asked_at < _PONG_SECONDS
+        return is_new and self.heard.get(member.name, never) < asked_at
+
+    def _unasked(self, members: list[Member]) -> float:
+        """Returns since when a domain was not asked, in seconds."""
+        never = float("-inf")
+        asked_at = self.asked_domains.get(members[0].domain, never)
+        return loop_seconds() - asked_at
 
     def tell_crashes(self, notes: list[CrashNote]) -> None:
-        """Tells other fronts what this one has seen."""
-        for member in whom_to_tell(self.members):
+        """Tells other fronts what this one has seen.
+
+        They ask a few members each, every front others.
+        """
+        for member in self.members.known.values():
             self.spawn(self.ask(member, Crashed(notes), _TELL_SECONDS))
 
     async def look_at_store(self) -> None:
@@ -200,9 +302,11 @@
             return False
         return not isinstance(said, Unavailable)
 
-    async def _ping(self, member: Member) -> None:
+    async def _ping(
+        self, member: Member, seconds: float = _PONG_SECONDS
+    ) -> None:
         ping = self.crashes.ping(member)
-        pong = await self.ask(member, ping, _PONG_SECONDS)
+        pong = await self._ask(member, ping, seconds)
         if isinstance(pong, Pong):
             self.crashes.take(member, pong)
             self.members.hear_of(pong.revision)
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
 import msgspec
@@ -180,21 +180,24 @@
         """Chooses a member of this domain and others by turns.
 
         One that is cut off from the store, and does not know yet, has nothing
-        new to tell. The next one, a wait later, has.
+        new to tell. The next one, a wait later, has. The first of each domain
+        is asked for signs of life most often.
         """
         if self.members is None:
             return None
         self.turn += 1
-        there = [
-            member
-            for member in self.members.known.values()
-            if not member.leaving and not self.members.link(member).failures
-        ]
-        near = [member for member in there if member.domain == self.domain]
-        far = [member for member in there if member.domain != self.domain]
-        first, second = (near, far) if self.turn % 2 else (far, near)
-        chosen = sorted(first or second, key=lambda member: member.name)
-        return chosen[self.turn // 2 % len(chosen)] if chosen else None
+        domains = self.members.domains()
+        near = [self._first(domains.pop(self.domain, []))]
+        far = [self._first(domains[name]) for name in sorted(domains)]
+        turns = (near, far) if self.turn % 2 else (far, near)
+        chosen = [list(filter(None, firsts)) for firsts in turns]
+        there = chosen[0] or chosen[1]
+        return there[self.turn // 2 % len(there)] if there else None
+
+    def _first(self, members: Iterable[Member]) -> Member | None:
+        """Returns the first member that answered when it was last asked."""
+        answering = (m for m in members if not self.members.link(m).failures)
+        return next(answering, None)
 
     async def _ask_all(
         self, message: msgspec.Struct, seconds: float
--- a/tests/features/steps/mirror.py
+++ b/tests/features/steps/mirror.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from rattanmill_keeper import Member, RelayedKv
+from rattanmill_keeper import Member, Members, RelayedKv
 from rattanmill_keeper.messages import (
     Ping,
     StoreItem,
@@ -94,10 +94,11 @@
         )
 
 
-class PassingMembers:
+class PassingMembers(Members):
     """Storage instances that pass the store on."""
 
     def __init__(self, domains, stale):
+        super().__init__(MemoryKv())
         self.known = {d: Member(d, d, f"{d}:1", "run") for d in domains}
         self.links = {d: Passing(d == stale) for d in domains}
 
@@ -232,12 +233,13 @@
         return events
 
 
-class MirrorOnly:
+class MirrorOnly(Members):
     """The only storage instance that a front knows, and its link."""
 
     failures = 0
 
     def __init__(self, kv):
+        super().__init__(kv)
         self.known = {"keeper": Member("keeper", "east", "keeper:1", "run")}
         self.mirrors = Mirrors(kv)
 
--- a/tests/features/steps/signs.py
+++ b/tests/features/steps/signs.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import collections
+import itertools
 import random
 
 from behave import given, then, when
 
 from rattanmill_core import Metrics, start_loop
 from rattanmill_keeper import Member, Members
-from rattanmill_keeper.messages import Pong
+from rattanmill_keeper.messages import Fetch, Ping, Pong
 from rattanmill_keeper.reach import Reach
 from support.memory import MemoryKv
 from support.virtual import run_virtually
@@ -28,12 +29,16 @@
         self.is_there = True
         self.asked = 0
         self.failures = 0
+        self.pongs = []
 
     async def ask(self, message, seconds):
         """Returns a sign of life, or None after the asker's time."""
-        self.asked += 1
+        is_ping = isinstance(message, Ping)
+        self.asked += is_ping
         await asyncio.sleep(random.uniform(*_DELAY_SECONDS))
         if self.is_there:
+            if is_ping:
+                self.pongs.append(asyncio.get_running_loop().time())
             return Pong("run", 0, [])
         await asyncio.sleep(seconds)
         return None
@@ -90,6 +95,16 @@
         raise AssertionError(domain)
 
 
+async def send_for_ever(reach, context):
+    """Sends requests, to a storage instance drawn for each."""
+    rate = getattr(context, "rate", 0)
+    while True:
+        await asyncio.sleep(random.expovariate(rate or 1.0))
+        if rate:
+            member = random.choice(list(reach.members.known.values()))
+            reach.spawn(reach.ask(member, Fetch("t"), 0.3, 0.06))
+
+
 def play(context, seed, scene):
     """Plays a scene of a front that has asked for a while already."""
 
@@ -97,13 +112,15 @@
         random.seed(seed)
         members = SignMembers(*context.shape)
         reach = Reach("d0", members, Metrics())
-        reach.key = str(seed)
+        members.key = str(seed)
         pings = start_loop("pings", reach.ping_for_ever())
+        load = start_loop("load", send_for_ever(reach, context))
         await asyncio.sleep(_WARM_SECONDS + random.random())
         for link in members.links.values():
             link.asked = 0
         found = await scene(Watcher(reach), members)
         pings.cancel()
+        load.cancel()
         return found
 
     return run_virtually(run())
@@ -191,3 +208,101 @@
 @then("it is heard within {seconds:g} seconds of the end of the cut")
 def step_heard(context, seconds):
     assert max(took for _, took in context.found) <= seconds, context.found
+
+
+@then("it asked at most {most:d} times a second")
+def step_asked_at_most(context, most):
+    assert context.asked <= most * context.seconds, context.asked
+
+
+@when("one of them dies and is needed {after:f} seconds later, {plays:d} times")
+def step_needed(context, after, plays):
+    async def scene(watcher, members):
+        now = asyncio.get_running_loop().time
+        # Among those that come last in the front's order.
+        domain = random.choice(list(members.ranked()))
+        member = random.choice(members.ranked()[domain][3:])
+        members.links[member.name].is_there = False
+        await asyncio.sleep(after)
+        asked_at = now()
+        said = await watcher.reach.ask(member, Fetch("t"), 0.4, 0.06)
+        assert said is None
+        took = now() - asked_at
+        await watcher.watch(10.0)
+        return took, watcher.silences, watcher.reach.is_away(member)
+
+    found = [play(context, seed, scene) for seed in range(plays)]
+    context.found = [(took, silences) for took, silences, _ in found]
+    context.are_away = [is_away for *_, is_away in found]
+
+
+@then("the request has got on within {most:f} seconds")
+def step_got_on(context, most):
+    assert max(took for took, _ in context.found) <= most, context.found
+
+
+@then("it is still taken for away 10 seconds later")
+def step_still_away(context):
+    assert all(context.are_away), context.are_away
+
+
+@when("the first of a domain freezes, {plays:d} times at moments of its own")
+def step_first_freezes(context, plays):
+    async def scene(watcher, members):
+        name = random.choice(list(members.ranked().values()))[0].name
+        members.links[name].is_there = False
+        froze_at = asyncio.get_running_loop().time()
+        await watcher.watch(3.0)
+        return watcher.away[name] - froze_at, watcher.silences
+
+    context.found = [play(context, seed, scene) for seed in range(plays)]
+
+
+@when(
+    "all but one of a domain are cut off, {plays:d} times at moments of its own"
+)
+def step_all_but_one(context, plays):
+    async def scene(watcher, members):
+        there = random.choice(list(members.ranked().values()))
+        reached = random.choice(there)
+        for member in there:
+            members.links[member.name].is_there = member is reached
+        await watcher.watch(5.0)
+        return 0.0, watcher.silences
+
+    context.found = [play(context, seed, scene) for seed in range(plays)]
+
+
+@when(
+    "it has asked for signs of life for {seconds:d} seconds beside {rate:d}"
+    " requests a second"
+)
+def step_loaded(context, seconds, rate):
+    async def scene(watcher, members):
+        await watcher.watch(seconds)
+        firsts = [there[0].name for there in members.ranked().values()]
+        asked = sum(members.links[name].asked for name in firsts)
+        pongs = [at for each in members.links.values() for at in each.pongs]
+        return watcher, asked, sorted(pongs)
+
+    context.rate = rate
+    context.seconds = seconds
+    context.watcher, context.asked, context.pongs = play(context, 1, scene)
+
+
+@given("it sends {rate:d} requests a second")
+def step_rate(context, rate):
+    context.rate = rate
+
+
+@then(
+    "it asked the first of each domain at most {most:d} times a second together"
+)
+def step_asked_firsts(context, most):
+    assert context.asked <= most * context.seconds, context.asked
+
+
+@then("it was never without an answer to one for more than {most:f} seconds")
+def step_news(context, most):
+    gaps = [after - at for at, after in itertools.pairwise(context.pongs)]
+    assert max(gaps) <= most, max(gaps)
--- a/tests/features/steps/views.py
+++ b/tests/features/steps/views.py
@@ -8,7 +8,7 @@
 from rattanmill_forward import Endpoint
 from rattanmill_forward.domains import Domains
 from rattanmill_forward.endpoints import EndpointBook
-from rattanmill_keeper import Member, RelayedKv
+from rattanmill_keeper import Member, Members, RelayedKv
 from rattanmill_keeper.mirror import Mirrors
 from rattanmill_platform import (
     BACK_SECONDS,
@@ -98,10 +98,11 @@
         return await self.mirrors.serve(message)
 
 
-class MirrorMembers:
+class MirrorMembers(Members):
     """Storage instances that pass the store on."""
 
     def __init__(self, kv, names):
+        super().__init__(kv)
         self.known = {n: Member(n, n, f"{n}:1", "run") for n in names}
         self.links = {n: MirrorLink(kv) for n in names}
         self.links[names[-1]] = MirrorLink(LateStore(kv))
--- a/tests/features/steps/watches.py
+++ b/tests/features/steps/watches.py
@@ -119,12 +119,13 @@
         return Unavailable("refused")
 
 
-class PassingMember:
+class PassingMember(Members):
     """The only storage instance that a front knows, and its link."""
 
     failures = 0
 
     def __init__(self, store):
+        super().__init__(store)
         self.known = {"keeper": Member("keeper", "east", "keeper:1", "run")}
         self.mirrors = Mirrors(store)
 
