Measure storage instances on a grown deployment, by cause

`python -m bench.storing`: 12 storage instances as real processes and three drivers that behave as 79 fronts do; each phase adds one kind of work, so that the differences tell what signs of life, watches, reservations and kept turns take. Nothing of the kind was there: `bench.keeping` plays one instance in one process without its links.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 LIBS = core wire platform keeper forward programs policy entry cli
 STAMP = $(VENV)/.installed-requirements
-export PYTHONPATH = $(subst $(eval ) ,:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)/src)):$(CURDIR)/tests:$(CURDIR)
+export PYTHONPATH = $(subst $(eval ) ,:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)/src)):$(CURDIR)/tests:$(CURDIR):$(CURDIR)/platform
 
 .PHONY: setup demo up test check format bench capacity soak days clean
 
@@ -39,6 +39,7 @@
 	$(BIN)/python -m bench.path
 	$(BIN)/python -m bench.recovery
 	$(BIN)/python -m bench.keeping
+	$(BIN)/python -m bench.storing
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
