Tell other storage instances digests of accounts, not whole accounts

Change: `News` bears program, digest of the uses and what was given back of each account that has changed; a holder fetches (`FetchAccounts`) those that differ from what it knows, and its position goes on only when they are on disk. The digest is the one by which fronts take two holders to know the same, so nobody becomes sure of more than before: equal digests meant "no news" in `merge` too. A home is an entry of its own in the intake and is told when it is written down or an account is taken in, no more with each use. A home that a merged account contradicts is told as the account has it; before, both were, the older first.

Tests: following.feature. Support: the in-process network counts bytes of replies by kind, and can lose the replies to one kind.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -13,6 +13,9 @@
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members, rank
 from rattanmill_keeper.messages import (
+    AccountRef,
+    Accounts,
+    FetchAccounts,
     FetchTurns,
     Follow,
     News,
@@ -159,7 +162,8 @@
             change = self.keeper.ledger.learn(home)
             if change:
                 await self.keeper.write_home(change)
-        await self.keeper.take_accounts(news.accounts)
+        if not await self._fetch_accounts(member, news.accounts):
+            return False
         if not await self._fetch(member, news.turns):
             return False
         progress.run = news.run
@@ -176,6 +180,21 @@
             )
         return news.more
 
+    async def _fetch_accounts(
+        self, member: Member, refs: list[AccountRef]
+    ) -> bool:
+        """Fetches the accounts that differ here; False if that failed."""
+        ledger = self.keeper.ledger
+        programs = [ref.program for ref in refs if not ledger.knows(ref)]
+        if not programs:
+            return True
+        link = self.members.link(member)
+        reply = await link.ask(FetchAccounts(programs), 2 * _ASK_SECONDS)
+        if not isinstance(reply, Accounts):
+            return False
+        await self.keeper.take_accounts(reply.accounts)
+        return True
+
     async def _fetch(self, member: Member, turns: list[TurnRef]) -> bool:
         """Fetches the turns that are missing here; False if that failed."""
         mine = [
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -31,6 +31,7 @@
 from rattanmill_keeper.messages import (
     MOST_SHARING,
     Account,
+    Accounts,
     Agree,
     Agreed,
     Chain,
@@ -39,6 +40,7 @@
     Done,
     Elsewhere,
     Fetch,
+    FetchAccounts,
     FetchTurns,
     Follow,
     Full,
@@ -78,7 +80,7 @@
     read_mark,
     write_mark,
 )
-from rattanmill_keeper.turns import Intake, TurnTable
+from rattanmill_keeper.turns import HomeOf, Intake, TurnTable
 from rattanmill_platform import KeyValue
 
 _PAGE = 500
@@ -198,6 +200,8 @@
                 return Unsure("emptied") if self.is_closed else Done()
             case Fetch(turn=turn):
                 return self.fetch(turn)
+            case FetchAccounts(programs=programs):
+                return Accounts(self.ledger.pick(programs))
             case FetchTurns(turns=turns):
                 return Turns(self.table.pick(turns))
             case Lacking(turns=turns):
@@ -235,6 +239,7 @@
             return decision
         self.intake.add(ask.program)
         if decision.account is not None:
+            self.intake.add(HomeOf(ask.program))
             self.journal.note(encode(decision.account))
         await self._append(decision.change)
         return decision.reply
@@ -306,6 +311,8 @@
         ]
         for change in changes:
             self.intake.add(change.account.program)
+            # It may say other holders than were known here.
+            self.intake.add(HomeOf(change.account.program))
         return changes
 
     def fetch(self, turn: str) -> Chain:
@@ -368,6 +375,7 @@
         if place.sharers == (self.name,):
             self.journal.note(encode(self.ledger.begin_share(program)))
         self.intake.add(program)
+        self.intake.add(HomeOf(program))
         return Opened(place)
 
     async def _decide(
@@ -375,7 +383,7 @@
     ) -> Consent | Elsewhere | Unsure:
         """Lets the store decide; this instance's consent is on disk."""
         if self.ledger.learn(home):
-            self.intake.add(home.program)
+            self.intake.add(HomeOf(home.program))
         known = self.ledger.holders_of(home.program)
         if known != home.holders:
             return Elsewhere(known)
@@ -425,7 +433,7 @@
 
     async def write_home(self, change: HomeChange) -> None:
         """Writes down where an account is, for the journal and followers."""
-        self.intake.add(change.home.program)
+        self.intake.add(HomeOf(change.home.program))
         await self._append(change)
 
     async def _append(self, record: Record) -> int:
@@ -443,20 +451,16 @@
         self.followed[ask.asker] = after
         entries = self.intake.since(after, _PAGE)
         accounts = [
-            account
+            self.ledger.ref(account)
             for _, entry in entries
             if (account := self.ledger.accounts.get(entry))
+            and ask.asker in account.place.holders
         ]
         homes = [
-            change.home
+            Home(entry.program, holders)
             for _, entry in entries
-            if (change := self.ledger.homes.get(entry))
-        ]
-        homes += [Home(each.program, each.place.holders) for each in accounts]
-        wanted = [
-            account
-            for account in accounts
-            if ask.asker in account.place.holders
+            if isinstance(entry, HomeOf)
+            and (holders := self.ledger.holders_of(entry.program))
         ]
         turns = [
             TurnRef(entry, held.kept.key)
@@ -469,7 +473,7 @@
             position,
             turns,
             homes,
-            wanted,
+            accounts,
             self.whole,
             position < self.intake.position,
             self.members.changed,
@@ -511,10 +515,10 @@
             elif record is not None:
                 self.ledger.restore(record)
             records += 1
-        for entry in [*self.table.held, *self.ledger.homes]:
+        for entry in [*self.table.held, *self.ledger.accounts]:
             self.intake.add(entry)
-        for program in self.ledger.accounts:
-            self.intake.add(program)
+        for program in {**self.ledger.homes, **self.ledger.accounts}:
+            self.intake.add(HomeOf(program))
         log_event(
             "journal_read",
             records=records,
@@ -554,6 +558,7 @@
             self.intake.remove(turn)
         for program in self.ledger.forget_old():
             self.intake.remove(program)
+            self.intake.remove(HomeOf(program))
         self._drop_segments()
         self._note_roster()
 
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -13,6 +13,7 @@
 from rattanmill_keeper.accounts import digest_of, join
 from rattanmill_keeper.messages import (
     Account,
+    AccountRef,
     Agree,
     Elsewhere,
     Full,
@@ -219,6 +220,24 @@
             changes.append(self._share_changed(said.program))
         return changes
 
+    def ref(self, account: Account) -> AccountRef:
+        """Returns what tells other holders whether they know the same."""
+        program = account.program
+        return AccountRef(program, self.digests[program], account.given)
+
+    def pick(self, programs: list[str]) -> list[Account]:
+        """Returns the accounts of those programs that are held here."""
+        return [self.accounts[p] for p in programs if p in self.accounts]
+
+    def knows(self, ref: AccountRef) -> bool:
+        """Whether an account that another holder has is no news here."""
+        account = self.accounts.get(ref.program)
+        return (
+            account is not None
+            and self.digests[ref.program] == ref.digest
+            and account.given >= ref.given
+        )
+
     def agree(self, ask: Agree) -> Refused | HomeChange:
         """Decides whether an account may be opened at these holders.
 
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -420,6 +420,20 @@
     asker_run: str = ""
 
 
+class AccountRef(msgspec.Struct, frozen=True, array_like=True):
+    """An account that a storage instance holds, as it knows it.
+
+    Attributes:
+        program: The program.
+        digest: Holders with the same digest know the same uses.
+        given: As in ``Account``.
+    """
+
+    program: str
+    digest: int
+    given: int
+
+
 class News(msgspec.Struct, tag=15):
     """What was taken in since then.
 
@@ -442,7 +456,7 @@
     position: int
     turns: list[TurnRef]
     homes: list[Home]
-    accounts: list[Account]
+    accounts: list[AccountRef]
     whole: bool
     more: bool
     revision: int = 0
@@ -450,6 +464,18 @@
     absent: list[str] = []
 
 
+class FetchAccounts(msgspec.Struct, tag=40):
+    """Asks for the accounts of programs."""
+
+    programs: list[str]
+
+
+class Accounts(msgspec.Struct, tag=41):
+    """Those that are held here."""
+
+    accounts: list[Account]
+
+
 class FetchTurns(msgspec.Struct, tag=16):
     """Asks for turns by id."""
 
@@ -543,6 +569,8 @@
     | Chain
     | Follow
     | News
+    | FetchAccounts
+    | Accounts
     | FetchTurns
     | Turns
     | Merge
--- a/libs/keeper/src/rattanmill_keeper/turns.py
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -85,32 +85,43 @@
         return {held.segment for held in self.held.values()}
 
 
+class HomeOf(msgspec.Struct, frozen=True):
+    """Stands for the home of a program where others stand for its account.
+
+    The account changes with each use, which concerns its holders alone; where
+    it is, all have to know, once.
+    """
+
+    program: str
+
+
 class Intake:
-    """Order in which turns and homes came in, for those who follow.
+    """Order in which turns, homes and uses came in, for those who follow.
 
     Attributes:
         position: Position of the newest entry.
-        entries: What came in, by position: the id of a turn or of a program.
+        entries: What came in, by position: the id of a turn, that of a program
+            whose account has changed, or a home.
     """
 
     def __init__(self) -> None:
         self.position = 0
-        self.entries: dict[int, str] = {}
-        self.positions: dict[str, int] = {}
+        self.entries: dict[int, str | HomeOf] = {}
+        self.positions: dict[str | HomeOf, int] = {}
 
-    def add(self, entry: str) -> None:
+    def add(self, entry: str | HomeOf) -> None:
         """Appends an entry; one that is there already moves to the end."""
         self.remove(entry)
         self.position += 1
         self.entries[self.position] = entry
         self.positions[entry] = self.position
 
-    def remove(self, entry: str) -> None:
+    def remove(self, entry: str | HomeOf) -> None:
         """Forgets an entry."""
         position = self.positions.pop(entry, 0)
         self.entries.pop(position, None)
 
-    def since(self, after: int, most: int) -> list[tuple[int, str]]:
+    def since(self, after: int, most: int) -> list[tuple[int, str | HomeOf]]:
         """Returns the oldest entries after a position, up to ``most``."""
         newer = list(
             itertools.takewhile(
--- /dev/null
+++ b/tests/features/steps/following.py
@@ -0,0 +1,135 @@
+"""Steps about what storage instances fetch of each other."""
+
+from behave import then, when
+
+from rattanmill_keeper import Reserve, Reserved
+from rattanmill_keeper.following import Following
+from support.keepers import run_in as network
+
+_BUDGET = 1_000_000
+_TOKENS = 10
+_FETCHES = ("Follow", "FetchAccounts")
+_MOST_PAGES = 10
+
+
+async def follow_all(context, n):
+    """Lets all take in what is new at the others, once."""
+    if "following" not in context:
+        context.following = {
+            name: Following(keeper, n.members[name])
+            for name, keeper in n.keepers.items()
+        }
+    for name, following in context.following.items():
+        for member in list(n.members[name].known.values()):
+            pages = 0
+            while member.name != name and pages < _MOST_PAGES:
+                pages += 1
+                if not await following.step(member):
+                    break
+
+
+async def reserve(context, n):
+    """Reserves one turn more, through a front that knows the account."""
+    if "front" not in context:
+        context.front = n.front(context.near[0])
+        context.attempts = 0
+    context.attempts += 1
+    ask = Reserve("p", f"turn-{context.attempts}", _TOKENS, _BUDGET)
+    reply = await context.front.permits.reserve(ask)
+    assert isinstance(reply, Reserved), reply
+    # The replies of the other holders.
+    await n.pass_time(0.01)
+
+
+def fetched(n):
+    return sum(n.replied[kind] for kind in _FETCHES)
+
+
+@when(
+    "a program reserves {count:d} turns, and all follow each other after each"
+)
+@when("it reserves {count:d} turns more, and all follow each other after each")
+def step_reserve(context, count):
+    async def go_on(n):
+        for _ in range(count):
+            await reserve(context, n)
+            before = fetched(n)
+            await follow_all(context, n)
+            taken = fetched(n)
+            await follow_all(context, n)
+            # Less what they fetch when nothing is new.
+            context.fetched = (taken - before) - (fetched(n) - taken)
+
+    network(context, go_on)
+
+
+@then("its last turn made them fetch no more than {most:d} bytes")
+def step_fetched(context, most):
+    assert context.fetched <= most, context.fetched
+
+
+def holders(context):
+    return context.front.permits.holders_of("p")
+
+
+@when("a holder is cut off while it reserves {count:d} turns more")
+def step_cut(context, count):
+    async def go_on(n):
+        away = holders(context)[-1]
+        others = [name for name in n.names if name != away]
+        n.cuts |= {frozenset((away, other)) for other in others}
+        for _ in range(count):
+            await reserve(context, n)
+
+    network(context, go_on)
+
+
+@when("all reach each other and follow each other")
+def step_reach(context):
+    context.network.cuts.clear()
+    context.network.lose_kind = ""
+    network(context, lambda n: follow_all(context, n))
+
+
+@when(
+    "all reach each other, but accounts are not handed over, and follow each"
+    " other"
+)
+def step_reach_in_part(context):
+    context.network.cuts.clear()
+    context.network.lose_kind = "FetchAccounts"
+    network(context, lambda n: follow_all(context, n))
+
+
+@then("all holders know the same uses")
+def step_same_uses(context):
+    known = [
+        context.network.keepers[name].ledger.accounts["p"].uses
+        for name in holders(context)
+    ]
+    assert len(known[0]) == context.attempts, known[0]
+    assert all(uses == known[0] for uses in known), known
+
+
+@when("one holder knows of {tokens:d} tokens that were given back")
+def step_given(context, tokens):
+    name = holders(context)[0]
+    context.network.keepers[name].ledger.accounts["p"].given = tokens
+
+
+@when("the program has another turn, and all follow each other")
+def step_another(context):
+    async def go_on(n):
+        await reserve(context, n)
+        await follow_all(context, n)
+
+    network(context, go_on)
+
+
+@then("all holders know of the {tokens:d} tokens")
+def step_know_given(context, tokens):
+    known = [
+        context.network.keepers[name].ledger.accounts["p"].given
+        for name in holders(context)
+    ]
+    assert known == [tokens] * len(known), known
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -1,6 +1,7 @@
 """Storage instances in one process, with a network that tests can break."""
 
 import asyncio
+import collections
 import concurrent.futures
 import contextlib
 import pathlib
@@ -111,10 +112,15 @@
             await asyncio.sleep(delay)
         copy = _CODEC.decode(_CODEC.encode(message))
         reply = await keeper.serve(copy)
+        kind = type(message).__name__
+        if kind == network.lose_kind:
+            return None
         if network.lose_replies:
             network.lose_replies -= 1
             return None
-        return _CODEC.decode(_CODEC.encode(reply))
+        data = _CODEC.encode(reply)
+        network.replied[kind] += len(data)
+        return _CODEC.decode(data)
 
 
 class LocalMembers(Members):
@@ -143,6 +149,8 @@
         cuts: Pairs that don't reach each other.
         delays: Seconds that a request takes, by asker and asked.
         lose_replies: So many further replies get lost.
+        lose_kind: Kind of message whose replies all get lost, or empty.
+        replied: Bytes of replies by the kind of message they answer.
         failures: Requests in a row without a reply, by asker and asked.
         domains: Failure domains of those that have none of their own.
     """
@@ -155,6 +163,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.delays: dict[tuple[str, str], float] = {}
         self.lose_replies = 0
+        self.lose_kind = ""
+        self.replied: collections.Counter[str] = collections.Counter()
         self.failures: dict[tuple[str, str], int] = {}
         self.domains: dict[str, str] = {}
         self.fronts: dict[str, KeeperClient] = {}
