Answer what needs no waiting as it comes in, without a task

Of what a storage instance of a grown deployment is asked, two thirds need neither disk nor others: signs of life, what a turn has used, what was taken in, look-ups. Each had a task of the event loop, and a round of it more.

Change: `Keeper.answer` returns the reply, or what has to be awaited for it, and `RequestServer` makes a task only for the latter. A fault in answering is reported as before and costs only its own request.

Tests: links.feature, "Many small requests that need no waiting": two steps of the event loop a request at most, three and more with a task; "A request that fails" holds what the task gave.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -48,7 +48,7 @@
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(keeper)
         await stack.enter_async_context(
-            RequestServer(settings.peer, codec(), keeper.serve, metrics)
+            RequestServer(settings.peer, codec(), keeper.answer, metrics)
         )
         await stack.enter_async_context(members)
         member = Member(
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -3,7 +3,7 @@
 import asyncio
 import pathlib
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Self
 
 import msgspec
@@ -182,23 +182,29 @@
         write_mark(self.folder, Mark(self.alone_from))
 
     async def serve(self, message: msgspec.Struct) -> msgspec.Struct:
-        """Answers one request."""
+        """Returns the answer to one request."""
+        reply = self.answer(message)
+        return reply if isinstance(reply, msgspec.Struct) else await reply
+
+    def answer(
+        self, message: msgspec.Struct
+    ) -> msgspec.Struct | Awaitable[msgspec.Struct]:
+        """Answers one request, at once if it needs neither disk nor others."""
         match message:
             case Reserve():
-                return await self.reserve(message)
+                return self.reserve(message)
             case Open():
-                return await self.open(message)
+                return self.open(message)
             case Show(program=program):
                 return self.show(program)
             case GiveBack(program=program):
-                return await self.give_back(program)
+                return self.give_back(program)
             case Settle():
                 return self.settle(message)
             case Agree():
-                return await self._agree(message)
+                return self._agree(message)
             case Keep(kept=kept):
-                await self.keep(kept)
-                return Unsure("emptied") if self.is_closed else Done()
+                return self._keep(kept)
             case Fetch(turn=turn):
                 return self.fetch(turn)
             case FetchAccounts(programs=programs):
@@ -210,10 +216,7 @@
             case Follow():
                 return self._news(message)
             case Merge(accounts=accounts):
-                if not self.whole or self.is_closed:
-                    return Unsure("not whole, or emptied")
-                await self.take_accounts(accounts)
-                return Done()
+                return self._merge(accounts)
             case Ping():
                 pong = self.crashes.answer(message)
                 pong.revision = self.members.changed
@@ -222,7 +225,7 @@
                 self.crashes.add(notes)
                 return Done()
             case StoreList() | StoreWatch():
-                return await self.mirrors.serve(message)
+                return self.mirrors.serve(message)
         return Unsure("not understood")
 
     async def reserve(
@@ -440,6 +443,10 @@
     async def _append(self, record: Record) -> int:
         return await self.journal.append(encode(record))
 
+    async def _keep(self, kept: KeptTurn) -> Done | Unsure:
+        await self.keep(kept)
+        return Unsure("emptied") if self.is_closed else Done()
+
     async def keep(self, kept: KeptTurn) -> None:
         """Takes a turn in and returns when it is on disk."""
         segment = await self._append(kept)
@@ -494,6 +501,12 @@
             if name != ask.asker and lost_at.get(name, float("inf")) >= level_at
         ]
 
+    async def _merge(self, accounts: list[Account]) -> Done | Unsure:
+        if not self.whole or self.is_closed:
+            return Unsure("not whole, or emptied")
+        await self.take_accounts(accounts)
+        return Done()
+
     async def take_accounts(self, accounts: list[Account]) -> None:
         """Returns when what other holders know is on disk here."""
         await asyncio.gather(*map(self._append, self.merge(accounts)))
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -31,7 +31,7 @@
 _AT_ONCE = 50
 _LINGER_MS = 100
 
-Serve = Callable[[Any], Awaitable[Any]]
+Serve = Callable[[Any], msgspec.Struct | Awaitable[msgspec.Struct]]
 
 
 class Codec:
@@ -123,12 +123,16 @@
 
 
 class RequestServer:
-    """Answers requests at one address, each in a task of its own.
+    """Answers requests at one address.
+
+    Most are answered as they come in; those that have to wait for something
+    get a task of their own.
 
     Args:
         address: ``IP:PORT`` to bind.
         codec: Messages understood.
-        serve: Returns the reply to a message.
+        serve: Returns the reply to a message, or what has to be awaited for
+            it.
         metrics: Where requests that were dropped are counted.
     """
 
@@ -158,27 +162,46 @@
         self.socket.close(_LINGER_MS)
 
     def _receive(self, frames: list[bytes]) -> None:
-        if len(frames) != 3 or len(self.tasks) >= _MOST_SERVED:
+        is_taken = len(frames) == 3 and len(self.tasks) < _MOST_SERVED
+        message = self.codec.decode(frames[2]) if is_taken else None
+        if message is None:
             self.metrics.count("rattanmill_requests_dropped")
             return
-        task = asyncio.create_task(self._answer(*frames))
+        sender, number, _ = frames
+        try:
+            reply = self.serve(message)
+        except Exception as error:
+            # Raised on, it would keep others from being received.
+            _report(error)
+            return
+        if isinstance(reply, msgspec.Struct):
+            self._send(sender, number, reply)
+            return
+        task = asyncio.create_task(self._answer(sender, number, reply))
         self.tasks.add(task)
         task.add_done_callback(self._ended)
 
-    async def _answer(self, sender: bytes, number: bytes, data: bytes) -> None:
-        message = self.codec.decode(data)
-        if message is None:
-            return
-        reply = await self.serve(message)
+    async def _answer(
+        self, sender: bytes, number: bytes, reply: Awaitable[msgspec.Struct]
+    ) -> None:
+        self._send(sender, number, await reply)
+
+    def _send(
+        self, sender: bytes, number: bytes, reply: msgspec.Struct
+    ) -> None:
         # A peer that reads nothing gets no more once its queue is full.
         self.socket.send([sender, number, self.codec.encode(reply)])
 
     def _ended(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            task.get_loop().call_exception_handler(
-                {"message": "A request failed.", "exception": task.exception()}
-            )
+            _report(task.exception())
+
+
+def _report(error: BaseException | None) -> None:
+    asyncio.get_running_loop().call_exception_handler(
+        {"message": "A request failed.", "exception": error}
+    )
 
 
 class _Channel:
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -12,6 +12,15 @@
     Then each has its own answer
     And the event loop took no more than 4 steps for each
 
+  Scenario: Many small requests that need no waiting
+    Signs of life, what a turn has used and what was taken in are two thirds of
+    what a storage instance is asked. Each had a task of the event loop.
+
+    Given a peer that answers requests at once
+    When 100 requests are sent to it, one after the other
+    Then each has its own answer
+    And the event loop took no more than 2 steps for each
+
   Scenario: Many requests at a time
     Answers do not come in the order of the requests; one taken for another
     would give a permission to the wrong turn.
@@ -61,3 +70,12 @@
     Given a peer whose first connection swallows all
     When it is asked in vain
     Then the next request is answered
+
+  Scenario: A request that fails
+    A fault in what answers it must show, and must not take along the others
+    that wait on the same connection.
+
+    Given a peer that answers requests at once, but for one
+    When that one is sent to it in vain
+    Then the fault is reported
+    And the next request is answered
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 
 from behave import given, then, when
 
@@ -43,15 +44,20 @@
         self.pauses: list[float] = []
         self.stack = contextlib.AsyncExitStack()
 
-    async def listen(self) -> None:
+    async def listen(self, serve: Callable | None = None) -> None:
         """Begins to answer."""
         await self.stack.enter_async_context(
-            RequestServer(self.address, _CODEC, self.serve, _METRICS)
+            RequestServer(self.address, _CODEC, serve or self.serve, _METRICS)
         )
 
-    async def serve(self, message: Fetch) -> Fetch:
+    def answer(self, message: Fetch) -> Fetch:
         """Answers with the text of the question."""
         self.asked.append(message.turn)
+        return Fetch(message.turn)
+
+    async def serve(self, message: Fetch) -> Fetch:
+        """The same, late."""
+        self.asked.append(message.turn)
         if self.pauses:
             await asyncio.sleep(self.pauses.pop())
         return Fetch(message.turn)
@@ -124,6 +130,47 @@
     run(context, begin(context).listen())
 
 
+@given("a peer that answers requests at once")
+def step_peer_at_once(context):
+    peer = begin(context)
+    run(context, peer.listen(peer.answer))
+
+
+@given("a peer that answers requests at once, but for one")
+def step_peer_fails(context):
+    peer = begin(context)
+    context.reported = []
+    context.loop.set_exception_handler(
+        lambda loop, what: context.reported.append(what["exception"])
+    )
+
+    def answer(message: Fetch) -> Fetch:
+        if message.turn == "fails":
+            raise ValueError("fails")
+        return Fetch(message.turn)
+
+    run(context, peer.listen(answer))
+    run(context, peer.ask("first"))
+    peer.answers.clear()
+
+
+@when("that one is sent to it in vain")
+def step_fails(context):
+    async def ask() -> None:
+        failing = context.peer.link.ask(Fetch("fails"), _IN_VAIN_SECONDS)
+        # One that answers others is only slow: the connection stays.
+        said = await asyncio.gather(failing, context.peer.ask("beside"))
+        assert said[0] is None, said
+
+    run(context, ask())
+    context.peer.answers.clear()
+
+
+@then("the fault is reported")
+def step_reported(context):
+    assert [str(error) for error in context.reported] == ["fails"]
+
+
 @given("a peer that answers requests, late ones first")
 def step_late_first(context):
     run(context, begin(context).listen())
