Measure what a start of each program takes

Callers wait while the processes of a release start, and nothing measured what a start takes. bench/start.py starts both programs from copies of checkouts by turns, with and without the bytecode, and takes time, processor time of all threads (schedstat) and resident memory at the line that says they listen, and the packages whose imports cost most. The environment is the platform's: few variables.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(BIN)/python -m bench.recovery
 	$(BIN)/python -m bench.keeping
 	$(BIN)/python -m bench.storing
+	$(BIN)/python -m bench.start
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
