Let holders agree on what is set aside of a budget

What callers saw: the last turns of a program were refused 503 `budget_unreserved` ("the holders do not agree on what was used") for good, though nobody was away.

Cause: the reply of the first opener of an account is late or lost, and a second one opens the account at the same holders. Who is out of reach by then differs, so the two set different parts of the budget aside. A holder keeps the part that it heard of first. Near the limit one of them has no room, the front puts together what all know and tells them, but a holder took over uses and what was given back, not the other part, and had no room again.

Ruled out: a reservation that is never taken back (that would be answered 402) and uses that differ (they are put together).

Change: what is put together takes the part of the holder that leaves more to use, and a holder takes it over. Each part is enough by itself: all who may grant alone under it were asked, or are counted as if they had. What holders tell each other of an account names its limit in place of what was given back.

--- a/libs/keeper/src/rattanmill_keeper/accounts.py
+++ b/libs/keeper/src/rattanmill_keeper/accounts.py
@@ -33,13 +33,19 @@
 
 
 def join(accounts: Iterable[Account]) -> Account:
-    """Puts together what holders know of one account."""
+    """Puts together what holders know of one account.
+
+    Two that opened it may have set different parts aside. Each of them is
+    enough, so the one that leaves more to use counts.
+    """
     first, *others = accounts
     joined = msgspec.structs.replace(first, uses=dict(first.uses))
     for account in others:
         for attempt, use in account.uses.items():
             joined.uses[attempt] = latest(joined.uses.get(attempt), use)
-        joined.given = max(joined.given, account.given)
+        if account.limit > joined.limit:
+            joined.place = account.place
+            joined.given = account.given
     return joined
 
 
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -223,7 +223,7 @@
     def ref(self, account: Account) -> AccountRef:
         """Returns what tells other holders whether they know the same."""
         program = account.program
-        return AccountRef(program, self.digests[program], account.given)
+        return AccountRef(program, self.digests[program], account.limit)
 
     def pick(self, programs: list[str]) -> list[Account]:
         """Returns the accounts of those programs that are held here."""
@@ -235,7 +235,7 @@
         return (
             account is not None
             and self.digests[ref.program] == ref.digest
-            and account.given >= ref.given
+            and account.limit >= ref.limit
         )
 
     def agree(self, ask: Agree) -> Refused | HomeChange:
@@ -290,7 +290,7 @@
             return None
         held = self.accounts.get(account.program)
         joined = join([held, account]) if held else account
-        if held and (joined.uses, joined.given) == (held.uses, held.given):
+        if held and (joined.uses, joined.limit) == (held.uses, held.limit):
             return None
         self._hold(joined)
         return self._changed(joined)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -426,12 +426,12 @@
     Attributes:
         program: The program.
         digest: Holders with the same digest know the same uses.
-        given: As in ``Account``.
+        limit: What the holders may grant together.
     """
 
     program: str
     digest: int
-    given: int
+    limit: int
 
 
 class News(msgspec.Struct, tag=15):
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -179,6 +179,25 @@
     And "a" loses its disk and has followed the others
     Then the program is refused as not certain at "b"
 
+  Scenario Outline: An account is opened twice, with different parts set aside
+    Guards against holders that never agree on how much may be used: the reply
+    of the first opener is lost, and the second one sets more or less aside.
+
+    Given storage instances "a, b, c"
+    When "a" opens an account while "<first>" is out of reach
+    And "b" opens it as well while "<second>" is out of reach
+    Then the program may use all of its budget at "<name>"
+    And the program may use no more than that and one turn at "a, b, c"
+
+    Examples:
+      | first  | second | name |
+      | nobody | c      | a    |
+      | nobody | c      | b    |
+      | nobody | c      | c    |
+      | c      | nobody | a    |
+      | c      | nobody | b    |
+      | c      | nobody | c    |
+
   Scenario: A failure domain that is cut off goes on with its programs
     Only the instance that opened the account can be reached. It grants a few
     turns out of the share that is set aside for it.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -96,6 +96,46 @@
     assert len(found) == 1, found
 
 
+def open_at(context, name, other):
+    """Opens an account at one instance while the others don't reach another."""
+    cuts = {frozenset((each, other)) for each in context.network.names}
+    context.network.cuts |= cuts
+    message = Open("twice", BUDGET, TOKENS)
+    reply = network(context, lambda n: n.keepers[name].open(message))
+    context.network.cuts -= cuts
+    context.network.failures.clear()
+    assert isinstance(reply, Opened), reply
+    return reply.place
+
+
+@when('"{name}" opens an account while "{other}" is out of reach')
+def step_open_first(context, name, other):
+    context.first = open_at(context, name, other)
+
+
+@when('"{name}" opens it as well while "{other}" is out of reach')
+def step_open_second(context, name, other):
+    second = open_at(context, name, other)
+    assert second.holders == context.first.holders
+    assert second.reserved != context.first.reserved, second
+
+
+@then('the program may use all of its budget at "{name}"')
+def step_use_all(context, name):
+    for number in range(BUDGET // TOKENS):
+        reply = ask(context, name, "twice", f"turn-{number}")
+        assert isinstance(reply, Reserved), (number, reply)
+
+
+@then('the program may use no more than that and one turn at "{names}"')
+def step_use_no_more(context, names):
+    more = [
+        ask(context, name, "twice", f"more-{name}")
+        for name in names.split(", ")
+    ]
+    assert sum(isinstance(each, Reserved) for each in more) <= 1, more
+
+
 @when('a program has used its budget at "{name}"')
 def step_used_up(context, name):
     for attempt in ("one", "two", "three"):
