Rounds of signs of life make fewer tasks

A wait was looked at by a timed `asyncio.wait` each 0.2 s, and silences were worked out three times a round.

Change: a wait is looked at by a timer; a round works out silences once; tasks for failure domains are made only for those that are suspect (`Domains.review` made two each 0.1 s for nothing).

Behaviour is the same; mirror, signs, domains, watches and membership pass.

--- a/libs/forward/src/rattanmill_forward/domains.py
+++ b/libs/forward/src/rattanmill_forward/domains.py
@@ -100,15 +100,19 @@
         for domain in self.cut - set(silences):
             heard = self.heard.get(domain, never)
             silences[domain] = Silence(float("inf"), now - heard)
-        await asyncio.gather(
-            *(self._look_at(domain, each) for domain, each in silences.items())
-        )
-
-    async def _look_at(self, domain: str, silence: Silence) -> None:
-        if not is_suspect(silence):
-            if domain in self.cut:
+        suspects = {}
+        for domain, silence in silences.items():
+            if is_suspect(silence):
+                suspects[domain] = silence
+            elif domain in self.cut:
                 self.hear(domain)
-            return
+        # Hardly ever any: no tasks are made for those that are there.
+        if suspects:
+            await asyncio.gather(
+                *(self._try(domain, each) for domain, each in suspects.items())
+            )
+
+    async def _try(self, domain: str, silence: Silence) -> None:
         if loop_seconds() - self.tried.get(domain, 0.0) < _AGAIN_SECONDS:
             return
         self.tried[domain] = loop_seconds()
--- a/libs/keeper/src/rattanmill_keeper/joint.py
+++ b/libs/keeper/src/rattanmill_keeper/joint.py
@@ -91,9 +91,31 @@
             self._answer(asked, {})
             return
         ask = asyncio.create_task(self._ask(member, asked))
-        if await self._is_over(ask, member, asked):
+        self._look_soon(ask, member, asked)
+        await asyncio.wait([ask])
+        if not ask.cancelled():
             self._answer(asked, ask.result())
 
+    def _look_soon(
+        self, ask: asyncio.Task, member: Member, asked: dict[str, Want]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LOOK_SECONDS, self._look, ask, member, asked)
+
+    def _look(
+        self, ask: asyncio.Task, member: Member, asked: dict[str, Want]
+    ) -> None:
+        """Gives a wait up that tells nothing, or leaves somebody out."""
+        if ask.done():
+            return
+        if self.link(member).failures:
+            log_event("wait_given_up", keeper=member.name)
+            ask.cancel()
+        elif self.wants.keys() - asked.keys():
+            ask.cancel()
+        else:
+            self._look_soon(ask, member, asked)
+
     async def _ask(
         self, member: Member, asked: dict[str, Want]
     ) -> dict[str, StoreItems]:
@@ -108,21 +130,6 @@
             return {}
         return {first: said, **said.others}
 
-    async def _is_over(
-        self, ask: asyncio.Task, member: Member, asked: dict[str, Want]
-    ) -> bool:
-        """Waits for the answer; False if the wait was given up before."""
-        while True:
-            done, _ = await asyncio.wait([ask], timeout=_LOOK_SECONDS)
-            if done:
-                return True
-            if self.link(member).failures:
-                log_event("wait_given_up", keeper=member.name)
-            elif self.wants.keys() <= asked.keys():
-                continue
-            ask.cancel()
-            return False
-
     def _answer(
         self, asked: dict[str, Want], told: dict[str, StoreItems]
     ) -> None:
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -183,14 +183,31 @@
         """Asks members for signs of life."""
         while True:
             self.review()
-            domains = self.members.ranked().values()
-            for members in domains:
-                self._ask_quiet(members)
-            due = [each for each in domains if self._is_due(each)]
-            for members in due or self._without_news():
-                self._ask_first(members)
+            pause = self._ask_round()
             self._doubt()
-            await asyncio.sleep(self._pause())
+            await asyncio.sleep(pause)
+
+    def _ask_round(self) -> float:
+        """Asks who is due; returns when to look again, in seconds."""
+        domains = list(self.members.ranked().values())
+        for members in domains:
+            self._ask_quiet(members)
+        unasked = [self._unasked(members) for members in domains]
+        rests = [
+            min(self._silence(members), since)
+            for members, since in zip(domains, unasked, strict=True)
+        ]
+        least = _PING_SECONDS - _ALIGN_SECONDS
+        due = [at for at, rest in enumerate(rests) if rest > least]
+        # Crashes and changes of the list of members are told with signs of life
+        # only. Every member is told of them, so that any domain will do.
+        if domains and not due and min(unasked) > least:
+            due = [unasked.index(max(unasked))]
+        for at in due:
+            self._ask_first(domains[at])
+            rests[at] = unasked[at] = 0.0
+        longest = max(max(rests, default=0.0), min(unasked, default=0.0))
+        return max(_ALIGN_SECONDS, _PING_SECONDS - longest)
 
     def _doubt(self) -> None:
         """Looks at the store while it may be all that can be reached."""
@@ -200,34 +217,6 @@
             self.looked_at = loop_seconds()
             self.spawn(self.look_at_store())
 
-    def _is_due(self, members: list[Member]) -> bool:
-        """Whether a domain has to be asked for a sign of life."""
-        return self._rest(members) > _PING_SECONDS - _ALIGN_SECONDS
-
-    def _rest(self, members: list[Member]) -> float:
-        """Returns since when a domain was neither heard nor asked, seconds."""
-        return min(self._silence(members), self._unasked(members))
-
-    def _pause(self) -> float:
-        """Returns when the next domain, or news, is due, in seconds."""
-        domains = self.members.ranked().values()
-        silent = max(map(self._rest, domains), default=0.0)
-        without_news = min(map(self._unasked, domains), default=0.0)
-        longest = max(silent, without_news)
-        return max(_ALIGN_SECONDS, _PING_SECONDS - longest)
-
-    def _without_news(self) -> list[list[Member]]:
-        """Returns a domain to ask though it was heard, if it is time to.
-
-        Crashes and changes of the list of members are told with signs of life
-        only. Every member is told of them, so that any domain will do.
-        """
-        domains = self.members.ranked().values()
-        unasked = {self._unasked(members): members for members in domains}
-        if not unasked or min(unasked) < _PING_SECONDS - _ALIGN_SECONDS:
-            return []
-        return [unasked[max(unasked)]]
-
     def _ask_first(self, members: list[Member]) -> None:
         """Asks the first of a domain, and if it is late all others."""
         there = [member for member in members if not self.is_away(member)]
@@ -321,5 +310,6 @@
     def _silence(self, members: Iterable[Member]) -> float:
         """Returns for how long none of them has answered, in seconds."""
         never = float("-inf")
-        heard = [self.heard.get(member.name, never) for member in members]
-        return loop_seconds() - max(heard, default=never)
+        heard = self.heard
+        newest = max((heard.get(m.name, never) for m in members), default=never)
+        return loop_seconds() - newest
