Test that a crash is heard by fronts that ask other storage instances

Since fronts watch only some of the storage instances, crashes are told to all. Nothing tested that in a unit: with crashes told to the first of each domain of the telling front, as it was, the new scenario ends in a time-out (not heard within 10 s). Heard within 0.4 s in 50 plays now. The stub of a storage instance's link holds a real `CrashBoard` for that.

--- a/tests/features/signs.feature
+++ b/tests/features/signs.feature
@@ -90,3 +90,11 @@
     When one domain is cut off, 50 times at moments of its own
     Then the domain has been silent for 0.4 seconds within 0.7 seconds
     And it is heard within 0.5 seconds of the end of the cut
+
+  Scenario: Fronts that ask different storage instances tell each other of crashes
+    Told to one storage instance of each domain, a crash stays unknown to fronts
+    that ask others, and the request that caused it goes on there.
+
+    Given a front and 24 storage instances in 3 failure domains
+    When another front tells of a crash, 50 times at moments of its own
+    Then it has heard of the crash within 0.4 seconds
--- a/tests/features/steps/signs.py
+++ b/tests/features/steps/signs.py
@@ -7,9 +7,10 @@
 
 from behave import given, then, when
 
-from rattanmill_core import Metrics, start_loop
+from rattanmill_core import CrashNote, Metrics, start_loop
 from rattanmill_keeper import Member, Members
-from rattanmill_keeper.messages import Fetch, Ping, Pong
+from rattanmill_keeper.crashes import CrashBoard
+from rattanmill_keeper.messages import Crashed, Done, Fetch, Ping
 from rattanmill_keeper.reach import Reach
 from support.memory import MemoryKv
 from support.virtual import run_virtually
@@ -30,6 +31,7 @@
         self.asked = 0
         self.failures = 0
         self.pongs = []
+        self.board = CrashBoard("run")
 
     async def ask(self, message, seconds):
         """Returns a sign of life, or None after the asker's time."""
@@ -39,7 +41,10 @@
         if self.is_there:
             if is_ping:
                 self.pongs.append(asyncio.get_running_loop().time())
-            return Pong("run", 0, [])
+                return self.board.answer(message)
+            if isinstance(message, Crashed):
+                self.board.add(message.notes)
+            return Done()
         await asyncio.sleep(seconds)
         return None
 
@@ -306,3 +311,26 @@
 def step_news(context, most):
     gaps = [after - at for at, after in itertools.pairwise(context.pongs)]
     assert max(gaps) <= most, max(gaps)
+
+
+@when("another front tells of a crash, {plays:d} times at moments of its own")
+def step_tell(context, plays):
+    async def scene(watcher, members):
+        now = asyncio.get_running_loop().time
+        heard = asyncio.Event()
+        watcher.reach.crashes.on_notes = lambda notes: heard.set()
+        others = SignMembers(*context.shape)
+        others.links = members.links
+        another = Reach("d1", others, Metrics())
+        told_at = now()
+        another.tell_crashes([CrashNote(b"request", "engine", 0)])
+        async with asyncio.timeout(10.0):
+            await heard.wait()
+        return now() - told_at
+
+    context.found = [play(context, seed, scene) for seed in range(plays)]
+
+
+@then("it has heard of the crash within {most:f} seconds")
+def step_heard_of_crash(context, most):
+    assert max(context.found) <= most, sorted(context.found)
