Send what waited for a connection as soon as it is there

Cause: since messages are taken without a future for each, a message that can't go out at once waits for the socket's word that it may. The call that looks what is to be received right after the failed send may take that word away, if the connection was made in between (ZeroMQ looks for news of itself at most each millisecond or so while it sends). Then nothing ever told of it.

Change: after a failed send the socket is also looked at for room to send.

Test: the first requests of 400 connections, each sent up to 1 ms after its connection was begun.

--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -93,7 +93,8 @@
             is_sent = False
         else:
             is_sent = True
-        if self.socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+        events = self.socket.getsockopt(zmq.EVENTS)
+        if events & zmq.POLLIN or (events & zmq.POLLOUT and not is_sent):
             self._look_soon()
         return is_sent
 
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -53,6 +53,14 @@
     When it is asked, and begins to listen meanwhile
     Then each has its own answer
 
+  Scenario: A connection that is made while a message is encoded
+    Guards against a message that waits for word of a connection which has been
+    there all along.
+
+    Given a peer that answers requests
+    When the first requests of 400 connections take up to 1 ms to encode
+    Then each has its own answer
+
   Scenario: A peer that starts again
     Its connections are gone. An asker that went on with an old one would take
     it for silent.
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 
 from behave import given, then, when
@@ -251,6 +252,31 @@
     assert context.peer.answers.pop() == ("in vain", None)
 
 
+class SlowCodec:
+    """Takes its time to encode, during which the event loop stands still."""
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.decode = _CODEC.decode
+
+    def encode(self, message: Fetch) -> bytes:
+        """Encodes a message."""
+        time.sleep(self.seconds)
+        return _CODEC.encode(message)
+
+
+@when("the first requests of {count:d} connections take up to 1 ms to encode")
+def step_slow(context, count):
+    async def ask(seconds: float) -> None:
+        peer = context.peer
+        peer.link = RequestLink(peer.address, SlowCodec(seconds))
+        await peer.ask("slow")
+        peer.link.close()
+
+    for number in range(count):
+        run(context, ask(number / count / 1000))
+
+
 @when("the peer starts again")
 def step_start_again(context):
     async def start_again() -> None:
