--- a/tests/features/steps/up.py
+++ b/tests/features/steps/up.py
@@ -19,6 +19,22 @@
 _PROCESS = re.compile(r"^  (\d+)  (\S+)$", re.MULTILINE)
 _FOLDER = re.compile(r"^Logs: (\S+)/NAME.log$", re.MULTILINE)
 
+_ENDED_IN_START = """
+import os, signal, subprocess, sys
+sys.path.insert(0, "scripts")
+import up
+
+class Popen(subprocess.Popen):
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        print("begun", self.pid, flush=True)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+subprocess.Popen = Popen
+sys.argv = ["up.py", "{port}"]
+sys.exit(up.main())
+"""
+
 
 def _start(context):
     path = pathlib.Path(f"/tmp/rattanmill-up-{os.getpid()}.out")
@@ -60,6 +76,23 @@
     return [int(child) for child in path.read_text().split()]
 
 
+@when('"make up" is ended in the middle of starting a process')
+def step_end_in_start(context):
+    context.output = pathlib.Path(f"/tmp/rattanmill-up-{os.getpid()}.out")
+    context.scenario_stack.callback(context.output.unlink, missing_ok=True)
+    with context.output.open("w") as output:
+        context.up = subprocess.Popen(
+            [sys.executable, "-c", _ENDED_IN_START.format(port=_PORT)],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+        )
+    context.up.wait(60)
+    context.folder = ""
+    text = context.output.read_text()
+    context.pids = [int(p) for p in re.findall(r"^begun (\d+)$", text, re.M)]
+    assert len(context.pids) == 1, text
+
+
 @when('"make up" is started a second time')
 def step_second(context):
     context.second = subprocess.run(
--- a/tests/features/up.feature
+++ b/tests/features/up.feature
@@ -22,6 +22,13 @@
     And it is ended with SIGTERM
     Then it exits with 0, and none of its processes and files is left
 
+  Scenario: Ended while it starts a process
+    The signal comes when the process is there and nobody has noted it yet. It
+    was left running, and held its address.
+
+    When "make up" is ended in the middle of starting a process
+    Then it exits with 0, and none of its processes and files is left
+
   Scenario: Started twice
     When "make up" is started
     And "make up" is started a second time
--- a/tests/support/stack.py
+++ b/tests/support/stack.py
@@ -19,6 +19,7 @@
 import zmq
 
 from support.client import Client
+from support.interrupts import uninterrupted
 from support.process import Process
 from support.waiting import wait_until
 
@@ -197,7 +198,7 @@
         known = self.standins.get(name)
         address = known.address if known else self.address(host)
         process = Process(name, [module, address, *arguments], self.folder)
-        self.stack.enter_context(process)
+        self._run(process)
         self.processes[name] = process
         self.standins[name] = Client(address)
         wait_until(
@@ -205,6 +206,11 @@
             lambda: f"{name} answers at {address}: {process.tail()}",
         )
 
+    def _run(self, process: Process) -> None:
+        # Interrupted in between, it would run and nobody would end it.
+        with uninterrupted():
+            self.stack.enter_context(process)
+
     def restart_engine(self, name: str) -> None:
         """Starts a crashed engine again."""
         spec = next(s for s in self.layout.engines if s.name == name)
@@ -271,7 +277,7 @@
         """Starts an instance (again)."""
         path = pathlib.Path(self.folder, f"{instance.name}.toml")
         path.write_text(self.settings_text(instance))
-        self.stack.enter_context(instance.process)
+        self._run(instance.process)
 
     def instance(self, name: str) -> Instance:
         """Returns an instance by name."""
