Streams of a shutdown run together, however slowly they are begun

Cause: the step begins nine streams one after the other and waits each time until as many calls are at the engine as were begun. Each stream lasts as long as 300 tokens take. If the sending of the nine takes longer than the first two turns, the first is over before the last begins, and the number is never reached.

Change: the engine is slowed down by 20 until all nine run, and goes on at its usual speed before the instance is told to end. What is checked is the same.

--- a/tests/features/steps/shutdown.py
+++ b/tests/features/steps/shutdown.py
@@ -20,6 +20,7 @@
 # machine that is busy.
 _LONG_TOKENS = 4000
 _NEW_PROGRAMS = 40
+_SLOW_FACTOR = 20.0
 
 
 @given("a system for shutdowns")
@@ -71,6 +72,11 @@
 @when("streams and queued calls run through all instances")
 def step_load(context):
     instances = context.system.instances
+    engine = context.system.standins["engine-1"]
+    # The first must not have ended before the last has begun, however long
+    # it takes to send them.
+    engine.faults(slow_factor=_SLOW_FACTOR)
+    context.scenario_stack.callback(engine.faults, slow_factor=1.0)
     for owner in instances:
         for through in instances:
             program = own_program(context, owner)
@@ -85,6 +91,7 @@
                         "the first turn runs",
                     )
     wait_until(lambda: running(context) >= 9, "all streams run")
+    engine.faults(slow_factor=1.0)
     if context.store_down:
         context.system.standins["kv"].faults(down=True)
 
