Measure what idle fronts and storage instances take

`python -m bench.idle [LABEL=CHECKOUT...]` starts real processes against the stand-ins of the store, 3 to 27 fronts and 3 to 24 storage instances, and shows cores and messages a second of each, by kind and, for a front, by cause, several checkouts by turns.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	$(BIN)/python -m bench.keeping
 	$(BIN)/python -m bench.storing
 	$(BIN)/python -m bench.start
+	$(BIN)/python -m bench.idle
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
