--- a/libs/entry/src/rattanmill_entry/serve.py
+++ b/libs/entry/src/rattanmill_entry/serve.py
@@ -72,7 +72,7 @@
         return refuse(Reason.NOT_OWNER, detail)
     if loop_seconds() - parting.since < _PARTING_SECONDS:
         return refuse(Reason.NOT_OWNER, detail)
-    detail = "The program's owner shuts down after a call that is under way."
+    detail = "The owner shuts down and is not yet done with the shard."
     return refuse(Reason.SHUTTING_DOWN, detail)
 
 
