--- a/tests/support/lapses.py
+++ b/tests/support/lapses.py
@@ -329,6 +329,8 @@
     prepare(network)
     await network.start_all()
     await network.tell()
+    # Who there is, is on disk a moment later.
+    await network.pass_time(_STEP_SECONDS)
     story = Lapses(network)
     try:
         await story.play(phases)
