Set nothing aside for one that has agreed to another opener

Callers could see: a program gets more than its budget and one turn. Cause: with three storage instances, c opens an account and b answers it late; the front asks a besides, which opens it at the same holders. c agrees, and says that it grants nothing alone, as it has not begun to; then c begins to. Change: whoever has agreed to an opener meanwhile begins no share. Test: keeping.feature, 13 turns of at most 11 without the change.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -410,7 +410,9 @@
         if found.without and self.members.roster() & found.without:
             # It was told meanwhile that it is counted, and not of this.
             return Unsure("one that was left out is back")
-        place = self._place(ask, holders, found, bool(agreed_before))
+        # Whoever asked meanwhile was told that nothing is granted alone here.
+        is_old = bool(agreed_before) or program in self.ledger.homes
+        place = self._place(ask, holders, found, is_old)
         change = self.ledger.open(Account(program, ask.budget, place))
         if change is None:
             return self.ledger.find(program)
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -198,6 +198,14 @@
       | c      | nobody | b    |
       | c      | nobody | c    |
 
+  Scenario: Two open an account at once, and one would grant alone
+    Guards against a part of the budget that one instance grants alone and the
+    others grant as well: the second opener asked before the part was set aside.
+
+    Given storage instances "a, b, c"
+    When "c" opens an account while "b" answers late, and "a" opens it meanwhile
+    Then no more than its budget and one turn are granted at "a", and "c" alone
+
   Scenario: A failure domain that is cut off goes on with its programs
     Only the instance that opened the account can be reached. It grants a few
     turns out of the share that is set aside for it.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -24,6 +24,10 @@
 # A caller that is refused comes back a few times.
 _OPEN_TRIES = 4
 _OPEN_PAUSE_SECONDS = 0.2
+# What one instance may grant alone of it is more than one turn.
+LARGE_BUDGET = 10 * TOKENS
+# One that answers so late is waited for all the same.
+_SLOW_SECONDS = 0.1
 
 
 @given('storage instances "{names}"')
@@ -136,6 +140,45 @@
     assert sum(isinstance(each, Reserved) for each in more) <= 1, more
 
 
+@when(
+    '"{name}" opens an account while "{other}" answers late, and "{second}"'
+    " opens it meanwhile"
+)
+def step_open_both(context, name, other, second):
+    message = Open("both", LARGE_BUDGET, TOKENS)
+
+    async def open_both(net):
+        net.delays[name, other] = _SLOW_SECONDS
+        first = asyncio.create_task(net.keepers[name].open(message))
+        await asyncio.sleep(_SLOW_SECONDS / 2)
+        return await net.keepers[second].open(message), await first
+
+    replies = network(context, open_both)
+    context.network.delays.clear()
+    assert all(isinstance(each, Opened) for each in replies), replies
+
+
+@then(
+    'no more than its budget and one turn are granted at "{name}", and'
+    ' "{other}" alone'
+)
+def step_granted_in_all(context, name, other):
+    async def reserve(net, where):
+        asks = [
+            Reserve("both", f"{where}-{number}", TOKENS, LARGE_BUDGET)
+            for number in range(LARGE_BUDGET // TOKENS + 2)
+        ]
+        replies = [await net.reserve(where, each) for each in asks]
+        return sum(isinstance(each, Reserved) for each in replies)
+
+    granted = network(context, lambda net: reserve(net, name))
+    assert granted
+    others = set(context.network.names) - {other}
+    context.network.cuts |= {frozenset((other, each)) for each in others}
+    granted += network(context, lambda net: reserve(net, other))
+    assert granted * TOKENS <= LARGE_BUDGET + TOKENS, granted
+
+
 @when('a program has used its budget at "{name}"')
 def step_used_up(context, name):
     for attempt in ("one", "two", "three"):
