Book the end of a turn behind its reservation

What callers could see: a program whose caller left within milliseconds of its first turn is told too early that its budget is spent.

Cause: since requests that need no waiting are answered as they come in, word of a turn's end was booked before the reservation that had been sent ahead of it, whose task begins a step later. A holder without the account found nothing to end, and then recorded the use for good.

Change: word of an end is answered in a task again, and so in its turn.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -209,7 +209,7 @@
             case GiveBack(program=program):
                 return self.give_back(program)
             case Settle():
-                return self.settle(message)
+                return self._settle(message)
             case Agree():
                 return self._agree(message)
             case Keep(kept=kept):
@@ -490,6 +490,10 @@
     async def _append(self, record: Record) -> int:
         return await self.journal.append(encode(record))
 
+    async def _settle(self, said: Settle) -> Done:
+        """Books in its turn: the reservation may have been sent just before."""
+        return self.settle(said)
+
     async def _keep(self, kept: KeptTurn) -> Done | Unsure:
         await self.keep(kept)
         return Unsure("emptied") if self.is_closed else Done()
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -242,6 +242,14 @@
     When a front asks for a permission and its caller leaves meanwhile
     Then the permission is taken back
 
+  Scenario: A turn ends as soon as its permission was asked for
+    Guards against word of its end that is booked before the reservation, which
+    would then count for ever.
+
+    Given storage instances "a, b, c"
+    When "b" hears at once of a reservation and of its end
+    Then the program has used nothing at "b"
+
   Scenario: A power loss takes what was not synced
     An instance loses power. It comes back with all that it has acknowledged.
     Taking itself for one that has lost its disk, it would serve nobody.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -14,7 +14,7 @@
 )
 from rattanmill_keeper.emptying import Emptying, EmptyingOrders
 from rattanmill_keeper.ledger import Ledger
-from rattanmill_keeper.messages import Account, Open, Opened, Place
+from rattanmill_keeper.messages import Account, Open, Opened, Place, Settle
 from support.keepers import LocalMembers, begin
 from support.keepers import run_in as network
 from support.stories import BUDGET, TOKENS
@@ -179,6 +179,26 @@
     assert granted * TOKENS <= LARGE_BUDGET + TOKENS, granted
 
 
+@when('"{name}" hears at once of a reservation and of its end')
+def step_end_at_once(context, name):
+    place = open_at(context, "a", "nobody")
+    reserve = Reserve("twice", "turn", TOKENS, BUDGET, place=place)
+    messages = [reserve, Settle("twice", "turn", 0)]
+
+    async def hear(n):
+        # As they come in: what needs no waiting is answered on the spot.
+        replies = [n.keepers[name].answer(message) for message in messages]
+        await asyncio.gather(*filter(asyncio.iscoroutine, replies))
+
+    network(context, hear)
+
+
+@then('the program has used nothing at "{name}"')
+def step_used_nothing(context, name):
+    account = context.network.keepers[name].ledger.accounts["twice"]
+    assert account.taken == 0, account
+
+
 @when('a program has used its budget at "{name}"')
 def step_used_up(context, name):
     for attempt in ("one", "two", "three"):
