Take back: open no account anew without the one that was left out

Cause: takes a consent only from one that has heard all others but one since it started. With two dead names within the hour, nobody ever has.

A mended version has to tell "heard" from "gone for long", with this load as its test.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -56,8 +56,7 @@
         )
         registration = Registration(kv, member)
         registration.is_listed = members.is_listed
-        keeper.since_confirmed = registration.since_confirmed
-        keeper.epoch = lambda: registration.member.epoch
+        keeper.is_confirmed = lambda: registration.is_confirmed
         registration.on_lapse = keeper.stop_to_count
         await stack.enter_async_context(registration)
         await stack.enter_async_context(Following(keeper, members))
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -146,14 +146,12 @@
         progress = self.progress.setdefault(member.name, Progress())
         link = self.members.link(member)
         began = loop_seconds()
-        epoch = self.keeper.epoch()
         news = await link.ask(
             Follow(
                 self.keeper.name,
                 progress.run,
                 progress.position,
                 self.keeper.run,
-                epoch,
             ),
             _ASK_SECONDS,
         )
@@ -177,8 +175,7 @@
         progress.run = news.run
         progress.position = news.position
         progress.absent = frozenset(news.absent)
-        is_same = epoch == self.keeper.epoch()
-        if news.is_counted and is_same and not news.more:
+        if news.is_counted and not news.more:
             self.keeper.unheard.discard(member.name)
         if news.whole and not news.more:
             self.keeper.level_at[member.name] = began
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -15,13 +15,7 @@
     wall_seconds,
 )
 from rattanmill_keeper.crashes import CrashBoard
-from rattanmill_keeper.homes import (
-    Consent,
-    Contested,
-    decide,
-    list_decided,
-    may_open,
-)
+from rattanmill_keeper.homes import Consent, Contested, decide, may_open
 from rattanmill_keeper.journal import Journal
 from rattanmill_keeper.ledger import (
     FORGET_SECONDS,
@@ -33,7 +27,7 @@
     RosterChange,
     ShareChange,
 )
-from rattanmill_keeper.members import CONFIRMED_SECONDS, Members
+from rattanmill_keeper.members import Members
 from rattanmill_keeper.messages import (
     MOST_SHARING,
     Account,
@@ -106,9 +100,7 @@
         leaving: Whether it is being emptied.
         is_closed: Whether it takes nothing any more, as the others have all.
         run: Id of this run of the process.
-        since_confirmed: Returns the seconds since the registration of this
-            instance was known to go on.
-        epoch: Returns the id of that registration.
+        is_confirmed: Whether the others still count this instance.
         unheard: Others that may have agreed to accounts without this instance
             and have not told of them yet.
         followed: Position up to which each other one has followed this run.
@@ -153,8 +145,7 @@
         self.whole = first_start
         # A disk that is new or was lost may have held what was granted alone.
         self.alone_from = 0.0 if first_start else float("inf")
-        self.since_confirmed: Callable[[], float] = lambda: 0.0
-        self.epoch: Callable[[], str] = lambda: ""
+        self.is_confirmed: Callable[[], bool] = lambda: True
         self.unheard: set[str] = set()
         self.followed: dict[str, int] = {}
         self.level_at: dict[str, float] = {}
@@ -280,7 +271,7 @@
             self.whole
             and not self.leaving
             and wall_seconds() > self.alone_from
-            and self.since_confirmed() < CONFIRMED_SECONDS
+            and self.is_confirmed()
             and not self.unheard & roster
             and len(roster | {self.name}) <= MOST_SHARING
         )
@@ -289,35 +280,9 @@
         """Notes that this instance was perhaps not counted by the others.
 
         Until each has told what they agreed to, it grants nothing alone to
-        programs that it has not heard of, and its consent may not suffice.
+        programs that it has not heard of.
         """
-        self.unheard = self.members.everyone() - {self.name}
-
-    def standing(self) -> float:
-        """Returns for how many seconds it may have been left out by others.
-
-        Infinite while it may not know of accounts that were opened without it.
-        Two at least have agreed to each, so all but one must have told. And
-        while it leaves out one whose accounts it may not know.
-        """
-        members = self.members
-        away = self.unheard & members.everyone()
-        if len(away) > 1 or members.unread().keys() & members.left_out():
-            return float("inf")
-        return self.since_confirmed()
-
-    async def take_decided(self) -> None:
-        """Takes in what those that were lost have opened with the store."""
-        lost = self.members.unread()
-        if not lost:
-            return
-        homes = await list_decided(self.kv)
-        if homes is None:
-            return
-        changes = [self.ledger.learn(home) for home in homes]
-        await asyncio.gather(*(self.write_home(c) for c in changes if c))
-        self.members.read_after.update(lost)
-        log_event("homes_read", count=len(homes), lost=sorted(lost))
+        self.unheard = self.members.roster() - {self.name}
 
     async def give_back(self, program: str) -> GivenBack | Unsure:
         """Grants no more alone; answers once that is on disk."""
@@ -398,18 +363,13 @@
         # the account at the same time, and both would give up.
         home = HomeChange(Home(program, holders), wall_seconds())
         found, _ = await asyncio.gather(
-            self.may_open(
-                program, holders, self.ledger, self.members, self.standing
-            ),
+            self.may_open(program, holders, self.ledger, self.members),
             self._append(home),
         )
         if isinstance(found, Contested):
             found = await self._decide(home.home, found)
         if not isinstance(found, Consent):
             return found
-        if found.without and self.members.roster() & found.without:
-            # It was told meanwhile that it is counted, and not of this.
-            return Unsure("one that was left out is back")
         # Whoever asked meanwhile was told that nothing is granted alone here.
         is_old = bool(agreed_before) or program in self.ledger.homes
         place = self._place(ask, holders, found, is_old)
@@ -475,12 +435,7 @@
             return decision
         if decision is not None:
             await self.write_home(decision)
-        return Agreed(
-            ask.program in self.ledger.shares,
-            self.standing(),
-            sorted(self.members.left_out()),
-            sorted(self.ledger.others.get(ask.program, ())),
-        )
+        return Agreed(ask.program in self.ledger.shares)
 
     async def write_home(self, change: HomeChange) -> None:
         """Writes down where an account is, for the journal and followers."""
@@ -533,14 +488,10 @@
             self.whole,
             position < self.intake.position,
             self.members.changed,
-            self._is_counted(ask),
+            ask.asker in self.members.known,
             self._absent_for(ask),
         )
 
-    def _is_counted(self, ask: Follow) -> bool:
-        member = self.members.known.get(ask.asker)
-        return member is not None and member.epoch == ask.asker_epoch
-
     def _absent_for(self, ask: Follow) -> list[str]:
         """Returns who may have what an asker has lost with its disk.
 
@@ -617,7 +568,6 @@
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             self.sweep()
-            await self.take_decided()
 
     def sweep(self) -> None:
         """Drops what is over, in memory and on disk."""
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -102,8 +102,6 @@
         digests: Digest of each account's uses.
         shares: What this instance has granted alone, by program.
         homes: Where accounts are, whether open or only agreed to.
-        others: Other holders that were heard of, for programs that are not
-            open here.
         opening: Programs whose account is being opened here.
     """
 
@@ -113,7 +111,6 @@
         self.digests: dict[str, int] = {}
         self.shares: dict[str, Share] = {}
         self.homes: dict[str, HomeChange] = {}
-        self.others: dict[str, set[tuple[str, ...]]] = {}
         self.opening: set[str] = set()
 
     def find(self, program: str) -> Opened | Elsewhere | Opening:
@@ -267,7 +264,6 @@
         if home.program in self.accounts:
             return None
         self.homes.pop(home.program, None)
-        self.others.pop(home.program, None)
         return self.learn(home)
 
     def open(self, account: Account) -> AccountChange | None:
@@ -300,16 +296,8 @@
         return self._changed(joined)
 
     def learn(self, home: Home) -> HomeChange | None:
-        """Writes down where an account is; None if that is no news.
-
-        What was agreed to before stays; that there are others is noted.
-        """
-        if home.program in self.accounts:
-            return None
-        if home.program in self.homes:
-            if self.holders_of(home.program) != home.holders:
-                others = self.others.setdefault(home.program, set())
-                others.add(home.holders)
+        """Writes down where an account is; None if that is no news."""
+        if home.program in self.accounts or home.program in self.homes:
             return None
         change = HomeChange(home, wall_seconds())
         self.homes[home.program] = change
@@ -353,7 +341,6 @@
         ]
         for program in homes:
             del self.homes[program]
-            self.others.pop(program, None)
         shares = [p for p, s in self.shares.items() if s.touched < oldest]
         for program in shares:
             del self.shares[program]
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -48,9 +48,6 @@
 # neither a slow answer of the store nor clocks that run apart matter.
 _LAPSED_SECONDS = 10.0
 CONFIRMED_SECONDS = 8.0
-# Nobody leaves out one whose registration was confirmed later: that takes the
-# lease and the time after it, less the same margin.
-PRESENT_SECONDS = _LEASE_SECONDS + _LAPSED_SECONDS - 2.0
 # Without the store nobody can tell whether it has come back meanwhile.
 _HEARD_SECONDS = 12.0
 # Disks that may be lost at once where nothing else is said.
@@ -78,7 +75,6 @@
         run: Id of the process's run.
         leaving: Whether it is being emptied and takes nothing new.
         emptied: Whether all that it holds lies elsewhere.
-        epoch: Id of its registration; another one once that has lapsed.
     """
 
     name: str
@@ -87,7 +83,6 @@
     run: str
     leaving: bool = False
     emptied: bool = False
-    epoch: str = ""
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
@@ -123,8 +118,6 @@
         lost_disks: Disks that may be lost at once.
         lost_at: Loop time at which a member was last removed that had not
             been emptied, by name.
-        read_after: Of which loss the store was read since, by name: the value
-            of ``lost_at`` then.
         emptied: Members that were emptied and are gone.
         first_runs: First run of each member that nobody had heard of before.
         unregistered: Members that answer though their registration is gone.
@@ -158,7 +151,6 @@
         self.ordered: list[Member] = []
         self.by_domain: dict[str, list[Member]] = {}
         self.lost_at: dict[str, float] = {}
-        self.read_after: dict[str, float] = {}
         self.emptied: set[str] = set()
         self.first_runs: dict[str, str] = {}
         self.seen: dict[str, float] = {}
@@ -186,44 +178,25 @@
         return self.watch.synced
 
     def roster(self) -> set[str]:
-        """Returns all members whose consent counts when an account is opened.
-
-        One that is no longer listed may only be cut off, and may have opened
-        accounts before; what it needs to be left out is said in ``homes``. It
-        would keep new programs waiting for as long as another one is away. Not
-        more than one: with several out of sight nothing says that they reach
-        any of these. One that was emptied has told the others all that it
-        agreed to.
+        """Returns all members that may still open accounts.
+
+        One that is no longer listed may only be cut off. If it opens an
+        account it needs all but one of those that it knows and of those that
+        these know, so also all but one of the members here; two such sets
+        share one that refuses the second. So one that is away for long need
+        not be counted: a machine that was replaced would keep new programs
+        waiting for as long as another one is away. Not more than one: with
+        several out of sight nothing says that they reach any of these. One
+        that was emptied has told the others all that it agreed to.
         """
-        return self.everyone() - self.left_out()
-
-    def everyone(self) -> set[str]:
-        """Returns all members that may still open accounts."""
         now = wall_seconds()
         self.seen.update(dict.fromkeys(self.known, now))
         oldest = now - ROSTER_SECONDS
+        left_out = self.emptied | self._lapsed()
         return {
             name
             for name, at in self.seen.items()
-            if at > oldest and (name in self.known or name not in self.emptied)
-        }
-
-    def left_out(self) -> set[str]:
-        """Returns the one that is not counted though it may only be away."""
-        return (self.everyone() & self._lapsed()) - self.known.keys()
-
-    def unread(self) -> dict[str, float]:
-        """Returns when those were lost after whose loss the store is unread.
-
-        What they opened with it is known only then. Where two disks may be
-        lost, two others agreed to that, and one of them is always asked.
-        """
-        if self.lost_disks > 1:
-            return {}
-        return {
-            name: at
-            for name, at in self.lost_at.items()
-            if self.read_after.get(name) != at
+            if at > oldest and (name in self.known or name not in left_out)
         }
 
     def _lapsed(self) -> set[str]:
@@ -484,8 +457,7 @@
         written: The lease under which the entry was last seen in the store.
         is_listed: Whether a watch shows a key with a value just now; saves a
             call to the store with each renewal.
-        confirmed_at: When the newest renewal that was answered was asked for,
-            by a clock that goes on while the machine is suspended.
+        confirmed_at: When the newest renewal that was answered was asked for.
         on_lapse: Called when the store has ended the registration, before it
             is made anew.
 
@@ -496,7 +468,7 @@
 
     def __init__(self, kv: KeyValue, member: Member) -> None:
         self.kv = kv
-        self.member = _in_new_epoch(member)
+        self.member = member
         self.lease = ""
         self.written = ""
         self.is_listed: Callable[[str, bytes], bool] = lambda key, value: False
@@ -513,9 +485,13 @@
         if self.task:
             self.task.cancel()
 
-    def since_confirmed(self) -> float:
-        """Returns the seconds since the lease was known to go on."""
-        return boot_seconds() - self.confirmed_at
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the lease was renewed so lately that it can't have lapsed.
+
+        By a clock that goes on while the machine is suspended.
+        """
+        return boot_seconds() - self.confirmed_at < CONFIRMED_SECONDS
 
     async def end(self) -> None:
         """Ends the registration at once."""
@@ -539,7 +515,7 @@
                 if renewed is False:
                     log_event("registration_lapsed", lease=self.lease)
                     self.lease = ""
-                    self._lapse()
+                    self.on_lapse()
             await self._register()
             self.wake.clear()
             pause = random.uniform(0.8, 1.0) * _RENEW_SECONDS
@@ -551,10 +527,6 @@
             except TimeoutError:
                 continue
 
-    def _lapse(self) -> None:
-        self.member = _in_new_epoch(self.member)
-        self.on_lapse()
-
     async def _register(self) -> None:
         """Writes the entry unless the store holds it as it should be.
 
@@ -576,8 +548,7 @@
             case Unavailable():
                 return
             case Missing() if self.written == self.lease:
-                self._lapse()
-                value = msgspec.json.encode(self.member)
+                self.on_lapse()
             case Found(entry=entry):
                 if entry.value == value and entry.lease == self.lease:
                     self.written = self.lease
@@ -590,7 +561,3 @@
             leaving=self.member.leaving,
             outcome=type(outcome).__name__,
         )
-
-
-def _in_new_epoch(member: Member) -> Member:
-    return msgspec.structs.replace(member, epoch=uuid.uuid4().hex[:12])
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -316,15 +316,9 @@
 
     Attributes:
         has_share: Whether it has granted tokens alone, or may do so.
-        standing: As in ``Keeper.standing``.
-        left_out: Storage instances that it does not count any more.
-        others: Other holders of the account that it has heard of.
     """
 
     has_share: bool = False
-    standing: float = float("inf")
-    left_out: list[str] = []
-    others: list[tuple[str, ...]] = []
 
 
 class Refused(msgspec.Struct, tag=10):
@@ -418,14 +412,12 @@
         run: Run of the one that is asked.
         after: Position up to which everything was taken.
         asker_run: Run of the one that asks.
-        asker_epoch: Its registration, as in ``Member``.
     """
 
     asker: str
     run: str
     after: int
     asker_run: str = ""
-    asker_epoch: str = ""
 
 
 class AccountRef(msgspec.Struct, frozen=True, array_like=True):
@@ -455,7 +447,7 @@
         whole: Whether the instance has all that it should.
         more: Whether there is more at once.
         revision: As in ``Pong``.
-        is_counted: Whether the asker is listed here by that registration.
+        is_counted: Whether the asker is listed here.
         absent: Others that were known lately and may have something that the
             asker has lost. None if the asker is new: it had nothing.
     """
