Count what a storage instance takes in at the way that it takes now

`python -m bench.idle` showed no messages taken in at storage instances of the newer code: it counted at `Keeper.serve`, and the daemon answers by `answer` since then. Older checkouts are counted as before.

--- a/bench/counted.py
+++ b/bench/counted.py
@@ -40,7 +40,10 @@
     requests.RequestLink.ask = _counted(
         requests.RequestLink.ask, counts, "sent"
     )
-    keeper.Keeper.serve = _counted(keeper.Keeper.serve, counts, "taken")
+    # Older checkouts answer by ``serve`` alone.
+    answers = "answer" if hasattr(keeper.Keeper, "answer") else "serve"
+    answer = getattr(keeper.Keeper, answers)
+    setattr(keeper.Keeper, answers, _counted(answer, counts, "taken"))
 
     def write(*args: object) -> None:
         # Whole or not at all: it is read as soon as it is there.
