One way to start a test's site, to forward connections and to start a keeper

The soak wrote again how a site starts its store, runners and processes, how a process is named, and how a relay listens; the made-up openers wrote again how a storage instance is started. Each stands once now, with a hook for what differs: `Site.places` and `_start_ways`, `process_name`, `standins.common.listening`, `Network.new_members` and `new_disk`. No check or bound changes.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-DOMAINS = ("east", "west", "north")
+from support.site import DOMAINS, process_name
+
 # Time that a storage instance with an empty disk has to fetch what it lost,
 # before the next one may lose its disk.
 _CATCH_UP_SECONDS = 12.0
@@ -126,8 +127,3 @@
     if kind is Kind.STORE_CUT:
         return Fault(at, kind, place, seconds)
     return Fault(at, kind, "", seconds)
-
-
-def process_name(role: str, domain: str, number: int) -> str:
-    """Returns the name of a process, as ``support.site`` gives it."""
-    return f"{role}-{domain}" + (f"-{number}" if number > 1 else "")
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from soak.plan import DOMAINS, Scale, process_name
+from soak.plan import Scale
 from standins.links import LinkFault
 from support.client import Client
 from support.process import Process
-from support.site import PORT, Site, SiteProcess
+from support.site import DOMAINS, PORT, Site, SiteProcess, process_name
 from support.waiting import wait_until
 
 # Second byte of the addresses at which a domain sees the others.
@@ -31,27 +31,10 @@
         self.expected: set[str] = set()
         self.links: dict[str, list[LinkFault]] = {d: [] for d in DOMAINS}
 
-    def _start_all(self) -> None:
-        self._start(
-            Process(
-                "store",
-                ["standins.sitestore", self.store_address],
-                self.folder.name,
-            )
-        )
-        wait_until(self._store_answers, "the store answers")
+    def _start_ways(self) -> None:
         for domain in DOMAINS:
             self._start_links(domain)
         self.faults(views={self._source(d): self._view(d) for d in DOMAINS})
-        for index, _ in enumerate(DOMAINS):
-            self.start_runner("llm", index)
-            self.start_runner("desk", index)
-        self.configure()
-        for role, domain, number in self.places():
-            self.start(role, domain, first=True, number=number)
-        for domain in DOMAINS:
-            wait_until(lambda d=domain: self.is_ready(d), f"{domain} is ready")
-        wait_until(self._all_follow, "the storage instances know each other")
 
     def places(self) -> list[tuple[str, str, int]]:
         """Returns role, failure domain and number of each process."""
--- a/tests/standins/common.py
+++ b/tests/standins/common.py
@@ -4,6 +4,7 @@
 import collections
 import json
 import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -64,6 +65,36 @@
         return web.json_response(dict(self.stats))
 
 
+Forward = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter, str], Awaitable[None]
+]
+
+
+def listening(
+    routes: list[list[str]], forward: Forward
+) -> Callable[[web.Application], AsyncIterator[None]]:
+    """Returns what listens for as long as an application runs.
+
+    Args:
+        routes: Address to listen at, and target, of each.
+        forward: Takes a connection and the target of its route.
+    """
+
+    def take(target: str) -> Callable[..., Awaitable[None]]:
+        return lambda reader, writer: forward(reader, writer, target)
+
+    async def listen(app: web.Application) -> AsyncIterator[None]:
+        servers = [
+            await asyncio.start_server(take(target), *address.rsplit(":", 1))
+            for address, target in routes
+        ]
+        yield
+        for server in servers:
+            server.close()
+
+    return listen
+
+
 async def drop(request: web.Request) -> None:
     """Closes a request's connection without an answer."""
     if request.transport:
--- a/tests/standins/links.py
+++ b/tests/standins/links.py
@@ -16,7 +16,7 @@
 import msgspec
 from aiohttp import web
 
-from standins.common import Faults, StandIn, argument, run
+from standins.common import Faults, StandIn, argument, listening, run
 
 _READ_BYTES = 65536
 _POLL_SECONDS = 0.02
@@ -61,32 +61,21 @@
     def app(self) -> web.Application:
         app = super().app()
         app.router.add_post("/reset", self._reset)
-        app.cleanup_ctx.append(self._listen)
+        app.cleanup_ctx.append(listening(self.routes, self._take))
         return app
 
-    async def _listen(self, app: web.Application):
-        servers = [
-            await asyncio.start_server(
-                self._handler(target), *listen.rsplit(":", 1)
-            )
-            for listen, target in self.routes
-        ]
-        yield
-        for server in servers:
-            server.close()
-
-    def _handler(self, target: str):
-        async def handle(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            self.open.add((target, writer))
-            try:
-                await self._forward(reader, writer, target)
-            finally:
-                self.open.discard((target, writer))
-                writer.close()
-
-        return handle
+    async def _take(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target: str,
+    ) -> None:
+        self.open.add((target, writer))
+        try:
+            await self._forward(reader, writer, target)
+        finally:
+            self.open.discard((target, writer))
+            writer.close()
 
     async def _forward(
         self,
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from standins.common import Faults, StandIn, argument, run
+from standins.common import Faults, StandIn, argument, listening, run
 
 _READ_BYTES = 65536
 _POLL_SECONDS = 0.02
@@ -24,28 +24,9 @@
 
     def app(self) -> web.Application:
         app = super().app()
-        app.cleanup_ctx.append(self._listen)
+        app.cleanup_ctx.append(listening(self.routes, self._relay))
         return app
 
-    async def _listen(self, app: web.Application):
-        servers = [
-            await asyncio.start_server(
-                self._handler(target), *listen.rsplit(":", 1)
-            )
-            for listen, target in self.routes
-        ]
-        yield
-        for server in servers:
-            server.close()
-
-    def _handler(self, target: str):
-        async def handle(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await self._relay(reader, writer, target)
-
-        return handle
-
     def _is_cut(self, source: str) -> bool:
         return source.startswith(tuple(self.faults.cut_sources))
 
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -178,18 +178,25 @@
 
     async def start(self, name: str, first: bool = False) -> None:
         """Starts one on what its disk holds."""
-        members = LocalMembers(self, name)
+        members = self.members[name] = self.new_members(name)
         for other in self.names:
             self.introduce(members, other)
-        self.members[name] = members
         self.register(name)
         keeper = Keeper(
             name, self.folder / name, first, members, self.kv, _METRICS
         )
-        keeper.journal.thread = InlineExecutor()
+        keeper.journal.thread = self.new_disk()
         await keeper.__aenter__()
         self.keepers[name] = keeper
 
+    def new_members(self, name: str) -> LocalMembers:
+        """Returns what one that starts knows the others by."""
+        return LocalMembers(self, name)
+
+    def new_disk(self) -> concurrent.futures.Executor:
+        """Returns what one that starts writes its journal with."""
+        return InlineExecutor()
+
     def introduce(self, members: LocalMembers, name: str) -> None:
         """Lets one know of another, as the store's list would."""
         members.known[name] = self.member(name)
--- a/tests/support/opening.py
+++ b/tests/support/opening.py
@@ -15,11 +15,11 @@
 import msgspec
 from hypothesis import strategies as st
 
-from rattanmill_keeper import Keeper, Reserve, Reserved
+from rattanmill_keeper import Reserve, Reserved
 from rattanmill_keeper.homes import HOME_PREFIX
 from rattanmill_keeper.messages import Elsewhere, Open, Opened, Recorded, codec
 from rattanmill_platform import Unavailable
-from support.keepers import _METRICS, AwayKv, LocalLink, LocalMembers, Network
+from support.keepers import AwayKv, LocalLink, LocalMembers, Network
 
 _CODEC = codec()
 # More than all that ask in a story.
@@ -192,20 +192,15 @@
         self.work.setdefault(name, set()).add(task)
         return task
 
-    async def start(self, name: str, first: bool = False) -> None:
-        """Starts one on what its disk holds."""
+    def new_members(self, name: str) -> LossyMembers:
+        """Returns members whose messages may be late or lost."""
         members = LossyMembers(self, name)
         members.lost_disks = self.lost_disks
-        for other in self.names:
-            self.introduce(members, other)
-        self.members[name] = members
-        self.register(name)
-        keeper = Keeper(
-            name, self.folder / name, first, members, self.kv, _METRICS
-        )
-        keeper.journal.thread = SlowDisk(self.dice)
-        await keeper.__aenter__()
-        self.keepers[name] = keeper
+        return members
+
+    def new_disk(self) -> concurrent.futures.Executor:
+        """Returns a disk that takes its time."""
+        return SlowDisk(self.dice)
 
     async def kill(self, name: str) -> None:
         """Ends one, with all that it was doing."""
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -15,11 +15,16 @@
 from support.waiting import wait_until
 
 _MAIN = pathlib.Path(__file__).resolve().parents[2] / "platform" / "main.py"
-_DOMAINS = ("east", "west", "north")
+DOMAINS = ("east", "west", "north")
 PORT = 18300
 HOST = "tents.example"
 
 
+def process_name(role: str, domain: str, number: int) -> str:
+    """Returns the name of a process of a role in a domain."""
+    return f"{role}-{domain}" + (f"-{number}" if number > 1 else "")
+
+
 class SiteProcess(Process):
     """A process of the system, started as the platform starts it."""
 
@@ -82,17 +87,24 @@
             )
         )
         wait_until(self._store_answers, "the store answers")
-        for index, _ in enumerate(_DOMAINS):
+        self._start_ways()
+        for index, _ in enumerate(DOMAINS):
             self.start_runner("llm", index)
             self.start_runner("desk", index)
         self.configure()
-        for domain in _DOMAINS:
-            self.start("storage", domain, first=True)
-            self.start("front", domain)
-        for domain in _DOMAINS:
+        for role, domain, number in self.places():
+            self.start(role, domain, first=True, number=number)
+        for domain in DOMAINS:
             wait_until(lambda d=domain: self.is_ready(d), f"{domain} is ready")
         wait_until(self._all_follow, "the storage instances know each other")
 
+    def _start_ways(self) -> None:
+        """Starts what lies between the processes; nothing does here."""
+
+    def places(self) -> list[tuple[str, str, int]]:
+        """Returns role, failure domain and number of each process."""
+        return [(r, d, 1) for d in DOMAINS for r in ("storage", "front")]
+
     def __exit__(self, *exc_info: object) -> None:
         for process in self.processes.values():
             process.kill()
@@ -110,7 +122,7 @@
             number: Tells several of a role and domain apart.
         """
         host = self.host(role, domain, number)
-        name = f"{role}-{domain}" + (f"-{number}" if number > 1 else "")
+        name = process_name(role, domain, number)
         data = pathlib.Path(self.folder.name, "data", name)
         file = pathlib.Path(self.folder.name, f"{name}.conf")
         fields = {
@@ -131,7 +143,7 @@
 
     def host(self, role: str, domain: str, number: int = 1) -> str:
         """Returns the IP address of a process of a role in a domain."""
-        index = _DOMAINS.index(domain) + 1
+        index = DOMAINS.index(domain) + 1
         last = 1 + number
         if role == "front":
             last = 1 if number == 1 else 100 + number
@@ -174,7 +186,7 @@
         entry = {
             "service": service,
             "address": self.processes[name].address,
-            "zone": _DOMAINS[index],
+            "zone": DOMAINS[index],
             "version": "v1",
             "slots": 4,
             "state": "ready",
@@ -311,7 +323,7 @@
     def _all_follow(self) -> bool:
         return all(
             len(self.processes[f"storage-{d}"].events("following_level")) >= 2
-            for d in _DOMAINS
+            for d in DOMAINS
         )
 
     def _start(self, process: Process) -> None:
