--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,133 @@
+"""What goes wrong in a run, drawn from its seed."""
+
+import enum
+import random
+
+import msgspec
+
+DOMAINS = ("east", "west", "north")
+# Time that a storage instance with an empty disk has to fetch what it lost,
+# before the next one may lose its disk.
+_CATCH_UP_SECONDS = 12.0
+_SERIES_MOST = 4
+
+
+class Kind(enum.StrEnum):
+    """Kinds of faults; each ends by itself after its time."""
+
+    KILL = "kill"
+    TERMINATE = "terminate"
+    FREEZE = "freeze"
+    HANG_UP = "hang_up"
+    WIPE = "wipe"
+    POWER = "power"
+    CUT = "cut"
+    CUT_FORTH = "cut_forth"
+    CUT_BACK = "cut_back"
+    DELAY = "delay"
+    RESET = "reset"
+    STORE_CUT = "store_cut"
+    STORE_DOWN = "store_down"
+    STORE_SILENT = "store_silent"
+    STORE_LOSES = "store_loses"
+    STORE_FORGETS = "store_forgets"
+    WATCHES_SILENT = "watches_silent"
+    RUNNER_KILL = "runner_kill"
+    RUNNER_FREEZE = "runner_freeze"
+    RUNNER_FAULT = "runner_fault"
+    CONFIGURE = "configure"
+
+
+_OF_PROCESSES = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.HANG_UP)
+_OF_LINKS = (Kind.CUT, Kind.CUT_FORTH, Kind.CUT_BACK, Kind.DELAY, Kind.RESET)
+_RUNNER_FAULTS = ("shed", "mute", "cut", "extra", "foreign", "unframed_reset")
+
+
+class Scale(msgspec.Struct, frozen=True):
+    """How large a run is.
+
+    Attributes:
+        seconds: How long faults come.
+        fronts: Fronts in each failure domain.
+        keepers: Storage instances in each.
+        callers: Programs at a time.
+    """
+
+    seconds: float = 25.0
+    fronts: int = 1
+    keepers: int = 1
+    callers: int = 6
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault.
+
+    Attributes:
+        at: Seconds after the start.
+        kind: What goes wrong.
+        target: Process, failure domain, or nothing for the store.
+        seconds: How long.
+        other: The domain at the other end of a link, or a runner's fault.
+    """
+
+    at: float
+    kind: Kind
+    target: str = ""
+    seconds: float = 0.0
+    other: str = ""
+
+
+def draw_plan(seed: int, scale: Scale) -> list[Fault]:
+    """Returns the faults of a seed, in order of time.
+
+    They come in series and overlap. Only one disk at a time is lost, as the
+    settings say may be; all else may happen to any number.
+    """
+    rng = random.Random(seed)
+    plan: list[Fault] = []
+    at, may_wipe_at = 1.0, 0.0
+    while at < scale.seconds:
+        kind = rng.choice(list(Kind))
+        if kind is Kind.WIPE and at < may_wipe_at:
+            continue
+        count = rng.randint(2, _SERIES_MOST) if rng.random() < 0.2 else 1
+        if kind in (Kind.WIPE, Kind.POWER):
+            count = 1
+        one = _draw(rng, kind, at, scale)
+        if kind is Kind.WIPE:
+            may_wipe_at = at + one.seconds + _CATCH_UP_SECONDS
+        plan += [_later(one, number * 0.7) for number in range(count)]
+        at += rng.expovariate(1 / 1.5)
+    return sorted(plan, key=lambda fault: fault.at)
+
+
+def _later(fault: Fault, seconds: float) -> Fault:
+    return msgspec.structs.replace(fault, at=fault.at + seconds)
+
+
+def _draw(rng: random.Random, kind: Kind, at: float, scale: Scale) -> Fault:
+    seconds = rng.uniform(0.3, 4.0)
+    place = rng.choice(DOMAINS)
+    if kind in _OF_PROCESSES:
+        role = rng.choice(("front", "storage"))
+        count = scale.fronts if role == "front" else scale.keepers
+        target = process_name(role, place, rng.randint(1, count))
+        return Fault(at, kind, target, seconds)
+    if kind is Kind.WIPE:
+        name = process_name("storage", place, rng.randint(1, scale.keepers))
+        return Fault(at, kind, name, seconds)
+    if kind in _OF_LINKS:
+        other = rng.choice([d for d in DOMAINS if d != place])
+        return Fault(at, kind, place, seconds, other)
+    if kind in (Kind.RUNNER_KILL, Kind.RUNNER_FREEZE, Kind.RUNNER_FAULT):
+        service = rng.choice(("llm", "desk"))
+        name = f"{service}-{rng.randrange(len(DOMAINS))}"
+        return Fault(at, kind, name, seconds, rng.choice(_RUNNER_FAULTS))
+    if kind is Kind.STORE_CUT:
+        return Fault(at, kind, place, seconds)
+    return Fault(at, kind, "", seconds)
+
+
+def process_name(role: str, domain: str, number: int) -> str:
+    """Returns the name of a process, as ``support.site`` gives it."""
+    return f"{role}-{domain}" + (f"-{number}" if number > 1 else "")
--- /dev/null
+++ b/tests/soak/runs.py
@@ -0,0 +1,131 @@
+"""One run: load, faults, recovery, checks."""
+
+import asyncio
+import pathlib
+import shutil
+
+import aiohttp
+import msgspec
+
+from soak.callers import KEPT_SECONDS, Callers, Line
+from soak.faults import Faults
+from soak.plan import Kind, Scale, draw_plan
+from soak.record import TURN_TOKENS, wrong_runs
+from soak.system import SoakSite
+
+# Within this after the last fault the system serves again.
+_RECOVERY_SECONDS = 12.0
+_PAUSE_SECONDS = 0.3
+_CHECKED_LINES = 10
+_CHECKED_PROGRAMS = 6
+# What was set aside for an instance that has lost its disk is refused, as
+# keeping.feature has it.
+_SET_ASIDE = b"set aside out of reach"
+
+
+class Outcome(msgspec.Struct):
+    """What a run showed.
+
+    Attributes:
+        seed: Its seed.
+        wrong: What was wrong; empty if nothing was.
+        counts: Requests by route and status.
+        faults: How many faults there were.
+    """
+
+    seed: int
+    wrong: list[str]
+    counts: dict[str, int]
+    faults: int
+
+
+def soak(seed: int, scale: Scale, number: int, keep: str = "") -> Outcome:
+    """Runs a seed.
+
+    Args:
+        seed: Decides faults and load.
+        scale: How large and how long.
+        number: Tells the addresses of several runs at once apart; they are
+            3 apart at least, and below 60.
+        keep: Folder for the logs of a run that shows something wrong.
+    """
+    with SoakSite(number, scale) as system:
+        outcome = asyncio.run(_run(seed, scale, system))
+        if outcome.wrong and keep:
+            _keep(system, pathlib.Path(keep, f"seed-{seed}"), outcome)
+    return outcome
+
+
+async def _run(seed: int, scale: Scale, system: SoakSite) -> Outcome:
+    plan = draw_plan(seed, scale)
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=None),
+    ) as session:
+        callers = Callers(system, session, seed)
+        balancer = asyncio.create_task(callers.balancer.follow())
+        load = [
+            asyncio.create_task(callers.programs())
+            for _ in range(scale.callers)
+        ]
+        faults = Faults(system)
+        await faults.carry_out(plan)
+        system.heal()
+        ended = system.ended()
+        callers.stopped = True
+        await asyncio.gather(*load)
+        is_wiped = any(fault.kind is Kind.WIPE for fault in plan)
+        unserved = await _recovered(callers, is_wiped)
+        balancer.cancel()
+    seen = [r for n in system.runner_names() for r in system.requests_of(n)]
+    wrong = [
+        *callers.wrong,
+        *wrong_runs(callers.record, seen),
+        *(f"ENDED: {name} has ended by itself" for name in ended),
+        *unserved,
+    ]
+    return Outcome(seed, wrong, callers.record.counts(), len(plan))
+
+
+async def _recovered(callers: Callers, is_wiped: bool) -> list[str]:
+    """Returns programs, old and new, that are not served after recovery.
+
+    Args:
+        callers: Who send their turns.
+        is_wiped: Whether a disk was lost.
+    """
+    newest = [
+        line
+        for line in callers.kept[::-1]
+        if callers.record.sent[line.previous].at
+        > asyncio.get_running_loop().time() - KEPT_SECONDS / 2
+    ]
+    fresh = [
+        Line(f"new-{number}", TURN_TOKENS * 5)
+        for number in range(_CHECKED_PROGRAMS)
+    ]
+    lines = newest[:_CHECKED_LINES] + fresh
+    served = await asyncio.gather(*(_served(callers, each) for each in lines))
+    return [
+        f"RECOVER: {line.program} after {line.previous or 'none'} is not served"
+        for line, is_served in zip(lines, served, strict=True)
+        if not is_served and not (is_wiped and line.last.count(_SET_ASIDE))
+    ]
+
+
+async def _served(callers: Callers, line: Line) -> bool:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + _RECOVERY_SECONDS
+    while loop.time() < end:
+        if await callers.turn(line) or line.is_over:
+            return True
+        await asyncio.sleep(_PAUSE_SECONDS)
+    return False
+
+
+def _keep(system: SoakSite, folder: pathlib.Path, outcome: Outcome) -> None:
+    shutil.rmtree(folder, ignore_errors=True)
+    ignored = shutil.ignore_patterns("data")
+    shutil.copytree(system.folder.name, folder, ignore=ignored)
+    text = "\n".join(outcome.wrong)
+    pathlib.Path(folder, "wrong.txt").write_text(text, encoding="utf-8")
