List in the registration who knows accounts opened with the store

Callers: a program could get 288 tokens of 216 (known red, review.feature, "An instance that opened an account with the store is gone, and the other one that knows it is cut off").

Cause: such an account may be known to two instances only. With one of them left out of the roster and the other one silent, the rest are all but one of the roster and open the account a second time.

Change: before the store decides on an account, the opener lists in its registration who consents. Whoever is listed anywhere is not left out. The list is withdrawn once all others have followed past these accounts.

Suspected, open: an instance that registers again while another one's view of the store is up to 12 s old may still open with the store unseen by it.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -78,6 +78,7 @@
     max_share,
 )
 from rattanmill_keeper.mirror import Mirrors
+from rattanmill_keeper.openings import StoreOpenings
 from rattanmill_keeper.records import (
     CompletionMarker,
     Record,
@@ -119,6 +120,7 @@
             programs that it does not know.
         crashes: Crashes reported by front ends.
         may_open: Checks whether an account may be opened here.
+        openings: Accounts opened with the store.
 
     Args:
         name: Name of this instance.
@@ -161,7 +163,11 @@
         self.is_decommissioning = False
         self.is_closed = False
         self.may_open = request_consent
-        self.recorded_roster: set[str] = set()
+        self.openings = StoreOpenings()
+        self.recorded_roster: tuple[set[str], dict[str, tuple[str, ...]]] = (
+            set(),
+            {},
+        )
         self.sweep_task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -410,6 +416,17 @@
         self, home: Home, contested: NeedsArbitration
     ) -> Consent | Elsewhere | Unsure:
         """Lets the store decide; this instance's consent is on disk."""
+        consenting = self.members.roster() - contested.consent.missing
+        async with self.openings.announce(
+            consenting | {self.name}, lambda: self.intake.position
+        ) as is_listed:
+            if not is_listed:
+                return Unsure("the store does not list who knows the account")
+            return await self._arbitrate(home, contested)
+
+    async def _arbitrate(
+        self, home: Home, contested: NeedsArbitration
+    ) -> Consent | Elsewhere | Unsure:
         if self.ledger.add_home(home):
             self.intake.add(HomeEntry(home.program))
         known = self.ledger.holders_of(home.program)
@@ -553,15 +570,18 @@
             self.is_recovered = True
             self.alone_from = mark.alone_from
         records = 0
+        roster = RosterChange({})
         for stored in self.journal.read():
             record = decode(stored.data)
             if isinstance(record, KeptTurn):
                 self.table.add(record, stored.segment)
             elif isinstance(record, RosterChange):
-                self.members.restore_seen(record.seen)
+                # Replaces earlier ones: an instance may have left since.
+                roster = record
             elif record is not None:
                 self.ledger.restore(record)
             records += 1
+        self.members.restore_seen(roster.seen, roster.informed_by)
         for entry in [*self.table.held, *self.ledger.accounts]:
             self.intake.add(entry)
         for program in {**self.ledger.homes, **self.ledger.accounts}:
@@ -587,14 +607,15 @@
                 name: at
                 for name, at in members.last_seen.items()
                 if name not in gone
-            }
+            },
+            dict(members.informed_by),
         )
 
     def _record_roster(self) -> None:
         """Writes the roster to the journal, to be read after a restart."""
-        names = self.members.roster()
-        if names != self.recorded_roster:
-            self.recorded_roster = names
+        roster = (self.members.roster(), dict(self.members.informed_by))
+        if roster != self.recorded_roster:
+            self.recorded_roster = roster
             self.journal.append_nowait(encode(self._roster()))
             self.journal.wake.set()
 
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -63,9 +63,15 @@
 
 
 class RosterChange(msgspec.Struct, frozen=True, tag="roster"):
-    """Journal record of the known storage instances."""
+    """Journal record of the known storage instances.
+
+    Attributes:
+        seen: Unix time in seconds at which each was last there, by name.
+        informed_by: As in ``Members``.
+    """
 
     seen: dict[str, float]
+    informed_by: dict[str, tuple[str, ...]] = {}
 
 
 class OpenRequired(msgspec.Struct, frozen=True):
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -27,6 +27,7 @@
     Missing,
     PrefixWatch,
     Unavailable,
+    Written,
 )
 from rattanmill_wire import RequestLink
 
@@ -77,6 +78,8 @@
         run: ID of the process's run.
         leaving: Whether it is being decommissioned and accepts no new data.
         emptied: Whether other instances hold all of its data.
+        informed: Instances that know accounts that it opened with the store,
+            and that others may not know yet.
     """
 
     name: str
@@ -85,6 +88,16 @@
     run: str
     leaving: bool = False
     emptied: bool = False
+    informed: tuple[str, ...] = ()
+
+
+def may_grant_alone(instances: int) -> bool:
+    """Whether an instance of a system of this size may grant tokens alone.
+
+    Not with more than three: several of them may be left out when the others
+    agree to an account, and each of these would grant.
+    """
+    return instances <= MAX_SHARERS
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
@@ -128,6 +141,7 @@
         unregistered: Members that reply although their registration is gone.
         last_seen: Unix time in seconds at which each member was last known to
             be there, by name.
+        informed_by: ``informed`` of each member as last registered, by name.
         restored_until: Loop time until which members count that were there
             before this process started, by name.
         revision_wait: Task that waits until the watch reports a revision that
@@ -161,6 +175,7 @@
         self.decommissioned: set[str] = set()
         self.first_runs: dict[str, str] = {}
         self.last_seen: dict[str, float] = {}
+        self.informed_by: dict[str, tuple[str, ...]] = {}
         self.restored_until: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
         self.codec = codec()
@@ -208,18 +223,42 @@
         }
 
     def _lapsed(self) -> set[str]:
-        """Returns the member that was lost first, if that was long ago."""
-        now = loop_seconds()
+        """Returns the member that was lost first, if that was long ago.
+
+        Not one that may be the only one here, along with an unreachable one,
+        that knows an account.
+        """
+        informed = set(itertools.chain(*self.informed_by.values()))
+        lost_at = {n: at for n, at in self.lost_at.items() if n not in informed}
         if (
             self.store_silence_seconds() > _MAX_STORE_SILENCE_SECONDS
-            or not self.lost_at
+            or not lost_at
         ):
             return set()
-        first = min(self.lost_at, key=self.lost_at.__getitem__)
-        is_long = now - self.lost_at[first] > _LAPSED_SECONDS
+        first = min(lost_at, key=lost_at.__getitem__)
+        is_long = loop_seconds() - lost_at[first] > _LAPSED_SECONDS
         return {first} if is_long else set()
 
-    def restore_seen(self, last_seen: dict[str, float]) -> None:
+    def left_out_sharers(self) -> set[str]:
+        """Returns members left out of the roster that may have granted alone.
+
+        A member that was cut off may have begun programs alone before it was
+        left out. They may continue here as long as their turns are retained,
+        and must not get the same part of their budget twice.
+        """
+        now = loop_seconds()
+        return {
+            name
+            for name in self._lapsed()
+            if now - self.lost_at[name] < TURN_HOLDER_SECONDS
+            and may_grant_alone(len(self.roster() | {name}) - MAX_SUCCESSORS)
+        }
+
+    def restore_seen(
+        self,
+        last_seen: dict[str, float],
+        informed_by: dict[str, tuple[str, ...]],
+    ) -> None:
         """Restores the members recorded before this process started.
 
         The record is written when a member joins or leaves, perhaps hours ago:
@@ -227,6 +266,8 @@
         """
         newest = max(last_seen.values(), default=0.0)
         self.last_seen.update(last_seen)
+        self.first_runs.update(dict.fromkeys(last_seen, ""))
+        self.informed_by.update(informed_by)
         until = loop_seconds() + TURN_HOLDER_SECONDS
         self.restored_until = {
             name: until
@@ -412,6 +453,7 @@
         before = self.known.get(member.name)
         self.record_seen(member.name, member.run)
         self.known[member.name] = member
+        self.informed_by[member.name] = member.informed
         self.lost_at.pop(member.name, None)
         self.unregistered.discard(member.name)
         if before != member:
@@ -450,6 +492,7 @@
         # ``leaving``, but not ``emptied``.
         if member.emptied:
             self.decommissioned.add(name)
+            self.informed_by.pop(name, None)
         else:
             self.lost_at[name] = loop_seconds()
         log_event(
@@ -476,6 +519,8 @@
         lease: The lease, or empty.
         written_lease: The lease under which the entry was last seen in the
             store.
+        confirmed: This instance as the store was last known to hold it.
+        confirmation: Set when ``confirmed`` changes.
         is_listed: Whether a watch currently reports a key with a value; saves
             a call to the store with each renewal.
         renewed_at: When the newest renewal that succeeded was requested, by
@@ -493,6 +538,8 @@
         self.member = member
         self.lease = ""
         self.written_lease = ""
+        self.confirmed: Member | None = None
+        self.confirmation = asyncio.Event()
         self.is_listed: Callable[[str, bytes], bool] = lambda key, value: False
         self.renewed_at = float("-inf")
         self.on_lapse: Callable[[], None] = lambda: None
@@ -527,6 +574,22 @@
         self.member = member
         self.wake.set()
 
+    async def publish_informed(self, informed: tuple[str, ...]) -> bool:
+        """Registers which instances know accounts opened with the store.
+
+        Returns:
+            True, once the store holds the entry.
+        """
+        self.update(msgspec.structs.replace(self.member, informed=informed))
+        while self.confirmed is None or self.confirmed.informed != informed:
+            self.confirmation.clear()
+            await self.confirmation.wait()
+        return True
+
+    def _confirm(self, member: Member) -> None:
+        self.confirmed = member
+        self.confirmation.set()
+
     async def _renew_forever(self) -> None:
         while True:
             if self.lease:
@@ -561,9 +624,11 @@
                 return
             self.lease = granted
             self.renewed_at = requested_at
-        key = PREFIX + self.member.name
-        value = msgspec.json.encode(self.member)
+        member = self.member
+        key = PREFIX + member.name
+        value = msgspec.json.encode(member)
         if self.lease == self.written_lease and self.is_listed(key, value):
+            self._confirm(member)
             return
         revision = 0
         match await self.kv.read(key):
@@ -574,12 +639,16 @@
             case Found(entry=entry):
                 if entry.value == value and entry.lease == self.lease:
                     self.written_lease = self.lease
+                    self._confirm(member)
                     return
                 revision = entry.revision
         outcome = await self.kv.write(key, value, revision, self.lease)
+        if isinstance(outcome, Written):
+            self._confirm(member)
         log_event(
             "registered",
             lease=self.lease,
-            leaving=self.member.leaving,
+            leaving=member.leaving,
+            informed=len(member.informed),
             outcome=type(outcome).__name__,
         )
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -4,6 +4,7 @@
 import collections
 import concurrent.futures
 import contextlib
+import functools
 import pathlib
 import shutil
 import tempfile
@@ -162,6 +163,9 @@
         failures: Consecutive requests without a reply, by sender and receiver.
         domains: Failure domain by name of the instance; others have one of
             their own.
+        runs: Newest run of each instance, by name.
+        informed: Instances that each instance lists as knowing accounts opened
+            with the store.
     """
 
     def __init__(self, folder: str, names: list[str]) -> None:
@@ -176,6 +180,8 @@
         self.replied: collections.Counter[str] = collections.Counter()
         self.failures: dict[tuple[str, str], int] = {}
         self.domains: dict[str, str] = {}
+        self.runs: dict[str, str] = {}
+        self.informed: dict[str, tuple[str, ...]] = {}
         self.fronts: dict[str, KeeperClient] = {}
         self.names = names
         self.stack = contextlib.ExitStack()
@@ -188,16 +194,26 @@
     async def start(self, name: str, first: bool = False) -> None:
         """Starts an instance on its disk."""
         members = self.members[name] = self.new_members(name)
-        for other in self.names:
-            self.introduce(members, other)
-        self.register(name)
         keeper = Keeper(
             name, self.folder / name, first, members, self.kv, _METRICS
         )
+        self.runs[name] = keeper.run
+        for other in self.names:
+            self.introduce(members, other)
+        self.register(name)
         keeper.journal.executor = self.new_disk()
+        keeper.openings.publish = functools.partial(self.publish, name)
         await keeper.__aenter__()
         self.keepers[name] = keeper
 
+    async def publish(self, name: str, informed: tuple[str, ...]) -> bool:
+        """Registers which instances know accounts opened with the store."""
+        if self.kv.is_unavailable:
+            return False
+        self.informed[name] = informed
+        self.list_as(self.member(name))
+        return True
+
     def new_members(self, name: str) -> LocalMembers:
         """Returns the members as an instance that starts knows them."""
         return LocalMembers(self, name)
@@ -213,7 +229,13 @@
     def member(self, name: str) -> Member:
         """Returns the entry with which an instance registers."""
         domain = self.domains.get(name, f"domain-{name}")
-        return Member(name, domain, f"{name}:1", "run")
+        return Member(
+            name,
+            domain,
+            f"{name}:1",
+            self.runs.get(name, ""),
+            informed=self.informed.get(name, ()),
+        )
 
     def register(self, name: str) -> None:
         """Registers an instance in the store, without any watch."""
