Take a member's last possible sign of life for the time at which it left

Cause: the end of a registration was taken for the moment at which its holder left. It ends a lease later. An instance that lost its disk then waits two minutes for a machine that had been removed 14 s before, and the next lost instance leaves too few to open accounts.

Change: a member's last possible sign is a lease before its registration's end; followers note that they have everything of a new instance as well; a new one counts once it has followed those that respond.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -44,12 +44,15 @@
         has_caught_up: Whether the end was reached at least once in that run.
         absent: Absent members that, as it reports, may hold data that was lost
             here.
+        is_first_run: Whether it had never seen this instance before its
+            current run.
     """
 
     run: str = ""
     position: int = 0
     has_caught_up: bool = False
     absent: frozenset[str] = frozenset()
+    is_first_run: bool = False
 
 
 class Follower:
@@ -136,11 +139,31 @@
         age = asyncio.get_running_loop().time() - self.started_at
         if not others:
             return age > _LONE_INSTANCE_SECONDS
+        if self.is_first_run():
+            return True
         reported = [self.progress.get(name, Progress()) for name in others]
         # Data lost here may be held by an unreachable member only.
         absent = set().union(*(each.absent for each in reported)) - set(others)
         return all(each.has_caught_up for each in reported) and not absent
 
+    def is_first_run(self) -> bool:
+        """Whether no responsive member had seen this instance before.
+
+        Its disk held nothing then that an unresponsive one could know of, such
+        as the machine that it replaces.
+        """
+        if not self.members.is_first_run(self.keeper.name, self.keeper.run):
+            return False
+        others = [
+            self.progress.get(member.name, Progress())
+            for member in self.members.known.values()
+            if member.name != self.keeper.name
+            and not self.members.link(member).failures
+        ]
+        return bool(others) and all(
+            each.is_first_run and each.has_caught_up for each in others
+        )
+
     async def _follow(self, name: str) -> None:
         while True:
             member = self.members.known.get(name)
@@ -188,9 +211,11 @@
         progress.run = news.run
         progress.position = news.position
         progress.absent = frozenset(news.absent)
+        progress.is_first_run = news.is_first_run
         if news.is_counted and not news.more:
             self.keeper.unsynced_peers.discard(member.name)
-        if news.whole and not news.more:
+        has_all = news.whole or self.members.is_first_run(member.name, news.run)
+        if has_all and not news.more:
             self.keeper.caught_up_at[member.name] = began
         if not news.more and not progress.has_caught_up:
             progress.has_caught_up = True
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -115,7 +115,8 @@
         follower_positions: Position up to which each other instance has
             followed this run, by name.
         caught_up_at: Loop time at which this instance last held everything
-            that another, recovered instance had stored, by name.
+            that another instance had stored, by name; only of instances that
+            had recovered or were new.
         alone_from: Unix time in seconds from which it may grant alone to
             programs that it does not know.
         crashes: Crashes reported by front ends.
@@ -535,6 +536,7 @@
             self.members.changed_revision,
             request.asker in self.members.known,
             self._absent_for(request),
+            self.members.is_first_run(request.asker, request.asker_run),
         )
 
     def _absent_for(self, request: Follow) -> list[str]:
@@ -546,12 +548,11 @@
         if self.members.is_first_run(request.asker, request.asker_run):
             return []
         caught_up_at = self.caught_up_at.get(request.asker, float("-inf"))
-        lost_at = self.members.lost_at
         return [
             name
             for name in self.members.unlisted()
             if name != request.asker
-            and lost_at.get(name, float("inf")) >= caught_up_at
+            and self.members.registered_at(name) >= caught_up_at
         ]
 
     async def _merge(self, accounts: list[Account]) -> Done | Unsure:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -136,8 +136,8 @@
         lost_at: Loop time at which each member was last removed that had not
             been decommissioned, by name.
         decommissioned: Members that were decommissioned and removed.
-        first_runs: First run of each member that was seen here for the first
-            time, by name.
+        first_runs: First run of each member that was seen here, by name; empty
+            for those that were there before this process started.
         unregistered: Members that reply although their registration is gone.
         last_seen: Unix time in seconds at which each member was last known to
             be there, by name.
@@ -277,8 +277,8 @@
 
     def record_seen(self, name: str, run: str) -> None:
         """Records that a member is there, and its run if it is new."""
-        if name not in self.last_seen:
-            self.first_runs[name] = run
+        # Its name alone may be known before, from other members' rosters.
+        self.first_runs.setdefault(name, run)
         self.last_seen[name] = wall_seconds()
 
     def is_first_run(self, name: str, run: str) -> bool:
@@ -293,6 +293,14 @@
         late |= {name for name, at in self.restored_until.items() if at > now}
         return sorted(late - self.known.keys() - self.decommissioned)
 
+    def registered_at(self, name: str) -> float:
+        """Returns when a member that is gone renewed its lease at the latest.
+
+        Its registration outlives it by the whole lease, or more if leases
+        paused while the store was down. Unknown times are infinite.
+        """
+        return self.lost_at.get(name, float("inf")) - _LEASE_SECONDS
+
     def is_listed(self, key: str, value: bytes) -> bool:
         """Whether the store holds exactly this entry, as far as known here."""
         is_current = self.watch.synced and self.watch.unavailable_since is None
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -468,6 +468,8 @@
         absent: Other instances that were known recently and may have data that
             the requester has lost. Empty if the requester is new and so had no
             data.
+        is_first_run: Whether the requester was never seen before its current
+            run, so that its disk held nothing before.
     """
 
     run: str
@@ -480,6 +482,7 @@
     revision: int = 0
     is_counted: bool = True
     absent: list[str] = []
+    is_first_run: bool = False
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/tests/features/steps/keeping_turns.py
+++ b/tests/features/steps/keeping_turns.py
@@ -29,6 +29,15 @@
             keep(context, name, f"turn-{number}")
 
 
+@when(
+    '"{old}" is replaced by "{new}" of its domain, and "{late}" hears of it'
+    ' from "{early}" first'
+)
+def step_replace_by_rumor(context, old, new, late, early):
+    context.network.members[late].last_seen[new] = wall_seconds()
+    step_replace(context, old, new)
+
+
 @when('"{old}" is replaced by "{new}" of its domain while still listed')
 def step_replace(context, old, new):
     async def replace(n):
@@ -36,8 +45,7 @@
         n.domains[new] = n.domains.get(old, f"domain-{old}")
         n.names.append(new)
         await n.start(new)
-        for name in n.keepers:
-            n.introduce(n.members[name], new)
+        n.list_as(n.member(new))
         await n.follow(new)
 
     network(context, replace)
--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -25,7 +25,7 @@
     Recorded,
     Show,
 )
-from support.keepers import InlineExecutor, run_in
+from support.keepers import FORGOTTEN_SECONDS, InlineExecutor, run_in
 
 # Three of five turns are within twice the share that one instance may grant.
 _BUDGET = 180
@@ -122,21 +122,54 @@
     run_in(context, keep)
 
 
-@when(
-    '"{name}" is partitioned from "{others}", and its registration expired'
-    " long ago"
-)
-def step_partition(context, name, others):
+def _partition(context, name, others, lapse):
     async def partition(network):
         network.cuts |= {
             frozenset((name, other)) for other in others.split(", ")
         }
-        network.lapse(name)
+        lapse(network)
         await network.follow(name)
 
     run_in(context, partition)
 
 
+@when(
+    '"{name}" is partitioned from "{others}", and its registration expired'
+    " long ago"
+)
+def step_partition(context, name, others):
+    _partition(context, name, others, lambda n: n.lapse(name))
+
+
+@when(
+    '"{name}" is partitioned from "{others}", and its registration expired'
+    " minutes ago"
+)
+def step_partition_for_minutes(context, name, others):
+    _partition(
+        context, name, others, lambda n: n.lapse(name, FORGOTTEN_SECONDS)
+    )
+
+
+@when('"{name}" loses its disk and restarts')
+def step_lose_disk(context, name):
+    async def lose(network):
+        await network.wipe(name)
+        await network.start(name)
+
+    run_in(context, lose)
+
+
+@when('the registration of "{name}" expires {moment}')
+def step_expire(context, name, moment):
+    async def expire(network):
+        network.lapse(name, 0.0)
+        network.names.remove(name)
+
+    if moment == "now":
+        run_in(context, expire)
+
+
 @when('"{name}" loses its disk and starts where "{other}" is not listed')
 def step_lose(context, name, other):
     async def lose(network):
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -82,6 +82,36 @@
     Then "b" has recovered
     And the program's turns at "a, b" stay within its budget and one turn
 
+  Scenario Outline: A machine is replaced, and its successor loses its disk
+    The registration of the first machine expires long after it has gone. If it
+    counted as present until then, its successor would wait two minutes for what
+    only the first one could know, and another lost instance would leave too few
+    to open accounts: all new programs would be refused.
+
+    Given storage instances "a, b, c"
+    When "a" is replaced by "d" of its domain while still listed
+    And "b" has followed the listed instances
+    And "c" has followed the listed instances
+    And the registration of "a" expires <before>
+    And "d" loses its disk and restarts
+    And the registration of "a" expires <after>
+    And "d" has followed the listed instances
+    Then "d" has recovered
+
+    Examples:
+      | before | after |
+      | now    | never |
+      | never  | now   |
+
+  Scenario: A new machine starts while the one that it replaces is still listed
+    It had no data that the other one could know of. If it waited for the end of
+    the other one's registration, the store would have to decide on each new
+    program until then.
+
+    Given storage instances "a, b, c"
+    When "a" is replaced by "d" of its domain while still listed
+    Then "d" has recovered
+
   Scenario: An instance whose registration had expired is listed again
     The others did not count it for a while and opened accounts without it. It
     reaches the store before it reaches any of them, and must not grant alone
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -30,6 +30,8 @@
 _METRICS = Metrics()
 # Longer than any lease plus the time for which a member still counts after it.
 _LONG_AGO_SECONDS = 60.0
+# Also longer than what it may have granted alone is set aside.
+FORGOTTEN_SECONDS = 150.0
 
 
 class UnavailableKv(MemoryKv):
@@ -224,6 +226,7 @@
 
     def introduce(self, members: LocalMembers, name: str) -> None:
         """Adds an instance to members, as the store's list would."""
+        members.record_seen(name, self.member(name).run)
         members.known[name] = self.member(name)
 
     def member(self, name: str) -> Member:
@@ -249,14 +252,14 @@
         for members in self.members.values():
             members._on_written(PREFIX + member.name, value)
 
-    def lapse(self, name: str) -> None:
+    def lapse(self, name: str, seconds: float = _LONG_AGO_SECONDS) -> None:
         """Lets an instance's registration expire, long ago for the others."""
         self.kv.put(PREFIX + name, None)
         for other, members in self.members.items():
             if other != name and name in members.known:
                 members._drop(name)
             if name in members.lost_at:
-                members.lost_at[name] -= _LONG_AGO_SECONDS
+                members.lost_at[name] -= seconds
         if name in self.keepers:
             self.keepers[name].is_lease_valid = lambda: False
             self.keepers[name].mark_possibly_excluded()
