Set aside what one lost instance may have granted alone

Callers: a program could get 252 tokens of 216 (known red, review.feature, two scenarios "An instance grants alone while it is cut off, and ..."), when the instance that granted was left out of the roster, or lost its disk, and the program came to the others later.

Cause: what was granted alone was set aside only for instances of the roster that did not consent. One that was left out isn't in the roster; one that lost its disk consents as if it had granted nothing.

Ways weighed: docs/design/platform.md, "What may have been granted unseen".

Change: for two minutes, twice the retention of turns, such an instance counts as one that may have granted alone. Its part is given back at once if it returns with its disk. A new machine says nothing was lost, as the others had never seen it.

Tests: the two scenarios failed before; new ones for the part that is given back and for the new machine. Three scenarios that need the whole budget to be granted now let the registration expire minutes ago rather than one minute: what they guard against, an instance that returns and grants again, is checked as before.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -96,7 +96,7 @@
                     )
             self.update_domain_peers()
             if not self.keeper.is_recovered and self.is_complete():
-                self.keeper.mark_recovered()
+                self.keeper.mark_recovered(self.is_first_run())
             await asyncio.sleep(_POLL_SECONDS / 2)
 
     def update_domain_peers(self) -> None:
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -49,10 +49,13 @@
             may have granted tokens alone, as instances only do so in systems
             of up to three.
         with_share: Instances that consented and may have granted tokens alone.
+        unseen: Other instances that may have granted tokens alone although
+            nothing shows it: their registration expired or their disk was lost.
     """
 
     missing: frozenset[str] = frozenset()
     with_share: frozenset[str] = frozenset()
+    unseen: frozenset[str] = frozenset()
 
 
 class NeedsArbitration(msgspec.Struct, frozen=True):
@@ -125,7 +128,7 @@
     refused = [r for r in replies.values() if isinstance(r, Refused)]
     if not all(reply.holders for reply in refused):
         return Unsure("another storage instance is opening the account")
-    consent = _consent(replies, request, ledger)
+    consent = _consent(replies, request, ledger, members)
     agreed = len(roster - consent.missing) - 1
     decision = evaluate_consents(
         len(roster), agreed, len(refused), members.tolerated_disk_losses
@@ -195,7 +198,9 @@
             # the holders in the store have recorded nothing.
             await _correct_store(home, reply.holders, kv)
             return Elsewhere(reply.holders)
-    return _consent(replies, request, ledger) if found is None else found
+    if found is not None:
+        return found
+    return _consent(replies, request, ledger, members)
 
 
 async def _correct_store(
@@ -217,14 +222,24 @@
     )
 
 
-def _consent(replies: dict, request: Agree, ledger: Ledger) -> Consent:
+def _consent(
+    replies: dict, request: Agree, ledger: Ledger, members: Members
+) -> Consent:
     """Returns the consents among the replies."""
     agreed = {n: r for n, r in replies.items() if isinstance(r, Agreed)}
     missing = set(request.roster) - set(agreed) - {ledger.name}
     having = {name for name, reply in agreed.items() if reply.has_share}
     if request.program in ledger.shares:
         having.add(ledger.name)
-    return Consent(frozenset(missing), frozenset(having))
+    unseen = {name for name, reply in agreed.items() if reply.has_lost_share}
+    if ledger.may_have_lost_share():
+        unseen.add(ledger.name)
+    unseen |= members.left_out_sharers()
+    return Consent(
+        frozenset(missing),
+        frozenset(having),
+        frozenset(unseen - missing - having),
+    )
 
 
 async def _ask_others(
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -32,9 +32,13 @@
     RosterChange,
     ShareChange,
 )
-from rattanmill_keeper.members import Members
+from rattanmill_keeper.members import (
+    MAX_SUCCESSORS,
+    TURN_HOLDER_SECONDS,
+    Members,
+    may_grant_alone,
+)
 from rattanmill_keeper.messages import (
-    MAX_SHARERS,
     Account,
     AccountRef,
     Accounts,
@@ -189,13 +193,29 @@
         await self.mirrors.__aexit__(*exc_info)
         await self.journal.__aexit__(*exc_info)
 
-    def mark_recovered(self) -> None:
-        """Records, also on disk, that no data is missing here."""
+    def mark_recovered(self, is_new: bool = False) -> None:
+        """Records, also on disk, that no data is missing here.
+
+        Args:
+            is_new: Whether this instance never ran before, so that it has
+                granted nothing on a disk that was lost.
+        """
         if not self.is_recovered:
-            log_event("keeper_whole", turns=len(self.table.held))
-            self.alone_from = wall_seconds() + ACCOUNT_TTL_SECONDS
+            log_event("keeper_whole", turns=len(self.table.held), is_new=is_new)
+            now = wall_seconds()
+            self.alone_from = now + ACCOUNT_TTL_SECONDS
+            if not is_new and self._is_small_system():
+                self.ledger.shares_lost_until = now + TURN_HOLDER_SECONDS
         self.is_recovered = True
-        write_marker(self.folder, CompletionMarker(self.alone_from))
+        marker = CompletionMarker(
+            self.alone_from, self.ledger.shares_lost_until
+        )
+        write_marker(self.folder, marker)
+
+    def _is_small_system(self) -> bool:
+        """Whether an instance of this system may have granted alone before."""
+        count = len(self.members.roster() | {self.name})
+        return may_grant_alone(count - MAX_SUCCESSORS)
 
     async def serve(self, message: msgspec.Struct) -> msgspec.Struct:
         """Returns the reply to one request."""
@@ -286,9 +306,7 @@
     def may_create_share(self) -> bool:
         """Whether it may grant alone to programs that it does not know.
 
-        Not if it may have done so on a disk that was lost since. Nor with more
-        than three storage instances: several of them may be left out when the
-        others agree to an account, and each of these would grant.
+        Not if it may have done so on a disk that was lost since.
         """
         roster = self.members.roster()
         return (
@@ -297,7 +315,7 @@
             and wall_seconds() > self.alone_from
             and self.is_lease_valid()
             and not self.unsynced_peers & roster
-            and len(roster | {self.name}) <= MAX_SHARERS
+            and may_grant_alone(len(roster | {self.name}))
         )
 
     def mark_possibly_excluded(self) -> None:
@@ -452,10 +470,12 @@
         is_old: bool,
     ) -> Place:
         """Returns the place of an account, with the reserve for its sharers."""
-        sharers = consent.with_share | consent.missing
+        sharers = consent.with_share | consent.missing | consent.unseen
         if not sharers and not is_old and self.may_create_share():
             sharers = frozenset([self.name])
         # Callers allow one turn beyond the budget, for all instances together.
+        # With parts set aside for two, the smallest budgets hold no turn. So of
+        # those that nothing shows to have granted alone, one is counted.
         granting = len(consent.with_share) + min(
             len(sharers - consent.with_share), 1
         )
@@ -481,7 +501,10 @@
             return decision
         if decision is not None:
             await self.write_home(decision)
-        return Agreed(request.program in self.ledger.shares)
+        return Agreed(
+            request.program in self.ledger.shares,
+            self.ledger.may_have_lost_share(),
+        )
 
     async def write_home(self, change: HomeChange) -> None:
         """Writes an account's home to the journal and for followers."""
@@ -570,6 +593,7 @@
         if mark is not None:
             self.is_recovered = True
             self.alone_from = mark.alone_from
+            self.ledger.shares_lost_until = mark.shares_lost_until
         records = 0
         roster = RosterChange({})
         for stored in self.journal.read():
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -110,6 +110,8 @@
         shares: Tokens that this instance has granted alone, by program.
         homes: Holders of accounts, open or only agreed on, by program.
         opening: Programs whose accounts are being opened here.
+        shares_lost_until: Unix time in seconds until which programs go on that
+            may have been granted tokens on a disk that was lost since.
     """
 
     def __init__(self, name: str) -> None:
@@ -119,6 +121,7 @@
         self.shares: dict[str, Share] = {}
         self.homes: dict[str, HomeChange] = {}
         self.opening: set[str] = set()
+        self.shares_lost_until = 0.0
 
     def find(self, program: str) -> Opened | Elsewhere | OpenRequired:
         """Returns an account's placement, or that it must be opened here."""
@@ -195,6 +198,10 @@
             share.uses[request.attempt] = Use(request.tokens)
         return self._touch_share(request.program)
 
+    def may_have_lost_share(self) -> bool:
+        """Whether programs go on that it may have granted to unknowingly."""
+        return wall_seconds() < self.shares_lost_until
+
     def close_share(self, program: str) -> ShareChange:
         """Stops granting alone; the change lists what was granted."""
         share = self.shares.setdefault(program, Share())
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -20,7 +20,7 @@
     wall_seconds,
     warn_event,
 )
-from rattanmill_keeper.messages import codec
+from rattanmill_keeper.messages import MAX_SHARERS, codec
 from rattanmill_platform import (
     Found,
     KeyValue,
@@ -51,6 +51,8 @@
 # neither a slow reply of the store nor clock drift matters.
 _LAPSED_SECONDS = 10.0
 LEASE_VALID_SECONDS = 8.0
+# A member may have granted alone before its successor joined.
+MAX_SUCCESSORS = 1
 # Without the store it is unknown whether the member has registered again.
 _MAX_STORE_SILENCE_SECONDS = 12.0
 # Disks that may be lost at once unless configured otherwise.
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -330,9 +330,12 @@
 
     Attributes:
         has_share: Whether the instance has granted tokens alone, or may do so.
+        has_lost_share: Whether it may have granted tokens alone on a disk that
+            was lost since.
     """
 
     has_share: bool = False
+    has_lost_share: bool = False
 
 
 class Refused(msgspec.Struct, tag=10):
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -37,9 +37,11 @@
     Attributes:
         alone_from: Time from which the instance may grant alone to programs
             that it does not know, in seconds since 1970.
+        shares_lost_until: As in ``Ledger``.
     """
 
     alone_from: float = float("inf")
+    shares_lost_until: float = 0.0
 
 
 def encode(record: Record) -> bytes:
--- a/tests/features/review.feature
+++ b/tests/features/review.feature
@@ -50,6 +50,35 @@
     And the registration of "a" expired long ago
     Then the program's turns at "b" stay within its budget and one turn
 
+  Scenario: An instance that was left out for a while returns
+    What it may have granted alone is set aside for new programs. If it were
+    never given back, they would be refused before their budget is spent.
+
+    Given storage instances "a, b, c"
+    When "c" is partitioned from "a, b", and its registration expired long ago
+    And a program that began at "a" has 3 turns running at "a"
+    Then its next turn is refused as unsure at "a"
+    When all reach each other and are listed
+    Then its next turn gets a reservation at "a"
+    And the program's turns at "a, c" stay within its budget and one turn
+
+  Scenario: An instance learns of a new one from another's roster first
+    The new one must still count as new, or it waits for the end of the
+    registration of the machine that it replaces.
+
+    Given storage instances "a, b, c"
+    When "a" is replaced by "d" of its domain, and "c" hears of it from "b" first
+    Then "d" has recovered
+
+  Scenario: A new machine recovers from the others
+    It has granted nothing on a disk that was lost. If a part were set aside for
+    it, each program of the next minutes would be refused too early.
+
+    Given storage instances "a, b, c"
+    When "a" is replaced by "d" of its domain while still listed
+    And "d" has followed the others
+    Then nothing is set aside for "d" when "b" opens an account
+
   Scenario: An instance grants alone while it is cut off, and loses its disk then
     It does not know any more what it granted, and reports nothing. So the
     others set nothing aside and grant the whole budget.
@@ -61,12 +90,26 @@
     And "a" loses its disk and recovers from the others
     Then the program's turns at "b" stay within its budget and one turn
 
+  Scenario: Two instances grant alone while they are cut off, and both are gone
+    A part is set aside for one of them only. The third one grants the rest to
+    the program although it got two parts before.
+
+    Given storage instances "a, b, c"
+    When "a" are partitioned from "b, c"
+    And "b" are partitioned from "c"
+    And a program that began at "a" has 1 turns running at "b"
+    And the registration of "a" expired long ago
+    And "b" is replaced by "d" of its domain while still listed
+    And the registration of "b" expired long ago
+    And "c" has followed the listed instances
+    Then the program's turns at "c, d" stay within its budget and one turn
+
   Scenario: An instance whose registration had expired restarts while it is cut off
     The restart makes it forget that it was left out of the others' roster for
     a while. It would grant alone what they have granted without it.
 
     Given storage instances "a, b, c"
-    When "c" is partitioned from "a, b", and its registration expired long ago
+    When "c" is partitioned from "a, b", and its registration expired minutes ago
     And turns of a new program use up its budget at "a"
     And "c" crashes and restarts
     And "c" is listed again while it is partitioned
--- a/tests/features/steps/review.py
+++ b/tests/features/steps/review.py
@@ -12,9 +12,11 @@
 from rattanmill_keeper import Member, Members
 from rattanmill_keeper.homes import Consent
 from rattanmill_keeper.members import PREFIX
+from rattanmill_keeper.messages import Open
 from support.keepers import run_in as network
 from support.memory import MemoryKv
 from support.opening import OPERATIONS, play
+from support.stories import BUDGET, TOKENS
 from support.virtual import run_virtually
 
 _NAMES = "abcdefghijkl"
@@ -130,6 +132,15 @@
     network(context, remove)
 
 
+@then('nothing is set aside for "{name}" when "{opener}" opens an account')
+def step_nothing_set_aside(context, name, opener):
+    async def open_account(n):
+        return await n.keepers[opener].serve(Open("new", BUDGET, TOKENS))
+
+    opened = network(context, open_account)
+    assert name not in opened.place.sharers, opened
+
+
 @then('"{name}" does not include "{removed}" in its roster')
 def step_not_in_roster(context, name, removed):
     async def roster_and_unlisted(n):
--- a/tests/features/views.feature
+++ b/tests/features/views.feature
@@ -118,7 +118,7 @@
     what they have granted already.
 
     Given storage instances "a, b, c"
-    When "c" is partitioned from "a, b", and its registration expired long ago
+    When "c" is partitioned from "a, b", and its registration expired minutes ago
     And turns of a new program use up its budget at "a"
     And "c" is listed again while it is partitioned
     Then the program's turns at "c" stay within its budget and one turn
@@ -127,7 +127,7 @@
     As before, but after its restart it does not know that it was not counted.
 
     Given storage instances "a, b, c"
-    When "c" is partitioned from "a, b", and its registration expired long ago
+    When "c" is partitioned from "a, b", and its registration expired minutes ago
     And turns of a new program use up its budget at "a"
     And "c" is killed and restarted
     And "c" is listed again while it is partitioned
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -308,7 +308,7 @@
             follower.update_domain_peers()
             await self._fetch_all(follower, name)
         if not keeper.is_recovered and follower.is_complete():
-            keeper.mark_recovered()
+            keeper.mark_recovered(follower.is_first_run())
 
     async def _fetch_all(self, follower: Follower, name: str) -> None:
         for member in list(self.members[name].known.values()):
