Read the store for front ends through one storage instance a failure domain

Cause: each front end watched the list of storage instances by itself, so that each registration, lapse and restart of one of 24 woke 171 watches; and each front end chose the instances to read through in an order of its own, so that all 24 watched what 5 could.

Change: the list is read through storage instances like configuration and endpoints. All processes order readers alike. A reader that is not asked any more stops; a new one that doesn't know earlier changes sends a front end on to another domain's reader, not to the store. Changes that come together cost one call. Calls are counted by prefix as well.

site_lookups.feature: the front end of "east" has to know instances of which all watches are late. It learned that from a watch of its own; now it restarts and reads the list. What is checked of "west" is unchanged.

--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -6,6 +6,7 @@
 from rattanmill_keeper.following import Follower
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.lookup import KeepResult, NoSuchTurn
+from rattanmill_keeper.members import PREFIX as MEMBERS_PREFIX
 from rattanmill_keeper.members import Member, Members, Registration
 from rattanmill_keeper.messages import (
     KeptTurn,
@@ -19,6 +20,7 @@
 from rattanmill_keeper.relayed import RelayedKv
 
 __all__ = [
+    "MEMBERS_PREFIX",
     "DecommissionKeys",
     "Follower",
     "KeepResult",
--- a/libs/keeper/src/rattanmill_keeper/joint.py
+++ b/libs/keeper/src/rattanmill_keeper/joint.py
@@ -11,14 +11,14 @@
 
 from rattanmill_core import log_event, start_loop
 from rattanmill_keeper.members import Member
-from rattanmill_keeper.messages import StoreItems, StoreWatch
+from rattanmill_keeper.messages import StoreItems, StoreWatch, Unsure
 from rattanmill_wire import RequestLink
 
 # Short, since a member may be stale without knowing it, and the next one then
 # reports what it lacks. An endpoint must get no calls two seconds after it has
 # announced that it leaves.
 WATCH_SECONDS = 0.5
-_REPLY_TIMEOUT_SECONDS = 0.7
+_REPLY_TIMEOUT_SECONDS = 0.4
 # Waiters whose requests were answered together send the next one together.
 _JOIN_SECONDS = 0.01
 # A request to a member that leaves a ping or another request unanswered is
@@ -31,11 +31,12 @@
 
     Attributes:
         after: Revision up to which the changes are known.
-        reply: Gets the changes, or None if no member reports them.
+        reply: Gets the changes, ``Unsure`` if the member does not know them,
+            or None if it does not reply.
     """
 
     after: int
-    reply: asyncio.Future[StoreItems | None]
+    reply: asyncio.Future[StoreItems | Unsure | None]
 
 
 class JointWatch:
@@ -62,12 +63,12 @@
         self.has_waiters = asyncio.Event()
         self.task: asyncio.Task | None = None
 
-    async def wait(self, prefix: str, after: int) -> StoreItems | None:
+    async def wait(self, prefix: str, after: int) -> StoreItems | Unsure | None:
         """Waits for changes of a prefix.
 
         Returns:
-            The changes, none of them after a timeout; None if no member
-            reports them.
+            The changes, none of them after a timeout; ``Unsure`` if the member
+            that was asked does not know them; None if no member replies.
         """
         reply = asyncio.get_running_loop().create_future()
         waiter = self.waiters[prefix] = Waiter(after, reply)
@@ -126,20 +127,25 @@
 
     async def _ask(
         self, member: Member, waiters: dict[str, Waiter]
-    ) -> dict[str, StoreItems]:
-        """Returns the changes that a member reports, by prefix."""
+    ) -> dict[str, StoreItems | Unsure]:
+        """Returns what a member reports of changes, by prefix."""
         after = {prefix: waiter.after for prefix, waiter in waiters.items()}
         first = next(iter(after))
         message = StoreWatch(first, after.pop(first), WATCH_SECONDS, after)
         reply = await self.link(member).ask(
             message, WATCH_SECONDS + _REPLY_TIMEOUT_SECONDS
         )
+        if isinstance(reply, Unsure):
+            return dict.fromkeys(waiters, reply)
         if not isinstance(reply, StoreItems):
             return {}
-        return {first: reply, **reply.others}
+        unknown = Unsure("the member does not know the changes")
+        return {**dict.fromkeys(after, unknown), **reply.others, first: reply}
 
     def _resolve(
-        self, waiters: dict[str, Waiter], replies: dict[str, StoreItems]
+        self,
+        waiters: dict[str, Waiter],
+        replies: dict[str, StoreItems | Unsure],
     ) -> None:
         """Resolves waiters with the replies for their prefixes.
 
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -648,6 +648,13 @@
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             self.sweep()
+            await self.mirrors.close_unused()
+            await self.openings.withdraw(self._positions_followed())
+
+    def _positions_followed(self) -> list[int]:
+        """Returns how far each other instance has followed this one."""
+        others = self.members.roster() - {self.name}
+        return [self.follower_positions.get(name, -1) for name in others]
 
     def sweep(self) -> None:
         """Removes expired data from memory and disk."""
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -62,10 +62,13 @@
 REGISTRATION_GRACE_SECONDS = 6.0
 # A slow store replies in 0.2 s, and a caller is waiting.
 _READ_TIMEOUT_SECONDS = 0.3
-# A working watch reports a change within milliseconds.
-_WATCH_DELAY_SECONDS = 0.1
+# A working watch reports a change within milliseconds, or a little later if
+# others came just before and it is relayed.
+_WATCH_DELAY_SECONDS = 0.25
 # A store that did not reply is not read again sooner than this.
 _READ_RETRY_SECONDS = 0.5
+# Orders the members that read the store for others.
+_READERS_KEY = "readers of the store"
 # Each member is sent some request every half second.
 _RECENT_REPLY_SECONDS = 1.0
 
@@ -126,6 +129,15 @@
     return found
 
 
+def _writable(domains: dict[str, list[Member]]) -> dict[str, list[Member]]:
+    """Returns the members that accept new data, by failure domain."""
+    writable = {
+        domain: [member for member in members if not member.leaving]
+        for domain, members in domains.items()
+    }
+    return {domain: members for domain, members in writable.items() if members}
+
+
 class Members:
     """The storage instances known here, and a link to each.
 
@@ -135,6 +147,7 @@
         tolerated_disk_losses: Disks that may be lost at once.
         ranked_members: Members when ``ranked_by_domain`` was computed.
         ranked_by_domain: Members by failure domain, in this process's order.
+        readers_by_domain: The same, in an order that all processes share.
         lost_at: Loop time at which each member was last removed that had not
             been decommissioned, by name.
         decommissioned: Members that were decommissioned and removed.
@@ -173,6 +186,7 @@
         self.rank_key = uuid.uuid4().hex
         self.ranked_members: list[Member] = []
         self.ranked_by_domain: dict[str, list[Member]] = {}
+        self.readers_by_domain: dict[str, list[Member]] = {}
         self.lost_at: dict[str, float] = {}
         self.decommissioned: set[str] = set()
         self.first_runs: dict[str, str] = {}
@@ -378,21 +392,28 @@
 
         The order is computed once per change and not with each call.
         """
+        self._update_orders()
+        return self.ranked_by_domain
+
+    def readers(self) -> dict[str, list[Member]]:
+        """Returns writable members by domain, in the same order everywhere.
+
+        The first ones read the platform store for all other processes. Each
+        further reader costs the store a call for every change.
+        """
+        self._update_orders()
+        return _writable(self.readers_by_domain)
+
+    def _update_orders(self) -> None:
         current = list(self.known.values())
         if current != self.ranked_members:
             self.ranked_members = current
             self.ranked_by_domain = _by_domain(self.rank_key, current)
-        return self.ranked_by_domain
+            self.readers_by_domain = _by_domain(_READERS_KEY, current)
 
     def writable_domains(self) -> dict[str, list[Member]]:
         """Returns the members that accept new data, by failure domain."""
-        writable = {
-            domain: [member for member in members if not member.leaving]
-            for domain, members in self.ranked().items()
-        }
-        return {
-            domain: members for domain, members in writable.items() if members
-        }
+        return _writable(self.ranked())
 
     def replicas(self, key: str) -> list[Member]:
         """Returns the member of each failure domain that stores a key."""
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -35,6 +35,11 @@
 _MAX_AGE_SECONDS = 3.4
 # Some minutes of changes; a front end sends a request each second.
 _MAX_CHANGES = 2_000
+# A list takes the store a few milliseconds, or 0.2 s if it is slow.
+_FIRST_ANSWER_TIMEOUT_SECONDS = 0.15
+# Requests for a prefix come each half second. They stop when another instance
+# takes over, which reads the store from then on.
+_IDLE_SECONDS = 10.0
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -59,6 +64,7 @@
         changes: Newest changes, oldest first.
         history_start: Revision from which on all changes are available.
         change_event: Set at each change.
+        used_at: Loop time of the last request.
 
     Args:
         kv: The platform store.
@@ -88,6 +94,7 @@
         self.changes: collections.deque[Change] = collections.deque()
         self.history_start: int | None = None
         self.change_event = change_event or asyncio.Event()
+        self.used_at = loop_seconds()
 
     @property
     def is_fresh(self) -> bool:
@@ -189,6 +196,10 @@
 class Mirrors:
     """Mirrors of the prefixes that front ends request.
 
+    Attributes:
+        mirrors: Mirrors by prefix.
+        change_event: Set at each change of any of them.
+
     Args:
         kv: The platform store.
     """
@@ -197,14 +208,24 @@
         self.kv = kv
         self.mirrors: dict[str, Mirror] = {}
         self.change_event = asyncio.Event()
-        self.stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        await self.stack.__aenter__()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        await self.stack.__aexit__(*exc_info)
+        for prefix in list(self.mirrors):
+            await self._close(prefix)
+
+    async def close_unused(self) -> None:
+        """Stops reading the prefixes that are not requested any more."""
+        oldest = loop_seconds() - _IDLE_SECONDS
+        for prefix, mirror in list(self.mirrors.items()):
+            if mirror.used_at < oldest:
+                await self._close(prefix)
+
+    async def _close(self, prefix: str) -> None:
+        mirror = self.mirrors.pop(prefix)
+        await mirror.watch.__aexit__()
 
     async def serve(
         self, request: StoreList | StoreWatch
@@ -234,7 +255,11 @@
             )
             mirror = Mirror(self.kv, prefix, grace, self.change_event)
             self.mirrors[prefix] = mirror
-            await self.stack.enter_async_context(mirror.watch)
+            await mirror.watch.__aenter__()
+        mirror.used_at = loop_seconds()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_FIRST_ANSWER_TIMEOUT_SECONDS):
+                await mirror.watch.first_answer.wait()
         return mirror
 
 
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
@@ -16,7 +17,12 @@
 from rattanmill_core import log_event
 from rattanmill_keeper.joint import WATCH_SECONDS, JointWatch
 from rattanmill_keeper.members import Member, Members
-from rattanmill_keeper.messages import StoreItems, StoreList, StoreWatch
+from rattanmill_keeper.messages import (
+    StoreItems,
+    StoreList,
+    StoreWatch,
+    Unsure,
+)
 from rattanmill_platform import (
     Conflict,
     Entry,
@@ -32,6 +38,11 @@
 
 _Direct = TypeVar("_Direct")
 _LIST_TIMEOUT_SECONDS = 1.0
+# Timeout of the one member that is asked first. If all processes have just
+# started, it may not be there yet, while the store is.
+_FIRST_LIST_TIMEOUT_SECONDS = 0.2
+# One of the own domain and one of another.
+_MAX_UNSURE_MEMBERS = 2
 _REPLY_TIMEOUT_SECONDS = 0.7
 # Bound of a direct watch if no member relays; one may do so again soon.
 _DIRECT_WATCH_SECONDS = 1.0
@@ -129,7 +140,7 @@
         message = StoreWatch(prefix, after, WATCH_SECONDS)
         first = None
         if prefix in self.mirrored:
-            first = await self.joint.wait(prefix, after)
+            first = await self._wait_relayed(message)
         if first is not None:
             self._set_relayed(True, message)
         reply = first or await self._ask_others(
@@ -144,6 +155,18 @@
         changes = [(item.key, item.value) for item in reply.items]
         return WatchEvents(changes, reply.revision)
 
+    async def _wait_relayed(self, message: StoreWatch) -> StoreItems | None:
+        """Waits for changes at one member, or at the next if it is unsure.
+
+        A member that has just begun to read the prefix does not know earlier
+        changes, which the readers of other domains do.
+        """
+        for _ in range(_MAX_UNSURE_MEMBERS):
+            reply = await self.joint.wait(message.prefix, message.after)
+            if not isinstance(reply, Unsure):
+                return reply
+        return None
+
     async def _ask_others(
         self,
         message: StoreList | StoreWatch,
@@ -172,29 +195,46 @@
         self.relayed = relayed
 
     async def _list_first(self, message: StoreList) -> StoreItems | None:
-        """Sends a list request to one member if the prefix is mirrored."""
-        member = self._choose() if message.prefix in self.mirrored else None
-        if member is None:
+        """Sends a list request to a member if the prefix is mirrored."""
+        if message.prefix not in self.mirrored:
             return None
-        reply = await self.members.link(member).ask(
-            message, _LIST_TIMEOUT_SECONDS
-        )
-        if not isinstance(reply, StoreItems):
-            return None
-        self._set_relayed(True, message)
-        return reply
+        await self._wait_for_members(message.prefix)
+        for _ in range(_MAX_UNSURE_MEMBERS):
+            member = self._choose()
+            if member is None:
+                return None
+            reply = await self.members.link(member).ask(
+                message, _FIRST_LIST_TIMEOUT_SECONDS
+            )
+            if isinstance(reply, StoreItems):
+                self._set_relayed(True, message)
+                return reply
+            if reply is None:
+                return None
+        return None
+
+    async def _wait_for_members(self, prefix: str) -> None:
+        """Waits until the members are known, unless they are to be listed.
+
+        A process that has just started lists all prefixes at once.
+        """
+        if self.members is None or prefix == self.members.watch.prefix:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_FIRST_LIST_TIMEOUT_SECONDS):
+                await self.members.watch.first_answer.wait()
 
     def _choose(self) -> Member | None:
         """Alternates between a member of this domain and one of the others.
 
         A member that has lost the store and has not noticed yet reports no
-        changes. The next member, one wait later, does. The first member of
-        each domain is pinged most often.
+        changes. The next member, one wait later, does. All processes use the
+        same member of a domain, so that few members read the store.
         """
         if self.members is None:
             return None
         self.turn += 1
-        domains = self.members.writable_domains()
+        domains = dict(self.members.readers())
         near = [self._first(domains.pop(self.domain, []))]
         far = [self._first(domains[name]) for name in sorted(domains)]
         turns = (near, far) if self.turn % 2 else (far, near)
--- a/libs/platform/src/rattanmill_platform/calls.py
+++ b/libs/platform/src/rattanmill_platform/calls.py
@@ -110,6 +110,7 @@
         timeout: float = CALL_SECONDS,
         try_always: bool = False,
         headers: dict[str, str] | None = None,
+        prefix: str = "",
     ) -> Reply | Unavailable:
         """Makes one call; 429 and 5xx count as unavailable.
 
@@ -123,13 +124,15 @@
                 Lease renewals do: otherwise a few failed writes could cost
                 the instance its lease. The first answer closes the breaker.
             headers: Request headers.
+            prefix: Prefix of the keys that the call is about; a label in the
+                metrics.
 
         Returns:
             The response, or ``Unavailable``.
         """
         if self.breaker.is_open() and not try_always:
             return Unavailable("circuit open")
-        self.metrics.count("rattanmill_kv_calls", kind=kind)
+        self.metrics.count("rattanmill_kv_calls", kind=kind, prefix=prefix)
         try:
             async with self.session.request(
                 method,
@@ -149,5 +152,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             why = str(error or "time-out")
             self.breaker.record_failure(why)
-            self.metrics.count("rattanmill_kv_failures", kind=kind)
+            self.metrics.count(
+                "rattanmill_kv_failures", kind=kind, prefix=prefix
+            )
             return Unavailable(why)
--- a/libs/platform/src/rattanmill_platform/follow.py
+++ b/libs/platform/src/rattanmill_platform/follow.py
@@ -20,6 +20,9 @@
 )
 
 _RETRY_SECONDS = 0.25
+# Pause after changes. When many processes register at once, a watch that is
+# repeated immediately costs a call for each of them.
+_GATHER_SECONDS = 0.05
 # After a broken watch the prefix is read again within this time; a key that is
 # missing then was removed. After a longer outage, its holder may have been
 # unable to renew its lease.
@@ -47,6 +50,7 @@
         changed_revision: Revision of the newest change received.
         synced: Whether the prefix was read at least once.
         answered_at: Loop time of the last answer.
+        first_answer: Set once the prefix was read.
 
     Args:
         kv: Client of the platform store.
@@ -81,6 +85,7 @@
         self.changed_revision = 0
         self.synced = False
         self.answered_at = float("-inf")
+        self.first_answer = asyncio.Event()
         self.unavailable_since: float | None = None
         self.task: asyncio.Task | None = None
 
@@ -188,6 +193,8 @@
             return False
         self._apply_events(events)
         self._mark_available()
+        if events.changes:
+            await asyncio.sleep(_GATHER_SECONDS)
         return True
 
     def _apply_events(self, events: WatchEvents) -> None:
@@ -234,6 +241,7 @@
         self.unavailable_since = None
         self.synced = True
         self.answered_at = now
+        self.first_answer.set()
 
     def _mark_unavailable(self, unavailable: Unavailable) -> None:
         if self.unavailable_since is None:
--- a/tests/features/site_lookups.feature
+++ b/tests/features/site_lookups.feature
@@ -13,6 +13,7 @@
 
     Given the watches of the front end of "west" and of all storage instances are delayed
     When a storage instance joins in each domain
+    And the front end of "east" restarts, and so reads the list of the store
     And a conversation through "east" is stored only on the new instances
     And its next turn is sent to "west"
     Then the front end of "west" did not know the new instances when it got the request
--- a/tests/features/steps/site_lookups.py
+++ b/tests/features/steps/site_lookups.py
@@ -128,6 +128,16 @@
         )
 
 
+@when(
+    'the front end of "{domain}" restarts, and so reads the list of the store'
+)
+def step_restart_front(context, domain):
+    front = front_end(context, domain)
+    front.kill()
+    front.__enter__()
+    wait_until(lambda: site(context).is_ready(domain), f"{domain} is ready")
+
+
 @when('a conversation through "{domain}" is stored only on the new instances')
 def step_store_conversation(context, domain):
     wait_until(
