--- a/tests/features/review.feature
+++ b/tests/features/review.feature
@@ -97,7 +97,7 @@
     Given storage instances "a, b, c"
     When "a" are partitioned from "b, c"
     And "b" are partitioned from "c"
-    And a program that began at "a" has 1 turns running at "b"
+    And a program that began at "a" has 2 turns running at "b"
     And the registration of "a" expired long ago
     And "b" is replaced by "d" of its domain while still listed
     And the registration of "b" expired long ago
