Import only what the program that runs needs

Cause: both programs imported the libraries of both, all of the scheduling policy for one class of it, and a TOML parser for settings that have another format.

site_lookups.feature: the scenario of an unknown turn follows one in which the store rejects a front end. That front end's circuit breaker may be open for half a second more, and no watch of its own closes it now: it answered 503, truthfully. The scenario now waits a second; what it checks is unchanged.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -28,6 +28,7 @@
 )
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
 from rattanmill_core.instance import InstanceSettings
+from rattanmill_core.lazy import import_on_use
 from rattanmill_core.logs import configure_logs, log_ids, part_logger
 from rattanmill_core.loops import start_loop
 from rattanmill_core.metrics import Metrics
@@ -49,6 +50,7 @@
 
 __all__ = [
     "boot_seconds",
+    "import_on_use",
     "Aspect",
     "ConfigDocument",
     "ConfigReach",
--- a/libs/core/src/rattanmill_core/settings.py
+++ b/libs/core/src/rattanmill_core/settings.py
@@ -4,7 +4,6 @@
 import pathlib
 import re
 import stat
-import tomllib
 from collections.abc import Callable
 from typing import Any
 
@@ -184,6 +183,9 @@
         SettingsError: The file is unreadable or invalid; the message names
             the file, each invalid key and the allowed values.
     """
+    # Only the native interface has settings in TOML.
+    import tomllib
+
     try:
         table = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
--- a/libs/forward/src/rattanmill_forward/__init__.py
+++ b/libs/forward/src/rattanmill_forward/__init__.py
@@ -1,26 +1,36 @@
 """Front ends, which forward callers' requests to suitable endpoints."""
 
-from rattanmill_forward.calls import (
-    Call,
-    Headers,
-    HttpCodec,
-    Load,
-    PromptPart,
-    RefusalResponse,
-    ResponseHead,
-)
-from rattanmill_forward.daemon import StoreSchema, run_front
-from rattanmill_forward.endpoints import Endpoint
-from rattanmill_forward.routes import (
-    Backend,
-    EngineConfig,
-    Limits,
-    Route,
-    RouteKind,
-    RouteTable,
-    Service,
-    build_route_table,
-)
+from typing import TYPE_CHECKING
+
+from rattanmill_core import import_on_use
+
+if TYPE_CHECKING:
+    from rattanmill_forward.calls import (
+        Call,
+        Headers,
+        HttpCodec,
+        Load,
+        PromptPart,
+        RefusalResponse,
+        ResponseHead,
+    )
+    from rattanmill_forward.daemon import (
+        StoreSchema,
+        run_front,
+    )
+    from rattanmill_forward.endpoints import (
+        Endpoint,
+    )
+    from rattanmill_forward.routes import (
+        Backend,
+        EngineConfig,
+        Limits,
+        Route,
+        RouteKind,
+        RouteTable,
+        Service,
+        build_route_table,
+    )
 
 __all__ = [
     "ResponseHead",
@@ -42,3 +52,33 @@
     "build_route_table",
     "run_front",
 ]
+
+__getattr__ = import_on_use(
+    __name__,
+    {
+        "calls": (
+            "Call",
+            "Headers",
+            "HttpCodec",
+            "Load",
+            "PromptPart",
+            "RefusalResponse",
+            "ResponseHead",
+        ),
+        "daemon": (
+            "StoreSchema",
+            "run_front",
+        ),
+        "endpoints": ("Endpoint",),
+        "routes": (
+            "Backend",
+            "EngineConfig",
+            "Limits",
+            "Route",
+            "RouteKind",
+            "RouteTable",
+            "Service",
+            "build_route_table",
+        ),
+    },
+)
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -1,23 +1,47 @@
 """Storage instances, which keep budget accounts and turns on disk."""
 
-from rattanmill_keeper.client import KeeperClient
-from rattanmill_keeper.daemon import run_storage
-from rattanmill_keeper.emptying import DecommissionKeys
-from rattanmill_keeper.following import Follower
-from rattanmill_keeper.keeper import Keeper
-from rattanmill_keeper.lookup import KeepResult, NoSuchTurn
-from rattanmill_keeper.members import PREFIX as MEMBERS_PREFIX
-from rattanmill_keeper.members import Member, Members, Registration
-from rattanmill_keeper.messages import (
-    KeptTurn,
-    Reserve,
-    Reserved,
-    Settle,
-    Spent,
-    Unsure,
-    codec,
-)
-from rattanmill_keeper.relayed import RelayedKv
+from typing import TYPE_CHECKING
+
+from rattanmill_core import import_on_use
+
+if TYPE_CHECKING:
+    from rattanmill_keeper.client import (
+        KeeperClient,
+    )
+    from rattanmill_keeper.daemon import (
+        run_storage,
+    )
+    from rattanmill_keeper.emptying import (
+        DecommissionKeys,
+    )
+    from rattanmill_keeper.following import (
+        Follower,
+    )
+    from rattanmill_keeper.keeper import (
+        Keeper,
+    )
+    from rattanmill_keeper.lookup import (
+        KeepResult,
+        NoSuchTurn,
+    )
+    from rattanmill_keeper.members import (
+        MEMBERS_PREFIX,
+        Member,
+        Members,
+        Registration,
+    )
+    from rattanmill_keeper.messages import (
+        KeptTurn,
+        Reserve,
+        Reserved,
+        Settle,
+        Spent,
+        Unsure,
+        codec,
+    )
+    from rattanmill_keeper.relayed import (
+        RelayedKv,
+    )
 
 __all__ = [
     "MEMBERS_PREFIX",
@@ -40,3 +64,34 @@
     "codec",
     "run_storage",
 ]
+
+__getattr__ = import_on_use(
+    __name__,
+    {
+        "client": ("KeeperClient",),
+        "daemon": ("run_storage",),
+        "emptying": ("DecommissionKeys",),
+        "following": ("Follower",),
+        "keeper": ("Keeper",),
+        "lookup": (
+            "KeepResult",
+            "NoSuchTurn",
+        ),
+        "members": (
+            "MEMBERS_PREFIX",
+            "Member",
+            "Members",
+            "Registration",
+        ),
+        "messages": (
+            "KeptTurn",
+            "Reserve",
+            "Reserved",
+            "Settle",
+            "Spent",
+            "Unsure",
+            "codec",
+        ),
+        "relayed": ("RelayedKv",),
+    },
+)
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -31,7 +31,7 @@
 )
 from rattanmill_wire import RequestLink
 
-PREFIX = "rattanmill/keepers/"
+MEMBERS_PREFIX = "rattanmill/keepers/"
 # Long compared with the store's usual outages of seconds, so that these don't
 # end a registration; short compared with the time in which a lost disk must be
 # replaced.
@@ -197,7 +197,7 @@
         self.codec = codec()
         self.watch = PrefixWatch(
             kv,
-            PREFIX,
+            MEMBERS_PREFIX,
             _WATCH_SECONDS,
             self._on_written,
             self._on_removed,
@@ -499,7 +499,7 @@
         self.on_change()
 
     def _on_removed(self, key: str) -> None:
-        self._drop(key.removeprefix(PREFIX))
+        self._drop(key.removeprefix(MEMBERS_PREFIX))
 
     def _drop(self, name: str) -> None:
         """Drops an unregistered member once it is unresponsive.
@@ -509,7 +509,7 @@
         not count.
         """
         member = self.known.get(name)
-        if member is None or PREFIX + name in self.watch.values:
+        if member is None or MEMBERS_PREFIX + name in self.watch.values:
             return
         if not member.emptied and self.link(member).is_heard(
             _RECENT_REPLY_SECONDS
@@ -656,7 +656,7 @@
             self.lease = granted
             self.renewed_at = requested_at
         member = self.member
-        key = PREFIX + member.name
+        key = MEMBERS_PREFIX + member.name
         value = msgspec.json.encode(member)
         if self.lease == self.written_lease and self.is_listed(key, value):
             self._confirm(member)
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from rattanmill_core import loop_seconds
-from rattanmill_keeper.members import PREFIX, REGISTRATION_GRACE_SECONDS
+from rattanmill_keeper.members import MEMBERS_PREFIX, REGISTRATION_GRACE_SECONDS
 from rattanmill_keeper.messages import (
     StoreItem,
     StoreItems,
@@ -250,7 +250,7 @@
         if mirror is None:
             grace = (
                 REGISTRATION_GRACE_SECONDS
-                if prefix == PREFIX
+                if prefix == MEMBERS_PREFIX
                 else MISSING_KEY_GRACE_SECONDS
             )
             mirror = Mirror(self.kv, prefix, grace, self.change_event)
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -7,7 +7,7 @@
 
 from rattanmill_core import CrashNote, Metrics, log_event, loop_seconds
 from rattanmill_keeper.crashes import CrashFeed
-from rattanmill_keeper.members import PREFIX, Member, Members
+from rattanmill_keeper.members import MEMBERS_PREFIX, Member, Members
 from rattanmill_keeper.messages import Crashed, Pong
 from rattanmill_platform import Unavailable
 
@@ -308,7 +308,7 @@
     async def _store_answers(self) -> bool:
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_SECONDS):
-                reply = await self.members.kv.read(PREFIX)
+                reply = await self.members.kv.read(MEMBERS_PREFIX)
         except TimeoutError:
             return False
         return not isinstance(reply, Unavailable)
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -1,32 +1,50 @@
 """Clients of the platform: store, lease, live view and instance list."""
 
-from rattanmill_platform.calls import Breaker, Reply, StoreCalls, Unavailable
-from rattanmill_platform.directory import Directory, Endpoint
-from rattanmill_platform.follow import (
-    MISSING_KEY_GRACE_SECONDS,
-    WATCH_SECONDS,
-    PrefixWatch,
-)
-from rattanmill_platform.kv import (
-    Conflict,
-    Entry,
-    Found,
-    HistoryLost,
-    KeyValue,
-    KvClient,
-    Missing,
-    Range,
-    WatchEvents,
-    Written,
-)
-from rattanmill_platform.lease import InstanceLease
-from rattanmill_platform.live import (
-    DomainShards,
-    InstanceRecord,
-    LiveView,
-    ShardOwner,
-)
-from rattanmill_platform.sockets import create_tcp_socket, set_tcp_timeouts
+from typing import TYPE_CHECKING
+
+from rattanmill_core import import_on_use
+
+if TYPE_CHECKING:
+    from rattanmill_platform.calls import (
+        Breaker,
+        Reply,
+        StoreCalls,
+        Unavailable,
+    )
+    from rattanmill_platform.directory import (
+        Directory,
+        Endpoint,
+    )
+    from rattanmill_platform.follow import (
+        MISSING_KEY_GRACE_SECONDS,
+        WATCH_SECONDS,
+        PrefixWatch,
+    )
+    from rattanmill_platform.kv import (
+        Conflict,
+        Entry,
+        Found,
+        HistoryLost,
+        KeyValue,
+        KvClient,
+        Missing,
+        Range,
+        WatchEvents,
+        Written,
+    )
+    from rattanmill_platform.lease import (
+        InstanceLease,
+    )
+    from rattanmill_platform.live import (
+        DomainShards,
+        InstanceRecord,
+        LiveView,
+        ShardOwner,
+    )
+    from rattanmill_platform.sockets import (
+        create_tcp_socket,
+        set_tcp_timeouts,
+    )
 
 __all__ = [
     "MISSING_KEY_GRACE_SECONDS",
@@ -56,3 +74,47 @@
     "set_tcp_timeouts",
     "create_tcp_socket",
 ]
+
+__getattr__ = import_on_use(
+    __name__,
+    {
+        "calls": (
+            "Breaker",
+            "Reply",
+            "StoreCalls",
+            "Unavailable",
+        ),
+        "directory": (
+            "Directory",
+            "Endpoint",
+        ),
+        "follow": (
+            "MISSING_KEY_GRACE_SECONDS",
+            "WATCH_SECONDS",
+            "PrefixWatch",
+        ),
+        "kv": (
+            "Conflict",
+            "Entry",
+            "Found",
+            "HistoryLost",
+            "KeyValue",
+            "KvClient",
+            "Missing",
+            "Range",
+            "WatchEvents",
+            "Written",
+        ),
+        "lease": ("InstanceLease",),
+        "live": (
+            "DomainShards",
+            "InstanceRecord",
+            "LiveView",
+            "ShardOwner",
+        ),
+        "sockets": (
+            "create_tcp_socket",
+            "set_tcp_timeouts",
+        ),
+    },
+)
--- a/libs/policy/src/rattanmill_policy/__init__.py
+++ b/libs/policy/src/rattanmill_policy/__init__.py
@@ -1,15 +1,45 @@
 """Scheduling policy: admission, placement, retries and endpoint health."""
 
-from rattanmill_policy.health import AspectState, Load
-from rattanmill_policy.knowledge import Rules
-from rattanmill_policy.loads import LoadPoller
-from rattanmill_policy.outcome import Outcome
-from rattanmill_policy.pinning import Pin, ProgramPins, has_room
-from rattanmill_policy.quarantine import Quarantine
-from rattanmill_policy.scheduler import Scheduler
-from rattanmill_policy.speeds import LoadReport
-from rattanmill_policy.table import EndpointState, EndpointTable
-from rattanmill_policy.work import Placement, Work
+from typing import TYPE_CHECKING
+
+from rattanmill_core import import_on_use
+
+if TYPE_CHECKING:
+    from rattanmill_policy.health import (
+        AspectState,
+        Load,
+    )
+    from rattanmill_policy.knowledge import (
+        Rules,
+    )
+    from rattanmill_policy.loads import (
+        LoadPoller,
+    )
+    from rattanmill_policy.outcome import (
+        Outcome,
+    )
+    from rattanmill_policy.pinning import (
+        Pin,
+        ProgramPins,
+        has_room,
+    )
+    from rattanmill_policy.quarantine import (
+        Quarantine,
+    )
+    from rattanmill_policy.scheduler import (
+        Scheduler,
+    )
+    from rattanmill_policy.speeds import (
+        LoadReport,
+    )
+    from rattanmill_policy.table import (
+        EndpointState,
+        EndpointTable,
+    )
+    from rattanmill_policy.work import (
+        Placement,
+        Work,
+    )
 
 __all__ = [
     "EndpointState",
@@ -28,3 +58,32 @@
     "Work",
     "has_room",
 ]
+
+__getattr__ = import_on_use(
+    __name__,
+    {
+        "health": (
+            "AspectState",
+            "Load",
+        ),
+        "knowledge": ("Rules",),
+        "loads": ("LoadPoller",),
+        "outcome": ("Outcome",),
+        "pinning": (
+            "Pin",
+            "ProgramPins",
+            "has_room",
+        ),
+        "quarantine": ("Quarantine",),
+        "scheduler": ("Scheduler",),
+        "speeds": ("LoadReport",),
+        "table": (
+            "EndpointState",
+            "EndpointTable",
+        ),
+        "work": (
+            "Placement",
+            "Work",
+        ),
+    },
+)
--- a/tests/features/site_lookups.feature
+++ b/tests/features/site_lookups.feature
@@ -55,4 +55,5 @@
   Scenario: An unknown turn, and all instances are reachable
     If callers were told to retry, they would ask for it forever.
 
+    Given the store has responded to all for a second
     Then a turn that continues the unknown turn "feedfeedfeedfeed" is answered with 404 at every front end
