Count silence from a front end's start, not from ever

Cause: a storage instance that has never replied counted as silent for ever.

Change: silence counts from the first ping. A front end that starts in a domain that is cut off notices it 0.45 s later, as one that was there before.

Test: keeping.feature, "A front end has just started"; failed before.

--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -64,6 +64,7 @@
             was last pinged.
         cut_off_at: Loop time at which this front end was found to be cut off,
             or None.
+        pinging_since: Loop time of the first ping.
         crashes: Crashes reported by other front ends.
         tasks: Background tasks.
 
@@ -84,6 +85,7 @@
         self.pinged_at: dict[str, float] = {}
         self.domain_pinged_at: dict[str, float] = {}
         self.cut_off_at: float | None = None
+        self.pinging_since = float("-inf")
         self.crashes = CrashFeed()
         self.tasks: set[asyncio.Task] = set()
 
@@ -148,14 +150,13 @@
         """
         if not self.members.known:
             return True
-        if (
-            self._silence_seconds(self.members.known.values())
-            > _CUT_OFF_SECONDS
+        if self._silence_since_start(self.members.known.values()) > (
+            _CUT_OFF_SECONDS
         ):
             return True
+        others = self._members_of_other_domains()
         return (
-            self._silence_seconds(self._members_of_other_domains())
-            > _CUT_OFF_SECONDS
+            self._silence_since_start(others) > _CUT_OFF_SECONDS
             and not self.store_answers
             and len(self.members.writable_domains()) > 1
         )
@@ -175,9 +176,9 @@
             self.cut_off_at = loop_seconds()
 
     def domain_silence_seconds(self) -> dict[str, float]:
-        """Returns the seconds since each domain's last reply."""
+        """Returns the seconds since each domain's last reply, or the start."""
         return {
-            domain: self._silence_seconds(members)
+            domain: self._silence_since_start(members)
             for domain, members in self.members.writable_domains().items()
         }
 
@@ -190,6 +191,7 @@
 
     async def ping_forever(self) -> None:
         """Pings members."""
+        self.pinging_since = loop_seconds()
         while True:
             self.update_cut_off()
             pause = self._ping_round()
@@ -329,6 +331,11 @@
             if member.domain != self.domain
         ]
 
+    def _silence_since_start(self, members: Iterable[Member]) -> float:
+        """Returns the seconds without a reply since any could be expected."""
+        since_start = loop_seconds() - self.pinging_since
+        return min(self._silence_seconds(members), since_start)
+
     def _silence_seconds(self, members: Iterable[Member]) -> float:
         """Returns the seconds since the last reply of any of the members."""
         never = float("-inf")
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -101,6 +101,16 @@
     When the store replies
     Then the front end is not cut off
 
+  Scenario: A front end has just started
+    No storage instance has replied to it yet. If it took that for a partition,
+    it would refuse new conversations, and all front ends would do so after a
+    restart of all machines.
+
+    Given a front end of "east" that reaches only the storage instance of "east"
+    When the store does not reply
+    Then it is not cut off 0.1 seconds after its start, and suspects no domain
+    And it is cut off 1.2 seconds after its start, and suspects "west, north"
+
   Scenario: A new program whose domain's storage instance refuses it
     That instance is cut off, and refuses at once. Asking unreachable instances
     as well would delay the refusal until half of the caller's time is over.
--- a/tests/features/steps/keeping_cut.py
+++ b/tests/features/steps/keeping_cut.py
@@ -14,6 +14,8 @@
 # Longer than the ping interval and the time after which a front end is cut
 # off, and not a moment at which a ping begins.
 _PING_PERIOD_SECONDS = 2.1
+# Silence of a domain's storage instances after which it is suspected.
+_SUSPECT_SECONDS = 0.4
 
 
 class FixedReplyLink:
@@ -72,6 +74,35 @@
     context.kv.is_unavailable = False
 
 
+async def _started_client(context, seconds):
+    """Returns whether a started front end is cut off, and what is silent."""
+    reach = context.make_client().reach
+    pings = asyncio.create_task(reach.ping_forever())
+    await asyncio.sleep(seconds)
+    pings.cancel()
+    silences = reach.domain_silence_seconds()
+    suspected = {d for d, s in silences.items() if s > _SUSPECT_SECONDS}
+    return reach.is_cut_off(), suspected
+
+
+@then(
+    "it is not cut off {seconds:f} seconds after its start, and suspects no"
+    " domain"
+)
+def step_not_cut_off_yet(context, seconds):
+    found = run_virtually(_started_client(context, seconds))
+    assert found == (False, set()), found
+
+
+@then(
+    "it is cut off {seconds:f} seconds after its start, and suspects"
+    ' "{domains}"'
+)
+def step_cut_off_later(context, seconds, domains):
+    found = run_virtually(_started_client(context, seconds))
+    assert found == (True, set(domains.split(", "))), found
+
+
 async def pinging_client(context):
     """Returns a front end that has sent pings for a while."""
     client = context.make_client()
