Watch the list of storage instances for ten seconds at a time for front ends too

A reader watched it for 2.5 s at a time, as it does what must be current; the front ends that watched it themselves had waited 10 s. A change is reported at once as before; a silent watch is noticed after 10.9 s, and before that by the revision that replies to pings bear.

--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -37,7 +37,7 @@
 # replaced.
 _LEASE_SECONDS = 10.0
 _RENEW_SECONDS = 2.5
-_WATCH_SECONDS = 10.0
+MEMBERS_WATCH_SECONDS = 10.0
 # A member that was not seen for this long is no longer counted when an account
 # is opened. An instance that is partitioned from the store stops opening
 # accounts after half of it, see ``homes``.
@@ -198,7 +198,7 @@
         self.watch = PrefixWatch(
             kv,
             MEMBERS_PREFIX,
-            _WATCH_SECONDS,
+            MEMBERS_WATCH_SECONDS,
             self._on_written,
             self._on_removed,
             REGISTRATION_GRACE_SECONDS,
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -15,7 +15,11 @@
 import msgspec
 
 from rattanmill_core import loop_seconds
-from rattanmill_keeper.members import MEMBERS_PREFIX, REGISTRATION_GRACE_SECONDS
+from rattanmill_keeper.members import (
+    MEMBERS_PREFIX,
+    MEMBERS_WATCH_SECONDS,
+    REGISTRATION_GRACE_SECONDS,
+)
 from rattanmill_keeper.messages import (
     StoreItem,
     StoreItems,
@@ -30,9 +34,9 @@
     PrefixWatch,
 )
 
-# A watch completes when its timeout is over. If it is overdue, the mirror may
-# be stale.
-_MAX_AGE_SECONDS = 3.4
+# A watch completes when its timeout is over. If it is overdue by this much, the
+# mirror may be stale.
+_MAX_DELAY_SECONDS = 0.9
 # Some minutes of changes; a front end sends a request each second.
 _MAX_CHANGES = 2_000
 # A list takes the store a few milliseconds, or 0.2 s if it is slow.
@@ -70,6 +74,7 @@
         kv: The platform store.
         prefix: The prefix to watch.
         grace_seconds: How long a missing key may take to come back.
+        wait_seconds: How long a watch waits for changes.
         change_event: Event to set at each change; several mirrors may share
             it.
     """
@@ -79,6 +84,7 @@
         kv: KeyValue,
         prefix: str,
         grace_seconds: float = MISSING_KEY_GRACE_SECONDS,
+        wait_seconds: float = WATCH_SECONDS,
         change_event: asyncio.Event | None = None,
     ) -> None:
         # A missing entry is reported only after its grace period: otherwise a
@@ -86,7 +92,7 @@
         self.watch = PrefixWatch(
             kv,
             prefix,
-            WATCH_SECONDS,
+            wait_seconds,
             self._add,
             lambda key: self._add(key, None),
             grace_seconds,
@@ -103,7 +109,7 @@
         return (
             self.watch.synced
             and self.watch.unavailable_since is None
-            and age < _MAX_AGE_SECONDS
+            and age < self.watch.wait_seconds + _MAX_DELAY_SECONDS
         )
 
     @property
@@ -245,15 +251,23 @@
             reply.others = _changes_by_prefix(others)
         return reply
 
+    def _new_mirror(self, prefix: str) -> Mirror:
+        event = self.change_event
+        if prefix != MEMBERS_PREFIX:
+            return Mirror(self.kv, prefix, change_event=event)
+        # A front end learns by other ways, too, that the list has changed.
+        return Mirror(
+            self.kv,
+            prefix,
+            REGISTRATION_GRACE_SECONDS,
+            MEMBERS_WATCH_SECONDS,
+            event,
+        )
+
     async def _mirror(self, prefix: str) -> Mirror:
         mirror = self.mirrors.get(prefix)
         if mirror is None:
-            grace = (
-                REGISTRATION_GRACE_SECONDS
-                if prefix == MEMBERS_PREFIX
-                else MISSING_KEY_GRACE_SECONDS
-            )
-            mirror = Mirror(self.kv, prefix, grace, self.change_event)
+            mirror = self._new_mirror(prefix)
             self.mirrors[prefix] = mirror
             await mirror.watch.__aenter__()
         mirror.used_at = loop_seconds()
