--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -28,7 +28,6 @@
         MEMBERS_PREFIX,
         Member,
         Members,
-        Registration,
     )
     from rattanmill_keeper.messages import (
         KeptTurn,
@@ -39,6 +38,7 @@
         Unsure,
         codec,
     )
+    from rattanmill_keeper.registration import Registration
     from rattanmill_keeper.relayed import (
         RelayedKv,
     )
@@ -81,7 +81,6 @@
             "MEMBERS_PREFIX",
             "Member",
             "Members",
-            "Registration",
         ),
         "messages": (
             "KeptTurn",
@@ -92,6 +91,7 @@
             "Unsure",
             "codec",
         ),
+        "registration": ("Registration",),
         "relayed": ("RelayedKv",),
     },
 )
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -14,8 +14,9 @@
 from rattanmill_keeper.emptying import Decommission, DecommissionKeys
 from rattanmill_keeper.following import Follower
 from rattanmill_keeper.keeper import Keeper
-from rattanmill_keeper.members import Member, Members, Registration
+from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import codec
+from rattanmill_keeper.registration import Registration
 from rattanmill_platform import KeyValue
 from rattanmill_wire import RequestServer
 
--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -13,7 +13,7 @@
 
 from rattanmill_core import log_event, start_loop
 from rattanmill_keeper.keeper import Keeper
-from rattanmill_keeper.members import Member, Members, Registration
+from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import (
     Account,
     Done,
@@ -21,6 +21,7 @@
     Lacking,
     Merge,
 )
+from rattanmill_keeper.registration import Registration
 from rattanmill_platform import Found, KeyValue, PrefixWatch, Unavailable
 
 _WATCH_SECONDS = 20.0
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from rattanmill_keeper import MEMBERS_PREFIX, Member, Members, RelayedKv
-from rattanmill_keeper.members import Registration
 from rattanmill_keeper.mirror import Mirrors
+from rattanmill_keeper.registration import Registration
 from rattanmill_platform import (
     MISSING_KEY_GRACE_SECONDS,
     WATCH_SECONDS,
