Ask a store that is away less often

Counted by kind on a small play (trial): in six seconds 16 front ends made 202 calls, three prefixes each, all refused, and each has a price.

Cause: each watch of each process retried for itself, as soon as the circuit breaker let all of them through at once; and a front end that was turned away asked all storage instances, each of which then began to read the store, too.

Change: after a pause one call finds out whether the store is back, and the others wait for its outcome.

All know all changes 2 s after its return, also where no storage instance is left.

--- a/libs/platform/src/rattanmill_platform/calls.py
+++ b/libs/platform/src/rattanmill_platform/calls.py
@@ -15,6 +15,8 @@
 _BREAKER_FAILURES = 3
 _BREAKER_MIN_SECONDS = 0.2
 _BREAKER_MAX_SECONDS = 2.0
+# A slow store replies in 0.2 s.
+_TRIAL_SECONDS = 0.3
 # Shorter than TCP's SYN retransmission after 1 s: a connection attempt whose
 # first packet is lost is repeated at once. After a partition, waiting would
 # use up most of the time in which a configuration must be in force.
@@ -45,6 +47,12 @@
     Without it, each request during an outage would wait for its own timeout,
     and a recovering store would receive all of them at once.
 
+    Attributes:
+        failures: Number of consecutive failures.
+        open_until: Loop time until which calls are rejected.
+        trial_until: Loop time until which others wait for a call that finds
+            out whether the store is back.
+
     Args:
         max_seconds: Longest time for which the breaker stays open.
     """
@@ -53,17 +61,33 @@
         self.max_seconds = max_seconds
         self.failures = 0
         self.open_until = 0.0
+        self.trial_until = 0.0
 
     def is_open(self) -> bool:
         """Returns whether calls should fail immediately."""
         return asyncio.get_running_loop().time() < self.open_until
 
+    def admits(self) -> bool:
+        """Returns whether a call may be made now.
+
+        After a pause one call finds out whether the store is back. The others
+        are rejected until it has been answered, or has taken too long.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.failures < _BREAKER_FAILURES:
+            return True
+        if now < max(self.open_until, self.trial_until):
+            return False
+        self.trial_until = now + _TRIAL_SECONDS
+        return True
+
     def record_success(self) -> None:
         """Records an answered call and closes the breaker."""
         if self.failures >= _BREAKER_FAILURES:
             log_event("store_up", failures=self.failures)
         self.failures = 0
         self.open_until = 0.0
+        self.trial_until = 0.0
 
     def record_failure(self, why: str = "") -> None:
         """Records a failed call; opens the breaker with jittered backoff."""
@@ -76,6 +100,7 @@
         max_pause = min(_BREAKER_MIN_SECONDS * 2**steps, self.max_seconds)
         pause = random.uniform(max_pause / 2, max_pause)
         self.open_until = asyncio.get_running_loop().time() + pause
+        self.trial_until = 0.0
 
 
 class StoreCalls:
@@ -130,7 +155,7 @@
         Returns:
             The response, or ``Unavailable``.
         """
-        if self.breaker.is_open() and not try_always:
+        if not try_always and not self.breaker.admits():
             return Unavailable("circuit open")
         self.metrics.count("rattanmill_kv_calls", kind=kind, prefix=prefix)
         try:
--- a/tests/features/steps/store_calls.py
+++ b/tests/features/steps/store_calls.py
@@ -65,6 +65,27 @@
     context.acts.append(reject)
 
 
+@when("the store is down for {seconds:d} seconds")
+def step_down(context, seconds):
+    async def down(fleet):
+        everyone = {*fleet.keepers, *(f"front-{n}" for n in range(1000))}
+        fleet.store.rejected |= everyone
+        fleet.store.wake()
+        await asyncio.sleep(seconds)
+        fleet.store.rejected -= everyone
+
+    context.acts.append(down)
+
+
+@when("all storage instances are gone")
+def step_all_gone(context):
+    async def remove(fleet):
+        for node in fleet.keepers.values():
+            node.is_there = False
+
+    context.acts.append(remove)
+
+
 @when("{count:d} entries of endpoints change a second later")
 def step_change_soon(context, count):
     step_change_later(context, count, 1)
@@ -90,7 +111,8 @@
         await asyncio.sleep(seconds)
         calls = fleet.weighted_calls() / fleet.processes
         context.calls = dict(fleet.store.calls.most_common(8))
-        return calls, calls / (loop.time() - began), fleet.fronts_lacking()
+        rate = calls / (loop.time() - began)
+        return calls, rate, fleet.fronts_lacking(), fleet.fronts_outdated()
 
 
 def play(context, seconds=2.0):
@@ -120,6 +142,11 @@
     assert play(context)[2] == 0, context.played
 
 
+@then("all front ends know all endpoints {seconds:d} seconds later")
+def step_all_know_endpoints(context, seconds):
+    assert play(context, seconds)[3] == 0, context.played
+
+
 @then("all front ends know all entries {seconds:d} seconds later")
 def step_all_know_soon(context, seconds):
     assert play(context, seconds)[2] == 0, context.played
--- a/tests/features/store_calls.feature
+++ b/tests/features/store_calls.feature
@@ -50,6 +50,24 @@
     And 3 entries of endpoints change 5 seconds later
     Then all front ends know all entries 2 seconds later
 
+  Scenario: The store is down
+    Each process retries. Refused calls have a price, too, and a store that
+    comes back would get all of them at once.
+
+    Given 60 front ends and 10 storage instances in 5 failure domains
+    When the store is down for 6 seconds
+    And 3 entries of endpoints change 0 seconds later
+    Then all front ends know all entries 2 seconds later
+    And at most 10 calls a process were made
+
+  Scenario: The store is down, for front ends that reach no storage instance
+    Given 60 front ends and 10 storage instances in 5 failure domains
+    When all storage instances are gone
+    And the store is down for 6 seconds
+    And 3 entries of endpoints change 0 seconds later
+    Then all front ends know all endpoints 2 seconds later
+    And at most 20 calls a process were made
+
   Scenario: The count detects front ends that read the store themselves
     Given 120 front ends and 24 storage instances in 5 failure domains
     And the front ends read the list of storage instances from the store
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -18,6 +18,7 @@
 from rattanmill_platform import (
     MISSING_KEY_GRACE_SECONDS,
     WATCH_SECONDS,
+    Breaker,
     Entry,
     Found,
     Missing,
@@ -31,6 +32,8 @@
 ENDPOINTS = "servers/"
 _CONFIG = "op/config"
 _DELAY_SECONDS = 0.002
+# As the users' platform sets it.
+_MAX_BREAKER_OPEN_SECONDS = 0.5
 _JOINED_SECONDS = 5.0
 
 
@@ -56,6 +59,10 @@
         self.revision += 1
         self.values[key] = (value, self.revision)
         self.events.append((self.revision, key, value))
+        self.wake()
+
+    def wake(self) -> None:
+        """Wakes the watches."""
         self.change.set()
         self.change = asyncio.Event()
 
@@ -82,11 +89,18 @@
     def __init__(self, store: CountingStore, name: str) -> None:
         self.store = store
         self.name = name
+        self.breaker = Breaker(_MAX_BREAKER_OPEN_SECONDS)
 
     async def _call(self, kind: str, key: str) -> bool:
+        if not self.breaker.admits():
+            return False
         self.store.calls[kind, key[: key.rfind("/") + 1]] += 1
         await asyncio.sleep(_DELAY_SECONDS)
-        return self.name not in self.store.rejected
+        if self.name in self.store.rejected:
+            self.breaker.record_failure("rejected")
+            return False
+        self.breaker.record_success()
+        return True
 
     async def read(self, key: str) -> Found | Missing | Unavailable:
         """Reads one key."""
@@ -118,6 +132,8 @@
             async with asyncio.timeout(seconds):
                 while not store.changes(prefix, after):
                     await store.change.wait()
+                    if self.name in store.rejected:
+                        break
         if self.name in store.rejected:
             return Unavailable("rejected")
         return WatchEvents(store.changes(prefix, after), store.revision)
@@ -298,6 +314,11 @@
         renewals = calls["renew", ""]
         return calls.total() - 0.9 * renewals
 
+    def fronts_outdated(self) -> int:
+        """Returns how many front ends do not know all endpoints."""
+        endpoints = self.store.under(ENDPOINTS)
+        return sum(f.watches[1].values != endpoints for f in self.fronts)
+
     def fronts_lacking(self) -> int:
         """Returns how many front ends do not know all entries."""
         endpoints = self.store.under(ENDPOINTS)
