Let the front end that has to know new instances read the list in one more scenario

Cause: as in the first scenario, it learns of them through storage instances, and the watches of all of these are late on purpose; whether it learned of them from a new one depended on which one it asked. It restarts and reads the list of the store; what is checked of "west" is unchanged.

--- a/tests/features/site_lookups.feature
+++ b/tests/features/site_lookups.feature
@@ -42,6 +42,7 @@
 
     Given the front end of "west" reads the store through storage instances whose watches are delayed
     When a storage instance joins in each domain
+    And the front end of "east" restarts, and so reads the list of the store
     And a conversation through "east" is stored only on the new instances
     And the front end of "west" considers its list current
     And its next turn is sent to "west"
