Ask the store soon when no storage instance replies any more

Callers: a front end that the store had refused went on for up to 4 s with the configuration and endpoints that it knew, although the store was back.

Cause: while storage instances reply that the store is away, a front end leaves it to them to notice its return, and pauses for two to four seconds. It kept that pause when they were gone meanwhile. Seen in site_store.feature beside load.

Change: when none replies, the pause is a second at most.

Test: store_calls.feature, "The store is back when the storage instances are gone"; one of 20 front ends did not know the endpoints before.

--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -318,6 +318,10 @@
         finally:
             for request in requests:
                 request.cancel()
+        if not is_member_unsure and self.direct_after is not None:
+            # No member would tell of its return.
+            soon = loop_seconds() + _DIRECT_RETRY_SECONDS
+            self.direct_after = min(self.direct_after, soon)
         if is_member_unsure and self.must_pause_direct:
             # Members read the service as well, and soon tell of its return.
             self.must_pause_direct = False
--- a/tests/features/store_calls.feature
+++ b/tests/features/store_calls.feature
@@ -68,6 +68,16 @@
     Then all front ends know all endpoints 2 seconds later
     And at most 20 calls a process were made
 
+  Scenario: The store is back when the storage instances are gone
+    Front ends pause while storage instances reply that the store is away. Once
+    these do not reply any more, nothing else tells of its return.
+
+    Given 20 front ends and 10 storage instances in 5 failure domains
+    When the store is down for 6 seconds
+    And all storage instances are gone
+    And 3 entries of endpoints change 0 seconds later
+    Then all front ends know all endpoints 3 seconds later
+
   Scenario: The count detects front ends that read the store themselves
     Given 120 front ends and 24 storage instances in 5 failure domains
     And the front ends read the list of storage instances from the store
