Keep the pause of reads of the store apart from the requests

Storage instances say when they begin and end reading a prefix for others. Lists of informed instances count as long as the accounts of their openers do.

--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -236,7 +236,7 @@
         Not one that may be the only one here, along with an unreachable one,
         that knows an account.
         """
-        informed = set(itertools.chain(*self.informed_by.values()))
+        informed = self._informed()
         lost_at = {n: at for n, at in self.lost_at.items() if n not in informed}
         if (
             self.store_silence_seconds() > _MAX_STORE_SILENCE_SECONDS
@@ -247,6 +247,19 @@
         is_long = loop_seconds() - lost_at[first] > _LAPSED_SECONDS
         return {first} if is_long else set()
 
+    def _informed(self) -> set[str]:
+        """Returns members that may know accounts which others do not know.
+
+        Accounts whose opener has been gone for long have expired.
+        """
+        oldest = wall_seconds() - ROSTER_EXPIRY_SECONDS
+        lists = [
+            informed
+            for opener, informed in self.informed_by.items()
+            if self.last_seen.get(opener, 0.0) > oldest
+        ]
+        return set(itertools.chain(*lists))
+
     def left_out_sharers(self) -> set[str]:
         """Returns members left out of the roster that may have granted alone.
 
--- a/libs/keeper/src/rattanmill_keeper/mirror.py
+++ b/libs/keeper/src/rattanmill_keeper/mirror.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from rattanmill_core import loop_seconds
+from rattanmill_core import log_event, loop_seconds
 from rattanmill_keeper.members import (
     MEMBERS_PREFIX,
     MEMBERS_WATCH_SECONDS,
@@ -232,6 +232,7 @@
     async def _close(self, prefix: str) -> None:
         mirror = self.mirrors.pop(prefix)
         await mirror.watch.__aexit__()
+        log_event("store_read_ended", prefix=prefix)
 
     async def serve(
         self, request: StoreList | StoreWatch
@@ -270,6 +271,7 @@
             mirror = self._new_mirror(prefix)
             self.mirrors[prefix] = mirror
             await mirror.watch.__aenter__()
+            log_event("store_read_begun", prefix=prefix)
         mirror.used_at = loop_seconds()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_FIRST_ANSWER_TIMEOUT_SECONDS):
--- a/libs/keeper/src/rattanmill_keeper/relayed.py
+++ b/libs/keeper/src/rattanmill_keeper/relayed.py
@@ -9,13 +9,13 @@
 
 import asyncio
 import contextlib
-import random
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
 import msgspec
 
 from rattanmill_core import log_event, loop_seconds
+from rattanmill_keeper.direct import DirectReads
 from rattanmill_keeper.joint import WATCH_SECONDS, JointWatch
 from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import (
@@ -45,11 +45,6 @@
 # One of the own domain and one of another.
 _MAX_UNSURE_MEMBERS = 2
 _MAX_ASKED_PER_DOMAIN = 2
-# Members find out that the service is back; a process that asks it as well does
-# so in case that it rejects all of these.
-_DIRECT_RETRY_SECONDS = 1.0
-# The same while members reply that they don't reach it either.
-_RELAYED_RETRY_SECONDS = 4.0
 _REPLY_TIMEOUT_SECONDS = 0.7
 # Bound of a direct watch if no member relays; one may do so again soon.
 _DIRECT_WATCH_SECONDS = 1.0
@@ -62,10 +57,7 @@
         members: The storage instances, once they are known.
         relayed: Whether the last reply came through a member.
         turn: Counter that selects the member to use next.
-        direct_after: Loop time until which mirrored prefixes are not read from
-            the service, as it did not reply; None if it did.
-        must_pause_direct: Whether the last such read failed, and no member has
-            been asked since.
+        direct_reads: When to read mirrored prefixes from the service.
         prefixes_with_missing: Prefixes whose last list contains missing keys
             that may be gone.
         joint: The watch that all mirrored prefixes share.
@@ -85,8 +77,7 @@
         self.members: Members | None = None
         self.relayed = False
         self.turn = 0
-        self.direct_after: float | None = None
-        self.must_pause_direct = False
+        self.direct_reads = DirectReads()
         self.prefixes_with_missing: set[str] = set()
         self.joint = JointWatch(
             self._choose, lambda member: self.members.link(member)
@@ -186,7 +177,7 @@
         seconds: float,
         ask_directly: Callable[[], Awaitable[_Direct]],
     ) -> StoreItems | _Direct:
-        """Sends a request to the service itself, and then to all members.
+        """Sends a request to the service itself, and then to some members.
 
         Args:
             message: The request to members.
@@ -194,41 +185,18 @@
             ask_directly: Sends the same request to the service.
         """
         direct_reply: _Direct | Unavailable = Unavailable("asked just before")
-        if self._may_ask_directly(message.prefix):
+        is_mirrored = message.prefix in self.mirrored
+        if not is_mirrored or self.direct_reads.may_read(loop_seconds()):
             direct_reply = await ask_directly()
-            self._record_direct(direct_reply)
+            if isinstance(direct_reply, Unavailable):
+                self.direct_reads.record_failure(loop_seconds())
         if not isinstance(direct_reply, Unavailable):
+            self.direct_reads.record_reply()
             self._set_relayed(False, message)
             return direct_reply
-        reply = await self._ask_all(message, seconds)
+        reply = await self._ask_readers(message, seconds)
         return direct_reply if reply is None else reply
 
-    def _may_ask_directly(self, prefix: str) -> bool:
-        """Whether to read a prefix from the service itself.
-
-        Once it has not replied, one of the mirrored prefixes tries again after
-        a pause.
-        """
-        if prefix not in self.mirrored or self.direct_after is None:
-            return True
-        if loop_seconds() < self.direct_after:
-            return False
-        self._delay_direct()
-        return True
-
-    def _record_direct(self, reply: object) -> None:
-        if not isinstance(reply, Unavailable):
-            self.direct_after = None
-            return
-        self.must_pause_direct = True
-        if self.direct_after is None:
-            self._delay_direct()
-
-    def _delay_direct(self, max_seconds: float = _DIRECT_RETRY_SECONDS) -> None:
-        self.direct_after = (
-            loop_seconds() + random.uniform(0.5, 1.0) * max_seconds
-        )
-
     def _set_relayed(self, relayed: bool, message: msgspec.Struct) -> None:
         if relayed and not self.relayed:
             log_event("store_relayed", kind=type(message).__name__)
@@ -289,7 +257,7 @@
         responsive = (m for m in members if not self.members.link(m).failures)
         return next(responsive, None)
 
-    async def _ask_all(
+    async def _ask_readers(
         self, message: msgspec.Struct, seconds: float
     ) -> StoreItems | None:
         """Sends a request to some members and returns the first reply.
@@ -307,23 +275,16 @@
             asyncio.ensure_future(self.members.link(m).ask(message, seconds))
             for m in asked
         ]
-        is_member_unsure = False
+        has_replied = False
         try:
             for next_one in asyncio.as_completed(requests):
                 reply = await next_one
                 if isinstance(reply, StoreItems):
                     self._set_relayed(True, message)
                     return reply
-                is_member_unsure = is_member_unsure or reply is not None
+                has_replied = has_replied or reply is not None
         finally:
             for request in requests:
                 request.cancel()
-        if not is_member_unsure and self.direct_after is not None:
-            # No member would tell of its return.
-            soon = loop_seconds() + _DIRECT_RETRY_SECONDS
-            self.direct_after = min(self.direct_after, soon)
-        if is_member_unsure and self.must_pause_direct:
-            # Members read the service as well, and soon tell of its return.
-            self.must_pause_direct = False
-            self._delay_direct(_RELAYED_RETRY_SECONDS)
+        self.direct_reads.record_members(has_replied, loop_seconds())
         return None
