Don't take the rest of a refused body for a slow head

Cause: every piece of data that came while no request was served began the time limit of a head; also the rest of a body, and the empty calls with which aiohttp resumes parsing.

Test: site_bodies.feature, the new scenario was answered with 408.

--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from rattanmill_core import Metrics, Reason, SettingsError, log_event, refuse
 from rattanmill_forward.routes import Limits
@@ -54,10 +54,15 @@
         self.policy = policy
         self.is_serving = False
         self.head_timer: asyncio.TimerHandle | None = None
+        self.last_body: StreamReader | None = None
 
     def data_received(self, data: bytes) -> None:
+        # A request may be refused before all of its body has arrived.
+        is_body = self.last_body is not None and not self.last_body.is_eof()
         super().data_received(data)
-        if not (self.is_serving or self.head_timer or self.transport is None):
+        # An empty call only resumes parsing.
+        is_head = bool(data) and not (is_body or self.is_serving)
+        if is_head and not self.head_timer and self.transport is not None:
             self.head_timer = asyncio.get_running_loop().call_later(
                 self.policy.limits().header_timeout_seconds,
                 self._on_head_timeout,
@@ -71,6 +76,7 @@
         """Serves a request whose head has arrived."""
         self._stop_timer()
         self.is_serving = True
+        self.last_body = request.content
         try:
             return await handler(request)
         finally:
--- a/tests/features/site_bodies.feature
+++ b/tests/features/site_bodies.feature
@@ -20,6 +20,18 @@
     Then the connection is answered with 408
     And no endpoint received it
 
+  Scenario: The rest of a body whose request was refused
+    It arrives after the refusal. If it were taken for the head of the next
+    request, the caller would get an answer that it did not ask for, and lose
+    its connection.
+
+    Given a configuration with "header_timeout_ms" of 300
+    When a request without a route announces 4000 bytes and sends 2000
+    Then the connection is answered with 404
+    When the other 2000 bytes are sent and 0.8 seconds pass
+    And a payment is sent on the same connection
+    Then the connection is answered with 200
+
   Scenario: A caller waits for permission to send its body
     It holds the body back until it is asked to continue. If it were never
     asked, both sides would wait until the caller times out.
--- a/tests/features/steps/site_bodies.py
+++ b/tests/features/steps/site_bodies.py
@@ -4,6 +4,7 @@
 import io
 import itertools
 import socket
+import time
 
 from behave import given, then, when
 from steps.site import site
@@ -79,6 +80,26 @@
     sock.sendall(request_head(context, f"Content-Length: {size}") + b"x" * sent)
 
 
+@when("a request without a route announces {size:d} bytes and sends {sent:d}")
+def step_no_route(context, size, sent):
+    sock = connect(context)
+    head = request_head(context, f"Content-Length: {size}", path="/nowhere/")
+    sock.sendall(head + b"x" * sent)
+
+
+@when("the other {size:d} bytes are sent and {seconds:f} seconds pass")
+def step_rest(context, size, seconds):
+    context.sock.sendall(b"x" * size)
+    time.sleep(seconds)
+
+
+@when("a payment is sent on the same connection")
+def step_same_connection(context):
+    context.request = f"b0d1{next(_IDS):08x}"
+    head = request_head(context, "Content-Length: 4", path="/pay/a")
+    context.sock.sendall(head + b"body")
+
+
 @when('a payment that expects "{what}" is sent to "{domain}"')
 def step_expects(context, what, domain):
     sock = connect(context, domain)
