Keep rate limits of workspaces over all front ends

Callers saw: no limit at all; a workspace that sent many times its usual took the endpoints' time from others.

Ways weighed: equal parts by front end (57 parts of a rate of 12 serve nothing); front ends that report their counts (a window may be exceeded for as long as a report takes, and by what a cut domain runs); a question for each request (1,000 messages a second). Chosen: one storage instance holds a workspace's bucket and lends tokens that expire; the others forward to it or stand in with the part of the domains that they reach. Lending by expected demand saves messages; the time of a loan follows from what the bounds permit beyond the rate.

Over the rate, 60 % of a burst is kept for programs that have begun.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -27,7 +27,7 @@
     warn_event,
 )
 from rattanmill_core.ids import ProgramId, new_id, parse_program_id
-from rattanmill_core.instance import InstanceSettings
+from rattanmill_core.instance import InstanceSettings, RateBounds
 from rattanmill_core.lazy import import_on_use
 from rattanmill_core.logs import configure_logs, log_ids, part_logger
 from rattanmill_core.loops import start_loop
@@ -61,6 +61,7 @@
     "CrashNote",
     "EndpointNote",
     "InstanceSettings",
+    "RateBounds",
     "InvariantError",
     "METRICS_PORT",
     "Metrics",
--- a/libs/core/src/rattanmill_core/instance.py
+++ b/libs/core/src/rattanmill_core/instance.py
@@ -3,6 +3,23 @@
 import msgspec
 
 
+class RateBounds(msgspec.Struct, frozen=True):
+    """By how much a workspace's rate limit may be exceeded.
+
+    In any window, at most rate times window plus burst requests may run, plus
+    the overage and the slack.
+
+    Attributes:
+        window_seconds: Length of the window.
+        overage: Permitted part beyond that.
+        slack: Permitted number of requests beyond that.
+    """
+
+    window_seconds: float = 1.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of a front end or storage process, from any source.
 
@@ -21,6 +38,7 @@
         grace_seconds: Time between SIGTERM and SIGKILL.
         revocation_seconds: Time after which no caller's key that the operators
             have revoked may be accepted any more, or None if it is unbounded.
+        rate_bounds: By how much rate limits of workspaces may be exceeded.
     """
 
     name: str
@@ -35,3 +53,4 @@
     lost_disks: int = 1
     grace_seconds: float = 8.0
     revocation_seconds: float | None = None
+    rate_bounds: RateBounds = RateBounds()
--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -43,6 +43,8 @@
     RECEIPT_INVALID = "receipt_invalid"
     BUDGET_EXHAUSTED = "budget_exhausted"
     BUDGET_UNRESERVED = "budget_unreserved"
+    RATE_LIMITED = "rate_limited"
+    RATE_UNKNOWN = "rate_unknown"
     LOOP_SUSPECTED = "loop_suspected"
     ACT_CONFLICT = "act_conflict"
     ACT_UNKNOWN = "act_unknown"
@@ -96,6 +98,8 @@
     Reason.RECEIPT_INVALID: _Rule(422),
     Reason.BUDGET_EXHAUSTED: _Rule(402),
     Reason.BUDGET_UNRESERVED: _Rule(503, retry_after=2.0),
+    Reason.RATE_LIMITED: _Rule(429, retry_after=0.5),
+    Reason.RATE_UNKNOWN: _Rule(503, retry_after=0.5),
     Reason.LOOP_SUSPECTED: _Rule(409),
     Reason.ACT_CONFLICT: _Rule(409),
     Reason.ACT_UNKNOWN: _Rule(409, Ran.UNKNOWN),
--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -8,6 +8,7 @@
 from rattanmill_core import Refusal
 from rattanmill_forward.endpoints import Endpoint
 from rattanmill_forward.workspaces import Workspace
+from rattanmill_keeper import RateLimit, Token
 
 Headers = list[tuple[str, str]]
 
@@ -46,6 +47,8 @@
         key_headers: Headers that carry the key. Forwarded only if callers need
             no keys, as these headers then belong to the endpoint.
         workspace: Workspace of the caller, or None.
+        rate_limit: Rate limit under which ``rate_token`` was taken, or None.
+        rate_token: Token for one run within that limit, or None.
         scope: Prefix that keeps the ids of different workspaces apart, see
             ``scoped``.
     """
@@ -72,6 +75,8 @@
     key_headers: Headers = []
     workspace: Workspace | None = None
     scope: str = ""
+    rate_limit: RateLimit | None = None
+    rate_token: Token | None = None
 
     def scoped(self, caller_id: str) -> str:
         """Returns an id chosen by the caller, made unique over workspaces.
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -7,6 +7,7 @@
 
 from rattanmill_core import (
     Metrics,
+    Ran,
     Reason,
     Refusal,
     log_event,
@@ -18,6 +19,7 @@
 from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
 from rattanmill_forward.events import Event, EventReader
 from rattanmill_forward.exchange import BrokenError
+from rattanmill_forward.ratelimit import RateGuard
 from rattanmill_forward.routes import (
     Limits,
     Route,
@@ -64,6 +66,7 @@
         self.codec = codec
         self.dispatcher = dispatcher
         self.turns = turns
+        self.rates = RateGuard(turns.keepers.rates)
         self.metrics = metrics
         self.route_table: RouteTable | None = None
         self.is_draining = False
@@ -127,7 +130,7 @@
         )
         try:
             return await self._handle(
-                request, call, body_stream, route, service
+                request, call, body_stream, route, service, table.version
             )
         except asyncio.CancelledError:
             log_event("caller_left", request=call.request_id)
@@ -196,7 +199,11 @@
         body_stream: BodyStream | None,
         route: Route,
         service: Service,
+        version: int,
     ) -> web.StreamResponse:
+        refusal = await self.rates.admit(call, version)
+        if refusal:
+            return self._refuse(request, call, refusal)
         turn = Turn(call.body)
         if route.kind is RouteKind.STREAM:
             turn = await self.turns.begin(call, route)
@@ -385,6 +392,8 @@
         self, request: web.BaseRequest, call: Call | None, refusal: Refusal
     ) -> web.Response:
         self.metrics.refused(refusal)
+        if call is not None and refusal.ran is Ran.NO:
+            self.rates.give_back(call)
         head = self.codec.encode_refusal(refusal)
         log_event(
             "refused",
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -5,6 +5,12 @@
 from rattanmill_core import import_on_use
 
 if TYPE_CHECKING:
+    from rattanmill_keeper.borrowing import (
+        RateClient,
+        RateExceeded,
+        RateLimit,
+        Token,
+    )
     from rattanmill_keeper.client import (
         KeeperClient,
     )
@@ -54,12 +60,16 @@
     "Member",
     "Members",
     "NoSuchTurn",
+    "RateClient",
+    "RateExceeded",
+    "RateLimit",
     "Registration",
     "RelayedKv",
     "Reserve",
     "Reserved",
     "Settle",
     "Spent",
+    "Token",
     "Unsure",
     "codec",
     "run_storage",
@@ -68,6 +78,12 @@
 __getattr__ = import_on_use(
     __name__,
     {
+        "borrowing": (
+            "RateClient",
+            "RateExceeded",
+            "RateLimit",
+            "Token",
+        ),
         "client": ("KeeperClient",),
         "daemon": ("run_storage",),
         "emptying": ("DecommissionKeys",),
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -1,6 +1,7 @@
 """A front end's client for the storage instances."""
 
 from rattanmill_core import Metrics
+from rattanmill_keeper.borrowing import RateClient
 from rattanmill_keeper.lookup import TurnClient
 from rattanmill_keeper.members import Members
 from rattanmill_keeper.permits import BudgetClient
@@ -14,6 +15,7 @@
         reach: Links to the storage instances, and whether these respond.
         budgets: Reserves and settles tokens.
         turns: Keeps and finds turns.
+        rates: Borrows tokens of workspaces' rate limits.
 
     Args:
         domain: Failure domain of this front end.
@@ -28,3 +30,4 @@
         self.reach = Reachability(domain, members, metrics)
         self.budgets = BudgetClient(self.reach)
         self.turns = TurnClient(self.reach, copies)
+        self.rates = RateClient(self.reach)
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -16,6 +16,7 @@
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import codec
+from rattanmill_keeper.rates import RateLender
 from rattanmill_keeper.registration import Registration
 from rattanmill_platform import KeyValue
 from rattanmill_wire import RequestServer
@@ -59,6 +60,14 @@
         metrics,
         _max_ages(settings, config_prefix),
     )
+    lender = RateLender(
+        settings.name,
+        settings.domain,
+        members,
+        settings.rate_bounds,
+        settings.first_start,
+    )
+    keeper.take_rate = lender.take
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(keeper)
         await stack.enter_async_context(
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -76,6 +76,7 @@
     Shown,
     StoreList,
     StoreWatch,
+    TakeRate,
     TurnRef,
     Turns,
     Unsure,
@@ -125,6 +126,7 @@
             programs that it does not know.
         crashes: Crashes reported by front ends.
         may_open: Checks whether an account may be opened here.
+        take_rate: Lends tokens of workspaces' rate limits.
         openings: Accounts opened with the store.
 
     Args:
@@ -170,6 +172,9 @@
         self.is_decommissioning = False
         self.is_closed = False
         self.may_open = request_consent
+        self.take_rate: Callable[[TakeRate], msgspec.Struct | Awaitable] = (
+            lambda request: Unsure("rates are not limited here")
+        )
         self.openings = StoreOpenings()
         self.recorded_roster: tuple[set[str], dict[str, tuple[str, ...]]] = (
             set(),
@@ -269,6 +274,8 @@
                 return Done()
             case StoreList() | StoreWatch():
                 return self.mirrors.serve(message)
+            case TakeRate():
+                return self.take_rate(message)
         return Unsure("unknown request type")
 
     async def reserve(
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -518,6 +518,51 @@
     turns: list[str]
 
 
+class TakeRate(msgspec.Struct, tag=42):
+    """Requests tokens of a workspace's rate; the reply is ``RateGranted``.
+
+    Attributes:
+        workspace: Name of the workspace.
+        per_second: Its rate limit.
+        burst: Requests that may exceed the rate limit at once.
+        version: Version of the configuration that sets the limit.
+        begun: Requests that wait and do not begin a program.
+        new: Requests that wait and begin a program.
+        spare: Further tokens wanted for requests to come.
+        is_forwarded: Whether another storage instance forwards it.
+    """
+
+    workspace: str
+    per_second: float
+    burst: float
+    version: int
+    begun: int = 0
+    new: int = 0
+    spare: int = 0
+    is_forwarded: bool = False
+
+
+class RateGranted(msgspec.Struct, tag=43):
+    """Tokens lent for a while.
+
+    Attributes:
+        begun: Tokens for requests of programs that have begun.
+        new: Tokens for requests that begin a program.
+        spare: Further tokens.
+        seconds: How long the tokens may be used.
+        begun_wait_seconds: When a further request of a program that has begun
+            may get a token.
+        new_wait_seconds: When a further program may begin.
+    """
+
+    begun: int
+    new: int
+    spare: int
+    seconds: float
+    begun_wait_seconds: float
+    new_wait_seconds: float
+
+
 class StoreList(msgspec.Struct, tag=20):
     """Requests all keys under a prefix of the platform store."""
 
@@ -615,6 +660,8 @@
     | Ping
     | Pong
     | Crashed
+    | TakeRate
+    | RateGranted
 )
 
 
--- a/tests/features/steps/site_keys.py
+++ b/tests/features/steps/site_keys.py
@@ -22,9 +22,9 @@
     ]
 
 
-def _configure(context, keys):
-    context.keys = keys
-    site(context).tenants = None if keys is None else _tenants(keys)
+def configure(context, tenants):
+    """Puts a configuration with these workspaces in force."""
+    site(context).tenants = tenants
     site(context).configure()
     version = site(context).version
     for domain in _DOMAINS:
@@ -46,7 +46,8 @@
 )
 def step_workspaces(context, first, first_key, second, second_key):
     _use_revocation(context)
-    _configure(context, {first: [first_key], second: [second_key]})
+    context.keys = {first: [first_key], second: [second_key]}
+    configure(context, _tenants(context.keys))
 
 
 def _use_revocation(context):
@@ -64,7 +65,7 @@
 
 @given("a configuration without workspaces")
 def step_no_workspaces(context):
-    _configure(context, None)
+    configure(context, None)
 
 
 def _send(context, domain, headers, method="POST", path="/pay/a", body=b"x"):
