--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -1,13 +1,7 @@
 """Code shared by all rattanmill packages: errors, refusals, ids, settings."""
 
-from rattanmill_core.config import (
-    ConfigDocument,
-    WorkClass,
-    decode_config,
-    default_config,
-    encode_config,
-    read_config,
-)
+from typing import TYPE_CHECKING
+
 from rattanmill_core.errors import (
     ConflictError,
     InvariantError,
@@ -26,27 +20,37 @@
     wall_seconds,
     warn_event,
 )
-from rattanmill_core.ids import ProgramId, new_id, parse_program_id
 from rattanmill_core.instance import InstanceSettings, RateBounds
 from rattanmill_core.lazy import import_on_use
-from rattanmill_core.logs import configure_logs, log_ids, part_logger
 from rattanmill_core.loops import start_loop
 from rattanmill_core.metrics import Metrics
 from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
-from rattanmill_core.operators import (
-    ConfigReach,
-    EndpointStatus,
-    HistoryEntry,
-    InstanceStatus,
-    PeerStatus,
-)
 from rattanmill_core.process import METRICS_PORT, Signals, serve_metrics
 from rattanmill_core.refusal import Ran, Reason, Refusal, refuse
-from rattanmill_core.settings import (
-    Settings,
-    load_settings,
-    open_secrets,
-)
+
+if TYPE_CHECKING:
+    from rattanmill_core.config import (
+        ConfigDocument,
+        WorkClass,
+        decode_config,
+        default_config,
+        encode_config,
+        read_config,
+    )
+    from rattanmill_core.ids import ProgramId, new_id, parse_program_id
+    from rattanmill_core.logs import configure_logs, log_ids, part_logger
+    from rattanmill_core.operators import (
+        ConfigReach,
+        EndpointStatus,
+        HistoryEntry,
+        InstanceStatus,
+        PeerStatus,
+    )
+    from rattanmill_core.settings import (
+        Settings,
+        load_settings,
+        open_secrets,
+    )
 
 __all__ = [
     "boot_seconds",
@@ -100,3 +104,41 @@
     "wall_seconds",
     "warn_event",
 ]
+
+# The users' platform needs none of these, and restarted processes must listen
+# again soon.
+__getattr__ = import_on_use(
+    __name__,
+    {
+        "config": (
+            "ConfigDocument",
+            "WorkClass",
+            "decode_config",
+            "default_config",
+            "encode_config",
+            "read_config",
+        ),
+        "ids": (
+            "ProgramId",
+            "new_id",
+            "parse_program_id",
+        ),
+        "logs": (
+            "configure_logs",
+            "log_ids",
+            "part_logger",
+        ),
+        "operators": (
+            "ConfigReach",
+            "EndpointStatus",
+            "HistoryEntry",
+            "InstanceStatus",
+            "PeerStatus",
+        ),
+        "settings": (
+            "Settings",
+            "load_settings",
+            "open_secrets",
+        ),
+    },
+)
