Begin to stand in for a lender without a full burst

Cause: an instance that began to stand in filled its bucket for all the time since its own start, though another one had lent meanwhile; in the first run of a system it began full in any case.

--- a/libs/keeper/src/rattanmill_keeper/borrowing.py
+++ b/libs/keeper/src/rattanmill_keeper/borrowing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rattanmill_core import loop_seconds
-from rattanmill_keeper.members import Member, rank
+from rattanmill_keeper.members import Member
 from rattanmill_keeper.messages import RateGranted, TakeRate, Unsure
 from rattanmill_keeper.reach import Reachability
 
@@ -172,8 +172,6 @@
         self.begun: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
-        self.orders: dict[str, list[str]] = {}
-        self.ordered_names: list[str] = []
 
     async def take(
         self, limit: RateLimit, program: str, is_continued: bool
@@ -270,14 +268,7 @@
 
     def _lenders(self, workspace: str) -> list[Member]:
         """Returns the members to ask, unresponsive ones last."""
-        known = self.reach.members.known
-        names = [n for n, member in known.items() if not member.leaving]
-        if names != self.ordered_names:
-            self.ordered_names = names
-            self.orders.clear()
-        if workspace not in self.orders:
-            self.orders[workspace] = rank(workspace, names)
-        members = [known[name] for name in self.orders[workspace]]
+        members = self.reach.members.lenders(workspace)
         members.sort(key=self.reach.is_unresponsive)
         return members[:_MAX_LENDERS]
 
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -65,7 +65,6 @@
         settings.domain,
         members,
         settings.rate_bounds,
-        settings.first_start,
     )
     keeper.take_rate = lender.take
     async with contextlib.AsyncExitStack() as stack:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -140,6 +140,9 @@
         ranked_members: Members when ``ranked_by_domain`` was computed.
         ranked_by_domain: Members by failure domain, in this process's order.
         readers_by_domain: The same, in an order that all processes share.
+        lender_names: Names of the writable members for which ``lender_orders``
+            holds.
+        lender_orders: Order of these names, by workspace.
         lost_at: Loop time at which each member was last removed that had not
             been decommissioned, by name.
         decommissioned: Members that were decommissioned and removed.
@@ -179,6 +182,8 @@
         self.ranked_members: list[Member] = []
         self.ranked_by_domain: dict[str, list[Member]] = {}
         self.readers_by_domain: dict[str, list[Member]] = {}
+        self.lender_names: list[str] = []
+        self.lender_orders: dict[str, list[str]] = {}
         self.lost_at: dict[str, float] = {}
         self.decommissioned: set[str] = set()
         self.first_runs: dict[str, str] = {}
@@ -428,6 +433,21 @@
             chosen.append(by_name[rank(key, by_name)[0]])
         return chosen
 
+    def lenders(self, workspace: str) -> list[Member]:
+        """Returns the writable members in the order in which they lend.
+
+        The first one lends tokens of the workspace's rate; each other one
+        stands in for those before it. All processes compute the same order.
+        """
+        names = [n for n, member in self.known.items() if not member.leaving]
+        if names != self.lender_names:
+            self.lender_names = names
+            self.lender_orders.clear()
+        order = self.lender_orders.get(workspace)
+        if order is None:
+            order = self.lender_orders[workspace] = rank(workspace, names)
+        return [self.known[name] for name in order]
+
     def are_others_unresponsive(self, name: str) -> bool:
         """Whether no member but ``name`` replied to its last request."""
         others = [
--- a/libs/keeper/src/rattanmill_keeper/rates.py
+++ b/libs/keeper/src/rattanmill_keeper/rates.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from rattanmill_core import RateBounds, log_event, loop_seconds
-from rattanmill_keeper.members import Member, Members, rank
+from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import RateGranted, TakeRate
 
 # In a system with a single failure domain.
@@ -28,8 +28,6 @@
 _BEGUN_SHARE = 0.5
 # Below this part of the burst, tokens are lent only to requests that wait.
 _SPARE_SHARE = 0.7
-# A process takes this long to start, and lends nothing meanwhile.
-_START_SECONDS = 0.5
 _FORWARD_TIMEOUT_SECONDS = 0.1
 # Larger than the number of workspaces in use; an unused bucket is soon full.
 _MAX_BUCKETS = 20_000
@@ -115,13 +113,14 @@
 
     Attributes:
         buckets: Buckets by workspace.
+        shares: Part of each workspace's rate that was lent last.
+        started_at: Loop time of the start.
 
     Args:
         name: Name of this instance.
         domain: Its failure domain.
         members: The storage instances.
         bounds: By how much rates may be exceeded.
-        first_start: Whether the whole system starts for the first time.
     """
 
     def __init__(
@@ -130,14 +129,12 @@
         domain: str,
         members: Members,
         bounds: RateBounds,
-        first_start: bool,
     ) -> None:
         self.name = name
         self.domain = domain
         self.members = members
         self.bounds = bounds
         self.started_at = loop_seconds()
-        self.first_start = first_start
         self.buckets: dict[str, Bucket] = {}
         self.shares: dict[str, float] = {}
 
@@ -177,14 +174,8 @@
             )
         return granted
 
-    def _order(self, workspace: str) -> list[Member]:
-        """Returns the members in the order in which they hold the bucket."""
-        members = self.members.known
-        names = [n for n, member in members.items() if not member.leaving]
-        return [members[name] for name in rank(workspace, names)]
-
     def _members_before(self, workspace: str) -> list[Member]:
-        order = self._order(workspace)
+        order = self.members.lenders(workspace)
         names = [member.name for member in order]
         at = names.index(self.name) if self.name in names else len(names)
         return order[:at]
@@ -195,7 +186,7 @@
         Each failure domain that does not reply may be partitioned, and lends
         its own part then.
         """
-        order = self._order(workspace)
+        order = self.members.lenders(workspace)
         domains = {member.domain for member in order} | {self.domain}
         reached = {self.domain} | {
             member.domain
@@ -233,11 +224,9 @@
         burst = self._burst(request)
         now = loop_seconds()
         level = self.bounds.slack * _START_SLACK_SHARE
-        level += request.per_second * _START_SECONDS
-        # Nobody has lent anything since this instance was there.
-        level += request.per_second * (now - self.started_at)
-        if self.first_start:
-            level = burst
+        if not self._members_before(request.workspace):
+            # Nobody else has lent since this instance was there.
+            level += request.per_second * (now - self.started_at)
         return Bucket(
             request.per_second, burst, request.version, min(level, burst), now
         )
--- a/tests/features/steps/site_rates.py
+++ b/tests/features/steps/site_rates.py
@@ -1,6 +1,7 @@
 """Steps about rate limits of workspaces on the users' platform."""
 
 import concurrent.futures
+import time
 
 from behave import given, then, when
 from steps.site import site
@@ -9,6 +10,8 @@
 from support.site import DOMAINS
 
 _SENDERS = 12
+# A storage instance that has just started lends no burst yet.
+_FILL_SECONDS = 1.5
 
 
 @given(
@@ -24,6 +27,7 @@
         {"name": name, "api_keys": [key], "rate_per_s": rate, "burst": burst}
     )
     configure(context, context.limited)
+    time.sleep(_FILL_SECONDS)
 
 
 @when('{count:d} payments of "{name}" are sent to all front ends at once')
