--- a/libs/forward/src/rattanmill_forward/workspaces.py
+++ b/libs/forward/src/rattanmill_forward/workspaces.py
@@ -29,8 +29,8 @@
 class KeyRing:
     """The keys of all workspaces, held only as digests.
 
-    The digests are keyed with a random salt, so neither the memory of the
-    process nor the duration of a lookup tells anything about a key.
+    The digests are keyed with a random salt, so the duration of a lookup tells
+    nothing about a key.
 
     Attributes:
         by_digest: Workspaces by the digest of each of their keys.
