Collect no garbage while a process imports

Operators saw: a started process takes 0.6 s of a core before it listens.

Cause: the collector looks at all objects made so far, again and again, while modules are imported, which make objects and no garbage.

Test: starting.feature holds that collections are on once the program runs.

--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -7,3 +7,10 @@
 
     When a clean copy is built as deployed
     Then each of its modules has bytecode that holds for a copy of any age
+
+  Scenario: Imports run without collections, and the process with them
+    Guards against a process whose garbage is never collected, since collections
+    are off while it imports.
+
+    When a process of each program has started
+    Then collections are on, and off while it imported
