--- a/libs/forward/src/rattanmill_forward/workspaces.py
+++ b/libs/forward/src/rattanmill_forward/workspaces.py
@@ -14,14 +14,11 @@
 
     Attributes:
         name: Name.
-        priority: Rank, which takes precedence over that of a route, or None; 0
-            is the most urgent.
         requests_per_second: Rate limit over all instances, or 0 if unlimited.
         burst: Requests that may exceed the rate limit at once.
     """
 
     name: str
-    priority: int | None = None
     requests_per_second: float = 0.0
     burst: float = 0.0
 
