--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -623,7 +623,7 @@
         others: Results for the further requested prefixes, except those whose
             state is unknown.
         lead: Seconds from the arrival of the request to the time before which
-            no change is missing, mostly negative; None if that is unknown.
+            no change is missing, usually negative; None if that is unknown.
     """
 
     items: list[StoreItem]
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -51,7 +51,7 @@
 _RECONCILE_TIMEOUT_SECONDS = 0.15
 _ALONE_TIMEOUT_SECONDS = 0.1
 _SETTLE_TIMEOUT_SECONDS = 0.5
-# The next turn of a program mostly comes within this time and reports the end
+# The next turn of a program usually comes within this time and reports the end
 # of the last one along with its own reservation.
 _SETTLE_DELAY_SECONDS = 0.4
 # An unresponsive holder returns within seconds, in the worst case after all
--- a/libs/keeper/src/rattanmill_keeper/rates.py
+++ b/libs/keeper/src/rattanmill_keeper/rates.py
@@ -225,7 +225,7 @@
         now = loop_seconds()
         level = self.bounds.slack * _START_SLACK_SHARE
         if not self._members_before(request.workspace):
-            # Nobody else has lent since this instance was there.
+            # The others forward to this instance since it started.
             level += request.per_second * (now - self.started_at)
         return Bucket(
             request.per_second, burst, request.version, min(level, burst), now
