Grant no more alone than callers let a program exceed its budget

Cause: the opener may grant a third of the budget and one turn alone, and the holders leave out what of that exceeds the one turn that callers allow. Who may have been granted it is known on the opener's disk only.

Ways weighed: a part that is given back after a time (what was granted stays granted, so the bound would break); front ends as witnesses (a restart of one forgets); the opener reports what it grants (not what it granted since the last report). Taken: the opener grants one turn alone, by which callers let a program exceed its budget, so nothing is set aside and nothing can be lost. The share is fixed when the account is opened, so later turns of another size don't matter.

Tests: two scenarios of keeping.feature demanded that a program with 100 of 180 tokens left is refused, which is this very fault. They are replaced by ones that are stricter: the program gets just the rest of its budget, no turn less and no turn more, and then one more turn at most, in all. A third one uses the share first, then loses the disk.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -447,7 +447,8 @@
         self.ledger.homes[program] = home
         self.journal.append_nowait(encode(change))
         if place.sharers == (self.name,):
-            self.journal.append_nowait(encode(self.ledger.open_share(program)))
+            change = self.ledger.open_share(program, request.tokens)
+            self.journal.append_nowait(encode(change))
         self.intake.add(program)
         self.intake.add(HomeEntry(program))
         return Opened(place)
@@ -493,7 +494,7 @@
         """Returns the place of an account, with the reserve for its sharers."""
         sharers = consent.with_share | consent.missing | consent.unseen
         if not sharers and not is_old and self.may_create_share():
-            sharers = frozenset([self.name])
+            return Place(holders, (self.name,))
         # Callers allow one turn beyond the budget, for all instances together.
         # With parts set aside for two, the smallest budgets hold no turn. So of
         # those that nothing shows to have granted alone, one is counted.
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -191,9 +191,8 @@
             share = self.shares[request.program] = Share()
         if request.attempt not in share.uses:
             taken = share.taken + request.tokens
-            if share.is_closed or taken > max_share(
-                request.budget, request.tokens
-            ):
+            limit = share.limit or max_share(request.budget, request.tokens)
+            if share.is_closed or taken > limit:
                 return Full()
             share.uses[request.attempt] = Use(request.tokens)
         return self._touch_share(request.program)
@@ -299,13 +298,18 @@
             self._put(account)
         return self._touch(self.accounts[account.program])
 
-    def open_share(self, program: str) -> ShareChange:
+    def open_share(self, program: str, tokens: int) -> ShareChange:
         """Lets this instance grant alone, as all others have consented.
 
         Only valid for an account that no instance knew before: an instance
         that has lost its disk does not know what it granted.
+
+        Args:
+            program: Program id.
+            tokens: Maximum tokens of one turn, by which callers let a program
+                exceed its budget. So nothing has to be set aside.
         """
-        self.shares.setdefault(program, Share())
+        self.shares.setdefault(program, Share(limit=tokens))
         return self._touch_share(program)
 
     def merge(self, account: Account) -> AccountChange | None:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -152,11 +152,13 @@
         uses: Uses by attempt id.
         is_closed: Whether the instance grants nothing more alone.
         touched: Time of the last change, in seconds since 1970.
+        limit: Maximum number of tokens, or 0 if it is ``max_share``.
     """
 
     uses: dict[str, Use] = msgspec.field(default_factory=dict)
     is_closed: bool = False
     touched: float = 0.0
+    limit: int = 0
 
     @property
     def taken(self) -> int:
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -394,7 +394,7 @@
             holders; otherwise the refusal.
         """
         members = self._members(place.holders)
-        sharers = self._members(place.sharers)
+        sharers = self._members(place.sharers if place.reserved else ())
         replies = await asyncio.gather(
             *(
                 self.reach.ask(
@@ -416,8 +416,8 @@
         if len(shown) < majority(len(place.holders)):
             return Unsure("too few holders of the account respond")
         merged = merge_accounts([reply.account for reply in shown])
-        all_returned = len(returned) == len(place.sharers)
-        if all_returned:
+        all_returned = not place.reserved or len(returned) == len(place.sharers)
+        if place.reserved and all_returned:
             used = sum(reply.used for reply in returned)
             spare = merged.place.reserved - used
             merged.given = max(merged.given, spare)
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -1,6 +1,7 @@
 """Steps about budget accounts, run in this process."""
 
 import asyncio
+import itertools
 
 from behave import given, then, when
 
@@ -26,6 +27,7 @@
 _OPEN_RETRY_SECONDS = 0.2
 # Its share for one instance is larger than one turn.
 LARGE_BUDGET = 10 * TOKENS
+_NUMBERS = itertools.count()
 # Delay of a reply that is still waited for.
 _SLOW_REPLY_SECONDS = 0.1
 
@@ -255,6 +257,40 @@
     assert isinstance(reply, Reserved), reply
 
 
+def turns_granted(context, names, count):
+    """Returns how many further turns a program gets at some instances."""
+    replies = [
+        reserve_at(context, name, "old", f"further-{next(_NUMBERS)}")
+        for name in names
+        for _ in range(count)
+    ]
+    return sum(isinstance(reply, Reserved) for reply in replies)
+
+
+@then('the program gets just the rest of its budget at "{name}"')
+def step_just_the_rest(context, name):
+    granted = turns_granted(context, [name], BUDGET // TOKENS)
+    assert granted == BUDGET // TOKENS - 2, granted
+
+
+@then('the program gets at most one more turn at "{names}"')
+def step_one_more(context, names):
+    granted = turns_granted(context, names.split(", "), 2)
+    assert granted <= 1, granted
+
+
+@when('the program gets its share at "{name}"')
+def step_share(context, name):
+    granted = turns_granted(context, [name], 2)
+    assert granted == 1, granted
+
+
+@then('the program gets no further turn at "{names}"')
+def step_no_more(context, names):
+    granted = turns_granted(context, names.split(", "), 2)
+    assert granted == 0, granted
+
+
 def accepts_order(context, keeper, name):
     """Whether an instance reacts to an order to decommission another."""
 
