Let only who lost all others at once begin programs alone

Cause: an instance that reaches no other one may begin any program alone, so an opener has to guess how many did, and guessed one.

Taken: who begins programs alone. An instance does so only if it lost all others at once: if one was lost earlier, that one may have done so. Two that both lost all others at once lost each other then, and a third one lost both at that time. So an opener counts those that were lost at the same time, and one of those that were lost apart; each instance that consents tells how long ago it heard whom. Unknown times count in full, as in the scenario. A system of two is exempt: neither opens an account without the other.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -78,7 +78,9 @@
         )
         registration = Registration(kv, member)
         registration.is_listed = members.is_listed
-        keeper.is_lease_valid = lambda: registration.is_lease_valid
+        keeper.is_lease_valid = lambda: (
+            registration.is_lease_valid and registration.is_settled
+        )
         keeper.openings.publish = registration.publish_informed
         registration.on_lapse = keeper.mark_possibly_excluded
         await stack.enter_async_context(registration)
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import enum
+from collections.abc import Iterable
 
 import msgspec
 
@@ -20,6 +21,7 @@
 from rattanmill_keeper.ledger import Ledger
 from rattanmill_keeper.members import ROSTER_EXPIRY_SECONDS, Members
 from rattanmill_keeper.messages import (
+    MAX_SHARERS,
     Agree,
     Agreed,
     CutOff,
@@ -45,17 +47,20 @@
     """The account may be opened here.
 
     Attributes:
-        missing: Storage instances that did not consent. At most one of them
-            may have granted tokens alone, as instances only do so in systems
-            of up to three.
+        missing: Storage instances that did not consent.
         with_share: Instances that consented and may have granted tokens alone.
         unseen: Other instances that may have granted tokens alone although
             nothing shows it: their registration expired or their disk was lost.
+        max_beginners: How many of those that did not consent may have granted
+            tokens alone, as instances only do so in small systems.
+        lost_seconds: As in ``Members.lost_seconds``, by anyone who consented.
     """
 
     missing: frozenset[str] = frozenset()
     with_share: frozenset[str] = frozenset()
     unseen: frozenset[str] = frozenset()
+    max_beginners: int = MAX_SHARERS
+    lost_seconds: dict[str, float] = {}
 
 
 class NeedsArbitration(msgspec.Struct, frozen=True):
@@ -222,6 +227,20 @@
     )
 
 
+def _lost_seconds(
+    agreed: Iterable[Agreed], members: Members
+) -> dict[str, float]:
+    """Returns the shortest time for which each instance may be lost."""
+    shortest: dict[str, float] = {}
+    for lost_seconds in (
+        members.lost_seconds(),
+        *(reply.lost_seconds for reply in agreed),
+    ):
+        for name, seconds in lost_seconds.items():
+            shortest[name] = min(seconds, shortest.get(name, seconds))
+    return shortest
+
+
 def _consent(
     replies: dict, request: Agree, ledger: Ledger, members: Members
 ) -> Consent:
@@ -239,6 +258,11 @@
         frozenset(missing),
         frozenset(having),
         frozenset(unseen - missing - having),
+        max(
+            [members.max_beginners()]
+            + [reply.max_beginners for reply in agreed.values()]
+        ),
+        _lost_seconds(agreed.values(), members),
     )
 
 
--- /dev/null
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -0,0 +1,89 @@
+"""Which instances may have granted tokens alone to programs unknown to them.
+
+An instance that reaches no other begins programs alone. Any of them may have
+been continued elsewhere by the time at which an account is opened for it, so
+the opener sets a part of the budget aside for each instance that may have done
+so and can't be asked. With parts for two the smallest budgets hold no further
+turn. So only an instance that lost all others at once begins programs alone:
+if one of them was lost earlier, that one may have done so, too.
+
+Of two instances that both lost all others at once, each lost the other one at
+that time, and a third one lost both then. So an opener that lost two at
+different times counts one of them.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+# Members are asked for news each half second, and a late reply takes a second.
+_AT_ONCE_SECONDS = 2.0
+# Two instances and the opener each measure with that uncertainty.
+_SAME_LOSS_SECONDS = 8.0
+
+
+class Contact(msgspec.Struct):
+    """What an instance last heard of another one.
+
+    Attributes:
+        heard_at: Loop time of the newest request that had a reply.
+        may_have_lost_share: Whether the other one may have granted alone on a
+            disk that was lost since.
+        lost_run_heard_at: ``heard_at`` before that disk was lost, if it was
+            heard then.
+    """
+
+    heard_at: float
+    may_have_lost_share: bool = False
+    lost_run_heard_at: float | None = None
+
+    def update(self, heard_at: float, may_have_lost_share: bool) -> None:
+        """Records a reply."""
+        if may_have_lost_share and not self.may_have_lost_share:
+            self.lost_run_heard_at = self.heard_at
+        self.may_have_lost_share = may_have_lost_share
+        self.heard_at = heard_at
+
+    @property
+    def lost_at(self) -> float | None:
+        """When the run that may have granted alone was last heard."""
+        if self.may_have_lost_share:
+            return self.lost_run_heard_at
+        return self.heard_at
+
+
+def may_begin(contacts: list[Contact | None]) -> bool:
+    """Whether an instance that reaches no other may begin programs alone.
+
+    Two instances open no account without each other, so neither of them has to
+    know whether the other one began programs alone before.
+
+    Args:
+        contacts: Contact with each other instance that may exist, or None if
+            there was none since this instance started.
+    """
+    known = [contact for contact in contacts if contact is not None]
+    if len(contacts) <= 1 or not known:
+        return True
+    if len(known) < len(contacts):
+        return False
+    if any(contact.may_have_lost_share for contact in known):
+        return False
+    heard_at = [contact.heard_at for contact in known]
+    return max(heard_at) - min(heard_at) <= _AT_ONCE_SECONDS
+
+
+def count_beginners(lost_seconds: Iterable[float | None]) -> int:
+    """Returns how many of these instances may have begun programs alone.
+
+    Args:
+        lost_seconds: For how long each may have been lost; None if unknown.
+    """
+    all_lost = list(lost_seconds)
+    known = [seconds for seconds in all_lost if seconds is not None]
+    at_once = (
+        sum(last <= seconds <= last + _SAME_LOSS_SECONDS for seconds in known)
+        for last in known
+    )
+    unknown = len(all_lost) - len(known)
+    return unknown + max(at_once, default=0)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -21,6 +21,7 @@
     arbitrate,
     request_consent,
 )
+from rattanmill_keeper.isolation import count_beginners, may_begin
 from rattanmill_keeper.journal import Journal
 from rattanmill_keeper.ledger import (
     ACCOUNT_TTL_SECONDS,
@@ -114,7 +115,8 @@
             instances already hold all of its data.
         run: ID of this run of the process.
         is_lease_valid: Returns whether the registration lease can't have
-            expired, so that the others still count this instance.
+            expired, so that the others still count this instance, and it counts
+            all others.
         unsynced_peers: Instances that may have agreed to accounts without this
             one and have not reported these accounts yet.
         follower_positions: Position up to which each other instance has
@@ -313,17 +315,22 @@
     async def _reserve_alone(
         self, request: Reserve
     ) -> Reserved | Full | Unsure:
-        may_begin = (
-            self.may_create_share()
-            and self.members.are_others_unresponsive(self.name)
-        )
-        decision = self.ledger.reserve_alone(request, may_begin)
+        decision = self.ledger.reserve_alone(request, self._may_begin_alone())
         if not isinstance(decision, ShareChange):
             return decision
         self.intake.add(request.program)
         await self._append(decision)
         return Reserved(decision.share.taken)
 
+    def _may_begin_alone(self) -> bool:
+        """Whether it may grant alone to programs that it does not know now."""
+        others = self.members.others(self.name)
+        return (
+            self.may_create_share()
+            and self.members.are_others_unresponsive(self.name)
+            and may_begin([self.members.contacts.get(name) for name in others])
+        )
+
     def may_create_share(self) -> bool:
         """Whether it may grant alone to programs that it does not know.
 
@@ -492,19 +499,24 @@
         is_old: bool,
     ) -> Place:
         """Returns the place of an account, with the reserve for its sharers."""
-        sharers = consent.with_share | consent.missing | consent.unseen
+        missing = consent.missing if consent.max_beginners else frozenset()
+        sharers = consent.with_share | missing | consent.unseen
         if not sharers and not is_old and self.may_create_share():
             return Place(holders, (self.name,))
         # Callers allow one turn beyond the budget, for all instances together.
-        # With parts set aside for two, the smallest budgets hold no turn. So of
-        # those that nothing shows to have granted alone, one is counted.
-        granting = len(consent.with_share) + min(
-            len(sharers - consent.with_share), 1
+        max_alone = self._count_sharers(consent, missing) * max_share(
+            request.budget, request.tokens
         )
-        max_alone = granting * max_share(request.budget, request.tokens)
         reserved = max(0, max_alone - request.tokens)
         return Place(holders, tuple(sorted(sharers)), reserved)
 
+    def _count_sharers(self, consent: Consent, missing: frozenset[str]) -> int:
+        """Returns how many instances may have granted alone to a program."""
+        counted = sorted(missing)[: consent.max_beginners]
+        lost_seconds = {} if self.members.was_pair() else consent.lost_seconds
+        lost = map(lost_seconds.get, [*counted, *consent.unseen])
+        return len(consent.with_share) + count_beginners(lost)
+
     async def _agree(self, request: Agree) -> Agreed | Refused | Unsure:
         if not self.is_recovered:
             return Unsure("the instance has not recovered yet")
@@ -526,6 +538,8 @@
         return Agreed(
             request.program in self.ledger.shares,
             self.ledger.may_have_lost_share(),
+            self.members.max_beginners(),
+            self.members.lost_seconds(),
         )
 
     async def write_home(self, change: HomeChange) -> None:
@@ -582,6 +596,7 @@
             request.asker in self.members.known,
             self._absent_for(request),
             self.members.is_first_run(request.asker, request.asker_run),
+            not self.is_recovered or self.ledger.may_have_lost_share(),
         )
 
     def _absent_for(self, request: Follow) -> list[str]:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -12,11 +12,13 @@
 import msgspec
 
 from rattanmill_core import (
+    boot_seconds,
     log_event,
     loop_seconds,
     wall_seconds,
     warn_event,
 )
+from rattanmill_keeper.isolation import Contact
 from rattanmill_keeper.messages import MAX_SHARERS, codec
 from rattanmill_platform import (
     KeyValue,
@@ -43,8 +45,14 @@
 # neither a slow reply of the store nor clock drift matters.
 _LAPSED_SECONDS = 10.0
 LEASE_VALID_SECONDS = 8.0
+# How long programs go on that an instance has begun alone, from the last moment
+# at which the others still counted it.
+_SHARES_SECONDS = LEASE_SECONDS + TURN_HOLDER_SECONDS
 # A member may have granted alone before its successor joined.
 MAX_SUCCESSORS = 1
+_PAIR = 2
+# Sizes from this one on make no difference.
+_LARGE = MAX_SHARERS + MAX_SUCCESSORS + 1
 # Without the store it is unknown whether the member has registered again.
 _MAX_STORE_SILENCE_SECONDS = 12.0
 # Disks that may be lost at once unless configured otherwise.
@@ -152,6 +160,9 @@
         last_seen: Unix time in seconds at which each member was last known to
             be there, by name.
         informed_by: ``informed`` of each member as last registered, by name.
+        contacts: What was last heard of each member, by name.
+        started_at: When this process started, by the boot clock.
+        sized_at: When there were last so many members, by the boot clock.
         restored_until: Loop time until which members count that were there
             before this process started, by name.
         revision_wait: Task that waits until the watch reports a revision that
@@ -189,6 +200,9 @@
         self.first_runs: dict[str, str] = {}
         self.last_seen: dict[str, float] = {}
         self.informed_by: dict[str, tuple[str, ...]] = {}
+        self.contacts: dict[str, Contact] = {}
+        self.started_at = boot_seconds()
+        self.sized_at: dict[int, float] = {}
         self.restored_until: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
         self.codec = codec()
@@ -229,11 +243,71 @@
         self.last_seen.update(dict.fromkeys(self.known, now))
         oldest = now - ROSTER_EXPIRY_SECONDS
         left_out = self.decommissioned | self._lapsed()
-        return {
+        counted = {
             name
             for name, at in self.last_seen.items()
             if at > oldest and (name in self.known or name not in left_out)
         }
+        self._record_size(len(counted))
+        return counted
+
+    def _record_size(self, members: int) -> None:
+        """Records how many members there are.
+
+        When the whole system starts, the first members see the others only a
+        little later. None of them grants alone until then.
+        """
+        now = boot_seconds()
+        if now - self.started_at > LEASE_SECONDS:
+            self.sized_at[min(members, _LARGE)] = now
+
+    def min_size(self) -> int:
+        """Returns the least number of members while shares may be in use.
+
+        An instance that is partitioned may not know yet that others have joined
+        the system, and may have granted alone before they did. Systems larger
+        than those that matter count as of one size.
+        """
+        oldest = boot_seconds() - _SHARES_SECONDS
+        recent = [size for size, at in self.sized_at.items() if at > oldest]
+        return min([*recent, len(self.roster())])
+
+    def max_beginners(self) -> int:
+        """Returns how many that are unreachable may have granted alone."""
+        size = self.min_size()
+        if may_grant_alone(size):
+            return MAX_SHARERS
+        # An instance that counts one of four as gone; no two count each other
+        # as gone while both have a lease.
+        return 1 if may_grant_alone(size - MAX_SUCCESSORS) else 0
+
+    def was_pair(self) -> bool:
+        """Whether there were at most two members when such programs began."""
+        return self.min_size() <= _PAIR
+
+    def record_contact(
+        self, name: str, heard_at: float, may_have_lost_share: bool
+    ) -> None:
+        """Records a reply of a member to a request sent at a loop time."""
+        contact = self.contacts.setdefault(name, Contact(heard_at))
+        contact.update(heard_at, may_have_lost_share)
+
+    def lost_seconds(self) -> dict[str, float]:
+        """Returns since when members may be lost that granted alone, by name.
+
+        This is the time since the newest reply of each member, or since the
+        newest one before it lost its disk.
+        """
+        now = loop_seconds()
+        return {
+            name: now - contact.lost_at
+            for name, contact in self.contacts.items()
+            if contact.lost_at is not None
+        }
+
+    def others(self, name: str) -> set[str]:
+        """Returns all members but ``name`` that may have been there lately."""
+        return {*self.known, *self.unlisted()} - {name}
 
     def _lapsed(self) -> set[str]:
         """Returns the member that was lost first, if that was long ago.
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -130,9 +130,9 @@
 
 
 def max_share(budget: int, tokens: int) -> int:
-    """Returns the maximum number of tokens that one instance grants alone.
+    """Returns what one instance grants alone to a program unknown to it.
 
-    It lets a program continue in a failure domain that is cut off. Callers
+    It lets a program begin in a failure domain that is cut off. Callers
     tolerate that a program exceeds its budget by one turn. At most three
     instances grant alone, so their shares together stay within that limit even
     if all three are partitioned from each other. A share is one turn of the
@@ -345,10 +345,14 @@
         has_share: Whether the instance has granted tokens alone, or may do so.
         has_lost_share: Whether it may have granted tokens alone on a disk that
             was lost since.
+        max_beginners: As in ``Members.max_beginners``.
+        lost_seconds: As in ``Members.lost_seconds``.
     """
 
     has_share: bool = False
     has_lost_share: bool = False
+    max_beginners: int = 0
+    lost_seconds: dict[str, float] = {}
 
 
 class Refused(msgspec.Struct, tag=10):
@@ -486,6 +490,8 @@
             data.
         is_first_run: Whether the requester was never seen before its current
             run, so that its disk held nothing before.
+        may_have_lost_share: Whether the instance may have granted tokens alone
+            on a disk that was lost since.
     """
 
     run: str
@@ -499,6 +505,7 @@
     is_counted: bool = True
     absent: list[str] = []
     is_first_run: bool = False
+    may_have_lost_share: bool = False
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/libs/keeper/src/rattanmill_keeper/registration.py
+++ b/libs/keeper/src/rattanmill_keeper/registration.py
@@ -33,6 +33,8 @@
         written_lease: The lease under which the entry was last seen in the
             store.
         confirmed: This instance as the store was last known to hold it.
+        first_confirmed_at: When the store was first known to hold this
+            instance, by the boot clock.
         confirmation: Set when ``confirmed`` changes.
         is_listed: Whether a watch currently reports a key with a value; saves
             a call to the store with each renewal.
@@ -52,6 +54,7 @@
         self.lease = ""
         self.written_lease = ""
         self.confirmed: Member | None = None
+        self.first_confirmed_at = float("inf")
         self.confirmation = asyncio.Event()
         self.is_listed: Callable[[str, bytes], bool] = lambda key, value: False
         self.renewed_at = float("-inf")
@@ -75,6 +78,11 @@
         """
         return boot_seconds() - self.renewed_at < LEASE_VALID_SECONDS
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether all members that started along with this one are listed."""
+        return boot_seconds() - self.first_confirmed_at > LEASE_SECONDS
+
     async def end(self) -> None:
         """Ends the registration at once."""
         if self.task:
@@ -101,6 +109,7 @@
 
     def _confirm(self, member: Member) -> None:
         self.confirmed = member
+        self.first_confirmed_at = min(self.first_confirmed_at, boot_seconds())
         self.confirmation.set()
 
     async def _renew_forever(self) -> None:
--- /dev/null
+++ b/tests/features/alone.feature
@@ -0,0 +1,66 @@
+Feature: Tokens that an instance grants alone
+  An instance that reaches no other one begins programs alone. The others set a
+  part of the budget aside for each that may have done so. With parts for two,
+  the smallest budgets hold no further turn.
+
+  Scenario: No program gets more than its budget, whoever was lost when
+    Guards against a program that is begun alone by two instances while the
+    others set only one part aside.
+
+    Then no sequence of faults among instances that follow each other lets a program use more than its budget and one turn
+
+  Scenario: Two instances are isolated one after the other, and both are gone
+    Guards against the second one beginning programs alone: the others could
+    not tell, and set one part aside.
+
+    When two instances are isolated one after the other and both are gone
+    Then the program uses no more than its budget and one turn
+    When the same happens and the second one begins programs alone
+    Then the program uses more than its budget and one turn
+
+  Scenario: Three instances are isolated at once, and two are gone
+    Guards against one part for both of those that began programs alone.
+
+    When three instances are isolated at once and two are gone
+    Then the program uses no more than its budget and one turn
+    When the same happens and one part is set aside for both
+    Then the program uses more than its budget and one turn
+
+  Scenario: A machine is lost, and another failure domain is cut off later
+    Guards against programs that are refused although they have budget left: a
+    part for each of the two leaves no turn of the smallest budgets.
+
+    Given an instance that was lost 30 seconds before another one
+    Then one of them may have begun a program alone
+    And a program of 2 turns keeps at least 2 turns of its budget
+
+  Scenario: Another failure domain is cut off right after a machine is lost
+    Guards against one part for two that may both have begun programs alone.
+
+    Given an instance that was lost 3 seconds before another one
+    Then two of them may have begun a program alone
+
+  Scenario Outline: An instance that reaches no other one
+    Guards against new programs that are begun by two instances alone, and
+    against a failure domain that serves none although no other one does.
+
+    Given an instance that last heard others <heard> seconds ago
+    Then it <outcome> programs alone
+
+    Examples:
+      | heard               | outcome        |
+      | 1, 1.5              | begins         |
+      | 1, 30               | does not begin |
+      | 1, never            | does not begin |
+      | never, never        | begins         |
+      | 1, 1 with lost disk | does not begin |
+      | 1 with lost disk    | begins         |
+
+  Scenario: A storage instance of a large system is unreachable
+    Guards against a part of each new budget that is set aside for an instance
+    that can't have granted anything alone. If it loses its disk, the program
+    would be refused for good before its budget is spent.
+
+    Given storage instances "a, b, c, d, e, f"
+    When "f" is killed
+    Then a new program gets all of its budget at "a"
--- /dev/null
+++ b/tests/features/steps/alone.py
@@ -0,0 +1,167 @@
+"""Steps about tokens that storage instances grant alone."""
+
+import unittest.mock
+
+import hypothesis
+from behave import given, then, when
+
+from rattanmill_keeper import Reserve, Reserved, isolation, keeper
+from rattanmill_keeper.isolation import Contact
+from rattanmill_keeper.messages import max_share
+from support.keepers import FollowingNetwork
+from support.keepers import run_in as network
+from support.stories import (
+    BUDGET,
+    LONG_OPERATIONS,
+    MAX_TOKENS,
+    TOKENS,
+    run_operations,
+)
+from support.virtual import run_virtually
+
+_NOW = 1000.0
+_SETTINGS = hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
+
+
+def _run(operations, prepare=lambda network: None):
+    return run_virtually(run_operations(operations, prepare, FollowingNetwork))
+
+
+@then(
+    "no sequence of faults among instances that follow each other lets a"
+    " program use more than its budget and one turn"
+)
+def step_any_sequence(context):
+    @hypothesis.given(LONG_OPERATIONS)
+    @_SETTINGS
+    def hold(operations):
+        used = _run(operations)
+        assert all(tokens <= MAX_TOKENS for tokens in used.values()), used
+
+    hold()
+
+
+def _use_share(name, running):
+    """Returns turns that use up what an instance grants alone.
+
+    Args:
+        name: The instance.
+        running: Number of turns that run already.
+    """
+    return [("reserve", name), ("settle", running), ("reserve", name)]
+
+
+_AFTERWARDS = [
+    *[("lapse", "a"), ("replace", "b"), ("wait", 4)],
+    *[("reserve", "d")] * 6,
+]
+_ONE_AFTER_THE_OTHER = [
+    *[("wait", 4), ("isolate", "a"), *_use_share("a", 0), ("wait", 12)],
+    *[("isolate", "b"), ("wait", 1), *_use_share("b", 1)],
+    *_AFTERWARDS,
+]
+_AT_ONCE = [
+    *[("wait", 4), ("isolate", "a"), ("isolate", "b")],
+    *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
+    *_AFTERWARDS,
+]
+
+
+def _let_all_begin(network):
+    network.stack.enter_context(
+        unittest.mock.patch.object(keeper, "may_begin", lambda contacts: True)
+    )
+
+
+def _count_one(network):
+    network.stack.enter_context(
+        unittest.mock.patch.object(
+            keeper,
+            "count_beginners",
+            lambda lost_seconds: min(len(list(lost_seconds)), 1),
+        )
+    )
+
+
+@when("two instances are isolated one after the other and both are gone")
+def step_one_after_the_other(context):
+    context.used = _run(_ONE_AFTER_THE_OTHER)
+
+
+@when("the same happens and the second one begins programs alone")
+def step_second_begins(context):
+    context.used = _run(_ONE_AFTER_THE_OTHER, _let_all_begin)
+
+
+@when("three instances are isolated at once and two are gone")
+def step_at_once(context):
+    context.used = _run(_AT_ONCE)
+
+
+@when("the same happens and one part is set aside for both")
+def step_one_part(context):
+    context.used = _run(_AT_ONCE, _count_one)
+
+
+@given("an instance that was lost {seconds:d} seconds before another one")
+def step_lost(context, seconds):
+    context.lost_seconds = [seconds + 1.0, 1.0]
+
+
+@then("one of them may have begun a program alone")
+def step_one(context):
+    context.count = isolation.count_beginners(context.lost_seconds)
+    assert context.count == 1, context.count
+
+
+@then("two of them may have begun a program alone")
+def step_two(context):
+    found = isolation.count_beginners(context.lost_seconds)
+    assert found == 2, found
+
+
+@then(
+    "a program of {turns:d} turns keeps at least {left:d} turns of its budget"
+)
+def step_keeps(context, turns, left):
+    budget = turns * TOKENS
+    reserved = context.count * max_share(budget, TOKENS) - TOKENS
+    assert budget - reserved >= left * TOKENS, reserved
+
+
+def _contact(text):
+    if text == "never":
+        return None
+    contact = Contact(_NOW - float(text.split()[0]))
+    contact.may_have_lost_share = text.endswith("with lost disk")
+    return contact
+
+
+@given("an instance that last heard others {heard} seconds ago")
+def step_heard(context, heard):
+    context.contacts = [_contact(text) for text in heard.split(", ")]
+
+
+@then("it begins programs alone")
+def step_begins(context):
+    assert isolation.may_begin(context.contacts)
+
+
+@then("it does not begin programs alone")
+def step_begins_none(context):
+    assert not isolation.may_begin(context.contacts)
+
+
+@then('a new program gets all of its budget at "{name}"')
+def step_all(context, name):
+    async def reserve(n):
+        requests = [
+            Reserve("new", f"turn-{number}", TOKENS, BUDGET)
+            for number in range(BUDGET // TOKENS)
+        ]
+        return [await n.reserve(name, request) for request in requests]
+
+    replies = network(context, reserve)
+    assert all(isinstance(reply, Reserved) for reply in replies), replies
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -348,6 +348,29 @@
         await asyncio.sleep(seconds)
 
 
+class FollowingNetwork(Network):
+    """Storage instances that follow each other all the time.
+
+    Attributes:
+        followers: What follows the others for each instance, by name.
+    """
+
+    def __init__(self, folder: str, names: list[str]) -> None:
+        super().__init__(folder, names)
+        self.followers: dict[str, Follower] = {}
+
+    async def start(self, name: str, first: bool = False) -> None:
+        """Starts an instance on its disk."""
+        await super().start(name, first)
+        follower = Follower(self.keepers[name], self.members[name])
+        self.followers[name] = await follower.__aenter__()
+
+    async def kill(self, name: str) -> None:
+        """Kills an instance; data that it has not synced is lost."""
+        await self.followers.pop(name).__aexit__(None, None, None)
+        await super().kill(name)
+
+
 def begin(
     context: Any, names: list[str], domains: dict[str, str] | None = None
 ) -> None:
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -19,28 +19,34 @@
 MAX_TOKENS = BUDGET + TOKENS
 _STEP_SECONDS = 0.02
 _name = st.sampled_from(NAMES)
-OPERATIONS = st.lists(
+_OPERATION = st.one_of(
+    st.tuples(st.just("reserve"), _name),
+    st.tuples(st.just("reserve"), _name),
+    st.tuples(st.just("reserve"), _name),
+    st.tuples(st.just("race"), _name),
+    st.tuples(st.just("settle"), st.integers(0, 2)),
+    st.tuples(st.just("isolate"), _name),
+    st.tuples(st.just("heal"), _name),
+    st.tuples(st.just("kill"), _name),
+    st.tuples(st.just("start"), _name),
+    st.tuples(st.just("restart"), _name),
+    st.tuples(st.just("restart"), _name),
+    st.tuples(st.just("wipe"), _name),
+    st.tuples(st.just("replace"), _name),
+    st.tuples(st.just("follow"), _name),
+    st.tuples(st.just("lapse"), _name),
+    st.tuples(st.just("set_store_unreachable"), st.booleans()),
+    st.tuples(st.just("drop_replies"), st.integers(1, 2)),
+)
+OPERATIONS = st.lists(_OPERATION, min_size=6, max_size=20)
+
+# For instances that follow each other.
+LONG_OPERATIONS = st.lists(
     st.one_of(
-        st.tuples(st.just("reserve"), _name),
-        st.tuples(st.just("reserve"), _name),
-        st.tuples(st.just("reserve"), _name),
-        st.tuples(st.just("race"), _name),
-        st.tuples(st.just("settle"), st.integers(0, 2)),
-        st.tuples(st.just("isolate"), _name),
-        st.tuples(st.just("heal"), _name),
-        st.tuples(st.just("kill"), _name),
-        st.tuples(st.just("start"), _name),
-        st.tuples(st.just("restart"), _name),
-        st.tuples(st.just("restart"), _name),
-        st.tuples(st.just("wipe"), _name),
-        st.tuples(st.just("replace"), _name),
-        st.tuples(st.just("follow"), _name),
-        st.tuples(st.just("lapse"), _name),
-        st.tuples(st.just("set_store_unreachable"), st.booleans()),
-        st.tuples(st.just("drop_replies"), st.integers(1, 2)),
+        _OPERATION, st.tuples(st.just("wait"), st.sampled_from([1, 4, 12]))
     ),
-    min_size=6,
-    max_size=20,
+    min_size=8,
+    max_size=24,
 )
 
 
@@ -166,6 +172,10 @@
         """Makes the store unreachable or reachable."""
         self.network.kv.is_unavailable = unreachable
 
+    async def wait(self, seconds: float) -> None:
+        """Lets time pass."""
+        await self.network.pass_time(seconds)
+
     async def drop_replies(self, count: int) -> None:
         """Drops the next replies between storage instances."""
         self.network.lose_replies = count
@@ -174,14 +184,20 @@
 async def run_operations(
     operations: list[tuple],
     prepare: Callable[[Network], None] = lambda network: None,
+    make: Callable[[str, list[str]], Network] = Network,
 ) -> dict[str, int]:
     """Runs operations on new storage instances.
 
+    Args:
+        operations: The operations.
+        prepare: Changes the network before they run.
+        make: Makes the network from a folder and names.
+
     Returns:
         Tokens that each program may have used.
     """
     folder = tempfile.mkdtemp()
-    network = Network(folder, list(NAMES))
+    network = make(folder, list(NAMES))
     await network.start_all()
     prepare(network)
     runner = OperationRunner(network)
