Let both sides begin programs alone if there are two failure domains

The storage instance of one domain had been taken away, and one of another domain had lost its disk 13 s before its domain was cut off. So the only instance that callers could still reach was not allowed to begin programs, as the one without its disk might have done so.

Taken: if all others are in one domain, either may be the one that callers need, so both begin programs and openers count each of them.

Test: alone.feature, the table of who begins programs alone.

--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -26,6 +26,7 @@
     """What an instance last heard of another one.
 
     Attributes:
+        domain: Failure domain of the other one.
         heard_at: Loop time of the newest request that had a reply.
         may_have_lost_share: Whether the other one may have granted alone on a
             disk that was lost since.
@@ -33,6 +34,7 @@
             heard then.
     """
 
+    domain: str
     heard_at: float
     may_have_lost_share: bool = False
     lost_run_heard_at: float | None = None
@@ -55,18 +57,21 @@
 def may_begin(contacts: list[Contact | None]) -> bool:
     """Whether an instance that reaches no other may begin programs alone.
 
-    Two instances open no account without each other, so neither of them has to
-    know whether the other one began programs alone before.
+    If all others are in one failure domain, either of the two domains may be
+    cut off, and the callers of one of them would not be served. So instances
+    begin programs on both sides, and openers count each of them.
 
     Args:
         contacts: Contact with each other instance that may exist, or None if
             there was none since this instance started.
     """
     known = [contact for contact in contacts if contact is not None]
-    if len(contacts) <= 1 or not known:
+    if not known:
         return True
     if len(known) < len(contacts):
         return False
+    if len({contact.domain for contact in known}) == 1:
+        return True
     if any(contact.may_have_lost_share for contact in known):
         return False
     heard_at = [contact.heard_at for contact in known]
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -513,7 +513,8 @@
     def _count_sharers(self, consent: Consent, missing: frozenset[str]) -> int:
         """Returns how many instances may have granted alone to a program."""
         counted = sorted(missing)[: consent.max_beginners]
-        lost_seconds = {} if self.members.was_pair() else consent.lost_seconds
+        had_two_domains = self.members.had_two_domains()
+        lost_seconds = {} if had_two_domains else consent.lost_seconds
         lost = map(lost_seconds.get, [*counted, *consent.unseen])
         return len(consent.with_share) + count_beginners(lost)
 
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -50,7 +50,7 @@
 _SHARES_SECONDS = LEASE_SECONDS + TURN_HOLDER_SECONDS
 # A member may have granted alone before its successor joined.
 MAX_SUCCESSORS = 1
-_PAIR = 2
+_TWO_DOMAINS = 2
 # Sizes from this one on make no difference.
 _LARGE = MAX_SHARERS + MAX_SUCCESSORS + 1
 # Without the store it is unknown whether the member has registered again.
@@ -162,6 +162,8 @@
         informed_by: ``informed`` of each member as last registered, by name.
         contacts: What was last heard of each member, by name.
         started_at: When this process started, by the boot clock.
+        two_domains_at: When members were last in two failure domains at most,
+            by the boot clock.
         sized_at: When there were last so many members, by the boot clock.
         restored_until: Loop time until which members count that were there
             before this process started, by name.
@@ -202,6 +204,7 @@
         self.informed_by: dict[str, tuple[str, ...]] = {}
         self.contacts: dict[str, Contact] = {}
         self.started_at = boot_seconds()
+        self.two_domains_at = float("-inf")
         self.sized_at: dict[int, float] = {}
         self.restored_until: dict[str, float] = {}
         self.links: dict[str, RequestLink] = {}
@@ -260,6 +263,16 @@
         now = boot_seconds()
         if now - self.started_at > LEASE_SECONDS:
             self.sized_at[min(members, _LARGE)] = now
+            if len(self._domains()) <= _TWO_DOMAINS:
+                self.two_domains_at = now
+
+    def _domains(self) -> set[str]:
+        """Returns the failure domains of members that were there lately."""
+        lost = [self.contacts.get(name) for name in self.unlisted()]
+        return {
+            *(member.domain for member in self.known.values()),
+            *(contact.domain for contact in lost if contact),
+        }
 
     def min_size(self) -> int:
         """Returns the least number of members while shares may be in use.
@@ -281,15 +294,18 @@
         # as gone while both have a lease.
         return 1 if may_grant_alone(size - MAX_SUCCESSORS) else 0
 
-    def was_pair(self) -> bool:
-        """Whether there were at most two members when such programs began."""
-        return self.min_size() <= _PAIR
+    def had_two_domains(self) -> bool:
+        """Whether members were in two failure domains while shares are used."""
+        since = boot_seconds() - self.two_domains_at
+        return len(self._domains()) <= _TWO_DOMAINS or since < _SHARES_SECONDS
 
     def record_contact(
-        self, name: str, heard_at: float, may_have_lost_share: bool
+        self, member: Member, heard_at: float, may_have_lost_share: bool
     ) -> None:
         """Records a reply of a member to a request sent at a loop time."""
-        contact = self.contacts.setdefault(name, Contact(heard_at))
+        contact = self.contacts.setdefault(
+            member.name, Contact(member.domain, heard_at)
+        )
         contact.update(heard_at, may_have_lost_share)
 
     def lost_seconds(self) -> dict[str, float]:
