Take a new machine for new although the store is away

Cause: a machine is new if neither it nor the others had seen its name before its run. It looked itself up in the list of the store, and its own registration was not there yet: `keeper_whole` with `is_new: false` 0.5 s after its start.

Change: what it had not seen does not speak against it; after a restart with its disk its name is known from there, as before.

Test: alone.feature, "A new machine starts while the store is away", fails before.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -152,7 +152,9 @@
         Its disk held nothing then that an unresponsive one could know of, such
         as the machine that it replaces.
         """
-        if not self.members.is_first_run(self.keeper.name, self.keeper.run):
+        # Its own registration may be missing while the store is away.
+        name, run = self.keeper.name, self.keeper.run
+        if self.members.first_runs.get(name, run) != run:
             return False
         others = [
             self.progress.get(member.name, Progress())
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -57,6 +57,17 @@
       | 1 in east, 1 with lost disk in east | begins         |
       | 1 in east, 30 in east               | begins         |
 
+  Scenario: A new machine starts while the store is away
+    Guards against a part of each new budget that is set aside for two minutes:
+    the machine does not see its own registration, and would count as one that
+    has lost its disk.
+
+    Given storage instances "a, b, c"
+    When "d" starts with an empty disk and its registration is not seen
+    And "d" has followed the others
+    Then "d" has recovered
+    And nothing is set aside for "d" when "b" opens an account
+
   Scenario: A storage instance of a large system is unreachable
     Guards against a part of each new budget that is set aside for an instance
     that can't have granted anything alone. If it loses its disk, the program
