Count no new machine among those that may have granted alone

Cause: an instance grants nothing alone in its first hour, but the others did not know how old it was.

Change: each instance tells its followers from when on it may grant alone. One that can't is not counted, nor is the run that lost a disk if it was too new. An instance begins programs only once the others can have heard that it may.

Tests: alone.feature, "A new machine is unreachable" and a row of the table.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -210,7 +210,7 @@
             return False
         if not await self._fetch_turns(member, news.turns):
             return False
-        self.members.record_contact(member, began, news.may_have_lost_share)
+        self.members.record_contact(member, began, news)
         progress.run = news.run
         progress.position = news.position
         progress.absent = frozenset(news.absent)
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -54,6 +54,8 @@
         max_beginners: How many of those that did not consent may have granted
             tokens alone, as instances only do so in small systems.
         lost_seconds: As in ``Members.lost_seconds``, by anyone who consented.
+        unable: Those that can't have granted alone, as anyone knows who
+            consented.
     """
 
     missing: frozenset[str] = frozenset()
@@ -61,6 +63,7 @@
     unseen: frozenset[str] = frozenset()
     max_beginners: int = MAX_SHARERS
     lost_seconds: dict[str, float] = {}
+    unable: frozenset[str] = frozenset()
 
 
 class NeedsArbitration(msgspec.Struct, frozen=True):
@@ -263,6 +266,9 @@
             + [reply.max_beginners for reply in agreed.values()]
         ),
         _lost_seconds(agreed.values(), members),
+        frozenset(members.unable()).union(
+            *(reply.unable for reply in agreed.values())
+        ),
     )
 
 
--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -28,24 +28,39 @@
     Attributes:
         domain: Failure domain of the other one.
         heard_at: Loop time of the newest request that had a reply.
+        alone_at: Loop time from which it may grant alone.
         may_have_lost_share: Whether the other one may have granted alone on a
             disk that was lost since.
         lost_run_heard_at: ``heard_at`` before that disk was lost, if it was
             heard then.
+        was_unable: Whether the run with that disk can't have granted alone.
     """
 
     domain: str
     heard_at: float
+    alone_at: float = float("-inf")
     may_have_lost_share: bool = False
     lost_run_heard_at: float | None = None
+    was_unable: bool = False
 
-    def update(self, heard_at: float, may_have_lost_share: bool) -> None:
+    def update(
+        self, heard_at: float, alone_at: float, may_have_lost_share: bool
+    ) -> None:
         """Records a reply."""
         if may_have_lost_share and not self.may_have_lost_share:
             self.lost_run_heard_at = self.heard_at
+            # The lost run may have been too new to grant alone.
+            self.was_unable = heard_at < self.alone_at
         self.may_have_lost_share = may_have_lost_share
+        self.alone_at = alone_at
         self.heard_at = heard_at
 
+    def is_unable(self, now: float) -> bool:
+        """Whether it can't have granted alone, and can't begin to."""
+        if self.may_have_lost_share:
+            return self.was_unable
+        return now < self.alone_at
+
     @property
     def lost_at(self) -> float | None:
         """When the run that may have granted alone was last heard."""
@@ -54,7 +69,9 @@
         return self.heard_at
 
 
-def may_begin(contacts: list[Contact | None]) -> bool:
+def may_begin(
+    contacts: list[Contact | None], able_since: float, now: float
+) -> bool:
     """Whether an instance that reaches no other may begin programs alone.
 
     If all others are in one failure domain, either of the two domains may be
@@ -64,15 +81,21 @@
     Args:
         contacts: Contact with each other instance that may exist, or None if
             there was none since this instance started.
+        able_since: Loop time from which this instance may grant alone. The
+            others must have heard of that.
+        now: Loop time.
     """
     known = [contact for contact in contacts if contact is not None]
     if not known:
         return True
     if len(known) < len(contacts):
         return False
+    if min(c.heard_at for c in known) < able_since + _AT_ONCE_SECONDS:
+        return False
     if len({contact.domain for contact in known}) == 1:
         return True
-    if any(contact.may_have_lost_share for contact in known):
+    able = [contact for contact in known if not contact.is_unable(now)]
+    if any(contact.may_have_lost_share for contact in able):
         return False
     heard_at = [contact.heard_at for contact in known]
     return max(heard_at) - min(heard_at) <= _AT_ONCE_SECONDS
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -11,6 +11,7 @@
 from rattanmill_core import (
     Metrics,
     log_event,
+    loop_seconds,
     start_loop,
     wall_seconds,
 )
@@ -328,9 +329,16 @@
         return (
             self.may_create_share()
             and self.members.are_others_unresponsive(self.name)
-            and may_begin([self.members.contacts.get(name) for name in others])
+            and may_begin(
+                [self.members.contacts.get(name) for name in others],
+                loop_seconds() + self.alone_from - wall_seconds(),
+                loop_seconds(),
+            )
         )
 
+    def _alone_after_seconds(self) -> float:
+        return max(0.0, self.alone_from - wall_seconds())
+
     def may_create_share(self) -> bool:
         """Whether it may grant alone to programs that it does not know.
 
@@ -514,22 +522,24 @@
     ) -> Place:
         """Returns the place of an account, with the reserve for its sharers."""
         missing = consent.missing if consent.max_beginners else frozenset()
-        sharers = consent.with_share | missing | consent.unseen
+        unseen = (missing | consent.unseen) - consent.unable
+        sharers = consent.with_share | unseen
         if not sharers and not is_old and self.may_create_share():
             return Place(holders, (self.name,))
         # Callers allow one turn beyond the budget, for all instances together.
-        max_alone = self._count_sharers(consent, missing) * max_share(
+        max_alone = self._count_sharers(consent, unseen) * max_share(
             request.budget, request.tokens
         )
         reserved = max(0, max_alone - request.tokens)
         return Place(holders, tuple(sorted(sharers)), reserved)
 
-    def _count_sharers(self, consent: Consent, missing: frozenset[str]) -> int:
+    def _count_sharers(self, consent: Consent, unseen: frozenset[str]) -> int:
         """Returns how many instances may have granted alone to a program."""
-        counted = sorted(missing)[: consent.max_beginners]
+        missing = sorted(unseen & consent.missing)
+        counted = [*missing[: consent.max_beginners], *unseen - consent.missing]
         had_two_domains = self.members.had_two_domains()
         lost_seconds = {} if had_two_domains else consent.lost_seconds
-        lost = map(lost_seconds.get, [*counted, *consent.unseen])
+        lost = map(lost_seconds.get, counted)
         return len(consent.with_share) + count_beginners(lost)
 
     async def _agree(self, request: Agree) -> Agreed | Refused | Unsure:
@@ -555,6 +565,7 @@
             self.ledger.may_have_lost_share(),
             self.members.max_beginners(),
             self.members.lost_seconds(),
+            self.members.unable(),
         )
 
     async def write_home(self, change: HomeChange) -> None:
@@ -612,6 +623,7 @@
             self._absent_for(request),
             self.members.is_first_run(request.asker, request.asker_run),
             not self.is_recovered or self.ledger.may_have_lost_share(),
+            self._alone_after_seconds(),
         )
 
     def _absent_for(self, request: Follow) -> list[str]:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -19,7 +19,7 @@
     warn_event,
 )
 from rattanmill_keeper.isolation import Contact
-from rattanmill_keeper.messages import MAX_SHARERS, codec
+from rattanmill_keeper.messages import MAX_SHARERS, News, codec
 from rattanmill_platform import (
     KeyValue,
     PrefixWatch,
@@ -300,13 +300,20 @@
         return len(self._domains()) <= _TWO_DOMAINS or since < _SHARES_SECONDS
 
     def record_contact(
-        self, member: Member, heard_at: float, may_have_lost_share: bool
+        self, member: Member, heard_at: float, news: News
     ) -> None:
         """Records a reply of a member to a request sent at a loop time."""
-        contact = self.contacts.setdefault(
-            member.name, Contact(member.domain, heard_at)
-        )
-        contact.update(heard_at, may_have_lost_share)
+        # A new machine had no disk that it could have lost.
+        is_new = self.is_first_run(member.name, news.run)
+        may_have_lost_share = news.may_have_lost_share and not is_new
+        alone_at = heard_at + news.alone_after_seconds
+        contact = self.contacts.get(member.name)
+        if contact is None:
+            self.contacts[member.name] = Contact(
+                member.domain, heard_at, alone_at, may_have_lost_share
+            )
+        else:
+            contact.update(heard_at, alone_at, may_have_lost_share)
 
     def lost_seconds(self) -> dict[str, float]:
         """Returns since when members may be lost that granted alone, by name.
@@ -321,6 +328,15 @@
             if contact.lost_at is not None
         }
 
+    def unable(self) -> list[str]:
+        """Returns members that can't have granted alone, such as new ones."""
+        now = loop_seconds()
+        return [
+            name
+            for name, contact in self.contacts.items()
+            if contact.is_unable(now)
+        ]
+
     def others(self, name: str) -> set[str]:
         """Returns all members but ``name`` that may have been there lately."""
         return {*self.known, *self.unlisted()} - {name}
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -347,12 +347,14 @@
             was lost since.
         max_beginners: As in ``Members.max_beginners``.
         lost_seconds: As in ``Members.lost_seconds``.
+        unable: As in ``Members.unable``.
     """
 
     has_share: bool = False
     has_lost_share: bool = False
     max_beginners: int = 0
     lost_seconds: dict[str, float] = {}
+    unable: list[str] = []
 
 
 class Refused(msgspec.Struct, tag=10):
@@ -492,6 +494,7 @@
             run, so that its disk held nothing before.
         may_have_lost_share: Whether the instance may have granted tokens alone
             on a disk that was lost since.
+        alone_after_seconds: After how many seconds it may grant tokens alone.
     """
 
     run: str
@@ -506,6 +509,7 @@
     absent: list[str] = []
     is_first_run: bool = False
     may_have_lost_share: bool = False
+    alone_after_seconds: float = 0.0
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -56,6 +56,7 @@
       | 1 in east, 1 with lost disk in west | does not begin |
       | 1 in east, 1 with lost disk in east | begins         |
       | 1 in east, 30 in east               | begins         |
+      | 1 in east, 1 as a new machine with lost disk in west | begins |
 
   Scenario: A new machine starts while the store is away
     Guards against a part of each new budget that is set aside for two minutes:
@@ -68,6 +69,17 @@
     Then "d" has recovered
     And nothing is set aside for "d" when "b" opens an account
 
+  Scenario: A new machine is unreachable
+    Guards against a part of each new budget that is set aside for a machine
+    that has not been there long enough to grant anything alone.
+
+    Given storage instances "a, b, c"
+    When "d" starts with an empty disk and its registration is not seen
+    And "d" has followed the others
+    And "a" has followed the listed instances
+    And "d" is killed
+    Then a new program gets all of its budget at "a"
+
   Scenario: A storage instance of a large system is unreachable
     Guards against a part of each new budget that is set aside for an instance
     that can't have granted anything alone. If it loses its disk, the program
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -71,7 +71,7 @@
 
 def _let_all_begin(network):
     network.stack.enter_context(
-        unittest.mock.patch.object(keeper, "may_begin", lambda contacts: True)
+        unittest.mock.patch.object(keeper, "may_begin", lambda *contacts: True)
     )
 
 
@@ -137,6 +137,7 @@
     words = text.split()
     contact = Contact(words[-1], _NOW - float(words[0]))
     contact.may_have_lost_share = "with lost disk" in text
+    contact.was_unable = "as a new machine" in text
     return contact
 
 
@@ -147,12 +148,12 @@
 
 @then("it begins programs alone")
 def step_begins(context):
-    assert isolation.may_begin(context.contacts)
+    assert isolation.may_begin(context.contacts, 0.0, _NOW)
 
 
 @then("it does not begin programs alone")
 def step_begins_none(context):
-    assert not isolation.may_begin(context.contacts)
+    assert not isolation.may_begin(context.contacts, 0.0, _NOW)
 
 
 @when('"{name}" starts with an empty disk and its registration is not seen')
