Treat the domain of a machine known by report only as unknown; claim test addresses

A contact that was taken over from another instance had an empty domain. Two of them would have counted as one domain, in which both sides begin programs alone; found by reading, no run showed it. Rows in alone.feature's table.

Two test runs at once used each other's processes without saying so (users' finding beside load): a run now claims 127.NUMBER.* and ends if another one has. Test: site_store.feature, "Another run uses the same addresses".

--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -26,7 +26,8 @@
     """What an instance last heard of another one.
 
     Attributes:
-        domain: Failure domain of the other one.
+        domain: Failure domain of the other one; None if only a third instance
+            heard it.
         heard_at: Loop time of the newest request that had a reply.
         alone_at: Loop time from which it may grant alone.
         may_have_lost_share: Whether the other one may have granted alone on a
@@ -36,7 +37,7 @@
         was_unable: Whether the run with that disk can't have granted alone.
     """
 
-    domain: str
+    domain: str | None
     heard_at: float
     alone_at: float = float("-inf")
     may_have_lost_share: bool = False
@@ -92,7 +93,8 @@
         return False
     if min(c.heard_at for c in known) < able_since + _AT_ONCE_SECONDS:
         return False
-    if len({contact.domain for contact in known}) == 1:
+    domains = {contact.domain for contact in known}
+    if len(domains) == 1 and None not in domains:
         return True
     able = [contact for contact in known if not contact.is_unable(now)]
     if any(contact.may_have_lost_share for contact in able):
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -51,7 +51,6 @@
 # A member may have granted alone before its successor joined.
 MAX_SUCCESSORS = 1
 _TWO_DOMAINS = 2
-_UNKNOWN_DOMAIN = ""
 # Sizes from this one on make no difference.
 _LARGE = MAX_SHARERS + MAX_SUCCESSORS + 1
 # Without the store it is unknown whether the member has registered again.
@@ -272,7 +271,7 @@
         lost = [self.contacts.get(name) for name in self.unlisted()]
         return {
             *(member.domain for member in self.known.values()),
-            *(contact.domain for contact in lost if contact),
+            *(c.domain for c in lost if c is not None and c.domain),
         }
 
     def min_size(self) -> int:
@@ -338,7 +337,7 @@
         now = loop_seconds()
         for name in lost_seconds.keys() - self.contacts.keys():
             heard_at = now - lost_seconds[name]
-            self.contacts[name] = Contact(_UNKNOWN_DOMAIN, heard_at)
+            self.contacts[name] = Contact(None, heard_at)
 
     def unable(self) -> list[str]:
         """Returns members that can't have granted alone, such as new ones."""
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -48,15 +48,17 @@
     Then it <outcome> programs alone
 
     Examples:
-      | heard                               | outcome        |
-      | 1 in east, 1.5 in west              | begins         |
-      | 1 in east, 30 in west               | does not begin |
-      | 1 in east, never                    | does not begin |
-      | never, never                        | begins         |
-      | 1 in east, 1 with lost disk in west | does not begin |
-      | 1 in east, 1 with lost disk in east | begins         |
-      | 1 in east, 30 in east               | begins         |
-      | 1 in east, 1 as a new machine with lost disk in west | begins |
+      | heard                                                | outcome        |
+      | 1 in east, 1.5 in west                               | begins         |
+      | 1 in east, 30 in west                                | does not begin |
+      | 1 in east, never                                     | does not begin |
+      | never, never                                         | begins         |
+      | 1 in east, 1 with lost disk in west                  | does not begin |
+      | 1 in east, 1 with lost disk in east                  | begins         |
+      | 1 in east, 30 in east                                | begins         |
+      | 1 in east, 30 as reported                            | does not begin |
+      | 30 as reported                                       | begins         |
+      | 1 in east, 1 as a new machine with lost disk in west | begins         |
 
   Scenario: A new machine starts while the store is away
     Guards against a part of each new budget that is set aside for two minutes:
--- a/tests/features/site_store.feature
+++ b/tests/features/site_store.feature
@@ -4,6 +4,12 @@
   Background:
     Given a system on the users' platform
 
+  Scenario: Another run uses the same addresses
+    Guards against two test runs that use each other's processes and fail with
+    all kinds of messages.
+
+    Then a second system on the same addresses reports that they are taken
+
   Scenario: Open watches stop delivering
     Their connections stay open, but deliver nothing any more, while new
     requests are answered. A front end that relies on them would use an outdated
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -135,7 +135,8 @@
     if text == "never":
         return None
     words = text.split()
-    contact = Contact(words[-1], _NOW - float(words[0]))
+    domain = None if words[-1] == "reported" else words[-1]
+    contact = Contact(domain, _NOW - float(words[0]))
     contact.may_have_lost_share = "with lost disk" in text
     contact.was_unable = "as a new machine" in text
     return contact
--- a/tests/features/steps/site.py
+++ b/tests/features/steps/site.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 
 from support import wait_until
-from support.site import Site
+from support.site import AddressesTakenError, Site
 
 _DOMAINS = ("east", "west", "north")
 # Second byte of the loopback addresses of the first feature's system.
@@ -60,6 +60,15 @@
     return context.request, context.answer
 
 
+@then("a second system on the same addresses reports that they are taken")
+def step_taken(context):
+    try:
+        with Site(context.feature.site.number):
+            raise AssertionError("two systems use the same addresses")
+    except AddressesTakenError:
+        pass
+
+
 def site_number(feature):
     """Returns a unique number for each feature.
 
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -27,6 +28,30 @@
     return f"{role}-{domain}" + (f"-{number}" if number > 1 else "")
 
 
+class AddressesTakenError(Exception):
+    """Another run uses the addresses of this one."""
+
+
+def claim_addresses(number: int) -> socket.socket:
+    """Claims the addresses 127.NUMBER.*.* until the socket is closed.
+
+    Two runs on the same addresses would use each other's processes, and fail
+    with all kinds of messages.
+
+    Raises:
+        AddressesTakenError: Another run has claimed them.
+    """
+    claim = socket.socket()
+    try:
+        claim.bind((f"127.{number}.255.254", PORT))
+    except OSError as error:
+        claim.close()
+        raise AddressesTakenError(
+            f"another run uses the addresses 127.{number}.*.*"
+        ) from error
+    return claim
+
+
 class SiteProcess(Process):
     """A process of the system, started as the platform starts it."""
 
@@ -78,6 +103,7 @@
         self.revocation_ms: int | None = None
 
     def __enter__(self) -> Self:
+        self.claim = claim_addresses(self.number)
         try:
             self._start_all()
         except BaseException:
@@ -120,6 +146,7 @@
     def __exit__(self, *exc_info: object) -> None:
         for process in self.processes.values():
             process.kill()
+        self.claim.close()
         self.folder.cleanup()
 
     def start(
