Keep over a restart when other storage instances were lost

Three disks had been lost 11 and 5 s apart, one more in the stop.

Cause, from the logs: 2,300 refusals "part of the budget is set aside" after the stop. All instances had forgotten when each of the others was lost, and unknown times count in full: three parts, the whole budget.

When one that was not silent was last heard is unknown after a restart, as before.

Test: alone.feature, "Disks are lost one after the other, and then all instances restart", fails before: no turn of four.

--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -16,10 +16,13 @@
 
 import msgspec
 
-# Members are asked for news each half second, and a late reply takes a second.
-_AT_ONCE_SECONDS = 2.0
+# Members are asked for news each half second; a reply takes 0.1 s at most.
+_CONTACT_SECONDS = 0.6
+_AT_ONCE_SECONDS = 2 * _CONTACT_SECONDS
 # Two instances and the opener each measure with that uncertainty.
-_SAME_LOSS_SECONDS = 8.0
+_SAME_LOSS_SECONDS = 2 * _AT_ONCE_SECONDS + 3 * _CONTACT_SECONDS
+# A member that was silent for longer is not only late.
+_SILENT_SECONDS = 3.0
 
 
 class Contact(msgspec.Struct):
@@ -28,7 +31,8 @@
     Attributes:
         domain: Failure domain of the other one; None if only a third instance
             heard it.
-        heard_at: Loop time of the newest request that had a reply.
+        heard_at: Loop time of the newest request that had a reply; None if
+            that was before this process started, at an unknown time.
         alone_at: Loop time from which it may grant alone.
         may_have_lost_share: Whether the other one may have granted alone on a
             disk that was lost since.
@@ -38,7 +42,7 @@
     """
 
     domain: str | None
-    heard_at: float
+    heard_at: float | None
     alone_at: float = float("-inf")
     may_have_lost_share: bool = False
     lost_run_heard_at: float | None = None
@@ -69,6 +73,32 @@
             return self.lost_run_heard_at
         return self.heard_at
 
+    def is_silent(self, now: float) -> bool:
+        """Whether it has not replied for a while."""
+        return self.heard_at is not None and (
+            now - self.heard_at > _SILENT_SECONDS
+        )
+
+    def shifted(self, seconds: float, is_silent: bool) -> "Contact":
+        """Returns this contact on another clock, to be kept over a restart.
+
+        Args:
+            seconds: What the other clock is ahead.
+            is_silent: Whether it was silent. When one that was not silent was
+                last heard is unknown after a restart.
+        """
+        heard_at = self.heard_at if is_silent else None
+        return Contact(
+            self.domain,
+            None if heard_at is None else heard_at + seconds,
+            self.alone_at + seconds,
+            self.may_have_lost_share,
+            None
+            if self.lost_run_heard_at is None
+            else self.lost_run_heard_at + seconds,
+            self.was_unable,
+        )
+
 
 def may_begin(
     contacts: list[Contact | None], able_since: float, now: float
@@ -86,9 +116,9 @@
             others must have heard of that.
         now: Loop time.
     """
-    known = [contact for contact in contacts if contact is not None]
-    if not known:
+    if not any(contacts):
         return True
+    known = [contact for contact in contacts if contact and contact.heard_at]
     if len(known) < len(contacts):
         return False
     if min(c.heard_at for c in known) < able_since + _AT_ONCE_SECONDS:
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -179,10 +179,7 @@
             lambda request: Unsure("rates are not limited here")
         )
         self.openings = StoreOpenings()
-        self.recorded_roster: tuple[set[str], dict[str, tuple[str, ...]]] = (
-            set(),
-            {},
-        )
+        self.recorded_roster: tuple = ()
         self.sweep_task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -671,6 +668,7 @@
                 self.ledger.restore(record)
             records += 1
         self.members.restore_seen(roster.seen, roster.informed_by)
+        self.members.restore_contacts(roster.contacts)
         for entry in [*self.table.held, *self.ledger.accounts]:
             self.intake.add(entry)
         for program in {**self.ledger.homes, **self.ledger.accounts}:
@@ -698,11 +696,16 @@
                 if name not in gone
             },
             dict(members.informed_by),
+            members.saved_contacts(),
         )
 
     def _record_roster(self) -> None:
         """Writes the roster to the journal, to be read after a restart."""
-        roster = (self.members.roster(), dict(self.members.informed_by))
+        roster = (
+            self.members.roster(),
+            dict(self.members.informed_by),
+            self.members.contact_states(),
+        )
         if roster != self.recorded_roster:
             self.recorded_roster = roster
             self.journal.append_nowait(encode(self._roster()))
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -11,6 +11,7 @@
 
 from rattanmill_core import wall_seconds
 from rattanmill_keeper.accounts import merge_accounts, use_digest
+from rattanmill_keeper.isolation import Contact
 from rattanmill_keeper.messages import (
     Account,
     AccountRef,
@@ -68,10 +69,12 @@
     Attributes:
         seen: Unix time in seconds at which each was last there, by name.
         informed_by: As in ``Members``.
+        contacts: As in ``Members``, with Unix times in seconds.
     """
 
     seen: dict[str, float]
     informed_by: dict[str, tuple[str, ...]] = {}
+    contacts: dict[str, Contact] = {}
 
 
 class OpenRequired(msgspec.Struct, frozen=True):
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -315,6 +315,33 @@
         else:
             contact.update(heard_at, alone_at, may_have_lost_share)
 
+    def saved_contacts(self) -> dict[str, Contact]:
+        """Returns the contacts to be kept over a restart, with Unix times."""
+        now = loop_seconds()
+        ahead = wall_seconds() - now
+        return {
+            name: contact.shifted(ahead, contact.is_silent(now))
+            for name, contact in self.contacts.items()
+        }
+
+    def restore_contacts(self, contacts: dict[str, Contact]) -> None:
+        """Restores contacts that were kept over a restart."""
+        behind = loop_seconds() - wall_seconds()
+        for name, contact in contacts.items():
+            self.contacts[name] = contact.shifted(behind, True)
+
+    def contact_states(self) -> dict[str, tuple[bool, bool, bool]]:
+        """Returns what makes saved contacts out of date when it changes."""
+        now = loop_seconds()
+        return {
+            name: (
+                contact.is_silent(now),
+                contact.may_have_lost_share,
+                contact.is_unable(now),
+            )
+            for name, contact in self.contacts.items()
+        }
+
     def lost_seconds(self) -> dict[str, float]:
         """Returns since when members may be lost that granted alone, by name.
 
@@ -336,8 +363,7 @@
         """
         now = loop_seconds()
         for name in lost_seconds.keys() - self.contacts.keys():
-            heard_at = now - lost_seconds[name]
-            self.contacts[name] = Contact(None, heard_at)
+            self.contacts[name] = Contact(None, now - lost_seconds[name])
 
     def unable(self) -> list[str]:
         """Returns members that can't have granted alone, such as new ones."""
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -97,3 +97,10 @@
 
     When one machine is lost, its successor opens an account, and the instance that heard it last restarts
     Then the successor still knows how long ago the machine was lost
+
+  Scenario: Disks are lost one after the other, and then all instances restart
+    Guards against a part for each of the three, which leaves no turn: without
+    what they knew before the restart, nobody can tell when each was lost.
+
+    When three disks are lost 12 seconds apart and all instances restart
+    Then a new program gets at least 3 of its 4 turns
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -205,3 +205,23 @@
 def step_knows(context):
     contacts = context.network.members["d"].contacts
     assert "b" in contacts, contacts
+
+
+@when("three disks are lost 12 seconds apart and all instances restart")
+def step_disks(context):
+    names = ("a", "b", "c")
+    context.used = _run(
+        [
+            *[("wait", 4), ("wipe", "a"), ("wait", 12), ("wipe", "b")],
+            *[("wait", 12), ("wipe", "c"), ("wait", 4)],
+            *[("kill", name) for name in names],
+            *[("start", name) for name in names],
+            *[("wait", 4), *[("reserve", "a")] * 4],
+        ]
+    )
+
+
+@then("a new program gets at least {least:d} of its {turns:d} turns")
+def step_turns(context, least, turns):
+    assert turns == BUDGET // TOKENS
+    assert context.used.get("p", 0) >= least * TOKENS, context.used
