--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -118,7 +118,11 @@
     """
     if not any(contacts):
         return True
-    known = [contact for contact in contacts if contact and contact.heard_at]
+    known = [
+        contact
+        for contact in contacts
+        if contact is not None and contact.heard_at is not None
+    ]
     if len(known) < len(contacts):
         return False
     if min(c.heard_at for c in known) < able_since + _AT_ONCE_SECONDS:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -358,8 +358,7 @@
     def learn_lost(self, lost_seconds: dict[str, float]) -> None:
         """Takes over when another instance heard members unknown here.
 
-        It may restart, and then nobody would know any more whether two members
-        were lost at once.
+        That instance may restart and lose what it alone knew.
         """
         now = loop_seconds()
         for name in lost_seconds.keys() - self.contacts.keys():
