Log each attempt of a stream that is not the only one and whole

The logs could not tell apart three causes of an answer that looks complete and is not: a later attempt that fails, one that does not continue the first, and an end within an event. attempt_ended tells status, first and newest event, the rest and how the body ended; nothing is written for a stream of one whole attempt. No logic changed.

--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -126,6 +126,8 @@
         not_run: Whether it states that the request did not run.
         is_misdirected: Whether another endpoint has the address now.
         is_encoded: Whether the body was encoded on the way.
+        is_delimited: Whether the body has a length or comes in chunks; else the
+            end of the connection ends it.
         load: Load that it reports, or None.
         idle_timeout_seconds: How long the endpoint keeps an idle connection, or
             None.
@@ -140,6 +142,7 @@
     not_run: bool = False
     is_misdirected: bool = False
     is_encoded: bool = False
+    is_delimited: bool = True
     load: Load | None = None
     idle_timeout_seconds: float | None = None
     closes_connection: bool = False
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -61,6 +61,7 @@
         last_event_id: Id of the last event that the caller has, or empty.
         body_stream: The part of a long body that is still to arrive, or None.
         fingerprint: Hash of what stays the same when the request is sent again.
+        attempts: Number of responses to it that have begun, if it is a stream.
     """
 
     call: Call
@@ -74,6 +75,7 @@
     last_event_id: str = ""
     body_stream: BodyStream | None = None
     fingerprint: bytes = b""
+    attempts: int = 0
 
     def __post_init__(self) -> None:
         self.fingerprint = fingerprint_of(self.call, self.body)
@@ -137,6 +139,8 @@
         first_event_at: Loop time of the first event of a stream.
         last_event_at: Loop time of the newest event.
         event_count: Number of events of this attempt.
+        first_event_id: Id of the first of these that has one, or empty.
+        rest_bytes: Size of what came after the last complete event.
     """
 
     endpoint: Endpoint
@@ -146,6 +150,8 @@
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     event_count: int = 0
+    first_event_id: str = ""
+    rest_bytes: int = 0
 
 
 class Dispatcher:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -283,16 +283,21 @@
                     return self._abort_response(
                         request, job, response, running.detail
                     )
+                job.attempts += 1
                 head = running.response.head
                 if response is None:
                     response = await self._start_response(request, head)
                 try:
                     async with asyncio.timeout_at(job.deadline):
                         await self._forward_events(response, job, running, turn)
+                    self._log_attempt(job, running, "")
                     return await self._finish_stream(
                         request, job, running, response, turn
                     )
                 except (BrokenError, TimeoutError) as error:
+                    self._log_attempt(
+                        job, running, str(error) or "deadline exceeded"
+                    )
                     refusal = self.dispatcher.handle_interruption(
                         job, running, error
                     )
@@ -312,9 +317,13 @@
         async for chunk in running.response.chunks():
             for event in reader.feed(chunk):
                 self.dispatcher.record_event(job, running)
+                running.first_event_id = (
+                    running.first_event_id or event.event_id
+                )
                 await self._forward_event(response, job, turn, event)
                 if turn.events_sent == 1:
                     self._record_first_event(job)
+        running.rest_bytes = len(reader.buffer)
         if reader.buffer:
             await response.write(reader.buffer)
 
@@ -426,6 +435,26 @@
             loop_seconds() - job.call.arrived_at,
         )
 
+    def _log_attempt(self, job: Job, running: RunningCall, why: str) -> None:
+        """Logs an attempt of a stream, unless it is the only one and whole."""
+        if job.attempts == 1 and not why and not running.rest_bytes:
+            return
+        head = running.response.head
+        log_event(
+            "attempt_ended",
+            request=job.call.request_id,
+            program=job.call.program,
+            endpoint=running.endpoint.name,
+            attempt=job.attempts,
+            status=head.status,
+            delimited=head.is_delimited,
+            first_event=running.first_event_id,
+            last_event=job.last_event_id,
+            events=running.event_count,
+            rest_bytes=running.rest_bytes,
+            why=why[:200],
+        )
+
     def _log_answered(self, job: Job, running: RunningCall, size: int) -> None:
         seconds = loop_seconds() - job.call.arrived_at
         self.metrics.observe("rattanmill_answer_seconds", seconds)
