--- /dev/null
+++ b/tests/features/site_streams.feature
@@ -0,0 +1,92 @@
+Feature: Streams of several attempts on the users' platform
+  A stream that breaks may be resumed at another endpoint within one response.
+  The caller must not take for complete what isn't, nor get an event twice.
+
+  Background:
+    Given a system on the users' platform
+
+  Scenario Outline: A resumed stream does not go on where the caller is
+    If the later attempt were joined to the first one unchecked, the caller
+    would take an answer that was broken off for a complete one, or get events
+    twice.
+
+    Given every engine has the fault "cut"
+    And every engine has the fault "<fault>"
+    When a plan is sent to "east"
+    Then the caller got events 1 to 4, each once, or an incomplete response
+
+    Examples:
+      | fault              |
+      | resumed_error      |
+      | resumed_restart    |
+      | resumed_skip       |
+      | resumed_repeat     |
+      | resumed_unnumbered |
+      | resumed_other      |
+      | resumed_cut        |
+
+  Scenario: A stream whose events have no ids breaks off
+    No endpoint can go on from it. If it were sent again, the caller would get
+    the first events twice.
+
+    Given every engine has the fault "unnumbered"
+    When a plan is sent to "east"
+    Then the connection ends without a complete response
+
+  Scenario Outline: A stream ends in the middle of an event
+    The connection is closed in an orderly way, so that only the events tell
+    that the answer isn't whole.
+
+    Given every engine has the fault "<fault>"
+    When a turn "y" of program "p20" is sent to "east"
+    Then the connection ends without a complete response
+
+    Examples:
+      | fault        |
+      | unframed_cut |
+      | ended_within |
+
+  Scenario Outline: A resumable stream ends in the middle of an event
+    Given every engine has the fault "<fault>"
+    When a plan is sent to "east"
+    Then it is answered with 200
+    And its events are 1 to 4, each once
+
+    Examples:
+      | fault        |
+      | unframed_cut |
+      | ended_within |
+      | cut_between  |
+
+  Scenario: A stream without a length
+    Given every engine has the fault "unframed"
+    When a turn "z" of program "p21" is sent to "east"
+    Then it is answered with 200
+    And its events are 1 to 4, each once
+
+  Scenario: Endpoints fail whenever a stream is resumed
+    The later attempts must end soon: the caller can resume by itself.
+
+    Given every engine has the fault "cut"
+    And every engine has the fault "resumed_error" 20 times
+    When a plan is sent to "east"
+    Then the connection ends without a complete response
+    And it was sent to endpoints at most 6 times
+
+  Scenario: Endpoints break off before the first event whenever a stream is resumed
+    Without a bound on attempts that bring nothing, the endpoints would get the
+    request again and again until its deadline.
+
+    Given every engine has the fault "cut"
+    And every engine has the fault "resumed_cut" 20 times
+    When a plan is sent to "east"
+    Then the connection ends without a complete response
+    And it was sent to endpoints at most 6 times
+
+  Scenario: The first attempt of a stream fails
+    Its body is the caller's answer, whatever looks like events in it.
+
+    Given every engine has the fault "error"
+    When a turn "w" of program "p22" is sent to "east"
+    Then it is answered with 500
+    And the response is the endpoint's
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -20,6 +20,16 @@
 from standins.common import argument
 
 _EVENTS = 4
+# Faults that end a stream before its third event.
+_STREAM_ENDS = (
+    "cut",
+    "cut_between",
+    "unnumbered",
+    "unframed_cut",
+    "ended_within",
+)
+# Faults that begin a resumed stream so many events too late or too early.
+_RESUMED_STEPS = {"resumed_skip": 1, "resumed_repeat": -1}
 # A body that holds this ends the process of each runner that runs it.
 _POISON = b"poisoned"
 
@@ -34,7 +44,16 @@
             ``unsigned``, ``encoded``, ``foreign`` (an answer to another
             request goes first, ``foreign_apart``: in a packet of its own),
             ``slow`` (2 s), ``die`` (the process ends),
-            ``early`` (a whole answer before the body is in).
+            ``early`` (a whole answer before the body is in), ``error`` (500).
+            Of streams: ``cut_between`` (between two events), ``unnumbered``
+            (events without ids, cut as well), ``unframed`` (no length),
+            ``unframed_cut`` (no length, closed in the middle of an event),
+            ``ended_within`` (in chunks that end in the middle of an event).
+            Those of resumed streams stay until one comes: ``resumed_error``
+            (500), ``resumed_restart`` (from the first event), ``resumed_skip``
+            (one event is left out), ``resumed_repeat`` (one comes again),
+            ``resumed_unnumbered``, ``resumed_other`` (another content type),
+            ``resumed_cut`` (before its first event).
         requests: Each request that ran or was refused.
 
     Args:
@@ -76,7 +95,7 @@
         body = await _read_body(reader, headers)
         if target == "/control":
             return await self._control(writer, body)
-        fault = self.faults.popleft() if self.faults else ""
+        fault = self._take_fault("last-event-id" in headers)
         seen = {
             "method": method,
             "target": target,
@@ -91,6 +110,18 @@
             return True
         return await self._answer(writer, seen, fault)
 
+    def _take_fault(self, is_resumed: bool) -> str:
+        """Removes and returns the next fault that fits a request."""
+        fitting = (
+            fault
+            for fault in self.faults
+            if is_resumed or not fault.startswith("resumed_")
+        )
+        fault = next(fitting, "")
+        if fault:
+            self.faults.remove(fault)
+        return fault
+
     def _note(self, seen: dict) -> None:
         self.requests.append(seen)
         if self.file:
@@ -124,6 +155,11 @@
         if fault == "mute":
             _reset(writer)
             return False
+        if fault in ("error", "resumed_error"):
+            body = b"failed\n\n"
+            writer.write(_head(500, request, _SIGNED, len(body)) + body)
+            await writer.drain()
+            return True
         if fault == "slow":
             await asyncio.sleep(2)
         if fault.startswith("foreign"):
@@ -160,21 +196,43 @@
     ) -> bool:
         headers = seen["headers"]
         start = int(headers.get("last-event-id") or 0)
-        writer.write(_head(200, headers["x-request-id"], _STREAM, None, True))
+        start += _RESUMED_STEPS.get(fault, 0)
+        if fault == "resumed_restart":
+            start = 0
+        fields = dict(_STREAM)
+        if fault == "resumed_other":
+            fields["Content-Type"] = "application/json"
+        is_framed = not fault.startswith("unframed")
+        writer.write(
+            _head(200, headers["x-request-id"], fields, None, is_framed)
+        )
         for number in range(start + 1, _EVENTS + 1):
-            event = f"id: {number}\ndata: word{number} by {self.name}\n\n"
-            data = event.encode()
-            if fault == "cut" and number == 3:
-                # In the middle of an event.
-                writer.write(b"%x\r\n" % len(data) + data[:8])
+            data = f"data: word{number} by {self.name}\n\n".encode()
+            if not fault.endswith("unnumbered"):
+                data = b"id: %d\n" % number + data
+            if fault == "resumed_cut":
+                return False
+            if number == 3 and fault in _STREAM_ENDS:
+                # All of them but one end in the middle of an event.
+                rest = b"" if fault == "cut_between" else data[:8]
+                whole_size = len(data)
+                if fault == "ended_within":
+                    writer.write(b"%x\r\n" % len(rest) + rest + b"\r\n")
+                    break
+                if is_framed:
+                    rest = b"%x\r\n" % whole_size + rest
+                writer.write(rest)
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n" % len(data) + data + b"\r\n")
+            if is_framed:
+                data = b"%x\r\n" % len(data) + data + b"\r\n"
+            writer.write(data)
             await writer.drain()
             await asyncio.sleep(0.01)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return is_framed
 
 
 _SIGNED = {"X-Response-Signature": "sealed", "X-Server-Load": "1,0,4"}
