Join a later attempt to a stream only if it goes on where the caller is

Cause: only the first attempt's status was looked at. Whatever a later attempt answered, a 500 as well, was read as the rest of the stream, and its end ended the response as complete. An endpoint that begins again, leaves an event out, repeats one, or sends events without ids was joined too.

Change: StreamJoiner holds the attempts of a stream. A later response is joined if it has the status and the media type of the first one and begins with the next event, by its id. Without such an id (after an event without one, or with one that is no number) nothing can be resumed, and the response is broken off. What continues nothing counts as an attempt that ran; the endpoint is neither suspected nor has it crashed.

--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -128,6 +128,8 @@
         is_encoded: Whether the body was encoded on the way.
         is_delimited: Whether the body has a length or comes in chunks; else the
             end of the connection ends it.
+        content_type: Media type of the body without parameters, in lower case,
+            or empty.
         load: Load that it reports, or None.
         idle_timeout_seconds: How long the endpoint keeps an idle connection, or
             None.
@@ -143,6 +145,7 @@
     is_misdirected: bool = False
     is_encoded: bool = False
     is_delimited: bool = True
+    content_type: str = ""
     load: Load | None = None
     idle_timeout_seconds: float | None = None
     closes_connection: bool = False
@@ -152,6 +155,11 @@
         """Whether the status code is 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body consists of events."""
+        return self.content_type == "text/event-stream"
+
 
 class RefusalResponse(msgspec.Struct, frozen=True):
     """A refusal encoded as an HTTP response."""
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -27,6 +27,7 @@
     EndpointResponse,
     OutcomeUnknown,
 )
+from rattanmill_forward.joining import NotContinuedError, StreamJoiner
 from rattanmill_forward.placing import choose, expected_seconds
 from rattanmill_forward.routes import Route, RouteKind, Service
 from rattanmill_forward.stats import InFlightCall, PerformanceModel, Pick
@@ -58,10 +59,9 @@
         excluded: Names of the endpoints that can't run it now.
         terminated: Names of the endpoints at which it may have run and that
             have terminated since.
-        last_event_id: Id of the last event that the caller has, or empty.
+        stream: The attempts of a stream.
         body_stream: The part of a long body that is still to arrive, or None.
         fingerprint: Hash of what stays the same when the request is sent again.
-        attempts: Number of responses to it that have begun, if it is a stream.
     """
 
     call: Call
@@ -72,12 +72,12 @@
     possible_runs: list[str] = msgspec.field(default_factory=list)
     excluded: set[str] = msgspec.field(default_factory=set)
     terminated: set[str] = msgspec.field(default_factory=set)
-    last_event_id: str = ""
+    stream: StreamJoiner | None = None
     body_stream: BodyStream | None = None
     fingerprint: bytes = b""
-    attempts: int = 0
 
     def __post_init__(self) -> None:
+        self.stream = StreamJoiner(self.call.last_event_id)
         self.fingerprint = fingerprint_of(self.call, self.body)
 
     @property
@@ -140,7 +140,6 @@
         last_event_at: Loop time of the newest event.
         event_count: Number of events of this attempt.
         first_event_id: Id of the first of these that has one, or empty.
-        rest_bytes: Size of what came after the last complete event.
     """
 
     endpoint: Endpoint
@@ -151,7 +150,6 @@
     last_event_at: float = 0.0
     event_count: int = 0
     first_event_id: str = ""
-    rest_bytes: int = 0
 
 
 class Dispatcher:
@@ -288,7 +286,7 @@
                         job.call,
                         endpoint,
                         job.seconds_left(),
-                        job.last_event_id,
+                        job.stream.position.last_id,
                         job.body_bytes,
                     ),
                     job.body,
@@ -369,6 +367,7 @@
         # it.
         can_retry = (
             job.can_resend
+            and job.stream.position.is_resumable
             and job.route.is_retryable
             and (job.has_attempts_left or job.route.resumable)
         )
@@ -390,11 +389,24 @@
         if isinstance(error, TimeoutError):
             job.possible_runs.append(endpoint.name)
             return self._refuse(job, Reason.DEADLINE, "deadline exceeded")
+        if isinstance(error, NotContinuedError):
+            return self._handle_not_continued(job, endpoint, str(error))
         if not running.response.head.is_success:
             job.possible_runs.append(endpoint.name)
             return self._refuse(job, Reason.ANSWER_CUT, str(error))
         return self._handle_broken(job, endpoint, str(error))
 
+    def _handle_not_continued(
+        self, job: Job, endpoint: Endpoint, why: str
+    ) -> Refusal | None:
+        """Decides how to go on after an attempt that continues no stream.
+
+        The endpoint did respond, so it is neither suspected nor has crashed.
+        """
+        job.possible_runs.append(endpoint.name)
+        self._log_retry(job, endpoint, "not_continued", why)
+        return None
+
     def record_completion(self, job: Job, running: RunningCall) -> None:
         """Records the end of a call."""
         self.guard.clear(job.fingerprint)
--- a/libs/forward/src/rattanmill_forward/events.py
+++ b/libs/forward/src/rattanmill_forward/events.py
@@ -4,21 +4,22 @@
 
 
 class Event(msgspec.Struct, frozen=True):
-    """One complete event.
+    """One complete block of a stream.
 
     Attributes:
         raw: Its bytes, with the empty line that ends it.
         event_id: Its id, or empty.
-        data: Its data, lines joined by line feeds.
+        data: Its data, lines joined by line feeds; None for a block without
+            data, such as a comment, which is no event.
     """
 
     raw: bytes
     event_id: str
-    data: bytes
+    data: bytes | None
 
 
 class EventReader:
-    """Splits a stream into complete events.
+    """Splits a stream into complete blocks.
 
     An endpoint may stop in the middle of an event; the incomplete rest stays in
     the buffer and is never yielded as an event.
@@ -27,8 +28,16 @@
     def __init__(self) -> None:
         self.buffer = b""
 
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the rest is more than empty lines and comments."""
+        return any(
+            line and not line.startswith(b":")
+            for line in self.buffer.splitlines()
+        )
+
     def feed(self, data: bytes) -> list[Event]:
-        """Returns the events that are complete now."""
+        """Returns the blocks that are complete now."""
         self.buffer += data
         events = []
         while (end := _find_event_end(self.buffer)) > 0:
@@ -56,4 +65,4 @@
             data.append(value)
         elif name == b"id":
             event_id = value.decode(errors="replace")
-    return Event(raw, event_id, b"\n".join(data))
+    return Event(raw, event_id, b"\n".join(data) if data else None)
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -17,7 +17,7 @@
 from rattanmill_forward.bodies import BodyStream, read_body
 from rattanmill_forward.calls import Call, Headers, HttpCodec, ResponseHead
 from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
-from rattanmill_forward.events import Event, EventReader
+from rattanmill_forward.events import Event
 from rattanmill_forward.exchange import BrokenError
 from rattanmill_forward.ratelimit import RateGuard
 from rattanmill_forward.routes import (
@@ -215,7 +215,6 @@
             service,
             turn.body,
             call.arrived_at + _max_duration_seconds(call, route),
-            last_event_id=call.last_event_id,
             body_stream=body_stream,
         )
         try:
@@ -283,10 +282,10 @@
                     return self._abort_response(
                         request, job, response, running.detail
                     )
-                job.attempts += 1
-                head = running.response.head
                 if response is None:
-                    response = await self._start_response(request, head)
+                    response = await self._start_response(
+                        request, running.response.head
+                    )
                 try:
                     async with asyncio.timeout_at(job.deadline):
                         await self._forward_events(response, job, running, turn)
@@ -313,31 +312,27 @@
         running: RunningCall,
         turn: Turn,
     ) -> None:
-        reader = EventReader()
-        async for chunk in running.response.chunks():
-            for event in reader.feed(chunk):
-                self.dispatcher.record_event(job, running)
-                running.first_event_id = (
-                    running.first_event_id or event.event_id
-                )
-                await self._forward_event(response, job, turn, event)
-                if turn.events_sent == 1:
-                    self._record_first_event(job)
-        running.rest_bytes = len(reader.buffer)
-        if reader.buffer:
-            await response.write(reader.buffer)
-
-    async def _forward_event(
-        self, response: web.StreamResponse, job: Job, turn: Turn, event: Event
+        job.stream.begin(running.response.head)
+        async for block in job.stream.blocks(running.response):
+            if block.data is not None:
+                self._record_event(job, running, turn, block)
+            await response.write(block.raw)
+
+    def _record_event(
+        self, job: Job, running: RunningCall, turn: Turn, event: Event
     ) -> None:
-        # Counted before the write, because data may reach the caller even if
-        # the write does not return.
+        """Records an event.
+
+        Done before the write, because data may reach the caller even if the
+        write does not return.
+        """
+        self.dispatcher.record_event(job, running)
+        running.first_event_id = running.first_event_id or event.event_id
         turn.events_sent += 1
         if job.route.stores_turns:
             turn.event_data.append(event.data)
-        if event.event_id:
-            job.last_event_id = event.event_id
-        await response.write(event.raw)
+        if turn.events_sent == 1:
+            self._record_first_event(job)
 
     async def _finish_stream(
         self,
@@ -436,8 +431,8 @@
         )
 
     def _log_attempt(self, job: Job, running: RunningCall, why: str) -> None:
-        """Logs an attempt of a stream, unless it is the only one and whole."""
-        if job.attempts == 1 and not why and not running.rest_bytes:
+        """Logs an attempt of a stream, unless it is the first and whole."""
+        if job.stream.attempts == 1 and not why:
             return
         head = running.response.head
         log_event(
@@ -445,13 +440,12 @@
             request=job.call.request_id,
             program=job.call.program,
             endpoint=running.endpoint.name,
-            attempt=job.attempts,
+            attempt=job.stream.attempts,
             status=head.status,
             delimited=head.is_delimited,
             first_event=running.first_event_id,
-            last_event=job.last_event_id,
+            last_event=job.stream.position.last_id,
             events=running.event_count,
-            rest_bytes=running.rest_bytes,
             why=why[:200],
         )
 
