Take a stream that ends within an event for broken off

What callers saw: a stream that looked complete and ended in the middle of an event, if its endpoint broke off a body without a length and closed the connection in an orderly way, or ended its chunks there.

Cause: the rest after the last complete event was written to the caller, and the end of the body ended the response as complete, though nothing but the events tells that it isn't.

Evidence: site_streams.feature, four scenarios that were listed: complete after two of four events and a half.

Change: such an end is an interruption like any other: the stream is resumed where it may be, and else broken off. Empty lines and comments after the last event are no event.

--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -92,10 +92,11 @@
         """Yields the blocks of an attempt that its caller is to get.
 
         Raises:
-            BrokenError: The body was cut off.
+            BrokenError: The body was cut off or ended within an event.
             NotContinuedError: Its first event is not the next one.
         """
         reader = EventReader()
+        head = response.head
         is_checked = self.attempts == 1
         async for chunk in response.chunks():
             for block in reader.feed(chunk):
@@ -106,6 +107,8 @@
                 if block.data is not None:
                     self.idle_attempts = 0
                 yield block
+        if head.is_event_stream and reader.is_within_event:
+            raise BrokenError("the stream ended within an event")
         if reader.buffer:
             yield Event(reader.buffer, "", None)
 
