Bound the attempts of a stream that bring its caller nothing

What callers saw: nothing; endpoints got one request again and again, without a pause, until its deadline.

Cause: each call of open_response had its own bound of tries, and a stream called it anew after each interruption.

Evidence: site_streams.feature, two scenarios that were listed: with engines that break off before the first event of a resumed stream, 20 times each, the caller got the whole answer, so only after more than 20 attempts at one engine.

Change: after four responses in a row without an event for the caller the response is broken off, and the caller can resume it elsewhere. Attempts without a response are not counted yet. An event begins the count anew.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -41,6 +41,8 @@
 # domains.
 _UNREACHABLE_RETRY_SECONDS = 1.0
 _MAX_TRIES = 6
+# Attempts of a stream in a row that bring its caller no event.
+_MAX_IDLE_ATTEMPTS = 4
 _DEFAULT_EVENT_COUNT = 12.0
 # Shorter streams say little about the interval between events.
 _MIN_TIMED_EVENTS = 3
@@ -368,6 +370,7 @@
         can_retry = (
             job.can_resend
             and job.stream.position.is_resumable
+            and job.stream.idle_attempts < _MAX_IDLE_ATTEMPTS
             and job.route.is_retryable
             and (job.has_attempts_left or job.route.resumable)
         )
@@ -404,6 +407,10 @@
         The endpoint did respond, so it is neither suspected nor has crashed.
         """
         job.possible_runs.append(endpoint.name)
+        if job.stream.idle_attempts >= _MAX_IDLE_ATTEMPTS:
+            return self._refuse(
+                job, Reason.ENDPOINT_FAILED, f"{endpoint.name}: {why}"
+            )
         self._log_retry(job, endpoint, "not_continued", why)
         return None
 
