Forward the failure of an endpoint as it is, not as events

What callers saw: a program whose turn had failed was refused with budget left (402).

Cause: the body of a failure of a stream's first attempt was read as events. An empty line in it made an event, and each counted as tokens that the program had used.

Evidence: "The failure of an endpoint uses no budget" in site_streams.feature, 402 in place of 200 before.

Change: a first attempt without success is forwarded as a plain response: in one piece with its length, and if it breaks off, the caller gets a 502 in place of a cut.

--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -282,6 +282,8 @@
                     return self._abort_response(
                         request, job, response, running.detail
                     )
+                if response is None and not running.response.head.is_success:
+                    return await self._forward_failure(request, job, running)
                 if response is None:
                     response = await self._start_response(
                         request, running.response.head
@@ -305,6 +307,16 @@
                     request, job, response, refusal.detail
                 )
 
+    async def _forward_failure(
+        self, request: web.BaseRequest, job: Job, running: RunningCall
+    ) -> web.StreamResponse:
+        """Forwards the response of an endpoint that began no stream."""
+        try:
+            return await self._forward_response(request, job, running)
+        except (BrokenError, TimeoutError) as error:
+            refusal = self.dispatcher.handle_interruption(job, running, error)
+        return self._refuse(request, job.call, refusal)
+
     async def _forward_events(
         self,
         response: web.StreamResponse,
@@ -343,7 +355,7 @@
         turn: Turn,
     ) -> web.StreamResponse:
         """Ends a response after storing its turn for the next one."""
-        if job.route.stores_turns and running.response.head.is_success:
+        if job.route.stores_turns:
             kept_by = await self.turns.store(job.call, job.route, turn)
             if not kept_by.domains:
                 return self._abort_response(
--- a/tests/features/site_streams.feature
+++ b/tests/features/site_streams.feature
@@ -90,3 +90,13 @@
     When a turn "w" of program "p22" is sent to "east"
     Then it is answered with 500
     And the response is the endpoint's
+
+  Scenario: The failure of an endpoint uses no budget
+    Its body was taken for events, and each counted as tokens that the program
+    had used.
+
+    Given every engine has the fault "error"
+    When a turn of program "p23" with a budget of 80 tokens is sent to "east"
+    Then it is answered with 500
+    When the faults of the engines are over
+    Then 2 turns of program "p23" with a budget of 80 tokens are answered with 200
--- a/tests/features/steps/site_streams.py
+++ b/tests/features/steps/site_streams.py
@@ -1,7 +1,7 @@
 """Steps about streams that consist of several attempts."""
 
-from behave import given, then
-from steps.site import site
+from behave import given, then, when
+from steps.site import send_turn, site
 
 _ENGINES = ("llm-0", "llm-1", "llm-2")
 _EVENTS = [1, 2, 3, 4]
@@ -40,3 +40,31 @@
 def step_unchanged(context):
     assert context.answer.body == b"failed\n\n", context.answer
     assert context.answer.headers["x-response-signature"], context.answer
+
+
+def send_budgeted(context, program, budget):
+    send_turn(context, "east", "v", program, X_Token_Budget=str(budget))
+
+
+@when(
+    'a turn of program "{program}" with a budget of {budget:d} tokens is sent'
+    ' to "east"'
+)
+def step_send_budgeted(context, program, budget):
+    send_budgeted(context, program, budget)
+
+
+@when("the faults of the engines are over")
+def step_clear(context):
+    for name in _ENGINES:
+        site(context).control_endpoint(name, "clear")
+
+
+@then(
+    '{count:d} turns of program "{program}" with a budget of {budget:d} tokens'
+    " are answered with 200"
+)
+def step_budget_left(context, count, program, budget):
+    for _ in range(count):
+        send_budgeted(context, program, budget)
+        assert context.answer.status == 200, context.answer
