Record the end of long responses like that of others

What callers saw: nothing directly; a request whose endpoint had been lost before and whose answer was longer than 256 KiB stayed suspected of crashing endpoints, its log line told only the buffered part of its size, and its duration was not learned.

Cause: such an answer is forwarded as it arrives, on a path of its own that logged it and recorded nothing.

Evidence: site_bodies.feature, "A long response is forwarded as it arrives": the size in the log was smaller than the 2,000,000 bytes sent.

Change: one function records the end of every answer.

--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -252,20 +252,21 @@
                 if len(body) > _MAX_BUFFERED_BYTES:
                     break
             if running.response.is_complete:
-                self.dispatcher.record_completion(job, running)
-                self._log_answered(job, running, len(body))
+                self._record_answer(job, running, len(body))
                 return self._complete_response(
                     running.response.head, bytes(body)
                 )
         response = await self._start_response(request, running.response.head)
+        size = len(body)
         try:
             async with asyncio.timeout_at(job.deadline):
                 await response.write(bytes(body))
                 async for chunk in chunks:
+                    size += len(chunk)
                     await response.write(chunk)
         except (BrokenError, TimeoutError) as error:
             return self._abort_response(request, job, response, str(error))
-        self._log_answered(job, running, len(body))
+        self._record_answer(job, running, size)
         await response.write_eof()
         return response
 
@@ -361,8 +362,7 @@
                 return self._abort_response(
                     request, job, response, "the turn could not be stored"
                 )
-        self.dispatcher.record_completion(job, running)
-        self._log_answered(job, running, turn.events_sent)
+        self._record_answer(job, running, turn.events_sent)
         await response.write_eof()
         return response
 
@@ -461,7 +461,9 @@
             why=why[:200],
         )
 
-    def _log_answered(self, job: Job, running: RunningCall, size: int) -> None:
+    def _record_answer(self, job: Job, running: RunningCall, size: int) -> None:
+        """Records a whole answer of so many bytes or events."""
+        self.dispatcher.record_completion(job, running)
         seconds = loop_seconds() - job.call.arrived_at
         self.metrics.observe("rattanmill_answer_seconds", seconds)
         log_event(
--- a/tests/features/site_bodies.feature
+++ b/tests/features/site_bodies.feature
@@ -85,3 +85,20 @@
     When a payment of 90000 bytes in chunks is sent to "east"
     Then the connection is answered with 503
     And it was sent to one endpoint
+
+  Scenario: A long response is forwarded as it arrives
+    Only its beginning is buffered. If its end were not recorded, its log line
+    would tell too little, and a request that lost its endpoint once would stay
+    suspected of crashing it.
+
+    When a look-up with a long response is sent to "east"
+    Then it is answered with 200
+    And the response has 2000000 bytes, which the log of "east" tells
+
+  Scenario: A long response is cut off
+    The caller already has its beginning, so it can't be sent again by another
+    endpoint. It must not look complete.
+
+    Given every desk endpoint has the fault "cut"
+    When a look-up with a long response is sent to "east"
+    Then the connection ends without a complete response
--- a/tests/features/steps/site_bodies.py
+++ b/tests/features/steps/site_bodies.py
@@ -192,3 +192,23 @@
 def step_sent_once(context):
     (received,) = site(context).received_requests(context.request)
     assert received["fault"] == "shed", received
+
+
+@when('a look-up with a long response is sent to "{domain}"')
+def step_long_response(context, domain):
+    context.domain = domain
+    context.request, context.answer = site(context).ask(
+        domain, "GET", "/seek/large"
+    )
+
+
+@then('the response has {size:d} bytes, which the log of "{domain}" tells')
+def step_long_logged(context, size, domain):
+    assert len(context.answer.body) == size
+    front_end = site(context).processes[f"front-{domain}"]
+    answered = [
+        line
+        for line in front_end.events("answered")
+        if line["request"] == context.request
+    ]
+    assert [line["size"] for line in answered] == [size], answered
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -20,6 +20,8 @@
 from standins.common import argument
 
 _EVENTS = 4
+# Size of the answers whose path ends with "/large".
+_LARGE_BYTES = 2_000_000
 # Faults that end a stream before its third event.
 _STREAM_ENDS = (
     "cut",
@@ -170,6 +172,8 @@
         if seen["target"].startswith("/stream/"):
             return await self._stream(writer, seen, fault)
         body = f"done by {self.name}".encode()
+        if seen["target"].endswith("/large"):
+            body = body.ljust(_LARGE_BYTES, b".")
         headers = dict(_SIGNED)
         if fault == "unsigned":
             headers = {}
@@ -182,7 +186,7 @@
             _reset(writer)
             return False
         if fault == "cut":
-            writer.write(_head(200, request, headers, 100) + body)
+            writer.write(_head(200, request, headers, len(body) + 50) + body)
             await writer.drain()
             return False
         writer.write(_head(200, request, headers, len(body)) + body)
