Record that an endpoint broke off a long response

What callers saw: a request that crashes its endpoint after the first 256 KiB of the answer was never counted as a crash, so that it could do so again without end, and the endpoint got further calls as if nothing had happened.

Cause: an answer that is forwarded as it arrives was broken off without telling the dispatcher.

Evidence: site_bodies.feature, "A long response is cut off": no endpoint was suspected.

Change: record_broken tells failure and possible crash, for long responses too.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -358,9 +358,7 @@
         """Decides how to go on with a call that may have run."""
         if job.body_stream and job.body_stream.refusal:
             return job.body_stream.refusal
-        self.performance.record_failure(endpoint, is_unreachable=False)
-        self.guard.report_broken(job.call, job.fingerprint, endpoint)
-        job.possible_runs.append(endpoint.name)
+        self.record_broken(job, endpoint)
         if endpoint.domain in self.domains.unreachable:
             job.terminated.add(endpoint.name)
         if not job.route.resumable:
@@ -381,6 +379,12 @@
             job, Reason.ENDPOINT_FAILED, f"{endpoint.name}: {why}"
         )
 
+    def record_broken(self, job: Job, endpoint: Endpoint) -> None:
+        """Records that an endpoint broke off a call, which may have run."""
+        self.performance.record_failure(endpoint, is_unreachable=False)
+        self.guard.report_broken(job.call, job.fingerprint, endpoint)
+        job.possible_runs.append(endpoint.name)
+
     def handle_interruption(
         self, job: Job, running: RunningCall, error: Exception
     ) -> Refusal | None:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -264,8 +264,13 @@
                 async for chunk in chunks:
                     size += len(chunk)
                     await response.write(chunk)
-        except (BrokenError, TimeoutError) as error:
+        except BrokenError as error:
+            self.dispatcher.record_broken(job, running.endpoint)
             return self._abort_response(request, job, response, str(error))
+        except TimeoutError:
+            return self._abort_response(
+                request, job, response, "deadline exceeded"
+            )
         self._record_answer(job, running, size)
         await response.write_eof()
         return response
--- a/tests/features/site_bodies.feature
+++ b/tests/features/site_bodies.feature
@@ -102,3 +102,4 @@
     Given every desk endpoint has the fault "cut"
     When a look-up with a long response is sent to "east"
     Then the connection ends without a complete response
+    And "east" suspects the endpoint
--- a/tests/features/steps/site_bodies.py
+++ b/tests/features/steps/site_bodies.py
@@ -212,3 +212,16 @@
         if line["request"] == context.request
     ]
     assert [line["size"] for line in answered] == [size], answered
+
+
+@then('"{domain}" suspects the endpoint')
+def step_suspects(context, domain):
+    front_end = site(context).processes[f"front-{domain}"]
+    names = {
+        received["endpoint"]
+        for received in site(context).received_requests(context.request)
+    }
+    suspected = {
+        line["endpoint"] for line in front_end.events("endpoint_suspected")
+    }
+    assert names <= suspected, (names, suspected)
