--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -457,7 +457,7 @@
             request=job.call.request_id,
             program=job.call.program,
             endpoint=running.endpoint.name,
-            attempt=job.stream.attempts,
+            number=job.stream.attempts,
             status=head.status,
             delimited=head.is_delimited,
             first_event=running.first_event_id,
