Read events whose lines end with CR, or with mixed line ends

What callers saw: with the check for an end within an event, a stream of an endpoint that ends lines with CR would be broken off; before, its events were not counted at all, and two of them could pass for one.

Cause: only LF LF and CR LF CR LF ended an event.

Evidence: joining.feature, a stream with CR only: broken off, nothing for the caller.

Change: an event ends with an empty line, whatever ends its lines.

--- a/libs/forward/src/rattanmill_forward/events.py
+++ b/libs/forward/src/rattanmill_forward/events.py
@@ -1,7 +1,13 @@
 """Parser for event streams (``text/event-stream``)."""
 
+import re
+
 import msgspec
 
+# A line ends with CR, LF or both. If the LF of a last CR is still to come, it
+# begins the next block as an empty line.
+_EMPTY_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+
 
 class Event(msgspec.Struct, frozen=True):
     """One complete block of a stream.
@@ -47,12 +53,8 @@
 
 
 def _find_event_end(data: bytes) -> int:
-    ends = [
-        at + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (at := data.find(separator)) >= 0
-    ]
-    return min(ends, default=0)
+    found = _EMPTY_LINE.search(data)
+    return found.end() if found else 0
 
 
 def _parse(raw: bytes) -> Event:
--- a/tests/features/joining.feature
+++ b/tests/features/joining.feature
@@ -29,6 +29,8 @@
       | id: 1\ndata: a\n\n\n              |
       | id: 1\ndata: a\n\n: bye\n         |
       | : wait\n\nid: 1\ndata: a\n\n      |
+      | data: a\n\r\ndata: b\r\n\n        |
+      | id: 1\rdata: a\r\rid: 2\rdata: b\r\r |
 
   Scenario Outline: A stream of one attempt ends within an event
     When a stream of one attempt consists of <text>
