--- a/tests/features/site_streams.feature
+++ b/tests/features/site_streams.feature
@@ -25,6 +25,22 @@
       | resumed_other      |
       | resumed_cut        |
 
+  Scenario Outline: A resumed stream has nothing to join
+    The first attempt broke off within an event, so that more was to come. If an
+    attempt without an event were taken for the end, or one that begins with an
+    id alone for the next part, the caller would miss events or get them twice.
+
+    Given every engine has the fault "cut"
+    And every engine has the fault "<fault>"
+    When a plan is sent to "east"
+    Then the caller got events 1 to 4, each once, or an incomplete response
+
+    Examples:
+      | fault                  |
+      | resumed_empty          |
+      | resumed_unframed_empty |
+      | resumed_id_block       |
+
   Scenario: A stream whose events have no ids breaks off
     No endpoint can go on from it. If it were sent again, the caller would get
     the first events twice.
@@ -100,3 +116,45 @@
     Then it is answered with 500
     When the faults of the engines are over
     Then 2 turns of program "p23" with a budget of 80 tokens are answered with 200
+
+  Scenario: A stream without a content type ends in the middle of an event
+    Given every engine has the fault "untyped_unframed_cut"
+    When a turn "u" of program "p24" is sent to "east"
+    Then the connection ends without a complete response
+
+  Scenario: A stream whose ids step by ten breaks off after its first event
+    After one event nobody knows by how much its ids step. If only the next
+    number were accepted, a stream that can be resumed would be broken off.
+
+    Given every engine has the fault "stepped_cut"
+    And every engine has the fault "resumed_stepped" 5 times
+    When a plan is sent to "east"
+    Then it is answered with 200
+    And the caller got events 1 to 4, each once, or an incomplete response
+
+  Scenario: Endpoints close the connection whenever a stream is resumed
+    These attempts have no response that could be counted.
+
+    Given every engine has the fault "cut"
+    And every engine has the fault "resumed_mute" 20 times
+    When a plan is sent to "east"
+    Then the connection ends without a complete response
+    And it was sent to endpoints at most 6 times
+
+  Scenario: Another endpoint can resume a stream than the one that fails
+    An endpoint that answers with an error at once looks idle and healthy. If
+    all attempts went there, the stream would be broken off though the first
+    endpoint could go on.
+
+    Given endpoint "llm-1" fails resumed streams
+    And endpoint "llm-2" fails resumed streams
+    When plans are sent to "east" until "llm-0" has broken off 4 of them
+    Then the callers of these 4 got events 1 to 4, each once
+
+  Scenario: An endpoint rejects a request and stalls
+    Its status has said all; if the rest were awaited without a bound, the
+    caller would be kept waiting beyond its deadline.
+
+    Given every engine has the fault "shed_stalled"
+    When a plan is sent to "east" and timed
+    Then its caller waited for less than 4 s
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -22,12 +22,15 @@
 _EVENTS = 4
 # Size of the answers whose path ends with "/large".
 _LARGE_BYTES = 2_000_000
+# Longer than the time-outs of all routes.
+_STALL_SECONDS = 6.0
 # Faults that end a stream before its third event.
 _STREAM_ENDS = (
     "cut",
     "cut_between",
     "unnumbered",
     "unframed_cut",
+    "untyped_unframed_cut",
     "ended_within",
 )
 # Faults that begin a resumed stream so many events too late or too early.
@@ -41,11 +44,11 @@
 
     Attributes:
         faults: What goes wrong with the next request, oldest first: ``shed``,
-            ``mute`` (reset without an answer), ``cut`` (in the middle of the
-            answer), ``unframed_reset``, ``extra`` (a second answer),
-            ``unsigned``, ``encoded``, ``foreign`` (an answer to another
-            request goes first, ``foreign_apart``: in a packet of its own),
-            ``slow`` (2 s), ``die`` (the process ends),
+            ``shed_stalled`` (its body never comes), ``mute`` (reset without an
+            answer), ``cut`` (in the middle of the answer), ``unframed_reset``,
+            ``extra`` (a second answer), ``unsigned``, ``encoded``, ``foreign``
+            (an answer to another request goes first, ``foreign_apart``: in a
+            packet of its own), ``slow`` (2 s), ``die`` (the process ends),
             ``early`` (a whole answer before the body is in), ``error`` (500).
             Of streams: ``cut_between`` (between two events), ``unnumbered``
             (events without ids, cut as well), ``unframed`` (no length),
@@ -55,7 +58,14 @@
             (500), ``resumed_restart`` (from the first event), ``resumed_skip``
             (one event is left out), ``resumed_repeat`` (one comes again),
             ``resumed_unnumbered``, ``resumed_other`` (another content type),
-            ``resumed_cut`` (before its first event).
+            ``resumed_cut`` (before its first event), ``resumed_mute`` (reset
+            without an answer), ``resumed_empty`` (complete, without an event),
+            ``resumed_unframed_empty`` (no length, closed before its first
+            event), ``resumed_id_block`` (a block with nothing but an id goes
+            first, then all events). ``untyped_unframed_cut`` is
+            ``unframed_cut`` without a content type. ``stepped_cut`` breaks off
+            after the first event and ``resumed_stepped`` goes on after it, with
+            the ids 10, 20, 30 and 40.
         requests: Each request that ran or was refused.
 
     Args:
@@ -151,10 +161,15 @@
         if seen["headers"].get("x-target-instance") != self.name:
             writer.write(_head(421, request, {"X-Instance-Id": self.name}, 0))
             return True
+        if fault == "shed_stalled":
+            writer.write(_head(503, request, {"X-Not-Executed": "1"}, 5))
+            await writer.drain()
+            await asyncio.sleep(_STALL_SECONDS)
+            return False
         if fault == "shed":
             writer.write(_head(503, request, {"X-Not-Executed": "1"}, 0))
             return True
-        if fault == "mute":
+        if fault in ("mute", "resumed_mute"):
             _reset(writer)
             return False
         if fault in ("error", "resumed_error"):
@@ -200,22 +215,31 @@
     ) -> bool:
         headers = seen["headers"]
         start = int(headers.get("last-event-id") or 0)
-        start += _RESUMED_STEPS.get(fault, 0)
-        if fault == "resumed_restart":
+        id_step = 10 if "stepped" in fault else 1
+        start = start // id_step + _RESUMED_STEPS.get(fault, 0)
+        if fault in ("resumed_restart", "resumed_id_block"):
             start = 0
         fields = dict(_STREAM)
+        if fault.startswith("untyped"):
+            del fields["Content-Type"]
         if fault == "resumed_other":
             fields["Content-Type"] = "application/json"
-        is_framed = not fault.startswith("unframed")
+        is_framed = "unframed" not in fault
         writer.write(
             _head(200, headers["x-request-id"], fields, None, is_framed)
         )
+        if fault == "resumed_id_block":
+            writer.write(b"7\r\nid: 0\n\n\r\n")
+        if fault.endswith("empty"):
+            start = _EVENTS
         for number in range(start + 1, _EVENTS + 1):
             data = f"data: word{number} by {self.name}\n\n".encode()
             if not fault.endswith("unnumbered"):
-                data = b"id: %d\n" % number + data
+                data = b"id: %d\n" % (number * id_step) + data
             if fault == "resumed_cut":
                 return False
+            if fault == "stepped_cut" and number == 2:
+                return False
             if number == 3 and fault in _STREAM_ENDS:
                 # All of them but one end in the middle of an event.
                 rest = b"" if fault == "cut_between" else data[:8]
