Show that an engine's early end of a stream is no end of the answer

A stream is whole only with a finish reason, a usage and [DONE].

Change: tests, and faults of the stand-in engine: how it cuts a stream, and what it leaves out of a resumed one.

--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -91,3 +91,18 @@
     Then the stream ends with an error and is recognizably incomplete
     When the same turn is requested again
     Then the answer is complete and from one engine
+
+  Scenario Outline: A stream that an engine ends without its last events
+    Nothing but the events tells whether a stream is whole. An orderly end of
+    the body must not be taken for the end of the answer.
+
+    Given engines that cut the next stream after 5 tokens by <cut>
+    When a turn of 40 tokens is streamed
+    Then the stream is the complete answer of 40 tokens
+    And an engine was asked to resume
+
+    Examples:
+      | cut          |
+      | end          |
+      | within_event |
+      | no_finish    |
--- a/tests/features/steps/answers.py
+++ b/tests/features/steps/answers.py
@@ -28,7 +28,14 @@
     lease_seconds=1.0,
 )
 # Slow enough that faults can be caused in the middle of a stream.
-_NO_FAULTS = {"cut_after_tokens": 0, "variant": "", "slow_factor": 16.0}
+_NO_FAULTS = {
+    "cut_after_tokens": 0,
+    "cut": "reset",
+    "skip_on_resume": 0,
+    "short_resume": False,
+    "variant": "",
+    "slow_factor": 16.0,
+}
 _EXAMPLES = settings(max_examples=200, derandomize=True, deadline=None)
 
 
@@ -80,6 +87,24 @@
         engine.faults(cut_after_tokens=tokens)
 
 
+@given("engines that cut the next stream after {tokens:d} tokens by {cut}")
+def step_cut_by(context, tokens, cut):
+    for engine in engines(context):
+        engine.faults(cut_after_tokens=tokens, cut=cut)
+
+
+@given("engines that leave out {tokens:d} tokens when they resume a stream")
+def step_skip_on_resume(context, tokens):
+    for engine in engines(context):
+        engine.faults(skip_on_resume=tokens)
+
+
+@given("engines that resume a stream only for a token")
+def step_short_resume(context):
+    for engine in engines(context):
+        engine.faults(short_resume=True)
+
+
 @given("engines whose answers differ")
 def step_differ(context):
     for name in _ENGINES:
@@ -163,6 +188,12 @@
     context.answer = call.result()
 
 
+@when("a turn of {tokens:d} tokens is sent")
+def step_sent(context, tokens):
+    context.tokens = tokens
+    context.answer = send_request(context, tokens)
+
+
 def send_request(context, tokens):
     body, headers = build_request(context, "stream", tokens, False, 1)
     return context.other.client.request(
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import enum
 import hashlib
 import itertools
 import os
@@ -29,6 +30,27 @@
 _STEP_SECONDS = 0.01
 _BYTES_PER_TOKEN = 4
 _CRASH_EXIT = 17
+_DONE = b"data: [DONE]\n\n"
+
+
+class Cut(enum.StrEnum):
+    """How a stream is cut.
+
+    Attributes:
+        RESET: The connection is closed within the body.
+        END: The body ends in an orderly way.
+        WITHIN_EVENT: The body ends in an orderly way, within an event.
+        ERROR: An error event; then the stream ends as a whole one does.
+        NO_FINISH: Only the last line of a whole stream follows.
+        MALFORMED: A delta that has another form; then the stream goes on.
+    """
+
+    RESET = "reset"
+    END = "end"
+    WITHIN_EVENT = "within_event"
+    ERROR = "error"
+    NO_FINISH = "no_finish"
+    MALFORMED = "malformed"
 
 
 class EngineFaults(Faults, kw_only=True):
@@ -38,7 +60,11 @@
         crash_marker: The process dies when a prompt contains this text.
         hang: Whether running calls make no progress.
         slow_factor: Divides its speed.
-        cut_after_tokens: Streams are cut after so many tokens; 0: never.
+        cut_after_tokens: The next stream is cut after so many tokens; 0: none.
+        cut: How it is cut, see ``Cut``.
+        skip_on_resume: Tokens that a resumed stream leaves out at its start.
+        short_resume: Whether a resumed stream ends after one token as if it
+            were whole.
         draining: Whether new calls are refused with 503 and ``draining``.
         load_lag_seconds: Age of the load that it reports.
         event_lag_seconds: Age at which cache events are published.
@@ -55,6 +81,9 @@
     hang: bool = False
     slow_factor: float = 1.0
     cut_after_tokens: int = 0
+    cut: Cut = Cut.RESET
+    skip_on_resume: int = 0
+    short_resume: bool = False
     draining: bool = False
     load_lag_seconds: float = 0.0
     event_lag_seconds: float = 0.0
@@ -291,8 +320,9 @@
                 )
                 sent = ready
                 if cut and sent >= cut:
-                    self.faults.cut_after_tokens = 0
-                    await drop(request)
+                    cut = self.faults.cut_after_tokens = 0
+                    if await self._cut_stream(request, answer, sequence):
+                        return
             if sent < int(sequence.made):
                 continue
             if sequence.finished:
@@ -301,10 +331,40 @@
             await sequence.more.wait()
         if sequence.cancelled or self.faults.lose_streams:
             await drop(request)
+        await self._finish(answer, sequence, model)
+        self.stats["finished"] += 1
+
+    async def _finish(
+        self, answer: web.StreamResponse, sequence: Sequence, model: str
+    ) -> None:
         await answer.write(self._event(sequence, model, {}, "stop"))
         await answer.write(self._usage(sequence, model))
-        await answer.write(b"data: [DONE]\n\n")
-        self.stats["finished"] += 1
+        await answer.write(_DONE)
+
+    async def _cut_stream(
+        self,
+        request: web.Request,
+        answer: web.StreamResponse,
+        sequence: Sequence,
+    ) -> bool:
+        """Cuts a stream; returns whether that was its end."""
+        model = self.models[0]
+        match self.faults.cut:
+            case Cut.RESET:
+                await drop(request)
+            case Cut.WITHIN_EVENT:
+                event = self._event(sequence, model, {"content": "x"}, None)
+                await answer.write(event[: len(event) // 2])
+            case Cut.ERROR:
+                await answer.write(_sse({"error": {"message": "no memory"}}))
+                await self._finish(answer, sequence, model)
+            case Cut.NO_FINISH:
+                await answer.write(_DONE)
+            case Cut.MALFORMED:
+                calls = {"tool_calls": [{"index": 0, "function": None}]}
+                await answer.write(self._event(sequence, model, calls, None))
+                return False
+        return True
 
     def _event(
         self, sequence: Sequence, model: str, delta: dict, finish: str | None
@@ -413,7 +473,14 @@
             headers={"Content-Type": "text/event-stream"}
         )
         await answer.prepare(request)
-        sent = int(request.query.get("from", 0))
+        sent = int(request.query.get("from", 0)) + self.faults.skip_on_resume
+        if self.faults.short_resume:
+            first = {"content": sequence.output[0]}
+            await answer.write(
+                self._event(sequence, self.models[0], first, None)
+            )
+            await self._finish(answer, sequence, self.models[0])
+            return answer
         await self._stream(request, answer, sequence, sent, self.models[0])
         return answer
 
