Take an error event in an engine's stream for its failure

What callers saw: an answer that had been broken off reached them as if it were complete, if their engine reported the error in an event and then ended its stream as usual. The turn was stored so.

Cause: an event was searched for choices and usage only; one with an error was ignored.

Change: an error event fails the attempt like a connection that breaks: the stream is resumed, or the call runs again.

--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -89,6 +89,7 @@
 class _Event(msgspec.Struct):
     choices: list[_Choice] = msgspec.field(default_factory=list)
     usage: _WireUsage | None = None
+    error: object = None
 
 
 _EVENT_DECODER = msgspec.json.Decoder(_Event)
@@ -206,6 +207,10 @@
                 )
             return
         event = _EVENT_DECODER.decode(data)
+        if event.error is not None:
+            detail = data.decode(errors="replace")[:_MAX_DETAIL_BYTES]
+            yield Failed(Outcome.BROKEN, 0, detail)
+            return
         if event.usage:
             usage = _usage(event.usage)
         if event.choices:
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -106,3 +106,19 @@
       | end          |
       | within_event |
       | no_finish    |
+
+  Scenario: An engine reports an error in the middle of a stream
+    The engine gives up and says so in an event; then it ends its stream as
+    usual. The part before would look like the whole answer.
+
+    Given engines that cut the next stream after 5 tokens by error
+    When a turn of 40 tokens is streamed
+    Then the stream is the complete answer of 40 tokens
+
+  Scenario: An engine reports an error, without streaming
+    The same in a call that is not streamed: the answer would be the part before
+    the error, and the turn would be stored so.
+
+    Given engines that cut the next stream after 5 tokens by error
+    When a turn of 40 tokens is sent
+    Then the answer is complete and from one engine
