Join a resumed stream only if it repeats what had arrived

What callers saw: without streaming, an answer without its beginning, or shorter than what had arrived before, as if it were complete; the turn was stored so. With streaming, the call was refused although another engine could still answer it.

Cause: without streaming, a resumed stream replaced what had arrived without a comparison. With streaming, a resumed stream that differed ended the call, not only the attempt.

Change: within one attempt every resumed stream is compared with what has arrived, for all callers. One that differs ends the attempt, which fails as its first break did. A retry at another engine begins the comparison anew, unless its caller has got a part.

--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -2,7 +2,8 @@
 
 A model call is idempotent: it changes nothing but a cache. It may run again
 as long as the caller has received nothing that contradicts the new run. A
-stream that breaks is first resumed at its engine, which costs no tokens.
+stream that breaks is first resumed at its engine, which costs no tokens; it is
+read again from its start, and must repeat all that had arrived.
 """
 
 import asyncio
@@ -29,10 +30,13 @@
 
 _NOT_RUN_OUTCOMES = (Outcome.NOT_CONNECTED, Outcome.DRAINING, Outcome.REJECTED)
 _MAX_RESUMES = 2
+_NOT_CONTINUED = Failed(
+    Outcome.ABANDONED, 0, "the resumed stream is not the one that broke"
+)
 
 
 class Restarted(msgspec.Struct, frozen=True):
-    """The answer restarts; all earlier parts are invalid.
+    """Another engine begins the answer anew; all earlier parts are invalid.
 
     Only sent for calls that are not streamed.
     """
@@ -130,6 +134,7 @@
         node.metrics.retried(failed.outcome)
         if not run.stream:
             yield Restarted()
+            overlap = Overlap()
         await node.guard.delay_retry(fingerprints)
 
 
@@ -156,7 +161,9 @@
                 async with contextlib.aclosing(parts):
                     async for part in parts:
                         placement.seconds = loop.time() - started_at
-                        checked = _check_overlap(run, overlap, part)
+                        checked = _check_overlap(overlap, part)
+                        if isinstance(checked, Refusal) and first_failure:
+                            checked = _NOT_CONTINUED
                         if isinstance(checked, Failed):
                             failed = checked
                             break
@@ -177,8 +184,6 @@
                     break
                 node.metrics.count("rattanmill_resumes")
                 parts = _resumed_parts(node, placement, request_id)
-                if not run.stream:
-                    yield Restarted()
             _record_part(placement, first_failure)
         yield first_failure
     finally:
@@ -220,14 +225,14 @@
 
 
 def _check_overlap(
-    run: ChatRun, overlap: Overlap, part: Delta | Finished | Failed
+    overlap: Overlap, part: Delta | Finished | Failed
 ) -> Delta | Finished | Failed | Refusal | None:
-    """Compares a part of a streamed answer with what has been delivered.
+    """Compares a part of an answer with what has been delivered of it.
 
     Returns:
         The part to deliver; None if all of it has been delivered already.
     """
-    if not run.stream or isinstance(part, Failed):
+    if isinstance(part, Failed):
         return part
     if isinstance(part, Finished):
         return part if overlap.is_complete else _answer_cut_refusal()
@@ -271,7 +276,7 @@
         return refuse(Reason.BAD_REQUEST, detail, ran=Ran.NO)
     if node.scheduler.may_retry(run.work, failed.outcome):
         return None
-    if overlap.delivered:
+    if run.stream and overlap.delivered:
         return refuse(Reason.ANSWER_CUT, "The engine's answer was cut off.")
     detail = f"All attempts failed, the last one with: {failed.detail}."
     return refuse(Reason.ENDPOINT_FAILED, detail, ran=Ran.NO)
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -122,3 +122,35 @@
     Given engines that cut the next stream after 5 tokens by error
     When a turn of 40 tokens is sent
     Then the answer is complete and from one engine
+
+  Scenario Outline: A resumed stream that begins later
+    An engine resumes a stream behind its beginning. The rest would be taken for
+    the whole answer.
+
+    Given engines that cut the next stream after 5 tokens
+    And engines that leave out <tokens> tokens when they resume a stream
+    When a turn of 40 tokens is sent
+    Then the answer is complete and from one engine
+
+    Examples:
+      | tokens |
+      | 1      |
+      | 5      |
+
+  Scenario: A resumed stream that begins later, of a streaming caller
+    Joined, the two parts would leave out or repeat text. Another engine can
+    still generate the same answer.
+
+    Given engines that cut the next stream after 5 tokens
+    And engines that leave out 5 tokens when they resume a stream
+    When a turn of 40 tokens is streamed
+    Then the stream is the complete answer of 40 tokens
+
+  Scenario: A resumed stream that ends before the first one did
+    An engine has lost the rest and ends the resumed stream as if it were whole.
+    The answer would be shorter than what had arrived before.
+
+    Given engines that cut the next stream after 5 tokens
+    And engines that resume a stream only for a token
+    When a turn of 40 tokens is sent
+    Then the answer is complete and from one engine
