Join the replies of another instance only as one complete sequence

What callers saw: a response that stopped and did not end, if the owner of their program failed in the middle of the answer; a second head within a response, if messages of two tries met.

Cause: an owner whose replies ended without a last message told its peer nothing, and the peer waits as long as it hears from the owner at all. Only the numbers of chunks were checked, not that there is one head, and before them.

Change: an owner ends each call with a last message, whatever ends its work; the forwarding instance passes on a reply only if it follows the last one.

--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -47,6 +47,7 @@
 _REPLY_POLL_SECONDS = 0.1
 
 Reply = ReplyHead | ReplyChunk | ReplyEnd | ReplyRefused
+_LAST_REPLIES = (ReplyEnd, ReplyRefused)
 Serve = Callable[[CallStart], AsyncIterator[Reply]]
 Notice = Callable[[Message, Callable[[Message], Awaitable[None]]], None]
 
@@ -74,10 +75,31 @@
 
 
 class _ReplyStream:
-    """Received replies of one forwarded call that are not yet read."""
+    """Received replies of one forwarded call.
+
+    Attributes:
+        queue: Replies that are not yet read.
+        has_head: Whether the head has been read.
+        chunks: Number of chunks that have been read.
+    """
 
     def __init__(self) -> None:
         self.queue: asyncio.Queue[Reply] = asyncio.Queue()
+        self.has_head = False
+        self.chunks = 0
+
+    def is_continued_by(self, reply: Reply) -> bool:
+        """Whether a reply follows the last one; counts it as read."""
+        match reply:
+            case ReplyHead():
+                is_first, self.has_head = not self.has_head, True
+                return is_first
+            case ReplyChunk():
+                self.chunks += 1
+                return self.has_head and reply.seq == self.chunks - 1
+            case ReplyEnd():
+                return self.has_head and reply.count == self.chunks
+        return True
 
 
 class Peer:
@@ -133,7 +155,7 @@
     async def call(
         self, start: CallStart, has_moved: Callable[[], bool]
     ) -> AsyncIterator[Reply]:
-        """Forwards a call and yields its replies, checking for lost chunks.
+        """Forwards a call and yields its replies, checking for lost ones.
 
         Args:
             start: The call.
@@ -144,7 +166,6 @@
         stream = _ReplyStream()
         self.streams[start.call] = stream
         finished = False
-        expected = 0
         try:
             if not await self.send(start):
                 finished = True
@@ -152,18 +173,12 @@
                 return
             while True:
                 reply = await self._next_reply(stream, start, has_moved)
+                finished = isinstance(reply, _LAST_REPLIES)
+                if not stream.is_continued_by(reply):
+                    yield _reply_lost(start)
+                    return
                 if isinstance(reply, ReplyChunk):
-                    if reply.seq != expected:
-                        reply = _chunk_lost(start)
-                    else:
-                        expected += 1
-                        if expected % (_WINDOW_CHUNKS // 2) == 0:
-                            await self.send(
-                                CallCredit(start.call, _WINDOW_CHUNKS // 2)
-                            )
-                elif isinstance(reply, ReplyEnd) and reply.count != expected:
-                    reply = _chunk_lost(start)
-                finished = isinstance(reply, ReplyEnd | ReplyRefused)
+                    await self._return_credit(start, stream)
                 yield reply
                 if finished:
                     return
@@ -172,6 +187,12 @@
             if not finished:
                 await self.send(CallCancel(start.call))
 
+    async def _return_credit(
+        self, start: CallStart, stream: _ReplyStream
+    ) -> None:
+        if stream.chunks % (_WINDOW_CHUNKS // 2) == 0:
+            await self.send(CallCredit(start.call, _WINDOW_CHUNKS // 2))
+
     async def _next_reply(
         self,
         stream: _ReplyStream,
@@ -203,11 +224,18 @@
     )
 
 
-def _chunk_lost(start: CallStart) -> ReplyRefused:
+def _reply_lost(start: CallStart) -> ReplyRefused:
     detail = "Part of the answer was lost between instances."
     return ReplyRefused(start.call, refuse(Reason.ANSWER_CUT, detail))
 
 
+def _ended_early(start: CallStart) -> ReplyRefused:
+    detail = "The owner of the program ended the call before its answer."
+    return ReplyRefused(
+        start.call, refuse(Reason.INTERNAL, detail, ran=Ran.UNKNOWN)
+    )
+
+
 class _ServedCall:
     """Call from another instance that this instance is serving."""
 
@@ -359,18 +387,30 @@
         self, sender: bytes, start: CallStart, served: _ServedCall
     ) -> None:
         replies = self.serve(start)
+        is_ended = False
         try:
             with log_ids(start.program, start.call):
-                await self._send_replies(sender, replies, served)
+                is_ended = await self._send_replies(sender, replies, served)
+        except asyncio.CancelledError:
+            is_ended = True
+            raise
         finally:
             self.served.pop((sender, start.call), None)
+            if not is_ended:
+                # The peer waits for the call's end while it hears from this
+                # instance at all.
+                await self._send(sender, _ended_early(start))
 
     async def _send_replies(
         self, sender: bytes, replies: AsyncIterator[Reply], served: _ServedCall
-    ) -> None:
+    ) -> bool:
+        """Sends the replies of a call; returns whether its end was sent."""
+        is_ended = False
         async with contextlib.aclosing(replies):
             async for reply in replies:
                 if isinstance(reply, ReplyChunk):
                     await served.credit.acquire()
                 if not await self._send(sender, reply):
-                    return
+                    return False
+                is_ended = isinstance(reply, _LAST_REPLIES)
+        return is_ended
--- /dev/null
+++ b/tests/features/forwarding.feature
@@ -0,0 +1,30 @@
+Feature: Answers that another instance forwards
+  A call runs at the owner of its program, and the instance that its caller is
+  connected to forwards the replies. What it has received may end anywhere; only
+  the last message of a call tells that the answer is whole.
+
+  Scenario Outline: The owner's work on a call ends before the answer does
+    The part before must not look like an answer, and its caller must not wait
+    for the rest: the owner is alive and goes on to send other messages.
+
+    Given an owner whose replies <fault>
+    When a call is forwarded to it
+    Then the call ends as "internal" after its parts
+
+    Examples:
+      | fault                   |
+      | end after a part        |
+      | fail after a part       |
+
+  Scenario Outline: A message is lost between two instances
+    An answer with a hole would look whole: each part is valid in itself.
+
+    Given an owner whose replies <fault>
+    When a call is forwarded to it
+    Then the call ends as "answer_cut" after its parts
+
+    Examples:
+      | fault                 |
+      | leave out a part      |
+      | leave out the last part |
+      | begin twice           |
