End a response as incomplete if its replies end before it does

What callers saw: the head and body of a second response within the first one. For a caller of HTTP/1.0 it was the rest of its answer, with an orderly end.

Cause: replies that end early were answered with a new response, whether or not one had begun.

Evidence: forwarding.feature, the scenarios about replies that end early failed before for a streamed answer, in HTTP/1.1 and HTTP/1.0.

Change: a response that has begun ends as after any other refusal: with an error event, or by an aborted connection.

--- a/libs/entry/src/rattanmill_entry/http.py
+++ b/libs/entry/src/rattanmill_entry/http.py
@@ -302,17 +302,17 @@
                 case ReplyEnd() if response:
                     await response.write_eof()
                     return response
-                case ReplyRefused() if response is None:
-                    return problem_response(reply.refusal, node.metrics)
                 case ReplyRefused():
-                    record_refusal(reply.refusal, node.metrics)
-                    await _end_incomplete(
-                        request, response, reply.refusal, streamed
-                    )
-                    return response
-    detail = "The call ended without a response."
-    refusal = refuse(Reason.INTERNAL, detail, ran=Ran.UNKNOWN)
-    return problem_response(refusal, node.metrics)
+                    refusal = reply.refusal
+                    break
+        else:
+            detail = "The call ended before its response was complete."
+            refusal = refuse(Reason.INTERNAL, detail, ran=Ran.UNKNOWN)
+    if response is None:
+        return problem_response(refusal, node.metrics)
+    record_refusal(refusal, node.metrics)
+    await _end_incomplete(request, response, refusal, streamed)
+    return response
 
 
 async def _replies_before_deadline(
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -28,3 +28,17 @@
       | leave out a part      |
       | leave out the last part |
       | begin twice           |
+
+  Scenario Outline: The replies end before the answer does
+    The response has begun. A second response behind it, or an orderly end of
+    its body, would be read as the rest of the answer.
+
+    Given a front door whose replies end after a part
+    When <version> callers request <answer>
+    Then the response is recognizably incomplete
+
+    Examples:
+      | version  | answer            |
+      | HTTP/1.1 | a streamed answer |
+      | HTTP/1.1 | a whole answer    |
+      | HTTP/1.0 | a streamed answer |
