State the length of each response that is sent in one piece

What callers saw: a caller that doesn't read chunks (HTTP/1.0, as from many proxies) got an answer that had been broken off as if it were complete.

Cause: a response was forwarded without a length. To such a caller the end of the connection is then the end of the body, also if the connection is aborted because a part was lost.

Change: the head of a response that is known as a whole states the length of its body. An answer in events has its end in them, so a stream that is repeated has no length.

--- a/libs/entry/src/rattanmill_entry/replies.py
+++ b/libs/entry/src/rattanmill_entry/replies.py
@@ -14,6 +14,7 @@
 Reply = ReplyHead | ReplyChunk | ReplyEnd | ReplyRefused
 Replies = AsyncIterator[Reply]
 _CHUNK_BYTES = 256 * 1024
+_BODILESS_STATUSES = (204, 304)
 JSON_HEADERS = [("Content-Type", "application/json")]
 STREAM_HEADERS = [
     ("Content-Type", "text/event-stream"),
@@ -29,10 +30,23 @@
         body[at : at + _CHUNK_BYTES] for at in range(0, len(body), _CHUNK_BYTES)
     ]
     chunks = [ReplyChunk(start.call, i, part) for i, part in enumerate(parts)]
+    if _has_length(start, status):
+        # A caller that can't read chunks takes the end of the connection for
+        # the end of the body, unless it knows the length.
+        headers = [*headers, ("Content-Length", str(len(body)))]
     head = ReplyHead(start.call, status, headers)
     return [head, *chunks, ReplyEnd(start.call, len(chunks))]
 
 
+def _has_length(start: CallStart, status: int) -> bool:
+    """Whether a response with this status states the length of its body.
+
+    The end of a stream is in its events, also of a stream that is repeated.
+    """
+    has_body = start.method != "HEAD" and status not in _BODILESS_STATUSES
+    return has_body and not start.stream
+
+
 def refused(start: CallStart, refusal: Refusal) -> ReplyRefused:
     """Returns the reply that refuses a call."""
     return ReplyRefused(start.call, refusal)
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -42,3 +42,4 @@
       | HTTP/1.1 | a streamed answer |
       | HTTP/1.1 | a whole answer    |
       | HTTP/1.0 | a streamed answer |
+      | HTTP/1.0 | a whole answer    |
