Take a reset within a body without a length for a broken answer

What callers saw: the first part of a service's answer as the whole one, with status 200; for a call that may run once it was stored as its outcome and given to every repeat.

Cause: the HTTP client takes any end of the connection, a reset as well, for the end of a body that has no length and no chunks.

Evidence: acts.feature, the two scenarios about a reset within an answer failed before: status 200 with 15 bytes of the body.

Change: a reset within such a body fails the attempt. An orderly close still ends it, as HTTP has it; nothing but the content could tell whether it was whole.

--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -369,6 +369,13 @@
 
 
 async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+        aiohttp.ClientError: The body is too large or was broken off.
+    """
+    connection = response.connection
+    protocol = connection.protocol if connection else None
     parts = []
     size = 0
     async for part in response.content.iter_any():
@@ -376,9 +383,20 @@
         if size > _MAX_ANSWER_BYTES:
             raise aiohttp.ClientPayloadError("response too large")
         parts.append(part)
+    # aiohttp takes any end of the connection for the end of such a body.
+    if protocol is not None and not _is_delimited(response):
+        error = protocol.exception()
+        if isinstance(error, aiohttp.ClientOSError):
+            raise aiohttp.ClientPayloadError(str(error) or "connection reset")
     return b"".join(parts)
 
 
+def _is_delimited(response: aiohttp.ClientResponse) -> bool:
+    """Whether the response states the end of its body."""
+    coding = response.headers.get("Transfer-Encoding", "")
+    return "Content-Length" in response.headers or "chunked" in coding.lower()
+
+
 async def cancel_chat(
     session: aiohttp.ClientSession, url: str, request_id: str
 ) -> None:
--- a/tests/features/acts.feature
+++ b/tests/features/acts.feature
@@ -238,3 +238,21 @@
     And act response 2 is refused with ran "no"
     And act response 3 has status 200
     And act "k-2" ran 0 times
+
+  Scenario: The connection is reset within an answer without a length
+    An endpoint dies within its answer, which has no length. The part before
+    must not be stored as the outcome.
+
+    Given the endpoints have the fault reset_answers for 1 calls
+    When act "k" is sent through instance 0
+    And act "k" is sent through another instance
+    Then act response 1 is refused with ran "unknown"
+    And act response 2 is refused with ran "unknown"
+    And act "k" ran 1 times
+
+  Scenario: The connection is reset within the answer to an idempotent call
+    The same in a call that may run again: its caller must not get the part.
+
+    Given the endpoints have the fault reset_answers for 1 calls
+    When an idempotent call is sent
+    Then act response 1 is complete
--- a/tests/features/steps/acts.py
+++ b/tests/features/steps/acts.py
@@ -20,6 +20,7 @@
     "slow_seconds": 0.0,
     "hang": False,
     "lose_answers": 0,
+    "reset_answers": 0,
     "refuse_before": 0,
     "fail_status": 0,
     "fencing": False,
@@ -402,3 +403,18 @@
         for name in context.keys
     ]
     assert found == [count] * len(context.keys), found
+
+
+@when("an idempotent call is sent")
+def step_idempotent(context):
+    response = context.clients[0].request(
+        "POST", "/v1/services/index-office/deposits", b"deposit"
+    )
+    context.act_responses.append(response)
+
+
+@then("act response 1 is complete")
+def step_complete(context):
+    (response,) = context.act_responses
+    assert response.status == 200, response
+    assert response.json["path"] == "/deposits", response
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -6,12 +6,16 @@
 import asyncio
 import collections
 import os
+import socket
+import struct
 
 from aiohttp import web
 
 from standins.common import Faults, StandIn, argument, drop, run
 
 _CRASH_EXIT = 17
+_RESET_PAUSE_SECONDS = 0.05
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class ServiceFaults(Faults, kw_only=True):
@@ -21,6 +25,8 @@
         slow_seconds: Time each call takes.
         hang: Whether calls never end.
         lose_answers: So many further calls run and lose their answer.
+        reset_answers: So many further answers have no length, and their
+            connection is reset within the body.
         refuse_before: So many further connections are dropped before running.
         fail_status: Status to answer with, after running; 0: none.
         fencing: Whether calls with an old fencing number are refused.
@@ -31,6 +37,7 @@
     slow_seconds: float = 0.0
     hang: bool = False
     lose_answers: int = 0
+    reset_answers: int = 0
     refuse_before: int = 0
     fail_status: int = 0
     fencing: bool = False
@@ -77,6 +84,9 @@
         if faults.lose_answers:
             faults.lose_answers -= 1
             await drop(request)
+        if faults.reset_answers:
+            faults.reset_answers -= 1
+            await _reset_within_body(request)
         if faults.redirect_to:
             return web.Response(
                 status=307, headers={"Location": faults.redirect_to}
@@ -99,5 +109,17 @@
         return int(number) < highest
 
 
+async def _reset_within_body(request: web.Request) -> None:
+    transport = request.transport
+    transport.write(
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        b'Connection: close\r\n\r\n{"path": "/depo'
+    )
+    await asyncio.sleep(_RESET_PAUSE_SECONDS)
+    lingering = transport.get_extra_info("socket")
+    lingering.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    await drop(request)
+
+
 if __name__ == "__main__":
     run(Service().app(), argument(1))
