Read a change log again from its start if other turns are to be held

A chain could lack turns on the disk that should hold them, and be gone (503) with the next lost disk.

Cause: when the members that share a domain's turns change, all others are followed anew from their first position. A page that was on its way then put its position back, as if all before it had been fetched for the new share as well.

Evidence: following.feature, "Other turns are to be held here while changes are fetched": before, the instance held none of 20 turns of which it was the new holder.

Change: the review replaces the records of progress, and a page that was fetched for an earlier one does not count.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -110,9 +110,9 @@
         if domain_peers == self.domain_peers:
             return
         self.domain_peers = domain_peers
-        for progress in self.progress.values():
-            progress.run = ""
-            progress.has_caught_up = False
+        # New objects, so that a page that is being fetched for the earlier
+        # peers does not count.
+        self.progress = {name: Progress() for name in self.progress}
         log_event("share_reviewed", keepers=sorted(domain_peers))
 
     def _domain_peers(self) -> frozenset[str]:
@@ -210,6 +210,8 @@
             return False
         if not await self._fetch_turns(member, news.turns):
             return False
+        if self.progress[member.name] is not progress:
+            return True
         self.members.record_contact(member, began, news)
         progress.run = news.run
         progress.position = news.position
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -61,3 +61,14 @@
     And one holder knows of 5 tokens that were given back
     And the program has another turn, and all follow each other
     Then all holders know of the 5 tokens
+
+  Scenario: Other turns are to be held here while changes are fetched
+    Another instance of the domain has been killed. If the position of the
+    fetched changes counted, the turns before it would not be read again, and
+    after the next lost disk the chain would lack them.
+
+    Given 12 storage instances in 3 failure domains, two of which may lose their disks at once
+    When 20 turns of a conversation are kept, and all follow each other after each
+    And one that holds them is killed, which the next one notices while it asks for changes
+    And all follow each other
+    Then the next one holds all 20 turns
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -1,5 +1,6 @@
 """Steps about replication between storage instances."""
 
+import asyncio
 from unittest import mock
 
 from behave import then, when
@@ -7,6 +8,7 @@
 from rattanmill_core import wall_seconds
 from rattanmill_keeper import Reserve, Reserved, following, journal
 from rattanmill_keeper.following import Follower
+from rattanmill_keeper.members import rank
 from rattanmill_keeper.messages import KeptTurn, Open, Opened
 from support.keepers import run_in
 
@@ -84,7 +86,7 @@
         mock.patch.object(following, "rank", wraps=following.rank)
     )
     # Unique to this scenario, since others use the same names.
-    chain = f"chain-{wall_seconds()}"
+    chain = context.chain = f"chain-{wall_seconds()}"
 
     async def go_on(network):
         front = network.front(context.near[0])
@@ -205,3 +207,46 @@
         for name in holders(context)
     ]
     assert known == [tokens] * len(known), known
+
+
+@when("all follow each other")
+def step_follow(context):
+    run_in(context, lambda network: follow_all(context, network))
+
+
+@when(
+    "one that holds them is killed, which the next one notices while it asks"
+    " for changes"
+)
+def step_kill_holder(context):
+    async def kill(network):
+        domain = network.domains[network.names[0]]
+        peers = [n for n in network.names if network.domains[n] == domain]
+        holder, context.next_holder, *_ = rank(context.chain, peers)
+        await network.kill(holder)
+        follower = context.following[context.next_holder]
+
+        def notice(reply):
+            network.failures[context.next_holder, holder] = 1
+            follower.update_domain_peers()
+            return reply
+
+        others = [
+            member
+            for member in follower.members.known.values()
+            if network.domains[member.name] != domain
+        ]
+        for member in others:
+            network.delays[context.next_holder, member.name] = 0.01
+        network.change_reply = notice
+        await asyncio.gather(*map(follower.fetch_page, others))
+        network.change_reply = lambda reply: reply
+        network.delays.clear()
+
+    run_in(context, kill)
+
+
+@then("the next one holds all {count:d} turns")
+def step_holds_all(context, count):
+    held = context.network.keepers[context.next_holder].table.held
+    assert len(held) == count, sorted(held)
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -129,7 +129,7 @@
         if network.lose_replies:
             network.lose_replies -= 1
             return None
-        data = _CODEC.encode(reply)
+        data = _CODEC.encode(network.change_reply(reply))
         network.replied[kind] += len(data)
         return _CODEC.decode(data)
 
@@ -161,6 +161,7 @@
         delays: Seconds that a request takes, by sender and receiver.
         lose_replies: Number of further replies that get lost.
         lose_kind: Kind of message whose replies all get lost, or empty.
+        change_reply: Returns what arrives of a reply.
         replied: Bytes of replies by kind of request.
         failures: Consecutive requests without a reply, by sender and receiver.
         domains: Failure domain by name of the instance; others have one of
@@ -179,6 +180,7 @@
         self.delays: dict[tuple[str, str], float] = {}
         self.lose_replies = 0
         self.lose_kind = ""
+        self.change_reply: Callable[[Any], Any] = lambda reply: reply
         self.replied: collections.Counter[str] = collections.Counter()
         self.failures: dict[tuple[str, str], int] = {}
         self.domains: dict[str, str] = {}
