Go on in a change log only behind what has come

A storage instance that had lost its disk could count as whole without turns and accounts that another one had listed for it, and would then deny such a turn (404 in place of 503).

Cause: whatever a reply to a request for turns or accounts held counted as all that had been asked for, and the position moved behind the list.

Evidence: following.feature, "Only part of the turns and accounts that are asked for is sent": before, both other instances counted as followed to the end after half replies.

Change: a page counts when all turns and accounts that it lists are here; otherwise it is read again. What has expired in between is not in the next list.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -232,7 +232,7 @@
     async def _fetch_accounts(
         self, member: Member, refs: list[AccountRef]
     ) -> bool:
-        """Fetches the accounts that differ here; False if that failed."""
+        """Fetches the accounts that differ here; False if one did not come."""
         ledger = self.keeper.ledger
         programs = [ref.program for ref in refs if not ledger.is_current(ref)]
         if not programs:
@@ -244,10 +244,13 @@
         if not isinstance(reply, Accounts):
             return False
         await self.keeper.persist_accounts(reply.accounts)
-        return True
+        return {each.program for each in reply.accounts}.issuperset(programs)
 
     async def _fetch_turns(self, member: Member, turns: list[TurnRef]) -> bool:
-        """Fetches the turns that are missing here; False if that failed."""
+        """Fetches the turns that are missing here; False if one did not come.
+
+        One that has expired since is not in the next list.
+        """
         mine = [
             ref.turn
             for ref in turns
@@ -263,6 +266,8 @@
             if not isinstance(reply, Turns):
                 return False
             await asyncio.gather(*map(self.keeper.keep, reply.turns))
+            if not {kept.turn for kept in reply.turns}.issuperset(page):
+                return False
         if lacking:
             log_event("turns_fetched", keeper=member.name, count=len(lacking))
         return True
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -62,6 +62,18 @@
     And the program has another turn, and all follow each other
     Then all holders know of the 5 tokens
 
+  Scenario: Only part of the turns and accounts that are asked for is sent
+    The list that a page was fetched for names more. If the instance went on
+    behind it, it would never get the rest, and yet count as having it.
+
+    Given 3 storage instances in 3 failure domains
+    When 20 turns of a conversation are kept, and all follow each other after each
+    And 5 programs have begun, and the disk of one instance is lost
+    And it follows the others, and the first replies have half of what it asks for
+    Then it has not followed any instance to the end
+    When it has followed the others again
+    Then it has all turns and accounts that the others know
+
   Scenario: Other turns are to be held here while changes are fetched
     Another instance of the domain has been killed. If the position of the
     fetched changes counted, the turns before it would not be read again, and
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -9,7 +9,13 @@
 from rattanmill_keeper import Reserve, Reserved, following, journal
 from rattanmill_keeper.following import Follower
 from rattanmill_keeper.members import rank
-from rattanmill_keeper.messages import KeptTurn, Open, Opened
+from rattanmill_keeper.messages import (
+    Accounts,
+    KeptTurn,
+    Open,
+    Opened,
+    Turns,
+)
 from support.keepers import run_in
 
 _BUDGET = 1_000_000
@@ -209,11 +215,67 @@
     assert known == [tokens] * len(known), known
 
 
+def send_half_once(network):
+    """Cuts the first reply of each kind to half of its entries."""
+    kinds = {Turns, Accounts}
+
+    def cut(reply):
+        if type(reply) not in kinds:
+            return reply
+        kinds.remove(type(reply))
+        match reply:
+            case Turns(turns=turns):
+                return Turns(turns[: len(turns) // 2])
+            case Accounts(accounts=accounts):
+                return Accounts(accounts[: len(accounts) // 2])
+
+    network.change_reply = cut
+
+
+@when(
+    "it follows the others, and the first replies have half of what it asks for"
+)
+def step_follow_half(context):
+    async def follow_half(network):
+        lost = network.names[-1]
+        follower = Follower(network.keepers[lost], network.members[lost])
+        follower.update_domain_peers()
+        context.levels = {}
+        for name in network.names[:-1]:
+            send_half_once(network)
+            member = network.members[lost].known[name]
+            while await follower.fetch_page(member):
+                pass
+            context.levels[name] = follower.progress[name].has_caught_up
+        network.change_reply = lambda reply: reply
+        context.following = {lost: follower}
+
+    run_in(context, follow_half)
+
+
+@then("it has not followed any instance to the end")
+def step_not_level(context):
+    assert not any(context.levels.values()), context.levels
+
+
+@when("it has followed the others again")
 @when("all follow each other")
 def step_follow(context):
     run_in(context, lambda network: follow_all(context, network))
 
 
+@then("it has all turns and accounts that the others know")
+def step_has_all(context):
+    network = context.network
+    found = network.keepers[network.names[-1]]
+    assert found.table.held
+    assert found.ledger.accounts
+    for name in network.names[:-1]:
+        other = network.keepers[name]
+        assert found.table.held.keys() >= other.table.held.keys()
+        assert found.ledger.accounts.keys() >= other.ledger.accounts.keys()
+
+
 @when(
     "one that holds them is killed, which the next one notices while it asks"
     " for changes"
