Recover a shard only if its log's start stayed where it was

What callers saw: nothing. ownership.py discards a shard whose instance lost its lease while it read the log, and nobody else compacts that log as long as the lease is held.

Cause: recovery took the first free slot for the end of the log. If a newer owner compacts the log meanwhile, the slots that were not read yet are deleted, and recovery reported a shard with no programs, and wrote its epoch into a slot that was deleted.

Evidence: compaction.feature, "A newer owner compacts the log while a new owner reads it": recovered without the program before.

Change: recovery reads the start again once the epoch is open, and is fenced if it has moved. One read more for each shard that is loaded.

--- a/libs/programs/src/rattanmill_programs/recovery.py
+++ b/libs/programs/src/rattanmill_programs/recovery.py
@@ -192,6 +192,7 @@
     replay = Replay(epoch, start)
     stopped = await _read_pages(kv, domain, shard, replay)
     stopped = stopped or await _open_epoch(kv, domain, shard, replay, owner)
+    stopped = stopped or await _check_start(kv, domain, shard, revision)
     if stopped:
         return stopped
     return Recovered(replay.programs, replay.slot, replay.size, start, revision)
@@ -240,3 +241,18 @@
             return Fenced()
         if fenced := replay.apply_value(found.entry.value):
             return fenced
+
+
+async def _check_start(
+    kv: KvClient, domain: str, shard: int, revision: int
+) -> Unavailable | Fenced | None:
+    """Checks that the log's start has not moved while the log was read.
+
+    Slots before the new start may have been deleted unread; the first missing
+    one is not the end of the log then.
+    """
+    found = await kv.read(start_key(domain, shard))
+    if isinstance(found, Unavailable):
+        return found
+    now = found.entry.revision if isinstance(found, Found) else 0
+    return None if now == revision else Fenced()
--- a/tests/features/compaction.feature
+++ b/tests/features/compaction.feature
@@ -53,6 +53,15 @@
     When a new owner is replaced before any of its calls
     Then it keeps nothing, and the other owner's turn is recovered
 
+  Scenario: A newer owner compacts the log while a new owner reads it
+    Slots that it has not read yet are deleted. The first free one that it
+    finds is not the end of the log: it would go on with a part of the programs,
+    or with none, and deny those that are kept.
+
+    Given a shard with 25 segments
+    When a new owner is replaced and the log compacted before any of its calls
+    Then it goes on with all programs or does not own the shard
+
   Scenario: An outage longer than memory allows
     Turns wait in memory while the key-value service is unavailable. Without a
     limit, the instance would be killed for its memory use, and its callers'
--- a/tests/features/steps/compaction.py
+++ b/tests/features/steps/compaction.py
@@ -364,14 +364,18 @@
             self.calls += 1
             if self.calls == self.call:
                 self.replaced = True
-                other = await recover_shard(self.kv, 3)
-                outcome = await other.keep(next_turn(other.programs["a"]))
-                assert isinstance(outcome, Committed)
-                other.log.stop()
+                await self.take_over()
             return await getattr(self.kv, name)(*arguments)
 
         return call
 
+    async def take_over(self):
+        """Recovers the shard as a newer owner and keeps a turn."""
+        other = await recover_shard(self.kv, 3)
+        outcome = await other.keep(next_turn(other.programs["a"]))
+        assert isinstance(outcome, Committed)
+        other.log.stop()
+
 
 @when("a new owner is replaced before any of its calls")
 def step_replaced(context):
@@ -408,6 +412,44 @@
         assert turns == before + 1, context.outcomes
 
 
+@when("a new owner is replaced and the log compacted before any of its calls")
+def step_replaced_compacted(context):
+    class CompactingKv(TakeoverKv):
+        async def take_over(self):
+            other = await recover_shard(self.kv, 3)
+            assert await compact(other, 0.0)
+            other.log.stop()
+
+    async def run(call):
+        kv = MemoryKv()
+        kv.items = dict(context.kv.items)
+        compacting_kv = CompactingKv(kv, call)
+        outcome = await recover(compacting_kv, "east", 0, 2, "taker")
+        if not compacting_kv.replaced:
+            return False
+        context.outcomes.append(outcome)
+        latest = await recover_shard(kv, 4)
+        latest.log.stop()
+        assert program_states(latest) == context.expected
+        return True
+
+    context.outcomes = []
+    for call in itertools.count(1):
+        if not asyncio.run(run(call)):
+            break
+
+
+@then("it goes on with all programs or does not own the shard")
+def step_all_or_none(context):
+    assert len(context.outcomes) > 4, context.outcomes
+    for outcome in context.outcomes:
+        if isinstance(outcome, Recovered):
+            turns = len(outcome.programs["a"].turns)
+            assert turns == len(context.expected["a"][3]), turns
+        else:
+            assert isinstance(outcome, Fenced), outcome
+
+
 @when("turns of a megabyte are kept while the service is unavailable")
 def step_unavailable(context):
     class UnavailableKv(MemoryKv):
