Refuse a turn that its caller resumes where turns are kept

Cause: a front end keeps the events that it forwards. Of a turn that goes on at Last-Event-Id the caller has the first ones from another response, and the rest was kept as if it were the whole answer.

Change: 503 turn_unsure at once, which tells that the turn has not run. It can be sent from its start.

--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -74,6 +74,12 @@
 
     async def begin(self, call: Call, route: Route) -> Turn | Refusal:
         """Reads a turn's chain and reserves its budget."""
+        if route.stores_turns and call.last_event_id:
+            return refuse(
+                Reason.TURN_UNSURE,
+                "the events that the caller has are not known here, so the turn"
+                " could not be stored as a whole",
+            )
         if self._would_be_unreachable(call, route):
             return refuse(
                 Reason.TURN_UNSURE,
--- a/tests/features/site_streams.feature
+++ b/tests/features/site_streams.feature
@@ -150,3 +150,14 @@
     Given every engine has the fault "shed_stalled"
     When a plan is sent to "east" and timed
     Then its caller waited for less than 4 s
+
+  Scenario: A caller resumes a turn that later turns continue
+    The front end doesn't know the events that the caller has. If it kept the
+    others only, endpoints would get a conversation without the start of that
+    answer.
+
+    When a turn "one " of program "p25" that goes on after event 2 is sent to "east"
+    Then it is answered with 503
+    And no endpoint received it
+    When a turn "one " of program "p25" is sent to "east"
+    Then it is answered with 200
--- a/tests/features/steps/site_streams.py
+++ b/tests/features/steps/site_streams.py
@@ -126,3 +126,11 @@
 @then("its caller waited for less than {seconds:d} s")
 def step_waited(context, seconds):
     assert context.waited_seconds < seconds, context.waited_seconds
+
+
+@when(
+    'a turn "{text}" of program "{program}" that goes on after event'
+    ' {number:d} is sent to "{domain}"'
+)
+def step_resume_turn(context, text, program, number, domain):
+    send_turn(context, domain, text, program, Last_Event_Id=str(number))
