--- a/libs/keeper/src/rattanmill_keeper/journal.py
+++ b/libs/keeper/src/rattanmill_keeper/journal.py
@@ -75,6 +75,8 @@
 
     Attributes:
         segment: Number of the segment that is being written.
+        snapshot_segment: Number of the newest segment whose snapshot is on
+            disk, or 0 if there is none of this run.
         written: Bytes written to that segment.
         synced_bytes: Bytes synced by this process.
         pending: Frames that have not been written yet.
@@ -92,6 +94,7 @@
         self.folder = folder
         self.snapshot = snapshot
         self.segment = 0
+        self.snapshot_segment = 0
         self.written = 0
         self.synced_bytes = 0
         self.pending: list[_PendingFrame] = []
@@ -192,6 +195,8 @@
             self.written += len(data)
             await loop.run_in_executor(self.executor, _sync, self.file, data)
             self.synced_bytes += len(data)
+            # The first group of a segment contains its snapshot.
+            self.snapshot_segment = segment
             if self.written >= _SEGMENT_BYTES:
                 os.close(self.file)
                 self._start_segment()
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -736,11 +736,14 @@
     def _drop_segments(self) -> None:
         """Removes journal segments whose turns have all expired.
 
-        Accounts and homes of a segment are repeated at the start of the next.
+        Accounts and homes of a segment are repeated at the start of the next,
+        but only once that snapshot is on disk.
         """
         numbers = self.journal.segments()
         needed = self.table.segments()
-        # Keeps the newest two: the snapshot in the newest may not be synced.
+        # Keeps the newest two: a home that the others are asked about is in no
+        # snapshot yet.
         for number in numbers[:-2]:
-            if number not in needed:
+            is_repeated = number < self.journal.snapshot_segment
+            if is_repeated and number not in needed:
                 self.journal.drop_segment(number)
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -396,6 +396,17 @@
     When "a" is killed and restarted
     Then the program is refused as spent at "a"
 
+  Scenario: The disk of an instance is slow when it restarts, twice
+    Each run begins a segment with a snapshot of the accounts. If older segments
+    were dropped before a newer snapshot is on disk, the accounts would be gone
+    with the next restart.
+
+    Given storage instances "a, b, c"
+    When a program has used its budget at "a"
+    And "a" is killed and restarted 3 times, with a disk that syncs nothing
+    And "a" is killed and restarted
+    Then "a" knows that the program has used its budget
+
   Scenario: A peer stops responding to several concurrent requests
     One request times out and the connection is made anew. Every other request
     on that connection must end by its own timeout: if it were considered
--- a/tests/features/steps/keeping_turns.py
+++ b/tests/features/steps/keeping_turns.py
@@ -1,7 +1,10 @@
 """Steps about kept turns and the journal, run in this process."""
 
 import asyncio
+import concurrent.futures
+from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
 from rattanmill_core import wall_seconds
@@ -13,6 +16,7 @@
 from rattanmill_wire import RequestLink
 from support.keepers import begin
 from support.keepers import run_in as network
+from support.stories import BUDGET
 
 
 def keep(
@@ -283,3 +287,45 @@
 @then("each request ends without a reply")
 def step_no_reply(context):
     assert context.replies and set(context.replies) == {None}, context.replies
+
+
+class HangingExecutor(concurrent.futures.Executor):
+    """A disk whose syncs never end."""
+
+    def submit(self, work, /, *args):
+        """Returns a future that is never done."""
+        return concurrent.futures.Future()
+
+
+@when(
+    '"{name}" is killed and restarted {count:d} times, with a disk that syncs'
+    " nothing"
+)
+def step_restart_slow(context, name, count):
+    async def restart(n):
+        for _ in range(count):
+            await n.kill(name)
+            with mock.patch.object(n, "new_disk", HangingExecutor):
+                await n.start(name)
+            await n.pass_time(0.01)
+            n.keepers[name].sweep()
+
+    network(context, restart)
+
+
+@then('"{name}" knows that the program has used its budget')
+def step_knows_used(context, name):
+    account = context.network.keepers[name].ledger.accounts["old"]
+    assert account.taken == BUDGET // 3 * 3, account
+
+
+@when('a record of another version is written to the journal of "{name}"')
+def step_write_unknown(context, name):
+    record = msgspec.msgpack.encode({"type": "of another version"})
+    journal = context.network.keepers[name].journal
+    network(context, lambda n: journal.append(record))
+
+
+@then('"{name}" does not count as whole')
+def step_not_recovered(context, name):
+    assert not context.network.keepers[name].is_recovered
