Count a disk as whole only if each of its records can be read

After a return to an older version an instance could deny turns (404) or let programs use tokens again that it had on disk.

Cause: a record that can't be decoded, as a newer version wrote it, was passed over with a warning, and the disk counted as whole all the same.

Change: such a disk counts as one that was lost: the instance follows the others first, and grants nothing alone for an hour. A single storage instance waits a minute, as on an empty disk.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -92,6 +92,7 @@
     decode,
     encode,
     read_marker,
+    remove_marker,
     write_marker,
 )
 from rattanmill_keeper.turns import ChangeLog, HomeEntry, TurnTable
@@ -656,6 +657,7 @@
             self.alone_from = mark.alone_from
             self.ledger.shares_lost_until = mark.shares_lost_until
         records = 0
+        undecodable = 0
         roster = RosterChange({})
         for stored in self.journal.read():
             record = decode(stored.data)
@@ -666,7 +668,13 @@
                 roster = record
             elif record is not None:
                 self.ledger.restore(record)
+            else:
+                undecodable += 1
             records += 1
+        if undecodable:
+            # What is missing here may be held by the others.
+            self.is_recovered = False
+            remove_marker(self.folder)
         self.members.restore_seen(roster.seen, roster.informed_by)
         self.members.restore_contacts(roster.contacts)
         for entry in [*self.table.held, *self.ledger.accounts]:
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -77,6 +77,11 @@
         os.fsync(file.fileno())
 
 
+def remove_marker(folder: pathlib.Path) -> None:
+    """Removes the marker, as data is missing on the disk."""
+    (folder / _MARKER_FILE).unlink(missing_ok=True)
+
+
 def read_marker(folder: pathlib.Path) -> CompletionMarker | None:
     """Returns the marker; None if there is none.
 
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -407,6 +407,20 @@
     And "a" is killed and restarted
     Then "a" knows that the program has used its budget
 
+  Scenario: A record of the journal can't be decoded
+    A newer version wrote it, which ran here before. What it held is missing, so
+    that the instance must not count as one that lacks nothing: it would deny
+    turns that others have.
+
+    Given storage instances "a, b, c"
+    When a program has used its budget at "a"
+    And a record of another version is written to the journal of "a"
+    And "a" is killed and restarted
+    Then "a" does not count as whole
+    When "a" has followed the others
+    Then "a" has recovered
+    And "a" knows that the program has used its budget
+
   Scenario: A peer stops responding to several concurrent requests
     One request times out and the connection is made anew. Every other request
     on that connection must end by its own timeout: if it were considered
