Soak streams that are resumed while several endpoints fail

Missed: an answer that had been broken off reached its caller as if it were complete. The soak called no route that may be resumed, drew one fault of an endpoint at a time, and no endpoint answered with an error.

Change: more callers get streams that may be resumed, and resume them by themselves too. Several endpoints at a time break off a share of their answers and fail in others for some seconds. ORDER holds over the whole of a response and over a caller's own resume; a 500 of a runner is accepted if it gave one. The stand-in writes a body without a length at once, as a runner that is killed between two of its events would end it in an orderly way, which nobody can tell from its end.

--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -3,7 +3,14 @@
 ``python -m soak`` runs seeds by hand; soak.feature runs a short one.
 """
 
-from soak.plan import Fault, Kind, Scale, draw_plan
+from soak.plan import (
+    Fault,
+    Kind,
+    Scale,
+    draw_endpoint_faults,
+    draw_plan,
+    draw_serial_faults,
+)
 from soak.record import Answer, Record, Sent
 from soak.runs import Outcome, soak
 
@@ -15,6 +22,8 @@
     "Record",
     "Scale",
     "Sent",
+    "draw_endpoint_faults",
     "draw_plan",
+    "draw_serial_faults",
     "soak",
 ]
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -63,7 +63,7 @@
 def _tell(outcome: Outcome) -> bool:
     verdict = "broke" if outcome.wrong else "held"
     print(f"seed {outcome.seed} {verdict}: {outcome.faults} faults,", end=" ")
-    print(outcome.counts, flush=True)
+    print(f"{outcome.resumed} resumed,", outcome.counts, flush=True)
     for line in outcome.wrong:
         print("   ", line[:1000], flush=True)
     return not outcome.wrong
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,12 @@
 _TRIES = 3
 # Longer than any run, so that a kept turn must be known to its end.
 KEPT_SECONDS = 60.0
+_PATHS = {
+    "talk": "/stream/talk/a",
+    "plan": "/stream/plan/a",
+    "pay": "/pay/a",
+    "seek": "/seek/a",
+}
 
 
 class Balancer:
@@ -104,12 +110,13 @@
         """Sends a turn, again if it fails; returns whether it was served."""
         text = f"{line.program}-{next(self.numbers)} ".encode()
         for _ in range(_TRIES):
-            sent = self._sent("talk", text, line.history + text)
+            sent = self.request("talk", text, line.history + text)
             sent.program, sent.budget = line.program, line.budget
             sent.previous = line.previous
-            await self._send(sent, leaves=self.rng.random() < 0.05)
+            await self.send(sent, self.rng, self.rng.random() < 0.05)
             answer = sent.answer
-            line.last = answer.body if answer else b""
+            if answer and answer.status:
+                line.last = answer.body
             if answer and answer.is_served:
                 line.add(sent, answer)
                 return True
@@ -122,22 +129,38 @@
     async def call(self, route: str) -> None:
         """Sends a payment, or a look-up."""
         body = b"pay" if route == "pay" else b""
-        await self._send(self._sent(route, body, body))
+        await self.send(self.request(route, body, body), self.rng)
 
-    def _sent(self, route: str, body: bytes, runs_as: bytes) -> Sent:
+    def request(self, route: str, body: bytes, runs_as: bytes) -> Sent:
+        """Returns a new request, which is recorded."""
         request = f"{self.system.number:04x}{next(self.numbers):012x}"
         now = asyncio.get_running_loop().time()
         sent = Sent(request, route, now, body, runs_as)
         self.record.add(sent)
         return sent
 
-    async def _send(self, sent: Sent, leaves: bool = False) -> None:
+    async def send(
+        self,
+        sent: Sent,
+        rng: random.Random,
+        leaves: bool = False,
+        avoided: str = "",
+    ) -> None:
+        """Sends a request and records its answer.
+
+        Args:
+            sent: The request.
+            rng: Chooses a front.
+            leaves: Whether its caller leaves soon.
+            avoided: A front that is asked only if there is no other.
+        """
         fronts = self.balancer.ready()
+        fronts = [f for f in fronts if f != avoided] or fronts
         if not fronts:
             await asyncio.sleep(_READY_POLL_SECONDS)
             return
-        sent.front = self.rng.choice(fronts)
-        seconds = self.rng.uniform(0.0, 0.1) if leaves else _ANSWER_SECONDS
+        sent.front = rng.choice(fronts)
+        seconds = rng.uniform(0.0, 0.1) if leaves else _ANSWER_SECONDS
         sent.answer = Answer()
         try:
             async with asyncio.timeout(seconds):
@@ -150,7 +173,7 @@
 
     async def _ask(self, sent: Sent, answer: Answer) -> None:
         method = "GET" if sent.route == "seek" else "POST"
-        path = "/stream/talk/a" if sent.route == "talk" else f"/{sent.route}/a"
+        path = _PATHS[sent.route]
         async with self.session.request(
             method,
             f"http://{sent.front}{path}",
@@ -173,7 +196,7 @@
         previous: Id of the last turn that was served.
         history: What a runner gets before a new input.
         is_over: Whether the budget is spent.
-        last: Body of its last answer.
+        last: Body of the newest answer that came to it.
     """
 
     def __init__(self, program: str, budget: int) -> None:
@@ -207,4 +230,7 @@
     }
     if sent.previous:
         headers["X-Previous-Turn"] = sent.previous
+    if sent.after:
+        headers["Last-Event-Id"] = str(sent.after)
+        headers["X-Caller-Event-Id"] = str(sent.after)
     return headers
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -167,6 +167,19 @@
                     self.system.control_endpoint, name, fault.other
                 )
 
+    async def runner_share(self, fault: Fault) -> None:
+        """Lets a runner spoil a share of its answers for a while."""
+        with self._holding(fault.target) as names:
+            for name in names:
+                await asyncio.to_thread(
+                    self.system.spoil_endpoint,
+                    name,
+                    fault.faults,
+                    fault.share,
+                    fault.seconds,
+                )
+        await asyncio.sleep(fault.seconds)
+
     async def configure(self, fault: Fault) -> None:
         """Writes the next configuration."""
         await asyncio.to_thread(self.system.configure)
@@ -210,4 +223,5 @@
     Kind.RUNNER_FREEZE: Faults.freeze,
     Kind.RUNNER_FAULT: Faults.runner_fault,
     Kind.CONFIGURE: Faults.configure,
+    Kind.RUNNER_SHARE: Faults.runner_share,
 }
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -37,11 +37,31 @@
     RUNNER_FREEZE = "runner_freeze"
     RUNNER_FAULT = "runner_fault"
     CONFIGURE = "configure"
+    RUNNER_SHARE = "runner_share"
 
 
+# Kinds that are drawn one after the other. A further one among them would
+# change the plans of all seeds.
+_SERIAL_KINDS = tuple(kind for kind in Kind if kind is not Kind.RUNNER_SHARE)
 _OF_PROCESSES = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.HANG_UP)
 _OF_LINKS = (Kind.CUT, Kind.CUT_FORTH, Kind.CUT_BACK, Kind.DELAY, Kind.RESET)
 _RUNNER_FAULTS = ("shed", "mute", "cut", "extra", "foreign", "unframed_reset")
+_LLM_RUNNERS = tuple(f"llm-{i}" for i in range(len(DOMAINS)))
+_DESK_RUNNERS = tuple(f"desk-{i}" for i in range(len(DOMAINS)))
+_DESK_FAULTS = ("error", "cut", "mute", "unframed_reset")
+# Answers that break off in a way that their framing shows.
+_CUTS = ("cut", "cut_between")
+_ENDS = ("unframed_cut", "unframed", "ended_within")
+_FAILURES = ("error", "resumed_error")
+_OTHER_FAULTS = (
+    "mute",
+    "resumed_restart",
+    "resumed_skip",
+    "resumed_repeat",
+    "resumed_unnumbered",
+    "resumed_other",
+    "resumed_cut",
+)
 
 
 class Scale(msgspec.Struct, frozen=True):
@@ -52,12 +72,14 @@
         fronts: Fronts in each failure domain.
         keepers: Storage instances in each.
         callers: Programs at a time.
+        resumers: Programs of streams that may be resumed, at a time.
     """
 
     seconds: float = 25.0
     fronts: int = 1
     keepers: int = 1
     callers: int = 6
+    resumers: int = 4
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -69,6 +91,8 @@
         target: Process, failure domain, or nothing for the store.
         seconds: How long.
         other: The domain at the other end of a link, or a runner's fault.
+        share: Share of a runner's requests that have one of its faults.
+        faults: The faults of that share.
     """
 
     at: float
@@ -76,10 +100,51 @@
     target: str = ""
     seconds: float = 0.0
     other: str = ""
+    share: float = 0.0
+    faults: tuple[str, ...] = ()
 
 
 def draw_plan(seed: int, scale: Scale) -> list[Fault]:
-    """Returns the faults of a seed, in order of time.
+    """Returns the faults of a seed, in order of time."""
+    plan = draw_serial_faults(seed, scale) + draw_endpoint_faults(seed, scale)
+    return sorted(plan, key=lambda fault: fault.at)
+
+
+def draw_endpoint_faults(seed: int, scale: Scale) -> list[Fault]:
+    """Returns faults of several endpoints at the same time.
+
+    Each endpoint breaks off some answers and fails in others meanwhile, as only
+    the two together show what later attempts of a stream are joined to.
+    """
+    rng = random.Random(f"{seed}/endpoints")
+    plan: list[Fault] = []
+    at = 1.0
+    while at < scale.seconds:
+        names = rng.sample(_LLM_RUNNERS, rng.randint(2, 3))
+        names += rng.sample(_DESK_RUNNERS, rng.randint(0, 2))
+        plan += [_draw_share(rng, name, at) for name in names]
+        at += rng.expovariate(1 / 3.0)
+    return plan
+
+
+def _draw_share(rng: random.Random, name: str, at: float) -> Fault:
+    if name.startswith("llm"):
+        one_each = (rng.choice(of) for of in (_CUTS, _ENDS, _FAILURES))
+        faults = (*one_each, *rng.sample(_OTHER_FAULTS, 2))
+    else:
+        faults = tuple(rng.sample(_DESK_FAULTS, 2))
+    return Fault(
+        at + rng.uniform(0.0, 1.0),
+        Kind.RUNNER_SHARE,
+        name,
+        rng.uniform(2.0, 6.0),
+        share=rng.uniform(0.2, 0.6),
+        faults=faults,
+    )
+
+
+def draw_serial_faults(seed: int, scale: Scale) -> list[Fault]:
+    """Returns the faults that come one by one or in series, in order of time.
 
     They come in series and overlap. Only one disk at a time is lost, as the
     settings say may be; all else may happen to any number.
@@ -88,7 +153,7 @@
     plan: list[Fault] = []
     at, may_wipe_at = 1.0, 0.0
     while at < scale.seconds:
-        kind = rng.choice(list(Kind))
+        kind = rng.choice(_SERIAL_KINDS)
         if kind is Kind.WIPE and at < may_wipe_at:
             continue
         count = rng.randint(2, _SERIES_MOST) if rng.random() < 0.2 else 1
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -12,6 +12,12 @@
 # A failure of these statuses promises that the request never runs.
 _PROMISES = (402, 408, 421, 429, 503)
 _ALLOWED = (200, 402, 408, 421, 429, 502, 503, 504)
+# Routes whose requests may run once.
+_ONCE = ("talk", "pay")
+_STREAMS = ("talk", "plan")
+# Faults of a runner that answers with a failure, and its body.
+_FAILURES = ("error", "resumed_error")
+_FAILURE_BODY = b"failed\n\n"
 _WORD = re.compile(rb"word(\d+) by (\S+)")
 
 
@@ -38,11 +44,19 @@
     @property
     def data(self) -> list[bytes]:
         """Data of each event that came whole."""
+        return self._fields(b"data: ")
+
+    @property
+    def ids(self) -> list[bytes]:
+        """Ids of the events that came whole."""
+        return self._fields(b"id: ")
+
+    def _fields(self, name: bytes) -> list[bytes]:
         whole = self.body[: self.body.rfind(b"\n\n") + 2]
         return [
-            line[6:]
+            line.removeprefix(name)
             for line in whole.split(b"\n")
-            if line.startswith(b"data: ")
+            if line.startswith(name)
         ]
 
 
@@ -60,6 +74,7 @@
         previous: The turn that it goes on from.
         answer: Its answer; None until it has one.
         front: Who was asked.
+        after: Number of the event after which its caller resumes a stream.
     """
 
     request: str
@@ -72,6 +87,7 @@
     previous: str = ""
     answer: Answer | None = None
     front: str = ""
+    after: int = 0
 
 
 class Record:
@@ -100,36 +116,50 @@
         return ""
     if answer.status in (404, 410) and sent.previous:
         return "LOST: a kept turn is not known"
+    is_signed = bool(answer.headers.get("x-response-signature"))
+    if answer.status == 500 and is_signed:
+        return _wrong_failure(answer)
     if answer.status not in _ALLOWED:
         return f"DENIED: a proper request got {answer.status}"
     if answer.status != 200:
         return ""
-    if not answer.headers.get("x-response-signature"):
+    if not is_signed:
         return "MIXED: a success without a runner's signature"
     if answer.headers.get("x-request-id", sent.request) != sent.request:
         return "MIXED: the answer to another request"
     return _wrong_body(sent, answer)
 
 
+def _wrong_failure(answer: Answer) -> str:
+    if answer.is_whole and answer.body != _FAILURE_BODY:
+        return "MIXED: not the failure of a runner"
+    return ""
+
+
 def _wrong_body(sent: Sent, answer: Answer) -> str:
-    if sent.route == "talk":
-        return _wrong_events(answer)
+    if sent.route in _STREAMS:
+        return _wrong_events(sent, answer)
     if answer.is_whole and not answer.body.startswith(b"done by "):
         return "MIXED: not the body of a runner"
     return ""
 
 
-def _wrong_events(answer: Answer) -> str:
+def _wrong_events(sent: Sent, answer: Answer) -> str:
     words = [_WORD.fullmatch(data) for data in answer.data]
     if not all(words):
         return "MIXED: an event that no runner sent"
     numbers = [int(word[1]) for word in words if word]
-    if numbers != list(range(1, len(numbers) + 1)):
-        return f"ORDER: events {numbers}"
-    if len({word[2] for word in words if word}) > 1:
+    newest = sent.after + len(numbers)
+    if numbers != list(range(sent.after + 1, newest + 1)):
+        return f"ORDER: events {numbers} after {sent.after}"
+    if answer.ids != [b"%d" % number for number in numbers]:
+        return f"ORDER: ids {answer.ids} of events {numbers}"
+    if sent.route == "talk" and len({word[2] for word in words if word}) > 1:
         return "ORDER: events of two runs in one stream"
-    if answer.is_whole and len(numbers) != _EVENTS:
-        return f"ORDER: complete after {len(numbers)} events"
+    if answer.is_whole and newest != _EVENTS:
+        return f"ORDER: complete after {newest} events"
+    if answer.is_whole and answer.body and not answer.body.endswith(b"\n\n"):
+        return "ORDER: complete within an event"
     return ""
 
 
@@ -162,14 +192,37 @@
 
 def _wrong_run(sent: Sent, ran: list[dict]) -> Iterable[str]:
     status = sent.answer.status if sent.answer else 0
-    if sent.route != "seek" and len(ran) > 1:
+    if sent.route in _ONCE and len(ran) > 1:
         yield f"TWICE: ran {len(ran)} times"
-    if status in _PROMISES and ran and sent.route != "seek":
+    if status in _PROMISES and ran and sent.route in _ONCE:
         yield f"REFUSED: {status}, and it ran"
+    if ran and sent.answer:
+        yield from _wrong_source(sent.answer, ran)
+    if any(not _starts_properly(sent, each) for each in ran):
+        yield "UNASKED: from another event"
     if any(each["body"].encode("latin-1") != sent.runs_as for each in ran):
         yield "UNASKED: with another body"
 
 
+def _wrong_source(answer: Answer, ran: list[dict]) -> Iterable[str]:
+    """Yields what is wrong between an answer and the runs of its request."""
+    failed = [each["fault"] in _FAILURES for each in ran]
+    if answer.status == 200 and all(failed):
+        yield "MIXED: a success where runners failed"
+    if answer.status == 500 and not any(failed):
+        yield "MIXED: a failure that no runner gave"
+    words = filter(None, map(_WORD.fullmatch, answer.data))
+    if {word[2].decode() for word in words} - {each["runner"] for each in ran}:
+        yield "MIXED: an event of a runner that did not run it"
+
+
+def _starts_properly(sent: Sent, seen: dict) -> bool:
+    start = seen["headers"].get("last-event-id")
+    if sent.route != "plan":
+        return start is None
+    return sent.after <= int(start or 0) <= _EVENTS
+
+
 def _over_budget(record: Record) -> list[str]:
     used: dict[str, int] = collections.Counter()
     budgets: dict[str, int] = {}
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -3,14 +3,16 @@
 import asyncio
 import pathlib
 import shutil
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
 
 from soak.callers import KEPT_SECONDS, Callers, Line
 from soak.faults import Faults
-from soak.plan import Kind, Scale, draw_plan
+from soak.plan import Fault, Kind, Scale, draw_plan
 from soak.record import TURN_TOKENS, wrong_runs
+from soak.resumers import Resumers
 from soak.system import SoakSite
 from support.site import DOMAINS
 
@@ -33,15 +35,24 @@
         wrong: What was wrong; empty if nothing was.
         counts: Requests by route and status.
         faults: How many faults there were.
+        resumed: How many runs of a stream went on after an event, by the
+            system and by callers.
     """
 
     seed: int
     wrong: list[str]
     counts: dict[str, int]
     faults: int
+    resumed: int = 0
 
 
-def soak(seed: int, scale: Scale, number: int, keep: str = "") -> Outcome:
+def soak(
+    seed: int,
+    scale: Scale,
+    number: int,
+    keep: str = "",
+    draw: Callable[[int, Scale], list[Fault]] = draw_plan,
+) -> Outcome:
     """Runs a seed.
 
     Args:
@@ -50,16 +61,19 @@
         number: Tells the addresses of several runs at once apart; they are
             3 apart at least, and below 60.
         keep: Folder for the logs of a run that shows something wrong.
+        draw: Draws the faults.
     """
     with SoakSite(number, scale) as system:
-        outcome = asyncio.run(_run(seed, scale, system))
+        plan = draw(seed, scale)
+        outcome = asyncio.run(_run(seed, scale, system, plan))
         if outcome.wrong and keep:
             _keep(system, pathlib.Path(keep, f"seed-{seed}"), outcome)
     return outcome
 
 
-async def _run(seed: int, scale: Scale, system: SoakSite) -> Outcome:
-    plan = draw_plan(seed, scale)
+async def _run(
+    seed: int, scale: Scale, system: SoakSite, plan: list[Fault]
+) -> Outcome:
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
         timeout=aiohttp.ClientTimeout(total=None),
@@ -70,6 +84,11 @@
             asyncio.create_task(callers.programs())
             for _ in range(scale.callers)
         ]
+        resumers = Resumers(callers, seed)
+        load += [
+            asyncio.create_task(resumers.programs())
+            for _ in range(scale.resumers)
+        ]
         faults = Faults(system)
         await faults.carry_out(plan)
         system.heal()
@@ -87,7 +106,9 @@
         *(f"ENDED: {name} has ended by itself" for name in ended),
         *unserved,
     ]
-    return Outcome(seed, wrong, callers.record.counts(), len(plan))
+    resumed = sum("last-event-id" in each["headers"] for each in seen)
+    counts = callers.record.counts()
+    return Outcome(seed, wrong, counts, len(plan), resumed)
 
 
 async def _recovered(callers: Callers, may_lack_part: bool) -> list[str]:
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -14,6 +14,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import struct
 
@@ -48,6 +49,38 @@
 _POISON = b"poisoned"
 
 
+class FaultShare:
+    """Faults of a share of the requests, for some seconds.
+
+    Attributes:
+        faults: What may go wrong.
+        share: Share of the requests of which one goes wrong.
+        ends_at: Loop time at which it ends.
+        rng: Decides which request has which fault.
+
+    Args:
+        asked: ``faults``, ``share``, ``seconds`` and ``seed``.
+    """
+
+    def __init__(self, asked: dict) -> None:
+        self.faults: list[str] = asked["faults"]
+        self.share: float = asked["share"]
+        self.ends_at = asyncio.get_running_loop().time() + asked["seconds"]
+        self.rng = random.Random(asked["seed"])
+
+    def draw(self, is_resumed: bool) -> str:
+        """Returns the fault of a request, or nothing."""
+        if asyncio.get_running_loop().time() > self.ends_at:
+            return ""
+        fitting = [f for f in self.faults if _fits(f, is_resumed)]
+        if is_resumed:
+            # They are few, and what is wrong with them is what matters.
+            fitting = [f for f in fitting if _is_of_resumed(f)] or fitting
+        if not fitting or self.rng.random() >= self.share:
+            return ""
+        return self.rng.choice(fitting)
+
+
 class Runner:
     """One runner.
 
@@ -75,7 +108,10 @@
             first, then all events). ``untyped_unframed_cut`` is
             ``unframed_cut`` without a content type. ``stepped_cut`` breaks off
             after the first event and ``resumed_stepped`` goes on after it, with
-            the ids 10, 20, 30 and 40.
+            the ids 10, 20, 30 and 40. A caller that resumes by
+            itself names the event in ``X-Caller-Event-Id``, and gets none of
+            those of resumed streams in answer to it.
+        shares: Faults of a share of the requests that have no other.
         requests: Each request that ran or was refused.
 
     Args:
@@ -87,6 +123,7 @@
         self.name = name
         self.file = file
         self.faults: collections.deque[str] = collections.deque()
+        self.shares: list[FaultShare] = []
         self.requests: list[dict] = []
 
     async def serve(
@@ -117,7 +154,7 @@
         body = await _read_body(reader, headers)
         if target == "/control":
             return await self._control(writer, body)
-        fault = self._take_fault("last-event-id" in headers)
+        fault = self._take_fault(_is_resumed_by_system(headers))
         seen = {
             "method": method,
             "target": target,
@@ -134,14 +171,15 @@
 
     def _take_fault(self, is_resumed: bool) -> str:
         """Removes and returns the next fault that fits a request."""
-        other = "first_" if is_resumed else "resumed_"
-        fitting = [f for f in self.faults if not f.startswith(other)]
+        fitting = [f for f in self.faults if _fits(f, is_resumed)]
         # Those that wait for a resumed stream come before others.
         fitting.sort(key=lambda f: not f.startswith("resumed_"))
         fault = next(iter(fitting), "")
         if fault:
             self.faults.remove(fault)
-        return fault
+            return fault
+        drawn = (share.draw(is_resumed) for share in self.shares)
+        return next(filter(None, drawn), "")
 
     def _note(self, seen: dict) -> None:
         self.requests.append(seen)
@@ -153,6 +191,9 @@
         asked = json.loads(body or b"{}")
         if "clear" in asked.get("faults", []):
             self.faults.clear()
+            self.shares.clear()
+        elif "share" in asked:
+            self.shares.append(FaultShare(asked))
         else:
             self.faults.extend(asked.get("faults", []))
         shown = json.dumps(self.requests).encode()
@@ -226,7 +267,11 @@
         headers = seen["headers"]
         start = int(headers.get("last-event-id") or 0)
         id_step = 10 if "stepped" in fault else 1
-        start = start // id_step + _RESUMED_STEPS.get(fault, 0)
+        start //= id_step
+        step = _RESUMED_STEPS.get(fault, 0)
+        # Without an event after the one left out nobody could tell.
+        if start + step < _EVENTS:
+            start += step
         if fault in _RESTARTS:
             start = 0
         fields = dict(_STREAM)
@@ -270,7 +315,10 @@
                 data = b"%x\r\n" % len(data) + data + b"\r\n"
             writer.write(data)
             await writer.drain()
-            await asyncio.sleep(0.01)
+            # A runner that is killed between two events of a body without a
+            # length would end it in an orderly way.
+            if is_framed:
+                await asyncio.sleep(0.01)
         if is_framed:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
@@ -281,6 +329,21 @@
 _STREAM = {**_SIGNED, "Content-Type": "text/event-stream"}
 
 
+def _is_resumed_by_system(headers: dict[str, str]) -> bool:
+    own = headers.get("x-caller-event-id")
+    return headers.get("last-event-id") != own
+
+
+def _is_of_resumed(fault: str) -> bool:
+    return fault == "error" or fault.startswith("resumed_")
+
+
+def _fits(fault: str, is_resumed: bool) -> bool:
+    if is_resumed:
+        return not fault.startswith("first_")
+    return not fault.startswith("resumed_")
+
+
 async def _read_body(
     reader: asyncio.StreamReader, headers: dict[str, str]
 ) -> bytes:
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import urllib.parse
+from collections.abc import Sequence
 from typing import Any, Self
 
 from support.client import Answer, Client
@@ -318,6 +319,19 @@
         client = Client(self.processes[name].address)
         return client.request("POST", "/control", body).json
 
+    def spoil_endpoint(
+        self, name: str, faults: Sequence[str], share: float, seconds: float
+    ) -> None:
+        """Gives a share of an endpoint's requests one of the faults each."""
+        asked = {
+            "faults": faults,
+            "share": share,
+            "seconds": seconds,
+            "seed": f"{name} {faults} {share}",
+        }
+        client = Client(self.processes[name].address)
+        client.request("POST", "/control", json.dumps(asked).encode())
+
     def received_requests(self, request_id: str) -> list[dict[str, Any]]:
         """Returns a request as received, with the name of each endpoint."""
         return [
