Begin the response to a stream with its first event

What callers saw: a response that broke off, although nothing had come yet and the next attempt's failure could have been theirs as it was; and for a stream that may not be resumed, a cut in place of a 502.

Cause: the head went out as soon as an endpoint had sent its own. From then on another attempt had to continue a stream of which the caller had nothing.

Tests: two scenarios of site_streams.feature, which broke off before.

--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -100,20 +100,25 @@
         while True:
             async with self.dispatcher.open_response(job) as running:
                 if isinstance(running, Refusal):
-                    if response is None:
-                        return running
-                    return self._abort_response(
-                        request, job, response, running.detail
-                    )
-                if response is None and not running.response.head.is_success:
+                    return self._end_early(request, job, response, running)
+                head = running.response.head
+                if response is None and not head.is_success:
                     return await self._forward_failure(request, job, running)
-                if response is None:
-                    response = await self._start_response(
-                        request, running.response.head
-                    )
                 try:
                     async with asyncio.timeout_at(job.deadline):
-                        await self._forward_events(response, job, running, turn)
+                        job.stream.begin(head)
+                        async for block in job.stream.blocks(running.response):
+                            # Until the caller has a part of it, the response
+                            # of another attempt can take its place.
+                            response = response or await self._start_response(
+                                request, head
+                            )
+                            if block.is_event:
+                                self._record_event(job, running, turn, block)
+                            await response.write(block.raw)
+                    response = response or await self._start_response(
+                        request, head
+                    )
                     self._log_attempt(job, running, "")
                     return await self._finish_stream(
                         request, job, running, response, turn
@@ -126,9 +131,19 @@
                         job, running, error
                     )
             if refusal:
-                return self._abort_response(
-                    request, job, response, refusal.detail
-                )
+                return self._end_early(request, job, response, refusal)
+
+    def _end_early(
+        self,
+        request: web.BaseRequest,
+        job: Job,
+        response: web.StreamResponse | None,
+        refusal: Refusal,
+    ) -> web.StreamResponse | Refusal:
+        """Ends a stream that is not whole: refused unless it has begun."""
+        if response is None:
+            return refusal
+        return self._abort_response(request, job, response, refusal.detail)
 
     async def _forward_failure(
         self, request: web.BaseRequest, job: Job, running: RunningCall
@@ -139,19 +154,6 @@
         except (BrokenError, TimeoutError) as error:
             return self.dispatcher.handle_interruption(job, running, error)
 
-    async def _forward_events(
-        self,
-        response: web.StreamResponse,
-        job: Job,
-        running: RunningCall,
-        turn: Turn,
-    ) -> None:
-        job.stream.begin(running.response.head)
-        async for block in job.stream.blocks(running.response):
-            if block.is_event:
-                self._record_event(job, running, turn, block)
-            await response.write(block.raw)
-
     def _record_event(
         self, job: Job, running: RunningCall, turn: Turn, event: Block
     ) -> None:
--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -80,7 +80,8 @@
 
     Attributes:
         position: How far the caller is.
-        first_head: Head of the first attempt's response, or None.
+        first_head: Head of the response that the caller gets, or None.
+        has_begun: Whether the caller has a part of that response.
         attempts: Number of attempts that have begun a response.
         interruptions: Number of attempts that were interrupted, or did not go
             on, since the caller got an event.
@@ -94,6 +95,7 @@
     def __init__(self, last_event_id: str) -> None:
         self.position = StreamPosition(last_event_id)
         self.first_head: ResponseHead | None = None
+        self.has_begun = False
         self.attempts = 0
         self.interruptions = 0
         self.is_more_due = False
@@ -102,10 +104,12 @@
         """Begins an attempt with the head of its response.
 
         Raises:
-            NotContinuedError: It can't continue the first attempt's response.
+            NotContinuedError: It can't continue the response that has begun.
         """
         self.attempts += 1
-        first = self.first_head = self.first_head or head
+        if not self.has_begun:
+            self.first_head = head
+        first = self.first_head
         if head.status != first.status:
             raise NotContinuedError(f"status {head.status}")
         if head.content_type != first.content_type:
@@ -133,6 +137,7 @@
                         self._check_continued(block)
                         is_checked = True
                     for each in (*held, block):
+                        self.has_begun = True
                         self._record(head, each)
                         yield each
                     held.clear()
--- a/tests/features/site_streams.feature
+++ b/tests/features/site_streams.feature
@@ -162,3 +162,18 @@
     And no endpoint received it
     When a turn "one " of program "p25" is sent to "east"
     Then it is answered with 200
+
+  Scenario: A stream breaks off before its first event, and the next attempt fails
+    The caller has nothing yet that the failure would have to continue, so it
+    gets the failure as it is, and not a response that breaks off.
+
+    Given every engine has the fault "cut_at_start"
+    And every engine has the fault "error"
+    When a plan is sent to "east"
+    Then it is answered with 500
+    And the response is the endpoint's
+
+  Scenario: A stream that may not be resumed breaks off before its first event
+    Given every engine has the fault "cut_at_start"
+    When a turn "t" of program "p26" is sent to "east"
+    Then it is answered with 502
--- a/tests/features/steps/joining.py
+++ b/tests/features/steps/joining.py
@@ -90,6 +90,8 @@
     """Returns what a caller gets of attempts, and whether it is complete."""
     got = b""
     for response in responses:
+        if not got and not response.head.is_success:
+            return got, False
         try:
             joiner.begin(response.head)
             async for block in joiner.blocks(response):
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -92,7 +92,8 @@
             (an answer to another request goes first, ``foreign_apart``: in a
             packet of its own), ``slow`` (2 s), ``die`` (the process ends),
             ``early`` (a whole answer before the body is in), ``error`` (500).
-            Of streams: ``cut_between`` (between two events), ``unnumbered``
+            Of streams: ``cut_at_start`` (before any event),
+            ``cut_between`` (between two events), ``unnumbered``
             (events without ids, cut as well), ``unframed`` (no length),
             ``unframed_cut`` (no length, closed in the middle of an event),
             ``ended_within`` (in chunks that end in the middle of an event).
@@ -305,7 +306,7 @@
                 shown += int(headers["last-event-id"])
             if not fault.endswith("unnumbered"):
                 data = b"id: %d\n" % shown + data
-            if fault == "resumed_cut":
+            if fault in ("resumed_cut", "cut_at_start"):
                 return False
             if fault == "stepped_cut" and number == 2:
                 return False
