Join the parts of an answer in one way

What callers saw: an answer that looked complete and held only the last piece of a field such as a refusal; for a caller that reads slowly also one without a stretch of its text, where a part with 'content': null had been joined to it. The turn was stored with the last piece.

Cause: parts were joined in two places. For the stored answer only content was appended and other text replaced; for slow callers null replaced the text before it.

Evidence: answers.feature, 'Unsent parts for a slow caller are joined' failed before, once its parts had a refusal and null, and the expected text was computed without the code.

Change: deltas.py joins for both: text is appended, null changes nothing, and role, id and type are kept as they came first.

--- a/libs/entry/src/rattanmill_entry/answers.py
+++ b/libs/entry/src/rattanmill_entry/answers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rattanmill_entry.chatbody import canonical_json
+from rattanmill_entry.deltas import join_fields
 from rattanmill_entry.upstream import Delta, Finished, Usage
 
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -15,44 +16,27 @@
 
     def __init__(self) -> None:
         self.fields: dict = {"role": "assistant", "content": ""}
-        self.tool_calls: dict[int, dict] = {}
 
     def add(self, delta: Delta) -> None:
         """Adds a part."""
-        for name, value in delta.fields.items():
-            if name == "tool_calls" and isinstance(value, list):
-                for part in value:
-                    self._add_tool_call(part)
-            elif name == "content" or name.endswith("_content"):
-                self.fields[name] = (self.fields.get(name) or "") + (
-                    value or ""
-                )
-            elif name != "role":
-                self.fields[name] = value
-
-    def _add_tool_call(self, part: dict) -> None:
-        """Appends a part of a tool call, whose arguments arrive in pieces."""
-        call = self.tool_calls.setdefault(
-            part.get("index", 0),
-            {"type": "function", "function": {"name": "", "arguments": ""}},
-        )
-        for name, value in part.items():
-            if name == "function":
-                for field, text in value.items():
-                    call["function"][field] += text or ""
-            elif name != "index":
-                call[name] = value
+        join_fields(self.fields, delta.fields)
 
     def message(self) -> bytes:
         """Returns the canonical JSON of the whole message."""
         fields = dict(self.fields)
-        if self.tool_calls:
-            fields["tool_calls"] = [
-                self.tool_calls[index] for index in sorted(self.tool_calls)
-            ]
+        if calls := fields.pop("tool_calls", None):
+            calls = sorted(calls, key=lambda call: call.get("index", 0))
+            fields["tool_calls"] = [_whole_call(call) for call in calls]
         return canonical_json(fields)
 
 
+def _whole_call(call: dict) -> dict:
+    """Returns a joined tool call in the form it has in a message."""
+    function = {"name": "", "arguments": "", **(call.get("function") or {})}
+    fields = {k: v for k, v in call.items() if k != "index"}
+    return {"type": "function", **fields, "function": function}
+
+
 def _usage(usage: Usage) -> dict:
     return {
         "prompt_tokens": usage.prompt_tokens,
--- a/libs/entry/src/rattanmill_entry/outbox.py
+++ b/libs/entry/src/rattanmill_entry/outbox.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rattanmill_entry.answers import chunk_event
+from rattanmill_entry.deltas import join_fields
 from rattanmill_entry.replies import Replies, Reply
 from rattanmill_wire import CallStart, ReplyChunk, ReplyEnd, ReplyHead
 
@@ -95,30 +96,3 @@
                     yield ReplyEnd(self.start.call, sent + 1)
                 case reply:
                     yield reply
-
-
-def join_fields(into: dict, later: dict) -> None:
-    """Adds the strings of a later delta to those of an earlier one."""
-    for name, value in later.items():
-        earlier = into.get(name)
-        if name == "tool_calls" and isinstance(earlier, list):
-            into[name] = _join_calls(earlier, value)
-        elif isinstance(earlier, str) and isinstance(value, str):
-            into[name] = earlier if name == "role" else earlier + value
-        elif isinstance(earlier, dict) and isinstance(value, dict):
-            into[name] = dict(earlier)
-            join_fields(into[name], value)
-        else:
-            into[name] = value
-
-
-def _join_calls(earlier: list[dict], later: list[dict]) -> list[dict]:
-    calls: dict[int, dict] = {}
-    for call in [*earlier, *later]:
-        index = call.get("index", 0)
-        if index not in calls:
-            calls[index] = dict(call)
-            continue
-        changes = {k: v for k, v in call.items() if k != "index"}
-        join_fields(calls[index], changes)
-    return list(calls.values())
--- a/tests/features/steps/answers.py
+++ b/tests/features/steps/answers.py
@@ -382,7 +382,10 @@
 _FIELDS = st.one_of(
     st.fixed_dictionaries({"content": _TEXT}),
     st.fixed_dictionaries({"reasoning_content": _TEXT}),
-    st.fixed_dictionaries({"tool_calls": st.lists(_CALL, max_size=2)}),
+    st.fixed_dictionaries({"refusal": _TEXT}),
+    st.fixed_dictionaries(
+        {"content": st.none(), "tool_calls": st.lists(_CALL, max_size=2)}
+    ),
 )
 
 
@@ -393,6 +396,30 @@
     return answer.message()
 
 
+def text_of(parts, name):
+    return "".join(part.get(name) or "" for part in parts)
+
+
+def arguments_of(parts, index):
+    calls = [call for part in parts for call in part.get("tool_calls", [])]
+    return "".join(
+        call["function"]["arguments"]
+        for call in calls
+        if call["index"] == index
+    )
+
+
+def check_message(parts):
+    """Checks that the joined message has the text of all parts."""
+    message = json.loads(join_parts(parts))
+    for name in ("content", "reasoning_content", "refusal"):
+        assert (message.get(name) or "") == text_of(parts, name), (name, parts)
+    arguments = [arguments_of(parts, index) for index in (0, 1)]
+    calls = message.get("tool_calls", [])
+    found = [call["function"]["arguments"] for call in calls]
+    assert "".join(found) == "".join(arguments), (found, parts)
+
+
 @then("any unsent parts are joined to few with the same text")
 def step_joined(context):
     @settings(_EXAMPLES, max_examples=30)
@@ -404,6 +431,8 @@
         waiting = [part.fields for part in outbox.queue]
         assert len(waiting) <= 64, len(waiting)
         assert join_parts(waiting) == join_parts(parts)
+        check_message(parts)
+        check_message(waiting)
 
     check()
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -361,7 +361,7 @@
             case Cut.NO_FINISH:
                 await answer.write(_DONE)
             case Cut.MALFORMED:
-                calls = {"tool_calls": [{"index": 0, "function": None}]}
+                calls = {"tool_calls": ["x"]}
                 await answer.write(self._event(sequence, model, calls, None))
                 return False
         return True
