Fail an attempt whose engine sends a part that can't be joined

What callers saw: an answer that stopped in the middle as 'internal', though another engine could have given it.

Cause: the form of tool calls was not checked when a part was read; joining it raised an error in the owner's work on the turn.

Change: a part of another form breaks the attempt, which is resumed or run again.

--- a/libs/entry/src/rattanmill_entry/deltas.py
+++ b/libs/entry/src/rattanmill_entry/deltas.py
@@ -1,9 +1,30 @@
 """Joins deltas, the parts in which an engine sends a message."""
 
+import msgspec
+
 # Sent once or repeated as a whole, never in pieces.
 _UNDIVIDED_FIELDS = frozenset(("role", "id", "type"))
 
 
+class _ToolCallForm(msgspec.Struct):
+    index: int = 0
+    function: dict | None = None
+
+
+class _DeltaForm(msgspec.Struct):
+    content: str | None = None
+    tool_calls: list[_ToolCallForm] | None = None
+
+
+def check_delta(fields: dict) -> None:
+    """Checks that a delta has a form that can be joined to others.
+
+    Raises:
+        msgspec.ValidationError: It has another form.
+    """
+    msgspec.convert(fields, _DeltaForm)
+
+
 def join_fields(into: dict, later: dict) -> None:
     """Adds the strings of a later delta to those of an earlier one."""
     for name, value in later.items():
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from rattanmill_entry.deltas import check_delta
 from rattanmill_policy import Outcome
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
@@ -217,6 +218,7 @@
             choice = event.choices[0]
             finish = choice.finish_reason or finish
             if choice.delta:
+                check_delta(choice.delta)
                 yield Delta(choice.delta, data)
     yield Failed(Outcome.BROKEN, 0, "stream ended early")
 
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -154,3 +154,11 @@
     And engines that resume a stream only for a token
     When a turn of 40 tokens is sent
     Then the answer is complete and from one engine
+
+  Scenario: An engine sends a part that cannot be joined
+    A part of another form fails the attempt, not the whole instance's handling
+    of the call: its caller would wait for an end that never comes.
+
+    Given engines that cut the next stream after 5 tokens by malformed
+    When a turn of 40 tokens is streamed
+    Then the stream is the complete answer of 40 tokens
