Count the first token of a continued answer when it arrives

What callers saw: calls placed at the wrong endpoints after an endpoint had broken answers off: one that continued such an answer seemed slow to start and fast to write.

Cause: the time of the first token was taken at the first part for the caller, after the endpoint had repeated all that the caller had.

Change: the first part of an attempt counts, whether or not it is delivered.

--- a/libs/entry/src/rattanmill_entry/attempts.py
+++ b/libs/entry/src/rattanmill_entry/attempts.py
@@ -161,6 +161,8 @@
                 async with contextlib.aclosing(parts):
                     async for part in parts:
                         placement.seconds = loop.time() - started_at
+                        if isinstance(part, Delta):
+                            _record_first_token(placement)
                         checked = _check_overlap(overlap, part)
                         if isinstance(checked, Refusal) and first_failure:
                             checked = _NOT_CONTINUED
@@ -247,14 +249,17 @@
     return refuse(Reason.ANSWER_CUT, detail)
 
 
+def _record_first_token(placement: Placement) -> None:
+    """Records the time of the first part, whether or not it is delivered."""
+    if not placement.first_token_seconds:
+        placement.first_token_seconds = placement.seconds
+
+
 def _record_part(
     placement: Placement, part: Delta | Finished | Failed | Refusal
 ) -> bool:
     """Records a part's result in the placement; True if it is the last."""
     match part:
-        case Delta():
-            if not placement.first_token_seconds:
-                placement.first_token_seconds = placement.seconds
         case Finished():
             placement.outcome = Outcome.ANSWERED
             placement.prompt_tokens = part.usage.prompt_tokens
--- a/tests/features/retries.feature
+++ b/tests/features/retries.feature
@@ -48,3 +48,13 @@
 
   Scenario: No retry after the deadline
     Then a call past its deadline is not retried
+
+  Scenario: An answer is continued at another endpoint
+    The second endpoint repeats what the caller has. If its first token were
+    counted only after that, the endpoint would be learned to read prompts
+    slowly and to write fast, and would get the wrong calls.
+
+    Given a stream that breaks after 2 parts and is continued elsewhere
+    When the second endpoint repeats them, 0.1 s each, and ends the answer
+    Then the caller gets each part once
+    And the second endpoint's first token was counted at its first part
--- a/tests/features/steps/retries.py
+++ b/tests/features/steps/retries.py
@@ -1,6 +1,10 @@
 """Steps for retries."""
 
+import asyncio
 import concurrent.futures
+import contextlib
+from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import given as for_any
@@ -9,7 +13,11 @@
 from steps.system import start
 
 from bench.policies import Naive
-from rattanmill_policy import Outcome, Scheduler
+from rattanmill_entry import attempts
+from rattanmill_entry.attempts import ChatRun, run_chat
+from rattanmill_entry.chatbody import ChatBody
+from rattanmill_entry.upstream import Delta, Failed, Finished, Usage
+from rattanmill_policy import Outcome, Placement, Scheduler, Work
 from rattanmill_policy.retries import RetryBudget, should_retry
 from support import EngineSpec, Layout, wait_until
 from support.virtual import (
@@ -179,3 +187,99 @@
     fresh, late = run_virtually(run())
     assert fresh <= late, (fresh, late)
     assert fresh >= 15.0, fresh
+
+
+def _delta(text):
+    return Delta({"content": text}, b"")
+
+
+def _broken():
+    return Failed(Outcome.BROKEN, 0, "connection lost")
+
+
+@given("a stream that breaks after 2 parts and is continued elsewhere")
+def step_broken_stream(context):
+    async def first():
+        for part in (_delta("a"), _delta("b"), _broken()):
+            yield part
+
+    async def not_resumed():
+        yield Failed(Outcome.REJECTED, 404, "no such stream")
+
+    context.first = first
+    context.resumed = not_resumed
+
+
+def _state(name):
+    endpoint = SimpleNamespace(name=name, url=f"http://{name}")
+    return SimpleNamespace(
+        endpoint=endpoint, in_flight=0, active_timeouts=set(), progress_at=0.0
+    )
+
+
+def _fake_node(placements):
+    """Returns a node that places calls at two endpoints in turn."""
+    states = map(_state, ("first", "second"))
+
+    async def place(work):
+        placements.append(Placement(work, next(states), lambda _: None))
+        return placements[-1]
+
+    node = mock.MagicMock()
+    node.guard.refusal.return_value = None
+    node.guard.isolate.return_value = contextlib.AsyncExitStack()
+    node.guard.handle_broken_attempt = mock.AsyncMock(return_value=None)
+    node.guard.delay_retry = mock.AsyncMock()
+    node.scheduler.place = place
+    node.spawn = lambda coroutine: coroutine.close()
+    node.scheduler.may_retry.return_value = True
+    return node
+
+
+@when(
+    "the second endpoint repeats them, {seconds:f} s each, and ends the answer"
+)
+def step_continued(context, seconds):
+    async def second():
+        for text in "abc":
+            yield _delta(text)
+            await asyncio.sleep(seconds)
+        yield Finished("stop", Usage(10, 3))
+
+    streams = iter((context.first, second))
+
+    async def run():
+        chat = ChatBody("m", [b'{"role":"user"}'], {}, [], 8)
+        call = ChatRun(
+            chat, chat.messages, 8, Work(program="program"), stream=True
+        )
+        return [part async for part in run_chat(_fake_node(placements), call)]
+
+    placements = []
+    with (
+        mock.patch.object(attempts, "stream_chat", lambda *_: next(streams)()),
+        mock.patch.object(
+            attempts, "resume_chat", lambda *_: context.resumed()
+        ),
+    ):
+        context.parts = asyncio.run(run())
+    context.placements = placements
+    context.seconds = seconds
+
+
+@then("the caller gets each part once")
+def step_each_once(context):
+    *parts, last = context.parts
+    assert [p.fields["content"] for p in parts] == ["a", "b", "c"], parts
+    assert isinstance(last, Finished), last
+
+
+@then("the second endpoint's first token was counted at its first part")
+def step_first_token(context):
+    first, second = context.placements
+    assert first.outcome is Outcome.BROKEN, first.outcome
+    assert second.outcome is Outcome.ANSWERED, second.outcome
+    assert second.first_token_seconds < context.seconds, (
+        second.first_token_seconds
+    )
+    assert second.seconds > 2 * context.seconds, second.seconds
