Refuse a chat that asks for more than one answer

What callers saw: nothing that is known. The parts of all answers that an engine sends for 'n' above 1 would be joined to one text that no model has written.

Cause: only the first choice of each event is read, whichever answer it belongs to, and 'n' was sent to the engine.

Evidence: input.feature, 'a chat with two answers' failed before, with status 200. The stand-in engine sends one answer whatever it is asked; no run shows the joined text.

Change: such a request is refused as bad_request before it reaches an engine.

--- a/libs/entry/src/rattanmill_entry/chatbody.py
+++ b/libs/entry/src/rattanmill_entry/chatbody.py
@@ -6,6 +6,7 @@
 
 _DEFAULT_OUTPUT_TOKENS = 1024
 _TEMPLATE_TOKENS_PER_MESSAGE = 16
+_ONE_ANSWER = (b"1", b"null")
 
 
 class ChatBody(msgspec.Struct):
@@ -64,6 +65,9 @@
     requested = wire.max_completion_tokens or wire.max_tokens
     if requested is not None and requested < 1:
         return "max_tokens: must be at least 1"
+    if bytes(fields.get("n", b"1")) not in _ONE_ANSWER:
+        # The parts of several answers would be joined to one.
+        return "n: must be 1"
     return ChatBody(
         wire.model,
         [canonical_json(message) for message in wire.messages],
--- a/tests/features/input.feature
+++ b/tests/features/input.feature
@@ -23,6 +23,7 @@
       | deep JSON for a chat             | 400    | bad_request     |
       | deep JSON in a message           | 400    | bad_request     |
       | a chat that is a list            | 400    | bad_request     |
+      | a chat with two answers          | 400    | bad_request     |
       | a body that is not UTF-8         | 400    | bad_request     |
       | a deadline that is no number     | 400    | bad_request     |
       | a turn that is no number         | 400    | bad_request     |
--- a/tests/features/steps/input.py
+++ b/tests/features/steps/input.py
@@ -130,6 +130,9 @@
     "deep JSON for a chat": deep_chat,
     "deep JSON in a message": deep_message,
     "a chat that is a list": lambda c: post(c, "/v1/chat/completions", b"[]"),
+    "a chat with two answers": lambda c: post(
+        c, "/v1/chat/completions", chat_body(n=2)
+    ),
     "a body that is not UTF-8": lambda c: post(
         c, "/v1/chat/completions", b'{"model": "\xff"}'
     ),
