--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -21,6 +21,7 @@
     Breaker,
     Entry,
     Found,
+    HistoryLost,
     Missing,
     PrefixWatch,
     Range,
@@ -44,12 +45,14 @@
         values: Value and revision by key.
         calls: Number of calls by kind and prefix.
         rejected: Names of processes whose calls fail.
+        oldest: Revision after which the changes are known.
     """
 
     def __init__(self) -> None:
         self.values: dict[str, tuple[bytes, int]] = {}
-        self.events: list[tuple[int, str, bytes]] = []
+        self.events: list[tuple[int, str, bytes | None]] = []
         self.revision = 1
+        self.oldest = 0
         self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
         self.rejected: set[str] = set()
         self.change = asyncio.Event()
@@ -61,6 +64,19 @@
         self.events.append((self.revision, key, value))
         self.wake()
 
+    def remove(self, key: str) -> None:
+        """Removes a key, and wakes the watches."""
+        self.revision += 1
+        self.values.pop(key, None)
+        self.events.append((self.revision, key, None))
+        self.wake()
+
+    def forget_changes(self) -> None:
+        """Drops the history, and wakes the watches."""
+        self.revision += 1
+        self.oldest = self.revision
+        self.wake()
+
     def wake(self) -> None:
         """Wakes the watches."""
         self.change.set()
@@ -74,7 +90,9 @@
             if key.startswith(prefix)
         }
 
-    def changes(self, prefix: str, after: int) -> list[tuple[str, bytes]]:
+    def changes(
+        self, prefix: str, after: int
+    ) -> list[tuple[str, bytes | None]]:
         """Returns the changes under a prefix after a revision."""
         newer = itertools.takewhile(
             lambda event: event[0] > after, reversed(self.events)
@@ -123,19 +141,23 @@
 
     async def watch(
         self, prefix: str, after: int, seconds: float
-    ) -> WatchEvents | Unavailable:
+    ) -> WatchEvents | HistoryLost | Unavailable:
         """Waits for changes after a revision."""
         if not await self._call("watch", prefix):
             return Unavailable("rejected")
         store = self.store
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                while not store.changes(prefix, after):
+                while after >= store.oldest and not store.changes(
+                    prefix, after
+                ):
                     await store.change.wait()
                     if self.name in store.rejected:
                         break
         if self.name in store.rejected:
             return Unavailable("rejected")
+        if after < store.oldest:
+            return HistoryLost()
         return WatchEvents(store.changes(prefix, after), store.revision)
 
     async def write(
