Take no list of endpoints from the body of an error

If a failed read of the instance list had a body with a list, all endpoints that it left out counted as gone.

Cause: the status of the response wasn't looked at.

Evidence: endpoint_list.feature, "fails with a body that has a list": no endpoint was known any more. The other two scenarios passed before.

Change: only a successful response is a list.

--- a/libs/platform/src/rattanmill_platform/directory.py
+++ b/libs/platform/src/rattanmill_platform/directory.py
@@ -84,7 +84,9 @@
     async def _poll(self) -> None:
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_SECONDS)
         try:
-            async with self.session.get(self.url, timeout=timeout) as response:
+            async with self.session.get(
+                self.url, timeout=timeout, raise_for_status=True
+            ) as response:
                 body = await response.read()
                 listed = msgspec.json.decode(body, type=_InstanceList)
         except (
