Deny a turn only if each instance tells that it lacks that turn

What callers saw: nothing; no instance is known to reply so.

Cause: a reply that did not hold a turn counted as a word that the instance does not have it, whatever the reply gave as its missing link.

Evidence: chains.feature, 400 chains that are scattered over instances which are down, have not recovered, or send a part: a turn that an instance held was denied (404) after such a reply. No chain was put together wrongly, before either.

Change: what a reply tells as missing is compared with the turn that is. Otherwise the answer is 503.

--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -233,10 +233,12 @@
                 )
             )
             for member, chain in zip(group, chains, strict=True):
-                gap.uncertainty = gap.uncertainty or _uncertainty(member, chain)
                 if isinstance(chain, Chain):
                     gap.turn = self._append_turns(found, gap.turn, chain)
                     gap.unlisted.update(chain.unlisted)
+                gap.uncertainty = gap.uncertainty or _uncertainty(
+                    member, chain, gap.turn
+                )
             if not gap.turn:
                 return
 
@@ -284,8 +286,12 @@
         return f"{', '.join(sorted(lost))} may have the turn" if lost else ""
 
 
-def _uncertainty(member: Member, reply: msgspec.Struct | None) -> str:
-    """Returns why a reply is not conclusive; empty if it is."""
+def _uncertainty(
+    member: Member, reply: msgspec.Struct | None, turn: str
+) -> str:
+    """Returns why a reply does not tell that a turn is not held; or empty."""
     if not isinstance(reply, Chain):
         return f"{member.name} does not respond"
+    if reply.missing != turn:
+        return f"{member.name} does not tell that it lacks the turn"
     return "" if reply.whole else f"{member.name} has not recovered"
