Show, failing, that a part stays set aside for a lost instance

What callers see: a program whose account was opened while a storage instance of a small system was down gets 503 for the last part of its budget, for good, if that instance comes back without its disk.

Cause: whether the instance was killed or was cut off and granted alone looks the same to all who are left once its disk is lost.

No way was found that keeps the bound and takes nothing from programs in a domain that is cut off.

--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -210,6 +210,31 @@
     Then the program gets just the rest of its budget at "b"
     And the program gets no further turn at "a, b, c"
 
+  Scenario: An instance is lost with its disk while an account is opened
+    Guards against a program that is refused for good before its budget is
+    spent: a part was set aside for an instance that had granted nothing, and
+    nobody can tell.
+
+    Given storage instances "a, b, c"
+    When "c" is killed
+    And a program has used half of its budget at "a"
+    And "c" returns with an empty disk and recovers from the others
+    Then the program gets just the rest of its budget at "b"
+    And the program gets at most one more turn at "a, b, c"
+
+  Scenario: An instance that has granted alone is lost with its disk
+    Guards against a part that is granted again: the others set it aside while
+    the instance was out of reach, and nobody knows any more that it was used.
+
+    Given storage instances "a, b, c"
+    When "c" is partitioned from "a, b" and the store is unreachable
+    And the program gets its share at "c"
+    And a program has used half of its budget at "a"
+    And "c" is killed
+    And all reach each other and are listed
+    And "c" returns with an empty disk and recovers from the others
+    Then the program gets at most 2 more turns at "a, b, c"
+
   Scenario Outline: An account is opened twice, with different parts set aside
     Guards against holders that never agree on how much may be used. It happens
     if the reply of the first opening instance is lost, and the second one sets
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import shutil
 
 from behave import given, then, when
 
@@ -368,6 +369,24 @@
     network(context, lose)
 
 
+@when('"{name}" returns with an empty disk and recovers from the others')
+def step_return_empty(context, name):
+    async def start(n):
+        shutil.rmtree(n.folder / name)
+        await n.start(name)
+        for each in n.names:
+            await n.follow(each)
+        assert n.keepers[name].is_recovered
+
+    network(context, start)
+
+
+@then('the program gets at most {most:d} more turns at "{names}"')
+def step_more_turns(context, most, names):
+    granted = turns_granted(context, names.split(", "), BUDGET // TOKENS)
+    assert granted <= most, granted
+
+
 @when(
     'a program has used half of its budget at "{name}" while one holder was'
     " unreachable"
