Take the loss of an instance for an interval, not for one time

Cause: isolation.py took it that instances hear each other at most 0.6 s apart. A poll counts from its start once all pages are fetched, so one that takes seconds makes a loss look older than it is. The beginner then takes two losses for one, or the opener one for two, and one part is set aside for two.

Change: each knows an interval that contains the time of the last contact: from its own newest request with a reply to the first without one, or to the newest that it served. A beginner needs all intervals within 3 s, an opener 6 s between two of them. A reply counts before its pages are fetched. The steps give losses as intervals now; the two lie 1 s further back, as what is noticed 1.6 s later must have been noticed.

Ways weighed: a longer assumed poll time (any is exceeded, and losses 12 s apart must count as apart); the age of the knowledge in each request (the last one before the cut is what is missing); pages as contact (they don't tell who asks, so the other side would not know of it).

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -194,7 +194,9 @@
             _REQUEST_TIMEOUT_SECONDS,
         )
         if not isinstance(news, News):
+            self.members.record_missed(member.name)
             return False
+        self.members.record_contact(member, began, news)
         if news.run != progress.run:
             log_event("following_anew", keeper=member.name, run=news.run)
             progress.has_caught_up = False
@@ -212,7 +214,6 @@
             return False
         if self.progress[member.name] is not progress:
             return True
-        self.members.record_contact(member, began, news)
         progress.run = news.run
         progress.position = news.position
         progress.absent = frozenset(news.absent)
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from rattanmill_core import log_event, wall_seconds
+from rattanmill_keeper.isolation import Loss
 from rattanmill_keeper.ledger import Ledger
 from rattanmill_keeper.members import ROSTER_EXPIRY_SECONDS, Members
 from rattanmill_keeper.messages import (
@@ -53,7 +54,7 @@
             nothing shows it: their registration expired or their disk was lost.
         max_beginners: How many of those that did not consent may have granted
             tokens alone, as instances only do so in small systems.
-        lost_seconds: As in ``Members.lost_seconds``, by anyone who consented.
+        losses: As in ``Members.losses``, by all who consented.
         unable: Those that can't have granted alone, as anyone knows who
             consented.
     """
@@ -62,7 +63,7 @@
     with_share: frozenset[str] = frozenset()
     unseen: frozenset[str] = frozenset()
     max_beginners: int = MAX_SHARERS
-    lost_seconds: dict[str, float] = {}
+    losses: dict[str, Loss] = {}
     unable: frozenset[str] = frozenset()
 
 
@@ -137,7 +138,7 @@
     if not all(reply.holders for reply in refused):
         return Unsure("another storage instance is opening the account")
     consent = _consent(replies, request, ledger, members)
-    members.learn_lost(consent.lost_seconds)
+    members.learn_losses(consent.losses)
     agreed = len(roster - consent.missing) - 1
     decision = evaluate_consents(
         len(roster), agreed, len(refused), members.tolerated_disk_losses
@@ -231,18 +232,13 @@
     )
 
 
-def _lost_seconds(
-    agreed: Iterable[Agreed], members: Members
-) -> dict[str, float]:
-    """Returns the shortest time for which each instance may be lost."""
-    shortest: dict[str, float] = {}
-    for lost_seconds in (
-        members.lost_seconds(),
-        *(reply.lost_seconds for reply in agreed),
-    ):
-        for name, seconds in lost_seconds.items():
-            shortest[name] = min(seconds, shortest.get(name, seconds))
-    return shortest
+def _losses(agreed: Iterable[Agreed], members: Members) -> dict[str, Loss]:
+    """Returns when each instance was lost by all that consented."""
+    merged: dict[str, Loss] = {}
+    for losses in (members.losses(), *(reply.losses for reply in agreed)):
+        for name, loss in losses.items():
+            merged[name] = loss.merge(merged.get(name, loss))
+    return merged
 
 
 def _consent(
@@ -266,7 +262,7 @@
             [members.max_beginners()]
             + [reply.max_beginners for reply in agreed.values()]
         ),
-        _lost_seconds(agreed.values(), members),
+        _losses(agreed.values(), members),
         frozenset(members.unable()).union(
             *(reply.unable for reply in agreed.values())
         ),
--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -10,21 +10,53 @@
 Of two instances that both lost all others at once, each lost the other one at
 that time, and a third one lost both then. So an opener that lost two at
 different times counts one of them.
+
+Two instances were last in contact when the newest request for news was sent
+that had a reply, whichever of them sent it. Neither knows that time exactly,
+but each knows an interval that contains it: it lies after its own newest
+request that had a reply, and before the first one that had none, or before the
+newest one that it served, if that came later. Polls may take any time: slow
+ones make the interval longer, and what it does not show counts against it.
 """
 
 from collections.abc import Iterable
 
 import msgspec
 
-# Members are asked for news each half second; a reply takes 0.1 s at most.
-_CONTACT_SECONDS = 0.6
-_AT_ONCE_SECONDS = 2 * _CONTACT_SECONDS
-# Two instances and the opener each measure with that uncertainty.
-_SAME_LOSS_SECONDS = 2 * _AT_ONCE_SECONDS + 3 * _CONTACT_SECONDS
+# The next poll and its timeout show a loss sooner than this, even under load.
+# Whoever takes longer to notice one begins nothing.
+_AT_ONCE_SECONDS = 3.0
 # A member that was silent for longer is not only late.
 _SILENT_SECONDS = 3.0
 
 
+class Loss(msgspec.Struct, frozen=True, array_like=True):
+    """When an instance was lost.
+
+    Attributes:
+        heard: Seconds since when it may have been lost.
+        noticed: Seconds since when it was certainly lost.
+    """
+
+    heard: float
+    noticed: float = 0.0
+
+    def merge(self, other: "Loss") -> "Loss":
+        """Returns when both of two instances had lost it."""
+        return Loss(
+            min(self.heard, other.heard),
+            min(self.noticed, other.noticed),
+        )
+
+    def is_at(self, seconds: float) -> bool:
+        """Whether it may have lost all others at once, about then."""
+        return (
+            self.noticed - _AT_ONCE_SECONDS
+            <= seconds
+            <= self.heard + _AT_ONCE_SECONDS
+        )
+
+
 class Contact(msgspec.Struct):
     """What an instance last heard of another one.
 
@@ -39,6 +71,12 @@
         lost_run_heard_at: ``heard_at`` before that disk was lost, if it was
             heard then.
         was_unable: Whether the run with that disk can't have granted alone.
+        missed_at: Loop time at which the first request after the newest reply
+            turned out to have none; None if there was no such request.
+        asked_at: Loop time of the newest request that it sent.
+        asked_run: Run of the process that sent it.
+        asked_before_at: Loop time of the newest request of an earlier run.
+        lost_run_noticed_at: When the run with the lost disk was certainly lost.
     """
 
     domain: str | None
@@ -47,18 +85,60 @@
     may_have_lost_share: bool = False
     lost_run_heard_at: float | None = None
     was_unable: bool = False
+    missed_at: float | None = None
+    asked_at: float | None = None
+    asked_run: str = ""
+    asked_before_at: float | None = None
+    lost_run_noticed_at: float | None = None
+
+    def update(self, reply: "Contact", run: str, now: float) -> None:
+        """Records a reply.
 
-    def update(
-        self, heard_at: float, alone_at: float, may_have_lost_share: bool
-    ) -> None:
-        """Records a reply."""
-        if may_have_lost_share and not self.may_have_lost_share:
+        Args:
+            reply: Contact as the reply alone shows it.
+            run: Run of the process that replied.
+            now: Loop time.
+        """
+        if reply.may_have_lost_share and not self.may_have_lost_share:
             self.lost_run_heard_at = self.heard_at
+            self.lost_run_noticed_at = self._earlier_run_noticed_at(run, now)
             # The lost run may have been too new to grant alone.
-            self.was_unable = heard_at < self.alone_at
-        self.may_have_lost_share = may_have_lost_share
-        self.alone_at = alone_at
-        self.heard_at = heard_at
+            self.was_unable = reply.heard_at < self.alone_at
+        self.may_have_lost_share = reply.may_have_lost_share
+        self.alone_at = reply.alone_at
+        self.heard_at = reply.heard_at
+        self.missed_at = None
+
+    def record_asked(self, run: str, now: float) -> None:
+        """Records a request of the other one."""
+        if run != self.asked_run:
+            self.asked_before_at = self.asked_at
+            self.asked_run = run
+        self.asked_at = now
+
+    def _earlier_run_noticed_at(self, run: str, now: float) -> float:
+        """Returns when the run before the one that replied was surely lost."""
+        if self.missed_at is None:
+            return now
+        is_same = run == self.asked_run
+        asked_at = self.asked_before_at if is_same else self.asked_at
+        return _later(self.missed_at, asked_at)
+
+    def noticed_at(self, now: float) -> float:
+        """Returns a loop time at which it was certainly lost, or now."""
+        if self.missed_at is None:
+            return now
+        return _later(self.missed_at, self.asked_at)
+
+    def loss(self, now: float) -> Loss | None:
+        """Returns when the run that may have granted alone was lost."""
+        if self.lost_at is None:
+            return None
+        noticed_at = self.noticed_at(now)
+        if self.may_have_lost_share:
+            known = self.lost_run_noticed_at
+            noticed_at = now if known is None else known
+        return Loss(now - self.lost_at, now - noticed_at)
 
     def is_unable(self, now: float) -> bool:
         """Whether it can't have granted alone, and can't begin to."""
@@ -87,19 +167,26 @@
             is_silent: Whether it was silent. When one that was not silent was
                 last heard is unknown after a restart.
         """
-        heard_at = self.heard_at if is_silent else None
-        return Contact(
-            self.domain,
-            None if heard_at is None else heard_at + seconds,
-            self.alone_at + seconds,
-            self.may_have_lost_share,
-            None
-            if self.lost_run_heard_at is None
-            else self.lost_run_heard_at + seconds,
-            self.was_unable,
+
+        def shift(at: float | None) -> float | None:
+            return None if at is None else at + seconds
+
+        return msgspec.structs.replace(
+            self,
+            heard_at=shift(self.heard_at) if is_silent else None,
+            alone_at=self.alone_at + seconds,
+            lost_run_heard_at=shift(self.lost_run_heard_at),
+            missed_at=shift(self.missed_at),
+            asked_at=shift(self.asked_at),
+            asked_before_at=shift(self.asked_before_at),
+            lost_run_noticed_at=shift(self.lost_run_noticed_at),
         )
 
 
+def _later(at: float, other_at: float | None) -> float:
+    return at if other_at is None else max(at, other_at)
+
+
 def may_begin(
     contacts: list[Contact | None], able_since: float, now: float
 ) -> bool:
@@ -125,7 +212,8 @@
     ]
     if len(known) < len(contacts):
         return False
-    if min(c.heard_at for c in known) < able_since + _AT_ONCE_SECONDS:
+    first_at = min(contact.heard_at for contact in known)
+    if first_at < able_since + _AT_ONCE_SECONDS:
         return False
     domains = {contact.domain for contact in known}
     if len(domains) == 1 and None not in domains:
@@ -133,21 +221,21 @@
     able = [contact for contact in known if not contact.is_unable(now)]
     if any(contact.may_have_lost_share for contact in able):
         return False
-    heard_at = [contact.heard_at for contact in known]
-    return max(heard_at) - min(heard_at) <= _AT_ONCE_SECONDS
+    noticed_at = max(contact.noticed_at(now) for contact in known)
+    return noticed_at - first_at <= _AT_ONCE_SECONDS
 
 
-def count_beginners(lost_seconds: Iterable[float | None]) -> int:
+def count_beginners(losses: Iterable[Loss | None]) -> int:
     """Returns how many of these instances may have begun programs alone.
 
     Args:
-        lost_seconds: For how long each may have been lost; None if unknown.
+        losses: When each was lost; None if unknown.
     """
-    all_lost = list(lost_seconds)
-    known = [seconds for seconds in all_lost if seconds is not None]
+    all_losses = list(losses)
+    known = [loss for loss in all_losses if loss is not None]
+    # Most intervals overlap where one of them begins.
     at_once = (
-        sum(last <= seconds <= last + _SAME_LOSS_SECONDS for seconds in known)
-        for last in known
+        sum(loss.is_at(other.noticed - _AT_ONCE_SECONDS) for loss in known)
+        for other in known
     )
-    unknown = len(all_lost) - len(known)
-    return unknown + max(at_once, default=0)
+    return len(all_losses) - len(known) + max(at_once, default=0)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -263,7 +263,7 @@
             case Lacking(turns=turns):
                 return Lacking(self.table.missing(turns))
             case Follow():
-                return self._changes_for(message)
+                return self._follow(message)
             case Merge(accounts=accounts):
                 return self._merge(accounts)
             case Ping():
@@ -473,8 +473,8 @@
             unseen=sorted(found.unseen),
             missing=sorted(found.missing),
             lost_seconds={
-                name: round(seconds, 1)
-                for name, seconds in found.lost_seconds.items()
+                name: round(loss.heard, 1)
+                for name, loss in found.losses.items()
                 if name in place.sharers
             },
         )
@@ -536,9 +536,10 @@
         missing = sorted(unseen & consent.missing)
         counted = [*missing[: consent.max_beginners], *unseen - consent.missing]
         had_two_domains = self.members.had_two_domains()
-        lost_seconds = {} if had_two_domains else consent.lost_seconds
-        lost = map(lost_seconds.get, counted)
-        return len(consent.with_share) + count_beginners(lost)
+        losses = {} if had_two_domains else consent.losses
+        return len(consent.with_share) + count_beginners(
+            map(losses.get, counted)
+        )
 
     async def _agree(self, request: Agree) -> Agreed | Refused | Unsure:
         if not self.is_recovered:
@@ -562,7 +563,7 @@
             request.program in self.ledger.shares,
             self.ledger.may_have_lost_share(),
             self.members.max_beginners(),
-            self.members.lost_seconds(),
+            self.members.losses(),
             self.members.unable(),
         )
 
@@ -588,6 +589,10 @@
         if self.table.add(kept, segment):
             self.intake.add(kept.turn)
 
+    def _follow(self, request: Follow) -> News:
+        self.members.record_asked(request.asker, request.asker_run)
+        return self._changes_for(request)
+
     def _changes_for(self, request: Follow) -> News:
         self.members.record_seen(request.asker, request.asker_run)
         after = request.after if request.run == self.run else 0
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -18,7 +18,7 @@
     wall_seconds,
     warn_event,
 )
-from rattanmill_keeper.isolation import Contact
+from rattanmill_keeper.isolation import Contact, Loss
 from rattanmill_keeper.messages import MAX_SHARERS, News, codec
 from rattanmill_platform import (
     KeyValue,
@@ -307,13 +307,29 @@
         is_new = self.is_first_run(member.name, news.run)
         may_have_lost_share = news.may_have_lost_share and not is_new
         alone_at = heard_at + news.alone_after_seconds
+        reply = Contact(
+            member.domain,
+            heard_at,
+            alone_at,
+            may_have_lost_share,
+        )
         contact = self.contacts.get(member.name)
         if contact is None or contact.domain != member.domain:
-            self.contacts[member.name] = Contact(
-                member.domain, heard_at, alone_at, may_have_lost_share
-            )
+            self.contacts[member.name] = reply
         else:
-            contact.update(heard_at, alone_at, may_have_lost_share)
+            contact.update(reply, news.run, loop_seconds())
+
+    def record_missed(self, name: str) -> None:
+        """Records that a request to a member had no reply."""
+        contact = self.contacts.get(name)
+        if contact is not None and contact.missed_at is None:
+            contact.missed_at = loop_seconds()
+
+    def record_asked(self, name: str, run: str) -> None:
+        """Records a request for news by a member."""
+        contact = self.contacts.get(name)
+        if contact is not None:
+            contact.record_asked(run, loop_seconds())
 
     def saved_contacts(self) -> dict[str, Contact]:
         """Returns the contacts to be kept over a restart, with Unix times."""
@@ -342,27 +358,29 @@
             for name, contact in self.contacts.items()
         }
 
-    def lost_seconds(self) -> dict[str, float]:
-        """Returns since when members may be lost that granted alone, by name.
+    def losses(self) -> dict[str, Loss]:
+        """Returns when members may have been lost that granted alone, by name.
 
-        This is the time since the newest reply of each member, or since the
-        newest one before it lost its disk.
+        That is since the newest reply of each member, or since the newest one
+        before it lost its disk.
         """
         now = loop_seconds()
-        return {
-            name: now - contact.lost_at
-            for name, contact in self.contacts.items()
-            if contact.lost_at is not None
-        }
+        found = {name: c.loss(now) for name, c in self.contacts.items()}
+        return {name: loss for name, loss in found.items() if loss is not None}
 
-    def learn_lost(self, lost_seconds: dict[str, float]) -> None:
+    def learn_losses(self, losses: dict[str, Loss]) -> None:
         """Takes over when another instance heard members unknown here.
 
         That instance may restart and lose what it alone knew.
         """
         now = loop_seconds()
-        for name in lost_seconds.keys() - self.contacts.keys():
-            self.contacts[name] = Contact(None, now - lost_seconds[name])
+        for name in losses.keys() - self.contacts.keys():
+            loss = losses[name]
+            self.contacts[name] = Contact(
+                None,
+                now - loss.heard,
+                missed_at=now - loss.noticed,
+            )
 
     def unable(self) -> list[str]:
         """Returns members that can't have granted alone, such as new ones."""
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rattanmill_core import CrashNote
+from rattanmill_keeper.isolation import Loss
 from rattanmill_wire import Codec
 
 # Instances grant tokens alone only in systems of at most this many storage
@@ -346,14 +347,14 @@
         has_lost_share: Whether it may have granted tokens alone on a disk that
             was lost since.
         max_beginners: As in ``Members.max_beginners``.
-        lost_seconds: As in ``Members.lost_seconds``.
+        losses: As in ``Members.losses``.
         unable: As in ``Members.unable``.
     """
 
     has_share: bool = False
     has_lost_share: bool = False
     max_beginners: int = 0
-    lost_seconds: dict[str, float] = {}
+    losses: dict[str, Loss] = {}
     unable: list[str] = []
 
 
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -9,6 +9,12 @@
 
     Then no sequence of faults among instances that follow each other lets a program use more than its budget and one turn
 
+  Scenario: No program gets more than its budget while polls are slow
+    Guards against losses that look as if they were apart, or at once, since an
+    instance under load takes seconds to fetch what another one has.
+
+    Then no sequence of faults among instances that fetch slowly lets a program use more than its budget and one turn
+
   Scenario: Two instances are isolated one after the other, and both are gone
     Guards against the second one beginning programs alone: the others could
     not tell, and set one part aside.
@@ -26,6 +32,21 @@
     When the same happens and one part is set aside for both
     Then the program uses more than its budget and one turn
 
+  Scenario Outline: Two instances are isolated, and <who> polls slowly
+    Guards against times of newest replies that are taken for times of losses:
+    the one that begins programs takes two losses for one, or the others take
+    one for two, and set one part aside.
+
+    When two instances are isolated while <who> is slow to fetch what <other> has
+    Then the program uses no more than its budget and one turn
+    When the same happens and newest replies count as times of losses
+    Then the program uses more than its budget and one turn
+
+    Examples:
+      | who | other |
+      | a   | c     |
+      | c   | a     |
+
   Scenario: A machine is lost, and another failure domain is cut off later
     Guards against programs that are refused although they have budget left: a
     part for each of the two leaves no turn of the smallest budgets.
@@ -59,6 +80,9 @@
       | 1 in east, 30 as reported                            | does not begin |
       | 30 as reported                                       | begins         |
       | 1 in east, 1 as a new machine with lost disk in west | begins         |
+      | 1 in east, 1 but not missed yet in west              | begins         |
+      | 5 in east, 5 but not missed yet in west              | does not begin |
+      | 5 in east, 5 but it asked 1 ago in west              | does not begin |
 
   Scenario: A new machine starts while the store is away
     Guards against a part of each new budget that is set aside for two minutes:
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from rattanmill_keeper import Reserve, Reserved, isolation, keeper
-from rattanmill_keeper.isolation import Contact
+from rattanmill_keeper.isolation import Contact, Loss
 from rattanmill_keeper.messages import max_share
 from support.keepers import FollowingNetwork
 from support.keepers import run_in as network
@@ -14,12 +14,15 @@
     BUDGET,
     LONG_OPERATIONS,
     MAX_TOKENS,
+    SLOW_OPERATIONS,
     TOKENS,
     run_operations,
 )
 from support.virtual import run_virtually
 
 _NOW = 1000.0
+# The next poll, and its timeout.
+_NOTICED_SECONDS = 1.6
 _SETTINGS = hypothesis.settings(
     max_examples=300, deadline=None, derandomize=True, database=None
 )
@@ -43,6 +46,20 @@
     hold()
 
 
+@then(
+    "no sequence of faults among instances that fetch slowly lets a program use"
+    " more than its budget and one turn"
+)
+def step_any_slow_sequence(context):
+    @hypothesis.given(SLOW_OPERATIONS)
+    @_SETTINGS
+    def hold(operations):
+        used = _run(operations)
+        assert all(tokens <= MAX_TOKENS for tokens in used.values()), used
+
+    hold()
+
+
 def _use_share(name, running):
     """Returns turns that use up what an instance grants alone.
 
@@ -69,6 +86,30 @@
 ]
 
 
+_SLOW = {
+    "c": [
+        *[("wait", 4), ("slow_fetches", ("c", "a")), ("wait", 8)],
+        *[("isolate", "a"), ("isolate", "b")],
+        *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
+        *_AFTERWARDS,
+    ],
+    "a": [
+        *[("wait", 4), ("slow_fetches", ("a", "c")), ("wait", 1)],
+        *[("isolate", "b"), *_use_share("b", 0), ("wait", 8)],
+        *[("isolate", "a"), ("wait", 1), *_use_share("a", 1)],
+        *_AFTERWARDS,
+    ],
+}
+
+
+def _trust_replies(network):
+    network.stack.enter_context(
+        unittest.mock.patch.object(
+            Contact, "noticed_at", lambda contact, now: contact.heard_at
+        )
+    )
+
+
 def _let_all_begin(network):
     network.stack.enter_context(
         unittest.mock.patch.object(keeper, "may_begin", lambda *contacts: True)
@@ -80,7 +121,7 @@
         unittest.mock.patch.object(
             keeper,
             "count_beginners",
-            lambda lost_seconds: min(len(list(lost_seconds)), 1),
+            lambda losses: min(len(list(losses)), 1),
         )
     )
 
@@ -105,20 +146,36 @@
     context.used = _run(_AT_ONCE, _count_one)
 
 
+@when(
+    "two instances are isolated while {who} is slow to fetch what {other} has"
+)
+def step_slow(context, who, other):
+    context.operations = _SLOW[who]
+    assert ("slow_fetches", (who, other)) in context.operations
+    context.used = _run(context.operations)
+
+
+@when("the same happens and newest replies count as times of losses")
+def step_trust_replies(context):
+    context.used = _run(context.operations, _trust_replies)
+
+
 @given("an instance that was lost {seconds:d} seconds before another one")
 def step_lost(context, seconds):
-    context.lost_seconds = [seconds + 1.0, 1.0]
+    context.losses = [
+        Loss(heard, heard - _NOTICED_SECONDS) for heard in (seconds + 2.0, 2.0)
+    ]
 
 
 @then("one of them may have begun a program alone")
 def step_one(context):
-    context.count = isolation.count_beginners(context.lost_seconds)
+    context.count = isolation.count_beginners(context.losses)
     assert context.count == 1, context.count
 
 
 @then("two of them may have begun a program alone")
 def step_two(context):
-    found = isolation.count_beginners(context.lost_seconds)
+    found = isolation.count_beginners(context.losses)
     assert found == 2, found
 
 
@@ -136,9 +193,15 @@
         return None
     words = text.split()
     domain = None if words[-1] == "reported" else words[-1]
-    contact = Contact(domain, _NOW - float(words[0]))
+    heard_at = _NOW - float(words[0])
+    missed_at = min(heard_at + _NOTICED_SECONDS, _NOW)
+    contact = Contact(domain, heard_at, missed_at=missed_at)
     contact.may_have_lost_share = "with lost disk" in text
     contact.was_unable = "as a new machine" in text
+    if "not missed yet" in text:
+        contact.missed_at = None
+    if "asked 1 ago" in text:
+        contact.asked_at = _NOW - 1.0
     return contact
 
 
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -17,9 +17,11 @@
 from rattanmill_keeper import Follower, Keeper, KeeperClient, Member, Members
 from rattanmill_keeper.members import MEMBERS_PREFIX
 from rattanmill_keeper.messages import (
+    FetchTurns,
     Reserve,
     Reserved,
     Spent,
+    TurnRef,
     Unsure,
     codec,
 )
@@ -350,21 +352,39 @@
         await asyncio.sleep(seconds)
 
 
+class SlowFollower(Follower):
+    """Follows other instances, and takes as long as the network says."""
+
+    async def _fetch_turns(self, member: Member, turns: list[TurnRef]) -> bool:
+        network = self.members.network
+        pair = (self.keeper.name, member.name)
+        seconds = network.fetch_seconds.get(pair)
+        if seconds:
+            await asyncio.sleep(seconds)
+            link = self.members.link(member)
+            if await link.ask(FetchTurns([]), seconds) is None:
+                return False
+        return await super()._fetch_turns(member, turns)
+
+
 class FollowingNetwork(Network):
     """Storage instances that follow each other all the time.
 
     Attributes:
         followers: What follows the others for each instance, by name.
+        fetch_seconds: How long it takes to fetch what another instance has, by
+            names of the one that fetches and of the other one.
     """
 
     def __init__(self, folder: str, names: list[str]) -> None:
         super().__init__(folder, names)
         self.followers: dict[str, Follower] = {}
+        self.fetch_seconds: dict[tuple[str, str], float] = {}
 
     async def start(self, name: str, first: bool = False) -> None:
         """Starts an instance on its disk."""
         await super().start(name, first)
-        follower = Follower(self.keepers[name], self.members[name])
+        follower = SlowFollower(self.keepers[name], self.members[name])
         self.followers[name] = await follower.__aenter__()
 
     async def kill(self, name: str) -> None:
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -1,6 +1,7 @@
 """Generated sequences of faults, and the tokens that programs get."""
 
 import asyncio
+import itertools
 import shutil
 import tempfile
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 # Callers allow a program its budget and the maximum of one turn.
 MAX_TOKENS = BUDGET + TOKENS
 _STEP_SECONDS = 0.02
+# Pages of turns under load.
+_SLOW_FETCH_SECONDS = 12.0
 _name = st.sampled_from(NAMES)
 _OPERATION = st.one_of(
     st.tuples(st.just("reserve"), _name),
@@ -49,6 +52,20 @@
     max_size=24,
 )
 
+# For instances that take long to fetch what another one has.
+SLOW_OPERATIONS = st.lists(
+    st.one_of(
+        _OPERATION,
+        st.tuples(st.just("wait"), st.sampled_from([1, 4, 12])),
+        st.tuples(
+            st.just("slow_fetches"),
+            st.sampled_from(list(itertools.permutations(NAMES, 2))),
+        ),
+    ),
+    min_size=8,
+    max_size=24,
+)
+
 
 class OperationRunner:
     """Runs a sequence of operations and counts the tokens of programs.
@@ -176,6 +193,10 @@
         """Lets time pass."""
         await self.network.pass_time(seconds)
 
+    async def slow_fetches(self, pair: tuple[str, str]) -> None:
+        """Makes one instance take long to fetch what another one has."""
+        self.network.fetch_seconds[pair] = _SLOW_FETCH_SECONDS
+
     async def drop_replies(self, count: int) -> None:
         """Drops the next replies between storage instances."""
         self.network.lose_replies = count
