Remember that an instance began programs alone after it is back

What callers saw: a program could use 240 tokens where its budget and one turn are 220.

Cause: two instances that are isolated at once both begin programs. If one of them returns and is lost again later, openers knew only the later loss, took the two for lost apart, and set one part aside.

Evidence: the sequence of the new scenario gave 240 of 220 on the code before; if the instance doesn't tell, it does so now, too.

Change: an instance that used a share of a program begun alone in the last 130 seconds says so with its news. Openers count it in full. Another one that knows of it begins none, as those that are left may not have heard of it; it is the rule that holds already for one with a lost disk.

Ways weighed: earlier losses kept by each that heard (they differ between those that consent, and an instance that was away itself adds false ones); the programs begun alone spread like homes (exact, but a page of entries more for each instance, and what was not fetched yet still has to count).

--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -31,21 +31,24 @@
 
 
 class Loss(msgspec.Struct, frozen=True, array_like=True):
-    """When an instance was lost.
+    """When an instance was lost, and what it may have granted alone before.
 
     Attributes:
         heard: Seconds since when it may have been lost.
         noticed: Seconds since when it was certainly lost.
+        has_begun: Whether it had begun programs alone in an earlier isolation.
     """
 
     heard: float
     noticed: float = 0.0
+    has_begun: bool = False
 
     def merge(self, other: "Loss") -> "Loss":
         """Returns when both of two instances had lost it."""
         return Loss(
             min(self.heard, other.heard),
             min(self.noticed, other.noticed),
+            self.has_begun or other.has_begun,
         )
 
     def is_at(self, seconds: float) -> bool:
@@ -77,6 +80,7 @@
         asked_run: Run of the process that sent it.
         asked_before_at: Loop time of the newest request of an earlier run.
         lost_run_noticed_at: When the run with the lost disk was certainly lost.
+        has_begun: Whether it had begun programs alone lately, as it said.
     """
 
     domain: str | None
@@ -90,6 +94,7 @@
     asked_run: str = ""
     asked_before_at: float | None = None
     lost_run_noticed_at: float | None = None
+    has_begun: bool = False
 
     def update(self, reply: "Contact", run: str, now: float) -> None:
         """Records a reply.
@@ -108,6 +113,9 @@
         self.alone_at = reply.alone_at
         self.heard_at = reply.heard_at
         self.missed_at = None
+        # What a lost disk had shown of it still holds.
+        is_lost = reply.may_have_lost_share and self.has_begun
+        self.has_begun = reply.has_begun or is_lost
 
     def record_asked(self, run: str, now: float) -> None:
         """Records a request of the other one."""
@@ -138,7 +146,7 @@
         if self.may_have_lost_share:
             known = self.lost_run_noticed_at
             noticed_at = now if known is None else known
-        return Loss(now - self.lost_at, now - noticed_at)
+        return Loss(now - self.lost_at, now - noticed_at, self.has_begun)
 
     def is_unable(self, now: float) -> bool:
         """Whether it can't have granted alone, and can't begin to."""
@@ -221,6 +229,9 @@
     able = [contact for contact in known if not contact.is_unable(now)]
     if any(contact.may_have_lost_share for contact in able):
         return False
+    # The others may not know of one that was isolated before.
+    if any(contact.has_begun for contact in able):
+        return False
     noticed_at = max(contact.noticed_at(now) for contact in known)
     return noticed_at - first_at <= _AT_ONCE_SECONDS
 
@@ -228,11 +239,14 @@
 def count_beginners(losses: Iterable[Loss | None]) -> int:
     """Returns how many of these instances may have begun programs alone.
 
+    One that had begun programs in an earlier isolation may have done so when
+    any other one did.
+
     Args:
         losses: When each was lost; None if unknown.
     """
     all_losses = list(losses)
-    known = [loss for loss in all_losses if loss is not None]
+    known = [loss for loss in all_losses if loss and not loss.has_begun]
     # Most intervals overlap where one of them begins.
     at_once = (
         sum(loss.is_at(other.noticed - _AT_ONCE_SECONDS) for loss in known)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -36,6 +36,7 @@
 )
 from rattanmill_keeper.members import (
     MAX_SUCCESSORS,
+    SHARES_SECONDS,
     TURN_HOLDER_SECONDS,
     Members,
     may_grant_alone,
@@ -627,6 +628,7 @@
             self.members.is_first_run(request.asker, request.asker_run),
             not self.is_recovered or self.ledger.may_have_lost_share(),
             self._alone_after_seconds(),
+            wall_seconds() < self.ledger.begun_used_at + SHARES_SECONDS,
         )
 
     def _absent_for(self, request: Follow) -> list[str]:
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -115,6 +115,8 @@
         opening: Programs whose accounts are being opened here.
         shares_lost_until: Unix time in seconds until which programs go on that
             may have been granted tokens on a disk that was lost since.
+        begun_used_at: Unix time in seconds at which a program was last granted
+            tokens that began here alone, or one of its turns ended.
     """
 
     def __init__(self, name: str) -> None:
@@ -125,6 +127,7 @@
         self.homes: dict[str, HomeChange] = {}
         self.opening: set[str] = set()
         self.shares_lost_until = 0.0
+        self.begun_used_at = 0.0
 
     def find(self, program: str) -> Opened | Elsewhere | OpenRequired:
         """Returns an account's placement, or that it must be opened here."""
@@ -347,6 +350,7 @@
                     self._set_use(account, attempt, use)
             case ShareChange(program=program, share=share):
                 self.shares[program] = share
+                self._note_begun(share)
             case HomeChange(home=home):
                 self.homes[home.program] = change
 
@@ -408,9 +412,14 @@
     def _touch_share(self, program: str) -> ShareChange:
         share = self.shares[program]
         share.touched = wall_seconds()
+        self._note_begun(share)
         copy = msgspec.structs.replace(share, uses=dict(share.uses))
         return ShareChange(program, copy)
 
+    def _note_begun(self, share: Share) -> None:
+        if share.uses and not share.limit:
+            self.begun_used_at = max(self.begun_used_at, share.touched)
+
     def _touch(self, account: Account) -> AccountChange:
         account.touched = wall_seconds()
         return AccountChange(account)
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -47,7 +47,7 @@
 LEASE_VALID_SECONDS = 8.0
 # How long programs go on that an instance has begun alone, from the last moment
 # at which the others still counted it.
-_SHARES_SECONDS = LEASE_SECONDS + TURN_HOLDER_SECONDS
+SHARES_SECONDS = LEASE_SECONDS + TURN_HOLDER_SECONDS
 # A member may have granted alone before its successor joined.
 MAX_SUCCESSORS = 1
 _TWO_DOMAINS = 2
@@ -281,7 +281,7 @@
         the system, and may have granted alone before they did. Systems larger
         than those that matter count as of one size.
         """
-        oldest = boot_seconds() - _SHARES_SECONDS
+        oldest = boot_seconds() - SHARES_SECONDS
         recent = [size for size, at in self.sized_at.items() if at > oldest]
         return min([*recent, len(self.roster())])
 
@@ -297,7 +297,7 @@
     def had_two_domains(self) -> bool:
         """Whether members were in two failure domains while shares are used."""
         since = boot_seconds() - self.two_domains_at
-        return len(self._domains()) <= _TWO_DOMAINS or since < _SHARES_SECONDS
+        return len(self._domains()) <= _TWO_DOMAINS or since < SHARES_SECONDS
 
     def record_contact(
         self, member: Member, heard_at: float, news: News
@@ -312,6 +312,7 @@
             heard_at,
             alone_at,
             may_have_lost_share,
+            has_begun=news.has_begun,
         )
         contact = self.contacts.get(member.name)
         if contact is None or contact.domain != member.domain:
@@ -346,7 +347,7 @@
         for name, contact in contacts.items():
             self.contacts[name] = contact.shifted(behind, True)
 
-    def contact_states(self) -> dict[str, tuple[bool, bool, bool]]:
+    def contact_states(self) -> dict[str, tuple[bool, bool, bool, bool]]:
         """Returns what makes saved contacts out of date when it changes."""
         now = loop_seconds()
         return {
@@ -354,6 +355,7 @@
                 contact.is_silent(now),
                 contact.may_have_lost_share,
                 contact.is_unable(now),
+                contact.has_begun,
             )
             for name, contact in self.contacts.items()
         }
@@ -380,6 +382,7 @@
                 None,
                 now - loss.heard,
                 missed_at=now - loss.noticed,
+                has_begun=loss.has_begun,
             )
 
     def unable(self) -> list[str]:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -496,6 +496,7 @@
         may_have_lost_share: Whether the instance may have granted tokens alone
             on a disk that was lost since.
         alone_after_seconds: After how many seconds it may grant tokens alone.
+        has_begun: Whether it has begun programs alone that may still go on.
     """
 
     run: str
@@ -511,6 +512,7 @@
     is_first_run: bool = False
     may_have_lost_share: bool = False
     alone_after_seconds: float = 0.0
+    has_begun: bool = False
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -47,6 +47,15 @@
       | a   | c     |
       | c   | a     |
 
+  Scenario: One of two instances that were isolated returns, and is lost again
+    Guards against one part for both: what the first one granted alone before it
+    returned lies further back than its newest reply.
+
+    When one of two instances that were isolated at once returns and is lost again
+    Then the program uses no more than its budget and one turn
+    When the same happens and it does not tell that it has begun programs
+    Then the program uses more than its budget and one turn
+
   Scenario: A machine is lost, and another failure domain is cut off later
     Guards against programs that are refused although they have budget left: a
     part for each of the two leaves no turn of the smallest budgets.
@@ -80,6 +89,8 @@
       | 1 in east, 30 as reported                            | does not begin |
       | 30 as reported                                       | begins         |
       | 1 in east, 1 as a new machine with lost disk in west | begins         |
+      | 1 in east, 1 as one that has begun others in west    | does not begin |
+      | 1 in east, 1 as one that has begun others in east    | begins         |
       | 1 in east, 1 but not missed yet in west              | begins         |
       | 5 in east, 5 but not missed yet in west              | does not begin |
       | 5 in east, 5 but it asked 1 ago in west              | does not begin |
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -100,6 +100,12 @@
         *_AFTERWARDS,
     ],
 }
+_RETURNED = [
+    *[("wait", 4), ("isolate", "a"), ("isolate", "b")],
+    *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
+    *[("replace", "b"), ("heal", "a"), ("wait", 12), ("isolate", "a")],
+    *[("wait", 1), ("lapse", "a"), ("wait", 4), *[("reserve", "d")] * 6],
+]
 
 
 def _trust_replies(network):
@@ -110,6 +116,12 @@
     )
 
 
+def _hide_begun(network):
+    network.stack.enter_context(
+        unittest.mock.patch.object(keeper, "SHARES_SECONDS", float("-inf"))
+    )
+
+
 def _let_all_begin(network):
     network.stack.enter_context(
         unittest.mock.patch.object(keeper, "may_begin", lambda *contacts: True)
@@ -160,6 +172,18 @@
     context.used = _run(context.operations, _trust_replies)
 
 
+@when(
+    "one of two instances that were isolated at once returns and is lost again"
+)
+def step_returned(context):
+    context.used = _run(_RETURNED)
+
+
+@when("the same happens and it does not tell that it has begun programs")
+def step_hide_begun(context):
+    context.used = _run(_RETURNED, _hide_begun)
+
+
 @given("an instance that was lost {seconds:d} seconds before another one")
 def step_lost(context, seconds):
     context.losses = [
@@ -198,6 +222,7 @@
     contact = Contact(domain, heard_at, missed_at=missed_at)
     contact.may_have_lost_share = "with lost disk" in text
     contact.was_unable = "as a new machine" in text
+    contact.has_begun = "as one that has begun" in text
     if "not missed yet" in text:
         contact.missed_at = None
     if "asked 1 ago" in text:
