Correct a saved loss before the one that is back hears of it

A crash in that second restored that an instance was lost long ago, though it was heard just before. Two that are lost at once then look lost at different times, and one part is set aside for both.

Evidence: with the code before, an instance that was heard less than 0.1 s before the crash counted as lost for 4.0 s after it.

Change: as long as the disk may hold when one was lost, its request for news is answered only once the disk says that this is unknown. One that asks counts as there, even if it has not been asked. A reply that the crashed one had received itself needs no record: the other one's interval holds its time, and what it told counts from the earlier loss on.

Ways weighed: a save with each contact (a write each half second for each instance); no times over a restart (all parts in full after a stop of all machines, which the existing scenario of three lost disks forbids).

--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -162,10 +162,10 @@
         return self.heard_at
 
     def is_silent(self, now: float) -> bool:
-        """Whether it has not replied for a while."""
-        return self.heard_at is not None and (
-            now - self.heard_at > _SILENT_SECONDS
-        )
+        """Whether it has neither replied nor asked for a while."""
+        if self.heard_at is None:
+            return False
+        return now - _later(self.heard_at, self.asked_at) > _SILENT_SECONDS
 
     def shifted(self, seconds: float, is_silent: bool) -> "Contact":
         """Returns this contact on another clock, to be kept over a restart.
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -590,8 +590,19 @@
         if self.table.add(kept, segment):
             self.intake.add(kept.turn)
 
-    def _follow(self, request: Follow) -> News:
+    def _follow(self, request: Follow) -> News | Awaitable[News]:
         self.members.record_asked(request.asker, request.asker_run)
+        if request.asker in self.members.saved_silent:
+            return self._note_return(request)
+        return self._changes_for(request)
+
+    async def _note_return(self, request: Follow) -> News:
+        """Replies to one that was silent once the disk no longer says so.
+
+        Otherwise, after a crash, it would seem to be lost since then.
+        """
+        await self._append(self._roster())
+        self.members.saved_silent.discard(request.asker)
         return self._changes_for(request)
 
     def _changes_for(self, request: Follow) -> News:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -161,6 +161,8 @@
             be there, by name.
         informed_by: ``informed`` of each member as last registered, by name.
         contacts: What was last heard of each member, by name.
+        saved_silent: Members of which the disk may hold when they were last
+            heard.
         started_at: When this process started, by the boot clock.
         two_domains_at: When members were last in two failure domains at most,
             by the boot clock.
@@ -203,6 +205,7 @@
         self.last_seen: dict[str, float] = {}
         self.informed_by: dict[str, tuple[str, ...]] = {}
         self.contacts: dict[str, Contact] = {}
+        self.saved_silent: set[str] = set()
         self.started_at = boot_seconds()
         self.two_domains_at = float("-inf")
         self.sized_at: dict[int, float] = {}
@@ -336,16 +339,22 @@
         """Returns the contacts to be kept over a restart, with Unix times."""
         now = loop_seconds()
         ahead = wall_seconds() - now
-        return {
+        saved = {
             name: contact.shifted(ahead, contact.is_silent(now))
             for name, contact in self.contacts.items()
         }
+        self.saved_silent |= {
+            name for name, each in saved.items() if each.heard_at is not None
+        }
+        return saved
 
     def restore_contacts(self, contacts: dict[str, Contact]) -> None:
         """Restores contacts that were kept over a restart."""
         behind = loop_seconds() - wall_seconds()
         for name, contact in contacts.items():
             self.contacts[name] = contact.shifted(behind, True)
+            if contact.heard_at is not None:
+                self.saved_silent.add(name)
 
     def contact_states(self) -> dict[str, tuple[bool, bool, bool, bool]]:
         """Returns what makes saved contacts out of date when it changes."""
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -56,6 +56,13 @@
     When the same happens and it does not tell that it has begun programs
     Then the program uses more than its budget and one turn
 
+  Scenario: An instance crashes just after one that was silent is back
+    Guards against a disk that tells of a loss of long ago: after the restart,
+    two that are lost at once seem to be lost at different times.
+
+    When an instance crashes just after one that was silent has followed it
+    Then it does not take that one for lost since then
+
   Scenario: A machine is lost, and another failure domain is cut off later
     Guards against programs that are refused although they have budget left: a
     part for each of the two leaves no turn of the smallest budgets.
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -1,5 +1,6 @@
 """Steps about tokens that storage instances grant alone."""
 
+import tempfile
 import unittest.mock
 
 import hypothesis
@@ -16,6 +17,7 @@
     MAX_TOKENS,
     SLOW_OPERATIONS,
     TOKENS,
+    OperationRunner,
     run_operations,
 )
 from support.virtual import run_virtually
@@ -184,6 +186,35 @@
     context.used = _run(_RETURNED, _hide_begun)
 
 
+async def _crash_after_return(folder):
+    """Returns for how long "a" seems lost to "c" after a crash of "c"."""
+    network = FollowingNetwork(folder, ["a", "b", "c"])
+    await network.start_all()
+    try:
+        runner = OperationRunner(network)
+        await runner.run([("wait", 4), ("isolate", "a"), ("wait", 12)])
+        mine = network.members["a"].contacts["c"]
+        before = mine.heard_at
+        await runner.heal("a")
+        while mine.heard_at == before:
+            await network.pass_time(0.01)
+        await runner.run([("isolate", "a"), ("restart", "c")])
+        return network.members["c"].losses().get("a")
+    finally:
+        await network.stop_all()
+
+
+@when("an instance crashes just after one that was silent has followed it")
+def step_crash(context):
+    with tempfile.TemporaryDirectory() as folder:
+        context.loss = run_virtually(_crash_after_return(folder))
+
+
+@then("it does not take that one for lost since then")
+def step_not_lost(context):
+    assert context.loss is None or context.loss.heard < 1.0, context.loss
+
+
 @given("an instance that was lost {seconds:d} seconds before another one")
 def step_lost(context, seconds):
     context.losses = [
