Show that one-way losses of requests don't hide a loss

Cause: an instance whose own requests are lost took all others for lost at once and began programs alone, while they still reached it. They saw it lost later, and set one part aside for it and another one.

--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -47,6 +47,15 @@
       | a   | c     |
       | c   | a     |
 
+  Scenario: An instance whose requests are lost is isolated later
+    Guards against an instance that begins programs alone though others still
+    reach it: they see it lost later than it sees them, and set one part aside.
+
+    When requests of one instance are lost, another one is isolated, and then the first one
+    Then the program uses no more than its budget and one turn
+    When the same happens and requests that it serves are not counted
+    Then the program uses more than its budget and one turn
+
   Scenario: One of two instances that were isolated returns, and is lost again
     Guards against one part for both: what the first one granted alone before it
     returned lies further back than its newest reply.
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -102,6 +102,11 @@
         *_AFTERWARDS,
     ],
 }
+_ONE_WAY = [
+    *[("wait", 4), ("lose_requests", "a"), ("wait", 8), ("isolate", "b")],
+    *[*_use_share("b", 0), ("wait", 8), ("isolate", "a"), ("wait", 1)],
+    *[*_use_share("a", 1), *_AFTERWARDS],
+]
 _RETURNED = [
     *[("wait", 4), ("isolate", "a"), ("isolate", "b")],
     *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
@@ -118,6 +123,14 @@
     )
 
 
+def _ignore_requests(network):
+    network.stack.enter_context(
+        unittest.mock.patch.object(
+            Contact, "record_asked", lambda contact, run, now: None
+        )
+    )
+
+
 def _hide_begun(network):
     network.stack.enter_context(
         unittest.mock.patch.object(keeper, "SHARES_SECONDS", float("-inf"))
@@ -174,6 +187,19 @@
     context.used = _run(context.operations, _trust_replies)
 
 
+@when(
+    "requests of one instance are lost, another one is isolated, and then the"
+    " first one"
+)
+def step_one_way(context):
+    context.used = _run(_ONE_WAY)
+
+
+@when("the same happens and requests that it serves are not counted")
+def step_ignore_requests(context):
+    context.used = _run(_ONE_WAY, _ignore_requests)
+
+
 @when(
     "one of two instances that were isolated at once returns and is lost again"
 )
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -160,6 +160,7 @@
     Attributes:
         keepers: Running instances by name.
         cuts: Pairs that are partitioned from each other.
+        one_way_cuts: Senders and receivers of requests that are lost.
         delays: Seconds that a request takes, by sender and receiver.
         lose_replies: Number of further replies that get lost.
         lose_kind: Kind of message whose replies all get lost, or empty.
@@ -179,6 +180,7 @@
         self.keepers: dict[str, Keeper] = {}
         self.members: dict[str, LocalMembers] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.one_way_cuts: set[tuple[str, str]] = set()
         self.delays: dict[tuple[str, str], float] = {}
         self.lose_replies = 0
         self.lose_kind = ""
@@ -300,8 +302,9 @@
             await self.kill(name)
 
     def is_cut(self, one: str, other: str) -> bool:
-        """Whether two instances are partitioned from each other."""
-        return frozenset((one, other)) in self.cuts
+        """Whether requests of one instance to another one are lost."""
+        is_lost = (one, other) in self.one_way_cuts
+        return is_lost or frozenset((one, other)) in self.cuts
 
     async def follow(self, name: str) -> None:
         """Makes an instance fetch everything that the others hold."""
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -120,9 +120,16 @@
             frozenset((name, other)) for other in (*NAMES, "d") if other != name
         }
 
+    async def lose_requests(self, name: str) -> None:
+        """Loses requests of one instance, which still gets those of others."""
+        self.network.one_way_cuts |= {
+            (name, other) for other in (*NAMES, "d") if other != name
+        }
+
     async def heal(self, name: str) -> None:
         """Ends all partitions and registers all instances again."""
         self.network.cuts.clear()
+        self.network.one_way_cuts.clear()
         for each in NAMES:
             self.network.list_again(each)
 
