Count in full what an instance of an earlier version does not tell

What callers saw: nothing; found in reading. In an upgrade of one instance after the other a budget could be exceeded.

Cause: an instance of the version before consents without telling when it lost whom in the new form. If it heard two of them last, another one's older times were taken for theirs.

Evidence: an empty answer merged as one without losses counts one beginner of two in the new scenario; now it counts two.

Change: whoever does not tell leaves all times unknown. The other way round an earlier version finds none in the form it knows, and counts in full too.

Ways weighed: both forms in one message (the old form lacks when a loss was noticed, so it would have to count from now on, which is the same in effect).

--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -13,12 +13,11 @@
 
 import asyncio
 import enum
-from collections.abc import Iterable
 
 import msgspec
 
 from rattanmill_core import log_event, wall_seconds
-from rattanmill_keeper.isolation import Loss
+from rattanmill_keeper.isolation import Loss, merge_losses
 from rattanmill_keeper.ledger import Ledger
 from rattanmill_keeper.members import ROSTER_EXPIRY_SECONDS, Members
 from rattanmill_keeper.messages import (
@@ -232,15 +231,6 @@
     )
 
 
-def _losses(agreed: Iterable[Agreed], members: Members) -> dict[str, Loss]:
-    """Returns when each instance was lost by all that consented."""
-    merged: dict[str, Loss] = {}
-    for losses in (members.losses(), *(reply.losses for reply in agreed)):
-        for name, loss in losses.items():
-            merged[name] = loss.merge(merged.get(name, loss))
-    return merged
-
-
 def _consent(
     replies: dict, request: Agree, ledger: Ledger, members: Members
 ) -> Consent:
@@ -262,7 +252,9 @@
             [members.max_beginners()]
             + [reply.max_beginners for reply in agreed.values()]
         ),
-        _losses(agreed.values(), members),
+        merge_losses(
+            [members.losses(), *(reply.losses for reply in agreed.values())]
+        ),
         frozenset(members.unable()).union(
             *(reply.unable for reply in agreed.values())
         ),
--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -236,6 +236,20 @@
     return noticed_at - first_at <= _AT_ONCE_SECONDS
 
 
+def merge_losses(told: Iterable[dict[str, Loss] | None]) -> dict[str, Loss]:
+    """Returns when each instance was lost by all that tell, by name.
+
+    Nothing is known if one does not tell: it may have heard any of them last.
+    """
+    merged: dict[str, Loss] = {}
+    for losses in told:
+        if losses is None:
+            return {}
+        for name, loss in losses.items():
+            merged[name] = loss.merge(merged.get(name, loss))
+    return merged
+
+
 def count_beginners(losses: Iterable[Loss | None]) -> int:
     """Returns how many of these instances may have begun programs alone.
 
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -347,14 +347,14 @@
         has_lost_share: Whether it may have granted tokens alone on a disk that
             was lost since.
         max_beginners: As in ``Members.max_beginners``.
-        losses: As in ``Members.losses``.
+        losses: As in ``Members.losses``; None from an earlier version.
         unable: As in ``Members.unable``.
     """
 
     has_share: bool = False
     has_lost_share: bool = False
     max_beginners: int = 0
-    losses: dict[str, Loss] = {}
+    losses: dict[str, Loss] | None = None
     unable: list[str] = []
 
 
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -80,6 +80,14 @@
     Then one of them may have begun a program alone
     And a program of 2 turns keeps at least 2 turns of its budget
 
+  Scenario: An instance of an earlier version consents
+    Guards against one part for two that were lost at once, in an upgrade of one
+    instance after the other: the one that heard them last does not tell when.
+
+    Given an instance that was lost 30 seconds before another one
+    When one that consents does not tell when it lost them
+    Then two of them may have begun a program alone
+
   Scenario: Another failure domain is cut off right after a machine is lost
     Guards against one part for two that may both have begun programs alone.
 
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -4,11 +4,12 @@
 import unittest.mock
 
 import hypothesis
+import msgspec
 from behave import given, then, when
 
 from rattanmill_keeper import Reserve, Reserved, isolation, keeper
 from rattanmill_keeper.isolation import Contact, Loss
-from rattanmill_keeper.messages import max_share
+from rattanmill_keeper.messages import Agreed, max_share
 from support.keepers import FollowingNetwork
 from support.keepers import run_in as network
 from support.stories import (
@@ -248,6 +249,14 @@
     ]
 
 
+@when("one that consents does not tell when it lost them")
+def step_not_told(context):
+    reply = msgspec.json.decode(b"{}", type=Agreed)
+    told = dict(zip("ab", context.losses, strict=True))
+    merged = isolation.merge_losses([told, reply.losses])
+    context.losses = [merged.get(name) for name in told]
+
+
 @then("one of them may have begun a program alone")
 def step_one(context):
     context.count = isolation.count_beginners(context.losses)
