--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -50,6 +51,15 @@
 _MIN_TIMED_EVENTS = 3
 
 
+class RetryReason(enum.StrEnum):
+    """Why a call is sent again."""
+
+    NOT_CONNECTED = "not_connected"
+    REJECTED = "rejected"
+    BROKEN = "broken"
+    NOT_CONTINUED = "not_continued"
+
+
 class Job(msgspec.Struct):
     """A call that is being dispatched to an endpoint.
 
@@ -322,7 +332,9 @@
                 self.performance.record_failure(endpoint, is_unreachable=True)
                 if endpoint.name in job.possible_runs:
                     job.terminated.add(endpoint.name)
-                return self._handle_not_run(job, endpoint, "not_connected", why)
+                return self._handle_not_run(
+                    job, endpoint, RetryReason.NOT_CONNECTED, why
+                )
             case OutcomeUnknown(why=why):
                 return self._handle_broken(job, endpoint, why)
         running = RunningCall(endpoint, response, sent_at, pick.uncached_tokens)
@@ -340,7 +352,7 @@
                 self.performance.record_response(endpoint, head.load)
             await _discard_body(running.response)
             return self._handle_not_run(
-                job, endpoint, "rejected", f"status {head.status}"
+                job, endpoint, RetryReason.REJECTED, f"status {head.status}"
             )
         if not head.is_signed or head.is_encoded:
             with running.response:
@@ -353,7 +365,7 @@
         return running
 
     def _handle_not_run(
-        self, job: Job, endpoint: Endpoint, reason: str, why: str
+        self, job: Job, endpoint: Endpoint, reason: RetryReason, why: str
     ) -> Refusal | None:
         job.excluded.add(endpoint.name)
         if not job.can_resend:
@@ -387,7 +399,7 @@
             )
         )
         if can_retry:
-            self._log_retry(job, endpoint, "broken", why)
+            self._log_retry(job, endpoint, RetryReason.BROKEN, why)
             return None
         return self._refuse(
             job, Reason.ENDPOINT_FAILED, f"{endpoint.name}: {why}"
@@ -432,7 +444,7 @@
             return self._refuse(
                 job, Reason.ENDPOINT_FAILED, f"{endpoint.name}: {why}"
             )
-        self._log_retry(job, endpoint, "not_continued", why)
+        self._log_retry(job, endpoint, RetryReason.NOT_CONTINUED, why)
         return None
 
     def record_completion(self, job: Job, running: RunningCall) -> None:
@@ -525,7 +537,7 @@
         )
 
     def _log_retry(
-        self, job: Job, endpoint: Endpoint, reason: str, why: str
+        self, job: Job, endpoint: Endpoint, reason: RetryReason, why: str
     ) -> None:
         self.metrics.retried(reason)
         log_event(
--- a/tests/features/steps/metrics.py
+++ b/tests/features/steps/metrics.py
@@ -9,6 +9,7 @@
 from rattanmill_core import Metrics, Reason, refuse
 from rattanmill_entry.engines import ProbeResult
 from rattanmill_entry.route import RETRYABLE_REASONS
+from rattanmill_forward.dispatch import RetryReason
 from rattanmill_policy import Outcome
 from rattanmill_wire import CallKind
 from support import wait_until
@@ -219,7 +220,8 @@
 def step_values(context):
     values = context.values
     assert values["rattanmill_refusals.reason"] == set(Reason)
-    retries = {*Outcome, *RETRYABLE_REASONS} - {Outcome.ANSWERED}
+    retries = {*Outcome, *RETRYABLE_REASONS, *RetryReason}
+    retries.remove(Outcome.ANSWERED)
     assert values["rattanmill_retries.reason"] == retries
     assert values["rattanmill_requests.kind"] == set(CallKind)
     assert values["rattanmill_request_seconds.kind"] == set(CallKind)
