--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -89,12 +89,12 @@
     excluded: set[str] = msgspec.field(default_factory=set)
     terminated: set[str] = msgspec.field(default_factory=set)
     not_continued: set[str] = msgspec.field(default_factory=set)
-    stream: StreamJoiner | None = None
+    stream: StreamJoiner = msgspec.field(default_factory=StreamJoiner)
     body_stream: BodyStream | None = None
     fingerprint: bytes = b""
 
     def __post_init__(self) -> None:
-        self.stream = StreamJoiner(self.call.last_event_id)
+        self.stream.position.last_id = self.call.last_event_id
         self.fingerprint = fingerprint_of(self.call, self.body)
 
     @property
--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -23,7 +23,8 @@
     """How far into a stream its caller is, by the ids of its events.
 
     Attributes:
-        last_id: Id of the last event that the caller has, or empty.
+        last_id: Id of the last event that the caller has, also from an earlier
+            response, or empty.
         first_number: Number in the id of the first event of this response, or
             None.
         step: Difference between the ids of the last two events, or None if it
@@ -32,13 +33,10 @@
         has_events: Whether this response has brought an event.
         is_resumable: Whether an endpoint can be asked to go on after what the
             caller has, which takes an id that is a number.
-
-    Args:
-        last_id: Id of the last event that the caller had before, or empty.
     """
 
-    def __init__(self, last_id: str = "") -> None:
-        self.last_id = last_id
+    def __init__(self) -> None:
+        self.last_id = ""
         self.first_number: int | None = None
         self.step: int | None = None
         self.is_even = True
@@ -86,14 +84,10 @@
         interruptions: Number of attempts that were interrupted, or did not go
             on, since the caller got an event.
         is_more_due: Whether an attempt broke off within an event since.
-
-    Args:
-        last_event_id: Id of the last event that the caller had before, or
-            empty.
     """
 
-    def __init__(self, last_event_id: str) -> None:
-        self.position = StreamPosition(last_event_id)
+    def __init__(self) -> None:
+        self.position = StreamPosition()
         self.first_head: ResponseHead | None = None
         self.has_begun = False
         self.attempts = 0
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -245,7 +245,23 @@
         if not isinstance(reply, Accounts):
             return False
         await self.keeper.persist_accounts(reply.accounts)
-        return {each.program for each in reply.accounts}.issuperset(programs)
+        came = {each.program for each in reply.accounts}
+        return self._has_come(member, "accounts", programs, came)
+
+    def _has_come(
+        self, member: Member, kind: str, asked: list[str], came: set[str]
+    ) -> bool:
+        """Whether all that was asked for has come; logs if not."""
+        lacking = len(set(asked) - came)
+        if lacking:
+            log_event(
+                "page_incomplete",
+                keeper=member.name,
+                kind=kind,
+                asked=len(asked),
+                lacking=lacking,
+            )
+        return not lacking
 
     async def _fetch_turns(self, member: Member, turns: list[TurnRef]) -> bool:
         """Fetches the turns that are missing here; False if one did not come.
@@ -267,7 +283,8 @@
             if not isinstance(reply, Turns):
                 return False
             await asyncio.gather(*map(self.keeper.keep, reply.turns))
-            if not {kept.turn for kept in reply.turns}.issuperset(page):
+            came = {kept.turn for kept in reply.turns}
+            if not self._has_come(member, "turns", page, came):
                 return False
         if lacking:
             log_event("turns_fetched", keeper=member.name, count=len(lacking))
--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -24,7 +24,7 @@
 import msgspec
 
 # The next poll and its timeout show a loss sooner than this, even under load.
-# Whoever takes longer to notice one begins nothing.
+# An instance that takes longer to notice one begins no programs.
 _AT_ONCE_SECONDS = 3.0
 # A member that was silent for longer is not only late.
 _SILENT_SECONDS = 3.0
--- a/tests/features/steps/joining.py
+++ b/tests/features/steps/joining.py
@@ -108,7 +108,7 @@
 def play(joiner_type, seed):
     """Returns what a series of attempts gives, and whether it is complete."""
     rng = random.Random(seed)
-    joiner = joiner_type("")
+    joiner = joiner_type()
     # The first attempt of a stream begins at its first event; its failure would
     # be forwarded as it is.
     first = Response(
@@ -157,7 +157,7 @@
 def step_one_attempt(context, text):
     body = text.encode().decode("unicode_escape").encode()
     response = Response(stream_head(), body, False, 7)
-    context.got = asyncio.run(join(StreamJoiner(""), [response]))
+    context.got = asyncio.run(join(StreamJoiner(), [response]))
 
 
 @then("the stream is complete, and its caller gets {text}")
@@ -173,7 +173,7 @@
 
 def recorded(ids):
     """Returns a stream of which its caller has the events with these ids."""
-    joiner = StreamJoiner("")
+    joiner = StreamJoiner()
     joiner.begin(stream_head())
     for event_id in ids.split(", "):
         joiner.position.record(
