Take further figures of load reports; count headers that can't be decoded

Callers' calls went to endpoints as if these were idle: where endpoints add a fourth figure to X-Server-Load, the whole report was decoded to nothing, without a log line.

Lists of integers may now have further items; the fourth figure is the duration of work at this moment against the usual one. A header of a caller or an endpoint whose value can't be decoded is counted by name (rattanmill_undecodable_headers) and logged, for endpoints once each. The other decoders were read for the same: X-Token-Usage, X-Token-Budget, X-Length-Hint, X-Finish-Ms, X-Deadline-Ms, X-Prompt-Prefix and Keep-Alive dropped such values silently as well.

--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -51,6 +51,7 @@
         rate_token: Token for one run within that limit, or None.
         scope: Prefix that keeps the ids of different workspaces apart, see
             ``scoped``.
+        undecodable: Names of its headers that could not be decoded.
     """
 
     request_id: str
@@ -77,6 +78,7 @@
     scope: str = ""
     rate_limit: RateLimit | None = None
     rate_token: Token | None = None
+    undecodable: tuple[str, ...] = ()
 
     def scoped(self, caller_id: str) -> str:
         """Returns an id chosen by the caller, made unique over workspaces.
@@ -108,11 +110,20 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Load that an endpoint reports with a response."""
+    """Load that an endpoint reports with a response.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait for a slot.
+        slots: Maximum number of concurrent requests.
+        slowdown: How long work takes there at this moment relative to the
+            usual time, or None if the endpoint does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseHead(msgspec.Struct):
@@ -135,6 +146,7 @@
             None.
         closes_connection: Whether the endpoint closes the connection after this
             response.
+        undecodable: Names of its headers that could not be decoded.
     """
 
     status: int
@@ -149,6 +161,7 @@
     load: Load | None = None
     idle_timeout_seconds: float | None = None
     closes_connection: bool = False
+    undecodable: tuple[str, ...] = ()
 
     @property
     def is_success(self) -> bool:
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -15,9 +15,10 @@
     log_event,
     loop_seconds,
     refuse,
+    warn_event,
 )
 from rattanmill_forward.bodies import BodyStream
-from rattanmill_forward.calls import Call, HttpCodec
+from rattanmill_forward.calls import Call, HttpCodec, ResponseHead
 from rattanmill_forward.crashes import CrashGuard, fingerprint_of
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
@@ -347,6 +348,7 @@
         head = running.response.head
         endpoint = running.endpoint
         self.domains.record_activity(endpoint.domain)
+        self.record_undecodable(endpoint, head)
         if head.is_misdirected or head.not_run:
             if head.load:
                 self.performance.record_response(endpoint, head.load)
@@ -364,6 +366,28 @@
         self.performance.record_response(endpoint, head.load)
         return running
 
+    def record_undecodable(
+        self, endpoint: Endpoint, head: ResponseHead
+    ) -> None:
+        """Counts headers that could not be decoded; logs the first of each.
+
+        Without its load report, for example, an endpoint gets calls as if it
+        were idle.
+        """
+        logged = self.performance.stats_of(endpoint).undecodable_headers
+        for name in head.undecodable:
+            self.metrics.count(
+                "rattanmill_undecodable_headers", peer="endpoint", header=name
+            )
+            if name not in logged:
+                logged.add(name)
+                warn_event(
+                    "header_undecodable",
+                    endpoint=endpoint.name,
+                    service=endpoint.service,
+                    header=name,
+                )
+
     def _handle_not_run(
         self, job: Job, endpoint: Endpoint, reason: RetryReason, why: str
     ) -> Refusal | None:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -100,6 +100,7 @@
         if isinstance(call, str):
             return self._refuse(request, None, refuse(Reason.BAD_REQUEST, call))
         call.arrived_at = arrived
+        self._record_undecodable(call)
         route = self._find_route(request, call)
         if isinstance(route, Refusal):
             return self._refuse(request, call, route)
@@ -134,6 +135,21 @@
             log_event("caller_left", request=call.request_id)
             raise
 
+    def _record_undecodable(self, call: Call) -> None:
+        """Counts headers that could not be decoded, and logs them."""
+        if not call.undecodable:
+            return
+        for name in call.undecodable:
+            self.metrics.count(
+                "rattanmill_undecodable_headers", peer="caller", header=name
+            )
+        log_event(
+            "caller_header_undecodable",
+            request=call.request_id,
+            program=call.program,
+            headers=call.undecodable,
+        )
+
     def _find_route(
         self, request: web.BaseRequest, call: Call
     ) -> Route | Refusal:
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -77,6 +77,8 @@
             request id.
         prefixes: Prompt prefixes that it should have cached, least recently
             used first.
+        undecodable_headers: Names of headers of its responses that could not
+            be decoded and were logged.
     """
 
     def __init__(self) -> None:
@@ -93,6 +95,7 @@
         self.prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self.undecodable_headers: set[str] = set()
 
     def active_requests(self, now: float) -> float:
         """Returns how many requests run or wait there, as far as known."""
