Send priorities to engines whose routes differ in urgency

Cause: engines admitted calls in order of arrival; a route's priority was read and not used. In a burst, urgent programs waited as long as all others.

Change: rattanmill_policy.urgency maps rank, whether the program has begun, slack and excess of the workspace to 0..9, rank first. PriorityAssigner (rattanmill_forward.priorities) collects the inputs; the codec sends X-Request-Priority. No header is sent where the service has no engine or its routes do not differ. `placed` logs it, rattanmill_priorities counts it.

Whether a program has begun, weighed: - previous turn named: certain, used first; - tokens taken of the program's budget, in the reply of its holders: known to all front ends at no extra cost, used next; not when one instance granted alone, since it does not know the others' grants; - programs served here lately (LRU, at most 10,000): used for the rest; - number of prompt parts: not used, as a front end does not know how many a first turn of a kind of program has.

Excess: WorkspaceShares is shared with the native path. A front end sees few programs of a workspace, so an excess that chance explains counts as none. virtual_deadline stays the order of the native queue: it needs age and target of a program, of which the site's callers send only the time left. The two paths therefore still state the order begun, new, past target separately.

The counter-proofs by arrival order are scenarios of urgency.feature.

The codec stub in steps/domains.py takes the new argument.

--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -189,16 +189,16 @@
         decode_call: Decodes method, target and headers; returns a string that
             describes the error if they are invalid.
         endpoint_headers: Returns the headers of a call for an endpoint, given
-            the seconds left, the id of the last event that the caller has, and
-            the size of the body in bytes (None if it is unknown until the body
-            ends).
+            the seconds left, the id of the last event that the caller has, the
+            size of the body in bytes (None if it is unknown until the body
+            ends), and the priority (None if it has none).
         decode_response: Decodes status and headers of a response.
         encode_refusal: Encodes a refusal.
     """
 
     decode_call: Callable[[str, str, Headers], Call | str]
     endpoint_headers: Callable[
-        [Call, Endpoint, float, str, int | None], Headers
+        [Call, Endpoint, float, str, int | None, int | None], Headers
     ]
     decode_response: Callable[[int, Headers], ResponseHead]
     encode_refusal: Callable[[Refusal], RefusalResponse]
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -31,6 +31,7 @@
 )
 from rattanmill_forward.joining import NotContinuedError, StreamJoiner
 from rattanmill_forward.placing import choose, expected_seconds
+from rattanmill_forward.priorities import PriorityAssigner
 from rattanmill_forward.routes import Route, RouteKind, Service
 from rattanmill_forward.stats import InFlightCall, PerformanceModel, Pick
 
@@ -79,6 +80,8 @@
         stream: The attempts of a stream.
         body_stream: The part of a long body that is still to arrive, or None.
         fingerprint: Hash of what stays the same when the request is sent again.
+        has_begun: Whether its program has had a turn before, or None if that
+            is unknown.
     """
 
     call: Call
@@ -93,6 +96,7 @@
     stream: StreamJoiner = msgspec.field(default_factory=StreamJoiner)
     body_stream: BodyStream | None = None
     fingerprint: bytes = b""
+    has_begun: bool | None = None
 
     def __post_init__(self) -> None:
         self.stream.position.last_id = self.call.last_event_id
@@ -208,6 +212,7 @@
         self.domains = domains
         self.codec = codec
         self.metrics = metrics
+        self.priorities = PriorityAssigner()
 
     @contextlib.asynccontextmanager
     async def open_response(
@@ -238,6 +243,9 @@
                 result = await self._send(job, pick)
                 if isinstance(result, RunningCall):
                     in_flight.first_byte_received()
+                    self.priorities.record_served(
+                        job.call, pick.estimate.run_seconds, loop_seconds()
+                    )
                     with result.response:
                         yield result
                     return
@@ -273,6 +281,7 @@
             cached,
             job.call.uncached_tokens(cached),
             len(candidates),
+            best,
         )
 
     def _candidates(self, job: Job) -> list[Endpoint]:
@@ -301,7 +310,8 @@
     async def _send(self, job: Job, pick: Pick) -> RunningCall | Refusal | None:
         """Sends a call to an endpoint; returns None if it may be retried."""
         endpoint = pick.endpoint
-        self._log_placed(job, pick)
+        priority = self._assign_priority(job, pick)
+        self._log_placed(job, pick, priority)
         sent_at = loop_seconds()
         self.performance.stats_of(endpoint).record_prompt(job.call.prompt_parts)
         try:
@@ -316,6 +326,7 @@
                         job.seconds_left(),
                         job.stream.position.last_id,
                         job.body_bytes,
+                        priority,
                     ),
                     job.body,
                     job.call.request_id,
@@ -341,6 +352,21 @@
         running = RunningCall(endpoint, response, sent_at, pick.uncached_tokens)
         return await self._check_response(job, running)
 
+    def _assign_priority(self, job: Job, pick: Pick) -> int | None:
+        """Returns the priority of an attempt, or None if it has none."""
+        is_learned = self.performance.is_learned(job.timing_key)
+        priority = self.priorities.priority(
+            job.call,
+            job.service,
+            job.route.priority,
+            job.has_begun,
+            pick.estimate if is_learned else None,
+            loop_seconds(),
+        )
+        if priority is not None:
+            self.metrics.count("rattanmill_priorities", level=str(priority))
+        return priority
+
     async def _check_response(
         self, job: Job, running: RunningCall
     ) -> RunningCall | Refusal | None:
@@ -541,7 +567,7 @@
     def _refuse(self, job: Job, reason: Reason, detail: str) -> Refusal:
         return refuse(reason, detail, ran=job.ran)
 
-    def _log_placed(self, job: Job, pick: Pick) -> None:
+    def _log_placed(self, job: Job, pick: Pick, priority: int | None) -> None:
         stats = self.performance.stats_of(pick.endpoint)
         log_event(
             "placed",
@@ -558,6 +584,7 @@
             cached_tokens=pick.cached_tokens,
             left_ms=round(job.seconds_left() * 1000),
             tries=len(job.excluded),
+            priority=priority,
         )
 
     def _log_retry(
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -230,6 +230,7 @@
             turn.body,
             call.arrived_at + _max_duration_seconds(call, route),
             body_stream=body_stream,
+            has_begun=turn.has_begun,
         )
         try:
             if route.kind is RouteKind.STREAM:
--- a/libs/forward/src/rattanmill_forward/routes.py
+++ b/libs/forward/src/rattanmill_forward/routes.py
@@ -92,10 +92,18 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A group of endpoints that do the same work."""
+    """A group of endpoints that do the same work.
+
+    Attributes:
+        name: Name.
+        engine: Properties of its engines, or None if it has none.
+        route_priorities: Distinct priorities of the routes that use it, most
+            urgent first.
+    """
 
     name: str
     engine: EngineConfig | None = None
+    route_priorities: tuple[int, ...] = ()
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -158,7 +166,21 @@
             host: tuple(sorted(found, key=lambda r: -len(r.prefix)))
             for host, found in by_host.items()
         },
-        {service.name: service for service in services},
+        {
+            service.name: msgspec.structs.replace(
+                service, route_priorities=_route_priorities(service, routes)
+            )
+            for service in services
+        },
         limits,
         keys,
     )
+
+
+def _route_priorities(service: Service, routes: list[Route]) -> tuple[int, ...]:
+    priorities = {
+        route.priority
+        for route in routes
+        if any(backend.service == service.name for backend in route.backends)
+    }
+    return tuple(sorted(priorities))
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -227,6 +227,11 @@
             average = self.averages[timing_key] = MovingAverage(initial_seconds)
         return average
 
+    def is_learned(self, timing_key: str) -> bool:
+        """Whether calls of a kind have been measured."""
+        average = self.averages.get(timing_key)
+        return average is not None and average.samples > 0
+
     def estimate(
         self, endpoint: Endpoint, call: Call, timing_key: str, events: float
     ) -> EndpointEstimate:
@@ -395,3 +400,4 @@
     cached_tokens: int
     uncached_tokens: int
     candidates: int
+    estimate: EndpointEstimate
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -37,6 +37,8 @@
         body: Body for the endpoint: the text of its chain and its new input.
         reserved_tokens: Tokens that it may use, or 0 if it has no budget.
         chain_key: Key shared by the turns of its chain, or empty.
+        has_begun: Whether its program has had a turn before, or None if that
+            is unknown.
         event_data: Data of its events so far.
         events_sent: Number of events sent to the caller.
     """
@@ -44,6 +46,7 @@
     body: bytes
     reserved_tokens: int = 0
     chain_key: str = ""
+    has_begun: bool | None = None
     event_data: list[bytes] = msgspec.field(default_factory=list)
     events_sent: int = 0
 
@@ -60,6 +63,33 @@
     chain_key: str
 
 
+class Reservation(msgspec.Struct, frozen=True):
+    """Tokens reserved for a turn.
+
+    Attributes:
+        tokens: Tokens that the turn may use, or 0 if it has no budget.
+        taken: Tokens reserved or used by its program, this turn included, or
+            None if not all holders' reservations are known.
+    """
+
+    tokens: int = 0
+    taken: int | None = None
+
+
+def has_begun(
+    call: Call, route: Route, reservation: Reservation
+) -> bool | None:
+    """Returns whether a turn's program has had a turn before, None if unknown.
+
+    The holders of its budget know it for all front ends.
+    """
+    if call.previous_turn_id:
+        return True
+    if reservation.taken is not None:
+        return reservation.taken > reservation.tokens
+    return False if route.stores_turns else None
+
+
 class TurnManager:
     """Token budgets and histories of turns.
 
@@ -103,8 +133,13 @@
             (x for x in (reservation, history) if isinstance(x, Refusal)), None
         )
         if refusal is None:
-            return Turn(history.body, reservation, history.chain_key)
-        if isinstance(reservation, int) and reservation:
+            return Turn(
+                history.body,
+                reservation.tokens,
+                history.chain_key,
+                has_begun(call, route, reservation),
+            )
+        if isinstance(reservation, Reservation) and reservation.tokens:
             self.keepers.budgets.release(
                 call.scoped(call.program), call.request_id
             )
@@ -137,15 +172,16 @@
         texts = [kept.text for kept in reversed(found)]
         return History(b"".join([*texts, call.body]), found[0].key)
 
-    async def _reserve(self, call: Call) -> int | Refusal:
+    async def _reserve(self, call: Call) -> Reservation | Refusal:
         if not call.program or call.token_budget is None:
-            return 0
+            return Reservation()
         tokens = call.max_output_tokens
         program = call.scoped(call.program)
         reply = await self.keepers.budgets.reserve(
             Reserve(program, call.request_id, tokens, call.token_budget)
         )
         outcome = type(reply).__name__.lower()
+        is_alone = call.request_id in self.keepers.budgets.granted_alone_by
         log_event(
             "budget",
             request=call.request_id,
@@ -154,14 +190,14 @@
             budget=call.token_budget,
             outcome=outcome,
             holders=self.keepers.budgets.holders_of(program),
-            alone=call.request_id in self.keepers.budgets.granted_alone_by,
+            alone=is_alone,
             taken=getattr(reply, "taken", None),
             settled=getattr(reply, "settled", None),
             why=getattr(reply, "why", None),
         )
         match reply:
-            case Reserved():
-                return tokens
+            case Reserved(taken=taken):
+                return Reservation(tokens, None if is_alone else taken)
             case Spent():
                 return refuse(
                     Reason.BUDGET_EXHAUSTED,
--- a/libs/policy/src/rattanmill_policy/fairness.py
+++ b/libs/policy/src/rattanmill_policy/fairness.py
@@ -34,7 +34,7 @@
     def charge(self, workspace: str, seconds: float, now: float) -> None:
         """Adds seconds of service to a workspace."""
         self.usage[workspace] = (
-            self._decayed_usage(workspace, now) + seconds,
+            self.usage_of(workspace, now) + seconds,
             now,
         )
         self.usage.move_to_end(workspace)
@@ -46,11 +46,10 @@
         self._recount(now)
         if not self.has_several_active or self.fair_share <= 0:
             return 0.0
-        return max(
-            0.0, self._decayed_usage(workspace, now) / self.fair_share - 1
-        )
+        return max(0.0, self.usage_of(workspace, now) / self.fair_share - 1)
 
-    def _decayed_usage(self, workspace: str, now: float) -> float:
+    def usage_of(self, workspace: str, now: float) -> float:
+        """Returns the recent service of a workspace, in decayed seconds."""
         used, at = self.usage.get(workspace, (0.0, now))
         return used * math.exp((at - now) / _DECAY_SECONDS)
 
@@ -58,7 +57,7 @@
         if now - self.counted_at < _RECOUNT_SECONDS:
             return
         self.counted_at = now
-        uses = [self._decayed_usage(name, now) for name in self.usage]
+        uses = [self.usage_of(name, now) for name in self.usage]
         total = sum(uses)
         active = sum(use > _MIN_ACTIVE_SHARE * total for use in uses)
         self.has_several_active = active > 1
--- a/tests/features/steps/domains.py
+++ b/tests/features/steps/domains.py
@@ -135,7 +135,7 @@
 def _make_codec():
     return HttpCodec(
         decode_call=lambda method, target, headers: "not used",
-        endpoint_headers=lambda call, endpoint, left, last, size: [
+        endpoint_headers=lambda call, endpoint, left, last, size, priority: [
             ("Host", "a"),
             ("Content-Length", "0"),
         ],
--- /dev/null
+++ b/tests/features/steps/urgency.py
@@ -0,0 +1,363 @@
+"""Steps about priorities of calls at engines."""
+
+import asyncio
+import contextlib
+import random
+import types
+
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import strategies as st
+from rattanmill_site.headers import HTTP_CODEC
+
+from rattanmill_core import Metrics
+from rattanmill_forward import Endpoint, Service
+from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.domains import DomainMonitor
+from rattanmill_forward.endpoints import EndpointRegistry
+from rattanmill_forward.exchange import ConnectFailed
+from rattanmill_forward.priorities import PriorityAssigner
+from rattanmill_forward.routes import build_route_table
+from rattanmill_forward.stats import PerformanceModel
+from rattanmill_forward.turns import Reservation, has_begun
+from rattanmill_forward.workspaces import Workspace
+from rattanmill_policy.urgency import Standing, request_priority, standing
+from support.calls import make_call
+from support.engine_queue import (
+    Program,
+    arrival_order,
+    arrivals,
+    make_table,
+    priority_order,
+    replay,
+)
+from support.virtual import run_virtually
+
+_SEED = 1
+_BURST_STARTS_AT = 10.0
+_SECONDS = st.floats(-10, 100)
+_STANDINGS = st.builds(
+    standing,
+    st.booleans(),
+    st.none() | _SECONDS,
+    st.none() | st.floats(0.001, 10),
+    st.floats(0, 20),
+)
+_RANKS = st.integers(1, 15).flatmap(
+    lambda count: st.tuples(
+        st.integers(0, count - 1), st.integers(0, count - 1), st.just(count)
+    )
+)
+
+
+@then(
+    "for any two calls, the one of the more urgent route has no larger number"
+)
+def step_rank_first(context):
+    @given_values(_RANKS, _STANDINGS, _STANDINGS)
+    def check(ranks, one, other):
+        first, second, count = ranks
+        first, second = sorted((first, second))
+        if first == second:
+            return
+        urgent = request_priority(first, count, one)
+        less = request_priority(second, count, other)
+        assert urgent <= less
+        # Up to ten ranks, no two share a number.
+        assert urgent < less or count > 10
+
+    check()
+
+
+@then("every priority is from 0 to 9")
+def step_range(context):
+    @given_values(_RANKS, _STANDINGS)
+    def check(ranks, place):
+        rank, _, count = ranks
+        assert 0 <= request_priority(rank, count, place) <= 9
+
+    check()
+
+
+@then(
+    "among programs that have begun and can be in time, less slack gives no"
+    " larger number"
+)
+def step_slack(context):
+    @given_values(
+        _RANKS, st.floats(0.001, 10), st.floats(0, 50), st.floats(0, 50)
+    )
+    def check(ranks, needed, one, other):
+        rank, _, count = ranks
+        less, more = (
+            request_priority(
+                rank, count, standing(True, needed + slack, needed, 0.0)
+            )
+            for slack in sorted((one, other))
+        )
+        assert less <= more
+
+    check()
+
+
+@when(
+    "a call of a {kind} program has {left} s left and needs {needed} s, with an"
+    " excess of {excess:f} shares"
+)
+def step_standing(context, kind, left, needed, excess):
+    left, needed = (
+        None if text == "unknown" else float(text) for text in (left, needed)
+    )
+    context.place = standing(kind == "begun", left, needed, excess)
+
+
+@then('its place is "{place}"')
+def step_place(context, place):
+    assert context.place is Standing[place], context.place
+
+
+@given(
+    "short urgent and long less urgent programs, {factor:d} times as many for"
+    " {seconds:d} s"
+)
+def step_burst(context, factor, seconds):
+    rng = random.Random(_SEED)
+    end = _BURST_STARTS_AT + seconds
+
+    def rate(mean):
+        return lambda at: mean * (factor if _BURST_STARTS_AT <= at < end else 1)
+
+    # Per engine of deployment A.
+    kinds = [(0, 3, 42 / 22), (1, 7, 21 / 22)]
+    context.programs = [
+        Program(number, *kind)
+        for number, kind in enumerate(
+            (rank, turns, at)
+            for rank, turns, mean in kinds
+            for at in arrivals(rng, rate(mean), mean * factor, 30.0)
+        )
+    ]
+    context.burst_end = end
+
+
+@when("an engine admits their calls by {order}")
+def step_admit(context, order):
+    orders = {"priority": priority_order, "arrival": arrival_order}
+    replay(context.programs, orders[order]())
+
+
+def _urgent_on_time(context):
+    urgent = [
+        program.is_on_time
+        for program in context.programs
+        if program.route_priority == 0
+        and _BURST_STARTS_AT <= program.started_at < context.burst_end
+    ]
+    return sum(urgent) / len(urgent)
+
+
+@then(
+    "at least {share:f} of the urgent programs of the burst are on time",
+)
+def step_on_time(context, share):
+    assert _urgent_on_time(context) >= share, _urgent_on_time(context)
+
+
+@then("less than {share:f} of the urgent programs of the burst are on time")
+def step_late(context, share):
+    assert _urgent_on_time(context) < share, _urgent_on_time(context)
+
+
+@then("all programs end within {seconds:d} s of the burst")
+def step_all_end(context, seconds):
+    last = max(
+        program.ended_at
+        for program in context.programs
+        if program.started_at < context.burst_end
+    )
+    assert last <= context.burst_end + seconds, last - context.burst_end
+
+
+@given(
+    "{count:d} workspaces, of which one sends {factor:d} times its usual load"
+    " for {seconds:d} s"
+)
+def step_workspaces(context, count, factor, seconds):
+    rng = random.Random(_SEED)
+    mean = 1.2
+    end = _BURST_STARTS_AT + seconds
+
+    def rate(index):
+        return lambda at: (
+            mean
+            * (factor if index == 0 and _BURST_STARTS_AT <= at < end else 1)
+        )
+
+    starts = [
+        (at, Workspace(f"w{index}", 0.0, 0.0))
+        for index in range(count)
+        for at in arrivals(rng, rate(index), mean * factor, end)
+    ]
+    context.programs = [
+        Program(number, 1, 3, at, workspace)
+        for number, (at, workspace) in enumerate(starts)
+    ]
+
+
+def _others_on_time(context):
+    others = [
+        program.is_on_time
+        for program in context.programs
+        if program.workspace.name != "w0"
+        and program.started_at >= _BURST_STARTS_AT
+    ]
+    return sum(others) / len(others)
+
+
+@then("at least {share:f} of the other workspaces' programs are on time")
+def step_others_on_time(context, share):
+    assert _others_on_time(context) >= share, _others_on_time(context)
+
+
+@then("less than {share:f} of the other workspaces' programs are on time")
+def step_others_late(context, share):
+    assert _others_on_time(context) < share, _others_on_time(context)
+
+
+@when(
+    "one program of a workspace has {turns:d} turns while others have one each"
+)
+def step_long_program(context, turns):
+    context.assigner = PriorityAssigner()
+
+    def serve(program, workspace):
+        call = make_call(0, program=program)
+        call.assign_workspace(Workspace(workspace, 0.0, 0.0))
+        context.assigner.record_served(call, 0.3, 1.0)
+        return call
+
+    for number in range(5):
+        serve(f"other-{number}", f"w{number}")
+    context.calls = [serve("long", "long") for _ in range(turns)]
+
+
+@then("its workspace has no excess")
+def step_no_excess(context):
+    assert context.assigner.excess(context.calls[-1], 1.0) == 0.0
+    # Its usage alone is far above the fair share.
+    assert context.assigner.shares.excess("long", 1.0) > 1.0
+
+
+class _Pool:
+    """Connections to endpoints that can't be reached, and what was sent."""
+
+    def __init__(self, pause_seconds):
+        self.pause_seconds = pause_seconds
+        self.headers = []
+
+    async def send(self, endpoint, method, target, headers, *_, **__):
+        self.headers.append(dict(headers))
+        await asyncio.sleep(self.pause_seconds)
+        return ConnectFailed("not listening")
+
+
+@given('routes of the priorities "{priorities}" to {kind}')
+def step_routes(context, priorities, kind):
+    context.route_table = make_table(tuple(map(int, priorities.split(","))))
+    if kind == "services":
+        routes = [
+            r for found in context.route_table.routes.values() for r in found
+        ]
+        context.route_table = build_route_table(
+            1, routes, [Service("llm")], context.route_table.limits
+        )
+
+
+def _send(context, route_priority, pause_seconds, **fields):
+    """Sends a call to two endpoints that can't be reached."""
+
+    async def send():
+        registry = EndpointRegistry()
+        for name in ("one", "two"):
+            registry.update(
+                Endpoint(name, "llm", "east", f"{name}:1", 8, False)
+            )
+        pool = _Pool(pause_seconds)
+        dispatcher = Dispatcher(
+            registry,
+            PerformanceModel("east"),
+            pool,
+            types.SimpleNamespace(refusal=lambda fingerprint, ran: None),
+            DomainMonitor("east", dict, None),
+            HTTP_CODEC,
+            Metrics(),
+        )
+        now = asyncio.get_running_loop().time()
+        route = context.route_table.match("a", f"/{route_priority}/")
+        service = context.route_table.draw_service(route)
+        call = make_call(1, arrived_at=now, **fields)
+        job = Job(call, route, service, b"", now + 4.0)
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(dispatcher.open_response(job))
+        return [headers.get("X-Request-Priority") for headers in pool.headers]
+
+    return run_virtually(send())
+
+
+@when("a call of the route of priority {priority:d} is sent")
+def step_send(context, priority):
+    context.sent = _send(context, priority, 0.0)[:1]
+
+
+@then('its priority at the endpoint is "{sent}"')
+def step_sent(context, sent):
+    assert context.sent == [None if sent == "none" else sent], context.sent
+
+
+@when(
+    "a call of a program with {left:f} s left is sent again after {pause:d} s"
+)
+def step_send_again(context, left, pause):
+    context.sent = _send(
+        context, 0, float(pause), program="p", program_seconds_left=left
+    )
+
+
+@then('its priorities are "{sent}"')
+def step_sent_both(context, sent):
+    assert context.sent == sent.split(", "), context.sent
+
+
+@when(
+    'a turn of a route that {stores} turns has the previous turn "{previous}"'
+    " and {taken} of its budget is taken with its own {tokens:d} tokens"
+)
+@when(
+    'a turn of a route that {stores} turns has the previous turn ""'
+    " and {taken} of its budget is taken with its own {tokens:d} tokens"
+)
+def step_turn(context, stores, taken, tokens, previous=""):
+    call = make_call(1, previous_turn_id=previous)
+    route = types.SimpleNamespace(stores_turns=stores == "stores")
+    taken = None if taken == "unknown" else int(taken)
+    context.begun = has_begun(call, route, Reservation(tokens, taken))
+
+
+@then('its program has begun: "{begun}"')
+def step_begun(context, begun):
+    expected = {"yes": True, "no": False, "unknown": None}[begun]
+    assert context.begun is expected, context.begun
+
+
+@when("{count:d} programs are served")
+def step_serve(context, count):
+    context.assigner = PriorityAssigner()
+    context.calls = [make_call(n, program=f"p-{n}") for n in range(count)]
+    for call in context.calls:
+        context.assigner.record_served(call, 0.3, 1.0)
+
+
+@then("the last {count:d} of them are known to have begun")
+def step_known(context, count):
+    known = [context.assigner.has_served(call) for call in context.calls]
+    assert all(known[-count:]) and not any(known[:-count])
