Refuse calls at once that would start too late

Cause: a call was refused only after endpoints had rejected it, with a constant Retry-After. In a burst, callers waited in vain, their calls took slots, and refused callers came back together.

Change: rattanmill_forward.refusing derives the expected start from placement's estimates. A call is refused as overloaded (503, not run) before it is sent if the start at every endpoint compared is beyond its deadline, or for the first turn of a program beyond the time by which the program should be done. It is sent if it may have run, if a slot is free, if any endpoint compared has no report with a slowdown from the last second, or if no call of its kind was measured. Retry-After is one to two times the time until a slot is free, at random, at least 0.05 s and at most a third of the time left; also after rejections by endpoints that reported. The constant remains without reports.

Reports do not tell how urgent the waiting calls are. Weighed: count all (an urgent call is refused because of calls that it overtakes), count none (the urgent are never refused), the share among this front end's own waiting calls.

Only a program known to be new counts as first: budget holders, or a route that stores turns, say so, and this front end has not served it.

No play with processes under load was run.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import random
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -31,14 +32,24 @@
 )
 from rattanmill_forward.joining import NotContinuedError, StreamJoiner
 from rattanmill_forward.placing import choose, expected_seconds
-from rattanmill_forward.priorities import PriorityAssigner
+from rattanmill_forward.priorities import (
+    PriorityAssigner,
+    program_seconds_left,
+)
+from rattanmill_forward.refusing import (
+    QueueSample,
+    earliest_start,
+    has_recent_report,
+    refuse_late,
+    retry_seconds,
+)
 from rattanmill_forward.routes import Route, RouteKind, Service
 from rattanmill_forward.stats import InFlightCall, PerformanceModel, Pick
 
 # With less time left, a call would only waste its endpoint's time.
 _MIN_SECONDS_LEFT = 0.005
-# When all endpoints are full, a slot becomes free after about one call's
-# duration.
+# When all endpoints are full and none reports its load, a slot becomes free
+# after about one call's duration.
 _OVERLOAD_RETRY_SECONDS = 0.3
 # A partition lasts for seconds; meanwhile callers reach front ends in other
 # domains.
@@ -213,6 +224,8 @@
         self.codec = codec
         self.metrics = metrics
         self.priorities = PriorityAssigner()
+        self.queues = QueueSample()
+        self.rng = random.Random()
 
     @contextlib.asynccontextmanager
     async def open_response(
@@ -236,11 +249,17 @@
             if pick is None:
                 yield self._refuse_no_endpoint(job)
                 return
+            priority = self._priority(job, pick)
+            overloaded = self._refuse_late(job, pick, priority)
+            if overloaded:
+                yield overloaded
+                return
             stats = self.performance.stats_of(pick.endpoint)
             with InFlightCall(
                 stats, job.call.request_id, pick.uncached_tokens
             ) as in_flight:
-                result = await self._send(job, pick)
+                with self.queues.hold(job.service, priority):
+                    result = await self._send(job, pick, priority)
                 if isinstance(result, RunningCall):
                     in_flight.first_byte_received()
                     self.priorities.record_served(
@@ -282,6 +301,7 @@
             job.call.uncached_tokens(cached),
             len(candidates),
             best,
+            tuple(estimate for _, estimate in estimates.values()),
         )
 
     def _candidates(self, job: Job) -> list[Endpoint]:
@@ -307,11 +327,14 @@
         healthy = [e for e in eligible if not self.performance.is_avoided(e)]
         return healthy or eligible
 
-    async def _send(self, job: Job, pick: Pick) -> RunningCall | Refusal | None:
+    async def _send(
+        self, job: Job, pick: Pick, priority: int | None
+    ) -> RunningCall | Refusal | None:
         """Sends a call to an endpoint; returns None if it may be retried."""
         endpoint = pick.endpoint
-        priority = self._assign_priority(job, pick)
         self._log_placed(job, pick, priority)
+        if priority is not None:
+            self.metrics.count("rattanmill_priorities", level=str(priority))
         sent_at = loop_seconds()
         self.performance.stats_of(endpoint).record_prompt(job.call.prompt_parts)
         try:
@@ -352,10 +375,10 @@
         running = RunningCall(endpoint, response, sent_at, pick.uncached_tokens)
         return await self._check_response(job, running)
 
-    def _assign_priority(self, job: Job, pick: Pick) -> int | None:
+    def _priority(self, job: Job, pick: Pick) -> int | None:
         """Returns the priority of an attempt, or None if it has none."""
         is_learned = self.performance.is_learned(job.timing_key)
-        priority = self.priorities.priority(
+        return self.priorities.priority(
             job.call,
             job.service,
             job.route.priority,
@@ -363,9 +386,53 @@
             pick.estimate if is_learned else None,
             loop_seconds(),
         )
-        if priority is not None:
-            self.metrics.count("rattanmill_priorities", level=str(priority))
-        return priority
+
+    def _refuse_late(
+        self, job: Job, pick: Pick, priority: int | None
+    ) -> Refusal | None:
+        """Refuses a call that has not run and would start too late."""
+        if job.ran is not Ran.NO:
+            return None
+        if not self.performance.is_learned(job.timing_key):
+            return None
+        now = loop_seconds()
+        start = earliest_start(
+            pick.compared,
+            self.performance.stats,
+            self.queues.share_ahead(job.service, priority),
+            now,
+        )
+        is_first = (
+            job.has_begun is False
+            and not job.call.last_event_id
+            and not self.priorities.has_served(job.call)
+        )
+        program_left = program_seconds_left(job.call, now) if is_first else None
+        return refuse_late(start, job.seconds_left(), program_left, self.rng)
+
+    def _overload_retry_seconds(self, job: Job) -> float:
+        """Returns the Retry-After for a call that endpoints have rejected."""
+        now = loop_seconds()
+        reports = [
+            (endpoint, self.performance.stats_of(endpoint))
+            for endpoint in self.registry.by_service.get(job.service.name, ())
+            if endpoint.name in job.excluded
+        ]
+        start = earliest_start(
+            (
+                self.performance.estimate(
+                    endpoint, job.call, job.timing_key, job.expected_events()
+                )
+                for endpoint, stats in reports
+                if has_recent_report(stats, now)
+            ),
+            self.performance.stats,
+            1.0,
+            now,
+        )
+        if start is None:
+            return _OVERLOAD_RETRY_SECONDS
+        return retry_seconds(start, job.seconds_left(), self.rng)
 
     async def _check_response(
         self, job: Job, running: RunningCall
@@ -423,7 +490,7 @@
                 Reason.OVERLOADED,
                 f"{endpoint.name} did not accept the request: {why}",
                 ran=job.ran,
-                retry_after=_OVERLOAD_RETRY_SECONDS,
+                retry_after=self._overload_retry_seconds(job),
             )
         self._log_retry(job, endpoint, reason, why)
         return None
@@ -552,7 +619,7 @@
             return refuse(
                 Reason.OVERLOADED,
                 "no endpoint accepted the request",
-                retry_after=_OVERLOAD_RETRY_SECONDS,
+                retry_after=self._overload_retry_seconds(job),
             )
         if self.domains.unreachable:
             return refuse(
--- a/libs/forward/src/rattanmill_forward/priorities.py
+++ b/libs/forward/src/rattanmill_forward/priorities.py
@@ -67,7 +67,7 @@
             return None
         place = standing(
             has_begun or self.has_served(call),
-            _program_seconds_left(call, now),
+            program_seconds_left(call, now),
             estimate and estimate.run_seconds + estimate.prefill_seconds,
             self.excess(call, now),
         )
@@ -115,7 +115,7 @@
             self.served.popitem(last=False)
 
 
-def _program_seconds_left(call: Call, now: float) -> float | None:
+def program_seconds_left(call: Call, now: float) -> float | None:
     """Returns the time until the call's program should be done, or None."""
     if call.program_seconds_left is None:
         return None
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -401,3 +401,4 @@
     uncached_tokens: int
     candidates: int
     estimate: EndpointEstimate
+    compared: tuple[EndpointEstimate, ...]
--- /dev/null
+++ b/tests/features/steps/refusing.py
@@ -0,0 +1,346 @@
+"""Steps about calls that are refused before they are sent."""
+
+import asyncio
+import collections
+import contextlib
+import random
+import re
+import types
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import strategies as st
+from rattanmill_site.headers import HTTP_CODEC
+
+from rattanmill_core import Metrics, Ran, Reason, Refusal
+from rattanmill_forward import Endpoint, Load
+from rattanmill_forward.calls import ResponseHead
+from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.domains import DomainMonitor
+from rattanmill_forward.endpoints import EndpointRegistry
+from rattanmill_forward.exchange import ConnectFailed
+from rattanmill_forward.refusing import ExpectedStart, retry_seconds
+from rattanmill_forward.stats import PerformanceModel
+from support.calls import make_call
+from support.engine_queue import make_table
+from support.virtual import run_virtually
+
+_SEED = 1
+_EVENTS = 10
+_URGENT, _LESS_URGENT = 0, 1
+# Numbers that calls of new programs of these ranks get, and those of begun
+# ones of the second rank.
+_PRIORITIES = {_URGENT: 2, _LESS_URGENT: 7}
+_BEGUN_PRIORITY = 6
+
+
+class _Rejection:
+    """Response of an endpoint that did not run the call."""
+
+    def __init__(self, load):
+        self.head = ResponseHead(503, [], not_run=True, load=load)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        """Does nothing, as there is no connection."""
+
+    async def read(self):
+        return b""
+
+
+class _FrontEnd:
+    """A front end whose endpoints reject each call or can't be reached."""
+
+    def __init__(self, count, slots, seconds):
+        random.seed(_SEED)
+        self.sent = 0
+        self.rejection = None
+        self.rejection_load = None
+        self.performance = PerformanceModel("east")
+        registry = EndpointRegistry()
+        self.engines = [
+            Endpoint(f"e-{n}", "llm", "east", f"e-{n}:1", slots, False)
+            for n in range(count)
+        ]
+        for engine in self.engines:
+            registry.update(engine)
+        self.dispatcher = Dispatcher(
+            registry,
+            self.performance,
+            types.SimpleNamespace(send=self._send),
+            types.SimpleNamespace(refusal=lambda fingerprint, ran: None),
+            DomainMonitor("east", dict, None),
+            HTTP_CODEC,
+            Metrics(),
+        )
+        self.dispatcher.rng = random.Random(_SEED)
+        self.performance.average_for("first/event/llm", 0.0)
+        self.performance.average_for("event/llm", 0.0).add(seconds / _EVENTS)
+        self.table = make_table((_URGENT, _LESS_URGENT))
+
+    async def _send(self, *_, **__):
+        self.sent += 1
+        if self.rejection is None:
+            return ConnectFailed("not listening")
+        return _Rejection(self.rejection_load)
+
+    def report(self, load):
+        """Records a report of each engine."""
+        for engine in self.engines:
+            self.performance.record_response(engine, load)
+
+    async def dispatch(self, left, rank=_LESS_URGENT, ran=(), **fields):
+        """Returns the refusal of one call; all end with one."""
+        now = asyncio.get_running_loop().time()
+        begun = fields.pop("has_begun", None)
+        route = self.table.match("a", f"/{rank}/")
+        call = make_call(1, arrived_at=now, max_output_tokens=_EVENTS, **fields)
+        job = Job(
+            *(call, route, self.table.draw_service(route), b"", now + left),
+            possible_runs=list(ran),
+            has_begun=begun,
+        )
+        async with self.dispatcher.open_response(job) as refusal:
+            assert isinstance(refusal, Refusal), refusal
+            return refusal
+
+
+def _run(context, act):
+    """Prepares a front end as described and returns what ``act`` returns."""
+
+    async def run():
+        front_end = _FrontEnd(*context.engines)
+        with contextlib.ExitStack() as stack:
+            for prepare in context.prepare:
+                await prepare(front_end, stack)
+            return await act(front_end)
+
+    return run_virtually(run())
+
+
+@given("{count:d} engines with {slots:d} slots whose calls take {seconds:f} s")
+def step_engines(context, count, slots, seconds):
+    context.engines = (count, slots, seconds)
+    context.prepare = []
+
+
+@given("each engine reports {running:d} running and {waiting:d} waiting calls")
+def step_report(context, running, waiting):
+    async def report(front_end, stack):
+        front_end.report(Load(running, waiting, 12, 1.0))
+
+    context.prepare.append(report)
+
+
+@given("{seconds:f} s pass")
+def step_pass(context, seconds):
+    async def wait(front_end, stack):
+        await asyncio.sleep(seconds)
+
+    context.prepare.append(wait)
+
+
+@given("one engine has not reported")
+def step_no_report(context):
+    async def forget(front_end, stack):
+        front_end.performance.stats_of(front_end.engines[0]).load = None
+
+    context.prepare.append(forget)
+
+
+@given("one engine reports no slowdown")
+def step_no_slowdown(context):
+    async def change(front_end, stack):
+        stats = front_end.performance.stats_of(front_end.engines[0])
+        stats.load = msgspec.structs.replace(stats.load, slowdown=None)
+
+    context.prepare.append(change)
+
+
+@given("no call has been measured")
+def step_not_measured(context):
+    async def forget(front_end, stack):
+        front_end.performance.averages.clear()
+
+    context.prepare.append(forget)
+
+
+@given(
+    "{less:d} less urgent and {urgent:d} urgent calls of this front end wait at"
+    " engines"
+)
+def step_waiting(context, less, urgent):
+    _hold(
+        context, {_PRIORITIES[_LESS_URGENT]: less, _PRIORITIES[_URGENT]: urgent}
+    )
+
+
+@given(
+    "{new:d} new and {begun:d} begun less urgent calls of this front end wait"
+    " at engines"
+)
+def step_waiting_begun(context, new, begun):
+    _hold(context, {_PRIORITIES[_LESS_URGENT]: new, _BEGUN_PRIORITY: begun})
+
+
+def _hold(context, counts):
+    async def hold(front_end, stack):
+        service = front_end.table.services["llm"]
+        for priority, count in counts.items():
+            for _ in range(count):
+                stack.enter_context(
+                    front_end.dispatcher.queues.hold(service, priority)
+                )
+
+    context.prepare.append(hold)
+
+
+@when(
+    "{count:d} first turns arrive whose programs should be done in {finish:f} s"
+    " and that wait for {left:f} s"
+)
+def step_crowd(context, count, finish, left):
+    async def send(front_end):
+        refusals = [
+            await front_end.dispatch(
+                left,
+                has_begun=False,
+                program=f"p-{number}",
+                program_seconds_left=finish,
+            )
+            for number in range(count)
+        ]
+        return refusals, front_end.sent
+
+    context.refusals, context.sent = _run(context, send)
+
+
+@then("all are refused with status 503 before anything is sent")
+def step_all_refused(context):
+    assert context.sent == 0, context.sent
+    for refusal in context.refusals:
+        head = HTTP_CODEC.encode_refusal(refusal)
+        assert head.status == 503 and "Retry-After" in dict(head.headers), head
+        assert refusal.reason is Reason.OVERLOADED and refusal.ran is Ran.NO
+
+
+@then("each may retry after {least:f} to {most:f} s")
+def step_retry_range(context, least, most):
+    delays = [refusal.retry_after for refusal in context.refusals]
+    assert least <= min(delays) and max(delays) <= most, delays
+
+
+@then("no {part} of a second has more than {most:d} of the retries")
+def step_retry_spread(context, part, most):
+    steps = {"tenth": 10, "hundredth": 100}[part]
+    counts = collections.Counter(
+        int(refusal.retry_after * steps) for refusal in context.refusals
+    )
+    assert max(counts.values()) <= most, counts
+
+
+_KINDS = {
+    "a first turn": {"has_begun": False},
+    "an urgent first turn": {"has_begun": False, "rank": _URGENT},
+    "a turn of a begun program": {"has_begun": True},
+    "a turn of a program served here": {"has_begun": False, "program": "here"},
+    "a turn of an unknown program": {"has_begun": None},
+    "a call that may have run": {"has_begun": False, "ran": ["e-0"]},
+}
+
+
+@when(
+    "{kind} arrives whose program should be done in {finish:f} s and that waits"
+    " for {left:f} s"
+)
+def step_one(context, kind, finish, left):
+    async def send(front_end):
+        here = make_call(0, program="here")
+        now = asyncio.get_running_loop().time()
+        front_end.dispatcher.priorities.record_served(here, 0.3, now)
+        fields = {"program": "p", "program_seconds_left": finish}
+        refusal = await front_end.dispatch(left, **(fields | _KINDS[kind]))
+        return refusal, front_end.sent
+
+    context.refusal, context.sent = _run(context, send)
+
+
+@then("it is refused")
+def step_refused(context):
+    assert context.sent == 0, context.refusal
+    assert context.refusal.reason is Reason.OVERLOADED, context.refusal
+    assert context.refusal.ran is Ran.NO, context.refusal
+
+
+@then("it is sent")
+def step_sent(context):
+    assert context.sent > 0, context.refusal
+
+
+@then('the detail is like "{pattern}"')
+def step_detail(context, pattern):
+    assert re.fullmatch(pattern, context.refusal.detail), context.refusal
+
+
+@when(
+    "a turn that waits for {left:f} s is rejected by all engines, which report"
+    " {report}"
+)
+def step_rejected(context, left, report):
+    loads = {
+        "12 running, 60 waiting calls": Load(12, 60, 12, 1.0),
+        "12 running, no waiting calls": Load(12, 0, 12, 1.0),
+        "no load": None,
+    }
+
+    async def send(front_end):
+        front_end.rejection = True
+        front_end.rejection_load = loads[report]
+        return [await front_end.dispatch(left)]
+
+    context.refusals = _run(context, send)
+
+
+@then("its Retry-After is from {least:f} to {most:f} s")
+def step_retry_after(context, least, most):
+    (refusal,) = context.refusals
+    assert least <= refusal.retry_after <= most, refusal
+
+
+def _check_retry(check):
+    @given_values(st.floats(0, 100), st.floats(0.01, 100), st.integers())
+    def each(start, left, seed):
+        seconds = retry_seconds(
+            ExpectedStart(start, (0.0,)), left, random.Random(seed)
+        )
+        check(start, left, seconds)
+
+    each()
+
+
+@then(
+    "for any start and time left, Retry-After is at most a third of the time"
+    " left"
+)
+def step_third(context):
+    def check(start, left, seconds):
+        assert 0 <= seconds <= left / 3
+
+    _check_retry(check)
+
+
+@then(
+    "it is within twice the expected start, and at least {least:f} s if the"
+    " time left allows it"
+)
+def step_least(context, least):
+    def check(start, left, seconds):
+        assert seconds <= 2 * max(least, start)
+        # Half of the longest, where that is limited by the time left. Rounded
+        # down to milliseconds.
+        assert seconds >= min(least, left / 6) - 0.001
+
+    _check_retry(check)
