Test how the reservation's reply tells that a program has begun

Cause: only the function that decides was tested, not the way from the reply of the budget's holders to the turn.

Change: a scenario outline of urgency.feature reserves a budget with a stub of the holders.

--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -19,8 +19,9 @@
 from rattanmill_forward.priorities import PriorityAssigner
 from rattanmill_forward.routes import build_route_table
 from rattanmill_forward.stats import PerformanceModel
-from rattanmill_forward.turns import Reservation, has_begun
+from rattanmill_forward.turns import Reservation, TurnManager, has_begun
 from rattanmill_forward.workspaces import Workspace
+from rattanmill_keeper import Reserved
 from rattanmill_policy.urgency import Standing, request_priority, standing
 from support.calls import make_call
 from support.engine_queue import (
@@ -343,6 +344,28 @@
     context.begun = has_begun(call, route, Reservation(tokens, taken))
 
 
+@when(
+    "a turn of {tokens:d} tokens reserves its budget and {taken:d} tokens are"
+    " then taken, granted by {granted}"
+)
+def step_reserve(context, tokens, taken, granted):
+    async def reserve(request):
+        return Reserved(taken)
+
+    alone = {"1": "k-1"} if granted == "one instance" else {}
+    budgets = types.SimpleNamespace(
+        reserve=reserve,
+        granted_alone_by=alone,
+        holders_of=lambda program: (),
+    )
+    turns = TurnManager(types.SimpleNamespace(budgets=budgets), Metrics())
+    call = make_call(1, program="p", token_budget=100, max_output_tokens=tokens)
+    route = make_table((0, 1)).match("a", "/0/")
+    turn = run_virtually(turns.begin(call, route))
+    assert turn.reserved_tokens == tokens, turn
+    context.begun = turn.has_begun
+
+
 @then('its program has begun: "{begun}"')
 def step_begun(context, begun):
     expected = {"yes": True, "no": False, "unknown": None}[begun]
--- a/tests/features/urgency.feature
+++ b/tests/features/urgency.feature
@@ -114,6 +114,19 @@
       | does not store |          | 10      | no      |
       | does not store |          | unknown | unknown |
 
+  Scenario Outline: The budget's holders tell whether a program has begun
+    Only the reply to the reservation carries it. If it got lost on the way to
+    the turn, programs that have begun would be served as new ones.
+
+    When a turn of 10 tokens reserves its budget and <taken> tokens are then taken, granted by <granted>
+    Then its program has begun: "<begun>"
+
+    Examples:
+      | taken | granted      | begun   |
+      | 10    | the holders  | no      |
+      | 30    | the holders  | yes     |
+      | 10    | one instance | unknown |
+
   Scenario: Programs served here are remembered up to a limit
     The memory of a front end is small, and ids of programs never repeat.
 
