State why the tolerated excess of a workspace is half a share

Cause: the comment told a trial instead of the reason, and the name was that of another constant in queueing.py, which caps a penalty.

Change: _MAX_EXCESS_SHARES of urgency.py is _TOLERATED_EXCESS_SHARES; the comment gives the reason. No change of behaviour: urgency.feature, 36 of 36.

--- a/libs/policy/src/rattanmill_policy/urgency.py
+++ b/libs/policy/src/rattanmill_policy/urgency.py
@@ -13,8 +13,9 @@
 # if it has to wait for about one more call.
 _TIGHT_SLACK_SHARE = 0.5
 # Usage above the fair share, in fair shares, from which a workspace comes last.
-# With 1.0, a workspace with five times its load goes unnoticed for 8 s.
-_MAX_EXCESS_SHARES = 0.5
+# Usage is averaged over tens of seconds, so the excess grows slowly once the
+# load of a workspace has risen. A higher limit notices it later.
+_TOLERATED_EXCESS_SHARES = 0.5
 
 
 class Standing(enum.IntEnum):
@@ -45,7 +46,7 @@
             not known yet.
         excess: Usage of its workspace above the fair share, in fair shares.
     """
-    if excess > _MAX_EXCESS_SHARES:
+    if excess > _TOLERATED_EXCESS_SHARES:
         return Standing.LAST
     if seconds_left is not None and seconds_left <= 0:
         return Standing.LAST
