Ignore reports of unreachable endpoints in Retry-After

Cause: Retry-After after failed attempts used the recent reports of all endpoints that were excluded, also of those that could not be connected to. After a crash, idle reports of up to 1 s ago gave 0.05 to 0.1 s instead of the constant of 0.3 s, and callers used up their retries meanwhile.

Change: endpoints that are avoided after a failure do not count.

Measured: the new scenario of refusing.feature failed before; 27 of 27 now.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -413,23 +413,23 @@
     def _overload_retry_seconds(self, job: Job) -> float:
         """Returns the Retry-After for a call that endpoints have rejected."""
         now = loop_seconds()
-        reports = [
-            (endpoint, self.performance.stats_of(endpoint))
+        stats = self.performance.stats
+        # The last report of an endpoint that can't be reached may show free
+        # slots.
+        rejecting = [
+            endpoint
             for endpoint in self.registry.by_service.get(job.service.name, ())
             if endpoint.name in job.excluded
+            and not self.performance.is_avoided(endpoint)
+            and has_recent_report(stats.get(endpoint.name), now)
         ]
-        start = earliest_start(
-            (
-                self.performance.estimate(
-                    endpoint, job.call, job.timing_key, job.expected_events()
-                )
-                for endpoint, stats in reports
-                if has_recent_report(stats, now)
-            ),
-            self.performance.stats,
-            1.0,
-            now,
-        )
+        estimates = [
+            self.performance.estimate(
+                endpoint, job.call, job.timing_key, job.expected_events()
+            )
+            for endpoint in rejecting
+        ]
+        start = earliest_start(estimates, stats, 1.0, now)
         if start is None:
             return _OVERLOAD_RETRY_SECONDS
         return retry_seconds(start, job.seconds_left(), self.rng)
--- a/tests/features/refusing.feature
+++ b/tests/features/refusing.feature
@@ -110,6 +110,14 @@
       | 12 running, no waiting calls   | 0.05  | 0.1  |
       | no load                        | 0.3   | 0.3  |
 
+  Scenario: Engines that reported free slots can't be reached
+    After a crash, their last reports still show free slots. Callers that return
+    at once would use up their few retries while the engines are down.
+
+    Given each engine reports 4 running and 0 waiting calls
+    When a turn that waits for 3.0 s finds no engine that can be reached
+    Then its Retry-After is from 0.3 to 0.3 s
+
   Scenario: Retry-After fits any caller
     Then for any start and time left, Retry-After is at most a third of the time left
     And it is within twice the expected start, and at least 0.05 s if the time left allows it
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -304,6 +304,14 @@
     context.refusals = _run(context, send)
 
 
+@when("a turn that waits for {left:f} s finds no engine that can be reached")
+def step_unreachable(context, left):
+    async def send(front_end):
+        return [await front_end.dispatch(left)]
+
+    context.refusals = _run(context, send)
+
+
 @then("its Retry-After is from {least:f} to {most:f} s")
 def step_retry_after(context, least, most):
     (refusal,) = context.refusals
