Derive the expected start from how long other calls hold slots

Cause: the start was (calls ahead / slots) times this call's own duration. A long call was refused although the calls before it are short, and a short one was sent although they are not. The duration also contains the mean time to the first event, which includes the wait in the engine's queue: the longer the queues, the more was refused, each call ahead counted with its own wait.

Change: for streams, the mean time from first to last event is learned apart, and counts instead. It leaves out the time to the first event, so it is rather too short: calls are sent in doubt. Placement is unchanged. Plain services have no such measurement; their durations still include the wait.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -593,15 +593,20 @@
             )
 
     def _record_stream_duration(self, job: Job, running: RunningCall) -> None:
-        """Records the mean interval between the events of a whole stream.
+        """Records a stream's duration and mean interval between its events.
 
         Single intervals are not used: events that arrive together, as from an
         engine with many requests at a time, would make the endpoint look
         several times as fast as it is.
         """
-        if running.event_count < _MIN_TIMED_EVENTS:
+        if not running.event_count:
             return
         seconds = running.last_event_at - running.first_event_at
+        self.performance.record_stream(
+            running.endpoint, job.timing_key, seconds
+        )
+        if running.event_count < _MIN_TIMED_EVENTS:
+            return
         self.performance.record_event_interval(
             running.endpoint,
             job.timing_key,
--- a/libs/forward/src/rattanmill_forward/placing.py
+++ b/libs/forward/src/rattanmill_forward/placing.py
@@ -39,6 +39,8 @@
             there.
         overdue_seconds: How much longer than expected its oldest call has been
             waiting for the first byte.
+        slot_seconds: Mean time from the first to the last event of streams of
+            its kind there, or None if that is unknown.
     """
 
     name: str
@@ -49,6 +51,7 @@
     prefill_seconds: float
     queued_prefill_seconds: float = 0.0
     overdue_seconds: float = 0.0
+    slot_seconds: float | None = None
 
 
 def expected_seconds(estimate: EndpointEstimate) -> float:
--- a/libs/forward/src/rattanmill_forward/refusing.py
+++ b/libs/forward/src/rattanmill_forward/refusing.py
@@ -47,8 +47,10 @@
 def start_seconds(estimate: EndpointEstimate, share_ahead: float) -> float:
     """Returns the expected time until a call starts at an endpoint.
 
-    Prompts that are read before are not counted: it is not known which of them
-    wait for a slot, and a call that can be served must not be refused.
+    Slots become free as other calls end, so their mean duration counts where it
+    is known. Prompts that are read before are not counted: it is not known
+    which of them wait for a slot, and a call that can be served must not be
+    refused.
 
     Args:
         estimate: Placement's estimate for the endpoint.
@@ -60,7 +62,10 @@
         return 0.0
     # A slot must become free even for the first one in the queue.
     ends_needed = min(beyond, 1.0) + max(0.0, beyond - 1) * share_ahead
-    return ends_needed / slots * estimate.run_seconds
+    held = estimate.slot_seconds
+    if held is None:
+        held = estimate.run_seconds
+    return ends_needed / slots * held
 
 
 def has_recent_report(stats: EndpointStats | None, now: float) -> bool:
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -249,7 +249,10 @@
             1, 1 + _TIE_BREAK_JITTER
         )
         prefill = queued_prefill = 0.0
+        slot = None
         if events:
+            span = self.averages.get(f"span/{timing_key}")
+            slot = span and span.seconds * ratio
             average = self.average_for(timing_key, _INITIAL_EVENT_SECONDS)
             first = self.average_for(
                 f"first/{timing_key}", _INITIAL_FIRST_EVENT_SECONDS
@@ -278,6 +281,7 @@
             prefill,
             queued_prefill,
             overdue,
+            slot,
         )
 
     def is_avoided(self, endpoint: Endpoint) -> bool:
@@ -363,6 +367,17 @@
             endpoint, timing_key, seconds, _INITIAL_EVENT_SECONDS
         )
 
+    def record_stream(
+        self, endpoint: Endpoint, timing_key: str, seconds: float
+    ) -> None:
+        """Records the time between the first and last event of a stream.
+
+        It shows how long streams hold a slot. The time to the first event is
+        left out, since it includes the wait for the slot.
+        """
+        ratio = self.stats_of(endpoint).duration_ratio_at(loop_seconds())
+        self.average_for(f"span/{timing_key}", 0.0).add(seconds / ratio)
+
     def record_first_event(
         self,
         endpoint: Endpoint,
--- a/tests/features/refusing.feature
+++ b/tests/features/refusing.feature
@@ -42,6 +42,22 @@
       | a turn of an unknown program   | 12      | 60      | 1.0    | 3.0  | sent    |
       | a call that may have run       | 12      | 60      | 1.0    | 1.0  | sent    |
 
+  Scenario Outline: The expected start depends on how long others hold slots
+    Neither a call's own length nor the time that calls waited in a queue makes
+    slots free later. Callers would be refused although they could be served.
+
+    Given each engine reports 12 running and 60 waiting calls
+    And 20 calls of 10 events ran for 0.3 s after waiting for <wait> s
+    When a first turn with <events> events arrives whose program should be done in <finish> s and that waits for 3.0 s
+    Then it is <result>
+
+    Examples:
+      | wait | events | finish | result  |
+      | 0.0  | 100    | 2.0    | sent    |
+      | 1.0  | 10     | 2.0    | sent    |
+      | 1.0  | 100    | 1.0    | refused |
+      | 0.0  | 1      | 1.0    | refused |
+
   Scenario Outline: Nothing is refused without recent reports of all endpoints
     With old reports, calls would be refused for as long as nothing is sent that
     could show that slots are free again.
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -16,7 +16,7 @@
 from rattanmill_core import Metrics, Ran, Reason, Refusal
 from rattanmill_forward import Endpoint, Load
 from rattanmill_forward.calls import ResponseHead
-from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
 from rattanmill_forward.exchange import ConnectFailed
@@ -71,7 +71,10 @@
             registry,
             self.performance,
             types.SimpleNamespace(send=self._send),
-            types.SimpleNamespace(refusal=lambda fingerprint, ran: None),
+            types.SimpleNamespace(
+                refusal=lambda fingerprint, ran: None,
+                clear=lambda fingerprint: None,
+            ),
             DomainMonitor("east", dict, None),
             HTTP_CODEC,
             Metrics(),
@@ -92,17 +95,33 @@
         for engine in self.engines:
             self.performance.record_response(engine, load)
 
-    async def dispatch(self, left, rank=_LESS_URGENT, ran=(), **fields):
-        """Returns the refusal of one call; all end with one."""
+    def record_served(self, engine, events, seconds, wait):
+        """Records a stream that ran until now after waiting for a slot."""
+        now = asyncio.get_running_loop().time()
+        running = RunningCall(engine, None, now - seconds - wait, 0)
+        job = self.make_job(3.0)
+        running.first_event_at = now - seconds
+        running.last_event_at = now
+        running.event_count = events
+        self.performance.record_first_event(engine, job.timing_key, wait, 0)
+        self.dispatcher.record_completion(job, running)
+
+    def make_job(self, left, rank=_LESS_URGENT, ran=(), **fields):
+        """Returns a call that waits for ``left`` seconds."""
         now = asyncio.get_running_loop().time()
         begun = fields.pop("has_begun", None)
         route = self.table.match("a", f"/{rank}/")
-        call = make_call(1, arrived_at=now, max_output_tokens=_EVENTS, **fields)
-        job = Job(
+        fields = {"max_output_tokens": _EVENTS} | fields
+        call = make_call(1, arrived_at=now, **fields)
+        return Job(
             *(call, route, self.table.draw_service(route), b"", now + left),
             possible_runs=list(ran),
             has_begun=begun,
         )
+
+    async def dispatch(self, left, **fields):
+        """Returns the refusal of one call; all end with one."""
+        job = self.make_job(left, **fields)
         async with self.dispatcher.open_response(job) as refusal:
             assert isinstance(refusal, Refusal), refusal
             return refusal
@@ -135,6 +154,24 @@
     context.prepare.append(report)
 
 
+@given(
+    "{count:d} calls of {events:d} events ran for {seconds:f} s after waiting"
+    " for {wait:f} s"
+)
+def step_served(context, count, events, seconds, wait):
+    async def serve(front_end, stack):
+        front_end.performance.averages.clear()
+        for number in range(count):
+            front_end.record_served(
+                front_end.engines[number % len(front_end.engines)],
+                events,
+                seconds,
+                wait,
+            )
+
+    context.prepare.append(serve)
+
+
 @given("{seconds:f} s pass")
 def step_pass(context, seconds):
     async def wait(front_end, stack):
@@ -256,12 +293,20 @@
     "{kind} arrives whose program should be done in {finish:f} s and that waits"
     " for {left:f} s"
 )
-def step_one(context, kind, finish, left):
+@when(
+    "{kind} with {events:d} events arrives whose program should be done in"
+    " {finish:f} s and that waits for {left:f} s"
+)
+def step_one(context, kind, finish, left, events=_EVENTS):
     async def send(front_end):
         here = make_call(0, program="here")
         now = asyncio.get_running_loop().time()
         front_end.dispatcher.priorities.record_served(here, 0.3, now)
-        fields = {"program": "p", "program_seconds_left": finish}
+        fields = {
+            "program": "p",
+            "program_seconds_left": finish,
+            "max_output_tokens": events,
+        }
         refusal = await front_end.dispatch(left, **(fields | _KINDS[kind]))
         return refusal, front_end.sent
 
