Return the reservation of a refused turn at once

Cause: the tokens of a turn were settled 0.4 s after its end, also if it had been refused and had not run. Retry-After may be 0.05 s. At another front end, the next attempt then found more tokens taken than its own, was treated as a turn of a begun program and was sent to full engines ahead of new ones. A budget for one turn was used up, and of a service without engines the tokens of a refused turn counted as used for good.

Change: a turn whose refusal states that it has not run is released, as after a disconnect. Others are settled as before.

--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -232,6 +232,7 @@
             body_stream=body_stream,
             has_begun=turn.has_begun,
         )
+        outcome = None
         try:
             if route.kind is RouteKind.STREAM:
                 outcome = await self.forwarder.forward_stream(
@@ -240,7 +241,10 @@
             else:
                 outcome = await self.forwarder.forward_plain(request, job)
         finally:
-            self.turns.settle(call, turn, service)
+            if isinstance(outcome, Refusal) and outcome.ran is Ran.NO:
+                self.turns.release(call, turn)
+            else:
+                self.turns.settle(call, turn, service)
         if isinstance(outcome, Refusal):
             return self._refuse(request, call, outcome)
         return outcome
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -213,6 +213,17 @@
                     Reason.BUDGET_UNRESERVED, why, retry_after=seconds
                 )
 
+    def release(self, call: Call, turn: Turn) -> None:
+        """Returns the reservation of a turn that has not run.
+
+        Its caller may return sooner than a settlement reaches the holders, and
+        would then be taken for a program that has begun.
+        """
+        if turn.reserved_tokens:
+            self.keepers.budgets.release(
+                call.scoped(call.program), call.request_id
+            )
+
     def settle(self, call: Call, turn: Turn, service: Service) -> None:
         """Settles a turn's reservation once the turn has ended in any way."""
         if not turn.reserved_tokens:
--- a/tests/features/refusing.feature
+++ b/tests/features/refusing.feature
@@ -106,6 +106,20 @@
       | 0   | 20    | 2.0  | sent    |
       | 18  | 2     | 1.0  | sent    |
 
+  Scenario Outline: The budget of a refused turn is free when its caller returns
+    Its caller may return within 0.1 s. While the reservation is still taken,
+    the next attempt would count as a turn of a begun program, or find the
+    budget used up.
+
+    Given each engine reports 12 running and <waiting> waiting calls
+    When the first turn of a program with a budget is sent to a front end
+    Then its reservation is <end>
+
+    Examples:
+      | waiting | end                 |
+      | 60      | released at once    |
+      | 0       | settled in a moment |
+
   Scenario: The refusal names its inputs
     On-call engineers must be able to see why a caller was turned away.
 
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -8,6 +8,8 @@
 import types
 
 import msgspec
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 from hypothesis import given as given_values
 from hypothesis import strategies as st
@@ -19,9 +21,12 @@
 from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
-from rattanmill_forward.exchange import ConnectFailed
+from rattanmill_forward.exchange import ConnectFailed, OutcomeUnknown
+from rattanmill_forward.front import FrontEnd
 from rattanmill_forward.refusing import ExpectedStart, retry_seconds
 from rattanmill_forward.stats import PerformanceModel
+from rattanmill_forward.turns import TurnManager
+from rattanmill_keeper import Reserved
 from support.calls import make_call
 from support.engine_queue import make_table
 from support.virtual import run_virtually
@@ -60,6 +65,7 @@
         self.rejection = None
         self.rejection_load = None
         self.performance = PerformanceModel("east")
+        self.pool = types.SimpleNamespace(send=self._send)
         registry = EndpointRegistry()
         self.engines = [
             Endpoint(f"e-{n}", "llm", "east", f"e-{n}:1", slots, False)
@@ -70,10 +76,11 @@
         self.dispatcher = Dispatcher(
             registry,
             self.performance,
-            types.SimpleNamespace(send=self._send),
+            self.pool,
             types.SimpleNamespace(
                 refusal=lambda fingerprint, ran: None,
                 clear=lambda fingerprint: None,
+                report_broken=lambda call, fingerprint, endpoint: None,
             ),
             DomainMonitor("east", dict, None),
             HTTP_CODEC,
@@ -325,6 +332,61 @@
     assert context.sent > 0, context.refusal
 
 
+@when("the first turn of a program with a budget is sent to a front end")
+def step_serve(context):
+    ends = []
+
+    async def reserve(request):
+        return Reserved(request.tokens)
+
+    budgets = types.SimpleNamespace(
+        reserve=reserve,
+        granted_alone_by={},
+        holders_of=lambda program: (),
+        release=lambda program, attempt: ends.append("released at once"),
+        settle_later=lambda *_: ends.append("settled in a moment"),
+    )
+    reach = types.SimpleNamespace(is_cut_off=lambda: False)
+    keepers = types.SimpleNamespace(budgets=budgets, rates=None, reach=reach)
+
+    async def serve(front_end):
+        front_end.pool.send = _break_off
+        served_by = FrontEnd(
+            HTTP_CODEC,
+            front_end.dispatcher,
+            TurnManager(keepers, Metrics()),
+            Metrics(),
+        )
+        served_by.route_table = front_end.table
+        request = make_mocked_request(
+            "POST",
+            f"/{_LESS_URGENT}/",
+            headers={
+                "Host": "a",
+                "X-Request-Id": "1",
+                "X-Program-Id": "p",
+                "X-Token-Budget": "1000",
+                "X-Token-Usage": f"10,{_EVENTS}",
+                "X-Finish-Ms": "1000",
+            },
+            payload=EMPTY_PAYLOAD,
+        )
+        return await served_by.serve(request)
+
+    context.response = _run(context, serve)
+    context.ends = ends
+
+
+async def _break_off(*_, **__):
+    """Sends a call to an engine that may have run it."""
+    return OutcomeUnknown("connection closed")
+
+
+@then("its reservation is {end}")
+def step_reservation(context, end):
+    assert context.ends == [end], (context.ends, context.response)
+
+
 @then('the detail is like "{pattern}"')
 def step_detail(context, pattern):
     assert re.fullmatch(pattern, context.refusal.detail), context.refusal
