Treat a caller that resumes a stream as one of a begun program

Cause: priority and refusal each decided whether a program has begun. Only the refusal counted the last event that the caller has, so a resumed stream of a front end that had not served it got the priority of a new program.

Change: PriorityAssigner.has_begun decides for both.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -402,11 +402,8 @@
             self.queues.share_ahead(job.service, priority),
             now,
         )
-        is_first = (
-            job.has_begun is False
-            and not job.call.last_event_id
-            and not self.priorities.has_served(job.call)
-        )
+        has_begun = self.priorities.has_begun(job.call, job.has_begun)
+        is_first = has_begun is False
         program_left = program_seconds_left(job.call, now) if is_first else None
         return refuse_late(start, job.seconds_left(), program_left, self.rng)
 
--- a/libs/forward/src/rattanmill_forward/priorities.py
+++ b/libs/forward/src/rattanmill_forward/priorities.py
@@ -56,8 +56,8 @@
             call: The call.
             service: Service that it is sent to.
             route_priority: Priority of its route.
-            has_begun: Whether its program has begun, or None if that is
-                unknown; then the programs served here decide.
+            has_begun: Whether its program had begun as far as the turn shows,
+                or None if that is unknown.
             estimate: Estimate for the endpoint, or None if no call of this
                 kind has been measured.
             now: Loop time.
@@ -66,13 +66,25 @@
         if service.engine is None or len(ranks) < 2:
             return None
         place = standing(
-            has_begun or self.has_served(call),
+            bool(self.has_begun(call, has_begun)),
             program_seconds_left(call, now),
             estimate and estimate.run_seconds + estimate.prefill_seconds,
             self.excess(call, now),
         )
         return request_priority(ranks.index(route_priority), len(ranks), place)
 
+    def has_begun(self, call: Call, has_begun: bool | None) -> bool | None:
+        """Returns whether a call's program has begun, None if unknown.
+
+        Args:
+            call: The call.
+            has_begun: What its turn shows, or None if it shows nothing.
+        """
+        # A caller that has events resumes a stream that was served.
+        if call.last_event_id or self.has_served(call):
+            return True
+        return has_begun
+
     def has_served(self, call: Call) -> bool:
         """Whether a call of the same program was served here before."""
         return call.scoped(call.program) in self.served
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -310,6 +310,11 @@
     context.sent = _send(context, priority, 0.0)[:1]
 
 
+@when('a call with the last event "{last_event}" is sent')
+def step_send_resumed(context, last_event):
+    context.sent = _send(context, 0, 0.0, last_event_id=last_event)[:1]
+
+
 @then('its priority at the endpoint is "{sent}"')
 def step_sent(context, sent):
     assert context.sent == [None if sent == "none" else sent], context.sent
--- a/tests/features/urgency.feature
+++ b/tests/features/urgency.feature
@@ -98,6 +98,14 @@
     When a call of a program with 0.5 s left is sent again after 1 s
     Then its priorities are "2, 3"
 
+  Scenario: A caller resumes a stream of which it has events
+    The program has used service. Served as a new one, it would wait behind all
+    that have begun.
+
+    Given routes of the priorities "0, 2" to engines
+    When a call with the last event "e-1" is sent
+    Then its priority at the endpoint is "1"
+
   Scenario Outline: Whether a program has begun
     A front end that did not serve the earlier turns must still recognize a
     program that has begun, or it would be served last.
