Count only calls to services with priorities as use of a workspace

Cause: calls to all services were charged to the shares that decide which programs come last at engines. Calls to plain services hold no slot of an engine, and each without a program counted as a program of its own, so a workspace that used a plain service much came last at engines.

Change: record_served charges the workspace only where the service has priorities; Service.has_priorities decides this for the header, too. Deployments without priorities no longer spend time on shares.

record_served takes the service, so the steps and support that call it pass one.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -263,7 +263,10 @@
                 if isinstance(result, RunningCall):
                     in_flight.first_byte_received()
                     self.priorities.record_served(
-                        job.call, pick.estimate.run_seconds, loop_seconds()
+                        job.call,
+                        job.service,
+                        pick.estimate.run_seconds,
+                        loop_seconds(),
                     )
                     with result.response:
                         yield result
--- a/libs/forward/src/rattanmill_forward/priorities.py
+++ b/libs/forward/src/rattanmill_forward/priorities.py
@@ -29,7 +29,7 @@
     Attributes:
         served: Programs of which this front end has served a call, least
             recently served first.
-        shares: Recent service of each workspace.
+        shares: Recent service of each workspace at services with priorities.
         programs: Recent number of programs of each workspace, decayed in the
             same way.
     """
@@ -62,8 +62,7 @@
                 kind has been measured.
             now: Loop time.
         """
-        ranks = service.route_priorities
-        if service.engine is None or len(ranks) < 2:
+        if not service.has_priorities:
             return None
         place = standing(
             bool(self.has_begun(call, has_begun)),
@@ -71,6 +70,7 @@
             estimate and estimate.run_seconds + estimate.prefill_seconds,
             self.excess(call, now),
         )
+        ranks = service.route_priorities
         return request_priority(ranks.index(route_priority), len(ranks), place)
 
     def has_begun(self, call: Call, has_begun: bool | None) -> bool | None:
@@ -105,16 +105,19 @@
         chance = _CHANCE_ROOTS * math.sqrt(expected)
         return excess if programs - expected > chance else 0.0
 
-    def record_served(self, call: Call, seconds: float, now: float) -> None:
+    def record_served(
+        self, call: Call, service: Service, seconds: float, now: float
+    ) -> None:
         """Records that an endpoint began to respond to a call.
 
         Args:
             call: The call.
+            service: Service that it was sent to.
             seconds: Expected duration of the call.
             now: Loop time.
         """
         is_new = not self.has_served(call)
-        if call.workspace is not None:
+        if call.workspace is not None and service.has_priorities:
             name = call.workspace.name
             self.shares.charge(name, seconds, now)
             self.programs.charge(name, float(is_new), now)
--- a/libs/forward/src/rattanmill_forward/routes.py
+++ b/libs/forward/src/rattanmill_forward/routes.py
@@ -105,6 +105,11 @@
     engine: EngineConfig | None = None
     route_priorities: tuple[int, ...] = ()
 
+    @property
+    def has_priorities(self) -> bool:
+        """Whether its engines get a priority with each call."""
+        return self.engine is not None and len(self.route_priorities) > 1
+
 
 class Limits(msgspec.Struct, frozen=True):
     """Limits on the size of callers' requests and on waiting for them."""
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -308,7 +308,8 @@
     async def send(front_end):
         here = make_call(0, program="here")
         now = asyncio.get_running_loop().time()
-        front_end.dispatcher.priorities.record_served(here, 0.3, now)
+        service = front_end.table.services["llm"]
+        front_end.dispatcher.priorities.record_served(here, service, 0.3, now)
         fields = {
             "program": "p",
             "program_seconds_left": finish,
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -230,11 +230,12 @@
 )
 def step_long_program(context, turns):
     context.assigner = PriorityAssigner()
+    service = make_table((0, 1)).services["llm"]
 
     def serve(program, workspace):
         call = make_call(0, program=program)
         call.assign_workspace(Workspace(workspace, 0.0, 0.0))
-        context.assigner.record_served(call, 0.3, 1.0)
+        context.assigner.record_served(call, service, 0.3, 1.0)
         return call
 
     for number in range(5):
@@ -242,6 +243,24 @@
     context.calls = [serve("long", "long") for _ in range(turns)]
 
 
+@when(
+    "a workspace makes {count:d} calls to a service without priorities while"
+    " others make one each"
+)
+def step_plain_calls(context, count):
+    context.assigner = PriorityAssigner()
+    names = [f"w{number}" for number in range(5)] + ["busy"] * count
+    for number, name in enumerate(names):
+        context.call = make_call(number)
+        context.call.assign_workspace(Workspace(name, 0.0, 0.0))
+        context.assigner.record_served(context.call, Service("plain"), 0.3, 1.0)
+
+
+@then("its workspace has no excess at engines")
+def step_no_excess_at_engines(context):
+    assert context.assigner.excess(context.call, 1.0) == 0.0
+
+
 @then("its workspace has no excess")
 def step_no_excess(context):
     assert context.assigner.excess(context.calls[-1], 1.0) == 0.0
@@ -380,9 +399,10 @@
 @when("{count:d} programs are served")
 def step_serve(context, count):
     context.assigner = PriorityAssigner()
+    service = make_table((0, 1)).services["llm"]
     context.calls = [make_call(n, program=f"p-{n}") for n in range(count)]
     for call in context.calls:
-        context.assigner.record_served(call, 0.3, 1.0)
+        context.assigner.record_served(call, service, 0.3, 1.0)
 
 
 @then("the last {count:d} of them are known to have begun")
--- a/tests/features/urgency.feature
+++ b/tests/features/urgency.feature
@@ -74,6 +74,13 @@
     When one program of a workspace has 12 turns while others have one each
     Then its workspace has no excess
 
+  Scenario: Calls to plain services are no excess at engines
+    They hold no slot of an engine. The programs of a workspace that uses such
+    a service much would come last at engines for it.
+
+    When a workspace makes 20 calls to a service without priorities while others make one each
+    Then its workspace has no excess at engines
+
   Scenario Outline: Only engines of routes with different priorities get them
     An engine that gets a number from some callers and none from others takes
     the others as 5.
--- a/tests/support/engine_queue.py
+++ b/tests/support/engine_queue.py
@@ -107,7 +107,7 @@
             *(_ESTIMATE, now),
         )
         # Charged on arrival, as the queue is not part of the front end.
-        assigner.record_served(call, TURN_SECONDS, now)
+        assigner.record_served(call, service, TURN_SECONDS, now)
         return level
 
     return priority
