--- a/tests/support/engine_queue.py
+++ b/tests/support/engine_queue.py
@@ -37,7 +37,6 @@
         workspace: Workspace, or None.
         served: Calls that have ended.
         ended_at: When its last call ended, or None.
-        first_wait_seconds: How long its first call waited for a slot.
     """
 
     number: int
@@ -47,7 +46,6 @@
     workspace: Workspace | None = None
     served: int = 0
     ended_at: float | None = None
-    first_wait_seconds: float = 0.0
 
     @property
     def target_at(self) -> float:
@@ -130,7 +128,7 @@
     order = itertools.count()
     events = [(p.started_at, next(order), "arrival", p) for p in programs]
     heapq.heapify(events)
-    waiting: list[tuple[int, int, float, Program]] = []
+    waiting: list[tuple[int, int, Program]] = []
     free = SLOTS
     while events:
         now, _, kind, program = heapq.heappop(events)
@@ -141,11 +139,9 @@
                 program.ended_at = now
         if program.ended_at is None:
             level = priority(program, now)
-            heapq.heappush(waiting, (level, next(order), now, program))
+            heapq.heappush(waiting, (level, next(order), program))
         while free and waiting:
-            *_, arrived, admitted = heapq.heappop(waiting)
+            *_, admitted = heapq.heappop(waiting)
             free -= 1
-            if not admitted.served:
-                admitted.first_wait_seconds = now - arrived
             end = (now + TURN_SECONDS, next(order), "end", admitted)
             heapq.heappush(events, end)
