Name the share of waiting calls in the detail of a refusal

Cause: the expected start depends on the share of the waiting calls that start earlier, a sample of this front end's calls. The refusal's detail named the ages of the reports only, so it could not be told why an urgent call was refused.

Change: ExpectedStart holds the share, and the detail names it.

--- a/libs/forward/src/rattanmill_forward/refusing.py
+++ b/libs/forward/src/rattanmill_forward/refusing.py
@@ -38,10 +38,12 @@
     Attributes:
         seconds: Time until then; 0 if a slot is free.
         ages_seconds: Ages of the reports.
+        share_ahead: Share of the waiting calls that start before it.
     """
 
     seconds: float
     ages_seconds: tuple[float, ...]
+    share_ahead: float
 
 
 def start_seconds(estimate: EndpointEstimate, share_ahead: float) -> float:
@@ -104,6 +106,7 @@
     return ExpectedStart(
         min(start_seconds(estimate, share_ahead) for estimate in estimates),
         ages,
+        share_ahead,
     )
 
 
@@ -154,7 +157,8 @@
         Reason.OVERLOADED,
         f"expected to start in {start.seconds:.2f} s at the earliest of"
         f" {len(ages)} endpoints, but {meaning} in {limit:.2f} s (reports"
-        f" {min(ages):.2f} to {max(ages):.2f} s old)",
+        f" {min(ages):.2f} to {max(ages):.2f} s old,"
+        f" {start.share_ahead:.2f} of the waiting calls start before)",
         retry_after=retry_seconds(start, seconds_left, rng),
     )
 
--- a/tests/features/refusing.feature
+++ b/tests/features/refusing.feature
@@ -126,7 +126,7 @@
     Given each engine reports 12 running and 60 waiting calls
     And 0.4 s pass
     When a first turn arrives whose program should be done in 0.5 s and that waits for 3.0 s
-    Then the detail is like "expected to start in [01].\d\d s at the earliest of 3 endpoints, but its program should be done in 0.50 s \(reports 0.40 to 0.40 s old\)"
+    Then the detail is like "expected to start in [01].\d\d s at the earliest of 3 endpoints, but its program should be done in 0.50 s \(reports 0.40 to 0.40 s old, 1.00 of the waiting calls start before\)"
 
   Scenario Outline: Endpoints reject a call
     A constant Retry-After brings all callers back together, too early.
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -430,7 +430,7 @@
     @given_values(st.floats(0, 100), st.floats(0.01, 100), st.integers())
     def each(start, left, seed):
         seconds = retry_seconds(
-            ExpectedStart(start, (0.0,)), left, random.Random(seed)
+            ExpectedStart(start, (0.0,), 1.0), left, random.Random(seed)
         )
         check(start, left, seconds)
 
