Front ends of a domain share the load reports of endpoints

Each front end knew its own calls only, about a hundredth of the load, and an endpoint's report from its own last call there, seconds ago.

Ages count the time under way, by the collector's clock in its replies, so that requests that waited in a frozen collector do not look new.

--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -204,6 +204,8 @@
         stack.callback(sweep.cancel)
         pings = start_loop("pings", keepers.reach.ping_forever())
         stack.callback(pings.cancel)
+        loads = start_loop("load exchange", keepers.loads.exchange_forever())
+        stack.callback(loads.cancel)
         domain_checks = start_loop("failure domains", domains.run())
         stack.callback(domain_checks.cancel)
         server = await listen(
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -26,6 +26,7 @@
     from rattanmill_keeper.keeper import (
         Keeper,
     )
+    from rattanmill_keeper.loads import LoadExchange
     from rattanmill_keeper.lookup import (
         KeepResult,
         NoSuchTurn,
@@ -36,6 +37,8 @@
         Members,
     )
     from rattanmill_keeper.messages import (
+        CachedPrefix,
+        EndpointLoad,
         KeptTurn,
         Reserve,
         Reserved,
@@ -51,12 +54,15 @@
 
 __all__ = [
     "MEMBERS_PREFIX",
+    "CachedPrefix",
     "DecommissionKeys",
+    "EndpointLoad",
     "Follower",
     "KeepResult",
     "Keeper",
     "KeeperClient",
     "KeptTurn",
+    "LoadExchange",
     "Member",
     "Members",
     "NoSuchTurn",
@@ -89,6 +95,7 @@
         "emptying": ("DecommissionKeys",),
         "following": ("Follower",),
         "keeper": ("Keeper",),
+        "loads": ("LoadExchange",),
         "lookup": (
             "KeepResult",
             "NoSuchTurn",
@@ -99,6 +106,8 @@
             "Members",
         ),
         "messages": (
+            "CachedPrefix",
+            "EndpointLoad",
             "KeptTurn",
             "Reserve",
             "Reserved",
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -2,6 +2,7 @@
 
 from rattanmill_core import Metrics
 from rattanmill_keeper.borrowing import RateClient
+from rattanmill_keeper.loads import LoadExchange
 from rattanmill_keeper.lookup import TurnClient
 from rattanmill_keeper.members import Members
 from rattanmill_keeper.permits import BudgetClient
@@ -16,6 +17,7 @@
         budgets: Reserves and settles tokens.
         turns: Keeps and finds turns.
         rates: Borrows tokens of workspaces' rate limits.
+        loads: Exchanges loads of endpoints with other front ends.
 
     Args:
         domain: Failure domain of this front end.
@@ -31,3 +33,4 @@
         self.budgets = BudgetClient(self.reach)
         self.turns = TurnClient(self.reach, copies)
         self.rates = RateClient(self.reach)
+        self.loads = LoadExchange(self.reach)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -34,6 +34,7 @@
     RosterChange,
     ShareChange,
 )
+from rattanmill_keeper.loads import LoadBoard
 from rattanmill_keeper.members import (
     MAX_SUCCESSORS,
     SHARES_SECONDS,
@@ -72,6 +73,7 @@
     Place,
     Recorded,
     Refused,
+    ReportLoads,
     Reserve,
     Reserved,
     Settle,
@@ -130,6 +132,7 @@
         alone_from: Unix time in seconds from which it may grant alone to
             programs that it does not know.
         crashes: Crashes reported by front ends.
+        loads: Loads of endpoints reported by front ends.
         may_open: Checks whether an account may be opened here.
         take_rate: Lends tokens of workspaces' rate limits.
         openings: Accounts opened with the store.
@@ -166,6 +169,7 @@
         self.journal = Journal(folder / _FOLDER, self._snapshot)
         self.run = uuid.uuid4().hex[:12]
         self.crashes = CrashLog(self.run)
+        self.loads = LoadBoard(self.run)
         self.first_start = first_start
         self.is_recovered = first_start
         # Grants made alone may have been lost with the previous disk.
@@ -274,6 +278,8 @@
             case Crashed(notes=notes):
                 self.crashes.add(notes)
                 return Done()
+            case ReportLoads():
+                return self.loads.answer(message)
             case StoreList() | StoreWatch():
                 return self.mirrors.serve(message)
             case TakeRate():
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -586,6 +586,14 @@
         self._update_orders()
         return _writable(self.readers_by_domain)
 
+    def collectors(self, domain: str) -> list[Member]:
+        """Returns a domain's members in the order in which they collect loads.
+
+        All processes compute the same order. It is the reverse of the readers',
+        so that the same member is not first in both.
+        """
+        return self.readers().get(domain, [])[::-1]
+
     def _update_orders(self) -> None:
         current = list(self.known.values())
         if current != self.ranked_members:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -412,6 +412,84 @@
     notes: list[CrashNote]
 
 
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load that an endpoint reported in a response.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        running: Requests that run.
+        waiting: Requests that wait for a slot.
+        slots: Maximum number of concurrent requests.
+        slowdown: How long work takes there at this moment relative to the
+            usual time, or None if the endpoint does not report it.
+        age_seconds: Time since the response arrived.
+    """
+
+    endpoint: str
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+    age_seconds: float = 0.0
+
+
+class CachedPrefix(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt prefix that was sent to an endpoint, which should cache it.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        prefix: Id of the prefix.
+    """
+
+    endpoint: str
+    prefix: str
+
+
+class ReportLoads(msgspec.Struct, tag=44):
+    """Reports loads of endpoints; the reply is ``SharedLoads``.
+
+    Attributes:
+        front_end: Random id of the reporting process.
+        loads: Loads reported by endpoints since the last exchange, oldest
+            first.
+        prefixes: Prefixes that the front end has sent to an endpoint for the
+            first time.
+        run: Run id in the last ``SharedLoads`` that was received, or empty.
+        after_load: Position of the newest load in that reply.
+        after_prefix: Position of the newest prefix in that reply.
+        clock_seconds: Receiver's clock when this was sent, as known from that
+            reply; 0 if there was none.
+    """
+
+    front_end: str
+    loads: list[EndpointLoad]
+    prefixes: list[CachedPrefix]
+    run: str = ""
+    after_load: int = 0
+    after_prefix: int = 0
+    clock_seconds: float = 0.0
+
+
+class SharedLoads(msgspec.Struct, tag=45):
+    """Returns what other front ends have reported of endpoints.
+
+    Attributes:
+        run: Run id of the process; positions start over with each run.
+        loads: Loads after the requested position, newest first.
+        prefixes: Prefixes after the requested position, oldest first.
+        load_position: Position of the newest load.
+        prefix_position: Position of the newest prefix in this message.
+        clock_seconds: Clock of the process.
+    """
+
+    run: str
+    loads: list[EndpointLoad]
+    prefixes: list[CachedPrefix]
+    load_position: int
+    prefix_position: int
+    clock_seconds: float
+
+
 class Keep(msgspec.Struct, tag=11):
     """Requests that a turn be kept; the reply follows once it is on disk."""
 
@@ -689,6 +767,8 @@
     | Crashed
     | TakeRate
     | RateGranted
+    | ReportLoads
+    | SharedLoads
 )
 
 
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import collections
+import contextlib
 import selectors
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 import msgspec
@@ -41,12 +42,19 @@
 
 def run_virtually(work: Coroutine) -> Any:
     """Runs a coroutine on an event loop with virtual time."""
+    with virtual_loop() as loop:
+        return loop.run_until_complete(work)
+
+
+@contextlib.contextmanager
+def virtual_loop() -> Iterator[asyncio.AbstractEventLoop]:
+    """Provides an event loop with virtual time."""
     selector = _VirtualClockSelector()
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now
     loop.clock = selector
     try:
-        return loop.run_until_complete(work)
+        yield loop
     finally:
         loop.run_until_complete(_cancel_all(asyncio.all_tasks(loop)))
         loop.close()
