Count workspaces as active relative to the busiest one

The least share is now relative to the busiest workspace.

urgency.feature "One of many workspaces sends five times its usual load" failed for 50, 83 and 400 workspaces before; order and admission of the native path, which shares the code, pass.

--- a/libs/policy/src/rattanmill_policy/fairness.py
+++ b/libs/policy/src/rattanmill_policy/fairness.py
@@ -6,6 +6,8 @@
 _DECAY_SECONDS = 20.0
 _MAX_WORKSPACES = 2000
 _RECOUNT_SECONDS = 0.5
+# Relative to the busiest workspace. Relative to the total, none of many
+# workspaces would be active.
 _MIN_ACTIVE_SHARE = 0.02
 
 
@@ -59,6 +61,7 @@
         self.counted_at = now
         uses = [self.usage_of(name, now) for name in self.usage]
         total = sum(uses)
-        active = sum(use > _MIN_ACTIVE_SHARE * total for use in uses)
+        least = _MIN_ACTIVE_SHARE * max(uses, default=0.0)
+        active = sum(use > least for use in uses)
         self.has_several_active = active > 1
         self.fair_share = total / active if active else 0.0
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -22,6 +22,7 @@
 from rattanmill_forward.turns import Reservation, TurnManager, has_begun
 from rattanmill_forward.workspaces import Workspace
 from rattanmill_keeper import Reserved
+from rattanmill_policy.fairness import WorkspaceShares
 from rattanmill_policy.urgency import Standing, request_priority, standing
 from support.calls import make_call
 from support.engine_queue import (
@@ -409,3 +410,31 @@
 def step_known(context, count):
     known = [context.assigner.has_served(call) for call in context.calls]
     assert all(known[-count:]) and not any(known[:-count])
+
+
+@when(
+    "one of {count:d} workspaces uses {times:d} times the service of each other"
+    " one"
+)
+def step_many_workspaces(context, count, times):
+    context.shares = WorkspaceShares()
+    context.now = 0.0
+    rng = random.Random(1)
+    weights = [times] + [1] * (count - 1)
+    for _ in range(40 * count):
+        context.now += 1.0 / count
+        name = rng.choices(range(count), weights)[0]
+        context.shares.charge(str(name), 1.0, context.now)
+
+
+@then("it exceeds its fair share by more than {least:g} shares")
+def step_exceeds(context, least):
+    excess = context.shares.excess("0", context.now)
+    assert excess > least, excess
+
+
+@then("no other workspace exceeds its fair share by more than {most:g} shares")
+def step_others_exceed(context, most):
+    others = [name for name in context.shares.usage if name != "0"]
+    largest = max(context.shares.excess(name, context.now) for name in others)
+    assert largest <= most, largest
--- a/tests/features/urgency.feature
+++ b/tests/features/urgency.feature
@@ -66,6 +66,21 @@
     When an engine admits their calls by arrival
     Then less than 0.6 of the other workspaces' programs are on time
 
+  Scenario Outline: One of many workspaces sends five times its usual load
+    With more than fifty workspaces, each had less than the least share of an
+    active one, so none ever exceeded its share.
+
+    When one of <count> workspaces uses 5 times the service of each other one
+    Then it exceeds its fair share by more than <excess> shares
+    And no other workspace exceeds its fair share by more than 1 shares
+
+    Examples:
+      | count | excess |
+      | 8     | 1.5    |
+      | 50    | 2      |
+      | 83    | 2      |
+      | 400   | 2      |
+
   Scenario: One long program is no excess of its workspace
     A front end sees few programs of each workspace. The calls of one program
     alone would look like several fair shares, and it would be late for its
