Send calls of plain services whatever the queue

Only streams, whose time from first to last event is known, are refused at once.

refusing.feature "Calls of a plain service are sent to full endpoints" failed before.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -393,8 +393,12 @@
     def _refuse_late(
         self, job: Job, pick: Pick, priority: int | None
     ) -> Refusal | None:
-        """Refuses a call that has not run and would start too late."""
-        if job.ran is not Ran.NO:
+        """Refuses a call that has not run and would start too late.
+
+        Calls of plain services are sent: their measured durations contain the
+        wait for a slot, so the expected start would be far too late.
+        """
+        if job.ran is not Ran.NO or job.route.kind is not RouteKind.STREAM:
             return None
         if not self.performance.is_learned(job.timing_key):
             return None
--- a/tests/features/refusing.feature
+++ b/tests/features/refusing.feature
@@ -42,6 +42,15 @@
       | a turn of an unknown program   | 12      | 60      | 1.0    | 3.0  | sent    |
       | a call that may have run       | 12      | 60      | 1.0    | 1.0  | sent    |
 
+  Scenario: Calls of a plain service are sent to full endpoints
+    Their measured durations contain the wait for a slot. An expected start from
+    these is several times too late, and calls that could be served were
+    refused.
+
+    Given each engine reports 12 running and 60 waiting calls
+    When a call of a plain service that took 0.5 s with its wait arrives and waits for 1.0 s
+    Then it is sent
+
   Scenario Outline: The expected start depends on how long others hold slots
     Neither a call's own length nor the time that calls waited in a queue makes
     slots free later. Callers would be refused although they could be served.
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -16,7 +16,7 @@
 from rattanmill_site.headers import HTTP_CODEC
 
 from rattanmill_core import Metrics, Ran, Reason, Refusal
-from rattanmill_forward import Endpoint, Load
+from rattanmill_forward import Endpoint, Load, RouteKind, Service
 from rattanmill_forward.calls import ResponseHead
 from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
 from rattanmill_forward.domains import DomainMonitor
@@ -321,6 +321,25 @@
     context.refusal, context.sent = _run(context, send)
 
 
+@when(
+    "a call of a plain service that took {seconds:f} s with its wait arrives"
+    " and waits for {left:f} s"
+)
+def step_plain(context, seconds, left):
+    async def send(front_end):
+        job = front_end.make_job(left)
+        job.route = msgspec.structs.replace(
+            job.route, kind=RouteKind.IDEMPOTENT
+        )
+        job.service = Service("llm")
+        average = front_end.performance.average_for(job.timing_key, 0.0)
+        average.add(seconds)
+        async with front_end.dispatcher.open_response(job) as refusal:
+            return refusal, front_end.sent
+
+    context.refusal, context.sent = _run(context, send)
+
+
 @then("it is refused")
 def step_refused(context):
     assert context.sent == 0, context.refusal
