--- a/libs/entry/src/rattanmill_entry/admin.py
+++ b/libs/entry/src/rattanmill_entry/admin.py
@@ -39,7 +39,7 @@
 
     async def metrics(request: web.Request) -> web.StreamResponse:
         return web.Response(
-            body=node.metrics.exposition(), content_type="text/plain"
+            body=await node.metrics.read(), content_type="text/plain"
         )
 
     async def status(request: web.Request) -> web.StreamResponse:
