Serve metrics and call the store by h11; storage does without aiohttp

Cause: aiohttp and what it imports were the largest part of a start, and a storage instance needed it for its metrics page and the store client only.

Change: MetricsServer serves /metrics and StoreClient calls the store, both by h11, in both roles. StoreCalls takes a function that sends; the sender through an aiohttp session is sessions.py, and KvClient has a module of its own, so that the platform's processes import neither. As aiohttp's client did, a read whose connection ends before a response is sent once more, a write is not; a connection with data that no call asked for is not used again. Redirects are not followed any more and count as failed calls: the store has none.

(a) aiohttp in both: storage stays where it was; (b) h11 in storage only: two store clients on one platform; (c) h11 in both, chosen. It saves a front end little by itself, since callers are served by aiohttp.

--- a/bench/storing.py
+++ b/bench/storing.py
@@ -44,6 +44,7 @@
     WATCH_SECONDS,
     PrefixWatch,
     StoreCalls,
+    session_sender,
 )
 from support.process import Process
 from support.site import SiteProcess
@@ -247,7 +248,9 @@
 ) -> None:
     metrics = Metrics()
     async with aiohttp.ClientSession() as session:
-        calls = StoreCalls(f"http://{_host(0, 1)}:{_PORT}", session, metrics)
+        calls = StoreCalls(
+            f"http://{_host(0, 1)}:{_PORT}", session_sender(session), metrics
+        )
         store = SiteStore(calls)
         fronts = [
             Front(_DOMAINS[n % len(_DOMAINS)], store, metrics)
--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -25,7 +25,7 @@
 from rattanmill_core.loops import start_loop
 from rattanmill_core.metrics import Metrics
 from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
-from rattanmill_core.process import METRICS_PORT, Signals, serve_metrics
+from rattanmill_core.process import Signals
 from rattanmill_core.refusal import Ran, Reason, Refusal, refuse
 
 if TYPE_CHECKING:
@@ -39,6 +39,7 @@
     )
     from rattanmill_core.ids import ProgramId, new_id, parse_program_id
     from rattanmill_core.logs import configure_logs, log_ids, part_logger
+    from rattanmill_core.metricserver import METRICS_PORT, MetricsServer
     from rattanmill_core.operators import (
         ConfigReach,
         EndpointStatus,
@@ -69,6 +70,7 @@
     "InvariantError",
     "METRICS_PORT",
     "Metrics",
+    "MetricsServer",
     "NotReachedError",
     "PeerStatus",
     "ProgramId",
@@ -99,14 +101,12 @@
     "part_logger",
     "read_config",
     "refuse",
-    "serve_metrics",
     "start_loop",
     "wall_seconds",
     "warn_event",
 ]
 
-# The users' platform needs none of these, and restarted processes must listen
-# again soon.
+# Not every process needs these, and restarted processes must listen again soon.
 __getattr__ = import_on_use(
     __name__,
     {
@@ -128,6 +128,10 @@
             "log_ids",
             "part_logger",
         ),
+        "metricserver": (
+            "METRICS_PORT",
+            "MetricsServer",
+        ),
         "operators": (
             "ConfigReach",
             "EndpointStatus",
--- a/libs/core/src/rattanmill_core/process.py
+++ b/libs/core/src/rattanmill_core/process.py
@@ -1,16 +1,11 @@
-"""Code for every process: signals, metrics server, fatal errors."""
+"""Code for every process: signals and fatal errors."""
 
 import asyncio
 import signal
 from collections.abc import Callable
 
-from aiohttp import web
-
 from rattanmill_core.errors import InvariantError
 from rattanmill_core.events import log_event, warn_event
-from rattanmill_core.metrics import Metrics
-
-METRICS_PORT = 9464
 
 
 class Signals:
@@ -48,22 +43,3 @@
         if isinstance(error, InvariantError):
             self.invariant_error = error
             self.stop.set()
-
-
-async def serve_metrics(ip: str, metrics: Metrics) -> web.AppRunner:
-    """Serves ``/metrics`` in the Prometheus text format."""
-
-    async def show(request: web.Request) -> web.Response:
-        return web.Response(
-            body=metrics.exposition(), content_type="text/plain"
-        )
-
-    app = web.Application()
-    app.router.add_get("/metrics", show)
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, ip, METRICS_PORT).start()
-    except OSError as error:
-        warn_event("metrics_not_served", why=str(error))
-    return runner
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -11,9 +11,9 @@
 from rattanmill_core import (
     InstanceSettings,
     Metrics,
+    MetricsServer,
     Signals,
     log_event,
-    serve_metrics,
     start_loop,
     warn_event,
 )
@@ -222,8 +222,7 @@
             _EXIT_MARGIN_SECONDS / 2,
         )
         stack.push_async_callback(ready.cleanup)
-        metrics_server = await serve_metrics(settings.ip, metrics)
-        stack.push_async_callback(metrics_server.cleanup)
+        await stack.enter_async_context(MetricsServer(settings.ip, metrics))
         log_event("started", role="front", domain=settings.domain)
         await signals.stop.wait()
         if not signals.invariant_error:
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -7,9 +7,9 @@
 from rattanmill_core import (
     InstanceSettings,
     Metrics,
+    MetricsServer,
     Signals,
     log_event,
-    serve_metrics,
 )
 from rattanmill_keeper.emptying import Decommission, DecommissionKeys
 from rattanmill_keeper.following import Follower
@@ -88,8 +88,7 @@
         await stack.enter_async_context(
             Decommission(keeper, members, registration, kv, orders)
         )
-        runner = await serve_metrics(settings.ip, metrics)
-        stack.push_async_callback(runner.cleanup)
+        await stack.enter_async_context(MetricsServer(settings.ip, metrics))
         log_event(
             "started",
             role="storage",
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -8,6 +8,8 @@
     from rattanmill_platform.calls import (
         Breaker,
         Reply,
+        Request,
+        Send,
         StoreCalls,
         Unavailable,
     )
@@ -26,12 +28,14 @@
         Found,
         HistoryLost,
         KeyValue,
-        KvClient,
         Missing,
         Range,
         WatchEvents,
         Written,
     )
+    from rattanmill_platform.kvclient import (
+        KvClient,
+    )
     from rattanmill_platform.lease import (
         InstanceLease,
     )
@@ -41,10 +45,16 @@
         LiveView,
         ShardOwner,
     )
+    from rattanmill_platform.sessions import (
+        session_sender,
+    )
     from rattanmill_platform.sockets import (
         create_tcp_socket,
         set_tcp_timeouts,
     )
+    from rattanmill_platform.storeclient import (
+        StoreClient,
+    )
 
 __all__ = [
     "MISSING_KEY_GRACE_SECONDS",
@@ -65,7 +75,10 @@
     "PrefixWatch",
     "Range",
     "Reply",
+    "Request",
+    "Send",
     "ShardOwner",
+    "StoreClient",
     "StoreCalls",
     "Unavailable",
     "WATCH_SECONDS",
@@ -73,6 +86,7 @@
     "Written",
     "set_tcp_timeouts",
     "create_tcp_socket",
+    "session_sender",
 ]
 
 __getattr__ = import_on_use(
@@ -81,6 +95,8 @@
         "calls": (
             "Breaker",
             "Reply",
+            "Request",
+            "Send",
             "StoreCalls",
             "Unavailable",
         ),
@@ -99,12 +115,12 @@
             "Found",
             "HistoryLost",
             "KeyValue",
-            "KvClient",
             "Missing",
             "Range",
             "WatchEvents",
             "Written",
         ),
+        "kvclient": ("KvClient",),
         "lease": ("InstanceLease",),
         "live": (
             "DomainShards",
@@ -112,9 +128,11 @@
             "LiveView",
             "ShardOwner",
         ),
+        "sessions": ("session_sender",),
         "sockets": (
             "create_tcp_socket",
             "set_tcp_timeouts",
         ),
+        "storeclient": ("StoreClient",),
     },
 )
--- a/libs/platform/src/rattanmill_platform/calls.py
+++ b/libs/platform/src/rattanmill_platform/calls.py
@@ -5,13 +5,14 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
-import aiohttp
 import msgspec
 
 from rattanmill_core import Metrics, log_event, warn_event
 
 CALL_SECONDS = 2.0
+REVISION_HEADER = "KV-Revision"
 _BREAKER_FAILURES = 3
 _BREAKER_MIN_SECONDS = 0.2
 _BREAKER_MAX_SECONDS = 2.0
@@ -20,7 +21,7 @@
 # Shorter than TCP's SYN retransmission after 1 s: a connection attempt whose
 # first packet is lost is repeated at once. After a partition, waiting would
 # use up most of the time in which a configuration must be in force.
-_CONNECT_TIMEOUT_SECONDS = 0.4
+CONNECT_TIMEOUT_SECONDS = 0.4
 
 
 class Unavailable(msgspec.Struct, frozen=True):
@@ -41,6 +42,27 @@
     revision: int
 
 
+class Request(msgspec.Struct, frozen=True):
+    """A call of the store.
+
+    Attributes:
+        base: Base URL.
+        path: Path and query.
+        body: Body, or None.
+        timeout: Seconds until the call counts as failed.
+    """
+
+    method: str
+    base: str
+    path: str
+    body: bytes | None
+    headers: dict[str, str]
+    timeout: float
+
+
+Send = Callable[[Request], Awaitable[Reply | Unavailable]]
+
+
 class Breaker:
     """Circuit breaker: rejects calls after several consecutive failures.
 
@@ -108,7 +130,7 @@
 
     Args:
         base: Base URL.
-        session: HTTP session of the process.
+        send: Sends one call by HTTP.
         metrics: Metrics that count the calls.
         pause_seconds: Longest pause after consecutive failures.
     """
@@ -116,12 +138,12 @@
     def __init__(
         self,
         base: str,
-        session: aiohttp.ClientSession,
+        send: Send,
         metrics: Metrics,
         pause_seconds: float = _BREAKER_MAX_SECONDS,
     ) -> None:
         self.base = base.rstrip("/")
-        self.session = session
+        self.send = send
         self.metrics = metrics
         self.breaker = Breaker(pause_seconds)
 
@@ -158,26 +180,21 @@
         if not try_always and not self.breaker.admits():
             return Unavailable("circuit open")
         self.metrics.count("rattanmill_kv_calls", kind=kind, prefix=prefix)
-        try:
-            async with self.session.request(
-                method,
-                self.base + path,
-                data=data,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout, sock_connect=_CONNECT_TIMEOUT_SECONDS
-                ),
-            ) as response:
-                body = await response.read()
-                if response.status >= 500 or response.status == 429:
-                    raise aiohttp.ClientError(f"status {response.status}")
-                self.breaker.record_success()
-                revision = int(response.headers.get("KV-Revision", 0))
-                return Reply(response.status, body, revision)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            why = str(error or "time-out")
-            self.breaker.record_failure(why)
-            self.metrics.count(
-                "rattanmill_kv_failures", kind=kind, prefix=prefix
-            )
-            return Unavailable(why)
+        reply = await self.send(
+            Request(method, self.base, path, data, headers or {}, timeout)
+        )
+        failure = _describe_failure(reply)
+        if failure is None:
+            self.breaker.record_success()
+            return reply
+        self.breaker.record_failure(failure)
+        self.metrics.count("rattanmill_kv_failures", kind=kind, prefix=prefix)
+        return Unavailable(failure)
+
+
+def _describe_failure(reply: Reply | Unavailable) -> str | None:
+    if isinstance(reply, Unavailable):
+        return reply.why
+    if reply.status >= 500 or reply.status == 429:
+        return f"status {reply.status}"
+    return None
--- a/libs/platform/src/rattanmill_platform/lease.py
+++ b/libs/platform/src/rattanmill_platform/lease.py
@@ -29,7 +29,9 @@
     part_logger,
     start_loop,
 )
-from rattanmill_platform.kv import Conflict, KvClient, Unavailable, Written
+from rattanmill_platform.calls import Unavailable
+from rattanmill_platform.kv import Conflict, Written
+from rattanmill_platform.kvclient import KvClient
 
 _log = part_logger("lease")
 _RENEWALS_PER_LEASE = 4
--- a/libs/platform/src/rattanmill_platform/live.py
+++ b/libs/platform/src/rattanmill_platform/live.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from rattanmill_core import part_logger, start_loop
-from rattanmill_platform.kv import KvClient, Unavailable
+from rattanmill_platform.calls import Unavailable
+from rattanmill_platform.kvclient import KvClient
 
 _log = part_logger("live")
 LIVE_PREFIX = "rm/live/"
--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -26,6 +26,7 @@
       | program | modules                                            |
       | front   | opentelemetry, prometheus_client                   |
       | storage | opentelemetry, prometheus_client                   |
+      | storage | aiohttp, yarl, multidict, attr                     |
       | front   | rattanmill_keeper.keeper, rattanmill_site.storage  |
       | storage | rattanmill_forward, rattanmill_site.front          |
 
