Import only the parts of aiohttp's server that a front end uses

Cause: aiohttp.web imports its router, file responses and websockets too, 27 of 34 ms of its own part (-X importtime).

Change: rattanmill_forward.web names what is used, and Listener does what ServerRunner and TCPSite did: close the listening socket, then idle connections, then wait for requests in progress.

Weighed: (a) aiohttp.web as a whole; (b) its low-level server, chosen; (c) a server by h11: aiohttp stays on the callers' side. The import of the package aiohttp itself, client included, remains; nothing public avoids it.

The scenario of the front end's imports failed before.

--- a/libs/forward/src/rattanmill_forward/bodies.py
+++ b/libs/forward/src/rattanmill_forward/bodies.py
@@ -9,9 +9,8 @@
 
 from collections.abc import AsyncIterator
 
-from aiohttp import web
-
 from rattanmill_core import Reason, Refusal, refuse
+from rattanmill_forward import web
 from rattanmill_forward.exchange import BrokenError
 
 # Typical bodies have at most 20 KB; a thousand buffers of this size fit into a
--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -4,9 +4,10 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from aiohttp import StreamReader, web
+from aiohttp import StreamReader
 
 from rattanmill_core import Metrics, Reason, SettingsError, log_event, refuse
+from rattanmill_forward import web
 from rattanmill_forward.routes import Limits
 
 _MAX_HEAD_BYTES = 64 * 1024
@@ -121,25 +122,55 @@
         return _Connection(self, self.policy)
 
 
+class Listener:
+    """Serves connections at an address until ``cleanup``.
+
+    Args:
+        server: Creates the connections.
+        shutdown_seconds: Longest time in which ``cleanup`` lets requests
+            finish.
+    """
+
+    def __init__(self, server: web.Server, shutdown_seconds: float) -> None:
+        self.server = server
+        self.shutdown_seconds = shutdown_seconds
+        self.listening: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        self.listening = await asyncio.get_running_loop().create_server(
+            self.server, host, port, backlog=_BACKLOG
+        )
+
+    async def cleanup(self) -> None:
+        """Closes idle connections now, and others after their request."""
+        if self.listening:
+            self.listening.close()
+        # Requests that have arrived are given to their handlers first.
+        await asyncio.sleep(0)
+        self.server.pre_shutdown()
+        await self.server.shutdown(self.shutdown_seconds)
+
+
 async def listen(
     address: str,
     handler: Handler,
     policy: ConnectionPolicy,
     shutdown_seconds: float,
-) -> web.ServerRunner:
+) -> Listener:
     """Serves connections at an address.
 
     Raises:
         SettingsError: The address cannot be used.
     """
-    runner = web.ServerRunner(
-        _Server(handler, policy), shutdown_timeout=shutdown_seconds
-    )
-    await runner.setup()
+    listener = Listener(_Server(handler, policy), shutdown_seconds)
     host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
     try:
-        await site.start()
+        await listener.start(host, int(port))
     except OSError as error:
         raise SettingsError(f"cannot listen on {address}: {error}") from error
-    return runner
+    return listener
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import msgspec
-from aiohttp import web
 
 from rattanmill_core import (
     InstanceSettings,
@@ -17,7 +16,8 @@
     start_loop,
     warn_event,
 )
-from rattanmill_forward.callers import ConnectionPolicy, listen
+from rattanmill_forward import web
+from rattanmill_forward.callers import ConnectionPolicy, Listener, listen
 from rattanmill_forward.calls import HttpCodec
 from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.dispatch import Dispatcher
@@ -272,7 +272,7 @@
         pool.close_expired()
 
 
-async def _drain(front_end: FrontEnd, server: web.ServerRunner) -> None:
+async def _drain(front_end: FrontEnd, server: Listener) -> None:
     """Finishes requests in progress and those that the balancer still sends.
 
     Idle connections are closed at once, busy ones when their request is done:
--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from aiohttp import web
-
 from rattanmill_core import Metrics, Refusal, log_event, loop_seconds
+from rattanmill_forward import web
 from rattanmill_forward.calls import ResponseHead
 from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
 from rattanmill_forward.events import Block
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from aiohttp import web
-
 from rattanmill_core import (
     Metrics,
     Ran,
@@ -14,6 +12,7 @@
     loop_seconds,
     refuse,
 )
+from rattanmill_forward import web
 from rattanmill_forward.bodies import BodyStream, read_body
 from rattanmill_forward.calls import Call, Headers, HttpCodec
 from rattanmill_forward.dispatch import Dispatcher, Job
--- a/libs/forward/src/rattanmill_forward/responses.py
+++ b/libs/forward/src/rattanmill_forward/responses.py
@@ -1,7 +1,6 @@
 """Helpers for responses to callers and their log lines."""
 
-from aiohttp import web
-
+from rattanmill_forward import web
 from rattanmill_forward.calls import Headers
 
 
--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -25,6 +25,7 @@
     Examples:
       | program | modules                                            |
       | front   | opentelemetry, prometheus_client                   |
+      | front   | aiohttp.web, aiohttp.web_app                       |
       | storage | opentelemetry, prometheus_client                   |
       | storage | aiohttp, yarl, multidict, attr                     |
       | front   | rattanmill_keeper.keeper, rattanmill_site.storage  |
