--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -6,18 +6,18 @@
 from collections.abc import Callable
 
 import msgspec
-from aiohttp import web
 
 from rattanmill_core import (
     InstanceSettings,
     Metrics,
+    MetricsServer,
     Signals,
     log_event,
-    serve_metrics,
     start_loop,
     warn_event,
 )
-from rattanmill_forward.callers import ConnectionPolicy, listen
+from rattanmill_forward import web
+from rattanmill_forward.callers import ConnectionPolicy, Listener, listen
 from rattanmill_forward.calls import HttpCodec
 from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.dispatch import Dispatcher
@@ -224,8 +224,7 @@
             _EXIT_MARGIN_SECONDS / 2,
         )
         stack.push_async_callback(ready.cleanup)
-        metrics_server = await serve_metrics(settings.ip, metrics)
-        stack.push_async_callback(metrics_server.cleanup)
+        await stack.enter_async_context(MetricsServer(settings.ip, metrics))
         log_event("started", role="front", domain=settings.domain)
         await signals.stop.wait()
         if not signals.invariant_error:
@@ -275,7 +274,7 @@
         pool.close_expired()
 
 
-async def _drain(front_end: FrontEnd, server: web.ServerRunner) -> None:
+async def _drain(front_end: FrontEnd, server: Listener) -> None:
     """Finishes requests in progress and those that the balancer still sends.
 
     Idle connections are closed at once, busy ones when their request is done:
