Place calls among sampled endpoints where these report a slowdown

Each front end chose the best of all endpoints by its own calls, about a hundredth of the load. If all chose so by shared reports, they would overload one endpoint after the other. Prompt parts that other front ends had cached at an endpoint were unknown, and a slow moment counted as slowness for tens of seconds.

For services of which an endpoint has reported a slowdown, two random endpoints of the own domain, one of the others and the one with most of the prompt cached are compared (candidates.py). Reports of other front ends count by their age and prefixes of others are recorded (load_sharing.py); own reports and first parts of prompts are passed on. The slowdown prolongs the part of a call that falls into the rest of a slow episode; durations are divided by the slowdown that the response reported, and a sample of the ratio may deviate by 25% at most. Other services are served as before. Log field slowdown, metric rattanmill_placed_busy.

--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -168,6 +168,11 @@
         """Whether the status code is 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def slowdown(self) -> float:
+        """The slowdown that it reports, or 1.0 if it reports none."""
+        return (self.load and self.load.slowdown) or 1.0
+
     @property
     def is_event_stream(self) -> bool:
         """Whether the body consists of events."""
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -25,6 +25,7 @@
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
 from rattanmill_forward.exchange import ConnectionPool
 from rattanmill_forward.front import FrontEnd
+from rattanmill_forward.load_sharing import share_loads
 from rattanmill_forward.routes import RouteTable
 from rattanmill_forward.stats import PerformanceModel
 from rattanmill_forward.turns import TurnManager
@@ -176,6 +177,7 @@
     keepers = KeeperClient(
         settings.domain, settings.lost_disks + 1, members, metrics
     )
+    share_loads(performance, registry, keepers.loads)
     guard = CrashGuard(registry, pool, keepers, metrics)
     domains = DomainMonitor(
         settings.domain,
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -19,6 +19,7 @@
 )
 from rattanmill_forward.bodies import BodyStream
 from rattanmill_forward.calls import Call, HttpCodec, ResponseHead
+from rattanmill_forward.candidates import draw_candidates
 from rattanmill_forward.crashes import CrashGuard, fingerprint_of
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
@@ -30,7 +31,11 @@
     OutcomeUnknown,
 )
 from rattanmill_forward.joining import NotContinuedError, StreamJoiner
-from rattanmill_forward.placing import choose, expected_seconds
+from rattanmill_forward.placing import (
+    choose,
+    expected_seconds,
+    has_free_slot,
+)
 from rattanmill_forward.routes import Route, RouteKind, Service
 from rattanmill_forward.stats import InFlightCall, PerformanceModel, Pick
 
@@ -162,6 +167,7 @@
         sent_at: Loop time at which the call was sent.
         uncached_tokens: Tokens of its prompt that were not cached, as far as
             known.
+        slowdown: Slowdown that the response reported, or 1.0.
         first_event_at: Loop time of the first event of a stream.
         last_event_at: Loop time of the newest event.
         event_count: Number of events of this attempt.
@@ -172,6 +178,7 @@
     response: EndpointResponse
     sent_at: float
     uncached_tokens: int = 0
+    slowdown: float = 1.0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     event_count: int = 0
@@ -273,10 +280,12 @@
             cached,
             job.call.uncached_tokens(cached),
             len(candidates),
+            has_free_slot(best),
+            any(has_free_slot(estimate) for _, estimate in estimates.values()),
         )
 
     def _candidates(self, job: Job) -> list[Endpoint]:
-        """Returns the endpoints that may get a call, preferring healthy ones.
+        """Returns the endpoints to be compared, preferring healthy ones.
 
         Each further endpoint counts against the route's maximum number of
         attempts. An endpoint that did not go on with a stream is asked again
@@ -295,15 +304,22 @@
         ]
         able = [e for e in eligible if e.name not in job.not_continued]
         eligible = able or eligible
-        healthy = [e for e in eligible if not self.performance.is_avoided(e)]
-        return healthy or eligible
+        usable = self.performance.not_avoided(eligible) or eligible
+        if job.service.name not in self.performance.services_with_slowdown:
+            return usable
+        return draw_candidates(
+            usable,
+            self.performance.own_domain,
+            self.performance.cached_tokens(usable, job.call.prompt_parts),
+        )
 
     async def _send(self, job: Job, pick: Pick) -> RunningCall | Refusal | None:
         """Sends a call to an endpoint; returns None if it may be retried."""
         endpoint = pick.endpoint
         self._log_placed(job, pick)
+        self._count_busy(job, pick)
         sent_at = loop_seconds()
-        self.performance.stats_of(endpoint).record_prompt(job.call.prompt_parts)
+        self.performance.record_prompt(endpoint, job.call.prompt_parts)
         try:
             async with asyncio.timeout_at(job.deadline):
                 response = await self.pool.send(
@@ -338,7 +354,13 @@
                 )
             case OutcomeUnknown(why=why):
                 return self._handle_broken(job, endpoint, why)
-        running = RunningCall(endpoint, response, sent_at, pick.uncached_tokens)
+        running = RunningCall(
+            endpoint,
+            response,
+            sent_at,
+            pick.uncached_tokens,
+            response.head.slowdown,
+        )
         return await self._check_response(job, running)
 
     async def _check_response(
@@ -481,7 +503,7 @@
             self.performance.record_call(
                 running.endpoint,
                 job.timing_key,
-                loop_seconds() - running.sent_at,
+                (loop_seconds() - running.sent_at) / running.slowdown,
             )
 
     def record_event(self, job: Job, running: RunningCall) -> None:
@@ -495,7 +517,7 @@
             self.performance.record_first_event(
                 running.endpoint,
                 job.timing_key,
-                now - running.sent_at,
+                (now - running.sent_at) / running.slowdown,
                 running.uncached_tokens,
             )
 
@@ -512,7 +534,7 @@
         self.performance.record_event_interval(
             running.endpoint,
             job.timing_key,
-            seconds / (running.event_count - 1),
+            seconds / (running.event_count - 1) / running.slowdown,
         )
 
     def _refuse_no_endpoint(self, job: Job) -> Refusal:
@@ -554,12 +576,24 @@
             if stats.load
             else None,
             pace=round(stats.duration_ratio, 2),
+            slowdown=stats.load.slowdown if stats.load else None,
             expected_ms=round(pick.expected_seconds * 1000),
             cached_tokens=pick.cached_tokens,
             left_ms=round(job.seconds_left() * 1000),
             tries=len(job.excluded),
         )
 
+    def _count_busy(self, job: Job, pick: Pick) -> None:
+        if (
+            pick.has_free_slot
+            or job.service.name not in self.performance.services_with_slowdown
+        ):
+            return
+        self.metrics.count(
+            "rattanmill_placed_busy",
+            another="free" if pick.another_has_free_slot else "busy",
+        )
+
     def _log_retry(
         self, job: Job, endpoint: Endpoint, reason: RetryReason, why: str
     ) -> None:
--- a/libs/forward/src/rattanmill_forward/placing.py
+++ b/libs/forward/src/rattanmill_forward/placing.py
@@ -81,6 +81,11 @@
     )
 
 
+def has_free_slot(estimate: EndpointEstimate) -> bool:
+    """Whether not all slots are in use there, as far as known."""
+    return estimate.active_requests < max(1, estimate.slots)
+
+
 def choose(estimates: list[EndpointEstimate]) -> EndpointEstimate | None:
     """Returns the endpoint at which the call costs least."""
     return min(estimates, key=cost, default=None)
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -1,8 +1,13 @@
-"""Load and speed of endpoints, learned from this front end's own calls."""
+"""Load and speed of endpoints.
+
+Learned from this front end's own calls, and from load reports and prefixes that
+other front ends share where endpoints report a slowdown.
+"""
 
 import collections
 import math
 import random
+from collections.abc import Callable, Iterable
 from typing import Self
 
 import msgspec
@@ -23,6 +28,12 @@
 # Load of other front ends that a response reported decays with this time
 # constant: their calls last about as long.
 _LOAD_DECAY_SECONDS = 1.0
+# Episodes of slow work last about 0.6 s. Half of that is left on average when
+# one is reported.
+_SLOW_SECONDS_LEFT = 0.3
+# Where speed changes from moment to moment, a single duration counts as at most
+# this much longer or shorter than expected: it says little about the long term.
+_MAX_SAMPLE_DEVIATION = 0.25
 _MIN_AVOID_SECONDS = 0.5
 _MAX_AVOID_SECONDS = 4.0
 _DOMAIN_AVOID_SECONDS = 0.7
@@ -66,17 +77,19 @@
         own_calls: Calls of this front end in flight at the endpoint.
         duration_ratio: Duration of calls there relative to the average.
         measured_at: Loop time of the last measurement.
-        load: The load that it reported last, or None.
+        load: The load that it reported last, to this or another front end, or
+            None.
         load_at: Loop time of that report.
-        own_calls_at_load: Calls of this front end in flight at that time.
+        own_calls_at_load: Calls of this front end that were sent before that
+            time and were in flight when the report arrived here.
         avoid_until: Loop time until which it gets no work if others can.
         failures: Consecutive failures.
-        waiting_since: Loop time at which each call without a first byte was
-            sent, by request id.
+        sent_at: Loop time at which each call in flight was sent, by request id.
+        waiting_since: The same for the calls without a first byte.
         pending_prefill_tokens: Uncached prompt tokens of these calls, by
             request id.
         prefixes: Prompt prefixes that it should have cached, least recently
-            used first.
+            used first, and whether this front end has reported each to others.
         undecodable_headers: Names of headers of its responses that could not
             be decoded and were logged.
     """
@@ -90,9 +103,10 @@
         self.own_calls_at_load = 0
         self.avoid_until = 0.0
         self.failures = 0
+        self.sent_at: dict[str, float] = {}
         self.waiting_since: dict[str, float] = {}
         self.pending_prefill_tokens: dict[str, int] = {}
-        self.prefixes: collections.OrderedDict[str, None] = (
+        self.prefixes: collections.OrderedDict[str, bool] = (
             collections.OrderedDict()
         )
         self.undecodable_headers: set[str] = set()
@@ -119,19 +133,52 @@
         self.duration_ratio = start + _RATIO_STEP * (sample - start)
         self.measured_at = now
 
-    def record_load(self, load: Load, now: float) -> None:
-        """Records the load that a response reports."""
+    def slowdown_at(self, now: float, seconds: float) -> float:
+        """Returns how many times as long a call takes there now as usually.
+
+        Slow work ends soon, so a long call is slow for a small part of its time
+        only. Otherwise all front ends would leave an endpoint for as long as it
+        is slow and overload the others.
+
+        Args:
+            now: Loop time at which the call is sent.
+            seconds: Usual duration of the call there.
+        """
+        slowdown = self.load and self.load.slowdown
+        if not slowdown or seconds <= 0:
+            return 1.0
+        age = now - self.load_at
+        slow_left = _SLOW_SECONDS_LEFT * math.exp(-age / _SLOW_SECONDS_LEFT)
+        if seconds * slowdown <= slow_left:
+            return slowdown
+        return 1.0 + slow_left * (1.0 - 1.0 / slowdown) / seconds
+
+    def record_load(self, load: Load, reported_at: float) -> None:
+        """Records a load report, unless a newer one is known.
+
+        The report contains this front end's calls that were sent before it.
+        """
+        if self.load and reported_at < self.load_at:
+            return
         self.load = load
-        self.load_at = now
-        self.own_calls_at_load = self.own_calls
+        self.load_at = reported_at
+        self.own_calls_at_load = sum(
+            sent_at <= reported_at for sent_at in self.sent_at.values()
+        )
 
     def cached_tokens(self, parts: tuple[PromptPart, ...]) -> int:
         """Returns how many tokens of a prompt should be cached there.
 
         A part counts only if all parts before it are cached too.
         """
+        return self.cached_tokens_of(_prefix_keys(parts), parts)
+
+    def cached_tokens_of(
+        self, keys: list[str], parts: tuple[PromptPart, ...]
+    ) -> int:
+        """As ``cached_tokens``, given the key of each prefix."""
         tokens = 0
-        for key, part in zip(_prefix_keys(parts), parts, strict=True):
+        for key, part in zip(keys, parts, strict=True):
             if key not in self.prefixes:
                 break
             tokens += part.tokens
@@ -144,11 +191,34 @@
     def record_prompt(self, parts: tuple[PromptPart, ...]) -> None:
         """Records that it reads a prompt."""
         for key in _prefix_keys(parts):
-            self.prefixes[key] = None
+            self.prefixes.setdefault(key, False)
             self.prefixes.move_to_end(key)
         while len(self.prefixes) > _MAX_PREFIXES:
             self.prefixes.popitem(last=False)
 
+    def take_unreported(self, parts: tuple[PromptPart, ...]) -> str | None:
+        """Marks the prefix of the first part as reported to others.
+
+        Returns:
+            The prefix, or None if it has been reported before. Later parts
+            belong to a single program and are of no use to others.
+        """
+        for prefix in _prefix_keys(parts[:1]):
+            if self.prefixes.get(prefix) is False:
+                self.prefixes[prefix] = True
+                return prefix
+        return None
+
+    def record_shared_prefix(self, prefix: str) -> None:
+        """Records a prefix that another front end has sent there.
+
+        It is dropped before all that this front end uses itself.
+        """
+        if prefix in self.prefixes or len(self.prefixes) >= _MAX_PREFIXES:
+            return
+        self.prefixes[prefix] = False
+        self.prefixes.move_to_end(prefix, last=False)
+
 
 def _prefix_keys(parts: tuple[PromptPart, ...]) -> list[str]:
     keys = []
@@ -170,8 +240,10 @@
         self.uncached_tokens = uncached_tokens
 
     def __enter__(self) -> Self:
+        now = loop_seconds()
         self.stats.own_calls += 1
-        self.stats.waiting_since[self.request_id] = loop_seconds()
+        self.stats.sent_at[self.request_id] = now
+        self.stats.waiting_since[self.request_id] = now
         self.stats.pending_prefill_tokens[self.request_id] = (
             self.uncached_tokens
         )
@@ -184,6 +256,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         self.stats.own_calls -= 1
+        self.stats.sent_at.pop(self.request_id, None)
         self.first_byte_received()
 
 
@@ -198,6 +271,12 @@
             unreachable, by domain.
         unreachable_at: Loop times of failed connection attempts, by domain and
             endpoint.
+        services_with_slowdown: Services of which an endpoint has reported a
+            slowdown. Their calls are placed among sampled endpoints.
+        on_own_load: Called with a report with a slowdown that a response to
+            this front end had.
+        on_own_prefix: Called with an endpoint's name and a prompt prefix that
+            this front end sends there for the first time.
     """
 
     def __init__(self, own_domain: str) -> None:
@@ -206,6 +285,11 @@
         self.averages: dict[str, MovingAverage] = {}
         self.avoid_domain_until: dict[str, float] = {}
         self.unreachable_at: dict[str, dict[str, float]] = {}
+        self.services_with_slowdown: set[str] = set()
+        self.on_own_load: Callable[[str, Load], None] = lambda name, load: None
+        self.on_own_prefix: Callable[[str, str], None] = lambda name, prefix: (
+            None
+        )
 
     def stats_of(self, endpoint: Endpoint) -> EndpointStats:
         """Returns the statistics of an endpoint."""
@@ -252,16 +336,19 @@
             token = self.average_for(
                 f"read/{timing_key}", _INITIAL_PREFILL_TOKEN_SECONDS
             )
-            run = (first.seconds + events * average.seconds) * ratio
-            prefill = stats.uncached_tokens(call) * token.seconds * ratio
+            run = first.seconds + events * average.seconds
+            prefill = stats.uncached_tokens(call) * token.seconds
             queued_prefill = (
-                sum(stats.pending_prefill_tokens.values())
-                * token.seconds
-                * ratio
+                sum(stats.pending_prefill_tokens.values()) * token.seconds
             )
         else:
             average = self.average_for(timing_key, _INITIAL_CALL_SECONDS)
-            run = average.seconds * ratio
+            run = average.seconds
+        if endpoint.service in self.services_with_slowdown:
+            ratio *= stats.slowdown_at(now, run * ratio)
+        run *= ratio
+        prefill *= ratio
+        queued_prefill *= ratio
         oldest = min(stats.waiting_since.values(), default=now)
         overdue = max(0.0, now - oldest - 3 * (run + prefill) - 0.1)
         return EndpointEstimate(
@@ -275,13 +362,20 @@
             overdue,
         )
 
-    def is_avoided(self, endpoint: Endpoint) -> bool:
-        """Whether the endpoint should get no work if others can."""
+    def not_avoided(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Returns the endpoints that need not leave work to others."""
         now = loop_seconds()
-        return (
-            self.stats_of(endpoint).avoid_until > now
-            or self.avoid_domain_until.get(endpoint.domain, 0.0) > now
-        )
+        domains = {
+            domain
+            for domain, until in self.avoid_domain_until.items()
+            if until > now
+        }
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.domain not in domains
+            and self.stats_of(endpoint).avoid_until <= now
+        ]
 
     def record_failure(self, endpoint: Endpoint, is_unreachable: bool) -> None:
         """Records a call that got no response.
@@ -325,7 +419,45 @@
         self.avoid_domain_until.pop(endpoint.domain, None)
         self.unreachable_at.pop(endpoint.domain, None)
         if load:
-            stats.record_load(load, loop_seconds())
+            self.record_load(endpoint, load, loop_seconds())
+            if load.slowdown is not None:
+                self.on_own_load(endpoint.name, load)
+
+    def record_load(
+        self, endpoint: Endpoint, load: Load, reported_at: float
+    ) -> None:
+        """Records a load report of this or another front end.
+
+        Args:
+            endpoint: The endpoint.
+            load: What it reported.
+            reported_at: Loop time of the report.
+        """
+        self.stats_of(endpoint).record_load(load, reported_at)
+        if load.slowdown is not None:
+            self.services_with_slowdown.add(endpoint.service)
+
+    def record_prompt(
+        self, endpoint: Endpoint, parts: tuple[PromptPart, ...]
+    ) -> None:
+        """Records that a prompt is sent to an endpoint."""
+        stats = self.stats_of(endpoint)
+        stats.record_prompt(parts)
+        if endpoint.service not in self.services_with_slowdown:
+            return
+        prefix = stats.take_unreported(parts)
+        if prefix:
+            self.on_own_prefix(endpoint.name, prefix)
+
+    def cached_tokens(
+        self, endpoints: Iterable[Endpoint], parts: tuple[PromptPart, ...]
+    ) -> list[int]:
+        """Returns how many tokens of a prompt each endpoint should have."""
+        keys = _prefix_keys(parts)
+        return [
+            self.stats_of(endpoint).cached_tokens_of(keys, parts)
+            for endpoint in endpoints
+        ]
 
     def record_duration(
         self,
@@ -337,11 +469,20 @@
         """Records the duration of a call, or an interval between events."""
         average = self.average_for(timing_key, initial_seconds)
         if average.samples:
-            self.stats_of(endpoint).record_duration_ratio(
-                seconds / average.seconds, loop_seconds()
-            )
+            self._record_ratio(endpoint, seconds / average.seconds)
         average.add(seconds)
 
+    def _record_ratio(self, endpoint: Endpoint, sample: float) -> None:
+        now = loop_seconds()
+        stats = self.stats_of(endpoint)
+        if endpoint.service in self.services_with_slowdown:
+            expected = stats.duration_ratio_at(now)
+            deviation = expected * _MAX_SAMPLE_DEVIATION
+            sample = min(
+                max(sample, expected - deviation), expected + deviation
+            )
+        stats.record_duration_ratio(sample, now)
+
     def record_call(
         self, endpoint: Endpoint, timing_key: str, seconds: float
     ) -> None:
@@ -395,3 +536,5 @@
     cached_tokens: int
     uncached_tokens: int
     candidates: int
+    has_free_slot: bool = True
+    another_has_free_slot: bool = False
