--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -20,6 +20,7 @@
 )
 from rattanmill_forward.bodies import BodyStream
 from rattanmill_forward.calls import Call, HttpCodec, ResponseHead
+from rattanmill_forward.candidates import draw_candidates
 from rattanmill_forward.crashes import CrashGuard, fingerprint_of
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
@@ -31,7 +32,11 @@
     OutcomeUnknown,
 )
 from rattanmill_forward.joining import NotContinuedError, StreamJoiner
-from rattanmill_forward.placing import choose, expected_seconds
+from rattanmill_forward.placing import (
+    choose,
+    expected_seconds,
+    has_free_slot,
+)
 from rattanmill_forward.priorities import (
     PriorityAssigner,
     program_seconds_left,
@@ -177,6 +182,7 @@
         sent_at: Loop time at which the call was sent.
         uncached_tokens: Tokens of its prompt that were not cached, as far as
             known.
+        slowdown: Slowdown that the response reported, or 1.0.
         first_event_at: Loop time of the first event of a stream.
         last_event_at: Loop time of the newest event.
         event_count: Number of events of this attempt.
@@ -187,6 +193,7 @@
     response: EndpointResponse
     sent_at: float
     uncached_tokens: int = 0
+    slowdown: float = 1.0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     event_count: int = 0
@@ -308,7 +315,7 @@
         )
 
     def _candidates(self, job: Job) -> list[Endpoint]:
-        """Returns the endpoints that may get a call, preferring healthy ones.
+        """Returns the endpoints to be compared, preferring healthy ones.
 
         Each further endpoint counts against the route's maximum number of
         attempts. An endpoint that did not go on with a stream is asked again
@@ -327,8 +334,14 @@
         ]
         able = [e for e in eligible if e.name not in job.not_continued]
         eligible = able or eligible
-        healthy = [e for e in eligible if not self.performance.is_avoided(e)]
-        return healthy or eligible
+        usable = self.performance.not_avoided(eligible) or eligible
+        if job.service.name not in self.performance.services_with_slowdown:
+            return usable
+        return draw_candidates(
+            usable,
+            self.performance.own_domain,
+            self.performance.cached_tokens(usable, job.call.prompt_parts),
+        )
 
     async def _send(
         self, job: Job, pick: Pick, priority: int | None
@@ -336,10 +349,11 @@
         """Sends a call to an endpoint; returns None if it may be retried."""
         endpoint = pick.endpoint
         self._log_placed(job, pick, priority)
+        self._count_busy(job, pick)
         if priority is not None:
             self.metrics.count("rattanmill_priorities", level=str(priority))
         sent_at = loop_seconds()
-        self.performance.stats_of(endpoint).record_prompt(job.call.prompt_parts)
+        self.performance.record_prompt(endpoint, job.call.prompt_parts)
         try:
             async with asyncio.timeout_at(job.deadline):
                 response = await self.pool.send(
@@ -375,7 +389,13 @@
                 )
             case OutcomeUnknown(why=why):
                 return self._handle_broken(job, endpoint, why)
-        running = RunningCall(endpoint, response, sent_at, pick.uncached_tokens)
+        running = RunningCall(
+            endpoint,
+            response,
+            sent_at,
+            pick.uncached_tokens,
+            response.head.slowdown,
+        )
         return await self._check_response(job, running)
 
     def _priority(self, job: Job, pick: Pick) -> int | None:
@@ -424,14 +444,13 @@
             endpoint
             for endpoint in self.registry.by_service.get(job.service.name, ())
             if endpoint.name in job.excluded
-            and not self.performance.is_avoided(endpoint)
             and has_recent_report(stats.get(endpoint.name), now)
         ]
         estimates = [
             self.performance.estimate(
                 endpoint, job.call, job.timing_key, job.expected_events()
             )
-            for endpoint in rejecting
+            for endpoint in self.performance.not_avoided(rejecting)
         ]
         start = earliest_start(estimates, stats, 1.0, now)
         if start is None:
@@ -578,7 +597,7 @@
             self.performance.record_call(
                 running.endpoint,
                 job.timing_key,
-                loop_seconds() - running.sent_at,
+                (loop_seconds() - running.sent_at) / running.slowdown,
             )
 
     def record_event(self, job: Job, running: RunningCall) -> None:
@@ -592,7 +611,7 @@
             self.performance.record_first_event(
                 running.endpoint,
                 job.timing_key,
-                now - running.sent_at,
+                (now - running.sent_at) / running.slowdown,
                 running.uncached_tokens,
             )
 
@@ -614,7 +633,7 @@
         self.performance.record_event_interval(
             running.endpoint,
             job.timing_key,
-            seconds / (running.event_count - 1),
+            seconds / (running.event_count - 1) / running.slowdown,
         )
 
     def _refuse_no_endpoint(self, job: Job) -> Refusal:
@@ -656,6 +675,7 @@
             if stats.load
             else None,
             pace=round(stats.duration_ratio, 2),
+            slowdown=stats.load.slowdown if stats.load else None,
             expected_ms=round(pick.expected_seconds * 1000),
             cached_tokens=pick.cached_tokens,
             left_ms=round(job.seconds_left() * 1000),
@@ -663,6 +683,19 @@
             priority=priority,
         )
 
+    def _count_busy(self, job: Job, pick: Pick) -> None:
+        if (
+            has_free_slot(pick.estimate)
+            or job.service.name not in self.performance.services_with_slowdown
+        ):
+            return
+        self.metrics.count(
+            "rattanmill_placed_busy",
+            another="free"
+            if any(map(has_free_slot, pick.compared))
+            else "busy",
+        )
+
     def _log_retry(
         self, job: Job, endpoint: Endpoint, reason: RetryReason, why: str
     ) -> None:
