Measure a program's pause once, from an answer to its next turn

Cause: each arrival of a call gave a sample of the pause since the program's last call ended, also when that call had failed, and again each time that a refused turn was sent again. Learned pauses of 4 to 7 s left no time of the 60 s target, so a delay of 0.03 s refused new programs (429) at an idle engine, and each refusal raised the pause further.

Change: only an answer starts a pause, and the first arrival of the next call ends it.

Tests: two scenarios in admission.feature, on virtual time; both failed before (the new program was refused; the learned pause differed from the program's own) and pass now. admission.feature: 16 passed. budget.feature is unchanged.

--- a/libs/policy/src/rattanmill_policy/learning.py
+++ b/libs/policy/src/rattanmill_policy/learning.py
@@ -17,9 +17,9 @@
     scheduler_state.table.record_outcome(placement.state, placement.outcome)
     scheduler_state.group_of(work).completions.record(now)
     usage = scheduler_state.usage_of(work, now)
-    usage.last_call_ended_at = now
     usage.attained += placement.seconds
     if placement.outcome is Outcome.ANSWERED:
+        usage.answered_at = now
         _record_answer(scheduler_state, placement, stats, now)
     elif placement.outcome is Outcome.NOT_CONNECTED:
         # The connection was refused: the process is gone, and its cache with
--- a/libs/policy/src/rattanmill_policy/queueing.py
+++ b/libs/policy/src/rattanmill_policy/queueing.py
@@ -36,14 +36,15 @@
         started_at: Loop time at which it started.
         attained: Attained service, in seconds.
         calls: Number of calls placed.
-        last_call_ended_at: Loop time at which its last call ended, or 0.
+        answered_at: Loop time of its last answer; 0 once its next call has
+            arrived.
     """
 
     root: str
     started_at: float
     attained: float = 0.0
     calls: int = 0
-    last_call_ended_at: float = 0.0
+    answered_at: float = 0.0
 
 
 class ProgramUsageTable:
--- a/libs/policy/src/rattanmill_policy/scheduler.py
+++ b/libs/policy/src/rattanmill_policy/scheduler.py
@@ -115,15 +115,13 @@
         name = self.state.class_name(work)
         usage = self.state.usage_of(work, now)
         self.state.retry_budget.deposit(name)
-        if (
-            work.model
-            and usage.last_call_ended_at
-            and work.program == usage.root
-        ):
+        if work.model and usage.answered_at and work.program == usage.root:
             profile = self.state.admission.class_state(name).profile
-            profile.record_sample(
-                "pause", max(0.0, now - usage.last_call_ended_at)
-            )
+            profile.record_sample("pause", max(0.0, now - usage.answered_at))
+            # A call that was refused or failed is sent again. That time is
+            # no pause of the program; counted as one, refusals would leave
+            # less time for delays and so cause further refusals.
+            usage.answered_at = 0.0
 
     def _refuse_unserved(self, work: Work) -> Refusal | None:
         """Refuses a call that no endpoint serves, or that none serves now."""
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -93,3 +93,18 @@
     Given a class that recorded 100 programs of 4 calls
     When it is used again a week later by 100 programs of 9 calls
     Then percentile 95 of its calls is 9
+
+  Scenario: Time in which a turn is sent again is no pause of its program
+    An endpoint fails for some seconds, and a program sends its turn again until
+    it is answered. If that time counted as a pause between turns, no time would
+    be left for a delay, and new programs would be refused at an idle endpoint.
+
+    Given an endpoint that fails for 10 s while a program sends its first turn
+    When 12 of its sub-agents have a turn each and the endpoint is idle again
+    Then a new program is admitted
+
+  Scenario: Pauses are measured once, from an answer to the next turn
+    Turns are refused or fail and are sent again. Whatever the times, only the
+    time that the program itself took for its next turn may be learned.
+
+    Then the learned pause is the program's own, however often a turn is resent
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 from steps.system import start
 
-from rattanmill_core import Reason, Refusal, WorkClass
-from rattanmill_policy import Placement, Rules, Scheduler
+from rattanmill_core import Aspect, Reason, Refusal, WorkClass
+from rattanmill_policy import Outcome, Placement, Rules, Scheduler
 from rattanmill_policy.admission import (
     Admission,
     Permits,
@@ -25,6 +25,10 @@
 
 _EXAMPLES = settings(max_examples=200, deadline=None, derandomize=True)
 _DELAY = 5.0
+_RESEND_SECONDS = 0.1
+_MAX_RESENDS = 200
+# Longer than an endpoint that reopened gets few calls.
+_RAMP_SECONDS = 7.0
 
 
 @given("a system whose only endpoint is stalled")
@@ -393,3 +397,94 @@
 def step_percentile(context, percent, calls):
     assert context.profile.calls_percentile(percent) == calls
     assert round(context.profile.mean_calls()) == calls
+
+
+async def _send_until_answered(fleet, program, turn):
+    """Sends a turn again until it is answered."""
+    for _ in range(_MAX_RESENDS):
+        outcome = await fleet.call(chat_work(program, turn=turn))
+        if isinstance(outcome, Placement) and (
+            outcome.outcome is Outcome.ANSWERED
+        ):
+            return
+        await asyncio.sleep(_RESEND_SECONDS)
+    raise AssertionError(outcome)
+
+
+def _end_failures(fleet):
+    """Ends the failures; what a probe would show follows at once."""
+    fleet.failing.clear()
+    for state in fleet.table.states.values():
+        fleet.table.reopen(state, Aspect.REACH)
+
+
+@given(
+    "an endpoint that fails for {seconds:d} s while a program sends its first"
+    " turn"
+)
+def step_failing_for(context, seconds):
+    async def fail():
+        context.fleet = Fleet({"a": 0.2})
+        context.fleet.failing.add("a")
+        resent = asyncio.create_task(
+            _send_until_answered(context.fleet, "resent", 1)
+        )
+        await asyncio.sleep(seconds)
+        _end_failures(context.fleet)
+        await resent
+
+    context.first_phase = fail
+
+
+@when(
+    "{count:d} of its sub-agents have a turn each and the endpoint is idle"
+    " again"
+)
+def step_short_queue(context, count):
+    async def queue():
+        await context.first_phase()
+        await asyncio.sleep(_RAMP_SECONDS)
+        turns = [
+            chat_work(f"sub-agent-{number}", parent="resent")
+            for number in range(count)
+        ]
+        await asyncio.gather(*map(context.fleet.call, turns))
+        assert not any(
+            state.in_flight for state in context.fleet.table.states.values()
+        )
+        return await context.fleet.hold(chat_work("new", turn=1))
+
+    context.outcome = run_virtually(queue())
+
+
+@then("a new program is admitted")
+def step_new_admitted(context):
+    assert isinstance(context.outcome, Placement), context.outcome
+
+
+async def _learned_pause(pause, resend_gaps):
+    """Returns the pause learned from a second turn that is sent repeatedly."""
+    fleet = Fleet({"a": 0.2})
+    await fleet.call(chat_work("program", turn=1))
+    await asyncio.sleep(pause)
+    fleet.failing.add("a")
+    for gap in resend_gaps:
+        await fleet.call(chat_work("program"))
+        await asyncio.sleep(gap)
+    _end_failures(fleet)
+    await fleet.call(chat_work("program"))
+    admission = fleet.scheduler.state.admission
+    return admission.class_state("default").profile.pause
+
+
+@then("the learned pause is the program's own, however often a turn is resent")
+def step_pause_once(context):
+    seconds = st.floats(0.01, 30.0)
+
+    @_EXAMPLES
+    @for_any(seconds, st.lists(seconds, max_size=5))
+    def check(pause, resend_gaps):
+        learned = run_virtually(_learned_pause(pause, resend_gaps))
+        assert abs(learned - pause) < 1e-6, (learned, pause)
+
+    check()
