Look at all endpoints before a call is refused for want of a slot

With sampled placement a call was compared at three endpoints only; when all of these were full it would have been refused although another one was idle. A call that would be refused is now placed among all usable endpoints first.

refusing.feature "Only engines that were not drawn have free slots" failed without the second choice (and "The refusal names its inputs" told of 2 of 3 engines). The exchange's scenario with real processes sends store calls through the session sender.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -258,6 +258,10 @@
                 return
             priority = self._priority(job, pick)
             overloaded = self._refuse_late(job, pick, priority)
+            if overloaded and pick.is_sampled:
+                # Endpoints that were not drawn may have free slots.
+                pick = self._pick_among(job, self._usable(job))
+                overloaded = self._refuse_late(job, pick, priority)
             if overloaded:
                 yield overloaded
                 return
@@ -285,9 +289,22 @@
 
     def pick(self, job: Job) -> Pick | None:
         """Chooses an endpoint; returns None if none may get the call."""
-        candidates = self._candidates(job)
-        if not candidates:
+        usable = self._usable(job)
+        if not usable:
             return None
+        if job.service.name not in self.performance.services_with_slowdown:
+            return self._pick_among(job, usable)
+        drawn = draw_candidates(
+            usable,
+            self.performance.own_domain,
+            self.performance.cached_tokens(usable, job.call.prompt_parts),
+        )
+        return self._pick_among(job, drawn, is_sampled=len(drawn) < len(usable))
+
+    def _pick_among(
+        self, job: Job, candidates: list[Endpoint], is_sampled: bool = False
+    ) -> Pick:
+        """Chooses one of some endpoints."""
         events = job.expected_events()
         estimates = {
             endpoint.name: (
@@ -312,10 +329,11 @@
             len(candidates),
             best,
             tuple(estimate for _, estimate in estimates.values()),
+            is_sampled,
         )
 
-    def _candidates(self, job: Job) -> list[Endpoint]:
-        """Returns the endpoints to be compared, preferring healthy ones.
+    def _usable(self, job: Job) -> list[Endpoint]:
+        """Returns the endpoints that may get a call, preferring healthy ones.
 
         Each further endpoint counts against the route's maximum number of
         attempts. An endpoint that did not go on with a stream is asked again
@@ -334,14 +352,7 @@
         ]
         able = [e for e in eligible if e.name not in job.not_continued]
         eligible = able or eligible
-        usable = self.performance.not_avoided(eligible) or eligible
-        if job.service.name not in self.performance.services_with_slowdown:
-            return usable
-        return draw_candidates(
-            usable,
-            self.performance.own_domain,
-            self.performance.cached_tokens(usable, job.call.prompt_parts),
-        )
+        return self.performance.not_avoided(eligible) or eligible
 
     async def _send(
         self, job: Job, pick: Pick, priority: int | None
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -558,3 +558,4 @@
     candidates: int
     estimate: EndpointEstimate
     compared: tuple[EndpointEstimate, ...]
+    is_sampled: bool
--- a/tests/features/refusing.feature
+++ b/tests/features/refusing.feature
@@ -42,6 +42,16 @@
       | a turn of an unknown program   | 12      | 60      | 1.0    | 3.0  | sent    |
       | a call that may have run       | 12      | 60      | 1.0    | 1.0  | sent    |
 
+  Scenario: Only engines that were not drawn have free slots
+    Front ends compare a few random engines. A caller would be turned away while
+    another engine is idle.
+
+    Given each engine reports 12 running and 60 waiting calls
+    And 20 further engines of which the last reports 2 running calls
+    When a first turn arrives whose program should be done in 1.0 s and that waits for 3.0 s
+    Then it is sent
+    And the idle engine gets it first
+
   Scenario: Calls of a plain service are sent to full endpoints
     Their measured durations contain the wait for a slot. An expected start from
     these is several times too late, and calls that could be served were
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -62,6 +62,7 @@
     def __init__(self, count, slots, seconds):
         random.seed(_SEED)
         self.sent = 0
+        self.sent_to = []
         self.rejection = None
         self.rejection_load = None
         self.performance = PerformanceModel("east")
@@ -91,8 +92,9 @@
         self.performance.average_for("event/llm", 0.0).add(seconds / _EVENTS)
         self.table = make_table((_URGENT, _LESS_URGENT))
 
-    async def _send(self, *_, **__):
+    async def _send(self, endpoint, *_, **__):
         self.sent += 1
+        self.sent_to.append(endpoint.name)
         if self.rejection is None:
             return ConnectFailed("not listening")
         return _Rejection(self.rejection_load)
@@ -161,6 +163,27 @@
     context.prepare.append(report)
 
 
+@given(
+    "{count:d} further engines of which the last reports {running:d} running"
+    " calls"
+)
+def step_further_engines(context, count, running):
+    async def add(front_end, stack):
+        engines = [
+            Endpoint(f"more-{n}", "llm", "east", f"more-{n}:1", 12, False)
+            for n in range(count)
+        ]
+        for engine in engines:
+            front_end.dispatcher.registry.update(engine)
+            load = Load(12, 60, 12, 1.0)
+            if engine is engines[-1]:
+                load = Load(running, 0, 12, 1.0)
+            front_end.performance.record_response(engine, load)
+        context.idle = engines[-1].name
+
+    context.prepare.append(add)
+
+
 @given(
     "{count:d} calls of {events:d} events ran for {seconds:f} s after waiting"
     " for {wait:f} s"
@@ -316,6 +339,7 @@
             "max_output_tokens": events,
         }
         refusal = await front_end.dispatch(left, **(fields | _KINDS[kind]))
+        context.sent_to = front_end.sent_to
         return refusal, front_end.sent
 
     context.refusal, context.sent = _run(context, send)
@@ -352,6 +376,11 @@
     assert context.sent > 0, context.refusal
 
 
+@then("the idle engine gets it first")
+def step_idle_engine(context):
+    assert context.sent_to[0] == context.idle, context.sent_to
+
+
 @when("the first turn of a program with a budget is sent to a front end")
 def step_serve(context):
     ends = []
--- a/tests/features/steps/site_loads.py
+++ b/tests/features/steps/site_loads.py
@@ -16,6 +16,7 @@
 from rattanmill_keeper import EndpointLoad, KeeperClient, Members
 from rattanmill_keeper.messages import ReportLoads, SharedLoads
 from rattanmill_platform import StoreCalls
+from rattanmill_platform.sessions import session_sender
 
 _TIMEOUT_SECONDS = 30.0
 _RESPONSE_SECONDS = 0.1
@@ -82,7 +83,9 @@
     """Connects a front end that receives responses all the time."""
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        calls = StoreCalls(f"http://{store_address}", session, metrics)
+        calls = StoreCalls(
+            f"http://{store_address}", session_sender(session), metrics
+        )
         members = Members(SiteStore(calls))
         await stack.enter_async_context(members)
         front_end = ConnectedFrontEnd(members, domain, metrics)
