Send priorities only to engines that report a slowdown

On deployments without these reports programs were on time less often with priorities than in order of arrival. What is new is to leave these deployments as they were.

urgency.feature "Engines without a slowdown are served in order of arrival" fails without the condition.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -410,7 +410,13 @@
         return await self._check_response(job, running)
 
     def _priority(self, job: Job, pick: Pick) -> int | None:
-        """Returns the priority of an attempt, or None if it has none."""
+        """Returns the priority of an attempt, or None if it has none.
+
+        Engines that report no slowdown get none: there, programs were on time
+        less often with priorities than in order of arrival.
+        """
+        if job.service.name not in self.performance.services_with_slowdown:
+            return None
         is_learned = self.performance.is_learned(job.timing_key)
         return self.priorities.priority(
             job.call,
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -11,7 +11,7 @@
 from rattanmill_site.headers import HTTP_CODEC
 
 from rattanmill_core import Metrics
-from rattanmill_forward import Endpoint, Service
+from rattanmill_forward import Endpoint, Load, Service
 from rattanmill_forward.dispatch import Dispatcher, Job
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
@@ -299,14 +299,16 @@
 
     async def send():
         registry = EndpointRegistry()
+        performance = PerformanceModel("east")
+        slowdown = getattr(context, "slowdown", 1.0)
         for name in ("one", "two"):
-            registry.update(
-                Endpoint(name, "llm", "east", f"{name}:1", 8, False)
-            )
+            endpoint = Endpoint(name, "llm", "east", f"{name}:1", 8, False)
+            registry.update(endpoint)
+            performance.record_response(endpoint, Load(1, 0, 8, slowdown))
         pool = _Pool(pause_seconds)
         dispatcher = Dispatcher(
             registry,
-            PerformanceModel("east"),
+            performance,
             pool,
             types.SimpleNamespace(refusal=lambda fingerprint, ran: None),
             DomainMonitor("east", dict, None),
@@ -325,6 +327,11 @@
     return run_virtually(send())
 
 
+@given("the engines report no slowdown")
+def step_no_slowdown(context):
+    context.slowdown = None
+
+
 @when("a call of the route of priority {priority:d} is sent")
 def step_send(context, priority):
     context.sent = _send(context, priority, 0.0)[:1]
--- a/tests/features/urgency.feature
+++ b/tests/features/urgency.feature
@@ -113,6 +113,15 @@
       | 1          | engines  | 1        | none |
       | 0, 2       | services | 2        | none |
 
+  Scenario: Engines without a slowdown are served in order of arrival
+    Deployments whose engines do not report how fast they are would be served
+    in another way than before.
+
+    Given routes of the priorities "0, 2" to engines
+    And the engines report no slowdown
+    When a call of the route of priority 0 is sent
+    Then its priority at the endpoint is "none"
+
   Scenario: A call that is sent again gets a new priority
     Time has passed, so its program may be late by now and would delay others.
 
