--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -412,8 +412,8 @@
     def _priority(self, job: Job, pick: Pick) -> int | None:
         """Returns the priority of an attempt, or None if it has none.
 
-        Engines that report no slowdown get none: there, programs were on time
-        less often with priorities than in order of arrival.
+        Only engines that report a slowdown get one: they share their machines,
+        and queues form while they are slow.
         """
         if job.service.name not in self.performance.services_with_slowdown:
             return None
