Call the order of calls within a rank urgency

"Standing" and "place" had to be explained, and "place" means placement elsewhere in the scheduler. Standing is now Urgency and standing() urgency_of(). The comments on the noise limit of PriorityAssigner say what the constants are. No behaviour and no check of a test changes; the steps use the new names.

--- a/libs/forward/src/rattanmill_forward/priorities.py
+++ b/libs/forward/src/rattanmill_forward/priorities.py
@@ -11,16 +11,17 @@
 from rattanmill_forward.placing import EndpointEstimate
 from rattanmill_forward.routes import Service
 from rattanmill_policy.fairness import WorkspaceShares
-from rattanmill_policy.urgency import request_priority, standing
+from rattanmill_policy.urgency import request_priority, urgency_of
 
 _MAX_PROGRAMS = 10_000
 # Decayed number of programs from which a workspace's usage is compared with the
-# fair share: three within some seconds. One long program is many calls at once,
-# which are no excess.
+# fair share. With fewer, the many calls of one long program would count as an
+# excess.
 _MIN_RECENT_PROGRAMS = 2.5
-# Programs start at random. Beyond the number that is expected, so many times
-# its square root are chance; the decayed number varies by 0.7 of the root.
-_CHANCE_ROOTS = 2.0
+# Programs start at random: up to this multiple of the square root of the
+# expected number, a deviation counts as noise. The standard deviation of the
+# decayed number is 0.7 of the root.
+_NOISE_FACTOR = 2.0
 
 
 class PriorityAssigner:
@@ -64,14 +65,16 @@
         """
         if not service.has_priorities:
             return None
-        place = standing(
+        urgency = urgency_of(
             bool(self.has_begun(call, has_begun)),
             program_seconds_left(call, now),
             estimate and estimate.run_seconds + estimate.prefill_seconds,
             self.excess(call, now),
         )
         ranks = service.route_priorities
-        return request_priority(ranks.index(route_priority), len(ranks), place)
+        return request_priority(
+            ranks.index(route_priority), len(ranks), urgency
+        )
 
     def has_begun(self, call: Call, has_begun: bool | None) -> bool | None:
         """Returns whether a call's program has begun, None if unknown.
@@ -102,8 +105,8 @@
             return 0.0
         excess = self.shares.excess(name, now)
         expected = programs / (1 + excess)
-        chance = _CHANCE_ROOTS * math.sqrt(expected)
-        return excess if programs - expected > chance else 0.0
+        noise = _NOISE_FACTOR * math.sqrt(expected)
+        return excess if programs - expected > noise else 0.0
 
     def record_served(
         self, call: Call, service: Service, seconds: float, now: float
--- a/libs/forward/src/rattanmill_forward/refusing.py
+++ b/libs/forward/src/rattanmill_forward/refusing.py
@@ -17,7 +17,7 @@
 from rattanmill_forward.placing import EndpointEstimate
 from rattanmill_forward.routes import Service
 from rattanmill_forward.stats import EndpointStats
-from rattanmill_policy.urgency import Standing, request_priority
+from rattanmill_policy.urgency import Urgency, request_priority
 
 # Load changes within about a second.
 _MAX_REPORT_AGE_SECONDS = 1.0
@@ -202,7 +202,7 @@
         total = sum(levels.values())
         if total < _MIN_QUEUE_SAMPLE:
             ranks = len(service.route_priorities)
-            last = request_priority(ranks - 1, ranks, Standing.NEW)
+            last = request_priority(ranks - 1, ranks, Urgency.NEW)
             return float(priority >= last)
         ahead = sum(n for level, n in levels.items() if level <= priority)
         return ahead / total
--- a/libs/policy/src/rattanmill_policy/urgency.py
+++ b/libs/policy/src/rattanmill_policy/urgency.py
@@ -18,8 +18,8 @@
 _TOLERATED_EXCESS_SHARES = 0.5
 
 
-class Standing(enum.IntEnum):
-    """Order of programs whose calls have the same rank."""
+class Urgency(enum.IntEnum):
+    """Order of calls of the same rank, by their programs; the first is 0."""
 
     TIGHT = 0
     BEGUN = 1
@@ -27,13 +27,13 @@
     LAST = 3
 
 
-def standing(
+def urgency_of(
     has_begun: bool,
     seconds_left: float | None,
     needed_seconds: float | None,
     excess: float,
-) -> Standing:
-    """Returns the place of a call within its rank.
+) -> Urgency:
+    """Returns the urgency of a call within its rank.
 
     Programs that have begun come first, since abandoning one halfway would
     waste the service it has received. One that is past its target would only
@@ -47,32 +47,32 @@
         excess: Usage of its workspace above the fair share, in fair shares.
     """
     if excess > _TOLERATED_EXCESS_SHARES:
-        return Standing.LAST
+        return Urgency.LAST
     if seconds_left is not None and seconds_left <= 0:
-        return Standing.LAST
+        return Urgency.LAST
     if not has_begun:
-        return Standing.NEW
+        return Urgency.NEW
     if seconds_left is None or needed_seconds is None:
-        return Standing.BEGUN
+        return Urgency.BEGUN
     slack = seconds_left - needed_seconds
     is_tight = 0 <= slack < _TIGHT_SLACK_SHARE * needed_seconds
-    return Standing.TIGHT if is_tight else Standing.BEGUN
+    return Urgency.TIGHT if is_tight else Urgency.BEGUN
 
 
-def request_priority(rank: int, rank_count: int, place: Standing) -> int:
+def request_priority(rank: int, rank_count: int, urgency: Urgency) -> int:
     """Returns the priority of a call, from 0 (first) to 9.
 
     Each rank has an equal part of the numbers. If that is less than four
-    numbers, neighbouring places share one; with more than ten ranks,
+    numbers, neighbouring urgencies share one; with more than ten ranks,
     neighbouring ranks do.
 
     Args:
         rank: Position of the call's rank among those in use; 0 is the most
             urgent.
         rank_count: Number of ranks in use.
-        place: Place within the rank.
+        urgency: Urgency within the rank.
     """
     first = rank * _LEVELS // rank_count
     width = (rank + 1) * _LEVELS // rank_count - first
-    width = min(max(width, 1), len(Standing))
-    return first + place * width // len(Standing)
+    width = min(max(width, 1), len(Urgency))
+    return first + urgency * width // len(Urgency)
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -23,7 +23,7 @@
 from rattanmill_forward.workspaces import Workspace
 from rattanmill_keeper import Reserved
 from rattanmill_policy.fairness import WorkspaceShares
-from rattanmill_policy.urgency import Standing, request_priority, standing
+from rattanmill_policy.urgency import Urgency, request_priority, urgency_of
 from support.calls import make_call
 from support.engine_queue import (
     Program,
@@ -38,8 +38,8 @@
 _SEED = 1
 _BURST_STARTS_AT = 10.0
 _SECONDS = st.floats(-10, 100)
-_STANDINGS = st.builds(
-    standing,
+_URGENCIES = st.builds(
+    urgency_of,
     st.booleans(),
     st.none() | _SECONDS,
     st.none() | st.floats(0.001, 10),
@@ -56,7 +56,7 @@
     "for any two calls, the one of the more urgent route has no larger number"
 )
 def step_rank_first(context):
-    @given_values(_RANKS, _STANDINGS, _STANDINGS)
+    @given_values(_RANKS, _URGENCIES, _URGENCIES)
     def check(ranks, one, other):
         first, second, count = ranks
         first, second = sorted((first, second))
@@ -73,7 +73,7 @@
 
 @then("every priority is from 0 to 9")
 def step_range(context):
-    @given_values(_RANKS, _STANDINGS)
+    @given_values(_RANKS, _URGENCIES)
     def check(ranks, place):
         rank, _, count = ranks
         assert 0 <= request_priority(rank, count, place) <= 9
@@ -93,7 +93,7 @@
         rank, _, count = ranks
         less, more = (
             request_priority(
-                rank, count, standing(True, needed + slack, needed, 0.0)
+                rank, count, urgency_of(True, needed + slack, needed, 0.0)
             )
             for slack in sorted((one, other))
         )
@@ -110,12 +110,12 @@
     left, needed = (
         None if text == "unknown" else float(text) for text in (left, needed)
     )
-    context.place = standing(kind == "begun", left, needed, excess)
+    context.place = urgency_of(kind == "begun", left, needed, excess)
 
 
 @then('its place is "{place}"')
 def step_place(context, place):
-    assert context.place is Standing[place], context.place
+    assert context.place is Urgency[place], context.place
 
 
 @given(
