--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -34,7 +34,7 @@
     RosterChange,
     ShareChange,
 )
-from rattanmill_keeper.loads import LoadBoard
+from rattanmill_keeper.loads import LoadCollector
 from rattanmill_keeper.members import (
     MAX_SUCCESSORS,
     SHARES_SECONDS,
@@ -169,7 +169,7 @@
         self.journal = Journal(folder / _FOLDER, self._snapshot)
         self.run = uuid.uuid4().hex[:12]
         self.crashes = CrashLog(self.run)
-        self.loads = LoadBoard(self.run)
+        self.loads = LoadCollector(self.run)
         self.first_start = first_start
         self.is_recovered = first_start
         # Grants made alone may have been lost with the previous disk.
--- a/libs/keeper/src/rattanmill_keeper/loads.py
+++ b/libs/keeper/src/rattanmill_keeper/loads.py
@@ -51,7 +51,7 @@
     front_end: str
 
 
-class LoadBoard:
+class LoadCollector:
     """Loads and prefixes that front ends have reported to a storage instance.
 
     Attributes:
@@ -205,7 +205,7 @@
         self.active_until = now + _ACTIVE_SECONDS
         self.activity.set()
         measured_at = now - load.age_seconds
-        if self._is_newest(load.endpoint, measured_at):
+        if self._record_if_newest(load.endpoint, measured_at):
             self.pending[load.endpoint] = MeasuredLoad(load, measured_at)
 
     def record_prefix(self, endpoint: str, prefix: str) -> None:
@@ -303,12 +303,12 @@
         loads = [
             load
             for load in loads
-            if self._is_newest(load.endpoint, now - load.age_seconds)
+            if self._record_if_newest(load.endpoint, now - load.age_seconds)
         ]
         if loads:
             self._count("received", len(loads))
-            # One of each message, as this takes longer than all other work on
-            # a load.
+            # Only one of each message: recording takes longer than all other
+            # work on a load.
             self.reach.metrics.observe(
                 "rattanmill_load_age_seconds",
                 loads[len(loads) // 2].age_seconds,
@@ -317,8 +317,8 @@
         if reply.prefixes:
             self.on_prefixes(reply.prefixes)
 
-    def _is_newest(self, endpoint: str, measured_at: float) -> bool:
-        """Whether a load is newer than those known; if so, records its time."""
+    def _record_if_newest(self, endpoint: str, measured_at: float) -> bool:
+        """Records a load's time and returns True if it is the newest known."""
         if measured_at <= self.newest_at.get(endpoint, float("-inf")):
             return False
         self.newest_at.pop(endpoint, None)
@@ -362,11 +362,4 @@
 
 
 def _with_age(load: EndpointLoad, seconds: float) -> EndpointLoad:
-    return EndpointLoad(
-        load.endpoint,
-        load.running,
-        load.waiting,
-        load.slots,
-        load.slowdown,
-        seconds,
-    )
+    return msgspec.structs.replace(load, age_seconds=seconds)
--- a/libs/keeper/src/rattanmill_keeper/prefixes.py
+++ b/libs/keeper/src/rattanmill_keeper/prefixes.py
@@ -6,8 +6,9 @@
 
 from rattanmill_keeper.messages import CachedPrefix
 
-# Pairs of prefixes that one front end has reported. Without a part of their own
-# no further prefix could be found to be shared once the limit is reached.
+# Share of the limit that is reserved for prefixes that only one front end has
+# reported. Without it, once the limit is reached, they would be dropped before
+# a second front end reports them.
 _SINGLE_SHARE = 0.25
 
 
--- a/tests/features/steps/load_exchange.py
+++ b/tests/features/steps/load_exchange.py
@@ -13,7 +13,7 @@
 
 from rattanmill_core import loop_seconds
 from rattanmill_keeper import CachedPrefix, EndpointLoad
-from rattanmill_keeper.loads import LoadBoard
+from rattanmill_keeper.loads import LoadCollector
 from rattanmill_keeper.messages import ReportLoads, SharedLoads, codec
 from rattanmill_keeper.prefixes import SharedPrefixes
 from support.loads import (
@@ -479,7 +479,7 @@
 async def _deliver(reports):
     """Delivers reports in the order of their arrival and reads each change."""
     start = loop_seconds()
-    board = LoadBoard("run")
+    board = LoadCollector("run")
     arrivals = [
         (report.measured_at + report.waiting + under_way, number, under_way)
         for number, report in enumerate(reports)
--- a/tests/support/loads.py
+++ b/tests/support/loads.py
@@ -15,7 +15,7 @@
 from rattanmill_core import loop_seconds, start_loop
 from rattanmill_keeper import EndpointLoad, Member, Members
 from rattanmill_keeper.crashes import CrashLog
-from rattanmill_keeper.loads import LoadBoard, LoadExchange
+from rattanmill_keeper.loads import LoadCollector, LoadExchange
 from rattanmill_keeper.messages import (
     CachedPrefix,
     ReportLoads,
@@ -46,7 +46,7 @@
     def start(self) -> None:
         """Starts it without any state."""
         self.run = uuid.uuid4().hex
-        self.board = LoadBoard(self.run)
+        self.board = LoadCollector(self.run)
         self.crashes = CrashLog(self.run)
 
     def serve(self, data: bytes) -> bytes:
