Separate the decision on an attempt from sending it

Dispatcher.open_response chose, refused and sent in one function of 48 lines. _decide now returns endpoint and priority, or the refusal; open_response sends. Names that say what they do: _usable_endpoints, _count_placed_busy, QueueSample.count_waiting (was hold). Behaviour is unchanged.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -243,33 +243,16 @@
         The call is counted as in flight at the endpoint until the block ends.
         """
         for _ in range(_MAX_TRIES):
-            if job.seconds_left() < _MIN_SECONDS_LEFT:
-                yield self._refuse(
-                    job, Reason.DEADLINE, "deadline exceeded before dispatch"
-                )
-                return
-            quarantined = self.guard.refusal(job.fingerprint, job.ran)
-            if quarantined:
-                yield quarantined
-                return
-            pick = self.pick(job)
-            if pick is None:
-                yield self._refuse_no_endpoint(job)
-                return
-            priority = self._priority(job, pick)
-            overloaded = self._refuse_late(job, pick, priority)
-            if overloaded and pick.is_sampled:
-                # Endpoints that were not drawn may have free slots.
-                pick = self._pick_among(job, self._usable(job))
-                overloaded = self._refuse_late(job, pick, priority)
-            if overloaded:
-                yield overloaded
+            decision = self._decide(job)
+            if isinstance(decision, Refusal):
+                yield decision
                 return
+            pick, priority = decision
             stats = self.performance.stats_of(pick.endpoint)
             with InFlightCall(
                 stats, job.call.request_id, pick.uncached_tokens
             ) as in_flight:
-                with self.queues.hold(job.service, priority):
+                with self.queues.count_waiting(job.service, priority):
                     result = await self._send(job, pick, priority)
                 if isinstance(result, RunningCall):
                     in_flight.first_byte_received()
@@ -287,9 +270,29 @@
                 return
         yield self._refuse_no_endpoint(job)
 
+    def _decide(self, job: Job) -> tuple[Pick, int | None] | Refusal:
+        """Chooses endpoint and priority of an attempt, or refuses the call."""
+        if job.seconds_left() < _MIN_SECONDS_LEFT:
+            return self._refuse(
+                job, Reason.DEADLINE, "deadline exceeded before dispatch"
+            )
+        quarantined = self.guard.refusal(job.fingerprint, job.ran)
+        if quarantined:
+            return quarantined
+        pick = self.pick(job)
+        if pick is None:
+            return self._refuse_no_endpoint(job)
+        priority = self._priority(job, pick)
+        refusal = self._refuse_late(job, pick, priority)
+        if refusal and pick.is_sampled:
+            # Endpoints that were not drawn may have free slots.
+            pick = self._pick_among(job, self._usable_endpoints(job))
+            refusal = self._refuse_late(job, pick, priority)
+        return refusal or (pick, priority)
+
     def pick(self, job: Job) -> Pick | None:
         """Chooses an endpoint; returns None if none may get the call."""
-        usable = self._usable(job)
+        usable = self._usable_endpoints(job)
         if not usable:
             return None
         if job.service.name not in self.performance.services_with_slowdown:
@@ -332,7 +335,7 @@
             is_sampled,
         )
 
-    def _usable(self, job: Job) -> list[Endpoint]:
+    def _usable_endpoints(self, job: Job) -> list[Endpoint]:
         """Returns the endpoints that may get a call, preferring healthy ones.
 
         Each further endpoint counts against the route's maximum number of
@@ -360,7 +363,7 @@
         """Sends a call to an endpoint; returns None if it may be retried."""
         endpoint = pick.endpoint
         self._log_placed(job, pick, priority)
-        self._count_busy(job, pick)
+        self._count_placed_busy(job, pick)
         if priority is not None:
             self.metrics.count("rattanmill_priorities", level=str(priority))
         sent_at = loop_seconds()
@@ -700,7 +703,7 @@
             priority=priority,
         )
 
-    def _count_busy(self, job: Job, pick: Pick) -> None:
+    def _count_placed_busy(self, job: Job, pick: Pick) -> None:
         if (
             has_free_slot(pick.estimate)
             or job.service.name not in self.performance.services_with_slowdown
--- a/libs/forward/src/rattanmill_forward/refusing.py
+++ b/libs/forward/src/rattanmill_forward/refusing.py
@@ -50,8 +50,8 @@
     """Returns the expected time until a call starts at an endpoint.
 
     Slots become free as other calls end, so their mean duration counts where it
-    is known. Prompts that are read before are not counted: it is not known
-    which of them wait for a slot, and a call that can be served must not be
+    is known. The prefill of earlier calls is not counted: it is not known which
+    of them wait for a slot, and a call that can be served must not be
     refused.
 
     Args:
@@ -64,10 +64,10 @@
         return 0.0
     # A slot must become free even for the first one in the queue.
     ends_needed = min(beyond, 1.0) + max(0.0, beyond - 1) * share_ahead
-    held = estimate.slot_seconds
-    if held is None:
-        held = estimate.run_seconds
-    return ends_needed / slots * held
+    slot_seconds = estimate.slot_seconds
+    if slot_seconds is None:
+        slot_seconds = estimate.run_seconds
+    return ends_needed / slots * slot_seconds
 
 
 def has_recent_report(stats: EndpointStats | None, now: float) -> bool:
@@ -178,7 +178,9 @@
         self.waiting: dict[str, collections.Counter[int]] = {}
 
     @contextlib.contextmanager
-    def hold(self, service: Service, priority: int | None) -> Iterator[None]:
+    def count_waiting(
+        self, service: Service, priority: int | None
+    ) -> Iterator[None]:
         """Counts a call as waiting until the block ends."""
         if priority is None:
             yield
--- a/libs/forward/src/rattanmill_forward/stats.py
+++ b/libs/forward/src/rattanmill_forward/stats.py
@@ -372,7 +372,7 @@
         )
 
     def not_avoided(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
-        """Returns the endpoints that need not leave work to others."""
+        """Returns those that did not fail recently, nor did their domain."""
         now = loop_seconds()
         domains = {
             domain
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -259,7 +259,7 @@
         for priority, count in counts.items():
             for _ in range(count):
                 stack.enter_context(
-                    front_end.dispatcher.queues.hold(service, priority)
+                    front_end.dispatcher.queues.count_waiting(service, priority)
                 )
 
     context.prepare.append(hold)
