--- a/libs/core/src/rattanmill_core/instruments.py
+++ b/libs/core/src/rattanmill_core/instruments.py
@@ -1,7 +1,7 @@
 """OpenTelemetry instruments, exposed in the Prometheus text format.
 
-These libraries took a sixth of the time of a front end's imports. ``metrics``
-loads this module when it is needed.
+Loading these libraries takes a sixth of the time of a front end's imports, so
+``metrics`` imports this module on first use.
 """
 
 from collections.abc import Callable, Iterable
--- a/libs/core/src/rattanmill_core/metrics.py
+++ b/libs/core/src/rattanmill_core/metrics.py
@@ -15,7 +15,7 @@
     from rattanmill_core.instruments import Instruments
 
 _INSTRUMENTS_MODULE = "rattanmill_core.instruments"
-# About 1 MB. Without a reader, the libraries are loaded then.
+# Bounds the memory to about 1 MB if nobody reads the metrics.
 MAX_HELD_RECORDS = 4096
 
 # Name of a metric, and its labels.
--- a/libs/platform/src/rattanmill_platform/kvclient.py
+++ b/libs/platform/src/rattanmill_platform/kvclient.py
@@ -38,10 +38,6 @@
     revision: int
 
 
-class _WireRevision(msgspec.Struct):
-    revision: int
-
-
 class _WireLease(msgspec.Struct):
     lease: str
 
--- a/libs/platform/src/rattanmill_platform/storeclient.py
+++ b/libs/platform/src/rattanmill_platform/storeclient.py
@@ -156,7 +156,9 @@
 
 
 class StoreClient:
-    """Calls the platform store and keeps its connections for further calls.
+    """Sends HTTP requests to the platform store over reused connections.
+
+    ``StoreCalls`` adds the circuit breaker and the metrics.
 
     Attributes:
         idle: Connections without a call, by host.
