Seed the examples of urgency and refusing, without a time limit for each

"The rank of the route comes first" ended once with an error on a busy machine, without a traceback. The steps had hypothesis's default settings: examples drawn anew in each run, and 200 ms of wall-clock time for each. All other steps fix the seed and set no time limit; these now do the same, with twice the examples.

--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -12,6 +12,7 @@
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 from hypothesis import given as given_values
+from hypothesis import settings
 from hypothesis import strategies as st
 from rattanmill_site.headers import HTTP_CODEC
 
@@ -31,6 +32,7 @@
 from support.engine_queue import make_table
 from support.virtual import run_virtually
 
+_EXAMPLES = settings(max_examples=200, deadline=None, derandomize=True)
 _SEED = 1
 _EVENTS = 10
 _URGENT, _LESS_URGENT = 0, 1
@@ -475,6 +477,7 @@
 
 
 def _check_retry(check):
+    @_EXAMPLES
     @given_values(st.floats(0, 100), st.floats(0.01, 100), st.integers())
     def each(start, left, seed):
         seconds = retry_seconds(
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from hypothesis import given as given_values
+from hypothesis import settings
 from hypothesis import strategies as st
 from rattanmill_site.headers import HTTP_CODEC
 
@@ -45,6 +46,7 @@
     st.none() | st.floats(0.001, 10),
     st.floats(0, 20),
 )
+_EXAMPLES = settings(max_examples=200, deadline=None, derandomize=True)
 _RANKS = st.integers(1, 15).flatmap(
     lambda count: st.tuples(
         st.integers(0, count - 1), st.integers(0, count - 1), st.just(count)
@@ -56,6 +58,7 @@
     "for any two calls, the one of the more urgent route has no larger number"
 )
 def step_rank_first(context):
+    @_EXAMPLES
     @given_values(_RANKS, _URGENCIES, _URGENCIES)
     def check(ranks, one, other):
         first, second, count = ranks
@@ -73,6 +76,7 @@
 
 @then("every priority is from 0 to 9")
 def step_range(context):
+    @_EXAMPLES
     @given_values(_RANKS, _URGENCIES)
     def check(ranks, place):
         rank, _, count = ranks
@@ -86,6 +90,7 @@
     " larger number"
 )
 def step_slack(context):
+    @_EXAMPLES
     @given_values(
         _RANKS, st.floats(0.001, 10), st.floats(0, 50), st.floats(0, 50)
     )
