--- a/libs/core/src/rattanmill_core/instance.py
+++ b/libs/core/src/rattanmill_core/instance.py
@@ -39,6 +39,7 @@
         revocation_seconds: Time after which no caller's key that the operators
             have revoked may be accepted any more, or None if it is unbounded.
         rate_bounds: By how much rate limits of workspaces may be exceeded.
+        memory_bytes: Memory limit of the process, or None if it is unknown.
     """
 
     name: str
@@ -54,3 +55,4 @@
     grace_seconds: float = 8.0
     revocation_seconds: float | None = None
     rate_bounds: RateBounds = RateBounds()
+    memory_bytes: int | None = None
