Bound what a front end holds for callers that read slowly

Cause: measured with 20 callers that read nothing, 0.40 MB (stream) and 0.50 MB (long body) were held for each. A caller that did not read a buffered response of 200 kB kept it and its connection past its deadline, since only streams had a time limit on writing.

Change: Delivery writes to one caller with a write buffer limit of 0, and HeldBytes bounds the sum for all callers; the largest stalled responses are cut off beyond it. Reading from the endpoint pauses during a stall. Whole responses and ends of responses are written until the deadline. Refusals are given up after the idle timeout. Writes that end because of the caller are logged as caller_stalled, and not as endpoint timeouts.

--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -1,6 +1,8 @@
 """Connections of callers, with timeouts for reading request heads."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -11,6 +13,11 @@
 
 _MAX_HEAD_BYTES = 64 * 1024
 _BACKLOG = 1024
+# Kernel buffers of a connection; they grow to megabytes by themselves
+# otherwise, and count as memory of the front end's container.
+_SOCKET_BUFFER_BYTES = 32 * 1024
+# Lingers for 0 s.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -56,6 +63,12 @@
         self.head_timer: asyncio.TimerHandle | None = None
         self.last_body: StreamReader | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Writing is paused while anything is left to send: only then is it
+        # certain that all of a response was taken once a write returns.
+        transport.set_write_buffer_limits(0)
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         # A request may be refused before all of its body has arrived.
         is_body = self.last_body is not None and not self.last_body.is_eof()
@@ -78,10 +91,38 @@
         self.is_serving = True
         self.last_body = request.content
         try:
-            return await handler(request)
+            response = await handler(request)
+            if not response.prepared:
+                await self._send(request, response)
+            return response
         finally:
             self.is_serving = False
 
+    async def _send(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> None:
+        """Sends a short response; its caller must read it in time."""
+        await response.prepare(request)
+        seconds = self.policy.limits().idle_timeout_seconds
+        try:
+            async with asyncio.timeout(seconds):
+                await response.write_eof()
+        except TimeoutError:
+            self._abort_stalled(request, seconds)
+
+    def _abort_stalled(self, request: web.BaseRequest, seconds: float) -> None:
+        """Closes the connection of a caller that reads no short response."""
+        self.policy.metrics.count("rattanmill_callers_stalled", why="idle")
+        log_event(
+            "caller_stalled",
+            request=None,
+            program=None,
+            unread_bytes=request.transport.get_write_buffer_size(),
+            stalled_s=seconds,
+            why="idle",
+        )
+        abort_connection(request.transport)
+
     def _stop_timer(self) -> None:
         if self.head_timer:
             self.head_timer.cancel()
@@ -121,6 +162,15 @@
         return _Connection(self, self.policy)
 
 
+def abort_connection(transport: asyncio.Transport | None) -> None:
+    """Resets a connection, so that the kernel keeps nothing to be sent."""
+    if transport is None:
+        return
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
+
+
 async def listen(
     address: str,
     handler: Handler,
@@ -137,9 +187,16 @@
     )
     await runner.setup()
     host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
     try:
-        await site.start()
+        sock = socket.create_server(
+            (host, int(port)),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=_BACKLOG,
+        )
+        # Connections inherit the sizes.
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
+        await web.SockSite(runner, sock, backlog=_BACKLOG).start()
     except OSError as error:
         raise SettingsError(f"cannot listen on {address}: {error}") from error
     return runner
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -20,6 +20,7 @@
 from rattanmill_forward.callers import ConnectionPolicy, listen
 from rattanmill_forward.calls import HttpCodec
 from rattanmill_forward.crashes import CrashGuard
+from rattanmill_forward.delivery import max_held_bytes
 from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
@@ -188,6 +189,10 @@
         Dispatcher(registry, performance, pool, guard, domains, codec, metrics),
         TurnManager(keepers, metrics),
         metrics,
+        max_held_bytes(settings.memory_bytes),
+    )
+    metrics.gauge(
+        "rattanmill_held_for_callers_bytes", lambda: front_end.held.total
     )
     store_sync = StoreSync(kv, schema, front_end, registry)
     front_end.config_proved_at = store_sync.config_proved_at
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
 from typing import Self
 
 import h11
@@ -28,7 +30,16 @@
 _MAX_IDLE_SECONDS = 20.0
 _MAX_IDLE_CONNECTIONS = 24
 _MAX_HEAD_BYTES = 64 * 1024
-_READ_PAUSE_BYTES = 256 * 1024
+# Most bytes of a response that are read at a time, and beyond which reading
+# pauses: a thousand responses that callers do not read must fit into a front
+# end's memory.
+_RECEIVE_BYTES = 16 * 1024
+_READ_PAUSE_BYTES = 16 * 1024
+# Kernel buffers of a connection; they grow to megabytes by themselves
+# otherwise, and count as memory of the front end's container.
+_SOCKET_BUFFER_BYTES = 32 * 1024
+# Used by all connections, since data is copied from it as soon as it arrives.
+_receive_buffer = memoryview(bytearray(_RECEIVE_BYTES))
 
 
 class ConnectFailed(msgspec.Struct, frozen=True):
@@ -53,7 +64,7 @@
     """The connection ended, or the data received is not a valid response."""
 
 
-class _ClientProtocol(asyncio.Protocol):
+class _ClientProtocol(asyncio.BufferedProtocol):
     """Buffers the bytes of one connection, with backpressure."""
 
     def __init__(self) -> None:
@@ -75,15 +86,26 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
 
-    def data_received(self, data: bytes) -> None:
-        self.received += data
-        if (
-            len(self.received) > _READ_PAUSE_BYTES
-            and not self.is_reading_paused
-        ):
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.received += _receive_buffer[:nbytes]
+        if len(self.received) > _READ_PAUSE_BYTES:
+            self.pause_reading()
+        self._wake()
+
+    def pause_reading(self) -> None:
+        """Stops reading until the data received is taken."""
+        if not self.is_reading_paused:
             self.is_reading_paused = True
             self.transport.pause_reading()
-        self._wake()
+
+    def resume_reading(self) -> None:
+        """Reads on."""
+        if self.is_reading_paused:
+            self.is_reading_paused = False
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         self.eof = True
@@ -118,11 +140,9 @@
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
         if self.received:
-            data = bytes(self.received)
-            self.received.clear()
-            if self.is_reading_paused:
-                self.is_reading_paused = False
-                self.transport.resume_reading()
+            data = bytes(self.received[:_RECEIVE_BYTES])
+            del self.received[:_RECEIVE_BYTES]
+            self.resume_reading()
             return data
         if self.error:
             raise BrokenError(str(self.error) or "connection reset")
@@ -143,6 +163,7 @@
         self.idle_until = 0.0
         self.abort_when_unreachable = False
         self.body_task: asyncio.Task | None = None
+        self.unforwarded_bytes = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -209,6 +230,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self.protocol.receive()
+            self.unforwarded_bytes = len(data)
             try:
                 self.http.receive_data(data)
             except h11.RemoteProtocolError as error:
@@ -282,13 +304,36 @@
         while True:
             event = await self.connection.next_event()
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
+                # Not referenced here while its consumer waits for a caller.
+                data = [bytes(event.data)]
+                del event
+                yield data.pop()
             elif isinstance(event, h11.EndOfMessage):
                 self.is_complete = True
                 return
             else:
                 raise BrokenError("response ended early")
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of it that were received and are not forwarded yet."""
+        connection = self.connection
+        return len(connection.protocol.received) + connection.unforwarded_bytes
+
+    def record_forwarded(self, size: int) -> None:
+        """Records that bytes of its body were forwarded."""
+        left = self.connection.unforwarded_bytes - size
+        self.connection.unforwarded_bytes = max(0, left)
+
+    @contextlib.contextmanager
+    def paused(self) -> Iterator[None]:
+        """Pauses reading while its caller does not read."""
+        protocol = self.connection.protocol
+        protocol.pause_reading()
+        yield
+        if len(protocol.received) <= _READ_PAUSE_BYTES:
+            protocol.resume_reading()
+
     async def read(self) -> bytes:
         """Returns the whole body.
 
@@ -467,7 +512,10 @@
             return ConnectFailed(
                 str(error) or "connection timed out", is_refused
             )
-        set_tcp_timeouts(protocol.transport.get_extra_info("socket"))
+        sock = protocol.transport.get_extra_info("socket")
+        set_tcp_timeouts(sock)
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
         return Connection(endpoint, protocol)
 
     def has_open_idle(self, endpoint: Endpoint) -> bool:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -16,6 +16,7 @@
 )
 from rattanmill_forward.bodies import BodyStream, read_body
 from rattanmill_forward.calls import Call, Headers, HttpCodec
+from rattanmill_forward.delivery import HeldBytes
 from rattanmill_forward.dispatch import Dispatcher, Job
 from rattanmill_forward.forwarding import Forwarder
 from rattanmill_forward.ratelimit import RateGuard
@@ -50,6 +51,7 @@
         dispatcher: Sends calls to endpoints.
         turns: Manages token budgets and conversation histories.
         metrics: Counters and timings.
+        max_held_bytes: Most bytes that may be held for all callers.
     """
 
     def __init__(
@@ -58,10 +60,12 @@
         dispatcher: Dispatcher,
         turns: TurnManager,
         metrics: Metrics,
+        max_held_bytes: int,
     ) -> None:
         self.codec = codec
+        self.held = HeldBytes(max_held_bytes)
         self.forwarder = Forwarder(
-            dispatcher, turns, metrics, lambda: self.is_draining
+            dispatcher, turns, metrics, lambda: self.is_draining, self.held
         )
         self.turns = turns
         self.rates = RateGuard(turns.keepers.rates)
