Log and count how each attempt of a stream ends, with what marks its end

A caller got a broken answer as complete, and neither logs nor the kept part of the metrics could tell how that answer was framed or how it ended: attempt_ended was not written for a first attempt that was taken for whole, and a record that keeps the first 4,000 bytes of the metrics had gauges of the runtime and no counter.

attempt_ended now has content type, framing, bytes after the last complete event and the kind of end; it is written for whole attempts too if nothing but the end of the connection marks their end. rattanmill_stream_ends counts all attempts. The page of metrics begins with counters and ends with the runtime's, without labels that are the same on each line.

--- a/libs/core/src/rattanmill_core/instruments.py
+++ b/libs/core/src/rattanmill_core/instruments.py
@@ -18,7 +18,7 @@
     ExplicitBucketHistogramAggregation,
     View,
 )
-from prometheus_client import REGISTRY, generate_latest
+from prometheus_client import REGISTRY, Metric, generate_latest
 
 _SHORT_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5)
 _LONG_BUCKETS_SECONDS = (1, 2, 5, 10, 20, 50, 100, 200, 500)
@@ -35,7 +35,7 @@
             ),
         )
         self.provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()], views=[view]
+            metric_readers=[_create_reader()], views=[view]
         )
         self.meter = self.provider.get_meter("rattanmill")
         self.counters: dict[str, Counter] = {}
@@ -69,7 +69,31 @@
 
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return generate_latest(REGISTRY)
+        return generate_latest(_CountersFirst())
+
+
+class _CountersFirst:
+    """All metrics: those that count decisions first, the runtime's last.
+
+    Some collectors keep only the beginning of a long page.
+    """
+
+    def collect(self) -> list[Metric]:
+        return sorted(REGISTRY.collect(), key=_position)
+
+
+def _position(metric: Metric) -> tuple[bool, bool]:
+    return (
+        not metric.name.startswith("rattanmill_"),
+        metric.type == "histogram",
+    )
+
+
+def _create_reader() -> PrometheusMetricReader:
+    # There is one scope and one resource, whose labels only make the page long.
+    return PrometheusMetricReader(
+        disable_target_info=True, scope_info_enabled=False
+    )
 
 
 def _create_callback(
--- a/libs/forward/src/rattanmill_forward/__init__.py
+++ b/libs/forward/src/rattanmill_forward/__init__.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from rattanmill_forward.calls import (
         Call,
+        Framing,
         Headers,
         HttpCodec,
         Load,
@@ -43,6 +44,7 @@
     "HttpCodec",
     "Endpoint",
     "EngineConfig",
+    "Framing",
     "Headers",
     "KeyRing",
     "RouteKind",
@@ -64,6 +66,7 @@
     {
         "calls": (
             "Call",
+            "Framing",
             "Headers",
             "HttpCodec",
             "Load",
--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -1,5 +1,6 @@
 """Callers' requests and endpoints' responses, decoded once by a codec."""
 
+import enum
 import urllib.parse
 from collections.abc import Callable
 
@@ -126,6 +127,14 @@
     slowdown: float | None = None
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_END = "connection_end"
+
+
 class ResponseHead(msgspec.Struct):
     """Status line and headers of an endpoint's response.
 
@@ -137,8 +146,7 @@
         not_run: Whether it states that the request did not run.
         is_misdirected: Whether another endpoint has the address now.
         is_encoded: Whether the body was encoded on the way.
-        is_delimited: Whether the body has a length or comes in chunks; else the
-            end of the connection ends it.
+        framing: What marks the end of the body.
         content_type: Media type of the body without parameters, in lower case,
             or empty.
         load: Load that it reports, or None.
@@ -156,7 +164,7 @@
     not_run: bool = False
     is_misdirected: bool = False
     is_encoded: bool = False
-    is_delimited: bool = True
+    framing: Framing = Framing.CHUNKS
     content_type: str = ""
     load: Load | None = None
     idle_timeout_seconds: float | None = None
@@ -173,6 +181,11 @@
         """The slowdown that it reports, or 1.0 if it reports none."""
         return (self.load and self.load.slowdown) or 1.0
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body marks its end itself."""
+        return self.framing is not Framing.CONNECTION_END
+
     @property
     def is_event_stream(self) -> bool:
         """Whether the body consists of events."""
--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards the responses of endpoints to callers."""
 
 import asyncio
+import enum
 from collections.abc import Callable
 
 from rattanmill_core import Metrics, Refusal, log_event, loop_seconds
@@ -9,6 +10,7 @@
 from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
 from rattanmill_forward.events import Block
 from rattanmill_forward.exchange import BrokenError
+from rattanmill_forward.joining import EndedEarlyError, NotContinuedError
 from rattanmill_forward.responses import rounded_ms, set_headers
 from rattanmill_forward.turns import Turn, TurnManager
 
@@ -18,6 +20,16 @@
 _MAX_BUFFERED_BYTES = 256 * 1024
 
 
+class StreamEnd(enum.StrEnum):
+    """How an attempt of a stream ended."""
+
+    COMPLETE = "complete"
+    CUT_OFF = "cut_off"
+    DEADLINE = "deadline"
+    ENDED_EARLY = "ended_early"
+    NOT_CONTINUED = "not_continued"
+
+
 class Forwarder:
     """Forwards responses, from several attempts where that is allowed.
 
@@ -118,14 +130,12 @@
                     response = response or await self._start_response(
                         request, head
                     )
-                    self._log_attempt(job, running, "")
+                    self._record_attempt(job, running, None)
                     return await self._finish_stream(
                         request, job, running, response, turn
                     )
                 except (BrokenError, TimeoutError) as error:
-                    self._log_attempt(
-                        job, running, str(error) or "deadline exceeded"
-                    )
+                    self._record_attempt(job, running, error)
                     refusal = self.dispatcher.handle_interruption(
                         job, running, error
                     )
@@ -232,23 +242,36 @@
             loop_seconds() - job.call.arrived_at,
         )
 
-    def _log_attempt(self, job: Job, running: RunningCall, why: str) -> None:
-        """Logs an attempt of a stream, unless it is the first and whole."""
-        if job.stream.attempts == 1 and not why:
+    def _record_attempt(
+        self, job: Job, running: RunningCall, error: Exception | None
+    ) -> None:
+        """Records how an attempt of a stream ended, None if it was whole.
+
+        Not logged if only one attempt was needed and its end was marked.
+        """
+        stream, head = job.stream, running.response.head
+        end = _classify_end(error)
+        self.metrics.count(
+            "rattanmill_stream_ends", framing=head.framing, end=end
+        )
+        is_expected = error is None and head.is_delimited
+        if is_expected and stream.attempts == 1 and not stream.incomplete_bytes:
             return
-        head = running.response.head
         log_event(
             "attempt_ended",
             request=job.call.request_id,
             program=job.call.program,
             endpoint=running.endpoint.name,
-            number=job.stream.attempts,
+            number=stream.attempts,
             status=head.status,
-            delimited=head.is_delimited,
+            content_type=head.content_type,
+            framing=head.framing,
             first_event=running.first_event_id,
-            last_event=job.stream.position.last_id,
+            last_event=stream.position.last_id,
             events=running.event_count,
-            why=why[:200],
+            incomplete_bytes=stream.incomplete_bytes,
+            end=end,
+            why=str(error or "")[:200],
         )
 
     def _record_answer(self, job: Job, running: RunningCall, size: int) -> None:
@@ -269,3 +292,17 @@
     def _close_if_draining(self, response: web.StreamResponse) -> None:
         if self.is_draining():
             response.force_close()
+
+
+def _classify_end(error: Exception | None) -> StreamEnd:
+    match error:
+        case None:
+            return StreamEnd.COMPLETE
+        case NotContinuedError():
+            return StreamEnd.NOT_CONTINUED
+        case EndedEarlyError():
+            return StreamEnd.ENDED_EARLY
+        case TimeoutError():
+            return StreamEnd.DEADLINE
+        case _:
+            return StreamEnd.CUT_OFF
--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -15,6 +15,10 @@
 _MAX_ID_DIGITS = 18
 
 
+class EndedEarlyError(BrokenError):
+    """A body came to its end before its stream did."""
+
+
 class NotContinuedError(BrokenError):
     """A later attempt's response does not go on where the caller is."""
 
@@ -84,6 +88,8 @@
         interruptions: Number of attempts that were interrupted, or did not go
             on, since the caller got an event.
         is_more_due: Whether an attempt broke off within an event since.
+        incomplete_bytes: Bytes that the newest attempt sent after its last
+            complete block.
     """
 
     def __init__(self) -> None:
@@ -93,6 +99,7 @@
         self.attempts = 0
         self.interruptions = 0
         self.is_more_due = False
+        self.incomplete_bytes = 0
 
     def begin(self, head: ResponseHead) -> None:
         """Begins an attempt with the head of its response.
@@ -141,6 +148,8 @@
         except BrokenError:
             self.is_more_due |= is_checked and reader.is_within_event
             raise
+        finally:
+            self.incomplete_bytes = len(reader.buffer)
         self._check_end(head, reader, count)
         rest = [Block(reader.buffer, "", None)] if reader.buffer else []
         for each in (*held, *rest):
@@ -167,9 +176,9 @@
         """Checks that a body that came to its end is the end of the stream."""
         has_events = head.is_event_stream or self.position.has_events
         if has_events and reader.is_within_event:
-            raise BrokenError("the stream ended within an event")
+            raise EndedEarlyError("the stream ended within an event")
         if has_events and not count and not head.is_delimited:
-            raise BrokenError("the connection ended without an event")
+            raise EndedEarlyError("the connection ended without an event")
         if not count and self.is_more_due:
             raise NotContinuedError("no event, though more was due")
 
--- a/tests/features/metrics.feature
+++ b/tests/features/metrics.feature
@@ -37,6 +37,13 @@
     When each reason for a refusal and each for a retry happens once
     Then each is exported with a count of 1
 
+  Scenario: Counters are at the beginning of the page
+    Guards against the loss of what was counted where only the first kilobytes of
+    the page are kept.
+
+    When durations are observed and then a stream that was cut off is counted
+    Then the page begins with that counter and ends with metrics of the runtime
+
   Scenario: Durations, gauges and traffic
     When a program has a streamed turn through another domain
     Then these have values above 0 at any instance
--- a/tests/features/steps/metrics.py
+++ b/tests/features/steps/metrics.py
@@ -150,6 +150,29 @@
             assert found[0].endswith(" 1.0"), found
 
 
+@when("durations are observed and then a stream that was cut off is counted")
+def step_observe_and_count(context):
+    context.metrics = Metrics()
+    context.metrics.observe("rattanmill_answer_seconds", 0.2)
+    context.metrics.count(
+        "rattanmill_stream_ends", framing="chunks", end="cut_off"
+    )
+
+
+@then("the page begins with that counter and ends with metrics of the runtime")
+def step_counters_first(context):
+    lines = context.metrics.exposition().decode().splitlines()
+    samples = [line for line in lines if not line.startswith("#")]
+    counter = 'rattanmill_stream_ends_total{end="cut_off",framing="chunks"} 1.0'
+    assert counter in samples, samples
+    first_bucket = next(
+        n for n, line in enumerate(samples) if "_bucket" in line
+    )
+    assert samples.index(counter) < first_bucket, samples
+    own = [line.startswith("rattanmill_") for line in samples]
+    assert own == sorted(own, reverse=True), samples
+
+
 @when("a program has a streamed turn through another domain")
 def step_streamed(context):
     program = context.clients[0].create()
