Tests that fail: streams that stopped early and are taken for complete

An end of the body is taken for the end of its stream where the head has no content type and no event has come (also in chunks), where a stream without a marked end stops within a comment or between the CR and the LF of its last line end, and where the attempt that resumes it is empty.

--- a/tests/features/site_streams.feature
+++ b/tests/features/site_streams.feature
@@ -65,6 +65,52 @@
       | unframed_cut |
       | ended_within |
       | cut_between  |
+      | first_unframed_empty         |
+      | first_unframed_comment_cut   |
+      | first_unframed_crlf_cut      |
+      | first_untyped_unframed_empty |
+      | first_untyped_unframed_cut   |
+      | first_untyped_ended_within   |
+
+  Scenario Outline: A stream ends before its first event is whole
+    Guards against an answer that is taken for whole, and kept for later turns,
+    as it has no content type and no event that would tell that it is a stream.
+
+    Given every engine has the fault "<fault>"
+    When a turn "s" of program "p27" is sent to "east"
+    Then it is answered with 502
+    When the next turn "more" of program "p27" is sent to "west"
+    Then it is answered with 404
+
+    Examples:
+      | fault                        |
+      | first_unframed_empty         |
+      | first_untyped_unframed_empty |
+      | first_untyped_unframed_cut   |
+      | first_untyped_ended_within   |
+
+  Scenario Outline: A stream without a marked end stops between its events
+    Guards against an end of the connection that is taken for the stream's, though
+    a comment or the last line end is not whole.
+
+    Given every engine has the fault "<fault>"
+    When a turn "q" of program "p28" is sent to "east"
+    Then the connection ends without a complete response
+
+    Examples:
+      | fault                      |
+      | first_unframed_comment_cut |
+      | first_unframed_crlf_cut    |
+
+  Scenario: A stream ends within an event, and the attempt that resumes it is empty
+    Guards against a complete response without the rest of that event.
+
+    Given every engine has the fault "unframed_cut"
+    And every engine has the fault "resumed_empty"
+    When a plan is sent to "east"
+    Then an endpoint played the fault "resumed_empty"
+    And it is answered with 200
+    And its events are 1 to 4, each once
 
   Scenario: A stream without a length
     Given every engine has the fault "unframed"
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -45,6 +45,16 @@
 )
 # Faults that begin a resumed stream so many events too late or too early.
 _RESUMED_STEPS = {"resumed_skip": 1, "resumed_repeat": -1}
+# Faults whose streams end in an orderly way, but early: all that comes of them.
+_EARLY_ENDS = {
+    "first_unframed_empty": b"",
+    "first_unframed_comment_cut": b"id: 1\ndata: word1 \n\n: wai",
+    "first_unframed_crlf_cut": b"id: 1\r\ndata: word1 \r\n\r\nid: 2\r\n"
+    b"data: word2 \r\n\r",
+    "first_untyped_unframed_empty": b"",
+    "first_untyped_unframed_cut": b"id: 1\ndata: wor",
+    "first_untyped_ended_within": b"id: 1\ndata: wor",
+}
 # A body that holds this ends the process of each runner that runs it.
 _POISON = b"poisoned"
 
@@ -97,7 +107,8 @@
             (events without ids, cut as well), ``unframed`` (no length),
             ``unframed_cut`` (no length, closed in the middle of an event),
             ``ended_within`` (in chunks that end in the middle of an event).
-            ``first_cut`` is ``cut`` of a stream that isn't resumed.
+            ``first_cut`` is ``cut`` of a stream that isn't resumed; others that
+            begin with ``first_`` are in ``_EARLY_ENDS``.
             Those of resumed streams stay until one comes: ``resumed_error``
             (500), ``resumed_stranger`` (500 if it began at another runner),
             ``resumed_restart`` (from the first event), ``resumed_skip``
@@ -246,6 +257,8 @@
         if fault == "foreign_apart":
             await writer.drain()
             await asyncio.sleep(0.1)
+        if fault in _EARLY_ENDS:
+            return await self._end_early(writer, request, fault)
         if seen["target"].startswith("/stream/"):
             return await self._stream(writer, seen, fault)
         body = f"done by {self.name}".encode()
@@ -272,6 +285,18 @@
         await writer.drain()
         return True
 
+    async def _end_early(
+        self, writer: asyncio.StreamWriter, request: str, fault: str
+    ) -> bool:
+        fields = _SIGNED if "untyped" in fault else _STREAM
+        is_framed = "unframed" not in fault
+        body = _EARLY_ENDS[fault]
+        if is_framed:
+            body = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+        writer.write(_head(200, request, fields, None, is_framed) + body)
+        await writer.drain()
+        return is_framed
+
     async def _stream(
         self, writer: asyncio.StreamWriter, seen: dict, fault: str
     ) -> bool:
