Take a stream for complete only at the end of an event

Callers got a broken answer as a complete 200, and its turn was kept for later ones.

Cause: the end of the bytes was taken for the end of the stream. Whether a body is a stream was told by its content type or by an event that had come, not by its route; so without a content type half a first event, or nothing at all, was a whole answer. Without a marked end, a stream could also stop within a comment, or between the CR and the LF of the last line end. And a stream that ended within an event in an orderly way did not count as one of which more is due: an empty attempt then completed it.

Now the body of a stream without a content type is one of events; without a marked end it is complete only after an event and at the end of a block; a CR after a line that ended with LF waits for its LF; more is due after any end within an event. It works because each of these is decided by what a whole stream looks like, in one place (_check_events_end), whatever its head leaves out.

--- a/libs/forward/src/rattanmill_forward/calls.py
+++ b/libs/forward/src/rattanmill_forward/calls.py
@@ -13,6 +13,8 @@
 
 Headers = list[tuple[str, str]]
 
+_EVENT_STREAM = "text/event-stream"
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt that several requests may share."""
@@ -186,10 +188,15 @@
         """Whether the body marks its end itself."""
         return self.framing is not Framing.CONNECTION_END
 
+    @property
+    def stream_type(self) -> str:
+        """Media type of the body, if it is the response of a stream."""
+        return self.content_type or _EVENT_STREAM
+
     @property
     def is_event_stream(self) -> bool:
-        """Whether the body consists of events."""
-        return self.content_type == "text/event-stream"
+        """Whether the body consists of events, if it is that of a stream."""
+        return self.stream_type == _EVENT_STREAM
 
 
 class RefusalResponse(msgspec.Struct, frozen=True):
--- a/libs/forward/src/rattanmill_forward/events.py
+++ b/libs/forward/src/rattanmill_forward/events.py
@@ -4,9 +4,13 @@
 
 import msgspec
 
-# A line ends with CR, LF or both. If the LF of a last CR is still to come, it
+# A line ends with CR, LF or both. After a line that ended with LF, a CR at the
+# end of the data is not the end of an empty line yet: its LF may still be to
+# come. Where lines end with CR alone it is, and if its LF comes after all, that
 # begins the next block as an empty line.
-_EMPTY_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+_EMPTY_LINE = re.compile(
+    rb"\r?\n(?:\r?\n|\r(?=[^\n]))|\r(?!\n)(?:\r\n|\r(?!\n))"
+)
 
 
 class Block(msgspec.Struct, frozen=True):
@@ -47,6 +51,11 @@
             for line in self.buffer.splitlines()
         )
 
+    @property
+    def is_within_block(self) -> bool:
+        """Whether the rest is more than empty lines."""
+        return any(self.buffer.splitlines())
+
     def feed(self, data: bytes) -> list[Block]:
         """Returns the blocks that are complete now."""
         self.buffer += data
--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -113,7 +113,7 @@
         first = self.first_head
         if head.status != first.status:
             raise NotContinuedError(f"status {head.status}")
-        if head.content_type != first.content_type:
+        if head.stream_type != first.stream_type:
             raise NotContinuedError(f"content type {head.content_type!r}")
 
     async def blocks(self, response: EndpointResponse) -> AsyncIterator[Block]:
@@ -174,14 +174,28 @@
         self, head: ResponseHead, reader: BlockReader, count: int
     ) -> None:
         """Checks that a body that came to its end is the end of the stream."""
-        has_events = head.is_event_stream or self.position.has_events
-        if has_events and reader.is_within_event:
-            raise EndedEarlyError("the stream ended within an event")
-        if has_events and not count and not head.is_delimited:
-            raise EndedEarlyError("the connection ended without an event")
+        if head.is_event_stream or self.position.has_events:
+            self._check_events_end(head, reader, count)
         if not count and self.is_more_due:
             raise NotContinuedError("no event, though more was due")
 
+    def _check_events_end(
+        self, head: ResponseHead, reader: BlockReader, count: int
+    ) -> None:
+        """Checks that a body that came to its end is a whole stream of events.
+
+        An endpoint that is terminated closes its connections in an orderly way.
+        """
+        if reader.is_within_event:
+            self.is_more_due = True
+            raise EndedEarlyError("the stream ended within an event")
+        if head.is_delimited:
+            return
+        if reader.is_within_block:
+            raise EndedEarlyError("the connection ended within a comment")
+        if not count:
+            raise EndedEarlyError("the connection ended without an event")
+
 
 def _number(event_id: str) -> int | None:
     if event_id.isdecimal() and len(event_id) <= _MAX_ID_DIGITS:
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -45,12 +45,13 @@
 )
 # Faults that begin a resumed stream so many events too late or too early.
 _RESUMED_STEPS = {"resumed_skip": 1, "resumed_repeat": -1}
-# Faults whose streams end in an orderly way, but early: all that comes of them.
+# Faults whose streams end in an orderly way, but early: all that comes of them,
+# with RUNNER for the runner's id.
 _EARLY_ENDS = {
     "first_unframed_empty": b"",
-    "first_unframed_comment_cut": b"id: 1\ndata: word1 \n\n: wai",
-    "first_unframed_crlf_cut": b"id: 1\r\ndata: word1 \r\n\r\nid: 2\r\n"
-    b"data: word2 \r\n\r",
+    "first_unframed_comment_cut": b"id: 1\ndata: word1 by RUNNER\n\n: wai",
+    "first_unframed_crlf_cut": b"id: 1\r\ndata: word1 by RUNNER\r\n\r\n"
+    b"id: 2\r\ndata: word2 by RUNNER\r\n\r",
     "first_untyped_unframed_empty": b"",
     "first_untyped_unframed_cut": b"id: 1\ndata: wor",
     "first_untyped_ended_within": b"id: 1\ndata: wor",
@@ -290,7 +291,7 @@
     ) -> bool:
         fields = _SIGNED if "untyped" in fault else _STREAM
         is_framed = "unframed" not in fault
-        body = _EARLY_ENDS[fault]
+        body = _EARLY_ENDS[fault].replace(b"RUNNER", self.name.encode())
         if is_framed:
             body = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
         writer.write(_head(200, request, fields, None, is_framed) + body)
