Split the types of calls and the selection of endpoints from the dispatcher

No behaviour changes: the eight features that drive these decisions pass as before, their checks unchanged but for the modules' names.

--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -6,8 +6,6 @@
 import random
 from collections.abc import AsyncIterator
 
-import msgspec
-
 from rattanmill_core import (
     Metrics,
     Ran,
@@ -18,10 +16,8 @@
     refuse,
     warn_event,
 )
-from rattanmill_forward.bodies import BodyStream
-from rattanmill_forward.calls import Call, HttpCodec, ResponseHead
-from rattanmill_forward.candidates import draw_candidates
-from rattanmill_forward.crashes import CrashGuard, fingerprint_of
+from rattanmill_forward.calls import HttpCodec, ResponseHead
+from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
 from rattanmill_forward.exchange import (
@@ -31,12 +27,9 @@
     EndpointResponse,
     OutcomeUnknown,
 )
-from rattanmill_forward.joining import NotContinuedError, StreamJoiner
-from rattanmill_forward.placing import (
-    choose,
-    expected_seconds,
-    has_free_slot,
-)
+from rattanmill_forward.jobs import Job, RunningCall
+from rattanmill_forward.joining import NotContinuedError
+from rattanmill_forward.placing import has_free_slot
 from rattanmill_forward.priorities import (
     PriorityAssigner,
     program_seconds_left,
@@ -48,7 +41,8 @@
     refuse_late,
     retry_seconds,
 )
-from rattanmill_forward.routes import Route, RouteKind, Service
+from rattanmill_forward.routes import RouteKind
+from rattanmill_forward.selecting import EndpointSelector
 from rattanmill_forward.stats import InFlightCall, PerformanceModel, Pick
 
 # With less time left, a call would only waste its endpoint's time.
@@ -62,9 +56,6 @@
 _MAX_TRIES = 6
 # Reading the body of a rejection saves a new connection, which takes less time.
 _MAX_DISCARD_SECONDS = 0.25
-# A stream that is interrupted so often without an event between is not resumed.
-_MAX_INTERRUPTIONS = 4
-_DEFAULT_EVENT_COUNT = 12.0
 # Shorter streams say little about the interval between events.
 _MIN_TIMED_EVENTS = 3
 
@@ -78,128 +69,6 @@
     NOT_CONTINUED = "not_continued"
 
 
-class Job(msgspec.Struct):
-    """A call that is being dispatched to an endpoint.
-
-    Attributes:
-        call: The caller's request.
-        route: The route that it matched.
-        service: The service whose endpoints may run it.
-        body: The body for endpoints; for a turn, its whole chain.
-        deadline: Loop time by which the caller must get a response.
-        possible_runs: Names of the endpoints at which it may have run.
-        excluded: Names of the endpoints that can't run it now.
-        terminated: Names of the endpoints at which it may have run and that
-            have terminated since.
-        not_continued: Names of the endpoints that did not go on with it where
-            its caller is.
-        stream: The attempts of a stream.
-        body_stream: The part of a long body that is still to arrive, or None.
-        fingerprint: Hash of what stays the same when the request is sent again.
-        has_begun: Whether its program has had a turn before, or None if that
-            is unknown.
-    """
-
-    call: Call
-    route: Route
-    service: Service
-    body: bytes
-    deadline: float
-    possible_runs: list[str] = msgspec.field(default_factory=list)
-    excluded: set[str] = msgspec.field(default_factory=set)
-    terminated: set[str] = msgspec.field(default_factory=set)
-    not_continued: set[str] = msgspec.field(default_factory=set)
-    stream: StreamJoiner = msgspec.field(default_factory=StreamJoiner)
-    body_stream: BodyStream | None = None
-    fingerprint: bytes = b""
-    has_begun: bool | None = None
-
-    def __post_init__(self) -> None:
-        self.stream.position.last_id = self.call.last_event_id
-        self.fingerprint = fingerprint_of(self.call, self.body)
-
-    @property
-    def body_bytes(self) -> int | None:
-        """Size of the body, or None if it is unknown until the body ends."""
-        return self.body_stream.size if self.body_stream else len(self.body)
-
-    @property
-    def can_resend(self) -> bool:
-        """Whether the whole body is still buffered."""
-        return self.body_stream is None or not self.body_stream.is_started
-
-    @property
-    def ran(self) -> Ran:
-        """Whether the call may have run."""
-        return Ran.UNKNOWN if self.possible_runs else Ran.NO
-
-    @property
-    def timing_key(self) -> str:
-        """Key under which the durations of calls of this kind are averaged."""
-        if self.route.kind is RouteKind.STREAM:
-            return f"event/{self.service.name}"
-        return f"call/{self.route.name}"
-
-    @property
-    def has_attempts_left(self) -> bool:
-        """Whether one more endpoint may run the call.
-
-        Terminated endpoints are not counted, since a call that ran on one of
-        them needs another endpoint.
-        """
-        counted = set(self.possible_runs) - self.terminated
-        return len(counted) < self.route.max_attempts
-
-    @property
-    def can_resume(self) -> bool:
-        """Whether another attempt may go on with its stream."""
-        return (
-            self.stream.position.is_resumable
-            and self.stream.interruptions < _MAX_INTERRUPTIONS
-        )
-
-    def seconds_left(self) -> float:
-        """Returns the seconds until the deadline."""
-        return self.deadline - asyncio.get_running_loop().time()
-
-    def expected_events(self) -> float:
-        """Returns the expected number of events, or 0 if it is not a stream."""
-        if self.route.kind is not RouteKind.STREAM:
-            return 0.0
-        engine = self.service.engine
-        tokens = self.call.expected_output_tokens or self.call.max_output_tokens
-        if engine is None or not tokens:
-            return _DEFAULT_EVENT_COUNT
-        return max(1.0, tokens / engine.tokens_per_event)
-
-
-class RunningCall(msgspec.Struct):
-    """A call to which an endpoint has begun to respond.
-
-    Attributes:
-        endpoint: The endpoint.
-        response: The endpoint's response.
-        sent_at: Loop time at which the call was sent.
-        uncached_tokens: Tokens of its prompt that were not cached, as far as
-            known.
-        slowdown: Slowdown that the response reported, or 1.0.
-        first_event_at: Loop time of the first event of a stream.
-        last_event_at: Loop time of the newest event.
-        event_count: Number of events of this attempt.
-        first_event_id: Id of the first of these that has one, or empty.
-    """
-
-    endpoint: Endpoint
-    response: EndpointResponse
-    sent_at: float
-    uncached_tokens: int = 0
-    slowdown: float = 1.0
-    first_event_at: float = 0.0
-    last_event_at: float = 0.0
-    event_count: int = 0
-    first_event_id: str = ""
-
-
 class Dispatcher:
     """Sends calls to endpoints.
 
@@ -230,6 +99,7 @@
         self.domains = domains
         self.codec = codec
         self.metrics = metrics
+        self.selector = EndpointSelector(registry, performance, domains)
         self.priorities = PriorityAssigner()
         self.queues = QueueSample()
         self.rng = random.Random()
@@ -279,84 +149,17 @@
         quarantined = self.guard.refusal(job.fingerprint, job.ran)
         if quarantined:
             return quarantined
-        pick = self.pick(job)
+        pick = self.selector.pick(job)
         if pick is None:
             return self._refuse_no_endpoint(job)
         priority = self._priority(job, pick)
         refusal = self._refuse_late(job, pick, priority)
         if refusal and pick.is_sampled:
             # Endpoints that were not drawn may have free slots.
-            pick = self._pick_among(job, self._usable_endpoints(job))
+            pick = self.selector.pick_of_all(job)
             refusal = self._refuse_late(job, pick, priority)
         return refusal or (pick, priority)
 
-    def pick(self, job: Job) -> Pick | None:
-        """Chooses an endpoint; returns None if none may get the call."""
-        usable = self._usable_endpoints(job)
-        if not usable:
-            return None
-        if job.service.name not in self.performance.services_with_slowdown:
-            return self._pick_among(job, usable)
-        drawn = draw_candidates(
-            usable,
-            self.performance.own_domain,
-            self.performance.cached_tokens(usable, job.call.prompt_parts),
-        )
-        return self._pick_among(job, drawn, is_sampled=len(drawn) < len(usable))
-
-    def _pick_among(
-        self, job: Job, candidates: list[Endpoint], is_sampled: bool = False
-    ) -> Pick:
-        """Chooses one of some endpoints."""
-        events = job.expected_events()
-        estimates = {
-            endpoint.name: (
-                endpoint,
-                self.performance.estimate(
-                    endpoint, job.call, job.timing_key, events
-                ),
-            )
-            for endpoint in candidates
-        }
-        best = choose([estimate for _, estimate in estimates.values()])
-        endpoint = estimates[best.name][0]
-        cached = self.performance.stats_of(endpoint).cached_tokens(
-            job.call.prompt_parts
-        )
-        return Pick(
-            endpoint,
-            expected_seconds(best),
-            best.active_requests,
-            cached,
-            job.call.uncached_tokens(cached),
-            len(candidates),
-            best,
-            tuple(estimate for _, estimate in estimates.values()),
-            is_sampled,
-        )
-
-    def _usable_endpoints(self, job: Job) -> list[Endpoint]:
-        """Returns the endpoints that may get a call, preferring healthy ones.
-
-        Each further endpoint counts against the route's maximum number of
-        attempts. An endpoint that did not go on with a stream is asked again
-        only if no other endpoint can be.
-        """
-        endpoints = self.registry.by_service.get(job.service.name, ())
-        if not job.has_attempts_left:
-            endpoints = [e for e in endpoints if e.name in job.possible_runs]
-        # A call sent into a partitioned domain may run without anybody being
-        # able to tell.
-        eligible = [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.name not in job.excluded
-            and endpoint.domain not in self.domains.unreachable
-        ]
-        able = [e for e in eligible if e.name not in job.not_continued]
-        eligible = able or eligible
-        return self.performance.not_avoided(eligible) or eligible
-
     async def _send(
         self, job: Job, pick: Pick, priority: int | None
     ) -> RunningCall | Refusal | None:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -15,8 +15,9 @@
 from rattanmill_forward import web
 from rattanmill_forward.bodies import BodyStream, read_body
 from rattanmill_forward.calls import Call, Headers, HttpCodec
-from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.forwarding import Forwarder
+from rattanmill_forward.jobs import Job
 from rattanmill_forward.ratelimit import RateGuard
 from rattanmill_forward.responses import rounded_ms, set_headers
 from rattanmill_forward.routes import (
--- a/tests/features/steps/domains.py
+++ b/tests/features/steps/domains.py
@@ -8,10 +8,11 @@
 from rattanmill_core import Metrics, Ran, Refusal
 from rattanmill_forward import Backend, Endpoint, Route, RouteKind, Service
 from rattanmill_forward.calls import HttpCodec, ResponseHead
-from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
 from rattanmill_forward.exchange import ConnectionPool, OutcomeUnknown
+from rattanmill_forward.jobs import Job
 from rattanmill_forward.stats import PerformanceModel
 from support.calls import make_call
 from support.virtual import run_virtually
@@ -251,7 +252,7 @@
             job = Job(
                 call, route, service, b"", asyncio.get_running_loop().time() + 2
             )
-            pick = dispatcher.pick(job)
+            pick = dispatcher.selector.pick(job)
             found.append(
                 pick.endpoint.name
                 if pick
--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -19,11 +19,12 @@
 from rattanmill_core import Metrics, Ran, Reason, Refusal
 from rattanmill_forward import Endpoint, Load, RouteKind, Service
 from rattanmill_forward.calls import ResponseHead
-from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
+from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
 from rattanmill_forward.exchange import ConnectFailed, OutcomeUnknown
 from rattanmill_forward.front import FrontEnd
+from rattanmill_forward.jobs import Job, RunningCall
 from rattanmill_forward.refusing import ExpectedStart, retry_seconds
 from rattanmill_forward.stats import PerformanceModel
 from rattanmill_forward.turns import TurnManager
--- a/tests/features/steps/site_placing.py
+++ b/tests/features/steps/site_placing.py
@@ -9,9 +9,10 @@
 from rattanmill_core import Metrics
 from rattanmill_forward import Backend, Endpoint, Route, RouteKind, Service
 from rattanmill_forward.calls import Load, PromptPart
-from rattanmill_forward.dispatch import Dispatcher, Job, RunningCall
+from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
+from rattanmill_forward.jobs import Job, RunningCall
 from rattanmill_forward.stats import InFlightCall, PerformanceModel
 from support.calls import make_call
 from support.virtual import run_virtually
@@ -71,7 +72,7 @@
 
     def place(self, job):
         """Places a turn, which stays in flight."""
-        pick = self.dispatcher.pick(job)
+        pick = self.dispatcher.selector.pick(job)
         stats = self.performance.stats_of(pick.endpoint)
         InFlightCall(
             stats, job.call.request_id, stats.uncached_tokens(job.call)
--- a/tests/features/steps/site_sampling.py
+++ b/tests/features/steps/site_sampling.py
@@ -83,7 +83,7 @@
             ("choose", _least_loaded),
         ):
             stack.enter_context(
-                mock.patch(f"rattanmill_forward.dispatch.{name}", function)
+                mock.patch(f"rattanmill_forward.selecting.{name}", function)
             )
         return stack
 
@@ -241,7 +241,8 @@
 def _places(front_end, part, count):
     """Returns where turns would be placed, and how many were compared."""
     picks = [
-        front_end.dispatcher.pick(front_end.job(part)) for _ in range(count)
+        front_end.dispatcher.selector.pick(front_end.job(part))
+        for _ in range(count)
     ]
     names = collections.Counter(pick.endpoint.name for pick in picks)
     return names, {pick.candidates for pick in picks}
--- a/tests/features/steps/urgency.py
+++ b/tests/features/steps/urgency.py
@@ -13,10 +13,11 @@
 
 from rattanmill_core import Metrics
 from rattanmill_forward import Endpoint, Load, Service
-from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
 from rattanmill_forward.exchange import ConnectFailed
+from rattanmill_forward.jobs import Job
 from rattanmill_forward.priorities import PriorityAssigner
 from rattanmill_forward.routes import build_route_table
 from rattanmill_forward.stats import PerformanceModel
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -14,9 +14,10 @@
 from rattanmill_core import Metrics
 from rattanmill_forward import Backend, Endpoint, Route, RouteKind, Service
 from rattanmill_forward.calls import Call, Load, PromptPart, ResponseHead
-from rattanmill_forward.dispatch import Dispatcher, Job
+from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import EndpointRegistry
+from rattanmill_forward.jobs import Job
 from rattanmill_forward.load_sharing import share_loads
 from rattanmill_forward.stats import PerformanceModel
 from rattanmill_keeper import CachedPrefix, EndpointLoad
