Soak: engines end streams early, with all that a head may leave out

What the soak drew always had a content type, LF and no comment, so it could not show that such streams were taken for complete. Its callers read events with CRLF too; a body that ends between CR and LF is ORDER, as a part of an event is.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -52,6 +52,15 @@
 # Answers that break off in a way that their framing shows.
 _CUTS = ("cut", "cut_between")
 _ENDS = ("unframed_cut", "unframed", "ended_within")
+# Answers that end early in an orderly way, whatever their heads leave out.
+_EARLY_ENDS = (
+    "first_unframed_empty",
+    "first_unframed_comment_cut",
+    "first_unframed_crlf_cut",
+    "first_untyped_unframed_empty",
+    "first_untyped_unframed_cut",
+    "first_untyped_ended_within",
+)
 _FAILURES = ("error", "resumed_error")
 _OTHER_FAULTS = (
     "mute",
@@ -106,7 +115,11 @@
 
 def draw_plan(seed: int, scale: Scale) -> list[Fault]:
     """Returns the faults of a seed, in order of time."""
-    plan = draw_serial_faults(seed, scale) + draw_endpoint_faults(seed, scale)
+    plan = [
+        *draw_serial_faults(seed, scale),
+        *draw_endpoint_faults(seed, scale),
+        *draw_early_ends(seed, scale),
+    ]
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -143,6 +156,29 @@
     )
 
 
+def draw_early_ends(seed: int, scale: Scale) -> list[Fault]:
+    """Returns times in which engines end some streams early.
+
+    They are drawn apart, so that the other faults of a seed stay as they were.
+    """
+    rng = random.Random(f"{seed}/early ends")
+    plan: list[Fault] = []
+    at = 1.0
+    while at < scale.seconds:
+        plan.append(
+            Fault(
+                at,
+                Kind.RUNNER_SHARE,
+                rng.choice(_LLM_RUNNERS),
+                rng.uniform(2.0, 6.0),
+                share=rng.uniform(0.1, 0.3),
+                faults=tuple(rng.sample(_EARLY_ENDS, 3)),
+            )
+        )
+        at += rng.expovariate(1 / 2.0)
+    return plan
+
+
 def draw_serial_faults(seed: int, scale: Scale) -> list[Fault]:
     """Returns the faults that come one by one or in series, in order of time.
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -51,8 +51,13 @@
         """Ids of the events that came whole."""
         return self._fields(b"id: ")
 
+    @property
+    def lines(self) -> bytes:
+        """The body with LF at the end of each line."""
+        return self.body.replace(b"\r\n", b"\n")
+
     def _fields(self, name: bytes) -> list[bytes]:
-        whole = self.body[: self.body.rfind(b"\n\n") + 2]
+        whole = self.lines[: self.lines.rfind(b"\n\n") + 2]
         return [
             line.removeprefix(name)
             for line in whole.split(b"\n")
@@ -158,7 +163,7 @@
         return "ORDER: events of two runs in one stream"
     if answer.is_whole and newest != _EVENTS:
         return f"ORDER: complete after {newest} events"
-    if answer.is_whole and answer.body and not answer.body.endswith(b"\n\n"):
+    if answer.is_whole and answer.body and not answer.lines.endswith(b"\n\n"):
         return "ORDER: complete within an event"
     return ""
 
