Tell the replies to different attempts of a forwarded call apart

Cause: a call is sent again under its id, and replies were matched by that id alone. An attempt to an owner that is down stays in ZeroMQ's queue and reaches the restarted owner late, which then replies to both attempts; the second head looks like a lost part.

Each attempt now has an id of its own between instances, the call's id and a number. The owner serves and logs the call under its own id; older builds are understood.

--- a/libs/wire/src/rattanmill_wire/messages.py
+++ b/libs/wire/src/rattanmill_wire/messages.py
@@ -58,7 +58,8 @@
     """Forwards a call to the owner of its program.
 
     Attributes:
-        call: Id of the call, unique per sender process.
+        call: Id of the call; between instances that of one attempt to forward
+            it, unique per connection.
         kind: Requested operation.
         program: Program id, or empty for a call without a program.
         turn: Turn number, or 0 if the caller gave none.
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import pathlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Self
@@ -45,6 +46,8 @@
 _WINDOW_CHUNKS = 64
 _SEND_TIMEOUT_MS = 2000
 _REPLY_POLL_SECONDS = 0.1
+# Between the id of a call and the number of an attempt to forward it.
+_ATTEMPT_MARK = "#"
 
 Reply = ReplyHead | ReplyChunk | ReplyEnd | ReplyRefused
 _LAST_REPLIES = (ReplyEnd, ReplyRefused)
@@ -110,6 +113,7 @@
         self.name = name
         self.address = address
         self.streams: dict[str, _ReplyStream] = {}
+        self.attempts = itertools.count(1)
         self.heard = 0.0
         self.socket = hub.context.socket(zmq.DEALER)
         hub.configure_socket(self.socket)
@@ -157,12 +161,18 @@
     ) -> AsyncIterator[Reply]:
         """Forwards a call and yields its replies, checking for lost ones.
 
+        A call may be sent again under its id. The owner may receive the first
+        attempt late, as after a restart, and then replies to both.
+
         Args:
             start: The call.
             has_moved: Returns whether another instance owns the program by
                 now. A dead owner sends nothing; waiting for the timeout would
                 delay calls that its successor could answer.
         """
+        start = msgspec.structs.replace(
+            start, call=f"{start.call}{_ATTEMPT_MARK}{next(self.attempts)}"
+        )
         stream = _ReplyStream()
         self.streams[start.call] = stream
         finished = False
@@ -386,11 +396,14 @@
     async def _serve(
         self, sender: bytes, start: CallStart, served: _ServedCall
     ) -> None:
-        replies = self.serve(start)
+        call, _, _ = start.call.partition(_ATTEMPT_MARK)
+        replies = self.serve(msgspec.structs.replace(start, call=call))
         is_ended = False
         try:
-            with log_ids(start.program, start.call):
-                is_ended = await self._send_replies(sender, replies, served)
+            with log_ids(start.program, call):
+                is_ended = await self._send_replies(
+                    sender, start.call, replies, served
+                )
         except asyncio.CancelledError:
             is_ended = True
             raise
@@ -402,14 +415,19 @@
                 await self._send(sender, _ended_early(start))
 
     async def _send_replies(
-        self, sender: bytes, replies: AsyncIterator[Reply], served: _ServedCall
+        self,
+        sender: bytes,
+        attempt: str,
+        replies: AsyncIterator[Reply],
+        served: _ServedCall,
     ) -> bool:
-        """Sends the replies of a call; returns whether its end was sent."""
+        """Sends the replies to an attempt; returns whether its end was sent."""
         is_ended = False
         async with contextlib.aclosing(replies):
             async for reply in replies:
                 if isinstance(reply, ReplyChunk):
                     await served.credit.acquire()
+                reply = msgspec.structs.replace(reply, call=attempt)
                 if not await self._send(sender, reply):
                     return False
                 is_ended = isinstance(reply, _LAST_REPLIES)
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -29,6 +29,15 @@
       | leave out the last part |
       | begin twice           |
 
+  Scenario: A call is sent again to an owner that has been restarted
+    Guards against replies to the first attempt, which reaches the owner late,
+    that are taken for replies to the second one.
+
+    Given an owner that is not running
+    When a call to it is given up, and sent again once the owner runs
+    Then the owner has served both attempts
+    And the replies to the second one are whole
+
   Scenario Outline: The replies end before the answer does
     The response has begun. A second response behind it, or an orderly end of
     its body, would be read as the rest of the answer.
--- a/tests/features/steps/forwarding.py
+++ b/tests/features/steps/forwarding.py
@@ -30,6 +30,8 @@
 from rattanmill_wire.peers import PeerHub, PeerSecret
 
 _SECONDS = 5.0
+_ATTEMPTS = 2
+_PARTS = [b"a", b"b"]
 _BODY = b'{"an":"answer"}' * 40_000
 _EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"a"}}]}\n\n'
 _REQUESTS = {
@@ -68,9 +70,15 @@
     context.serve = serve
 
 
-def _hub(name, secret, serve):
+def _hub(name, secret, serve, address=None):
     return PeerHub(
-        name, _free_address(), secret, Metrics(), serve, mock.Mock(), _SECONDS
+        name,
+        address or _free_address(),
+        secret,
+        Metrics(),
+        serve,
+        mock.Mock(),
+        _SECONDS,
     )
 
 
@@ -102,6 +110,58 @@
     assert all(isinstance(p, ReplyChunk) for p in parts[1:]), parts
 
 
+@given("an owner that is not running")
+def step_owner_stopped(context):
+    context.served = []
+    has_both = asyncio.Event()
+
+    async def serve(start):
+        context.served.append(start)
+        yield ReplyHead(start.call, 200, STREAM_HEADERS)
+        if len(context.served) == _ATTEMPTS:
+            has_both.set()
+        async with asyncio.timeout(_SECONDS / 2):
+            await has_both.wait()
+        for sequence, part in enumerate(_PARTS):
+            yield ReplyChunk(start.call, sequence, part)
+        yield ReplyEnd(start.call, len(_PARTS))
+
+    context.serve = serve
+
+
+@when("a call to it is given up, and sent again once the owner runs")
+def step_send_again(context):
+    context.replies = asyncio.run(_send_again(context.serve))
+
+
+async def _send_again(serve):
+    """Returns the replies to the second attempt of a call."""
+    public, secret = zmq.curve_keypair()
+    pair = PeerSecret(secret, public)
+    address = _free_address()
+    start = CallStart("c", CallKind.CHAT)
+    async with _hub("a", pair, serve) as a:
+        peer = a.peer("owner", address)
+        given_up = [r async for r in peer.call(start, lambda: True)]
+        assert given_up[0].refusal.reason == "owner_unreachable", given_up
+        async with _hub("owner", pair, serve, address):
+            return [r async for r in peer.call(start, lambda: False)]
+
+
+@then("the owner has served both attempts")
+def step_both_served(context):
+    assert len(context.served) == _ATTEMPTS, context.served
+    assert {start.call for start in context.served} == {"c"}, context.served
+
+
+@then("the replies to the second one are whole")
+def step_whole(context):
+    head, *chunks, end = context.replies
+    assert isinstance(head, ReplyHead), context.replies
+    assert isinstance(end, ReplyEnd), context.replies
+    assert [chunk.data for chunk in chunks] == _PARTS, context.replies
+
+
 @given("a front door whose replies end after a part")
 def step_door(context):
     async def dispatch(node, start):
