--- a/libs/core/src/rattanmill_core/instruments.py
+++ b/libs/core/src/rattanmill_core/instruments.py
@@ -73,7 +73,7 @@
 
 
 class _CountersFirst:
-    """All metrics: those that count decisions first, the runtime's last.
+    """All metrics, counters and gauges first and those of the runtime last.
 
     Some collectors keep only the beginning of a long page.
     """
--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -246,9 +246,14 @@
     def _record_attempt(
         self, job: Job, running: RunningCall, error: Exception | None
     ) -> None:
-        """Records how an attempt of a stream ended, None if it was whole.
+        """Records how an attempt of a stream ended.
 
-        Not logged if only one attempt was needed and its end was marked.
+        Not logged if the first attempt was whole and marked its end.
+
+        Args:
+            job: The call.
+            running: The attempt.
+            error: What interrupted it, or None if it was whole.
         """
         stream, head = job.stream, running.response.head
         end = _classify_end(error)
--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -108,6 +108,7 @@
             NotContinuedError: It can't continue the response that has begun.
         """
         self.attempts += 1
+        self.incomplete_bytes = 0
         if not self.has_begun:
             self.first_head = head
         first = self.first_head
