Do not take a stream without any event for complete

An endpoint that breaks off before its first event and still marks the end of its body gave its caller an empty 200; a turn was kept with an empty answer. Nothing to go on with is in such an answer: its caller is better off with a failure that it can retry.

Cause: a marked end was believed, whatever had come before it.

A stream that its caller, or this front end, resumes may still be empty: the caller may have had its last event.

--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -190,12 +190,10 @@
         if reader.is_within_event:
             self.is_more_due = True
             raise EndedEarlyError("the stream ended within an event")
-        if head.is_delimited:
-            return
-        if reader.is_within_block:
+        if not count and not (head.is_delimited and self.position.last_id):
+            raise EndedEarlyError("the stream ended without an event")
+        if reader.is_within_block and not head.is_delimited:
             raise EndedEarlyError("the connection ended within a comment")
-        if not count:
-            raise EndedEarlyError("the connection ended without an event")
 
 
 def _number(event_id: str) -> int | None:
--- a/tests/features/site_streams.feature
+++ b/tests/features/site_streams.feature
@@ -65,6 +65,7 @@
       | unframed_cut |
       | ended_within |
       | cut_between  |
+      | first_empty                  |
       | first_unframed_empty         |
       | first_unframed_comment_cut   |
       | first_unframed_crlf_cut      |
@@ -84,6 +85,7 @@
 
     Examples:
       | fault                        |
+      | first_empty                  |
       | first_unframed_empty         |
       | first_untyped_unframed_empty |
       | first_untyped_unframed_cut   |
--- a/tests/features/steps/stream_shapes.py
+++ b/tests/features/steps/stream_shapes.py
@@ -90,8 +90,10 @@
     ends = list(itertools.accumulate(map(len, blocks)))
     whole = blocks[: bisect.bisect(ends, size)]
     is_between_blocks = size in (0, *ends)
+    if all(map(is_comment, whole)):
+        return False
     if framing is Framing.CONNECTION_END:
-        return is_between_blocks and not all(map(is_comment, whole))
+        return is_between_blocks
     return is_between_blocks or is_comment(blocks[len(whole)])
 
 
@@ -118,9 +120,28 @@
     send_stream(context, which, text, Framing.CONNECTION_END)
 
 
-@when("a stream without a content type consists of {text}")
-def step_untyped(context, text):
-    send_stream(context, "without", text, Framing.CHUNKS)
+@when("a stream {which} a content type consists of {text}")
+def step_in_chunks(context, which, text):
+    send_stream(context, which, text, Framing.CHUNKS)
+
+
+@when(
+    'a stream that its caller resumes after event "{last_id}" consists of'
+    " nothing"
+)
+def step_resumed(context, last_id):
+    def create_joiner():
+        joiner = StreamJoiner()
+        joiner.position.last_id = last_id
+        return joiner
+
+    head = ResponseHead(200, [], content_type=_CONTENT_TYPES["with"])
+    context.got = play(Shape(head, b"", False, True, 7), create_joiner)
+
+
+@then("the empty stream is complete")
+def step_complete_empty(context):
+    assert context.got == (b"", True), context.got
 
 
 def send_stream(context, which, text, framing):
--- a/tests/features/stream_shapes.feature
+++ b/tests/features/stream_shapes.feature
@@ -51,6 +51,24 @@
       | id: 1             |
       | id: 1\ndata: a\n  |
 
+  Scenario Outline: A stream without an event
+    Guards against an answer that has no content and is kept for later turns.
+
+    When a stream <type> consists of <text>
+    Then the stream is broken off
+
+    Examples:
+      | type                   | text     |
+      | with a content type    | nothing  |
+      | with a content type    | : wait\n |
+      | without a content type | nothing  |
+
+  Scenario: A resumed stream without a further event
+    Guards against a stream that is broken off though its caller has all of it.
+
+    When a stream that its caller resumes after event "4" consists of nothing
+    Then the empty stream is complete
+
   Scenario: Whatever the shape, a stream that stopped early is not complete
     Then 2000 drawn streams are complete if they are whole, and only then
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -54,6 +54,7 @@
 _ENDS = ("unframed_cut", "unframed", "ended_within")
 # Answers that end early in an orderly way, whatever their heads leave out.
 _EARLY_ENDS = (
+    "first_empty",
     "first_unframed_empty",
     "first_unframed_comment_cut",
     "first_unframed_crlf_cut",
--- a/tests/standins/siterunner.py
+++ b/tests/standins/siterunner.py
@@ -49,6 +49,7 @@
 # Faults whose streams end in an orderly way, but early: all that comes of them,
 # with RUNNER for the runner's id.
 _EARLY_ENDS = {
+    "first_empty": b"",
     "first_unframed_empty": b"",
     "first_unframed_comment_cut": b"id: 1\ndata: word1 by RUNNER\n\n: wai",
     "first_unframed_crlf_cut": b"id: 1\r\ndata: word1 by RUNNER\r\n\r\n"
@@ -298,7 +299,8 @@
         is_framed = "unframed" not in fault
         body = _EARLY_ENDS[fault].replace(b"RUNNER", self.name.encode())
         if is_framed:
-            body = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+            chunk = b"%x\r\n" % len(body) + body + b"\r\n" if body else b""
+            body = chunk + b"0\r\n\r\n"
         writer.write(_head(200, request, fields, None, is_framed) + body)
         await writer.drain()
         return is_framed
