--- a/libs/forward/src/rattanmill_forward/bodies.py
+++ b/libs/forward/src/rattanmill_forward/bodies.py
@@ -11,7 +11,7 @@
 
 from rattanmill_core import Reason, Refusal, refuse
 from rattanmill_forward import web
-from rattanmill_forward.exchange import BrokenError
+from rattanmill_forward.connection import BrokenError
 
 # Typical bodies have at most 20 KB; a thousand buffers of this size fit into a
 # front end's memory.
--- /dev/null
+++ b/libs/forward/src/rattanmill_forward/connection.py
@@ -0,0 +1,245 @@
+"""One HTTP/1.1 connection to an endpoint, based on h11.
+
+It tells the end of a response from the end of its connection, and an orderly
+close from a reset.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import h11
+
+from rattanmill_core import loop_seconds
+from rattanmill_forward.calls import Headers
+from rattanmill_forward.endpoints import Endpoint
+from rattanmill_platform import set_tcp_timeouts
+
+# A round trip takes a few milliseconds. An endpoint whose first packet was
+# dropped, or that is partitioned, is not worth more of a caller's time.
+_CONNECT_TIMEOUT_SECONDS = 0.25
+_MAX_HEAD_BYTES = 64 * 1024
+_READ_PAUSE_BYTES = 256 * 1024
+
+
+class BrokenError(Exception):
+    """The connection ended, or the data received is not a valid response."""
+
+
+class _ClientProtocol(asyncio.Protocol):
+    """Buffers the bytes of one connection, with backpressure."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.received = bytearray()
+        self.eof = False
+        self.error: Exception | None = None
+        self.waiter: asyncio.Future | None = None
+        self.is_reading_paused = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    def pause_writing(self) -> None:
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        self.writable.set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.received += data
+        if (
+            len(self.received) > _READ_PAUSE_BYTES
+            and not self.is_reading_paused
+        ):
+            self.is_reading_paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        self.eof = True
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.eof:
+            self.error = exc or ConnectionResetError("connection closed")
+        self.eof = True
+        self.writable.set()
+        self._wake()
+
+    def fail(self, error: Exception) -> None:
+        """Ends the receiving side with an error of this process."""
+        self.error = error
+        self.eof = True
+        self._wake()
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the connection is open with no unsolicited data."""
+        return not (self.eof or self.received or self.error)
+
+    async def receive(self) -> bytes:
+        """Returns the data received; empty if the peer closed the connection.
+
+        Raises:
+            BrokenError: The connection was reset.
+        """
+        while not self.received and not self.eof:
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+        if self.received:
+            data = bytes(self.received)
+            self.received.clear()
+            if self.is_reading_paused:
+                self.is_reading_paused = False
+                self.transport.resume_reading()
+            return data
+        if self.error:
+            raise BrokenError(str(self.error) or "connection reset")
+        return b""
+
+    def _wake(self) -> None:
+        if self.waiter and not self.waiter.done():
+            self.waiter.set_result(None)
+
+
+class Connection:
+    """One connection to an endpoint, used for one request at a time."""
+
+    def __init__(self, endpoint: Endpoint, protocol: _ClientProtocol) -> None:
+        self.endpoint = endpoint
+        self.protocol = protocol
+        self.http = _new_http_state()
+        self.idle_until = 0.0
+        self.abort_when_unreachable = False
+        self.body_task: asyncio.Task | None = None
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection may carry the next request."""
+        return self.protocol.is_clean and loop_seconds() < self.idle_until
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        body_stream: AsyncIterator[bytes] | None = None,
+    ) -> None:
+        """Writes a request; the rest of its body follows as it arrives.
+
+        Raises:
+            h11.LocalProtocolError: The request is not valid HTTP.
+        """
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = self.http.send(request)
+        if body:
+            data += self.http.send(h11.Data(data=body)) or b""
+        if body_stream is None:
+            data += self.http.send(h11.EndOfMessage()) or b""
+        self.request = request
+        self.protocol.transport.write(data)
+        if body_stream is not None:
+            self.body_task = asyncio.create_task(
+                self._send_body_stream(body_stream)
+            )
+
+    async def _send_body_stream(
+        self, body_stream: AsyncIterator[bytes]
+    ) -> None:
+        """Forwards the rest of a body as fast as the endpoint reads it."""
+        try:
+            async for chunk in body_stream:
+                await self.protocol.writable.wait()
+                if self.protocol.eof:
+                    return
+                self.protocol.transport.write(
+                    self.http.send(h11.Data(data=chunk))
+                )
+            self.protocol.transport.write(
+                self.http.send(h11.EndOfMessage()) or b""
+            )
+        except (BrokenError, OSError, h11.LocalProtocolError) as error:
+            # The task that waits for the response gets the error from the
+            # protocol.
+            self.protocol.fail(error)
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event of the response.
+
+        Raises:
+            BrokenError: The response ended early or is not valid.
+        """
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(f"invalid response: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.protocol.receive()
+            try:
+                self.http.receive_data(data)
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(f"invalid response: {error}") from error
+
+    def expect_next_response(self) -> None:
+        """Goes on to the next response on this connection.
+
+        Called when the endpoint sent a response to an earlier request before
+        the expected one.
+        """
+        trailing, _ = self.http.trailing_data
+        self.http = _new_http_state()
+        # Tells the parser which request is outstanding; nothing is sent again.
+        headers = [
+            (name, value)
+            for name, value in self.request.headers
+            if name != b"content-length"
+        ]
+        self.http.send(
+            h11.Request(
+                method=self.request.method,
+                target=self.request.target,
+                headers=headers,
+            )
+        )
+        self.http.send(h11.EndOfMessage())
+        # Empty data would signal the end of the connection to the parser.
+        if trailing:
+            self.http.receive_data(trailing)
+
+    def abort(self) -> None:
+        """Closes the connection, which ends the endpoint's work on it."""
+        if self.body_task:
+            self.body_task.cancel()
+        if self.protocol.transport:
+            self.protocol.transport.abort()
+
+
+def _new_http_state() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+
+
+async def open_connection(endpoint: Endpoint, source_ip: str) -> Connection:
+    """Opens a connection to an endpoint.
+
+    Args:
+        endpoint: The endpoint.
+        source_ip: IP address of this process.
+
+    Raises:
+        OSError: The endpoint cannot be reached, or refuses.
+        TimeoutError: It did not accept the connection in time.
+    """
+    host, _, port = endpoint.address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
+        _, protocol = await loop.create_connection(
+            _ClientProtocol, host, int(port), local_addr=(source_ip, 0)
+        )
+    set_tcp_timeouts(protocol.transport.get_extra_info("socket"))
+    return Connection(endpoint, protocol)
--- a/libs/forward/src/rattanmill_forward/dispatch.py
+++ b/libs/forward/src/rattanmill_forward/dispatch.py
@@ -17,11 +17,11 @@
     warn_event,
 )
 from rattanmill_forward.calls import HttpCodec, ResponseHead
+from rattanmill_forward.connection import BrokenError
 from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.domains import DomainMonitor
 from rattanmill_forward.endpoints import Endpoint, EndpointRegistry
 from rattanmill_forward.exchange import (
-    BrokenError,
     ConnectFailed,
     ConnectionPool,
     EndpointResponse,
--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -7,9 +7,9 @@
 from rattanmill_core import Metrics, Refusal, log_event, loop_seconds
 from rattanmill_forward import web
 from rattanmill_forward.calls import ResponseHead
+from rattanmill_forward.connection import BrokenError
 from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.events import Block
-from rattanmill_forward.exchange import BrokenError
 from rattanmill_forward.jobs import Job, RunningCall
 from rattanmill_forward.joining import EndedEarlyError, NotContinuedError
 from rattanmill_forward.responses import rounded_ms, set_headers
--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -8,8 +8,9 @@
 from collections.abc import AsyncIterator
 
 from rattanmill_forward.calls import ResponseHead
+from rattanmill_forward.connection import BrokenError
 from rattanmill_forward.events import Block, BlockReader
-from rattanmill_forward.exchange import BrokenError, EndpointResponse
+from rattanmill_forward.exchange import EndpointResponse
 
 # Longer ids are not taken for numbers.
 _MAX_ID_DIGITS = 18
--- a/tests/features/steps/joining.py
+++ b/tests/features/steps/joining.py
@@ -7,8 +7,8 @@
 from behave import given, then, when
 
 from rattanmill_forward.calls import ResponseHead
+from rattanmill_forward.connection import BrokenError
 from rattanmill_forward.events import Block
-from rattanmill_forward.exchange import BrokenError
 from rattanmill_forward.joining import NotContinuedError, StreamJoiner
 
 _EVENTS = 5
