Do not take a response without content for a stream that ended early

An endpoint's 204 on a stream's route would have become 502: it has no event and no marked end, as its status says that there is no body. Found by reading the change, not seen by a caller. The new scenario of stream_shapes fails on the code before. Stream features, joining, site and site_bodies pass.

--- a/libs/forward/src/rattanmill_forward/joining.py
+++ b/libs/forward/src/rattanmill_forward/joining.py
@@ -5,6 +5,7 @@
 is may be joined to it.
 """
 
+import http
 from collections.abc import AsyncIterator
 
 from rattanmill_forward.calls import ResponseHead
@@ -176,6 +177,8 @@
         self, head: ResponseHead, reader: BlockReader, count: int
     ) -> None:
         """Checks that a body that came to its end is the end of the stream."""
+        if head.status == http.HTTPStatus.NO_CONTENT:
+            return
         if head.is_event_stream or self.position.has_events:
             self._check_events_end(head, reader, count)
         if not count and self.is_more_due:
--- a/tests/features/steps/stream_shapes.py
+++ b/tests/features/steps/stream_shapes.py
@@ -139,6 +139,12 @@
     context.got = play(Shape(head, b"", False, True, 7), create_joiner)
 
 
+@when("an endpoint answers a stream's request with status {status:d}")
+def step_status(context, status):
+    head = ResponseHead(status, [], framing=Framing.CONNECTION_END)
+    context.got = play(Shape(head, b"", False, True, 7))
+
+
 @then("the empty stream is complete")
 def step_complete_empty(context):
     assert context.got == (b"", True), context.got
--- a/tests/features/stream_shapes.feature
+++ b/tests/features/stream_shapes.feature
@@ -69,6 +69,13 @@
     When a stream that its caller resumes after event "4" consists of nothing
     Then the empty stream is complete
 
+  Scenario: A response that has no content by its status
+    Guards against a response that is not forwarded, as it is taken for a stream
+    that has ended early.
+
+    When an endpoint answers a stream's request with status 204
+    Then the empty stream is complete
+
   Scenario: Whatever the shape, a stream that stopped early is not complete
     Then 2000 drawn streams are complete if they are whole, and only then
 
