End an answer whole only once enough disks have its turn

Cause, two beliefs. "As many copies as can be had are enough": TurnClient.keep returned once every domain had replied or failed, and Forwarder._finish_stream ended the answer unless no domain at all had the turn. "One copy a domain": Members.replicas chose one instance of each domain, so two instances of one domain held each turn once, and with more copies than reachable domains one or more were missing although there were disks for them.

Change: - copies are chosen within a domain, too, where there are fewer domains than copies (replicas.py); followers hold turns by the same choice, and look again when domains come and go - an instance that does not respond has a substitute, at last one that leaves, which passes on what it stores before it is emptied - an answer whose turn is on too few disks waits for more up to its deadline, and is broken off then; it is in no cache, either - a turn that too few instances could keep, by what is known, is refused before it runs: 503 `turn_unkept`, with when to come back

The number of copies is now `Members.copies` everywhere; front ends took it from an argument of their own, and their `Members` believed in one lost disk.

Tests: copies.feature (11 scenarios) and site_copies.feature (2, with real processes). On all 13 fail, one of them since `keep` knew no deadline; there the turn with one copy is answered with 200. Tests changed: KeeperClient without the number of copies (the same two); following.feature counts how often the holders are chosen instead of how often names are ranked, once a domain as before.

--- a/bench/storing.py
+++ b/bench/storing.py
@@ -133,9 +133,8 @@
         self.kv = RelayedKv(store, domain, (CONFIG_PREFIX, ENDPOINT_PREFIX))
         self.members = Members(self.kv, store=store)
         self.kv.members = self.members
-        self.keepers = KeeperClient(
-            domain, _LOST_DISKS + 1, self.members, metrics
-        )
+        self.members.tolerated_disk_losses = _LOST_DISKS
+        self.keepers = KeeperClient(domain, self.members, metrics)
         self.pings: asyncio.Task | None = None
         self.watches: list[PrefixWatch] = []
 
--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -28,6 +28,7 @@
     NO_ROUTE = "no_route"
     UNKNOWN_TURN = "unknown_turn"
     TURN_UNSURE = "turn_unsure"
+    TURN_UNKEPT = "turn_unkept"
     NOT_CONFIGURED = "not_configured"
     CONFIG_STALE = "config_stale"
     NO_SUCH_CALL = "no_such_call"
@@ -83,6 +84,7 @@
     Reason.NO_ROUTE: _Rule(404),
     Reason.UNKNOWN_TURN: _Rule(404),
     Reason.TURN_UNSURE: _Rule(503, retry_after=0.5),
+    Reason.TURN_UNKEPT: _Rule(503, retry_after=1.0),
     Reason.NOT_CONFIGURED: _Rule(503, retry_after=1.0),
     Reason.CONFIG_STALE: _Rule(503, retry_after=0.5),
     Reason.NO_SUCH_CALL: _Rule(404),
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -174,9 +174,8 @@
     performance = PerformanceModel(settings.domain)
     registry.on_removed = performance.forget
     pool = ConnectionPool(settings.ip, codec, metrics)
-    keepers = KeeperClient(
-        settings.domain, settings.lost_disks + 1, members, metrics
-    )
+    members.tolerated_disk_losses = settings.lost_disks
+    keepers = KeeperClient(settings.domain, members, metrics)
     share_loads(performance, registry, keepers.loads)
     guard = CrashGuard(registry, pool, keepers, metrics)
     domains = DomainMonitor(
--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -188,12 +188,21 @@
         response: web.StreamResponse,
         turn: Turn,
     ) -> web.StreamResponse:
-        """Ends a response after storing its turn for the next one."""
+        """Ends a response after storing its turn for the next one.
+
+        A turn that is on too few disks may be lost, and its caller would be
+        told later that it does not exist.
+        """
         if job.route.stores_turns:
-            kept_by = await self.turns.store(job.call, job.route, turn)
-            if not kept_by.domains:
+            kept_by = await self.turns.store(
+                job.call, job.route, turn, job.deadline
+            )
+            if not kept_by.is_replicated:
                 return self._abort_response(
-                    request, job, response, "the turn could not be stored"
+                    request,
+                    job,
+                    response,
+                    "too few storage instances have the turn on disk",
                 )
         self._record_answer(job, running, turn.events_sent)
         await response.write_eof()
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -117,6 +117,12 @@
                 " elsewhere",
                 retry_after=self.keepers.reach.failover_seconds(),
             )
+        if route.stores_turns and not self.keepers.turns.can_keep():
+            return refuse(
+                Reason.TURN_UNKEPT,
+                "too few storage instances respond to keep the turn",
+                retry_after=self._unavailable_seconds(),
+            )
         try:
             history, reservation = await asyncio.gather(
                 self._history(call, route), self._reserve(call)
@@ -205,14 +211,19 @@
                     f" to {reply.running} more are reserved by running turns",
                 )
             case Unsure(why=why):
-                reach = self.keepers.reach
-                seconds = _UNAVAILABLE_RETRY_SECONDS
-                if reach.is_cut_off():
-                    seconds = reach.failover_seconds()
                 return refuse(
-                    Reason.BUDGET_UNRESERVED, why, retry_after=seconds
+                    Reason.BUDGET_UNRESERVED,
+                    why,
+                    retry_after=self._unavailable_seconds(),
                 )
 
+    def _unavailable_seconds(self) -> float:
+        """Returns when to come back after storage instances did not respond."""
+        reach = self.keepers.reach
+        if reach.is_cut_off():
+            return reach.failover_seconds()
+        return _UNAVAILABLE_RETRY_SECONDS
+
     def release(self, call: Call, turn: Turn) -> None:
         """Returns the reservation of a turn that has not run.
 
@@ -235,8 +246,17 @@
             call.scoped(call.program), call.request_id, used
         )
 
-    async def store(self, call: Call, route: Route, turn: Turn) -> KeepResult:
-        """Stores a finished turn for the turns that continue it."""
+    async def store(
+        self, call: Call, route: Route, turn: Turn, deadline: float
+    ) -> KeepResult:
+        """Stores a finished turn for the turns that continue it.
+
+        Args:
+            call: The turn's request.
+            route: The route that it matched.
+            turn: The turn.
+            deadline: Loop time until which it may take.
+        """
         text = b"".join(
             [call.body, *(data + b"\n" for data in turn.event_data)]
         )
@@ -247,7 +267,7 @@
             wall_seconds() + route.retention_seconds,
             turn.chain_key,
         )
-        kept_by = await self.keepers.turns.keep(kept)
+        kept_by = await self.keepers.turns.keep(kept, deadline)
         log_event(
             "turn_kept",
             request=call.request_id,
--- a/libs/keeper/src/rattanmill_keeper/client.py
+++ b/libs/keeper/src/rattanmill_keeper/client.py
@@ -21,16 +21,13 @@
 
     Args:
         domain: Failure domain of this front end.
-        copies: Number of failure domains in which a turn must be on disk.
         members: The storage instances.
         metrics: Counters and durations.
     """
 
-    def __init__(
-        self, domain: str, copies: int, members: Members, metrics: Metrics
-    ) -> None:
+    def __init__(self, domain: str, members: Members, metrics: Metrics) -> None:
         self.reach = Reachability(domain, members, metrics)
         self.budgets = BudgetClient(self.reach)
-        self.turns = TurnClient(self.reach, copies)
+        self.turns = TurnClient(self.reach)
         self.rates = RateClient(self.reach)
         self.loads = LoadExchange(self.reach)
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import functools
+import itertools
 from typing import Self
 
 import msgspec
 
 from rattanmill_core import log_event, loop_seconds, start_loop
 from rattanmill_keeper.keeper import Keeper
-from rattanmill_keeper.members import Member, Members, rank
+from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import (
     AccountRef,
     Accounts,
@@ -23,6 +24,7 @@
     TurnRef,
     Turns,
 )
+from rattanmill_keeper.replicas import choose_replicas
 
 _POLL_SECONDS = 0.5
 _REQUEST_TIMEOUT_SECONDS = 1.0
@@ -35,6 +37,19 @@
 _LONE_INSTANCE_SECONDS = 60.0
 
 
+class Layout(msgspec.Struct, frozen=True):
+    """Which members share the turns.
+
+    Attributes:
+        domains: Names of the members, by failure domain. If there are enough
+            domains, only that of this instance.
+        copies: Number of these members that store each turn.
+    """
+
+    domains: frozenset[tuple[str, frozenset[str]]] = frozenset()
+    copies: int = 1
+
+
 class Progress(msgspec.Struct):
     """How far one member was followed.
 
@@ -61,8 +76,7 @@
     Attributes:
         progress: How far each member was followed, by name.
         tasks: The tasks, by name of the member.
-        domain_peers: Members of this domain that share its turns, including
-            this instance.
+        layout: The members that share the turns, including this instance.
 
     Args:
         keeper: This instance.
@@ -74,7 +88,7 @@
         self.members = members
         self.progress: dict[str, Progress] = {}
         self.tasks: dict[str, asyncio.Task] = {}
-        self.domain_peers: frozenset[str] = frozenset()
+        self.layout = Layout()
         self.started_at = asyncio.get_running_loop().time()
         self.task: asyncio.Task | None = None
 
@@ -94,38 +108,50 @@
                     self.tasks[name] = start_loop(
                         f"following of {name}", self._follow(name)
                     )
-            self.update_domain_peers()
+            self.update_layout()
             if not self.keeper.is_recovered and self.is_complete():
                 self.keeper.mark_recovered(self.is_first_run())
             await asyncio.sleep(_POLL_SECONDS / 2)
 
-    def update_domain_peers(self) -> None:
+    def update_layout(self) -> None:
         """Follows all members anew if this instance has to hold other turns.
 
-        Members of one domain share its turns. When one of them joins, leaves
-        or becomes unresponsive, turns that were skipped before may have to be
-        stored here now.
+        When a member joins, leaves or becomes unresponsive, turns that were
+        skipped before may have to be stored here now.
         """
-        domain_peers = self._domain_peers()
-        if domain_peers == self.domain_peers:
+        layout = self._current_layout()
+        if layout == self.layout:
             return
-        self.domain_peers = domain_peers
+        self.layout = layout
         # New objects, so that a page that is being fetched for the earlier
-        # peers does not count.
+        # layout does not count.
         self.progress = {name: Progress() for name in self.progress}
-        log_event("share_reviewed", keepers=sorted(domain_peers))
+        names = sorted(itertools.chain(*(names for _, names in layout.domains)))
+        log_event("share_reviewed", keepers=names, copies=layout.copies)
 
-    def _domain_peers(self) -> frozenset[str]:
+    def _current_layout(self) -> Layout:
+        mine = self.members.known.get(self.keeper.name)
+        domain = mine.domain if mine else ""
+        domains = {
+            name: frozenset(member.name for member in members)
+            for name, members in self.members.writable_domains().items()
+        }
+        domains[domain] = self._domain_peers(domain)
+        if len(domains) >= self.members.copies:
+            # Each domain stores one copy, whatever there is in the others.
+            return Layout(frozenset({(domain, domains[domain])}))
+        return Layout(frozenset(domains.items()), self.members.copies)
+
+    def _domain_peers(self, domain: str) -> frozenset[str]:
         """Returns the members of this domain that can hold turns now.
 
         A member that was replaced stays registered for some seconds. If it
         counted, its successor would skip the turns that it had held, and these
         would be gone with the next lost disk.
         """
-        mine = self.members.known.get(self.keeper.name)
         found = {self.keeper.name}
         for member in self.members.known.values():
-            is_peer = mine is not None and member.domain == mine.domain
+            is_peer = domain and member.domain == domain
             is_responsive = not self.members.link(member).failures
             if is_peer and is_responsive and not member.leaving:
                 found.add(member.name)
@@ -271,7 +297,7 @@
         mine = [
             ref.turn
             for ref in turns
-            if _holder_of(ref.key, self.domain_peers) == self.keeper.name
+            if self.keeper.name in _holders_of(ref.key, self.layout)
         ]
         lacking = self.keeper.table.missing(mine)
         link = self.members.link(member)
@@ -294,6 +320,6 @@
 # Cached since every holder of a turn reports it, and the turns of a chain share
 # a key.
 @functools.lru_cache(_MAX_CACHED_KEYS)
-def _holder_of(key: str, domain_peers: frozenset[str]) -> str:
-    """Returns which of the members that share a domain's turns holds a key."""
-    return rank(key, domain_peers)[0]
+def _holders_of(key: str, layout: Layout) -> frozenset[str]:
+    """Returns which of the members that share the turns hold a key."""
+    return frozenset(choose_replicas(key, dict(layout.domains), layout.copies))
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -21,6 +21,9 @@
 _KEEP_TIMEOUT_SECONDS = 0.4
 _FETCH_TIMEOUT_SECONDS = 0.3
 _UNRESPONSIVE_TIMEOUT_SECONDS = 0.06
+# Pause before the instances are asked again to store a turn. An instance that
+# was killed or that restarts is back within a second or two.
+_KEEP_RETRY_SECONDS = 0.1
 # Size of the cache of turns. The next turn of a conversation mostly comes to
 # the same front end, and then needs no round trip.
 _CACHE_BYTES = 24 * 1024 * 1024
@@ -36,7 +39,8 @@
     Attributes:
         domains: Failure domain of each storage instance in ``keepers``.
         keepers: Names of the storage instances.
-        is_replicated: Whether there are as many replicas as required.
+        is_replicated: Whether there are as many replicas as required. If not,
+            the next lost disk may be the only one with the turn.
     """
 
     domains: list[str]
@@ -96,44 +100,96 @@
 
     Args:
         reach: Links to the storage instances.
-        copies: Number of failure domains in which a turn must be on disk.
     """
 
-    def __init__(self, reach: Reachability, copies: int) -> None:
+    def __init__(self, reach: Reachability) -> None:
         self.reach = reach
-        self.copies = copies
         self.cache = TurnCache()
 
-    async def keep(self, kept: KeptTurn) -> KeepResult:
-        """Keeps a turn, and returns once it is on disk in enough domains.
+    def can_keep(self) -> bool:
+        """Whether as many instances respond as have to store a turn."""
+        members = self.reach.members
+        able = [
+            member
+            for member in members.known.values()
+            if not member.emptied and not self.reach.is_unresponsive(member)
+        ]
+        return len(able) >= members.copies
+
+    async def keep(
+        self, kept: KeptTurn, deadline: float | None = None
+    ) -> KeepResult:
+        """Keeps a turn, and returns once it is on enough disks.
 
-        If too few failure domains are reachable, as during a partition, the
-        instances that have the turn spread it once they reach others.
+        Args:
+            kept: The turn.
+            deadline: Loop time until which instances are asked again if too
+                few have stored it; None to ask each of them once.
         """
-        self.cache.add(kept)
         began = loop_seconds()
-        replicas = self.reach.members.replicas(kept.key)
+        copies = self.reach.members.copies
+        kept_at: dict[str, Member] = {}
+        while True:
+            await self._keep_at_all(kept, kept_at)
+            if len(kept_at) >= copies:
+                self.cache.add(kept)
+                break
+            retry_at = loop_seconds() + _KEEP_RETRY_SECONDS
+            if deadline is None or retry_at > deadline:
+                break
+            await asyncio.sleep(_KEEP_RETRY_SECONDS)
+        self.reach.metrics.observe(
+            "rattanmill_keep_seconds", loop_seconds() - began
+        )
+        return KeepResult(
+            [member.domain for member in kept_at.values()],
+            list(kept_at),
+            len(kept_at) >= copies,
+        )
+
+    async def _keep_at_all(
+        self, kept: KeptTurn, kept_at: dict[str, Member]
+    ) -> None:
+        """Asks instances to store a turn until enough of them have done so.
+
+        Its replicas are asked first. Each one that does not respond has a
+        substitute, until no instance is left to be asked.
+
+        Args:
+            kept: The turn.
+            kept_at: Instances that have stored it, by name; new ones are added.
+        """
+        members = self.reach.members
+        substitutes = [
+            member
+            for member in members.substitutes(kept.key)
+            if member.name not in kept_at
+        ]
+        substitutes.sort(key=self.reach.is_unresponsive)
         pending = {
             self.reach.spawn(self._keep_at(member, kept)): member
-            for member in replicas
+            for member in members.replicas(kept.key)
+            if member.name not in kept_at
         }
-        kept_at: list[Member] = []
-        while pending and len(kept_at) < self.copies:
+        while len(kept_at) < members.copies:
+            expected = [
+                member
+                for member in pending.values()
+                if not self.reach.is_unresponsive(member)
+            ]
+            missing = members.copies - len(kept_at) - len(expected)
+            for _ in range(min(missing, len(substitutes))):
+                member = substitutes.pop(0)
+                pending[self.reach.spawn(self._keep_at(member, kept))] = member
+            if not pending:
+                return
             done, _ = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
                 member = pending.pop(task)
                 if task.result():
-                    kept_at.append(member)
-        self.reach.metrics.observe(
-            "rattanmill_keep_seconds", loop_seconds() - began
-        )
-        return KeepResult(
-            [member.domain for member in kept_at],
-            [member.name for member in kept_at],
-            len(kept_at) >= self.copies,
-        )
+                    kept_at[member.name] = member
 
     async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
         reply = await self.reach.ask(
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -3,10 +3,9 @@
 import asyncio
 import collections
 import contextlib
-import hashlib
 import itertools
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Self
 
 import msgspec
@@ -20,6 +19,7 @@
 )
 from rattanmill_keeper.isolation import Contact, Loss
 from rattanmill_keeper.messages import MAX_SHARERS, News, codec
+from rattanmill_keeper.replicas import choose_replicas, rank
 from rattanmill_platform import (
     KeyValue,
     PrefixWatch,
@@ -105,20 +105,6 @@
     return instances <= MAX_SHARERS
 
 
-def rank(key: str, names: Iterable[str]) -> list[str]:
-    """Orders names by rendezvous hashing (highest random weight) for a key.
-
-    All instances compute the same order without communicating, and adding or
-    removing a name moves only its own share of the keys.
-    """
-    return sorted(
-        names,
-        key=lambda name: hashlib.blake2b(
-            f"{key}/{name}".encode(), digest_size=8
-        ).digest(),
-    )
-
-
 def _by_domain(key: str, members: list[Member]) -> dict[str, list[Member]]:
     places = {
         n: at for at, n in enumerate(rank(key, [m.name for m in members]))
@@ -605,13 +591,34 @@
         """Returns the members that accept new data, by failure domain."""
         return _writable(self.ranked())
 
+    @property
+    def copies(self) -> int:
+        """Number of disks on which data must be so that one of them is left."""
+        return self.tolerated_disk_losses + 1
+
     def replicas(self, key: str) -> list[Member]:
-        """Returns the member of each failure domain that stores a key."""
-        chosen = []
-        for members in self.writable_domains().values():
-            by_name = {member.name: member for member in members}
-            chosen.append(by_name[rank(key, by_name)[0]])
-        return chosen
+        """Returns the members that store a key."""
+        domains = {
+            domain: [member.name for member in members]
+            for domain, members in self.writable_domains().items()
+        }
+        names = choose_replicas(key, domains, self.copies)
+        return [self.known[name] for name in names]
+
+    def substitutes(self, key: str) -> list[Member]:
+        """Returns the members that may store a key in place of its replicas.
+
+        Those that are leaving come last. They pass on what they store before
+        they report that they are emptied.
+        """
+        replicas = self.replicas(key)
+        others = {
+            member.name: member
+            for member in self.known.values()
+            if member not in replicas and not member.emptied
+        }
+        ranked = [others[name] for name in rank(key, others)]
+        return sorted(ranked, key=lambda member: member.leaving)
 
     def lenders(self, workspace: str) -> list[Member]:
         """Returns the writable members in the order in which they lend.
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -8,7 +8,7 @@
 
 from rattanmill_core import loop_seconds, warn_event
 from rattanmill_keeper.accounts import is_granted, majority, merge_accounts
-from rattanmill_keeper.members import Member, rank
+from rattanmill_keeper.members import Member
 from rattanmill_keeper.messages import (
     Account,
     CutOff,
@@ -31,6 +31,7 @@
     Unsure,
 )
 from rattanmill_keeper.reach import Reachability
+from rattanmill_keeper.replicas import rank
 
 # An instance that opens an account asks the others (up to 0.15 s) and possibly
 # the platform store (0.3 s).
--- /dev/null
+++ b/tests/features/site_copies.feature
@@ -0,0 +1,27 @@
+Feature: Too few storage instances respond to keep a turn
+  Guards against answers that end whole although one lost disk takes their turn
+  away, and against turns that run although that is known before.
+
+  Background:
+    Given a system on the users' platform
+
+  Scenario: All storage instances of the other failure domains are frozen
+    Guards against turns that only one disk has, and that are denied once it is
+    lost.
+
+    When a turn "one " of program "alone" is sent to "east"
+    Then it is answered with 200
+    When the storage instances of "west, north" are frozen
+    And next turns are sent to "east" until one is refused for "turn_unkept"
+    Then none of them was answered whole
+    And no endpoint received the one that was refused
+    When the storage instances of "west, north" go on
+    Then the next turn is finally answered with 200 at "west"
+
+  Scenario: They are frozen while a turn runs
+    Guards against a turn that looks complete although later turns may not find
+    it.
+
+    Given every engine has the fault "slow"
+    When a turn is sent to "east", and those of "west, north" are frozen until it ends
+    Then the connection ends without a complete response
--- /dev/null
+++ b/tests/features/steps/copies.py
@@ -0,0 +1,257 @@
+"""Steps about the number of disks that have a turn."""
+
+import asyncio
+import itertools
+
+import msgspec
+from behave import then, when
+from steps.lookups import decommission
+
+from rattanmill_core import Metrics, Ran, Refusal, loop_seconds, wall_seconds
+from rattanmill_forward.routes import Route, RouteKind
+from rattanmill_forward.turns import Turn, TurnManager
+from rattanmill_keeper import KeptTurn
+from support.calls import make_call
+from support.keepers import run_in
+
+_RETENTION_SECONDS = 60.0
+_CUT_SECONDS = 0.3
+_DEADLINE_SECONDS = 5.0
+_ROUTE = Route(
+    "talk",
+    "a",
+    "/",
+    RouteKind.STREAM,
+    timeout_seconds=4.0,
+    target_latency_seconds=0.2,
+    priority=0,
+    backends=(),
+    max_attempts=1,
+    stores_turns=True,
+    retention_seconds=_RETENTION_SECONDS,
+)
+
+
+def new_turn(name="t", previous=""):
+    """Returns a turn; each one is the only one of its chain."""
+    expires = wall_seconds() + _RETENTION_SECONDS
+    return KeptTurn(name, previous, b"text", expires, f"chain of {name}")
+
+
+def cut(network, name, others):
+    network.cuts |= {
+        frozenset((name, other)) for other in others if other != name
+    }
+
+
+@when('"{name}" is cut off')
+def step_cut(context, name):
+    cut(context.network, name, context.network.names)
+
+
+@when('the failure domain of "{name}" is cut off')
+def step_cut_domain(context, name):
+    network = context.network
+    inside = [
+        other
+        for other in network.names
+        if network.domains[other] == network.domains[name]
+    ]
+    for each in inside:
+        cut(network, each, set(network.names) - set(inside))
+
+
+@when('"{name}" reaches the others again')
+def step_heal(context, name):
+    context.network.cuts.clear()
+
+
+@when('"{name}" is cut off, and a front end there has noticed it')
+def step_cut_noticed(context, name):
+    async def notice(network):
+        context.front = network.front(name)
+        assert (await context.front.turns.keep(new_turn("t0"))).is_replicated
+        cut(network, name, network.names)
+        await context.front.turns.keep(new_turn())
+
+    run_in(context, notice)
+
+
+def begin_next(context):
+    """Returns what a front end says to a further turn of a conversation."""
+    manager = TurnManager(context.front, Metrics())
+    call = make_call(1, previous_turn_id="t0", program="p", body=b"next")
+    return run_in(context, lambda _: manager.begin(call, _ROUTE))
+
+
+@then(
+    "the front end refuses the next turn of a conversation at once, as not run"
+)
+def step_refuses(context):
+    context.refusal = begin_next(context)
+    assert isinstance(context.refusal, Refusal), context.refusal
+    assert context.refusal.status == 503, context.refusal
+    assert context.refusal.ran is Ran.NO, context.refusal
+
+
+@then("the refusal says when to come back")
+def step_come_back(context):
+    assert context.refusal.retry_after > 0, context.refusal
+
+
+@then("the front end lets the next turn of a conversation run")
+def step_runs(context):
+    async def ping(network):
+        for member in context.front.reach.members.known.values():
+            await context.front.reach._ping(member)
+
+    run_in(context, ping)
+    found = begin_next(context)
+    assert isinstance(found, Turn), found
+
+
+@then(
+    'a front end near "{name}" does not count a turn as kept, and its cache has'
+    " no such turn"
+)
+def step_not_kept(context, name):
+    async def keep(network):
+        front = network.front(name)
+        kept_by = await front.turns.keep(new_turn())
+        return kept_by, list(front.turns.cache.turns)
+
+    kept_by, cached = run_in(context, keep)
+    assert not kept_by.is_replicated, kept_by
+    assert not cached, cached
+
+
+@then(
+    'a front end near "{name}" counts a turn as kept that ends just before the'
+    " cut does"
+)
+def step_kept_late(context, name):
+    async def keep(network):
+        front = network.front(name)
+        deadline = loop_seconds() + _DEADLINE_SECONDS
+        asyncio.get_running_loop().call_later(_CUT_SECONDS, network.cuts.clear)
+        return await front.turns.keep(new_turn(), deadline)
+
+    kept_by = run_in(context, keep)
+    assert kept_by.is_replicated, kept_by
+
+
+@then('a front end near "{name}" keeps a turn at {count:d} instances')
+def step_keeps(context, name, count):
+    async def keep(network):
+        front = network.front(name)
+        members = network.members[name]
+        front.reach.members.tolerated_disk_losses = (
+            members.tolerated_disk_losses
+        )
+        return await front.turns.keep(new_turn())
+
+    context.kept_by = run_in(context, keep)
+    assert context.kept_by.is_replicated, context.kept_by
+    assert len(set(context.kept_by.keepers)) == count, context.kept_by
+
+
+@then(
+    "the turn is found after any {count:d} of the disks that it reached are"
+    " lost"
+)
+def step_found_after(context, count):
+    held = {
+        name
+        for name, keeper in context.network.keepers.items()
+        if "t" in keeper.table.held
+    }
+    for lost in itertools.combinations(sorted(held), count):
+        assert held - set(lost), (held, lost)
+
+
+@when(
+    'of each failure domain but that of "{name}" the instance that should store'
+    " a turn is killed"
+)
+def step_kill_replicas(context, name):
+    async def kill(network):
+        members = network.members[name]
+        for replica in members.replicas(new_turn().key):
+            if replica.domain != network.domains[name]:
+                await network.kill(replica.name)
+
+    run_in(context, kill)
+
+
+@when('"{names}" are decommissioned and removed, one after the other')
+def step_remove(context, names):
+    async def remove(network, name):
+        member = network.member(name)
+        network.list_as(msgspec.structs.replace(member, leaving=True))
+        await decommission(network, name)
+        network.list_as(
+            msgspec.structs.replace(member, leaving=True, emptied=True)
+        )
+        await network.kill(name)
+        network.lapse(name)
+        network.names.remove(name)
+        for other in network.names:
+            await network.follow(other)
+
+    for name in names.split(", "):
+        run_in(context, lambda network, name=name: remove(network, name))
+
+
+@when('a front end near "{name}" keeps {count:d} turns')
+def step_keep_many(context, name, count):
+    async def keep(network):
+        front = network.front(name)
+        for number in range(count):
+            await front.turns.keep(new_turn(f"t{number}"))
+
+    run_in(context, keep)
+
+
+@when('"{name}" loses its disk')
+def step_lose_disk(context, name):
+    run_in(context, lambda network: network.wipe(name))
+
+
+@when('"{name}" loses its disk, and its registration expired long ago')
+def step_lose_disk_and_lapse(context, name):
+    async def lose(network):
+        await network.wipe(name)
+        network.lapse(name)
+        network.names.remove(name)
+
+    run_in(context, lose)
+
+
+@when('"{names}" have followed the others')
+def step_follow(context, names):
+    for name in names.split(", "):
+        run_in(context, lambda network, name=name: network.follow(name))
+
+
+@when('"{name}" has started and followed "{other}", which loses its disk then')
+def step_recover(context, name, other):
+    async def recover(network):
+        await network.start(name)
+        await network.follow(name)
+        await network.wipe(other)
+
+    run_in(context, recover)
+
+
+@then('a front end near "{name}" finds all {count:d} turns')
+def step_find_all(context, name, count):
+    async def find(network):
+        front = network.front(name)
+        return [
+            await front.turns.find(f"t{number}", f"chain of t{number}")
+            for number in range(count)
+        ]
+
+    found = run_in(context, find)
+    lost = [n for n, each in enumerate(found) if not isinstance(each, list)]
+    assert not lost, lost
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -8,7 +8,6 @@
 from rattanmill_core import wall_seconds
 from rattanmill_keeper import Reserve, Reserved, following, journal
 from rattanmill_keeper.following import Follower
-from rattanmill_keeper.members import rank
 from rattanmill_keeper.messages import (
     Accounts,
     KeptTurn,
@@ -16,6 +15,7 @@
     Opened,
     Turns,
 )
+from rattanmill_keeper.replicas import rank
 from support.keepers import run_in
 
 _BUDGET = 1_000_000
@@ -34,7 +34,7 @@
             for name, keeper in network.keepers.items()
         }
     for name, follower in context.following.items():
-        follower.update_domain_peers()
+        follower.update_layout()
         for member in list(network.members[name].known.values()):
             pages = 0
             while member.name != name and pages < _MAX_PAGES:
@@ -89,7 +89,9 @@
 )
 def step_keep(context, count):
     context.rank = context.scenario_stack.enter_context(
-        mock.patch.object(following, "rank", wraps=following.rank)
+        mock.patch.object(
+            following, "choose_replicas", wraps=following.choose_replicas
+        )
     )
     # Unique to this scenario, since others use the same names.
     chain = context.chain = f"chain-{wall_seconds()}"
@@ -239,7 +241,7 @@
     async def follow_half(network):
         lost = network.names[-1]
         follower = Follower(network.keepers[lost], network.members[lost])
-        follower.update_domain_peers()
+        follower.update_layout()
         context.levels = {}
         for name in network.names[:-1]:
             send_half_once(network)
@@ -290,7 +292,7 @@
 
         def notice(reply):
             network.failures[context.next_holder, holder] = 1
-            follower.update_domain_peers()
+            follower.update_layout()
             return reply
 
         others = [
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -325,7 +325,7 @@
         members = LocalMembers(n, "front")
         for name in n.names:
             n.introduce(members, name)
-        context.front = KeeperClient("domain-a", 2, members, Metrics())
+        context.front = KeeperClient("domain-a", members, Metrics())
         reservation = asyncio.create_task(
             context.front.budgets.reserve(
                 Reserve("left", "one", TOKENS, BUDGET)
--- a/tests/features/steps/keeping_cut.py
+++ b/tests/features/steps/keeping_cut.py
@@ -59,7 +59,7 @@
 
     def make():
         members = CutMembers(context.kv, near)
-        return KeeperClient(domain, 2, members, Metrics())
+        return KeeperClient(domain, members, Metrics())
 
     context.make_client = make
 
--- a/tests/features/steps/lookups.py
+++ b/tests/features/steps/lookups.py
@@ -312,7 +312,7 @@
         front = n.front("b")
         for name in n.names:
             n.introduce(front.reach.members, name)
-        front.turns.copies = len(n.names)
+        front.reach.members.tolerated_disk_losses = len(n.names) - 1
         return await front.turns.keep(turn(0, "p"))
 
     kept_by = network(context, keep)
--- a/tests/features/steps/site_loads.py
+++ b/tests/features/steps/site_loads.py
@@ -40,7 +40,7 @@
 
     def __init__(self, members, domain, metrics):
         self.members = members
-        self.keepers = KeeperClient(domain, 2, members, metrics)
+        self.keepers = KeeperClient(domain, members, metrics)
         self.keepers.loads.on_loads = self._on_loads
         self.heard = []
         self.asked = set()
--- a/tests/features/steps/site_lookups.py
+++ b/tests/features/steps/site_lookups.py
@@ -9,8 +9,9 @@
 from steps.site_store import clear_store_faults, front_end
 
 from rattanmill_keeper import codec
-from rattanmill_keeper.members import MEMBERS_PREFIX, rank
+from rattanmill_keeper.members import MEMBERS_PREFIX
 from rattanmill_keeper.messages import Chain, Fetch, StoreItems, StoreList
+from rattanmill_keeper.replicas import rank
 from rattanmill_wire import RequestLink
 from support import wait_until
 
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -312,7 +312,7 @@
         follower = Follower(keeper, self.members[name])
         # Twice: an unresponsive member is known only after a request to it.
         for _ in range(2):
-            follower.update_domain_peers()
+            follower.update_layout()
             await self._fetch_all(follower, name)
         if not keeper.is_recovered and follower.is_complete():
             keeper.mark_recovered(follower.is_first_run())
@@ -333,7 +333,7 @@
         members = LocalMembers(self, name)
         members.known = dict(self.members[name].known)
         domain = members.known[name].domain
-        return KeeperClient(domain, 2, members, _METRICS)
+        return KeeperClient(domain, members, _METRICS)
 
     async def reserve(
         self, name: str, ask: Reserve
