Keep an instance in service while too few would stay without it

Decommission asked whether the others can hold everything only if one of them was out of reach, and counted domains; `_have_others_followed` took those that can be reached for all.

Change: an instance announces that it leaves only if as many others stay as disks must have a turn, and goes on as before until then (`emptying_waits`). Of several that announced it at once, all but the first by name stay for now. Turns and homes count as handed over once that many others have them.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -102,10 +102,9 @@
         await self.requested.wait()
         log_event("emptying_begun", turns=len(self.keeper.table.held))
         await self._write_state(self.keys.running)
-        self.keeper.is_decommissioning = True
-        await self._register(leaving=True)
-        await asyncio.sleep(_SETTLE_SECONDS)
-        await self._until(self._can_others_hold_all)
+        if not self._can_be_spared():
+            self._log_waiting()
+        await self._until(self._begin_leaving)
         await self.transfer_all()
         await self._until(self._have_others_followed)
         await self._register(emptied=True)
@@ -125,16 +124,55 @@
         mine = self.members.known.get(self.keeper.name)
         return mine == self.registration.member
 
-    async def _can_others_hold_all(self) -> bool:
-        """Whether the others can hold all required replicas without this one.
+    async def _begin_leaving(self) -> bool:
+        """Announces that this instance leaves, if it can be spared.
 
-        An unreachable member may be the only other one with some data, and one
-        more disk may be lost as soon as this instance is gone.
+        Of several that are ordered to leave at once, the others may be too few
+        without them. Then all but the first one by name stay for now.
         """
-        if not self.members.unlisted():
-            return True
-        domains = self.members.writable_domains()
-        return len(domains) > self.members.tolerated_disk_losses
+        if not self._can_be_spared():
+            return False
+        self.keeper.is_decommissioning = True
+        await self._register(leaving=True)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        while not self._can_be_spared():
+            if self._is_another_first():
+                self._log_waiting()
+                await self._register(leaving=False)
+                self.keeper.is_decommissioning = False
+                return False
+            await asyncio.sleep(_PAUSE_SECONDS)
+        return True
+
+    def _log_waiting(self) -> None:
+        log_event(
+            "emptying_waits",
+            staying=[member.name for member in self._staying()],
+            needed=self.members.copies,
+        )
+
+    def _can_be_spared(self) -> bool:
+        """Whether the others can hold all required copies without this one.
+
+        One more disk may be lost as soon as this instance is gone.
+        """
+        return len(self._staying()) >= self.members.copies
+
+    def _staying(self) -> list[Member]:
+        """Returns the other members that accept new data."""
+        return [
+            member
+            for name, member in self.members.known.items()
+            if name != self.keeper.name and not member.leaving
+        ]
+
+    def _is_another_first(self) -> bool:
+        leaving = [
+            name
+            for name, member in self.members.known.items()
+            if member.leaving and not member.emptied
+        ]
+        return min(leaving) != self.keeper.name
 
     async def _have_others_followed(self) -> bool:
         """Whether the others have fetched everything that was agreed to here.
@@ -142,10 +180,14 @@
         They don't count this instance any more once it is gone.
         """
         position = self.keeper.intake.position
-        return all(
-            self.keeper.follower_positions.get(name, -1) >= position
-            for name, member in self.members.known.items()
-            if not member.leaving and not self.members.link(member).failures
+        reached = [
+            member
+            for member in self._staying()
+            if not self.members.link(member).failures
+        ]
+        return len(reached) >= self.members.copies and all(
+            self.keeper.follower_positions.get(member.name, -1) >= position
+            for member in reached
         )
 
     async def _until(self, step: Callable[[], Awaitable[bool]]) -> None:
@@ -210,10 +252,11 @@
         turns = self.keeper.table.held
         wanted: dict[str, list[str]] = {}
         for turn, held in turns.items():
-            for replica in self.members.replicas(held.kept.key):
+            replicas = self.members.replicas(held.kept.key)
+            if len(replicas) < self.members.copies:
+                return False
+            for replica in replicas:
                 wanted.setdefault(replica.name, []).append(turn)
-        if turns and not wanted:
-            return False
         for name, theirs in wanted.items():
             if not await self._push(self.members.known[name], theirs):
                 return False
--- a/tests/features/copies.feature
+++ b/tests/features/copies.feature
@@ -86,3 +86,23 @@
     And "s0, s2" have followed the others
     And "s0" loses its disk
     Then a front end near "s2" finds all 20 turns
+
+  Scenario: The last instance but one is ordered to leave
+    Guards against an order that leaves one disk for all turns.
+
+    Given storage instances "a, b"
+    When the decommissioning of "a" is requested
+    Then 2 seconds later "a" does not report that it is decommissioned
+    And a front end near "b" keeps a turn at 2 instances
+    When "c" joins them in a failure domain of its own
+    Then "a" reports that it is decommissioned
+    And a front end near "b" keeps a turn at 2 instances
+
+  Scenario: Two of three instances are ordered to leave at the same moment
+    Guards against two that each take the other one for staying.
+
+    Given storage instances "a, b, c"
+    When the decommissioning of "a" and "b" is requested at the same moment
+    Then "a" reports that it is decommissioned
+    And 2 seconds later "b" does not report that it is decommissioned
+    And a front end near "c" keeps a turn at 2 instances
--- a/tests/features/steps/copies.py
+++ b/tests/features/steps/copies.py
@@ -6,6 +6,7 @@
 import msgspec
 from behave import then, when
 from steps.lookups import decommission
+from steps.views_keepers import start_decommission
 
 from rattanmill_core import Metrics, Ran, Refusal, loop_seconds, wall_seconds
 from rattanmill_forward.routes import Route, RouteKind
@@ -255,3 +256,25 @@
     found = run_in(context, find)
     lost = [n for n, each in enumerate(found) if not isinstance(each, list)]
     assert not lost, lost
+
+
+@when('"{name}" joins them in a failure domain of its own')
+def step_join(context, name):
+    async def join(network):
+        network.names.append(name)
+        await network.start(name)
+        network.list_as(network.member(name))
+
+    run_in(context, join)
+
+
+@when(
+    'the decommissioning of "{first}" and "{second}" is requested at the same'
+    " moment"
+)
+def step_request_both(context, first, second):
+    async def request(network):
+        await start_decommission(context, network, first)
+        await start_decommission(context, network, second)
+
+    run_in(context, request)
