Take data that is nested too deeply for data that can't be decoded

What callers saw: nothing is served any more.

Cause: the decoder raises RecursionError, which is neither of the errors that `decode_endpoint` caught. It ended the loop of the watch, and with it the process.

Change: DECODE_ERRORS in rattanmill_core names all that a decoder raises, and every place that decodes data of another process or of a file catches these. The holders of an account in the store were decoded with no check at all: the program is refused now (`home_undecodable`).

--- a/libs/cli/src/rattanmill_cli/files.py
+++ b/libs/cli/src/rattanmill_cli/files.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from rattanmill_core import ConfigDocument, SettingsError, read_config
+from rattanmill_core import (
+    DECODE_ERRORS,
+    ConfigDocument,
+    SettingsError,
+    read_config,
+)
 
 
 def load_plain(path: str) -> dict[str, Any]:
@@ -23,7 +28,7 @@
             plain = tomllib.loads(text)
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: cannot be read: {error}") from error
-    except (tomllib.TOMLDecodeError, msgspec.DecodeError) as error:
+    except (tomllib.TOMLDecodeError, *DECODE_ERRORS) as error:
         form = "JSON" if path.endswith(".json") else "TOML"
         raise SettingsError(f"{path}: not {form}: {error}") from error
     if not isinstance(plain, dict):
--- a/libs/cli/src/rattanmill_cli/lines.py
+++ b/libs/cli/src/rattanmill_cli/lines.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from rattanmill_core import UsageError
+from rattanmill_core import DECODE_ERRORS, UsageError
 
 
 class Line(msgspec.Struct, frozen=True):
@@ -88,7 +88,7 @@
             str(fields.pop("event")),
             fields,
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (*DECODE_ERRORS, KeyError, TypeError, ValueError):
         return None
     except AttributeError:
         # Valid JSON, but not an object.
--- a/libs/cli/src/rattanmill_cli/link.py
+++ b/libs/cli/src/rattanmill_cli/link.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from rattanmill_core import (
+    DECODE_ERRORS,
     ConflictError,
     Reason,
     RefusedError,
@@ -131,7 +132,7 @@
     def _decode(self, body: bytes, kind: type[_T]) -> _T:
         try:
             return msgspec.json.decode(body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise UnreachableError(
                 f"{self.address} answers, but not as an instance of"
                 f" rattanmill does ({error}). Is the address right?"
@@ -148,7 +149,7 @@
 def _refused(status: int, body: bytes, address: str) -> RefusedError:
     try:
         problem = msgspec.json.decode(body, type=Problem)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return RefusedError(
             f"{address} answered with status {status} and no reason. Is it an"
             " instance of rattanmill?"
--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from rattanmill_core.decoding import DECODE_ERRORS
 from rattanmill_core.errors import (
     ConflictError,
     InvariantError,
@@ -60,6 +61,7 @@
     "ConfigDocument",
     "ConfigReach",
     "ConflictError",
+    "DECODE_ERRORS",
     "EndpointStatus",
     "HistoryEntry",
     "InstanceStatus",
--- a/libs/core/src/rattanmill_core/config.py
+++ b/libs/core/src/rattanmill_core/config.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rattanmill_core.checks import read_struct
+from rattanmill_core.decoding import DECODE_ERRORS
 
 Name = Annotated[
     str,
@@ -103,7 +104,7 @@
     """Decodes a JSON document; returns it, or all errors in ``data``."""
     try:
         plain = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return [f"not JSON: {error}"]
     return read_config(plain)
 
--- a/libs/entry/src/rattanmill_entry/chatbody.py
+++ b/libs/entry/src/rattanmill_entry/chatbody.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from rattanmill_core import DECODE_ERRORS
+
 _DEFAULT_OUTPUT_TOKENS = 1024
 _TEMPLATE_TOKENS_PER_MESSAGE = 16
 _ONE_ANSWER = (b"1", b"null")
@@ -58,7 +60,7 @@
     try:
         wire = _BODY_DECODER.decode(body)
         fields = _FIELDS_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return str(error)
     if not wire.messages:
         return "messages: must not be empty"
@@ -85,7 +87,7 @@
     """Whether a body requests a streamed answer; False if it is invalid."""
     try:
         return msgspec.json.decode(body, type=_Stream).stream
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return False
 
 
--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -17,7 +17,14 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import Aspect, Sign, loop_seconds, part_logger, start_loop
+from rattanmill_core import (
+    DECODE_ERRORS,
+    Aspect,
+    Sign,
+    loop_seconds,
+    part_logger,
+    start_loop,
+)
 from rattanmill_entry.node import Node
 from rattanmill_entry.upstream import Failed
 from rattanmill_policy import EndpointState, Load, Outcome
@@ -257,7 +264,7 @@
             body = await response.read()
         try:
             return msgspec.json.decode(body, type=Load)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return None
 
     def _apply_result(
--- a/libs/entry/src/rattanmill_entry/lifecycle.py
+++ b/libs/entry/src/rattanmill_entry/lifecycle.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from rattanmill_core import ProgramId, Reason, Refusal, new_id, refuse
+from rattanmill_core import (
+    DECODE_ERRORS,
+    ProgramId,
+    Reason,
+    Refusal,
+    new_id,
+    refuse,
+)
 from rattanmill_entry.node import Node
 from rattanmill_entry.replies import JSON_HEADERS, Reply, refused, whole_reply
 from rattanmill_programs import (
@@ -99,7 +106,7 @@
     """Returns the parent in a body; empty if none is set or it is invalid."""
     try:
         return msgspec.json.decode(body, type=_Parent).parent
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return ""
 
 
@@ -108,7 +115,7 @@
 ) -> ProgramCreated | Refusal:
     try:
         body = msgspec.json.decode(start.body, type=CreateBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return refuse(Reason.BAD_REQUEST, str(error))
     name = body.klass or node.config.default_class
     klass = node.config.classes.get(name)
--- a/libs/entry/src/rattanmill_entry/memory.py
+++ b/libs/entry/src/rattanmill_entry/memory.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from rattanmill_core import (
+    DECODE_ERRORS,
     loop_seconds,
     parse_program_id,
     part_logger,
@@ -285,7 +286,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            msgspec.DecodeError,
+            *DECODE_ERRORS,
         ):
             return None
 
--- a/libs/entry/src/rattanmill_entry/owners.py
+++ b/libs/entry/src/rattanmill_entry/owners.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rattanmill_core import new_id, part_logger
+from rattanmill_core import DECODE_ERRORS, new_id, part_logger
 from rattanmill_platform import (
     Conflict,
     DomainShards,
@@ -50,7 +50,7 @@
     if isinstance(found, Found):
         try:
             owners = msgspec.json.decode(found.entry.value, type=DomainShards)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return Unavailable(f"owners of {domain} are undecodable: {error}")
         return StoredOwners(owners, found.entry.revision)
     return StoredOwners(DomainShards(0, [NO_OWNER] * count), 0)
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from rattanmill_core import DECODE_ERRORS
 from rattanmill_entry.deltas import check_delta
 from rattanmill_policy import Outcome
 
@@ -189,7 +190,7 @@
         yield Failed(Outcome.NOT_CONNECTED, 0, str(e))
     except TimeoutError:
         yield Failed(Outcome.TIMED_OUT, 0, "timed out waiting for a token")
-    except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+    except (aiohttp.ClientError, OSError, *DECODE_ERRORS) as error:
         yield Failed(Outcome.BROKEN, 0, str(error) or "connection lost")
 
 
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from rattanmill_core import log_event, wall_seconds
+from rattanmill_core import DECODE_ERRORS, log_event, wall_seconds, warn_event
 from rattanmill_keeper.isolation import Loss, merge_losses
 from rattanmill_keeper.ledger import Ledger
 from rattanmill_keeper.members import ROSTER_EXPIRY_SECONDS, Members
@@ -306,8 +306,22 @@
             log_event("home_by_store", program=program)
             return None
         case Found(entry=entry):
-            recorded = msgspec.json.decode(entry.value, type=tuple[str, ...])
-            return None if recorded == holders else Elsewhere(recorded)
+            return _recorded_holders(key, entry.value, holders)
     return Unsure(
         "too few storage instances consented, and the store is unavailable"
     )
+
+
+def _recorded_holders(
+    key: str, value: bytes, holders: tuple[str, ...]
+) -> Elsewhere | Unsure | None:
+    """Compares holders with an entry of the store; None if they are the same.
+
+    Other writers may add entries.
+    """
+    try:
+        recorded = msgspec.json.decode(value, type=tuple[str, ...])
+    except DECODE_ERRORS as error:
+        warn_event("home_undecodable", key=key, why=str(error))
+        return Unsure("the store's holders of the account can't be decoded")
+    return None if recorded == holders else Elsewhere(recorded)
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from rattanmill_core import (
+    DECODE_ERRORS,
     boot_seconds,
     log_event,
     loop_seconds,
@@ -690,7 +691,7 @@
     def _on_written(self, key: str, value: bytes) -> None:
         try:
             member = msgspec.json.decode(value, type=Member)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             warn_event("keeper_undecodable", key=key, why=str(error))
             return
         before = self.known.get(member.name)
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from rattanmill_core import warn_event
+from rattanmill_core import DECODE_ERRORS, warn_event
 from rattanmill_keeper.ledger import (
     AccountChange,
     HomeChange,
@@ -57,7 +57,7 @@
     """
     try:
         return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         warn_event("record_undecodable", why=str(error), bytes=len(data))
         return None
 
@@ -93,6 +93,6 @@
         return None
     try:
         return msgspec.json.decode(path.read_bytes(), type=CompletionMarker)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         warn_event("mark_undecodable", why=str(error))
         return CompletionMarker()
--- a/libs/platform/src/rattanmill_platform/directory.py
+++ b/libs/platform/src/rattanmill_platform/directory.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import part_logger, start_loop
+from rattanmill_core import DECODE_ERRORS, part_logger, start_loop
 
 _log = part_logger("directory")
 _POLL_SECONDS = 1.0
@@ -93,7 +93,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            msgspec.DecodeError,
+            *DECODE_ERRORS,
         ) as error:
             _log.debug("Could not read the instance list: {}", error)
             return
--- a/libs/platform/src/rattanmill_platform/kvclient.py
+++ b/libs/platform/src/rattanmill_platform/kvclient.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import Metrics
+from rattanmill_core import DECODE_ERRORS, Metrics
 from rattanmill_platform.calls import CALL_SECONDS, StoreCalls, Unavailable
 from rattanmill_platform.kv import (
     Conflict,
@@ -190,7 +190,7 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/libs/platform/src/rattanmill_platform/live.py
+++ b/libs/platform/src/rattanmill_platform/live.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from rattanmill_core import part_logger, start_loop
+from rattanmill_core import DECODE_ERRORS, part_logger, start_loop
 from rattanmill_platform.calls import Unavailable
 from rattanmill_platform.kvclient import KvClient
 
@@ -151,7 +151,7 @@
     def _apply(self, key: str, value: bytes | None) -> None:
         try:
             self._store(key, value)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             _log.error("Could not decode the value of {}: {}", key, error)
 
     def _store(self, key: str, value: bytes | None) -> None:
--- a/libs/policy/src/rattanmill_policy/loads.py
+++ b/libs/policy/src/rattanmill_policy/loads.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from rattanmill_core import start_loop
+from rattanmill_core import DECODE_ERRORS, start_loop
 from rattanmill_policy.scheduler import Scheduler
 from rattanmill_policy.speeds import LoadReport
 
@@ -72,7 +72,7 @@
         url = f"{self.scheduler.table.states[name].endpoint.url}/v1/load"
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
         with contextlib.suppress(
-            aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError
+            aiohttp.ClientError, TimeoutError, OSError, *DECODE_ERRORS
         ):
             async with self.session.get(url, timeout=timeout) as answer:
                 data = await answer.read()
--- a/libs/programs/src/rattanmill_programs/receipts.py
+++ b/libs/programs/src/rattanmill_programs/receipts.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from rattanmill_core import DECODE_ERRORS
 from rattanmill_programs.records import TurnKept
 
 _TAG_BYTES = 32
@@ -34,7 +35,7 @@
         return None
     try:
         return msgspec.msgpack.decode(data, type=TurnKept)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/libs/programs/src/rattanmill_programs/recovery.py
+++ b/libs/programs/src/rattanmill_programs/recovery.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from rattanmill_core import InvariantError, new_id
+from rattanmill_core import DECODE_ERRORS, InvariantError, new_id
 from rattanmill_platform import (
     Conflict,
     Found,
@@ -175,7 +175,7 @@
     """
     try:
         return await _recover(kv, domain, shard, epoch, owner)
-    except (msgspec.DecodeError, InvariantError) as error:
+    except (*DECODE_ERRORS, InvariantError) as error:
         return Broken(str(error))
 
 
--- a/libs/wire/src/rattanmill_wire/messages.py
+++ b/libs/wire/src/rattanmill_wire/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from rattanmill_core import CrashNote, EndpointNote, Refusal
+from rattanmill_core import DECODE_ERRORS, CrashNote, EndpointNote, Refusal
 
 _VERSION = b"\x01"
 
@@ -194,5 +194,5 @@
         return None
     try:
         return _DECODER.decode(memoryview(data)[1:])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -14,6 +14,7 @@
 import zmq
 
 from rattanmill_core import (
+    DECODE_ERRORS,
     Metrics,
     SettingsError,
     log_event,
@@ -57,7 +58,7 @@
         """Returns the message, or None if its type is unknown."""
         try:
             return self.decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             warn_event("message_undecodable", why=str(error), bytes=len(data))
             return None
 
--- a/tests/features/steps/site.py
+++ b/tests/features/steps/site.py
@@ -325,6 +325,8 @@
     for key, value in (
         ("servers/forged-1", b"\xff\xfe no text"),
         ("servers/forged-2", b'{"service":"desk"}'),
+        ("servers/forged-4", b'{"a":' + b"[" * 2000),
+        ("servers/forged-5", b'{"a":' * 2000),
         (
             "servers/forged-3",
             json.dumps(
@@ -342,6 +344,19 @@
         ),
     ):
         site(context).put(key, value)
+    for domain in _DOMAINS:
+        wait_until(
+            lambda d=domain: _has_read(context, d, "servers/forged-5"),
+            f"the front end of {domain} has read all of them",
+        )
+
+
+def _has_read(context, domain, key):
+    """Whether a front end has read an endpoint's entry, and can't use it."""
+    front = site(context).processes[f"front-{domain}"]
+    assert front.alive, front.tail()
+    unreadable = front.events("endpoint_unreadable")
+    return any(line["key"] == key for line in unreadable)
 
 
 @given(
