Pass a body with a content encoding on as it was sent

Cause: the HTTP library decompresses bodies of callers unless told otherwise.

Change: it is told. What an endpoint gets is what was sent; limits hold for these bytes. Native callers send to another server, which reads the bodies itself and whose JSON may be compressed; it is unchanged.

--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -51,6 +51,8 @@
             access_log=None,
             max_line_size=_MAX_HEAD_BYTES,
             max_field_size=_MAX_HEAD_BYTES,
+            # The endpoint gets the body as it was sent, with its encoding.
+            auto_decompress=False,
         )
         self.policy = policy
         self.is_serving = False
--- a/tests/features/site_bodies.feature
+++ b/tests/features/site_bodies.feature
@@ -103,3 +103,25 @@
     When a look-up with a long response is sent to "east"
     Then the connection ends without a complete response
     And "east" suspects the endpoint
+
+  Scenario Outline: A body with a content encoding
+    Guards against endpoints that get another body than was sent, still labelled
+    with its encoding.
+
+    When a payment of <size> random bytes labelled "<encoding>" is sent to "east"
+    Then the connection is answered with 200
+    And the endpoint received these bytes with that label
+
+    Examples: as it says, not as it says, unknown here, passed on as it arrives
+      | size   | encoding |
+      | 100    | gzip     |
+      | 100    | br       |
+      | 100    | zstd     |
+      | 90000  | deflate  |
+
+  Scenario: A compressed body
+    Guards against endpoints that get it decompressed, still labelled gzip.
+
+    When a payment that is compressed with gzip is sent to "east"
+    Then the connection is answered with 200
+    And the endpoint received these bytes with that label
--- a/tests/features/steps/site_bodies.py
+++ b/tests/features/steps/site_bodies.py
@@ -1,8 +1,10 @@
 """Steps of callers that write request heads and bodies to a socket."""
 
+import gzip
 import http.client
 import io
 import itertools
+import random
 import socket
 import time
 
@@ -225,3 +227,37 @@
         line["endpoint"] for line in front_end.events("endpoint_suspected")
     }
     assert names <= suspected, (names, suspected)
+
+
+def send_encoded(context, body, encoding):
+    context.sent_body, context.sent_encoding = body, encoding
+    head = request_head(
+        context,
+        f"Content-Length: {len(body)}",
+        f"Content-Encoding: {encoding}",
+    )
+    context.sock.sendall(head + body)
+
+
+@when(
+    'a payment of {size:d} random bytes labelled "{encoding}" is sent to'
+    ' "{domain}"'
+)
+def step_send_labelled(context, size, encoding, domain):
+    body = random.Random(size).randbytes(size)
+    connect(context, domain)
+    send_encoded(context, body, encoding)
+
+
+@when('a payment that is compressed with gzip is sent to "{domain}"')
+def step_send_compressed(context, domain):
+    connect(context, domain)
+    send_encoded(context, gzip.compress(b"amount=17" * 10), "gzip")
+
+
+@then("the endpoint received these bytes with that label")
+def step_received_encoded(context):
+    (received,) = site(context).received_requests(context.request)
+    assert received["body"].encode("latin-1") == context.sent_body, received
+    encoding = received["headers"]["content-encoding"]
+    assert encoding == context.sent_encoding, encoding
