Take the store's copies of turns back; the give-up in a cut-off domain stays

An answer whose turn too few disks have is still broken off at once where the domain is cut off (copies.feature, "A front end knows that its failure domain is cut off when a turn ends").

--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -277,6 +277,5 @@
             domains=kept_by.domains,
             keepers=kept_by.keepers,
             enough=kept_by.is_replicated,
-            in_store=kept_by.is_in_store,
         )
         return kept_by
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -18,7 +18,6 @@
 from rattanmill_keeper.messages import codec
 from rattanmill_keeper.rates import RateLender
 from rattanmill_keeper.registration import Registration
-from rattanmill_keeper.storedturns import StoredTurns
 from rattanmill_platform import KeyValue
 from rattanmill_wire import RequestServer
 
@@ -85,10 +84,7 @@
         keeper.openings.publish = registration.publish_informed
         registration.on_lapse = keeper.mark_possibly_excluded
         await stack.enter_async_context(registration)
-        stored_turns = await stack.enter_async_context(StoredTurns(keeper, kv))
-        follower = Follower(keeper, members)
-        follower.has_stored_turns = stored_turns.has_all
-        await stack.enter_async_context(follower)
+        await stack.enter_async_context(Follower(keeper, members))
         await stack.enter_async_context(
             Decommission(keeper, members, registration, kv, orders)
         )
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -7,7 +7,6 @@
 import asyncio
 import functools
 import itertools
-from collections.abc import Callable
 from typing import Self
 
 import msgspec
@@ -78,7 +77,6 @@
         progress: How far each member was followed, by name.
         tasks: The tasks, by name of the member.
         layout: The members that share the turns, including this instance.
-        has_stored_turns: Whether all turns that the store has are on disk.
 
     Args:
         keeper: This instance.
@@ -91,7 +89,6 @@
         self.progress: dict[str, Progress] = {}
         self.tasks: dict[str, asyncio.Task] = {}
         self.layout = Layout()
-        self.has_stored_turns: Callable[[], bool] = lambda: True
         self.started_at = asyncio.get_running_loop().time()
         self.task: asyncio.Task | None = None
 
@@ -164,8 +161,6 @@
         """Whether all data that the other members know of was fetched."""
         if not self.members.synced or self.members.watch.unavailable_since:
             return False
-        if not self.has_stored_turns():
-            return False
         others = [n for n in self.members.known if n != self.keeper.name]
         age = asyncio.get_running_loop().time() - self.started_at
         if not others:
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -17,7 +17,6 @@
     Unsure,
 )
 from rattanmill_keeper.reach import Reachability
-from rattanmill_keeper.storecopies import StoreCopies
 
 _KEEP_TIMEOUT_SECONDS = 0.4
 _FETCH_TIMEOUT_SECONDS = 0.3
@@ -40,16 +39,13 @@
     Attributes:
         domains: Failure domain of each storage instance in ``keepers``.
         keepers: Names of the storage instances.
-        is_replicated: Whether there are as many replicas as required, or the
-            store has the turn, too. If not, the next lost disk may be the only
-            one with it.
-        is_in_store: Whether the store has it.
+        is_replicated: Whether there are as many replicas as required. If not,
+            the next lost disk may be the only one with the turn.
     """
 
     domains: list[str]
     keepers: list[str]
     is_replicated: bool
-    is_in_store: bool = False
 
 
 class Gap(msgspec.Struct):
@@ -109,13 +105,16 @@
     def __init__(self, reach: Reachability) -> None:
         self.reach = reach
         self.cache = TurnCache()
-        self.store_copies = StoreCopies(reach.members.kv)
 
     def can_keep(self) -> bool:
-        """Whether as many instances respond as are needed to keep a turn."""
-        # One instance and the store are enough, see ``StoreCopies``.
-        copies = 1 if self.reach.store_answers else self.reach.members.copies
-        return len(self.reach.responsive()) >= copies
+        """Whether as many instances respond as have to store a turn."""
+        members = self.reach.members
+        able = [
+            member
+            for member in members.known.values()
+            if not member.emptied and not self.reach.is_unresponsive(member)
+        ]
+        return len(able) >= members.copies
 
     async def keep(
         self, kept: KeptTurn, deadline: float | None = None
@@ -130,27 +129,23 @@
                 served sooner in another one.
         """
         began = loop_seconds()
+        copies = self.reach.members.copies
         kept_at: dict[str, Member] = {}
-        is_in_store = False
         while True:
             await self._keep_at_all(kept, kept_at)
-            is_replicated = len(kept_at) >= self.reach.members.copies
-            if kept_at and not is_replicated:
-                is_in_store = await self.store_copies.add(kept)
-            is_replicated = is_replicated or is_in_store
-            if is_replicated or not self._may_ask_again(deadline):
+            if len(kept_at) >= copies:
+                self.cache.add(kept)
+                break
+            if not self._may_ask_again(deadline):
                 break
             await asyncio.sleep(_KEEP_RETRY_SECONDS)
-        if is_replicated:
-            self.cache.add(kept)
         self.reach.metrics.observe(
             "rattanmill_keep_seconds", loop_seconds() - began
         )
         return KeepResult(
             [member.domain for member in kept_at.values()],
             list(kept_at),
-            is_replicated,
-            is_in_store,
+            len(kept_at) >= copies,
         )
 
     def _may_ask_again(self, deadline: float | None) -> bool:
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -221,28 +221,15 @@
         return max(_ALIGN_SECONDS, _PING_SECONDS - longest)
 
     def _probe_if_in_doubt(self) -> None:
-        """Probes the store while it may be needed."""
-        since = loop_seconds() - self.store_probed_at
-        is_due = self._needs_store() or not self.store_answers
-        if is_due and since > _PROBE_SECONDS:
-            self.store_probed_at = loop_seconds()
-            self.spawn(self.probe_store())
-
-    def _needs_store(self) -> bool:
-        """Whether too few members may be reached to do without the store."""
+        """Probes the store while it may be all that can be reached."""
         is_in_doubt = (
             self._silence_seconds(self._members_of_other_domains())
             > _DOUBT_SECONDS
         )
-        return is_in_doubt or len(self.responsive()) < self.members.copies
-
-    def responsive(self) -> list[Member]:
-        """Returns the members that replied when they were last asked."""
-        return [
-            member
-            for member in self.members.known.values()
-            if not member.emptied and not self.is_unresponsive(member)
-        ]
+        since = loop_seconds() - self.store_probed_at
+        if (is_in_doubt or not self.store_answers) and since > _PROBE_SECONDS:
+            self.store_probed_at = loop_seconds()
+            self.spawn(self.probe_store())
 
     def _ping_first(self, members: list[Member]) -> None:
         """Pings a domain's first member, and all others if it is late."""
@@ -309,9 +296,12 @@
             )
 
     async def probe_store(self) -> None:
-        """Checks whether the store replies, if it may be needed."""
+        """Checks whether the store replies if other domains don't."""
         answers = True
-        if self._needs_store():
+        if (
+            self._silence_seconds(self._members_of_other_domains())
+            > _DOUBT_SECONDS
+        ):
             answers = await self._store_answers()
         if answers != self.store_answers:
             log_event("store_probed", answers=answers)
