--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.plan import Fault, Kind
 from soak.system import SoakSite
 from standins.links import LinkFault
+from support.site import DOMAINS
 
 # The platform kills what has not ended by itself after this.
 _GRACE_SECONDS = 8.0
@@ -116,6 +117,37 @@
         )
         self.system.set_link(domain, harm, present)
 
+    async def cut_and_wipe(self, fault: Fault) -> None:
+        """Cuts off a storage instance's domain, and lets it lose its disk.
+
+        What is held back during the cut is lost at its end, so that nothing of
+        the disk reaches others.
+        """
+        _, domain, _ = self.system.place(fault.target)
+        with self._holding(fault.target) as names:
+            if not names:
+                return
+            self._set_cut(domain, True)
+            await asyncio.sleep(fault.seconds / 2)
+            await self._stop(fault.target, False)
+            disk = self.system.disk(fault.target)
+            shutil.rmtree(disk, ignore_errors=True)
+            await asyncio.sleep(fault.seconds / 2)
+            self._set_cut(domain, False)
+            self._start(fault.target)
+
+    def _set_cut(self, domain: str, present: bool) -> None:
+        """Cuts a domain off from all others and the store, or heals that."""
+        others = [other for other in DOMAINS if other != domain]
+        ways = [(other, self.system.net(domain)) for other in others]
+        ways += [(domain, self.system.net(other)) for other in others]
+        ways.append((domain, self.system.store_address))
+        for end, to in ways:
+            if not present:
+                self.system.reset_links(end, to)
+            harm = LinkFault(to, forth=True, back=True)
+            self.system.set_link(end, harm, present)
+
     async def store_cut(self, fault: Fault) -> None:
         """Cuts a failure domain off from the store."""
         harm = LinkFault(self.system.store_address, forth=True, back=True)
@@ -224,4 +256,5 @@
     Kind.RUNNER_FAULT: Faults.runner_fault,
     Kind.CONFIGURE: Faults.configure,
     Kind.RUNNER_SHARE: Faults.runner_share,
+    Kind.CUT_AND_WIPE: Faults.cut_and_wipe,
 }
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -38,11 +38,15 @@
     RUNNER_FAULT = "runner_fault"
     CONFIGURE = "configure"
     RUNNER_SHARE = "runner_share"
+    CUT_AND_WIPE = "cut_and_wipe"
 
 
 # Kinds that are drawn one after the other. A further one among them would
 # change the plans of all seeds.
-_SERIAL_KINDS = tuple(kind for kind in Kind if kind is not Kind.RUNNER_SHARE)
+_SERIAL_KINDS = tuple(
+    kind for kind in Kind if kind not in (Kind.RUNNER_SHARE, Kind.CUT_AND_WIPE)
+)
+LOST_DISKS = (Kind.WIPE, Kind.CUT_AND_WIPE)
 _OF_PROCESSES = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.HANG_UP)
 _OF_LINKS = (Kind.CUT, Kind.CUT_FORTH, Kind.CUT_BACK, Kind.DELAY, Kind.RESET)
 _RUNNER_FAULTS = ("shed", "mute", "cut", "extra", "foreign", "unframed_reset")
@@ -116,14 +120,47 @@
 
 def draw_plan(seed: int, scale: Scale) -> list[Fault]:
     """Returns the faults of a seed, in order of time."""
+    serial = draw_serial_faults(seed, scale)
     plan = [
-        *draw_serial_faults(seed, scale),
+        *serial,
+        *draw_cuts_with_lost_disks(seed, scale, serial),
         *draw_endpoint_faults(seed, scale),
         *draw_early_ends(seed, scale),
     ]
     return sorted(plan, key=lambda fault: fault.at)
 
 
+def draw_cuts_with_lost_disks(
+    seed: int, scale: Scale, serial: list[Fault]
+) -> list[Fault]:
+    """Returns times in which a domain is cut off and one of its disks lost.
+
+    They are drawn apart, so that the other faults of a seed stay as they were,
+    and keep away from the lost disks among these.
+    """
+    rng = random.Random(f"{seed}/cuts with lost disks")
+    wipes = [fault for fault in serial if fault.kind is Kind.WIPE]
+    plan: list[Fault] = []
+    at = 1.0
+    while at < scale.seconds:
+        seconds = rng.uniform(3.0, 6.0)
+        name = process_name(
+            "storage", rng.choice(DOMAINS), rng.randint(1, scale.keepers)
+        )
+        fault = Fault(at, Kind.CUT_AND_WIPE, name, seconds)
+        if not any(_are_close(fault, wipe) for wipe in wipes):
+            plan.append(fault)
+            at += _CATCH_UP_SECONDS
+        at += seconds
+    return plan
+
+
+def _are_close(one: Fault, other: Fault) -> bool:
+    """Whether two disks would be lost before the first one is filled again."""
+    first, second = sorted((one, other), key=lambda fault: fault.at)
+    return second.at < first.at + first.seconds + _CATCH_UP_SECONDS
+
+
 def draw_endpoint_faults(seed: int, scale: Scale) -> list[Fault]:
     """Returns faults of several endpoints at the same time.
 
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -10,7 +10,7 @@
 
 from soak.callers import KEPT_SECONDS, Callers, Line
 from soak.faults import Faults
-from soak.plan import Fault, Kind, Scale, draw_plan
+from soak.plan import LOST_DISKS, Fault, Scale, draw_plan
 from soak.record import TURN_TOKENS, wrong_runs
 from soak.resumers import Resumers
 from soak.system import SoakSite
@@ -96,7 +96,7 @@
         callers.stopped = True
         await asyncio.gather(*load)
         is_small = len(DOMAINS) * scale.keepers <= _MAX_SMALL_SYSTEM
-        is_wiped = any(fault.kind is Kind.WIPE for fault in plan)
+        is_wiped = any(fault.kind in LOST_DISKS for fault in plan)
         unserved = await _recovered(callers, is_small and is_wiped)
         balancer.cancel()
     seen = [r for n in system.runner_names() for r in system.requests_of(n)]
