Test that fails: a program begins before the others hear of a new instance

What callers see: a program that begins in the seconds before the others have read a new instance's registration is refused for its last part, for good, although the instance is there.

Cause: Keeper.give_back refuses until `alone_from`, an hour after an instance counts as whole, as grants may have been lost with its disk. A new one had none.

--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -222,6 +222,18 @@
     Then the program gets just the rest of its budget at "b"
     And the program gets at most one more turn at "a, b, c"
 
+  Scenario: A program begins before the others hear of a new instance
+    Guards against a program that is refused for good before its budget is
+    spent: a part was set aside for an instance that is there, and that can't
+    have granted anything.
+
+    Given storage instances "a, b, c"
+    When "d" joins, of which the others only know the name yet
+    And a program has used half of its budget at "a"
+    And all hear of "d", which has followed them
+    Then the program gets just the rest of its budget at "b"
+    And the program gets at most one more turn at "a, b, c, d"
+
   Scenario: An instance that has granted alone is lost with its disk
     Guards against a part that is granted again: the others set it aside while
     the instance was out of reach, and nobody knows any more that it was used.
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from rattanmill_core import Metrics
+from rattanmill_core import Metrics, wall_seconds
 from rattanmill_keeper import (
     KeeperClient,
     Reserve,
@@ -268,6 +268,28 @@
     return sum(isinstance(reply, Reserved) for reply in replies)
 
 
+@when('"{name}" joins, of which the others only know the name yet')
+def step_join_by_name(context, name):
+    async def join(n):
+        others = list(n.names)
+        n.names.append(name)
+        await n.start(name)
+        for other in others:
+            n.members[other].last_seen[name] = wall_seconds()
+
+    network(context, join)
+
+
+@when('all hear of "{name}", which has followed them')
+def step_hear(context, name):
+    async def hear(n):
+        n.list_as(n.member(name))
+        for each in (*n.names, name):
+            await n.follow(each)
+
+    network(context, hear)
+
+
 @then('the program gets just the rest of its budget at "{name}"')
 def step_just_the_rest(context, name):
     granted = turns_granted(context, [name], BUDGET // TOKENS)
