Send a held turn again only once enough instances respond

What would be seen: while storage instances are down, each answer that waits for a second copy sent its turn to all of them ten times a second; at 19 KB a turn that fills the link of a small front end. Found by reading the change. Now the front end waits until pings have replies, and sends it then.

--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -21,7 +21,7 @@
 _KEEP_TIMEOUT_SECONDS = 0.4
 _FETCH_TIMEOUT_SECONDS = 0.3
 _UNRESPONSIVE_TIMEOUT_SECONDS = 0.06
-# Pause before the instances are asked again to store a turn. An instance that
+# Pause before it is checked whether more instances can store a turn. One that
 # was killed or that restarts is back within a second or two.
 _KEEP_RETRY_SECONDS = 0.1
 # Size of the cache of turns. The next turn of a conversation mostly comes to
@@ -136,9 +136,8 @@
             if len(kept_at) >= copies:
                 self.cache.add(kept)
                 break
-            if not self._may_ask_again(deadline):
+            if not await self._wait_for_more(deadline):
                 break
-            await asyncio.sleep(_KEEP_RETRY_SECONDS)
         self.reach.metrics.observe(
             "rattanmill_keep_seconds", loop_seconds() - began
         )
@@ -148,10 +147,21 @@
             len(kept_at) >= copies,
         )
 
-    def _may_ask_again(self, deadline: float | None) -> bool:
-        if deadline is None or self.reach.is_cut_off():
+    async def _wait_for_more(self, deadline: float | None) -> bool:
+        """Waits until enough instances respond again; False if they don't.
+
+        A turn is large, so instances that don't respond are not sent it until
+        they reply to a ping.
+        """
+        if deadline is None:
             return False
-        return loop_seconds() + _KEEP_RETRY_SECONDS < deadline
+        while loop_seconds() + _KEEP_RETRY_SECONDS < deadline:
+            if self.reach.is_cut_off():
+                return False
+            await asyncio.sleep(_KEEP_RETRY_SECONDS)
+            if self.can_keep():
+                return True
+        return False
 
     async def _keep_at_all(
         self, kept: KeptTurn, kept_at: dict[str, Member]
