Let a new instance give back what was set aside for it

Cause: give_back refuses until `alone_from`, an hour after an instance counts as whole, as grants may have been lost with its disk. A new instance had no disk before, and it knows that it is new, but kept it only for what others tell.

Change: `Keeper.is_new`, also over a restart in the marker of a whole disk; a marker of an earlier version says that it is not. It grants nothing alone for an hour as before, so what it gives back is all of the part.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -131,6 +131,8 @@
             had recovered or were new.
         alone_from: Unix time in seconds from which it may grant alone to
             programs that it does not know.
+        is_new: Whether it never ran on another disk, with which grants could
+            have been lost.
         crashes: Crashes reported by front ends.
         loads: Loads of endpoints reported by front ends.
         may_open: Checks whether an account may be opened here.
@@ -174,6 +176,7 @@
         self.is_recovered = first_start
         # Grants made alone may have been lost with the previous disk.
         self.alone_from = 0.0 if first_start else float("inf")
+        self.is_new = first_start
         self.is_lease_valid: Callable[[], bool] = lambda: True
         self.unsynced_peers: set[str] = set()
         self.follower_positions: dict[str, int] = {}
@@ -217,11 +220,12 @@
             log_event("keeper_whole", turns=len(self.table.held), is_new=is_new)
             now = wall_seconds()
             self.alone_from = now + ACCOUNT_TTL_SECONDS
+            self.is_new = is_new
             if not is_new and self._is_small_system():
                 self.ledger.shares_lost_until = now + TURN_HOLDER_SECONDS
         self.is_recovered = True
         marker = CompletionMarker(
-            self.alone_from, self.ledger.shares_lost_until
+            self.alone_from, self.ledger.shares_lost_until, self.is_new
         )
         write_marker(self.folder, marker)
 
@@ -369,7 +373,7 @@
 
     async def give_back(self, program: str) -> GivenBack | Unsure:
         """Stops granting alone to a program; replies once that is on disk."""
-        if wall_seconds() < self.alone_from:
+        if wall_seconds() < self.alone_from and not self.is_new:
             return Unsure("grants made alone were lost with the disk")
         change = self.ledger.close_share(program)
         await self._append(change)
@@ -679,6 +683,7 @@
         if mark is not None:
             self.is_recovered = True
             self.alone_from = mark.alone_from
+            self.is_new = mark.is_new
             self.ledger.shares_lost_until = mark.shares_lost_until
         records = 0
         undecodable = 0
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -38,10 +38,12 @@
         alone_from: Time from which the instance may grant alone to programs
             that it does not know, in seconds since 1970.
         shares_lost_until: As in ``Ledger``.
+        is_new: As in ``Keeper``.
     """
 
     alone_from: float = float("inf")
     shares_lost_until: float = 0.0
+    is_new: bool = False
 
 
 def encode(record: Record) -> bytes:
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -234,6 +234,17 @@
     Then the program gets just the rest of its budget at "b"
     And the program gets at most one more turn at "a, b, c, d"
 
+  Scenario: A new instance that a program waits for is restarted
+    Guards against one that forgets over a restart that it is new.
+
+    Given storage instances "a, b, c"
+    When "d" joins, of which the others only know the name yet
+    And a program has used half of its budget at "a"
+    And all hear of "d", which has followed them
+    And "d" crashes and restarts
+    And "d" has followed the others
+    Then the program gets just the rest of its budget at "b"
+
   Scenario: An instance that has granted alone is lost with its disk
     Guards against a part that is granted again: the others set it aside while
     the instance was out of reach, and nobody knows any more that it was used.
