Read-through: both halves of a lost turn in the test, and a log line

- site_copies.feature judges what the users' rule says: a turn that was answered whole is not denied and reaches an endpoint again, after the only disk that is reached has been lost.
- copies.feature looks the turn up without any two of the three instances that keep it, in place of counting them.
- An instance that was ordered to leave along with others logs `emptying_waits` also if it is the one that goes first.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -135,9 +135,10 @@
         self.keeper.is_decommissioning = True
         await self._register(leaving=True)
         await asyncio.sleep(_SETTLE_SECONDS)
+        if not self._can_be_spared():
+            self._log_waiting()
         while not self._can_be_spared():
             if self._is_another_first():
-                self._log_waiting()
                 await self._register(leaving=False)
                 self.keeper.is_decommissioning = False
                 return False
--- a/tests/features/copies.feature
+++ b/tests/features/copies.feature
@@ -41,7 +41,7 @@
     Given <count> storage instances in 3 failure domains, two of which may lose their disks at once
     When the failure domain of "<cut>" is cut off
     Then a front end near "s0" keeps a turn at 3 instances
-    And the turn is found after any 2 of the disks that it reached are lost
+    And the front end finds the turn without any 2 of the instances that keep it
 
     Examples: the front end is in the domain that is cut off, or outside
       | count | cut |
--- a/tests/features/site_copies.feature
+++ b/tests/features/site_copies.feature
@@ -5,18 +5,18 @@
   Background:
     Given a system on the users' platform
 
-  Scenario: All storage instances of the other failure domains are frozen
-    Guards against turns that only one disk has, and that are denied once it is
-    lost.
+  Scenario: All storage instances of the other failure domains are frozen, and the disk here is lost
+    Guards against turns that only one disk has: they are denied once it is
+    lost, or never run again.
 
-    When a turn "one " of program "alone" is sent to "east"
-    Then it is answered with 200
+    Given a turn that "east" has answered
     When the storage instances of "west, north" are frozen
     And next turns are sent to "east" until one is refused for "turn_unkept"
     Then none of them was answered whole
     And no endpoint received the one that was refused
-    When the storage instances of "west, north" go on
-    Then the next turn is finally answered with 200 at "west"
+    When the storage instance of "east" loses its disk
+    And the storage instances of "west, north" go on
+    Then each turn that was answered whole is continued at "west" and never denied
 
   Scenario: They are frozen while a turn runs
     Guards against a turn that looks complete although later turns may not find
--- a/tests/features/steps/copies.py
+++ b/tests/features/steps/copies.py
@@ -185,17 +185,22 @@
 
 
 @then(
-    "the turn is found after any {count:d} of the disks that it reached are"
-    " lost"
+    "the front end finds the turn without any {count:d} of the instances that"
+    " keep it"
 )
-def step_found_after(context, count):
-    held = {
-        name
-        for name, keeper in context.network.keepers.items()
-        if "t" in keeper.table.held
-    }
-    for lost in itertools.combinations(sorted(held), count):
-        assert held - set(lost), (held, lost)
+def step_found_without(context, count):
+    asker = context.near[0]
+
+    async def find_without(network, lost):
+        before = set(network.cuts)
+        network.cuts |= {frozenset((asker, name)) for name in lost}
+        found = await network.front(asker).turns.find("t", new_turn().key)
+        network.cuts = before
+        return found
+
+    for lost in itertools.combinations(context.kept_by.keepers, count):
+        found = run_in(context, lambda n, lost=lost: find_without(n, lost))
+        assert isinstance(found, list), (lost, found)
 
 
 @when(
--- a/tests/features/steps/site_copies.py
+++ b/tests/features/steps/site_copies.py
@@ -2,9 +2,11 @@
 
 import concurrent.futures
 import contextlib
+import pathlib
+import shutil
 import time
 
-from behave import then, when
+from behave import given, then, when
 from steps.site import send_turn, site
 from steps.site_store import front_end
 
@@ -43,31 +45,49 @@
     resume(storage(context, domains))
 
 
-def send_next(context, domain):
-    """Sends a turn that continues the first one; returns its status."""
-    previous = context.first[0]
-    send_turn(context, domain, "two ", "alone", X_Previous_Turn=previous)
+def send(context, domain, text, previous=""):
+    """Sends a turn of a program without a budget; returns its status.
+
+    A budget needs storage instances of its own.
+    """
+    headers = {"X_Previous_Turn": previous} if previous else {}
+    context.request, context.answer = site(context).ask(
+        domain, "POST", "/stream/talk/a", text.encode(), **headers
+    )
     return context.answer.status
 
 
+@given('a turn that "{domain}" has answered')
+def step_first_turn(context, domain):
+    assert send(context, domain, "one ") == 200, context.answer
+    context.whole = [context.request]
+
+
 @when('next turns are sent to "{domain}" until one is refused for "{reason}"')
 def step_send_until(context, domain, reason):
-    context.statuses = []
+    first = context.whole[0]
+    context.sent = []
 
     def is_refused():
-        context.statuses.append(send_next(context, domain))
+        status = send(context, domain, "two ", first)
+        context.sent.append((context.request, status))
         refused = front_end(context, domain).events("refused")
         return any(
             line["request"] == context.request and line["reason"] == reason
             for line in refused
         )
 
-    wait_until(is_refused, f"a turn is refused for {reason}")
+    try:
+        wait_until(is_refused, f"a turn is refused for {reason}")
+    finally:
+        context.whole += [
+            turn for turn, status in context.sent if status == 200
+        ]
 
 
 @then("none of them was answered whole")
 def step_none_whole(context):
-    assert 200 not in context.statuses, context.statuses
+    assert len(context.whole) == 1, context.sent
 
 
 @then("no endpoint received the one that was refused")
@@ -75,12 +95,30 @@
     assert not site(context).received_requests(context.request)
 
 
-@then('the next turn is finally answered with {status:d} at "{domain}"')
-def step_finally(context, status, domain):
-    wait_until(
-        lambda: send_next(context, domain) == status,
-        f"a turn is answered with {status}",
-    )
+@when('the storage instance of "{domain}" loses its disk')
+def step_lose_disk(context, domain):
+    system = site(context)
+    name = f"storage-{domain}"
+    system.processes[name].kill()
+    shutil.rmtree(pathlib.Path(system.folder.name, "data", name))
+    system.start("storage", domain)
+
+
+@then(
+    'each turn that was answered whole is continued at "{domain}" and never'
+    " denied"
+)
+def step_continued(context, domain):
+    for turn in context.whole:
+        statuses = []
+
+        def is_decided(turn=turn, statuses=statuses):
+            statuses.append(send(context, domain, "three ", turn))
+            return statuses[-1] in (200, 404, 410)
+
+        wait_until(is_decided, "the turn is continued or denied")
+        assert statuses[-1] == 200, statuses
+        assert site(context).received_requests(context.request)
 
 
 @when(
