--- a/tests/features/site_copies.feature
+++ b/tests/features/site_copies.feature
@@ -25,3 +25,14 @@
     Given every engine has the fault "slow"
     When a turn is sent to "east", and those of "west, north" are frozen until it ends
     Then the connection ends without a complete response
+
+  Scenario: Turns are sent while they are frozen, and the disk here is lost
+    Guards against a turn that was answered whole and is denied afterwards, or
+    never runs again.
+
+    Given a turn that "east" has answered
+    When the storage instances of "west, north" are frozen
+    And 6 next turns are sent to "east"
+    And the storage instance of "east" loses its disk
+    And the storage instances of "west, north" go on
+    Then each turn that was answered whole is continued at "west" and never denied
--- a/tests/features/steps/site_copies.py
+++ b/tests/features/steps/site_copies.py
@@ -61,28 +61,34 @@
 def step_first_turn(context, domain):
     assert send(context, domain, "one ") == 200, context.answer
     context.whole = [context.request]
+    context.sent = []
+
+
+def send_next(context, domain):
+    """Sends a turn that continues the first one, and records the outcome."""
+    status = send(context, domain, "two ", context.whole[0])
+    context.sent.append((context.request, status))
+    if status == 200:
+        context.whole.append(context.request)
+
+
+@when('{count:d} next turns are sent to "{domain}"')
+def step_send_some(context, count, domain):
+    for _ in range(count):
+        send_next(context, domain)
 
 
 @when('next turns are sent to "{domain}" until one is refused for "{reason}"')
 def step_send_until(context, domain, reason):
-    first = context.whole[0]
-    context.sent = []
-
     def is_refused():
-        status = send(context, domain, "two ", first)
-        context.sent.append((context.request, status))
+        send_next(context, domain)
         refused = front_end(context, domain).events("refused")
         return any(
             line["request"] == context.request and line["reason"] == reason
             for line in refused
         )
 
-    try:
-        wait_until(is_refused, f"a turn is refused for {reason}")
-    finally:
-        context.whole += [
-            turn for turn, status in context.sent if status == 200
-        ]
+    wait_until(is_refused, f"a turn is refused for {reason}")
 
 
 @then("none of them was answered whole")
