--- a/libs/keeper/src/rattanmill_keeper/journal.py
+++ b/libs/keeper/src/rattanmill_keeper/journal.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from rattanmill_core import SettingsError, log_event, start_loop, warn_event
+from rattanmill_keeper.files import make_folder, sync
 
 _HEADER = struct.Struct("<II")
 # Initial value of the checksum, so that neither a run of zeros nor one of ones,
@@ -130,7 +131,7 @@
 
     async def __aenter__(self) -> Self:
         try:
-            self.folder.mkdir(parents=True, exist_ok=True)
+            make_folder(self.folder)
             self._start_segment()
         except OSError as error:
             raise SettingsError(
@@ -191,9 +192,12 @@
             if not group:
                 continue
             segment = self.segment
+            is_new = not self.written
             data = b"".join(pending.frame for pending in group)
             self.written += len(data)
-            await loop.run_in_executor(self.executor, _sync, self.file, data)
+            await loop.run_in_executor(self.executor, _write, self.file, data)
+            if is_new:
+                await loop.run_in_executor(self.executor, sync, self.folder)
             self.synced_bytes += len(data)
             # The first group of a segment contains its snapshot.
             self.snapshot_segment = segment
@@ -205,7 +209,8 @@
                     pending.future.set_result(segment)
 
 
-def _sync(file: int, data: bytes) -> None:
+def _write(file: int, data: bytes) -> None:
+    """Returns once the data is on disk."""
     view = memoryview(data)
     while view:
         view = view[os.write(file, view) :]
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -1,11 +1,11 @@
 """Records on the disk of a storage instance, and their encoding."""
 
-import os
 import pathlib
 
 import msgspec
 
 from rattanmill_core import DECODE_ERRORS, warn_event
+from rattanmill_keeper.files import sync
 from rattanmill_keeper.ledger import (
     AccountChange,
     HomeChange,
@@ -65,23 +65,22 @@
 
 
 def write_marker(folder: pathlib.Path, marker: CompletionMarker) -> None:
-    """Writes and syncs the marker, unless it exists.
+    """Writes the marker unless it exists, and syncs it.
 
     If a power loss dropped an unsynced marker, the instance would restart with
     all its data and yet conclude that it had lost its disk.
     """
     path = folder / _MARKER_FILE
-    if path.exists():
-        return
-    with path.open("wb") as file:
-        file.write(msgspec.json.encode(marker))
-        file.flush()
-        os.fsync(file.fileno())
+    if not path.exists():
+        path.write_bytes(msgspec.json.encode(marker))
+    sync(path)
+    sync(folder)
 
 
 def remove_marker(folder: pathlib.Path) -> None:
     """Removes the marker, as data is missing on the disk."""
     (folder / _MARKER_FILE).unlink(missing_ok=True)
+    sync(folder)
 
 
 def read_marker(folder: pathlib.Path) -> CompletionMarker | None:
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -397,10 +397,20 @@
 
 
 def begin(
-    context: Any, names: list[str], domains: dict[str, str] | None = None
+    context: Any,
+    names: list[str],
+    domains: dict[str, str] | None = None,
+    folder: str | None = None,
 ) -> None:
-    """Starts a scenario's storage instances and stops them after it."""
-    folder = tempfile.mkdtemp()
+    """Starts a scenario's storage instances and stops them after it.
+
+    Args:
+        context: The scenario's context.
+        names: Names of the instances.
+        domains: Failure domains by name, see ``Network``.
+        folder: Folder of their disks; by default a temporary one.
+    """
+    folder = folder or tempfile.mkdtemp()
     context.loop = asyncio.new_event_loop()
     context.network = Network(folder, names)
     context.network.domains = domains or {}
