Sync what a killed process left before it is read

A storage instance that was killed between a write and its sync reads the record back from the page cache, tells others that it has the turn, or that a reservation is recorded, and loses it with the power.

Cause: what is read was taken for what is on disk.

Change: each segment, and the folder, is synced before it is read.

Test: power.feature, "What a killed process had not synced is read again", failed before (the turn was gone after a power loss) and passes.

--- a/libs/keeper/src/rattanmill_keeper/journal.py
+++ b/libs/keeper/src/rattanmill_keeper/journal.py
@@ -4,7 +4,8 @@
 loss the end of the newest segment may be missing or torn, so reading a segment
 stops at its first bad frame. Nothing after that frame was acknowledged, since
 a sync covers all earlier writes, and a process never appends to a segment of
-an earlier run.
+an earlier run. What it reads it syncs first, as a process that was killed may
+have written it without a sync.
 """
 
 import asyncio
@@ -107,7 +108,11 @@
 
     def read(self) -> Iterator[StoredRecord]:
         """Yields all records of earlier runs, oldest first."""
-        for number in self.segments():
+        numbers = self.segments()
+        if numbers:
+            sync(self.folder)
+        for number in numbers:
+            sync(self._path(number))
             content = self._path(number).read_bytes()
             good = 0
             for data in decode_frames(content):
--- a/tests/features/power.feature
+++ b/tests/features/power.feature
@@ -27,3 +27,11 @@
     And 3 turns of one program are kept
     And all of them lose power and restart
     Then "a" finds the 3 turns
+
+  Scenario: What a killed process had not synced is read again
+    Guards against an instance that counts as one that has a turn, and loses it
+    with the power.
+
+    Given storage instances "a, b, c" on disks that can lose power
+    When "a" is killed before it syncs a turn, and restarted
+    Then "a" still has that turn after a power loss
