Soak: judge refusals of turns whose budget holds them

All turns of the soak used just what they might use at most, so that a reservation that was never settled went unseen, and a 402 ended a program in silence. Half of the programs may now use twice of what they do, and SPENT reports a 402 for a turn that the budget holds, counting turns that came whole for what they used, from a second after their end.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -97,6 +97,8 @@
       | a turn run from a later event               | UNASKED |
       | a plan run again from the start             | UNASKED |
       | more tokens in plans than the budget        | BUDGET  |
+      | a turn refused though the budget holds it   | SPENT   |
+      | a turn refused for one that never ran       | SPENT   |
 
   Scenario: What callers saw is in order
     Guards against a soak that reports what the promises allow.
--- a/tests/features/steps/soaking.py
+++ b/tests/features/steps/soaking.py
@@ -31,13 +31,24 @@
     )
 
 
-def turn(answer, request="a", **fields):
+def turn(answer, request="a", at=0.0, budget=40, **fields):
     return Sent(
-        request, "talk", 0.0, runs_as=b"in", program="p", budget=40,
+        request, "talk", at, runs_as=b"in", program="p", budget=budget,
         answer=answer, **fields,
     )  # fmt: skip
 
 
+def turns_of_two(at, first=None):
+    """A turn that used a half of what it may, and one refused as spent."""
+    first = first or whole()
+    return [
+        turn(first, "a", budget=120, max_tokens=80, ended_at=1.0),
+        turn(
+            Answer(402, True), "b", at, budget=120, max_tokens=80, ended_at=at
+        ),
+    ]
+
+
 def plan(answer, request="a", after=0):
     return Sent(
         request, "plan", 0.0, runs_as=b"in", program="q", budget=40,
@@ -129,6 +140,12 @@
     "a plan run again from the start": (
         [plan(whole(stream(3, 4)), after=2)], [run_of()]
     ),
+    "a turn refused though the budget holds it": (
+        turns_of_two(at=2.5), [run_of()]
+    ),
+    "a turn refused for one that never ran": (
+        turns_of_two(at=2.5, first=Answer(503, True)), []
+    ),
     "more tokens in plans than the budget": (
         [plan(whole(), request) for request in "abc"], []
     ),
@@ -259,6 +276,15 @@
     ]
     for each in sent[4:]:
         each.budget = 160
+    # The first turn may still count in full, or for good.
+    for number, refused in enumerate(
+        (turns_of_two(at=1.5), turns_of_two(at=2.5, first=cut))
+    ):
+        for each in refused:
+            each.program = f"refused-{number}"
+            each.request = f"{each.request}-{number}"
+        seen.append(run_of(f"a-{number}"))
+        sent += refused
     look(context, sent, seen)
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -67,6 +67,7 @@
         record: What was sent and got.
         wrong: What was wrong with answers.
         stopped: Whether no new program starts.
+        size_rng: Chooses whether turns may use more than they do.
         returning_rng: Chooses the programs that go on after a pause.
         kept: Last turns of programs with tokens left, newest last.
     """
@@ -78,6 +79,7 @@
         self.session = session
         self.balancer = Balancer(system, session)
         self.rng = random.Random(seed)
+        self.size_rng = random.Random(f"{seed}/sizes of turns")
         self.returning_rng = random.Random(f"{seed}/returning")
         self.record = Record()
         self.wrong: list[str] = []
@@ -101,8 +103,12 @@
     async def program(self) -> None:
         """Runs a program of one or two lines of turns on one budget."""
         name = f"p{next(self.numbers)}"
-        budget = TURN_TOKENS * self.rng.choice((2, 5, 20, 20))
-        lines = [Line(name, budget) for _ in range(self.rng.choice((1, 1, 2)))]
+        max_tokens = TURN_TOKENS * self.size_rng.choice((1, 2))
+        budget = max_tokens * self.rng.choice((2, 5, 20, 20))
+        lines = [
+            Line(name, budget, max_tokens)
+            for _ in range(self.rng.choice((1, 1, 2)))
+        ]
         await asyncio.gather(*map(self._line, lines))
 
     async def _line(self, line: "Line") -> None:
@@ -123,6 +129,7 @@
         for _ in range(_TRIES):
             sent = self.request("talk", text, line.history + text)
             sent.program, sent.budget = line.program, line.budget
+            sent.max_tokens = line.max_tokens
             sent.previous = line.previous
             await self.send(sent, self.rng, self.rng.random() < 0.05)
             answer = sent.answer
@@ -179,6 +186,7 @@
         except (aiohttp.ClientError, TimeoutError, ConnectionError):
             # What came until then is kept in the answer.
             pass
+        sent.ended_at = asyncio.get_running_loop().time()
         if why := wrong_answer(sent):
             self.wrong.append(tell(sent, why))
 
@@ -204,15 +212,19 @@
     Attributes:
         program: Its program.
         budget: The program's tokens.
+        max_tokens: Tokens that a turn may use.
         previous: Id of the last turn that was served.
         history: What a runner gets before a new input.
         is_over: Whether the budget is spent.
         last: Body of the newest answer that came to it.
     """
 
-    def __init__(self, program: str, budget: int) -> None:
+    def __init__(
+        self, program: str, budget: int, max_tokens: int = TURN_TOKENS
+    ) -> None:
         self.program = program
         self.budget = budget
+        self.max_tokens = max_tokens
         self.previous = ""
         self.history = b""
         self.is_over = False
@@ -237,7 +249,7 @@
         "X-Program-Id": sent.program,
         "X-Session-Id": sent.program,
         "X-Token-Budget": str(sent.budget),
-        "X-Token-Usage": f"10,{TURN_TOKENS}",
+        "X-Token-Usage": f"10,{sent.max_tokens}",
     }
     if sent.previous:
         headers["X-Previous-Turn"] = sent.previous
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -1,6 +1,7 @@
 """What callers sent and got, and what is wrong with it."""
 
 import collections
+import math
 import re
 from collections.abc import Iterable
 
@@ -12,6 +13,8 @@
 # A failure of these statuses promises that the request never runs.
 _PROMISES = (402, 408, 421, 429, 503)
 _ALLOWED = (200, 402, 408, 421, 429, 502, 503, 504)
+# A turn counts for what it has used so long after its end.
+_SETTLE_SECONDS = 1.0
 # Routes whose requests may run once.
 _ONCE = ("talk", "pay")
 _STREAMS = ("talk", "plan")
@@ -76,8 +79,10 @@
         runs_as: The body that a runner may get.
         program: Its program, or nothing.
         budget: Tokens that the program may use.
+        max_tokens: Tokens that this turn may use.
         previous: The turn that it goes on from.
         answer: Its answer; None until it has one.
+        ended_at: Loop time at which its answer ended.
         front: Who was asked.
         after: Number of the event after which its caller resumes a stream.
     """
@@ -89,11 +94,18 @@
     runs_as: bytes = b""
     program: str = ""
     budget: int = 0
+    max_tokens: int = TURN_TOKENS
     previous: str = ""
     answer: Answer | None = None
+    ended_at: float = math.inf
     front: str = ""
     after: int = 0
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that have come."""
+        return TOKENS_AN_EVENT * len(self.answer.data) if self.answer else 0
+
 
 class Record:
     """All requests of a run, by id."""
@@ -187,7 +199,7 @@
     for sent in record.sent.values():
         ran = [r for r in runs[sent.request] if _ran(r)]
         found += [f"{why}: {_tell(sent, ran)}" for why in _wrong_run(sent, ran)]
-    return found + _over_budget(record)
+    return found + _over_budget(record) + _spent_too_soon(record)
 
 
 def _ran(seen: dict) -> bool:
@@ -233,15 +245,50 @@
     budgets: dict[str, int] = {}
     for sent in record.sent.values():
         if sent.program and sent.answer:
-            used[sent.program] += TOKENS_AN_EVENT * len(sent.answer.data)
-            budgets[sent.program] = sent.budget
+            used[sent.program] += sent.tokens
+            budgets[sent.program] = sent.budget, sent.max_tokens
     return [
         f"BUDGET: {program} got {used[program]} tokens of {budget}"
-        for program, budget in budgets.items()
-        if used[program] > budget + TURN_TOKENS
+        for program, (budget, max_tokens) in budgets.items()
+        if used[program] > budget + max_tokens
+    ]
+
+
+def _spent_too_soon(record: Record) -> list[str]:
+    """Returns turns that were refused although their budget holds them."""
+    turns = collections.defaultdict(list)
+    for sent in record.sent.values():
+        if sent.route == "talk":
+            turns[sent.program].append(sent)
+    return [
+        f"SPENT: 402, and {used} of {sent.budget} tokens are used:"
+        f" {_tell(sent, [])}"
+        for program in turns.values()
+        for sent in program
+        if sent.answer and sent.answer.status == 402
+        if (used := _max_used(program, sent)) + sent.max_tokens <= sent.budget
     ]
 
 
+def _max_used(program: list[Sent], refused: Sent) -> int:
+    """Returns what a program's turns can have used when one was refused."""
+    return sum(
+        _counted_tokens(sent, refused.at)
+        for sent in program
+        if sent is not refused and sent.at < refused.ended_at
+    )
+
+
+def _counted_tokens(sent: Sent, at: float) -> int:
+    """Returns the tokens that a turn counts for at a time."""
+    answer = sent.answer
+    if sent.ended_at > at - _SETTLE_SECONDS or not answer:
+        return sent.max_tokens
+    if answer.is_served:
+        return sent.tokens
+    return 0 if answer.status in _PROMISES else sent.max_tokens
+
+
 def _tell(sent: Sent, ran: list[dict]) -> str:
     return (
         f"{sent.request} ({sent.route}) of program {sent.program or 'none'}"
