Tell in budget lines what turns without a known end hold

When a program got 402, its budget line told what ended turns had used, and not what was reserved by turns whose end the holders do not know. Only the text of the refusal did. The two tell a program that loops from one whose ended turns count in full.

--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -199,6 +199,7 @@
             alone=is_alone,
             taken=getattr(reply, "taken", None),
             settled=getattr(reply, "settled", None),
+            running=getattr(reply, "running", None),
             why=getattr(reply, "why", None),
         )
         match reply:
