Reply to the end of a turn once its use is on disk

Callers saw: 402 for good for the next turn of a program whose budget holds it, after all storage instances were killed or lost power, even seconds after the last answer.

Cause: a storage instance noted the use of an ended turn in memory, replied, and wrote it along with the next record that had to be on disk. After the last turns before a fault no such record came, and the front end, which had its reply, did not tell it again. So the reservation counted in full. The same holds for a use that is told along with a reservation that is refused.

Evidence: real processes, programs with a budget of 200 and turns of at most 100 that use 40. All processes killed 3.0 s after the second answer: the third turn of 3 of 3 programs got 402 in four of four tries, 'outcome spent, settled 40, running 100'. The same with a loss of power of all machines.

Change: the use is on disk before the reply. A use that comes with a granted reservation is written with it as before; one that comes with a refused one is awaited. Records are appended in order.

Result: settling.feature, 2 of 4 scenarios failed before (uses of 20, not settled, after the restart), 4 pass.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -3,7 +3,7 @@
 import asyncio
 import pathlib
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Self
 
 import msgspec
@@ -33,6 +33,7 @@
     PendingRecord,
     RosterChange,
     ShareChange,
+    UseChange,
 )
 from rattanmill_keeper.loads import LoadCollector
 from rattanmill_keeper.members import (
@@ -300,10 +301,16 @@
             return await self._reserve_alone(request)
         if not self.is_recovered:
             return Unsure("the instance has not recovered yet")
-        settled = self._settle_ended(request)
+        is_known = request.program in self.ledger.accounts
+        settled = len(request.ended) if is_known else 0
+        changes = self._settle_ended(request) if is_known else []
         decision = self.ledger.reserve(request)
         if isinstance(decision, Full):
+            # No record of a reservation takes them to disk.
+            await self._append_all(changes)
             return Full(settled)
+        for change in changes:
+            self.journal.append_nowait(encode(change))
         if not isinstance(decision, PendingRecord):
             return decision
         decision.reply.settled = settled
@@ -314,13 +321,15 @@
         await self._append(decision.change)
         return decision.reply
 
-    def _settle_ended(self, request: Reserve) -> int:
+    def _settle_ended(self, request: Reserve) -> list[UseChange | ShareChange]:
         """Settles the attempts that a request reports as ended."""
-        if request.program not in self.ledger.accounts:
-            return 0
-        for attempt, tokens in request.ended.items():
-            self.settle(Settle(request.program, attempt, tokens))
-        return len(request.ended)
+        return [
+            change
+            for attempt, tokens in request.ended.items()
+            for change in self.ledger.settle(
+                Settle(request.program, attempt, tokens)
+            )
+        ]
 
     async def _reserve_alone(
         self, request: Reserve
@@ -386,7 +395,7 @@
             for program in self.ledger.accounts
             for change in self.ledger.release_share(program)
         ]
-        await asyncio.gather(*map(self._append, changes))
+        await self._append_all(changes)
 
     def show(self, program: str) -> Shown | Unsure:
         """Returns an account as it is known here."""
@@ -418,12 +427,6 @@
             chain.unlisted = self.members.unlisted()
         return chain
 
-    def settle(self, request: Settle) -> Done:
-        """Books what a turn has used."""
-        for change in self.ledger.settle(request):
-            self.journal.append_nowait(encode(change))
-        return Done()
-
     async def open(self, request: Open) -> Opened | Elsewhere | Unsure | CutOff:
         """Returns where an account is, and opens it if it has none."""
         found = self.ledger.find(request.program)
@@ -586,9 +589,21 @@
     async def _append(self, record: Record) -> int:
         return await self.journal.append(encode(record))
 
+    async def _append_all(self, records: Sequence[Record]) -> None:
+        """Writes records in order; returns when all of them are on disk."""
+        for record in records[:-1]:
+            self.journal.append_nowait(encode(record))
+        if records:
+            await self._append(records[-1])
+
     async def _settle(self, request: Settle) -> Done:
-        """Books in order: the reservation may have been sent just before."""
-        return self.settle(request)
+        """Books in order: the reservation may have been sent just before.
+
+        Replies once it is on disk: no further record may follow that would
+        take it there, and the front end does not repeat it.
+        """
+        await self._append_all(self.ledger.settle(request))
+        return Done()
 
     async def _keep(self, kept: KeptTurn) -> Done | Unsure:
         await self.keep(kept)
@@ -676,7 +691,7 @@
 
     async def persist_accounts(self, accounts: list[Account]) -> None:
         """Merges accounts from other holders and writes them to disk."""
-        await asyncio.gather(*map(self._append, self.merge(accounts)))
+        await self._append_all(self.merge(accounts))
 
     def _restore(self) -> None:
         mark = read_marker(self.folder)
--- a/tests/features/steps/settling.py
+++ b/tests/features/steps/settling.py
@@ -7,7 +7,7 @@
 from steps.keeping import network
 
 from rattanmill_keeper import Reserve, Reserved
-from rattanmill_keeper.messages import Settle
+from rattanmill_keeper.messages import Full, Settle
 from support.stories import BUDGET
 
 _TOKENS = 20
@@ -67,6 +67,31 @@
     network(context, run)
 
 
+@when(
+    "a program's turn that reports the end of the last one finds too little"
+    " budget"
+)
+def step_refused(context):
+    context.turns = 1
+
+    async def run(n):
+        front = n.front("a")
+        first = Reserve("row", "turn-0", _TOKENS, BUDGET)
+        assert isinstance(await front.budgets.reserve(first), Reserved)
+        following = Reserve(
+            "row",
+            "turn-1",
+            BUDGET,
+            BUDGET,
+            front.budgets.opened["row"].place,
+            ended={"turn-0": _USED},
+        )
+        for keeper in n.keepers.values():
+            assert await keeper.serve(following) == Full(settled=1)
+
+    network(context, run)
+
+
 @then("each holder was sent one message for each turn but the last")
 def step_counted(context):
     assert set(context.counts.values()) == {context.turns}, context.counts
