Grant nothing twice after a lost disk: neither alone nor as given back

What callers could get: more than their budget and one turn.

Cause: an instance began a program alone, lost its disk, and was the one that opened the account afterwards. It set a part aside for itself, as nobody knows what it granted on that disk. That part had one sharer, itself, which looked the same as an account to which all had consented: so it also got the one turn that an opener grants alone, and callers allow that turn only once. When it was to be emptied, it gave the whole part back, as its new disk knows of no grants; a request to give back is refused in the same case.

Change: it opens no share of its own if it counts among those that may have granted on a lost disk, and an instance that may have lost grants returns none when emptied.

Test: alone.feature, "An instance opens a program that it began on a lost disk", with a budget of 80 tokens and turns of 10.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -382,14 +382,20 @@
 
     async def give_back(self, program: str) -> GivenBack | Unsure:
         """Stops granting alone to a program; replies once that is on disk."""
-        if wall_seconds() < self.alone_from and not self.is_new:
+        if self._may_have_lost_grants():
             return Unsure("grants made alone were lost with the disk")
         change = self.ledger.close_share(program)
         await self._append(change)
         return GivenBack(change.share.taken)
 
+    def _may_have_lost_grants(self) -> bool:
+        """Whether it may have granted alone on a disk that was lost since."""
+        return wall_seconds() < self.alone_from and not self.is_new
+
     async def close_shares(self) -> None:
         """Gives back all that this instance may still grant alone."""
+        if self._may_have_lost_grants():
+            return
         changes = [
             change
             for program in self.ledger.accounts
@@ -473,7 +479,8 @@
             return self.ledger.find(program)
         self.ledger.homes[program] = home
         self.journal.append_nowait(encode(change))
-        if place.sharers == (self.name,):
+        # What it granted on a disk that was lost since counts already.
+        if place.sharers == (self.name,) and self.name not in found.unseen:
             change = self.ledger.open_share(program, request.tokens)
             self.journal.append_nowait(encode(change))
         self.intake.add(program)
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -65,6 +65,18 @@
     When the same happens and it does not tell that it has begun programs
     Then the program uses more than its budget and one turn
 
+  Scenario Outline: An instance opens a program that it began on a lost disk
+    Guards against a turn more than callers allow: nobody knows what it granted
+    on that disk, and it grants alone again, or says that it granted nothing.
+
+    When an instance begins a program of 8 turns alone, loses its disk, opens the account and <then>
+    Then the program gets at most 9 turns, and more than 1
+
+    Examples:
+      | then              |
+      | is cut off again  |
+      | is to be emptied  |
+
   Scenario: An instance crashes just after one that was silent is back
     Guards against a disk that tells of a loss of long ago: after the restart,
     two that are lost at once seem to be lost at different times.
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -213,6 +213,50 @@
     context.used = _run(_RETURNED, _hide_begun)
 
 
+# Its share for one instance holds three turns.
+_LONG_BUDGET = 80
+_SHORT_TURN = 10
+_LOST_AND_OPENED = [
+    *[("wait", 4), ("isolate", "a"), ("wait", 1), *[("reserve", "a")] * 4],
+    *[("wipe", "a"), ("heal", "a"), ("wait", 4), ("reserve", "a")],
+]
+_USED_UP = [("reserve", "a")] * 2 + [("reserve", "b")] * 9
+
+
+def _run_long(operations, prepare=lambda network: None):
+    return run_virtually(
+        run_operations(
+            operations, prepare, FollowingNetwork, _LONG_BUDGET, _SHORT_TURN
+        )
+    )
+
+
+@when(
+    "an instance begins a program of {turns:d} turns alone, loses its disk,"
+    " opens the account and is cut off again"
+)
+def step_opens_again(context, turns):
+    assert turns * _SHORT_TURN == _LONG_BUDGET
+    operations = [*_LOST_AND_OPENED, ("isolate", "a"), *_USED_UP]
+    context.used = _run_long(operations)
+
+
+@when(
+    "an instance begins a program of {turns:d} turns alone, loses its disk,"
+    " opens the account and is to be emptied"
+)
+def step_opens_and_empties(context, turns):
+    assert turns * _SHORT_TURN == _LONG_BUDGET
+    operations = [*_LOST_AND_OPENED, ("close_shares", "a"), *_USED_UP]
+    context.used = _run_long(operations)
+
+
+@then("the program gets at most {most:d} turns, and more than {least:d}")
+def step_turns_between(context, most, least):
+    used = context.used["p"]
+    assert least * _SHORT_TURN < used <= most * _SHORT_TURN, used
+
+
 async def _crash_after_return(folder):
     """Returns for how long "a" seems lost to "c" after a crash of "c"."""
     network = FollowingNetwork(folder, ["a", "b", "c"])
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -74,10 +74,16 @@
         granted: Program and attempt of each reservation not yet settled.
         used: Tokens that each program may have used: the maximum of granted
             reservations, or the settled use once they have ended.
+        budget: Budget of each program, in tokens.
+        tokens: Tokens that each turn reserves.
     """
 
-    def __init__(self, network: Network) -> None:
+    def __init__(
+        self, network: Network, budget: int = BUDGET, tokens: int = TOKENS
+    ) -> None:
         self.network = network
+        self.budget = budget
+        self.tokens = tokens
         self.granted: list[tuple[str, str]] = []
         self.used: dict[str, int] = {}
         self.attempts = 0
@@ -95,10 +101,10 @@
         self.attempts += 1
         attempt = f"attempt-{self.attempts}"
         reply = await self.network.reserve(
-            name, Reserve(program, attempt, TOKENS, BUDGET)
+            name, Reserve(program, attempt, self.tokens, self.budget)
         )
         if isinstance(reply, Reserved):
-            self.used[program] = self.used.get(program, 0) + TOKENS
+            self.used[program] = self.used.get(program, 0) + self.tokens
             self.granted.append((program, attempt))
 
     async def race(self, name: str) -> None:
@@ -111,8 +117,8 @@
         if number >= len(self.granted):
             return
         program, attempt = self.granted.pop(number)
-        self.network.settle(program, attempt, TOKENS // 2)
-        self.used[program] -= TOKENS // 2
+        self.network.settle(program, attempt, self.tokens // 2)
+        self.used[program] -= self.tokens // 2
 
     async def isolate(self, name: str) -> None:
         """Partitions one instance from the others."""
@@ -186,6 +192,10 @@
         if is_gone or all(network.is_cut(name, other) for other in others):
             network.lapse(name)
 
+    async def close_shares(self, name: str) -> None:
+        """Lets an instance give back its shares, as if to be emptied."""
+        await self.network.keepers[name].close_shares()
+
     async def follow(self, name: str) -> None:
         """Lets one instance follow the others."""
         for each in (name, "d"):
@@ -213,6 +223,8 @@
     operations: list[tuple],
     prepare: Callable[[Network], None] = lambda network: None,
     make: Callable[[str, list[str]], Network] = Network,
+    budget: int = BUDGET,
+    tokens: int = TOKENS,
 ) -> dict[str, int]:
     """Runs operations on new storage instances.
 
@@ -220,6 +232,8 @@
         operations: The operations.
         prepare: Changes the network before they run.
         make: Makes the network from a folder and names.
+        budget: Budget of each program, in tokens.
+        tokens: Tokens that each turn reserves.
 
     Returns:
         Tokens that each program may have used.
@@ -228,7 +242,7 @@
     network = make(folder, list(NAMES))
     await network.start_all()
     prepare(network)
-    runner = OperationRunner(network)
+    runner = OperationRunner(network, budget, tokens)
     try:
         await runner.run(operations)
     finally:
