Tell how long turns of the event loop take

A front end that is held up looks from outside like slow endpoints, a slow network or a frozen machine: calls are late, connections time out, endpoints are suspected. Nothing in logs or metrics told which.

Front ends and storage instances now check a timer every 0.25 s. rattanmill_loop_late_seconds has by how much it was late, from 0.05 s on, and loop_held_up (a warning, at most one in 5 s) how often and by how much, with the processor time of the process meanwhile: much of it means its own work, little of it that it was frozen, blocked or had no processor.

The native daemon does not run the check yet.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -22,6 +22,7 @@
     warn_event,
 )
 from rattanmill_core.instance import InstanceSettings, RateBounds
+from rattanmill_core.lateness import watch_turns
 from rattanmill_core.lazy import import_on_use
 from rattanmill_core.loops import start_loop
 from rattanmill_core.metrics import Metrics
@@ -106,6 +107,7 @@
     "start_loop",
     "wall_seconds",
     "warn_event",
+    "watch_turns",
 ]
 
 # Not every process needs these, and restarted processes must listen again soon.
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -15,6 +15,7 @@
     log_event,
     start_loop,
     warn_event,
+    watch_turns,
 )
 from rattanmill_forward import web
 from rattanmill_forward.callers import ConnectionPolicy, Listener, listen
@@ -209,6 +210,8 @@
         stack.callback(loads.cancel)
         domain_checks = start_loop("failure domains", domains.run())
         stack.callback(domain_checks.cancel)
+        turns = start_loop("turns of the event loop", watch_turns(metrics))
+        stack.callback(turns.cancel)
         server = await listen(
             settings.callers,
             front_end.serve,
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -10,6 +10,8 @@
     MetricsServer,
     Signals,
     log_event,
+    start_loop,
+    watch_turns,
 )
 from rattanmill_keeper.emptying import Decommission, DecommissionKeys
 from rattanmill_keeper.following import Follower
@@ -88,6 +90,8 @@
         await stack.enter_async_context(
             Decommission(keeper, members, registration, kv, orders)
         )
+        turns = start_loop("turns of the event loop", watch_turns(metrics))
+        stack.callback(turns.cancel)
         await stack.enter_async_context(MetricsServer(settings.ip, metrics))
         log_event(
             "started",
