--- a/libs/keeper/src/rattanmill_keeper/journal.py
+++ b/libs/keeper/src/rattanmill_keeper/journal.py
@@ -197,12 +197,12 @@
             if not group:
                 continue
             segment = self.segment
-            is_new = not self.written
+            new_in = None if self.written else self.folder
             data = b"".join(pending.frame for pending in group)
             self.written += len(data)
-            await loop.run_in_executor(self.executor, _write, self.file, data)
-            if is_new:
-                await loop.run_in_executor(self.executor, sync, self.folder)
+            await loop.run_in_executor(
+                self.executor, _write, self.file, data, new_in
+            )
             self.synced_bytes += len(data)
             # The first group of a segment contains its snapshot.
             self.snapshot_segment = segment
@@ -214,9 +214,17 @@
                     pending.future.set_result(segment)
 
 
-def _write(file: int, data: bytes) -> None:
-    """Returns once the data is on disk."""
+def _write(file: int, data: bytes, new_in: pathlib.Path | None) -> None:
+    """Returns once the data is on disk.
+
+    Args:
+        file: Descriptor of the file.
+        data: What is appended to it.
+        new_in: Folder that does not have the file's name on disk yet, or None.
+    """
     view = memoryview(data)
     while view:
         view = view[os.write(file, view) :]
     os.fdatasync(file)
+    if new_in is not None:
+        sync(new_in)
