Keep what a turn has used along with the turn

Callers saw: 402 for good for the next turn of a program whose budget holds it, after the front end that had answered was killed, all front ends were, or all machines lost power, right after an answer.

Cause: a reservation counts in full until the holders of the account know the use, which only the front end knew for 0.4 s after the end of the turn, and for longer if a holder was away.

Change: a kept turn has its use with it. An instance that keeps the turn and holds the account books it in the same write and sync, so that turn and use are on enough disks before the answer ends; as many copies as that share a holder with every majority if the holders keep the turn. An instance that keeps the turn without the account tells the holders as they follow it. Fields are optional, so earlier versions read and send turns without them. The front end still tells all holders, which changes nothing where the use is booked.

--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -195,7 +195,7 @@
         """
         if job.route.stores_turns:
             kept_by = await self.turns.store(
-                job.call, job.route, turn, job.deadline
+                job.call, job.route, job.service, turn, job.deadline
             )
             if not kept_by.is_replicated:
                 return self._abort_response(
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -22,6 +22,7 @@
     Reserve,
     Reserved,
     Spent,
+    TurnUse,
     Unsure,
 )
 
@@ -240,21 +241,35 @@
         """Settles a turn's reservation once the turn has ended in any way."""
         if not turn.reserved_tokens:
             return
-        used = turn.reserved_tokens
-        if service.engine:
-            used = turn.events_sent * service.engine.tokens_per_event
         self.keepers.budgets.settle_later(
-            call.scoped(call.program), call.request_id, used
+            call.scoped(call.program),
+            call.request_id,
+            _used_tokens(turn, service),
+        )
+
+    def _use(self, call: Call, turn: Turn, service: Service) -> TurnUse | None:
+        if not turn.reserved_tokens:
+            return None
+        return self.keepers.budgets.use_of(
+            call.scoped(call.program),
+            call.request_id,
+            _used_tokens(turn, service),
         )
 
     async def store(
-        self, call: Call, route: Route, turn: Turn, deadline: float
+        self,
+        call: Call,
+        route: Route,
+        service: Service,
+        turn: Turn,
+        deadline: float,
     ) -> KeepResult:
         """Stores a finished turn for the turns that continue it.
 
         Args:
             call: The turn's request.
             route: The route that it matched.
+            service: The service of the route.
             turn: The turn.
             deadline: Loop time until which it may take.
         """
@@ -267,6 +282,7 @@
             text,
             wall_seconds() + route.retention_seconds,
             turn.chain_key,
+            self._use(call, turn, service),
         )
         kept_by = await self.keepers.turns.keep(kept, deadline)
         log_event(
@@ -280,3 +296,10 @@
             enough=kept_by.is_replicated,
         )
         return kept_by
+
+
+def _used_tokens(turn: Turn, service: Service) -> int:
+    """Returns what a turn with a budget has used so far."""
+    if not service.engine:
+        return turn.reserved_tokens
+    return turn.events_sent * service.engine.tokens_per_event
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -44,6 +44,7 @@
         Reserved,
         Settle,
         Spent,
+        TurnUse,
         Unsure,
         codec,
     )
@@ -76,6 +77,7 @@
     "Settle",
     "Spent",
     "Token",
+    "TurnUse",
     "Unsure",
     "codec",
     "run_storage",
@@ -113,6 +115,7 @@
             "Reserved",
             "Settle",
             "Spent",
+            "TurnUse",
             "Unsure",
             "codec",
         ),
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -236,6 +236,7 @@
         await asyncio.gather(*map(self.keeper.write_home, changes))
         if not await self._fetch_accounts(member, news.accounts):
             return False
+        await self.keeper.persist_uses(news.uses)
         if not await self._fetch_turns(member, news.turns):
             return False
         if self.progress[member.name] is not progress:
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -85,6 +85,7 @@
     TakeRate,
     TurnRef,
     Turns,
+    TurnUse,
     Unsure,
     max_share,
 )
@@ -612,12 +613,34 @@
         await self._append_all(self.ledger.settle(request))
         return Done()
 
+    def _book(self, uses: list[TurnUse]) -> list[UseChange | ShareChange]:
+        """Settles what kept turns have used, if it counts here."""
+        return [
+            change
+            for use in uses
+            for change in self.ledger.settle(
+                Settle(use.program, use.attempt, use.tokens, use.alone)
+            )
+        ]
+
+    async def persist_uses(self, uses: list[TurnUse]) -> None:
+        """Settles what turns kept elsewhere have used, and writes it to disk.
+
+        The other holders may learn of it only from here.
+        """
+        changes = self._book(uses)
+        for change in changes:
+            self.intake.add(change.program)
+        await self._append_all(changes)
+
     async def _keep(self, kept: KeptTurn) -> Done | Unsure:
         await self.keep(kept)
         return Unsure("already decommissioned") if self.is_closed else Done()
 
     async def keep(self, kept: KeptTurn) -> None:
-        """Stores a turn and returns when it is on disk."""
+        """Stores a turn and returns when it is on disk, its use included."""
+        for change in self._book([kept.use] if kept.use else []):
+            self.journal.append_nowait(encode(change))
         segment = await self._append(kept)
         if self.table.add(kept, segment):
             self.intake.add(kept.turn)
@@ -645,6 +668,7 @@
         accounts: list[AccountRef] = []
         homes: list[Home] = []
         turns: list[TurnRef] = []
+        uses: list[TurnUse] = []
         # A single pass, since every other instance requests all entries.
         for _, entry in entries:
             if isinstance(entry, HomeEntry):
@@ -653,6 +677,8 @@
                 continue
             if held := self.table.held.get(entry):
                 turns.append(TurnRef(entry, held.kept.key))
+                if self._must_tell(held.kept.use, request.asker):
+                    uses.append(held.kept.use)
             account = self.ledger.accounts.get(entry)
             if account and request.asker in account.place.holders:
                 accounts.append(self.ledger.ref(account))
@@ -672,8 +698,19 @@
             not self.is_recovered or self.ledger.may_have_lost_share(),
             self._alone_after_seconds(),
             wall_seconds() < self.ledger.begun_used_at + SHARES_SECONDS,
+            uses,
         )
 
+    def _must_tell(self, use: TurnUse | None, asker: str) -> bool:
+        """Whether a holder may learn only from here what a turn has used.
+
+        An instance that holds the account has it booked there.
+        """
+        if use is None or use.program in self.ledger.accounts:
+            return False
+        holders = self.ledger.holders_of(use.program)
+        return not holders or asker in holders
+
     def _absent_for(self, request: Follow) -> list[str]:
         """Returns absent members that may hold what an asker's disk has lost.
 
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -14,6 +14,22 @@
 MAX_SHARERS = 3
 
 
+class TurnUse(msgspec.Struct, frozen=True, array_like=True):
+    """What a kept turn has used of its program's budget.
+
+    Attributes:
+        program: Program id.
+        attempt: Attempt id.
+        tokens: Tokens used.
+        alone: Whether one instance granted the reservation out of its share.
+    """
+
+    program: str
+    attempt: str
+    tokens: int
+    alone: bool = False
+
+
 class KeptTurn(msgspec.Struct, frozen=True, tag="turn"):
     """A finished turn, with what the turns that continue it need.
 
@@ -26,6 +42,8 @@
             since 1970.
         chain: Key shared by all turns of a chain. It selects the storage
             instances that keep them, so that each of these has all of them.
+        use: What it has used of a budget; None if it has none, or from an
+            earlier version. Whoever has the turn can tell it.
     """
 
     turn: str
@@ -33,6 +51,7 @@
     text: bytes
     expires: float
     chain: str = ""
+    use: TurnUse | None = None
 
     @property
     def key(self) -> str:
@@ -575,6 +594,8 @@
             on a disk that was lost since.
         alone_after_seconds: After how many seconds it may grant tokens alone.
         has_begun: Whether it has begun programs alone that may still go on.
+        uses: What turns kept there have used of accounts that are not held
+            there. The requester may hold them.
     """
 
     run: str
@@ -591,6 +612,7 @@
     may_have_lost_share: bool = False
     alone_after_seconds: float = 0.0
     has_begun: bool = False
+    uses: list[TurnUse] = []
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -28,6 +28,7 @@
     Show,
     Shown,
     Spent,
+    TurnUse,
     Unsure,
 )
 from rattanmill_keeper.reach import Reachability
@@ -133,6 +134,15 @@
             _SETTLE_DELAY_SECONDS, self._flush, program, attempt
         )
 
+    def use_of(self, program: str, attempt: str, tokens: int) -> TurnUse:
+        """Returns what an attempt has used, to be kept with its turn.
+
+        The holders are told as well. If this front end is killed before, they
+        learn it from the kept turn.
+        """
+        is_alone = attempt in self.granted_alone_by
+        return TurnUse(program, attempt, tokens, is_alone)
+
     def _end(
         self, program: str, attempt: str, tokens: int
     ) -> tuple[Settle, frozenset[str]]:
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -8,7 +8,8 @@
 
 from hypothesis import strategies as st
 
-from rattanmill_keeper import Reserve, Reserved
+from rattanmill_core import wall_seconds
+from rattanmill_keeper import KeptTurn, Reserve, Reserved
 from support.keepers import Network
 
 NAMES = ["a", "b", "c"]
@@ -21,6 +22,7 @@
 _STEP_SECONDS = 0.02
 # Pages of turns under load.
 _SLOW_FETCH_SECONDS = 12.0
+_RETENTION_SECONDS = 60.0
 _name = st.sampled_from(NAMES)
 _OPERATION = st.one_of(
     st.tuples(st.just("reserve"), _name),
@@ -28,6 +30,7 @@
     st.tuples(st.just("reserve"), _name),
     st.tuples(st.just("race"), _name),
     st.tuples(st.just("settle"), st.integers(0, 2)),
+    st.tuples(st.just("keep"), st.integers(0, 2)),
     st.tuples(st.just("isolate"), _name),
     st.tuples(st.just("heal"), _name),
     st.tuples(st.just("kill"), _name),
@@ -120,6 +123,22 @@
         self.network.settle(program, attempt, self.tokens // 2)
         self.used[program] -= self.tokens // 2
 
+    async def keep(self, number: int) -> None:
+        """Keeps a turn with its use, half of its reserved tokens.
+
+        Its front end is killed before it tells the holders.
+        """
+        if number >= len(self.granted):
+            return
+        program, attempt = self.granted.pop(number)
+        front = self.network.fronts[attempt]
+        use = front.budgets.use_of(program, attempt, TOKENS // 2)
+        expires = wall_seconds() + _RETENTION_SECONDS
+        await front.turns.keep(
+            KeptTurn(attempt, "", b"text", expires, program, use)
+        )
+        self.used[program] -= TOKENS // 2
+
     async def isolate(self, name: str) -> None:
         """Partitions one instance from the others."""
         self.network.cuts |= {
