Bound what a client of the store reads of one response

Cause: the store's client read a response for as long as its call may take (1 to 3.2 s): interim responses and bodies had no bound by bytes, what had arrived was parsed in a row without a turn for other tasks, and a connection was read without a bound, even while it was idle. A time-out doesn't end a loop that never waits; calls ended up to 3.2 s after it.

Change: a response has a maximum body, checked against its length before it is read. What is no body may have 64 KB more than the body has. Others have a turn after 32 parts; a socket isn't read while 64 KB wait. A response that is longer is a failure for the circuit breaker, a line store_reply_oversized and a counter rattanmill_kv_oversized.

--- a/libs/core/src/rattanmill_core/instance.py
+++ b/libs/core/src/rattanmill_core/instance.py
@@ -38,6 +38,7 @@
         grace_seconds: Time between SIGTERM and SIGKILL.
         revocation_seconds: Time after which no caller's key that the operators
             have revoked may be accepted any more, or None if it is unbounded.
+        value_bytes: Maximum size of a value in the platform store.
         rate_bounds: By how much rate limits of workspaces may be exceeded.
     """
 
@@ -53,4 +54,5 @@
     lost_disks: int = 1
     grace_seconds: float = 8.0
     revocation_seconds: float | None = None
+    value_bytes: int = 1024 * 1024
     rate_bounds: RateBounds = RateBounds()
--- a/libs/platform/src/rattanmill_platform/calls.py
+++ b/libs/platform/src/rattanmill_platform/calls.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import enum
 import random
 from collections.abc import Awaitable, Callable
 
@@ -24,10 +25,24 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 
 
+class Excess(enum.StrEnum):
+    """Part of a response that exceeds its bound."""
+
+    # Heads, chunk sizes and extensions, trailers.
+    FRAMING = "framing"
+    BODY = "body"
+
+
 class Unavailable(msgspec.Struct, frozen=True):
-    """The store did not answer; a write may still have taken effect."""
+    """The store did not answer; a write may still have taken effect.
+
+    Attributes:
+        why: The reason.
+        excess: Part of its response that was too long, or None.
+    """
 
     why: str
+    excess: Excess | None = None
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -189,7 +204,16 @@
             return reply
         self.breaker.record_failure(failure)
         self.metrics.count("rattanmill_kv_failures", kind=kind, prefix=prefix)
-        return Unavailable(failure)
+        excess = reply.excess if isinstance(reply, Unavailable) else None
+        if excess:
+            self._record_excess(kind, prefix, failure, excess)
+        return Unavailable(failure, excess)
+
+    def _record_excess(
+        self, kind: str, prefix: str, why: str, excess: Excess
+    ) -> None:
+        self.metrics.count("rattanmill_kv_oversized", kind=kind, part=excess)
+        warn_event("store_reply_oversized", kind=kind, prefix=prefix, why=why)
 
 
 def _describe_failure(reply: Reply | Unavailable) -> str | None:
--- a/libs/platform/src/rattanmill_platform/storeclient.py
+++ b/libs/platform/src/rattanmill_platform/storeclient.py
@@ -8,7 +8,6 @@
 import itertools
 import socket
 import urllib.parse
-from collections.abc import AsyncIterator
 from typing import Self
 
 import h11
@@ -16,30 +15,51 @@
 from rattanmill_platform.calls import (
     CONNECT_TIMEOUT_SECONDS,
     REVISION_HEADER,
+    Excess,
     Reply,
     Request,
     Unavailable,
 )
 from rattanmill_platform.sockets import create_tcp_socket
 
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
+# Heads, chunk sizes and trailers of one response, beyond a byte for each byte
+# of its body.
+_MAX_FRAMING_BYTES = 64 * 1024
+# What h11 suggests if a head, a chunk's size or a trailer has no end.
+_HEADERS_TOO_LARGE = 431
+_READ_BYTES = 16 * 1024
+_MAX_UNREAD_BYTES = 64 * 1024
+# Parsed in a row before other tasks get a turn: about a millisecond.
+_EVENTS_PER_TURN = 32
 # Shorter than the time after which servers usually close idle connections.
 _MAX_IDLE_SECONDS = 15.0
 # Methods that may be sent a second time.
 _IDEMPOTENT_METHODS = frozenset(("GET", "PUT", "DELETE"))
 
 
+class _OversizedError(Exception):
+    """A response is longer than any that the store may send."""
+
+    def __init__(self, excess: Excess, max_bytes: int) -> None:
+        super().__init__(f"response exceeds {max_bytes} bytes of {excess}")
+        self.excess = excess
+
+
 class _Protocol(asyncio.Protocol):
-    """Buffers what one connection receives.
+    """Buffers what one connection receives, up to a bound.
 
     Attributes:
         received: Bytes that were not read yet.
+        is_paused: Whether the socket is not read until these are.
         error: Why the connection was lost, if it was not closed by the store.
     """
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.received = bytearray()
+        self.is_paused = False
         self.eof = False
         self.error: Exception | None = None
         self.arrived = asyncio.Event()
@@ -49,6 +69,9 @@
 
     def data_received(self, data: bytes) -> None:
         self.received += data
+        if len(self.received) >= _MAX_UNREAD_BYTES and not self.is_paused:
+            self.is_paused = True
+            self.transport.pause_reading()
         self.arrived.set()
 
     def eof_received(self) -> bool:
@@ -62,7 +85,7 @@
         self.arrived.set()
 
     async def read(self) -> bytes:
-        """Returns what has arrived; empty if the store closed the connection.
+        """Returns the next bytes; empty if the store closed the connection.
 
         Raises:
             OSError: The connection was lost.
@@ -72,11 +95,52 @@
             await self.arrived.wait()
         if not self.received and self.error:
             raise self.error
-        data = bytes(self.received)
-        self.received.clear()
+        data = bytes(self.received[:_READ_BYTES])
+        del self.received[:_READ_BYTES]
+        if self.is_paused and not self.received:
+            self.is_paused = False
+            self.transport.resume_reading()
         return data
 
 
+class _Response:
+    """Size of the response to one call, and the bounds of its parts.
+
+    Attributes:
+        max_bytes: Maximum size of the body.
+        read_bytes: Bytes that were read, framing included.
+        body: The body read so far.
+        events: Events parsed so far.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.read_bytes = 0
+        self.body = bytearray()
+        self.events = 0
+
+    def announce(self, head: h11.Response) -> None:
+        """Checks the announced size of the body."""
+        length = dict(head.headers).get(b"content-length", b"0")
+        self._check_body(int(length))
+
+    def add_body(self, data: bytes) -> None:
+        """Adds a part of the body."""
+        self._check_body(len(self.body) + len(data))
+        self.body += data
+
+    def check_framing(self) -> None:
+        """Checks what is no body, once all that was read has been parsed."""
+        framing_bytes = self.read_bytes - len(self.body)
+        max_bytes = _MAX_FRAMING_BYTES + len(self.body)
+        if framing_bytes > max_bytes:
+            raise _OversizedError(Excess.FRAMING, max_bytes)
+
+    def _check_body(self, size: int) -> None:
+        if size > self.max_bytes:
+            raise _OversizedError(Excess.BODY, self.max_bytes)
+
+
 class _Connection:
     """One connection to the store, used for one call at a time.
 
@@ -109,18 +173,26 @@
         """Closes the connection at once."""
         self.protocol.transport.abort()
 
-    async def call(self, host: str, request: Request) -> Reply:
+    async def call(self, host: str, request: Request, max_bytes: int) -> Reply:
         """Sends a call and reads its response.
 
+        Args:
+            host: ``IP:PORT`` of the store.
+            request: The call.
+            max_bytes: Maximum size of the response's body.
+
         Raises:
             OSError: The connection broke.
             h11.RemoteProtocolError: The response is not valid.
+            _OversizedError: The response is too long.
         """
         self._write(host, request)
-        response = await self._read_head()
-        body = b"".join([part async for part in self._read_body()])
-        revision = dict(response.headers).get(REVISION_HEADER.lower().encode())
-        return Reply(response.status_code, body, int(revision or 0))
+        response = _Response(max_bytes)
+        head = await self._read_head(response)
+        response.announce(head)
+        await self._read_body(response)
+        revision = dict(head.headers).get(REVISION_HEADER.lower().encode())
+        return Reply(head.status_code, bytes(response.body), int(revision or 0))
 
     def _write(self, host: str, request: Request) -> None:
         body = request.body or b""
@@ -136,21 +208,26 @@
         parts = [self.http.send(event) or b"" for event in events]
         self.protocol.transport.write(b"".join(parts))
 
-    async def _read_head(self) -> h11.Response:
+    async def _read_head(self, response: _Response) -> h11.Response:
         while True:
-            event = await self._next_event()
+            event = await self._next_event(response)
             if isinstance(event, h11.Response):
                 return event
 
-    async def _read_body(self) -> AsyncIterator[bytes]:
-        while isinstance(event := await self._next_event(), h11.Data):
-            yield bytes(event.data)
+    async def _read_body(self, response: _Response) -> None:
+        while isinstance(event := await self._next_event(response), h11.Data):
+            response.add_body(event.data)
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self, response: _Response) -> h11.Event:
+        response.events += 1
+        if response.events % _EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         while (event := self.http.next_event()) is h11.NEED_DATA:
+            response.check_framing()
             data = await self.protocol.read()
             if not data and self.http.their_state is h11.SEND_RESPONSE:
                 raise ConnectionResetError("store disconnected")
+            response.read_bytes += len(data)
             self.http.receive_data(data)
         return event
 
@@ -165,10 +242,12 @@
 
     Args:
         ip: IP address that connections are made from.
+        max_reply_bytes: Maximum size of a response's body.
     """
 
-    def __init__(self, ip: str) -> None:
+    def __init__(self, ip: str, max_reply_bytes: int = MAX_REPLY_BYTES) -> None:
         self.ip = ip
+        self.max_reply_bytes = max_reply_bytes
         self.idle: dict[str, list[_Connection]] = {}
 
     async def __aenter__(self) -> Self:
@@ -184,7 +263,13 @@
         try:
             async with asyncio.timeout(request.timeout):
                 return await self._call(host, request)
-        except (OSError, ValueError, h11.RemoteProtocolError) as error:
+        except _OversizedError as error:
+            return Unavailable(str(error), error.excess)
+        except h11.RemoteProtocolError as error:
+            is_long = error.error_status_hint == _HEADERS_TOO_LARGE
+            excess = Excess.FRAMING if is_long else None
+            return Unavailable(str(error), excess)
+        except (OSError, ValueError) as error:
             return Unavailable(str(error) or "time-out")
 
     async def _call(self, host: str, request: Request) -> Reply:
@@ -205,7 +290,7 @@
     ) -> Reply:
         """Calls on a connection, which is kept after a whole response."""
         try:
-            reply = await connection.call(host, request)
+            reply = await connection.call(host, request, self.max_reply_bytes)
         except BaseException:
             connection.close()
             raise
--- a/tests/features/site_store.feature
+++ b/tests/features/site_store.feature
@@ -46,6 +46,16 @@
     Then a payment of 51 bytes is answered with 413 at every front end
     And the storage instance of "east" had not noticed
 
+  Scenario: The store sends a storage instance bytes without an end
+    Guards against an instance that reads them for as long as its calls may
+    take, which uses up its processor and its memory.
+
+    When the store sends the storage instance of "east" bytes without an end
+    And bodies are limited to 50 bytes
+    Then a payment of 51 bytes is answered with 413 at every front end
+    And the storage instance of "east" gives up such responses
+    And the storage instance of "east" has used at most 150 MB
+
   Scenario: Endpoints' entries expire while the store is unreachable
     The endpoints are running, but could not renew their entries. If they were
     removed, callers would have no endpoint; if they were kept forever, calls
--- a/tests/features/steps/site_store.py
+++ b/tests/features/steps/site_store.py
@@ -1,5 +1,6 @@
 """Steps about faults of the platform's store."""
 
+import pathlib
 import time
 
 from behave import then, when
@@ -10,6 +11,7 @@
 _DOMAINS = ("east", "west", "north")
 _DESKS = ("desk-0", "desk-1", "desk-2")
 _SHORTEST_LEASE_SECONDS = 1.0
+_GIVEN_UP = 5
 
 
 def front_end(context, domain):
@@ -22,7 +24,11 @@
 
 def clear_store_faults(context):
     site(context).faults(
-        refuse_sources=[], silent_sources=[], late_watches=[], down=False
+        refuse_sources=[],
+        silent_sources=[],
+        late_watches=[],
+        endless_sources=[],
+        down=False,
     )
 
 
@@ -65,6 +71,33 @@
     context.lost = len(storage(context, domain).events("watch_lost"))
 
 
+@when('the store sends the storage instance of "{domain}" bytes without an end')
+def step_endless(context, domain):
+    host, _, _ = site(context).front_address(domain).rpartition(".")
+    context.scenario_stack.callback(clear_store_faults, context)
+    site(context).faults(endless_sources=[f"{host}.2"])
+
+
+@then('the storage instance of "{domain}" gives up such responses')
+def step_gives_up(context, domain):
+    wait_until(
+        lambda: (
+            len(storage(context, domain).events("store_reply_oversized"))
+            >= _GIVEN_UP
+        ),
+        "responses that are too long are given up",
+    )
+
+
+@then('the storage instance of "{domain}" has used at most {size:d} MB')
+def step_memory(context, domain, size):
+    pid = storage(context, domain).pid
+    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    (line,) = (x for x in status.splitlines() if x.startswith("VmHWM:"))
+    used_kb = int(line.split()[1])
+    assert used_kb <= size * 1024, line
+
+
 @then('the storage instance of "{domain}" had not noticed')
 def step_not_noticed(context, domain):
     lost = len(storage(context, domain).events("watch_lost"))
--- a/tests/features/steps/store_client.py
+++ b/tests/features/steps/store_client.py
@@ -1,15 +1,19 @@
 """Steps about the HTTP client of the platform's store, on real sockets."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
+import unittest.mock
 
+import h11
 from behave import given, then, when
 from hypothesis import given as given_values
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from rattanmill_platform import Reply, StoreClient, Unavailable
+from rattanmill_core import Metrics
+from rattanmill_platform import Reply, StoreCalls, StoreClient, Unavailable
 from rattanmill_platform.calls import Request
 
 _HOST = "127.0.0.1"
@@ -17,6 +21,29 @@
 _SHORT_SECONDS = 0.05
 _LOOP_ROUNDS = 20
 _HEAD_END = b"\r\n\r\n"
+_MB = 1024 * 1024
+_MAX_REPLY_BYTES = _MB
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED_HEAD = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+# What is sent once, and what is repeated.
+_ENDLESS = {
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000),
+    "header lines": (_OK, b"A: b\r\n" * 1000),
+    "one header line": (_OK + b"A: ", b"b" * 10_000),
+    "a body without length": (_OK + b"\r\n", b"b" * 10_000),
+    "a body of 1 GB": (
+        _OK + b"Content-Length: 1000000000\r\n\r\n",
+        b"b" * 10_000,
+    ),
+    "chunks": (_CHUNKED_HEAD, (b"3e8\r\n" + b"b" * 1000 + b"\r\n") * 10),
+    "chunks of one byte": (_CHUNKED_HEAD, b"1\r\nb\r\n" * 1000),
+    "chunks with extensions": (
+        _CHUNKED_HEAD,
+        (b"1;" + b"e" * 100 + b"\r\nb\r\n") * 100,
+    ),
+    "a chunk extension": (_CHUNKED_HEAD + b"1;", b"e" * 10_000),
+    "trailers": (_CHUNKED_HEAD + b"0\r\n", b"A: b\r\n" * 1000),
+}
 _ANSWERS = {
     "a body that is cut off": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
     "a chunk that is cut off": (
@@ -350,7 +377,156 @@
     assert asyncio.run(run()) == Reply(200, body, 12)
 
 
-def _chunked(body):
-    parts = [body[i : i + 100] for i in range(0, len(body), 100)]
+def _chunked(body, size=100):
+    parts = [body[i : i + size] for i in range(0, len(body), size)]
     chunks = [b"%x\r\n%s\r\n" % (len(part), part) for part in parts]
     return b"".join([*chunks, b"0\r\n\r\n"])
+
+
+@given("a store that sends {what} without an end")
+def step_endless(context, what):
+    head, part = _ENDLESS[what]
+    context.sent = 0
+
+    async def act(store, writer, path):
+        writer.write(head)
+        while True:
+            writer.write(part)
+            await writer.drain()
+            context.sent += len(part)
+            # Drained at once while the socket takes it.
+            await asyncio.sleep(0)
+
+    context.act = act
+
+
+def _framed(body, how):
+    length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+    return {
+        "with a length": _OK + length + body,
+        "without length": _OK + b"\r\n" + body,
+        "in chunks of 1 kB": _CHUNKED_HEAD + _chunked(body, 1000),
+    }[how]
+
+
+@given("a store that sends the largest body {how}")
+def step_largest(context, how):
+    data = _framed(b"b" * _MAX_REPLY_BYTES, how)
+
+    async def act(store, writer, path):
+        writer.write(data)
+        return False
+
+    context.act = act
+
+
+@given("a store that sends a body in {count:d} chunks of one byte")
+def step_many_parts(context, count):
+    async def act(store, writer, path):
+        writer.write(_CHUNKED_HEAD + _chunked(b"b" * count, 1))
+
+    context.act = act
+
+
+@given("a store that goes on sending after its response")
+def step_goes_on(context):
+    async def act(store, writer, path):
+        writer.write(_response(path))
+        # The response is read alone.
+        await _let_arrive()
+        while True:
+            writer.write(b"b" * 10_000)
+            await writer.drain()
+
+    context.act = act
+
+
+async def _take_turns(turns):
+    for turns[0] in itertools.count():
+        await asyncio.sleep(0)
+
+
+@contextlib.contextmanager
+def _counted_parts(turns, counts):
+    """Counts the parts that are parsed between two turns of other tasks."""
+    parse = h11.Connection.next_event
+
+    def count(connection):
+        counts[turns[0]] += 1
+        return parse(connection)
+
+    with unittest.mock.patch.object(h11.Connection, "next_event", count):
+        yield
+
+
+async def _read_bounded(context, rounds):
+    """Reads once through a client whose responses are bounded."""
+    store = Store()
+    store.acts = itertools.repeat(context.act)
+    server = await asyncio.start_server(store.accept, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    turns = [0]
+    context.parts = collections.Counter()
+    others = asyncio.create_task(_take_turns(turns))
+    async with StoreClient(_HOST, _MAX_REPLY_BYTES) as client:
+        context.metrics = unittest.mock.create_autospec(Metrics)
+        context.calls = StoreCalls(
+            f"http://{_HOST}:{port}", client.send, context.metrics
+        )
+        with _counted_parts(turns, context.parts):
+            context.reply = await context.calls.call(
+                "read", "GET", "/x", timeout=_SECONDS
+            )
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+        context.held_bytes = sum(
+            len(connection.protocol.received)
+            for connection in itertools.chain(*client.idle.values())
+        )
+    server.close()
+    for task in (others, *store.tasks):
+        task.cancel()
+    await asyncio.gather(others, *store.tasks, return_exceptions=True)
+
+
+@when("a read is made")
+def step_read(context):
+    asyncio.run(_read_bounded(context, 0))
+
+
+@when("a read is made and the store has sent for {rounds:d} turns")
+def step_read_and_wait(context, rounds):
+    asyncio.run(_read_bounded(context, rounds))
+
+
+@then("it has no reply, because of too many bytes of {part}")
+def step_oversized(context, part):
+    assert isinstance(context.reply, Unavailable), context.reply
+    assert context.reply.excess == part, context.reply
+    assert context.calls.breaker.failures == 1
+    count = unittest.mock.call(
+        "rattanmill_kv_oversized", kind="read", part=part
+    )
+    assert context.metrics.count.mock_calls.count(count) == 1
+
+
+@then("the store could send at most {size:d} MB of it")
+def step_sent(context, size):
+    assert context.sent <= size * _MB, context.sent
+
+
+@then("it has the largest body as its reply")
+def step_has_largest(context):
+    assert context.reply == Reply(200, b"b" * _MAX_REPLY_BYTES, 0)
+
+
+@then("others had a turn after {count:d} parts at most")
+def step_turns(context, count):
+    assert isinstance(context.reply, Reply), context.reply
+    assert max(context.parts.values()) <= count, context.parts.most_common(3)
+
+
+@then("the process holds at most {size:d} MB of it")
+def step_held(context, size):
+    assert context.reply == Reply(200, b"/x", 7), context.reply
+    assert context.held_bytes <= size * _MB, context.held_bytes
--- a/tests/features/store_client.feature
+++ b/tests/features/store_client.feature
@@ -79,3 +79,53 @@
 
   Scenario: Responses arrive in pieces
     Then responses of any framing, cut anywhere, give the same reply
+
+  Scenario Outline: A response without an end
+    Guards against a store that holds up all other work of a process, and fills
+    its memory, for as long as a call may take.
+
+    Given a store that sends <what> without an end
+    When a read is made
+    Then it has no reply, because of too many bytes of <part>
+    And the store could send at most 32 MB of it
+
+    Examples:
+      | what                   | part    |
+      | interim responses      | framing |
+      | header lines           | framing |
+      | one header line        | framing |
+      | a body without length  | body    |
+      | a body of 1 GB         | body    |
+      | chunks                 | body    |
+      | chunks of one byte     | framing |
+      | chunks with extensions | framing |
+      | a chunk extension      | framing |
+      | trailers               | framing |
+
+  Scenario Outline: The largest response that the store may send
+    Guards against a bound that refuses it: its values would never be known.
+
+    Given a store that sends the largest body <how>
+    When a read is made
+    Then it has the largest body as its reply
+
+    Examples:
+      | how               |
+      | with a length     |
+      | without length    |
+      | in chunks of 1 kB |
+
+  Scenario: A response of many parts
+    Guards against a process that does nothing else until it has parsed all that
+    has arrived of a response.
+
+    Given a store that sends a body in 5000 chunks of one byte
+    When a read is made
+    Then others had a turn after 64 parts at most
+
+  Scenario: Bytes without an end on an idle connection
+    Guards against a process that buffers whatever arrives between calls.
+
+    Given a store that goes on sending after its response
+    When a read is made and the store has sent for 3000 turns
+    Then the process holds at most 1 MB of it
--- a/tests/standins/sitestore.py
+++ b/tests/standins/sitestore.py
@@ -13,6 +13,7 @@
 from standins.common import Faults, StandIn, argument, drop, run
 
 _LEASE_SCAN_SECONDS = 0.05
+_ENDLESS_PART = bytes(64 * 1024)
 
 
 class StoreFaults(Faults, kw_only=True):
@@ -29,6 +30,8 @@
         late_watches: Addresses whose watches are held back: they tell of
             nothing and end after half their time, long before their callers
             give them up. Other calls are answered.
+        endless_sources: Addresses whose calls are answered with a body that
+            never ends.
         views: Texts that are replaced in the values which an address reads,
             by address: what lies behind a link has the link's address.
     """
@@ -39,6 +42,7 @@
     refuse_sources: list[str] = msgspec.field(default_factory=list)
     silent_sources: list[str] = msgspec.field(default_factory=list)
     late_watches: list[str] = msgspec.field(default_factory=list)
+    endless_sources: list[str] = msgspec.field(default_factory=list)
     views: dict[str, dict[str, str]] = msgspec.field(default_factory=dict)
 
 
@@ -58,6 +62,14 @@
     until: float
 
 
+async def _send_endlessly(request: web.Request) -> None:
+    """Sends a body until the caller closes the connection."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    while True:
+        await response.write(_ENDLESS_PART)
+
+
 class SiteStore(StandIn):
     """The store's state."""
 
@@ -99,6 +111,8 @@
             await asyncio.sleep(3600)
         if faults.down or request.remote in faults.refuse_sources:
             return web.Response(status=503)
+        if request.remote in faults.endless_sources:
+            await _send_endlessly(request)
         answer = await handler(request)
         if request.remote in self.faults.silent_sources:
             await asyncio.sleep(3600)
