Bound the size of a message between instances

Cause: ZeroMQ reads a message of any announced size into memory before it is passed on, also before a connection has authenticated itself. Requests between instances have no authentication, so whatever connects to that port, or has got the address of an instance that is gone, could fill a process.

Change: sockets have a maximum: 64 MB for requests and replies, 65 MB on the native path (the longest body that the settings allow, and its headers). So that no sound message is longer, turns that an instance fetches after a loss are sent 16 MB at a time; 40 of the largest could exceed 64 MB. The others are asked for again, as before when a reply lacked some (page_incomplete).

Tests: links.feature: the two new scenarios of messages without end failed before (200 MB taken; 136 MB taken), 14 pass; a message of 60 MB passes. following.feature: "Long turns are fetched" failed before (24 MB in a message), passes.

--- a/libs/keeper/src/rattanmill_keeper/turns.py
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -1,5 +1,6 @@
 """In-memory table of kept turns, which the journal holds on disk."""
 
+import itertools
 from collections.abc import Iterable
 
 import msgspec
@@ -10,6 +11,8 @@
 # Time for which a turn is kept beyond its expiry, as clocks differ between
 # instances or may jump by seconds.
 _EXPIRY_MARGIN_SECONDS = 15.0
+# Texts of turns that are sent in one message: several of the largest.
+_MAX_SENT_BYTES = 16 * 1024 * 1024
 
 
 class HeldTurn(msgspec.Struct):
@@ -53,8 +56,19 @@
         return Chain(turns, turn)
 
     def get_many(self, turns: Iterable[str]) -> list[KeptTurn]:
-        """Returns the turns that are held, of those given."""
-        return [self.held[t].kept for t in turns if t in self.held]
+        """Returns the turns that are held, of those given.
+
+        The last ones are left out if their texts would exceed what is sent at
+        once. They are asked for again.
+        """
+        found = [self.held[t].kept for t in turns if t in self.held]
+        sizes = itertools.accumulate(len(kept.text) for kept in found)
+        fitting = [
+            kept
+            for kept, size in zip(found, sizes, strict=True)
+            if size <= _MAX_SENT_BYTES
+        ]
+        return fitting or found[:1]
 
     def missing(self, turns: Iterable[str]) -> list[str]:
         """Returns the ids that are not held, of those given."""
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -45,6 +45,8 @@
 _QUEUE_MESSAGES = 1000
 _WINDOW_CHUNKS = 64
 _SEND_TIMEOUT_MS = 2000
+# The longest body that the settings allow, and its headers.
+_MAX_MESSAGE_BYTES = 65 * 1024 * 1024
 _REPLY_POLL_SECONDS = 0.1
 # Between the id of a call and the number of an attempt to forward it.
 _ATTEMPT_MARK = "#"
@@ -298,6 +300,7 @@
         socket.curve_publickey = self.secret.public
         socket.sndhwm = _QUEUE_MESSAGES
         socket.rcvhwm = _QUEUE_MESSAGES
+        socket.maxmsgsize = _MAX_MESSAGE_BYTES
         socket.sndtimeo = _SEND_TIMEOUT_MS
         socket.linger = 0
         socket.reconnect_ivl = 50
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -31,6 +31,9 @@
 # Messages received in a row before the event loop runs other work.
 _MAX_BATCH_MESSAGES = 50
 _LINGER_MS = 100
+# No process has the memory to continue a longer chain of turns. A connection on
+# which a longer message is announced is closed before it is read.
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 # As plain integers: each operation on an enumeration's member takes longer than
 # sending a small message.
 _NOBLOCK = int(zmq.NOBLOCK)
@@ -367,6 +370,7 @@
 def _set_options(socket: zmq.Socket) -> None:
     socket.sndhwm = _QUEUE_MESSAGES
     socket.rcvhwm = _QUEUE_MESSAGES
+    socket.maxmsgsize = _MAX_MESSAGE_BYTES
     socket.linger = 0
     socket.connect_timeout = _CONNECT_MS
     socket.reconnect_ivl = _RECONNECT_MS
--- a/tests/features/following.feature
+++ b/tests/features/following.feature
@@ -84,3 +84,14 @@
     And one that holds them is killed, which the next one notices while it asks for changes
     And all follow each other
     Then the next one holds all 20 turns
+
+  Scenario: Long turns are fetched
+    Guards against a message that is longer than a connection carries: it would
+    be lost each time, and the instance would never have all turns.
+
+    Given 3 storage instances in 3 failure domains
+    When 12 turns of 2 MB are kept, and all follow each other
+    And 5 programs have begun, and the disk of one instance is lost
+    And it follows the others twice
+    Then no message had more than 16 MB of turns
+    And it has all turns and accounts that the others know
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -36,6 +36,28 @@
     When a request and a reply of 5000000 bytes are sent
     Then each gets its own reply
 
+  Scenario: The longest message
+    Guards against a bound that refuses it: its chain could not be continued.
+
+    Given a peer that answers requests
+    When a request and a reply of 60000000 bytes are sent
+    Then each gets its own reply
+
+  Scenario: A request without an end
+    Guards against an instance that buffers it until its memory is used up.
+
+    Given a peer that answers requests
+    When a connection to it announces a message of 3 GB and begins to send it
+    Then the connection is closed before 32 MB are sent
+    And the next request gets a reply
+
+  Scenario: A reply without an end
+    Guards against a client that buffers it until its memory is used up.
+
+    Given a peer that replies with a message of 3 GB
+    When a request to it times out
+    Then the connection is closed before 32 MB are sent
+
   Scenario: A peer that is not listening yet
     A request that timed out before the peer was listening must not reach it
     later: a turn would hold a budget reservation that no instance knows of.
--- a/tests/features/steps/following.py
+++ b/tests/features/steps/following.py
@@ -24,6 +24,7 @@
 _FETCHES = ("Follow", "FetchAccounts")
 _MAX_PAGES = 10
 _DOMAINS = 3
+_MB = 1024 * 1024
 
 
 async def follow_all(context, network):
@@ -109,6 +110,53 @@
     run_in(context, go_on)
 
 
+@when("{count:d} turns of {size:d} MB are kept, and all follow each other")
+def step_keep_long(context, count, size):
+    context.chain = f"chain-{wall_seconds()}"
+
+    async def go_on(network):
+        front = network.front(context.near[0])
+        for number in range(count):
+            previous = f"t{number - 1}" if number else ""
+            expires = wall_seconds() + _RETENTION_SECONDS
+            text = bytes(size * _MB)
+            kept = KeptTurn(
+                f"t{number}", previous, text, expires, context.chain
+            )
+            assert (await front.turns.keep(kept)).is_replicated
+            await network.pass_time(0.01)
+        await follow_all(context, network)
+
+    run_in(context, go_on)
+
+
+@when("it follows the others twice")
+def step_follow_twice(context):
+    context.sizes = []
+
+    def record(reply):
+        if isinstance(reply, Turns):
+            context.sizes.append(sum(len(kept.text) for kept in reply.turns))
+        return reply
+
+    async def follow_twice(network):
+        lost = network.names[-1]
+        follower = Follower(network.keepers[lost], network.members[lost])
+        context.following = {lost: follower}
+        network.change_reply = record
+        await follow_all(context, network)
+        await follow_all(context, network)
+        network.change_reply = lambda reply: reply
+
+    run_in(context, follow_twice)
+
+
+@then("no message had more than {size:d} MB of turns")
+def step_message_sizes(context, size):
+    assert any(context.sizes)
+    assert max(context.sizes) <= size * _MB, context.sizes
+
+
 @then("the holder was computed once for each failure domain")
 def step_computed(context):
     assert context.rank.call_count == _DOMAINS, context.rank.call_count
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import time
 from collections.abc import Callable
 
@@ -15,6 +16,12 @@
 _SECONDS = 5.0
 _SHORT_TIMEOUT_SECONDS = 0.1
 _CLOSE_WAIT_SECONDS = 0.02
+_MB = 1024 * 1024
+# Greeting and first command of ZMTP 3.0 without authentication.
+_GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(52, b"\0")
+_READY = b"\x05READY\x0bSocket-Type\x00\x00\x00\x06"
+_LONG_FRAME = struct.pack(">BQ", 2, 3 * 1024 * _MB)
+_ENDLESS_PARTS = 200
 _METRICS = Metrics()
 _CODEC = codec()
 
@@ -69,6 +76,39 @@
         self.replies.append((text, reply))
 
 
+class EndlessSender:
+    """Sends a message that never ends.
+
+    Attributes:
+        sent_mb: Megabytes of it that were sent.
+        is_closed: Whether the connection was closed meanwhile.
+    """
+
+    def __init__(self, kind: bytes) -> None:
+        self.ready = _READY + kind
+        self.sent_mb = 0
+        self.is_closed = False
+        self.ended = asyncio.Event()
+
+    async def send(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends it on a connection."""
+        command = bytes([4, len(self.ready)]) + self.ready
+        writer.write(_GREETING + command)
+        await reader.readexactly(len(_GREETING))
+        writer.write(_LONG_FRAME)
+        try:
+            for _ in range(_ENDLESS_PARTS):
+                writer.write(bytes(_MB))
+                await writer.drain()
+                self.sent_mb += 1
+        except ConnectionError:
+            self.is_closed = True
+        writer.close()
+        self.ended.set()
+
+
 class DroppingProxy:
     """Drops all data of its first connection and forwards the others."""
 
@@ -228,6 +268,39 @@
     run(context, context.peer.ask("x" * size))
 
 
+@when("a connection to it announces a message of 3 GB and begins to send it")
+def step_endless_request(context):
+    context.sender = EndlessSender(b"DEALER")
+
+    async def send() -> None:
+        await context.sender.send(
+            *await asyncio.open_connection("127.0.0.1", context.peer.port)
+        )
+
+    run(context, send())
+
+
+@given("a peer that replies with a message of 3 GB")
+def step_endless_reply(context):
+    peer = create_peer(context)
+    context.sender = EndlessSender(b"ROUTER")
+
+    async def listen() -> None:
+        server = await asyncio.start_server(
+            context.sender.send, "127.0.0.1", peer.port
+        )
+        peer.stack.callback(server.close)
+
+    run(context, listen())
+
+
+@then("the connection is closed before {size:d} MB are sent")
+def step_closed(context, size):
+    run(context, context.sender.ended.wait())
+    assert context.sender.is_closed
+    assert context.sender.sent_mb < size, context.sender.sent_mb
+
+
 @when("a request to it times out and it begins to listen")
 def step_listen_then(context):
     async def ask() -> None:
