--- a/libs/entry/src/rattanmill_entry/engines.py
+++ b/libs/entry/src/rattanmill_entry/engines.py
@@ -27,7 +27,8 @@
 )
 from rattanmill_entry.node import Node
 from rattanmill_entry.upstream import Failed
-from rattanmill_policy import EndpointState, Load, Outcome
+from rattanmill_platform import OversizedError, read_bounded
+from rattanmill_policy import MAX_REPORT_BYTES, EndpointState, Load, Outcome
 
 _log = part_logger("engines")
 _T = TypeVar("_T")
@@ -233,6 +234,7 @@
             aiohttp.ConnectionTimeoutError,
             aiohttp.ServerTimeoutError,
             TimeoutError,
+            OversizedError,
         ):
             return ProbeResult.SILENT, None
         except (aiohttp.ClientError, OSError):
@@ -261,7 +263,7 @@
         async with self.node.act_session.get(
             f"{url}/v1/load", timeout=timeout
         ) as response:
-            body = await response.read()
+            body = await read_bounded(response, MAX_REPORT_BYTES)
         try:
             return msgspec.json.decode(body, type=Load)
         except DECODE_ERRORS:
--- a/libs/entry/src/rattanmill_entry/memory.py
+++ b/libs/entry/src/rattanmill_entry/memory.py
@@ -27,10 +27,19 @@
 from rattanmill_entry.expiry import end_expired
 from rattanmill_entry.node import Node
 from rattanmill_entry.route import owner_of
-from rattanmill_policy import EndpointState, Pin, ProgramPins, has_room
+from rattanmill_platform import read_bounded
+from rattanmill_policy import (
+    MAX_REPORT_BYTES,
+    EndpointState,
+    Pin,
+    ProgramPins,
+    has_room,
+)
 from rattanmill_programs import Program, Shard
 from rattanmill_wire import PinsHeld
 
+# Pins of over a hundred thousand programs.
+_MAX_PINS_BYTES = 16 * 1024 * 1024
 _log = part_logger("memory")
 _RELEASE_INTERVAL_SECONDS = 1.0
 _MIN_SWEEP_INTERVAL_SECONDS = 3.0
@@ -221,7 +230,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
             ) as response:
-                await response.read()
+                await read_bounded(response, MAX_REPORT_BYTES)
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError):
             self._count("lost")
@@ -280,7 +289,7 @@
         url = f"{state.endpoint.url}/v1/pins"
         try:
             async with self.node.session.get(url, timeout=timeout) as response:
-                body = await response.read()
+                body = await read_bounded(response, _MAX_PINS_BYTES)
             return msgspec.json.decode(body, type=_ReportedPins).pins
         except (
             aiohttp.ClientError,
--- a/libs/platform/src/rattanmill_platform/__init__.py
+++ b/libs/platform/src/rattanmill_platform/__init__.py
@@ -46,6 +46,8 @@
         ShardOwner,
     )
     from rattanmill_platform.sessions import (
+        OversizedError,
+        read_bounded,
         session_sender,
     )
     from rattanmill_platform.sockets import (
@@ -72,6 +74,7 @@
     "KvClient",
     "LiveView",
     "Missing",
+    "OversizedError",
     "PrefixWatch",
     "Range",
     "Reply",
@@ -86,6 +89,7 @@
     "Written",
     "set_tcp_timeouts",
     "create_tcp_socket",
+    "read_bounded",
     "session_sender",
 ]
 
@@ -128,7 +132,11 @@
             "LiveView",
             "ShardOwner",
         ),
-        "sessions": ("session_sender",),
+        "sessions": (
+            "OversizedError",
+            "read_bounded",
+            "session_sender",
+        ),
         "sockets": (
             "create_tcp_socket",
             "set_tcp_timeouts",
--- a/libs/platform/src/rattanmill_platform/directory.py
+++ b/libs/platform/src/rattanmill_platform/directory.py
@@ -13,10 +13,13 @@
 import msgspec
 
 from rattanmill_core import DECODE_ERRORS, part_logger, start_loop
+from rattanmill_platform.sessions import read_bounded
 
 _log = part_logger("directory")
 _POLL_SECONDS = 1.0
 _CALL_TIMEOUT_SECONDS = 2.0
+# Several times a list of all endpoints of a large fleet.
+_MAX_LIST_BYTES = 16 * 1024 * 1024
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -87,7 +90,7 @@
             async with self.session.get(
                 self.url, timeout=timeout, raise_for_status=True
             ) as response:
-                body = await response.read()
+                body = await read_bounded(response, _MAX_LIST_BYTES)
                 listed = msgspec.json.decode(body, type=_InstanceList)
         except (
             aiohttp.ClientError,
--- a/libs/policy/src/rattanmill_policy/__init__.py
+++ b/libs/policy/src/rattanmill_policy/__init__.py
@@ -13,6 +13,7 @@
         Rules,
     )
     from rattanmill_policy.loads import (
+        MAX_REPORT_BYTES,
         LoadPoller,
     )
     from rattanmill_policy.outcome import (
@@ -42,6 +43,7 @@
     )
 
 __all__ = [
+    "MAX_REPORT_BYTES",
     "EndpointState",
     "EndpointTable",
     "Load",
@@ -67,7 +69,7 @@
             "Load",
         ),
         "knowledge": ("Rules",),
-        "loads": ("LoadPoller",),
+        "loads": ("MAX_REPORT_BYTES", "LoadPoller"),
         "outcome": ("Outcome",),
         "pinning": (
             "Pin",
--- a/libs/policy/src/rattanmill_policy/loads.py
+++ b/libs/policy/src/rattanmill_policy/loads.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rattanmill_core import DECODE_ERRORS, start_loop
+from rattanmill_platform import read_bounded
 from rattanmill_policy.scheduler import Scheduler
 from rattanmill_policy.speeds import LoadReport
 
@@ -16,6 +17,8 @@
 _POLL_INTERVAL_SECONDS = 0.25
 _RECENT_USE_SECONDS = 10.0
 _TIMEOUT_SECONDS = 2.0
+# A sound report is far shorter.
+MAX_REPORT_BYTES = 1024 * 1024
 
 
 class LoadPoller:
@@ -75,7 +78,7 @@
             aiohttp.ClientError, TimeoutError, OSError, *DECODE_ERRORS
         ):
             async with self.session.get(url, timeout=timeout) as answer:
-                data = await answer.read()
+                data = await read_bounded(answer, MAX_REPORT_BYTES)
                 report = msgspec.json.decode(data, type=LoadReport)
                 if answer.status == 200 and report.slots:
                     self.scheduler.record_load_report(name, report)
