Bound what is no body in responses on the native path

Cause: aiohttp bounds header lines, and stops reading while a body isn't consumed. Nothing bounds interim responses, sizes and extensions of chunks, comments and empty events, and 256 KB were parsed in a row. An attempt at an engine has no time limit but 60 s between two reads, so it never ended.

Change: connections read 16 KB at a time, and a response may have 64 KB that are no body, beyond a byte for each byte of its body; more end it, with a line in the log and rattanmill_responses_oversized.

Tests: oversized.feature: the 8 new scenarios failed before, 13 pass.

--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -22,6 +22,7 @@
     access_middleware,
 )
 from rattanmill_entry.admin import admin_routes
+from rattanmill_entry.connections import bounded_connector
 from rattanmill_entry.drain import drain
 from rattanmill_entry.edge import ConnectionLimit, edge_middleware
 from rattanmill_entry.engines import EndpointMonitor
@@ -67,9 +68,11 @@
     loop.add_signal_handler(signal.SIGHUP, _ignore_hangup)
     watch_tasks(node)
     async with contextlib.AsyncExitStack() as stack:
-        node.session = await stack.enter_async_context(_session(settings))
+        node.session = await stack.enter_async_context(
+            _session(settings, node.metrics)
+        )
         node.act_session = await stack.enter_async_context(
-            _session(settings, fresh=True)
+            _session(settings, node.metrics, fresh=True)
         )
         note_exchange = NoteExchange(node)
         watch = EndpointMonitor(node)
@@ -118,19 +121,25 @@
     return node
 
 
-def _session(settings: Settings, fresh: bool = False) -> aiohttp.ClientSession:
+def _session(
+    settings: Settings, metrics: Metrics, fresh: bool = False
+) -> aiohttp.ClientSession:
     """Returns a session that connects from this instance's address.
 
     Args:
         settings: Contains the address.
+        metrics: Counts responses that were given up.
         fresh: Whether each call opens a new connection. On a reused one that
             the endpoint has just closed, a request fails that never ran,
             and the caller is told that its outcome is unknown.
     """
     host = settings.http.rsplit(":", 1)[0]
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=_MAX_CONNECTIONS, local_addr=(host, 0), force_close=fresh
+        connector=bounded_connector(
+            metrics,
+            limit=_MAX_CONNECTIONS,
+            local_addr=(host, 0),
+            force_close=fresh,
         ),
         auto_decompress=False,
         trace_configs=[send_guard_trace()] if fresh else [],
--- a/libs/entry/src/rattanmill_entry/upstream.py
+++ b/libs/entry/src/rattanmill_entry/upstream.py
@@ -245,15 +245,23 @@
 async def _events(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
     """Yields the data of each server-sent event."""
     rest = b""
+    size = 0
+    # Bytes since the last event with data, comments included.
+    idle_bytes = 0
     async for part in content.iter_any():
+        size += len(part)
+        if size > _MAX_ANSWER_BYTES:
+            raise aiohttp.ClientPayloadError("response too large")
+        idle_bytes += len(part)
         rest += part
         *events, rest = rest.split(b"\n\n")
-        if len(rest) > _MAX_EVENT_BYTES:
-            raise aiohttp.ClientPayloadError("event too large")
         for event in events:
             for line in event.split(b"\n"):
                 if line.startswith(b"data:"):
+                    idle_bytes = len(rest)
                     yield line[5:].strip()
+        if idle_bytes > _MAX_EVENT_BYTES:
+            raise aiohttp.ClientPayloadError("event too large")
 
 
 def _usage(wire: _WireUsage) -> Usage:
--- a/tests/features/oversized.feature
+++ b/tests/features/oversized.feature
@@ -33,3 +33,24 @@
     When the load report of an engine is read
     Then no load report is recorded
     And the server could send at most 32 MB
+
+  Scenario Outline: An engine sends <what> without an end
+    Guards against an attempt that never ends, and takes a whole core from the
+    calls beside it.
+
+    Given an engine that sends <what> without an end
+    When a chat of at most 4 MB is streamed from it
+    Then the attempt is broken off, because of "<why>"
+    And the server could send at most 32 MB
+    And no more than 16 KB were parsed in a row
+
+    Examples:
+      | what                   | why                |
+      | interim responses      | bytes of framing   |
+      | chunks of one byte     | bytes of framing   |
+      | chunks with extensions | bytes of framing   |
+      | a chunk extension      | bytes of framing   |
+      | comments               | event too large    |
+      | empty events           | event too large    |
+      | events                 | response too large |
+      | one event              | event too large    |
--- a/tests/features/steps/oversized.py
+++ b/tests/features/steps/oversized.py
@@ -1,13 +1,19 @@
 """Steps about bodies without an end, on real sockets."""
 
 import asyncio
+import contextlib
 import itertools
 from types import SimpleNamespace
+from unittest import mock
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from behave import given, then, when
 
 from rattanmill_core import Metrics
+from rattanmill_entry import upstream
+from rattanmill_entry.connections import bounded_connector
+from rattanmill_entry.upstream import Failed, stream_chat
 from rattanmill_platform import (
     Directory,
     Reply,
@@ -15,15 +21,33 @@
     Unavailable,
     session_sender,
 )
-from rattanmill_policy import LoadPoller
+from rattanmill_policy import LoadPoller, Outcome
 
 _HOST = "127.0.0.1"
 _MB = 1024 * 1024
 _PART = bytes(64 * 1024)
 _SECONDS = 5.0
 _SHORT_SECONDS = 0.05
+# An attempt that is not broken off would go on for good.
+_STREAM_SECONDS = 20.0
 _HEAD_END = b"\r\n\r\n"
 _OK = b"HTTP/1.1 200 OK\r\n\r\n"
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+_EVENT = b'data: {"choices": [{"delta": {"content": "a"}}]}\n\n'
+# What is sent once, and what is repeated.
+_ENDLESS = {
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000),
+    "chunks of one byte": (_CHUNKED, b"1\r\n\n\r\n" * 10_000),
+    "chunks with extensions": (
+        _CHUNKED,
+        (b"1;" + b"e" * 100 + b"\r\n\n\r\n") * 500,
+    ),
+    "a chunk extension": (_CHUNKED + b"1;", b"e" * 50_000),
+    "comments": (_OK, b": ping\n\n" * 8_000),
+    "empty events": (_OK, b"\n\n" * 30_000),
+    "events": (_OK, _EVENT * 1_000),
+    "one event": (_OK + b"data: ", b"a" * 50_000),
+}
 
 
 @given("a server whose bodies have no end")
@@ -44,22 +68,32 @@
     context.seconds = _SHORT_SECONDS
 
 
-def _run(context, read):
+@given("an engine that sends {what} without an end")
+def step_endless_engine(context, what):
+    context.head, part = _ENDLESS[what]
+    context.parts = itertools.repeat(part)
+
+
+def _run(context, read, connector=lambda: None):
     """Runs ``read``, a function of a session and the server's address."""
     context.sent = 0
 
     async def serve(reader, writer):
         await reader.readuntil(_HEAD_END)
+        with contextlib.suppress(ConnectionError):
+            await send(writer)
+        writer.close()
+
+    async def send(writer):
         if context.parts is None:
             await asyncio.sleep(_SECONDS)
-        writer.write(_OK)
+        writer.write(getattr(context, "head", _OK))
         for part in context.parts or ():
             writer.write(part)
             await writer.drain()
             context.sent += len(part)
             # Drained at once while the socket takes it.
             await asyncio.sleep(0)
-        writer.close()
 
     async def run():
         tasks = set()
@@ -69,7 +103,10 @@
 
         server = await asyncio.start_server(accept, _HOST, 0)
         port = server.sockets[0].getsockname()[1]
-        async with server, aiohttp.ClientSession() as session:
+        session = aiohttp.ClientSession(
+            connector=connector(), auto_decompress=False
+        )
+        async with server, session:
             await read(session, f"http://{_HOST}:{port}")
         for task in tasks:
             task.cancel()
@@ -80,7 +117,7 @@
 
 @when("a key is read through a session that accepts {size:d} MB")
 def step_read_key(context, size):
-    context.metrics = Metrics()
+    context.metrics = mock.create_autospec(Metrics)
 
     async def read(session, base):
         send = session_sender(session, size * _MB)
@@ -118,6 +155,46 @@
     _run(context, read)
 
 
+@when("a chat of at most {size:d} MB is streamed from it")
+def step_stream(context, size):
+    context.metrics = mock.create_autospec(Metrics)
+    context.read_sizes = []
+    context.last = None
+    received = ResponseHandler.data_received
+
+    def record(handler, data):
+        context.read_sizes.append(len(data))
+        received(handler, data)
+
+    async def stream(session, base):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_STREAM_SECONDS):
+                async for context.last in stream_chat(session, base, b"{}", {}):
+                    pass
+
+    with (
+        mock.patch.object(ResponseHandler, "data_received", record),
+        mock.patch.object(upstream, "_MAX_ANSWER_BYTES", size * _MB),
+    ):
+        _run(context, stream, lambda: bounded_connector(context.metrics))
+
+
+@then('the attempt is broken off, because of "{why}"')
+def step_broken_off(context, why):
+    failed = context.last
+    assert isinstance(failed, Failed), failed
+    assert failed.outcome is Outcome.BROKEN, failed
+    assert why in failed.detail, failed
+    count = mock.call("rattanmill_responses_oversized")
+    is_counted = count in context.metrics.count.mock_calls
+    assert is_counted == ("framing" in why), context.metrics.count.mock_calls
+
+
+@then("no more than {size:d} KB were parsed in a row")
+def step_read_sizes(context, size):
+    assert max(context.read_sizes) <= size * 1024, max(context.read_sizes)
+
+
 @then(
     "the key-value service counts as away, because of too many bytes of {part}"
 )
@@ -125,8 +202,8 @@
     assert isinstance(context.reply, Unavailable), context.reply
     assert context.reply.excess == part, context.reply
     assert context.calls.breaker.failures == 1
-    line = f'rattanmill_kv_oversized_total{{kind="read",part="{part}"}} 1.0'
-    assert line in context.metrics.exposition().decode()
+    count = mock.call("rattanmill_kv_oversized", kind="read", part=part)
+    assert context.metrics.count.mock_calls.count(count) == 1
 
 
 @then('the key-value service counts as away, because of "{why}"')
