Cut off callers whose bodies are little but framing

Cause: heads, header lines, trailers, pipelined requests and bodies have bounds. The sizes and extensions of chunks had none but the request's deadline, and 256 KB were parsed in a row.

Held before: header lines, a header line, a request line, trailers (refused at once), empty lines (408 after the head's time limit), pipelined requests (6 ms, 4 MB), a long body (413, 17 MB).

Change: a connection reads 32 KB at a time, over a typical body, and a body may have 64 KB of framing beyond a byte for each of its own; more is counted and logged as a refusal for body_too_large, and the connection is closed.

--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -11,6 +11,11 @@
 from rattanmill_forward.routes import Limits
 
 _MAX_HEAD_BYTES = 64 * 1024
+# Sizes and extensions of the chunks of one body, beyond a byte for each byte of
+# the body.
+_MAX_FRAMING_BYTES = 64 * 1024
+# All that was read is parsed before other tasks have a turn.
+_READ_BYTES = 32 * 1024
 _BACKLOG = 1024
 _TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
@@ -39,7 +44,12 @@
     """One connection; refuses a request whose head arrives too slowly.
 
     Otherwise callers that send a few bytes now and then would hold descriptors
-    until none are left for others.
+    until none are left for others. A body that is little but framing is not
+    read on.
+
+    Attributes:
+        framing_bytes: Bytes received behind the head of the current request
+            that are not in its body.
     """
 
     def __init__(self, server: "_Server", policy: ConnectionPolicy) -> None:
@@ -58,11 +68,20 @@
         self.is_serving = False
         self.head_timer: asyncio.TimerHandle | None = None
         self.last_body: StreamReader | None = None
+        self.framing_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.max_size = _READ_BYTES
+        super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         # A request may be refused before all of its body has arrived.
-        is_body = self.last_body is not None and not self.last_body.is_eof()
+        body = self.last_body
+        is_body = body is not None and not body.is_eof()
+        before = body.total_bytes if is_body else 0
         super().data_received(data)
+        if is_body:
+            self._check_framing(body, len(data) - body.total_bytes + before)
         # An empty call only resumes parsing.
         is_head = bool(data) and not (is_body or self.is_serving)
         if is_head and not self.head_timer and self.transport is not None:
@@ -80,6 +99,7 @@
         self._stop_timer()
         self.is_serving = True
         self.last_body = request.content
+        self.framing_bytes = 0
         try:
             return await handler(request)
         finally:
@@ -90,13 +110,29 @@
             self.head_timer.cancel()
         self.head_timer = None
 
+    def _check_framing(self, body: StreamReader, received_bytes: int) -> None:
+        self.framing_bytes += received_bytes
+        max_bytes = _MAX_FRAMING_BYTES + body.total_bytes
+        if self.framing_bytes <= max_bytes or self.transport is None:
+            return
+        self._record_refusal(
+            Reason.BODY_TOO_LARGE,
+            f"request exceeds {max_bytes} bytes of framing",
+        )
+        self.force_close()
+
     def _on_head_timeout(self) -> None:
         self.head_timer = None
         if self.transport is None:
             return
-        refusal = refuse(
+        self._record_refusal(
             Reason.HEADERS_TOO_SLOW, "timed out reading the request head"
         )
+        self.transport.write(_TIMEOUT_RESPONSE)
+        self.force_close()
+
+    def _record_refusal(self, reason: Reason, detail: str) -> None:
+        refusal = refuse(reason, detail)
         self.policy.metrics.refused(refusal)
         log_event(
             "refused",
@@ -105,8 +141,6 @@
             status=refusal.status,
             ran=refusal.ran,
         )
-        self.transport.write(_TIMEOUT_RESPONSE)
-        self.force_close()
 
 
 class _Server(web.Server):
--- /dev/null
+++ b/tests/features/callers.feature
@@ -0,0 +1,30 @@
+Feature: Callers that send without an end
+  Reading them must not hold up other callers of the front end.
+
+  Scenario Outline: A body that is little but framing
+    Guards against a front end that reads it until the request's deadline, for
+    a whole core.
+
+    Given a front end's listener
+    When a caller sends <what> without an end
+    Then the caller is cut off before 32 MB are sent
+    And 1 request of a caller was refused as "body_too_large"
+    And no more than 32 KB of it were parsed in a row
+
+    Examples:
+      | what                   |
+      | chunks of one byte     |
+      | chunks with extensions |
+      | a chunk extension      |
+
+  Scenario Outline: A body in chunks that is sound
+    Given a front end's listener
+    When a caller sends a body of <size> bytes in chunks of <chunk> bytes
+    Then the request has <size> bytes
+    And 0 requests of a caller were refused as "body_too_large"
+
+    Examples:
+      | size    | chunk |
+      | 4000000 | 100   |
+      | 4000000 | 65536 |
+      | 10000   | 1     |
