Give a decommissioned holder a successor

Cause: the holders of a program's account are chosen when it is opened and never change. An instance that is emptied tells the other holders what it knows, and then its place is empty: after two orders less than a majority is left.

Change: the instance closes, sends all its accounts to one that stays, notes on its disk whom it asks, and asks it to hold them in its place. The successor does so from the moment at which it has that on disk, and registers whose accounts it holds; the old one reports that it is empty only when the store lists that and those it reaches have it on disk. No account is rewritten: names of holders are looked up where they are used, over several successors if need be. An instance in the places of two holders counts once. One that lost its disk hears from the others whose accounts it holds, and follows all of them anew before it counts.

The class that lists a registration in tests moves from a step file to tests/support/orders.py, unchanged.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 from typing import Self
 
 import msgspec
 
-from rattanmill_core import log_event, start_loop
+from rattanmill_core import log_event, start_loop, warn_event
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members
 from rattanmill_keeper.messages import (
@@ -20,8 +21,12 @@
     Keep,
     Lacking,
     Merge,
+    Succeed,
+    Succeeded,
+    Unsure,
 )
 from rattanmill_keeper.registration import Registration
+from rattanmill_keeper.replicas import rank
 from rattanmill_platform import Found, KeyValue, PrefixWatch, Unavailable
 
 _WATCH_SECONDS = 20.0
@@ -52,6 +57,9 @@
 class Decommission:
     """Waits for a request to decommission this instance and carries it out.
 
+    Attributes:
+        declined: Instances that can't hold the accounts in its place now.
+
     Args:
         keeper: This instance.
         members: The storage instances.
@@ -81,6 +89,7 @@
             self.on_request,
             lambda key: None,
         )
+        self.declined: set[str] = set()
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -216,18 +225,149 @@
         Front ends with a stale list of members go on sending turns and
         reservations. If accepted, these would be lost with this disk.
         """
+        await self._until(self._has_recovered)
         await self._until(self.transfer_accounts)
         await self._until(self.replicate_turns)
         self.keeper.is_closed = True
         await self._until(self.transfer_accounts)
         await self._until(self.replicate_turns)
+        await self._until(self.appoint_successor)
+
+    async def _has_recovered(self) -> bool:
+        """Whether a successor would get all that was recorded here."""
+        return self.keeper.is_recovered or bool(self.keeper.appointed)
+
+    async def appoint_successor(self) -> bool:
+        """Has another instance hold all accounts in place of this one.
+
+        Once one was asked to, no other one is: it may do so without a reply.
+
+        Returns:
+            Whether one does so, or nobody can.
+        """
+        keeper = self.keeper
+        if keeper.has_successor:
+            return True
+        was_appointed = bool(keeper.appointed)
+        name = keeper.appointed or self._choose_successor()
+        member = self.members.known.get(name)
+        if member is None:
+            return self._is_nobody_left(name)
+        run = await self._send_all(member)
+        if run is None:
+            self.declined.add(name)
+            return False
+        if not was_appointed:
+            await keeper.appoint(name)
+        reply = await self._ask_successor(member, run)
+        if isinstance(reply, Unsure) and not was_appointed:
+            # This one request was sent, and it was refused.
+            self.declined.add(name)
+            await keeper.appoint("")
+        if not isinstance(reply, Succeeded) or not reply.is_listed:
+            return False
+        await keeper.learn_successors(dict.fromkeys(self._names(), name))
+        return True
+
+    def _is_nobody_left(self, name: str) -> bool:
+        """Whether there is nobody who could hold the accounts."""
+        if not name and self.declined:
+            self.declined.clear()
+            return False
+        # If it was asked and is lost, so is what it held, as with any holder.
+        warn_event("successor_missing", keeper=name)
+        return True
+
+    def _names(self) -> list[str]:
+        """Returns the instances whose accounts this one holds."""
+        name = self.keeper.name
+        return [name, *self.members.predecessors(name)]
+
+    async def _send_all(self, member: Member) -> str | None:
+        """Sends all accounts; returns the receiver's run, or None if it fails.
+
+        If its disk were lost in between, its run would be another one.
+        """
+        run = ""
+        accounts = list(self.keeper.ledger.accounts.values())
+        for start in range(0, len(accounts), _ACCOUNTS_PER_PAGE):
+            page = accounts[start : start + _ACCOUNTS_PER_PAGE]
+            reply = await self._ask_successor(member, run, page)
+            if not isinstance(reply, Succeeded):
+                return None
+            run = reply.run
+        return run
+
+    async def _ask_successor(
+        self, member: Member, run: str, page: list[Account] | None = None
+    ) -> msgspec.Struct | None:
+        """Sends a page of accounts, or asks to hold all that were sent."""
+        message = Succeed(
+            self.keeper.name, run, self._names(), page or [], page is None
+        )
+        link = self.members.link(member)
+        reply = await link.ask(message, _REQUEST_TIMEOUT_SECONDS)
+        log_event(
+            "successor_asked",
+            keeper=member.name,
+            count=len(message.accounts),
+            is_last=message.is_last,
+            outcome=type(reply).__name__,
+        )
+        return reply
+
+    def _choose_successor(self) -> str:
+        """Chooses an instance that holds few of the accounts itself.
+
+        One that takes a second place counts once, and two in one failure
+        domain may be unreachable at once. All accounts get the same successor.
+
+        Returns:
+            Its name, or an empty string if there is none.
+        """
+        mine = self.members.known.get(self.keeper.name)
+        candidates = {
+            member.name: member
+            for member in self._staying()
+            if member.name not in self.members.successors
+            and member.name not in self.declined
+        }
+        order = rank(self.keeper.name, candidates)
+        held, in_domain = self._count_other_holders()
+        return min(
+            order,
+            key=lambda name: (
+                bool(self.members.link(candidates[name]).failures),
+                in_domain[candidates[name].domain],
+                held[name],
+                mine is None or candidates[name].domain != mine.domain,
+                order.index(name),
+            ),
+            default="",
+        )
+
+    def _count_other_holders(
+        self,
+    ) -> tuple[collections.Counter[str], collections.Counter[str]]:
+        """Counts accounts by their other holders, and by domains of these."""
+        held: collections.Counter[str] = collections.Counter()
+        in_domain: collections.Counter[str] = collections.Counter()
+        known = self.members.known
+        for account in self.keeper.ledger.accounts.values():
+            others = set(self.members.owners(account.place.holders))
+            others.discard(self.keeper.name)
+            held.update(others)
+            in_domain.update(
+                {known[name].domain for name in others if name in known}
+            )
+        return held, in_domain
 
     async def transfer_accounts(self) -> bool:
         """Sends each account to its other holders; False if one failed."""
         by_holder: dict[str, list[Account]] = {}
         await self.keeper.close_shares()
         for account in self.keeper.ledger.accounts.values():
-            for holder in account.place.holders:
+            for holder in self.members.owners(account.place.holders):
                 if holder in self.members.known and holder != self.keeper.name:
                     by_holder.setdefault(holder, []).append(account)
         for holder, accounts in by_holder.items():
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -44,10 +44,12 @@
         domains: Names of the members, by failure domain. If there are enough
             domains, only that of this instance.
         copies: Number of these members that store each turn.
+        predecessors: Instances whose accounts this one holds for them.
     """
 
     domains: frozenset[tuple[str, frozenset[str]]] = frozenset()
     copies: int = 1
+    predecessors: tuple[str, ...] = ()
 
 
 class Progress(msgspec.Struct):
@@ -117,7 +119,8 @@
         """Follows all members anew if this instance has to hold other turns.
 
         When a member joins, leaves or becomes unresponsive, turns that were
-        skipped before may have to be stored here now.
+        skipped before may have to be stored here now. So may accounts, once
+        this instance learns that it holds those of another one.
         """
         layout = self._current_layout()
         if layout == self.layout:
@@ -139,8 +142,16 @@
         domains[domain] = self._domain_peers(domain)
         if len(domains) >= self.members.copies:
             # Each domain stores one copy, whatever there is in the others.
-            return Layout(frozenset({(domain, domains[domain])}))
-        return Layout(frozenset(domains.items()), self.members.copies)
+            shared = {domain: domains[domain]}
+            copies = 1
+        else:
+            shared = domains
+            copies = self.members.copies
+        return Layout(
+            frozenset(shared.items()),
+            copies,
+            tuple(self.members.predecessors(self.keeper.name)),
+        )
 
     def _domain_peers(self, domain: str) -> frozenset[str]:
         """Returns the members of this domain that can hold turns now.
@@ -168,6 +179,8 @@
         if self.is_first_run():
             return True
         reported = [self.progress.get(name, Progress()) for name in others]
+        if self.layout.predecessors != self._current_layout().predecessors:
+            return False
         # Data lost here may be held by an unreachable member only.
         absent = set().union(*(each.absent for each in reported)) - set(others)
         return all(each.has_caught_up for each in reported) and not absent
@@ -216,6 +229,7 @@
                 progress.run,
                 progress.position,
                 self.keeper.run,
+                list(self.layout.predecessors),
             ),
             _REQUEST_TIMEOUT_SECONDS,
         )
@@ -227,6 +241,7 @@
             log_event("following_anew", keeper=member.name, run=news.run)
             progress.has_caught_up = False
         self.members.expect_revision(news.revision)
+        await self.keeper.learn_successors(news.successors)
         changes = [
             change
             for home in news.homes
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -145,7 +145,7 @@
     if decision is OpenDecision.OPEN:
         return consent
     if decision is OpenDecision.ASK_STORE and _is_open_nowhere(
-        refused, replies, ledger
+        refused, replies, ledger, members
     ):
         return NeedsArbitration(consent, bool(refused))
     if not refused:
@@ -156,7 +156,7 @@
 
 
 def _is_open_nowhere(
-    refused: list[Refused], replies: dict, ledger: Ledger
+    refused: list[Refused], replies: dict, ledger: Ledger, members: Members
 ) -> bool:
     """Whether no other holders can have opened the account.
 
@@ -171,7 +171,7 @@
     }
     answered.add(ledger.name)
     return all(
-        not reply.is_open and answered.issuperset(reply.holders)
+        not reply.is_open and answered.issuperset(members.owners(reply.holders))
         for reply in refused
     )
 
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -1,6 +1,7 @@
 """A storage instance: budget accounts and kept turns on its disk."""
 
 import asyncio
+import contextlib
 import pathlib
 import uuid
 from collections.abc import Awaitable, Callable, Sequence
@@ -82,6 +83,8 @@
     Shown,
     StoreList,
     StoreWatch,
+    Succeed,
+    Succeeded,
     TakeRate,
     TurnRef,
     Turns,
@@ -100,12 +103,23 @@
     remove_marker,
     write_marker,
 )
-from rattanmill_keeper.turns import ChangeLog, HomeEntry, TurnTable
+from rattanmill_keeper.turns import (
+    ChangeLog,
+    HomeEntry,
+    SuccessorEntry,
+    TurnTable,
+)
 from rattanmill_platform import KeyValue
 
 _PAGE_ENTRIES = 500
 _SWEEP_SECONDS = 1.0
 _FOLDER = "journal"
+# A slow store replies in 0.2 s.
+_PUBLISH_TIMEOUT_SECONDS = 1.0
+
+
+async def _list_nowhere(succeeded: tuple[str, ...]) -> bool:
+    return True
 
 
 class Keeper:
@@ -120,6 +134,13 @@
         is_decommissioning: Whether it is being decommissioned.
         is_closed: Whether it confirms no writes any more because the other
             instances already hold all of its data.
+        appointed: The instance that was asked to hold this one's accounts in
+            its place, and may do so; empty if none was.
+        saved_successors: ``Members.successors`` as on disk.
+        announced_predecessors: Instances whose accounts it holds for them, as
+            the store lists them.
+        publish_succeeded: Writes these to the registration and returns
+            whether the store holds them.
         run: ID of this run of the process.
         is_lease_valid: Returns whether the registration lease can't have
             expired, so that the others still count this instance, and it counts
@@ -167,6 +188,7 @@
         self.kv = kv
         self.metrics = metrics
         self.ledger = Ledger(name)
+        self.ledger.owner = members.owner
         self.table = TurnTable()
         self.intake = ChangeLog()
         self.mirrors = Mirrors(kv, max_ages)
@@ -185,6 +207,12 @@
         self.caught_up_at: dict[str, float] = {}
         self.is_decommissioning = False
         self.is_closed = False
+        self.appointed = ""
+        self.saved_successors: dict[str, str] = {}
+        self.announced_predecessors: tuple[str, ...] = ()
+        self.publish_succeeded: Callable[[tuple[str, ...]], Awaitable[bool]] = (
+            _list_nowhere
+        )
         self.may_open = request_consent
         self.take_rate: Callable[[TakeRate], msgspec.Struct | Awaitable] = (
             lambda request: Unsure("rates are not limited here")
@@ -277,6 +305,8 @@
                 return self._follow(message)
             case Merge(accounts=accounts):
                 return self._merge(accounts)
+            case Succeed():
+                return self._succeed(message)
             case Ping():
                 pong = self.crashes.answer(message)
                 pong.revision = self.members.changed_revision
@@ -367,6 +397,7 @@
         return (
             self.is_recovered
             and not self.is_decommissioning
+            and not self.has_successor
             and wall_seconds() > self.alone_from
             and self.is_lease_valid()
             and not self.unsynced_peers & roster
@@ -409,16 +440,22 @@
         account = self.ledger.accounts.get(program)
         return Shown(account) if account else Unsure("not held here")
 
-    def merge(self, accounts: list[Account]) -> list[AccountChange]:
+    def merge(
+        self, accounts: list[Account], is_successor: bool = False
+    ) -> list[AccountChange]:
         """Merges accounts from other holders.
 
+        Args:
+            accounts: The accounts.
+            is_successor: As in ``Ledger.merge``.
+
         Returns:
             The changes that have to be written to disk.
         """
         changes = [
             change
             for account in accounts
-            if (change := self.ledger.merge(account)) is not None
+            if (change := self.ledger.merge(account, is_successor)) is not None
         ]
         for change in changes:
             self.intake.add(change.account.program)
@@ -441,7 +478,7 @@
             return found
         if not self.is_recovered:
             return Unsure("the instance has not recovered yet")
-        if self.is_decommissioning:
+        if self.is_decommissioning or self.has_successor:
             return Unsure("the instance is being decommissioned")
         if request.program in self.ledger.opening:
             return Unsure("the account is being opened")
@@ -662,6 +699,7 @@
 
     def _changes_for(self, request: Follow) -> News:
         self.members.record_seen(request.asker, request.asker_run)
+        self._note_successors()
         after = request.after if request.run == self.run else 0
         self.follower_positions[request.asker] = after
         entries = self.intake.since(after, _PAGE_ENTRIES)
@@ -669,18 +707,27 @@
         homes: list[Home] = []
         turns: list[TurnRef] = []
         uses: list[TurnUse] = []
+        successors: dict[str, str] = {}
+        names = {
+            request.asker,
+            *request.predecessors,
+            *self.members.predecessors(request.asker),
+        }
         # A single pass, since every other instance requests all entries.
         for _, entry in entries:
             if isinstance(entry, HomeEntry):
                 if holders := self.ledger.holders_of(entry.program):
                     homes.append(Home(entry.program, holders))
                 continue
+            if isinstance(entry, SuccessorEntry):
+                successors[entry.name] = self.members.successors[entry.name]
+                continue
             if held := self.table.held.get(entry):
                 turns.append(TurnRef(entry, held.kept.key))
-                if self._must_tell(held.kept.use, request.asker):
+                if self._must_tell(held.kept.use, names):
                     uses.append(held.kept.use)
             account = self.ledger.accounts.get(entry)
-            if account and request.asker in account.place.holders:
+            if account and not names.isdisjoint(account.place.holders):
                 accounts.append(self.ledger.ref(account))
         position = entries[-1][0] if entries else self.intake.position
         return News(
@@ -699,17 +746,22 @@
             self._alone_after_seconds(),
             wall_seconds() < self.ledger.begun_used_at + SHARES_SECONDS,
             uses,
+            successors,
         )
 
-    def _must_tell(self, use: TurnUse | None, asker: str) -> bool:
+    def _must_tell(self, use: TurnUse | None, asker: set[str]) -> bool:
         """Whether a holder may learn only from here what a turn has used.
 
         An instance that holds the account has it booked there.
+
+        Args:
+            use: What a turn has used, if its program has a budget.
+            asker: Names of the holder, with those that it succeeded.
         """
         if use is None or use.program in self.ledger.accounts:
             return False
         holders = self.ledger.holders_of(use.program)
-        return not holders or asker in holders
+        return not holders or not asker.isdisjoint(holders)
 
     def _absent_for(self, request: Follow) -> list[str]:
         """Returns absent members that may hold what an asker's disk has lost.
@@ -737,6 +789,77 @@
         """Merges accounts from other holders and writes them to disk."""
         await self._append_all(self.merge(accounts))
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether another instance holds the accounts of this one.
+
+        A new machine may have the name of one that was decommissioned.
+        """
+        return self.name in self.members.successors
+
+    async def _succeed(self, request: Succeed) -> Succeeded | Unsure:
+        """Takes the place of a holder that is being decommissioned."""
+        if not self._has_succeeded(request):
+            if not self._may_succeed(request):
+                return Unsure("unable to hold further accounts now")
+            changes = self.merge(request.accounts, is_successor=True)
+            await asyncio.gather(*map(self._append, changes))
+            # Nothing may come between this and the entry in memory.
+            if request.is_last and not self._may_succeed(request):
+                return Unsure("unable to hold further accounts now")
+        if not request.is_last:
+            return Succeeded(self.run)
+        await self.learn_successors(dict.fromkeys(request.names, self.name))
+        return Succeeded(self.run, await self._announce_predecessors())
+
+    def _has_succeeded(self, request: Succeed) -> bool:
+        mine = self.members.predecessors(self.name)
+        return set(request.names).issubset(mine)
+
+    def _may_succeed(self, request: Succeed) -> bool:
+        """Whether it has, and keeps, all that it was sent before."""
+        return (
+            self.is_recovered
+            and not self.is_decommissioning
+            and not self.has_successor
+            and request.run in ("", self.run)
+        )
+
+    async def learn_successors(self, successors: dict[str, str]) -> None:
+        """Records successors; returns once all that are known are on disk."""
+        for name, successor in successors.items():
+            self.members.learn_successor(name, successor)
+        self._note_successors()
+        known = dict(self.members.successors)
+        if known != self.saved_successors:
+            await self._append(self._roster())
+            self.saved_successors = known
+
+    def _note_successors(self) -> None:
+        """Lets followers learn the successors that the store listed."""
+        for name in self.members.successors:
+            if SuccessorEntry(name) not in self.intake.positions:
+                self.intake.add(SuccessorEntry(name))
+
+    async def appoint(self, name: str) -> None:
+        """Records, also on disk, who may hold this instance's accounts.
+
+        After a restart it must not record anything in its place.
+        """
+        self.appointed = name
+        await self._append(self._roster())
+
+    async def _announce_predecessors(self) -> bool:
+        """Returns whether the store lists whose accounts are held here."""
+        wanted = tuple(self.members.predecessors(self.name))
+        if wanted == self.announced_predecessors:
+            return True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PUBLISH_TIMEOUT_SECONDS):
+                if await self.publish_succeeded(wanted):
+                    self.announced_predecessors = wanted
+        return wanted == self.announced_predecessors
+
     def _restore(self) -> None:
         mark = read_marker(self.folder)
         if mark is not None:
@@ -765,6 +888,9 @@
             remove_marker(self.folder)
         self.members.restore_seen(roster.seen, roster.informed_by)
         self.members.restore_contacts(roster.contacts)
+        self.members.successors.update(roster.successors)
+        self.appointed = roster.appointed
+        self.is_closed = bool(roster.appointed)
         for entry in [*self.table.held, *self.ledger.accounts]:
             self.intake.add(entry)
         for program in {**self.ledger.homes, **self.ledger.accounts}:
@@ -793,6 +919,8 @@
             },
             dict(members.informed_by),
             members.saved_contacts(),
+            dict(members.successors),
+            self.appointed,
         )
 
     def _record_roster(self) -> None:
@@ -801,6 +929,7 @@
             self.members.roster(),
             dict(self.members.informed_by),
             self.members.contact_states(),
+            dict(self.members.successors),
         )
         if roster != self.recorded_roster:
             self.recorded_roster = roster
@@ -811,6 +940,7 @@
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             self.sweep()
+            await self._announce_predecessors()
             await self.mirrors.close_unused()
             await self.openings.withdraw(self._positions_followed())
 
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -4,9 +4,14 @@
 account's holders. This needs neither clocks nor leases: a holder that was
 paused, partitioned or killed continues from what is on its disk, and the
 others do not wait for it. The holders never change during the lifetime of an
-account, so any two majorities share a member.
+account, so any two majorities share a member. A holder that is decommissioned
+has a successor, which takes its place once the holder records nothing any more
+and the successor has on disk all that it held. An instance that takes the
+place of two holders counts once.
 """
 
+from collections.abc import Callable, Iterable
+
 import msgspec
 
 from rattanmill_core import wall_seconds
@@ -70,11 +75,15 @@
         seen: Unix time in seconds at which each was last there, by name.
         informed_by: As in ``Members``.
         contacts: As in ``Members``, with Unix times in seconds.
+        successors: As in ``Members``.
+        appointed: As in ``Keeper``.
     """
 
     seen: dict[str, float]
     informed_by: dict[str, tuple[str, ...]] = {}
     contacts: dict[str, Contact] = {}
+    successors: dict[str, str] = {}
+    appointed: str = ""
 
 
 class OpenRequired(msgspec.Struct, frozen=True):
@@ -117,6 +126,7 @@
             may have been granted tokens on a disk that was lost since.
         begun_used_at: Unix time in seconds at which a program was last granted
             tokens that began here alone, or one of its turns ended.
+        owner: As in ``Members``.
     """
 
     def __init__(self, name: str) -> None:
@@ -128,6 +138,11 @@
         self.opening: set[str] = set()
         self.shares_lost_until = 0.0
         self.begun_used_at = 0.0
+        self.owner: Callable[[str], str] = lambda holder: holder
+
+    def is_holder(self, holders: Iterable[str]) -> bool:
+        """Whether this instance is one of the holders, or in place of one."""
+        return self.name in map(self.owner, holders)
 
     def find(self, program: str) -> Opened | Elsewhere | OpenRequired:
         """Returns an account's placement, or that it must be opened here."""
@@ -138,7 +153,7 @@
         if known is None:
             return OpenRequired()
         holders = known.home.holders
-        if self.name in holders:
+        if self.is_holder(holders):
             return OpenRequired(holders)
         return Elsewhere(holders)
 
@@ -149,7 +164,7 @@
         reservation. The reservation is written again, as the first record, or
         the one that another holder sent, may not be on disk yet.
         """
-        if request.place is None or self.name not in request.place.holders:
+        if request.place is None or not self.is_holder(request.place.holders):
             return Unsure("this instance is not a holder of the account")
         if self.holders_of(request.program) not in ((), request.place.holders):
             return Unsure("this instance has agreed to other holders")
@@ -318,9 +333,16 @@
         self.shares.setdefault(program, Share(limit=tokens))
         return self._touch_share(program)
 
-    def merge(self, account: Account) -> AccountChange | None:
-        """Merges another holder's replica; None if it changes nothing."""
-        if self.name not in account.place.holders:
+    def merge(
+        self, account: Account, is_successor: bool = False
+    ) -> AccountChange | None:
+        """Merges another holder's replica; None if it changes nothing.
+
+        Args:
+            account: The replica.
+            is_successor: Whether this instance is to take that holder's place.
+        """
+        if not is_successor and not self.is_holder(account.place.holders):
             return None
         held = self.accounts.get(account.program)
         merged = merge_accounts([held, account]) if held else account
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -5,7 +5,7 @@
 import contextlib
 import itertools
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Self
 
 import msgspec
@@ -86,6 +86,8 @@
         emptied: Whether other instances hold all of its data.
         informed: Instances that know accounts that it opened with the store,
             and that others may not know yet.
+        succeeded: Decommissioned instances whose accounts it holds in their
+            place.
     """
 
     name: str
@@ -95,6 +97,7 @@
     leaving: bool = False
     emptied: bool = False
     informed: tuple[str, ...] = ()
+    succeeded: tuple[str, ...] = ()
 
 
 def may_grant_alone(instances: int) -> bool:
@@ -147,6 +150,8 @@
         last_seen: Unix time in seconds at which each member was last known to
             be there, by name.
         informed_by: ``informed`` of each member as last registered, by name.
+        successors: The instance that took over the accounts of each
+            decommissioned one, by name. It may have a successor itself.
         contacts: What was last heard of each member, by name.
         saved_silent: Members of which the disk may hold when they were last
             heard.
@@ -191,6 +196,7 @@
         self.first_runs: dict[str, str] = {}
         self.last_seen: dict[str, float] = {}
         self.informed_by: dict[str, tuple[str, ...]] = {}
+        self.successors: dict[str, str] = {}
         self.contacts: dict[str, Contact] = {}
         self.saved_silent: set[str] = set()
         self.started_at = boot_seconds()
@@ -470,6 +476,34 @@
         """Whether a member is in its first run, with a disk that was empty."""
         return self.first_runs.get(name) == run
 
+    def owner(self, holder: str) -> str:
+        """Returns the instance that now holds the accounts of a holder."""
+        while holder in self.successors:
+            holder = self.successors[holder]
+        return holder
+
+    def owners(self, holders: Iterable[str]) -> list[str]:
+        """Returns the instances that now hold an account, each once."""
+        return list(dict.fromkeys(map(self.owner, holders)))
+
+    def predecessors(self, name: str) -> list[str]:
+        """Returns the instances whose accounts a member holds for them."""
+        return sorted(n for n in self.successors if self.owner(n) == name)
+
+    def learn_successor(self, name: str, successor: str) -> None:
+        """Records who holds the accounts of a decommissioned instance.
+
+        The first record stays: if that successor was decommissioned later, it
+        has a successor, too.
+        """
+        if name in self.successors:
+            return
+        if self.owner(successor) == name:
+            warn_event("successor_refused", keeper=name, successor=successor)
+            return
+        self.successors[name] = successor
+        log_event("successor_known", keeper=name, successor=successor)
+
     def unlisted(self) -> list[str]:
         """Returns members that may hold turns although not registered."""
         oldest = wall_seconds() - TURN_HOLDER_SECONDS
@@ -659,7 +693,9 @@
         others = {
             member.name: member
             for member in self.known.values()
-            if member.name != name and not member.leaving
+            if member.name != name
+            and not member.leaving
+            and member.name not in self.successors
         }
         ranked = rank(key, others)
         # With an unresponsive holder the majority would have none to spare.
@@ -698,6 +734,8 @@
         self.record_seen(member.name, member.run)
         self.known[member.name] = member
         self.informed_by[member.name] = member.informed
+        for predecessor in member.succeeded:
+            self.learn_successor(predecessor, member.name)
         self.lost_at.pop(member.name, None)
         self.unregistered.discard(member.name)
         if before != member:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -324,6 +324,41 @@
     accounts: list[Account]
 
 
+class Succeed(msgspec.Struct, tag=46):
+    """Requests that the receiver hold accounts in place of the sender.
+
+    Sent by an instance that is being decommissioned and that records nothing
+    any more. All accounts that it holds are sent, in pages.
+
+    Attributes:
+        keeper: Name of the sender.
+        run: Run id of the receiver in its last ``Succeeded``, or empty in the
+            first page.
+        names: Instances whose accounts the sender holds, including itself.
+        accounts: A page of the accounts.
+        is_last: Whether the receiver has all accounts with this page, and
+            holds them from then on.
+    """
+
+    keeper: str
+    run: str
+    names: list[str]
+    accounts: list[Account]
+    is_last: bool
+
+
+class Succeeded(msgspec.Struct, tag=47):
+    """The page is on disk.
+
+    Attributes:
+        run: Run id of the receiver.
+        is_listed: Whether the store lists it as the successor.
+    """
+
+    run: str
+    is_listed: bool = False
+
+
 class GiveBack(msgspec.Struct, tag=37):
     """Requests that a sharer grant no more tokens alone."""
 
@@ -549,12 +584,14 @@
         run: Run id of the receiver for which the position holds.
         after: Position up to which the requester has everything.
         asker_run: Run id of the requester.
+        predecessors: Instances whose accounts the requester holds for them.
     """
 
     asker: str
     run: str
     after: int
     asker_run: str = ""
+    predecessors: list[str] = []
 
 
 class AccountRef(msgspec.Struct, frozen=True, array_like=True):
@@ -596,6 +633,7 @@
         has_begun: Whether it has begun programs alone that may still go on.
         uses: What turns kept there have used of accounts that are not held
             there. The requester may hold them.
+        successors: Successors of decommissioned instances, by name.
     """
 
     run: str
@@ -613,6 +651,7 @@
     alone_after_seconds: float = 0.0
     has_begun: bool = False
     uses: list[TurnUse] = []
+    successors: dict[str, str] = {}
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
@@ -779,6 +818,8 @@
     | FetchTurns
     | Turns
     | Merge
+    | Succeed
+    | Succeeded
     | Lacking
     | StoreList
     | StoreWatch
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -181,8 +181,9 @@
         return opened.place.holders if opened else ()
 
     async def _settle(self, settlement: Settle, name: str) -> None:
+        members = self.reach.members
         for _ in range(_MAX_SETTLE_TRIES):
-            member = self.reach.members.known.get(name)
+            member = members.known.get(members.owner(name))
             if member and not self.reach.is_unresponsive(member):
                 reply = await self.reach.ask(
                     member, settlement, _SETTLE_TIMEOUT_SECONDS
@@ -255,10 +256,9 @@
         self, program: str, names: Iterable[str]
     ) -> list[Member]:
         """Orders members by preference, with unresponsive ones last."""
-        members = self.reach.members.known
-        order = rank(program, members)
+        order = rank(program, self.reach.members.known)
         return sorted(
-            (members[name] for name in names if name in members),
+            self._owners(names),
             key=lambda member: (
                 self.reach.is_unresponsive(member),
                 member.domain != self.reach.domain,
@@ -315,7 +315,7 @@
         self, request: Reserve, place: Place, ended: list[Ended]
     ) -> list[Recorded | Full]:
         """Returns the replies of holders, once they decide or all are in."""
-        members = self._members(place.holders)
+        members = self._owners(place.holders)
         names = {member.name for member in members}
         self.asked.setdefault(request.attempt, set()).update(names)
         for item in ended:
@@ -356,6 +356,13 @@
         known = self.reach.members.known
         return [known[name] for name in names if name in known]
 
+    def _owners(self, holders: Iterable[str]) -> list[Member]:
+        """Returns the members that hold an account, each once.
+
+        One in place of two holders must not count twice towards a majority.
+        """
+        return self._members(self.reach.members.owners(holders))
+
     async def _reserve_alone(
         self, request: Reserve, refusal: Unsure
     ) -> Reserved | Unsure:
@@ -404,7 +411,7 @@
             None if the merged account leaves room, which was sent to the
             holders; otherwise the refusal.
         """
-        members = self._members(place.holders)
+        members = self._owners(place.holders)
         sharers = self._members(place.sharers if place.reserved else ())
         replies = await asyncio.gather(
             *(
@@ -441,7 +448,8 @@
             )
         running = merged.taken - merged.settled
         # The final use of a turn may be known only to an unreachable holder.
-        is_sure = len(shown) == len(place.holders)
+        owners = self.reach.members.owners(place.holders)
+        is_sure = len(shown) == len(owners)
         if not is_sure and merged.settled + request.tokens <= merged.limit:
             return Unsure("ended turns may still count in full")
         return Spent(merged.budget, merged.settled, running)
--- a/libs/keeper/src/rattanmill_keeper/registration.py
+++ b/libs/keeper/src/rattanmill_keeper/registration.py
@@ -107,6 +107,18 @@
             await self.confirmation.wait()
         return True
 
+    async def publish_succeeded(self, succeeded: tuple[str, ...]) -> bool:
+        """Registers whose accounts this instance holds for them.
+
+        Returns:
+            True, once the store holds the entry.
+        """
+        self.update(msgspec.structs.replace(self.member, succeeded=succeeded))
+        while self.confirmed is None or self.confirmed.succeeded != succeeded:
+            self.confirmation.clear()
+            await self.confirmation.wait()
+        return True
+
     def _confirm(self, member: Member) -> None:
         self.confirmed = member
         self.first_confirmed_at = min(self.first_confirmed_at, boot_seconds())
--- a/libs/keeper/src/rattanmill_keeper/turns.py
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -109,36 +109,43 @@
     program: str
 
 
+class SuccessorEntry(msgspec.Struct, frozen=True):
+    """Change log entry for the successor of a decommissioned instance."""
+
+    name: str
+
+
+ChangeEntry = str | HomeEntry | SuccessorEntry
+
+
 class ChangeLog:
     """Ordered log of turns, homes and uses for instances that follow this one.
 
     Attributes:
         position: Position of the newest entry.
         entries: Entries by position: the id of a turn, the id of a program
-            whose account has changed, or a home.
+            whose account has changed, a home or a successor.
         positions: Position of each entry.
     """
 
     def __init__(self) -> None:
         self.position = 0
-        self.entries: dict[int, str | HomeEntry] = {}
-        self.positions: dict[str | HomeEntry, int] = {}
+        self.entries: dict[int, ChangeEntry] = {}
+        self.positions: dict[ChangeEntry, int] = {}
 
-    def add(self, entry: str | HomeEntry) -> None:
+    def add(self, entry: ChangeEntry) -> None:
         """Appends an entry; an existing one moves to the end."""
         self.remove(entry)
         self.position += 1
         self.entries[self.position] = entry
         self.positions[entry] = self.position
 
-    def remove(self, entry: str | HomeEntry) -> None:
+    def remove(self, entry: ChangeEntry) -> None:
         """Removes an entry, if it exists."""
         position = self.positions.pop(entry, 0)
         self.entries.pop(position, None)
 
-    def since(
-        self, after: int, limit: int
-    ) -> list[tuple[int, str | HomeEntry]]:
+    def since(self, after: int, limit: int) -> list[tuple[int, ChangeEntry]]:
         """Returns the oldest entries after a position, up to ``limit``."""
         newer = []
         for position, entry in reversed(self.entries.items()):
--- a/tests/features/steps/views_keepers.py
+++ b/tests/features/steps/views_keepers.py
@@ -15,7 +15,7 @@
     Spent,
     Unsure,
 )
-from rattanmill_keeper.emptying import Decommission, DecommissionKeys
+from rattanmill_keeper.emptying import Decommission
 from rattanmill_keeper.members import MEMBERS_PREFIX
 from rattanmill_keeper.messages import (
     Agree,
@@ -26,6 +26,7 @@
     Show,
 )
 from support.keepers import FORGOTTEN_SECONDS, InlineExecutor, run_in
+from support.orders import KEYS, ListedRegistration
 
 # Three of five turns are within twice the share that one instance may grant.
 _BUDGET = 180
@@ -397,29 +398,6 @@
     assert isinstance(replies[1], Recorded | Agreed), replies
 
 
-class ListedRegistration:
-    """A registration in the lists of all members of a network."""
-
-    def __init__(self, network, name):
-        self.network = network
-        self.member = network.members[name].known[name]
-
-    def update(self, member):
-        """Lists the instance with a new state."""
-        self.member = member
-        for members in self.network.members.values():
-            if member.name in members.known:
-                members.known[member.name] = member
-
-    async def end(self):
-        """Removes it from all lists."""
-        for members in self.network.members.values():
-            members._drop(self.member.name)
-
-
-_KEYS = DecommissionKeys("orders/", "status/", b"running", b"completed")
-
-
 async def start_decommission(context, network, name):
     """Starts the decommissioning of an instance."""
     decommission = Decommission(
@@ -427,7 +405,7 @@
         network.members[name],
         ListedRegistration(network, name),
         network.kv,
-        _KEYS,
+        KEYS,
     )
     decommission.requested.set()
     work = asyncio.create_task(decommission._run())
@@ -438,7 +416,7 @@
     """Whether it reports completion in time, while the others follow all."""
     for _ in range(round(seconds / 0.2)):
         found = network.kv.items.get(f"status/{name}", (b"", 0))
-        if found[0] == _KEYS.completed:
+        if found[0] == KEYS.completed:
             return True
         for other in list(network.keepers):
             await network.follow(other)
@@ -505,7 +483,7 @@
         write = network.kv.write
 
         async def write_slowly(key, value, *how):
-            if value == _KEYS.completed:
+            if value == KEYS.completed:
                 reported.set()
                 await asyncio.Event().wait()
             return await write(key, value, *how)
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -172,6 +172,8 @@
         runs: Newest run of each instance, by name.
         informed: Instances that each instance lists as knowing accounts opened
             with the store.
+        succeeded: Instances whose accounts each instance holds for them, as
+            listed.
     """
 
     def __init__(self, folder: str, names: list[str]) -> None:
@@ -190,6 +192,7 @@
         self.domains: dict[str, str] = {}
         self.runs: dict[str, str] = {}
         self.informed: dict[str, tuple[str, ...]] = {}
+        self.succeeded: dict[str, tuple[str, ...]] = {}
         self.fronts: dict[str, KeeperClient] = {}
         self.names = names
         self.stack = contextlib.ExitStack()
@@ -211,6 +214,9 @@
         self.register(name)
         keeper.journal.executor = self.new_disk()
         keeper.openings.publish = functools.partial(self.publish, name)
+        keeper.publish_succeeded = functools.partial(
+            self.publish_succeeded, name
+        )
         await keeper.__aenter__()
         self.keepers[name] = keeper
 
@@ -219,9 +225,29 @@
         if self.kv.is_unavailable:
             return False
         self.informed[name] = informed
-        self.list_as(self.member(name))
+        self._list_updated(name)
         return True
 
+    async def publish_succeeded(
+        self, name: str, succeeded: tuple[str, ...]
+    ) -> bool:
+        """Registers whose accounts an instance holds for them."""
+        if self.kv.is_unavailable:
+            return False
+        self.succeeded[name] = succeeded
+        self._list_updated(name)
+        return True
+
+    def _list_updated(self, name: str) -> None:
+        """Lists an instance anew, leaving or not as before."""
+        entry = self.member(name)
+        listed = self.members[name].known.get(name, entry)
+        self.list_as(
+            msgspec.structs.replace(
+                entry, leaving=listed.leaving, emptied=listed.emptied
+            )
+        )
+
     def new_members(self, name: str) -> LocalMembers:
         """Returns the members as an instance that starts knows them."""
         return LocalMembers(self, name)
@@ -232,8 +258,11 @@
 
     def introduce(self, members: LocalMembers, name: str) -> None:
         """Adds an instance to members, as the store's list would."""
-        members.record_seen(name, self.member(name).run)
-        members.known[name] = self.member(name)
+        member = self.member(name)
+        members.record_seen(name, member.run)
+        members.known[name] = member
+        for predecessor in member.succeeded:
+            members.learn_successor(predecessor, name)
 
     def member(self, name: str) -> Member:
         """Returns the entry with which an instance registers."""
@@ -244,6 +273,7 @@
             f"{name}:1",
             self.runs.get(name, ""),
             informed=self.informed.get(name, ()),
+            succeeded=self.succeeded.get(name, ()),
         )
 
     def register(self, name: str) -> None:
@@ -332,6 +362,9 @@
         """
         members = LocalMembers(self, name)
         members.known = dict(self.members[name].known)
+        for member in members.known.values():
+            for predecessor in member.succeeded:
+                members.learn_successor(predecessor, member.name)
         domain = members.known[name].domain
         return KeeperClient(domain, members, _METRICS)
 
