Pass on what a decommissioned instance has granted alone

A part of a budget stayed set aside for good for an instance that had been emptied, if it did not know the account (503 for the last turns). And nothing was set aside for what it had granted to a program that had no account yet: the others opened it with the whole budget.

Cause: an emptied instance gives back its part only of accounts that it knows and of which it is the only sharer. What it granted alone was gone with it.

Change: its successor is told what it has granted alone, by program, and answers for it: when a part is asked back, and when consent to an account is asked for. An instance that may have granted on a lost disk says so, and its successor returns nothing until that no longer matters.

Tests: succession.feature, four scenarios more, of which three fail without the change: 1 further turn in place of 2; 4 in place of 3 and 3 in place of 2, for which nothing was set aside. Dropping what ended programs were granted, an hour later, has no test.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -296,14 +296,40 @@
             if not isinstance(reply, Succeeded):
                 return None
             run = reply.run
+        for granted in self._granted_pages():
+            reply = await self._ask_successor(member, run, [], granted)
+            if not isinstance(reply, Succeeded):
+                return None
+            run = reply.run
         return run
 
+    def _granted_pages(self) -> list[dict[str, dict[str, int]]]:
+        """Returns what was granted alone, in pages, by instance and program."""
+        pages = []
+        for name, tokens in self.keeper.ledger.all_granted().items():
+            items = list(tokens.items())
+            pages += [
+                {name: dict(items[start : start + _ACCOUNTS_PER_PAGE])}
+                for start in range(0, len(items), _ACCOUNTS_PER_PAGE)
+            ]
+        return pages
+
     async def _ask_successor(
-        self, member: Member, run: str, page: list[Account] | None = None
+        self,
+        member: Member,
+        run: str,
+        page: list[Account] | None = None,
+        granted: dict[str, dict[str, int]] | None = None,
     ) -> msgspec.Struct | None:
         """Sends a page of accounts, or asks to hold all that were sent."""
         message = Succeed(
-            self.keeper.name, run, self._names(), page or [], page is None
+            self.keeper.name,
+            run,
+            self._names(),
+            page or [],
+            page is None,
+            granted or {},
+            self.keeper.granted_known_from(),
         )
         link = self.members.link(member)
         reply = await link.ask(message, _REQUEST_TIMEOUT_SECONDS)
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -240,6 +240,10 @@
     having = {name for name, reply in agreed.items() if reply.has_share}
     if request.program in ledger.shares:
         having.add(ledger.name)
+    having.update(
+        ledger.predecessors_with_share(request.program),
+        *(reply.predecessors_with_share for reply in agreed.values()),
+    )
     unseen = {name for name, reply in agreed.items() if reply.has_lost_share}
     if ledger.may_have_lost_share():
         unseen.add(ledger.name)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -28,6 +28,7 @@
 from rattanmill_keeper.ledger import (
     ACCOUNT_TTL_SECONDS,
     AccountChange,
+    GrantedChange,
     HomeChange,
     Ledger,
     OpenRequired,
@@ -416,9 +417,17 @@
         """Stops granting alone to a program; replies once that is on disk."""
         if self._may_have_lost_grants():
             return Unsure("grants made alone were lost with the disk")
+        if wall_seconds() < self.ledger.granted_known_from:
+            return Unsure("grants made alone were lost with another disk")
         change = self.ledger.close_share(program)
         await self._append(change)
-        return GivenBack(change.share.taken)
+        before = self.ledger.granted_before(program)
+        return GivenBack(change.share.taken + before)
+
+    def granted_known_from(self) -> float:
+        """Returns from when on it can tell all that it has granted alone."""
+        mine = 0.0 if self.is_new else self.alone_from
+        return max(mine, self.ledger.granted_known_from)
 
     def _may_have_lost_grants(self) -> bool:
         """Whether it may have granted alone on a disk that was lost since."""
@@ -624,6 +633,9 @@
             self.members.max_beginners(),
             self.members.losses(),
             self.members.unable(),
+            predecessors_with_share=self.ledger.predecessors_with_share(
+                request.program
+            ),
         )
 
     async def write_home(self, change: HomeChange) -> None:
@@ -802,8 +814,10 @@
         if not self._has_succeeded(request):
             if not self._may_succeed(request):
                 return Unsure("unable to hold further accounts now")
+            granted = GrantedChange(request.granted, request.granted_known_from)
+            self.ledger.add_granted(granted)
             changes = self.merge(request.accounts, is_successor=True)
-            await asyncio.gather(*map(self._append, changes))
+            await asyncio.gather(*map(self._append, [granted, *changes]))
             # Nothing may come between this and the entry in memory.
             if request.is_last and not self._may_succeed(request):
                 return Unsure("unable to hold further accounts now")
@@ -919,8 +933,8 @@
             },
             dict(members.informed_by),
             members.saved_contacts(),
-            dict(members.successors),
-            self.appointed,
+            successors=dict(members.successors),
+            appointed=self.appointed,
         )
 
     def _record_roster(self) -> None:
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -61,6 +61,18 @@
     share: Share
 
 
+class GrantedChange(msgspec.Struct, frozen=True, tag="granted"):
+    """Journal record of what decommissioned instances have granted alone.
+
+    Attributes:
+        granted: Tokens by instance and program.
+        known_from: As in ``Succeed``.
+    """
+
+    granted: dict[str, dict[str, int]]
+    known_from: float = 0.0
+
+
 class HomeChange(msgspec.Struct, frozen=True, tag="home"):
     """Journal record of the holders of an account."""
 
@@ -127,6 +139,11 @@
         begun_used_at: Unix time in seconds at which a program was last granted
             tokens that began here alone, or one of its turns ended.
         owner: As in ``Members``.
+        granted: Tokens that instances have granted alone in whose place this
+            one holds accounts, by instance and program.
+        granted_known_from: Unix time in seconds from which it can tell.
+        granted_kept_at: Unix time in seconds at which it was last told, or
+            dropped what no account needs any more.
     """
 
     def __init__(self, name: str) -> None:
@@ -139,6 +156,9 @@
         self.shares_lost_until = 0.0
         self.begun_used_at = 0.0
         self.owner: Callable[[str], str] = lambda holder: holder
+        self.granted: dict[str, dict[str, int]] = {}
+        self.granted_known_from = 0.0
+        self.granted_kept_at = 0.0
 
     def is_holder(self, holders: Iterable[str]) -> bool:
         """Whether this instance is one of the holders, or in place of one."""
@@ -206,6 +226,7 @@
             is_known = (
                 request.program in self.homes
                 or request.program in self.accounts
+                or self.predecessors_with_share(request.program)
             )
             if is_known or not may_open_share:
                 return Unsure("this instance has no share of the budget")
@@ -228,6 +249,42 @@
         share.is_closed = True
         return self._touch_share(program)
 
+    def predecessors_with_share(self, program: str) -> list[str]:
+        """Returns the instances that granted alone, which this one succeeds."""
+        return [n for n, tokens in self.granted.items() if program in tokens]
+
+    def granted_before(self, program: str) -> int:
+        """Returns the tokens that these instances have granted alone."""
+        return sum(t.get(program, 0) for t in self.granted.values())
+
+    def all_granted(self) -> dict[str, dict[str, int]]:
+        """Returns what was granted alone, here and by these instances."""
+        mine = {
+            program: share.taken
+            for program, share in self.shares.items()
+            if share.uses
+        }
+        return {self.name: mine, **self.granted}
+
+    def add_granted(self, change: GrantedChange) -> None:
+        """Adds what instances have granted that this one succeeds."""
+        for name, tokens in change.granted.items():
+            self.granted.setdefault(name, {}).update(tokens)
+        self.granted_known_from = max(
+            self.granted_known_from, change.known_from
+        )
+        self.granted_kept_at = wall_seconds()
+
+    def _expire_granted(self) -> None:
+        """Drops what was granted to programs that have ended."""
+        if self.granted_kept_at > wall_seconds() - ACCOUNT_TTL_SECONDS:
+            return
+        self.granted_kept_at = wall_seconds()
+        self.granted = {
+            name: {p: t for p, t in tokens.items() if p in self.accounts}
+            for name, tokens in self.granted.items()
+        }
+
     def release_share(self, program: str) -> list[ShareChange | AccountChange]:
         """Closes this instance's share and returns its rest to the holders."""
         account = self.accounts[program]
@@ -360,7 +417,10 @@
         return change
 
     def restore(
-        self, change: AccountChange | UseChange | ShareChange | HomeChange
+        self,
+        change: (
+            AccountChange | UseChange | ShareChange | HomeChange | GrantedChange
+        ),
     ) -> None:
         """Applies a journal record; later records replace earlier ones."""
         match change:
@@ -375,13 +435,21 @@
                 self._note_begun(share)
             case HomeChange(home=home):
                 self.homes[home.program] = change
+            case GrantedChange():
+                self.add_granted(change)
 
-    def snapshot(self) -> list[AccountChange | ShareChange | HomeChange]:
+    def snapshot(
+        self,
+    ) -> list[AccountChange | ShareChange | HomeChange | GrantedChange]:
         """Returns records from which the ledger can be restored."""
         return [
             *self.homes.values(),
             *map(AccountChange, self.accounts.values()),
             *(ShareChange(p, share) for p, share in self.shares.items()),
+            GrantedChange(
+                {name: dict(tokens) for name, tokens in self.granted.items()},
+                self.granted_known_from,
+            ),
         ]
 
     def expire(self) -> list[str]:
@@ -401,6 +469,7 @@
         shares = [p for p, s in self.shares.items() if s.touched < oldest]
         for program in shares:
             del self.shares[program]
+        self._expire_granted()
         return sorted({*accounts, *homes})
 
     def holders_of(self, program: str) -> tuple[str, ...]:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -338,6 +338,10 @@
         accounts: A page of the accounts.
         is_last: Whether the receiver has all accounts with this page, and
             holds them from then on.
+        granted: A page of the tokens that these instances have granted alone,
+            by instance and program. They grant nothing more.
+        granted_known_from: Unix time in seconds from which these are all that
+            matter, as the sender may have granted on a disk that was lost.
     """
 
     keeper: str
@@ -345,6 +349,8 @@
     names: list[str]
     accounts: list[Account]
     is_last: bool
+    granted: dict[str, dict[str, int]] = {}
+    granted_known_from: float = 0.0
 
 
 class Succeeded(msgspec.Struct, tag=47):
@@ -403,6 +409,8 @@
         max_beginners: As in ``Members.max_beginners``.
         losses: As in ``Members.losses``; None from an earlier version.
         unable: As in ``Members.unable``.
+        predecessors_with_share: Decommissioned instances that have granted
+            tokens alone, in whose place it holds accounts.
     """
 
     has_share: bool = False
@@ -410,6 +418,7 @@
     max_beginners: int = 0
     losses: dict[str, Loss] | None = None
     unable: list[str] = []
+    predecessors_with_share: list[str] = []
 
 
 class Refused(msgspec.Struct, tag=10):
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -412,7 +412,7 @@
             holders; otherwise the refusal.
         """
         members = self._owners(place.holders)
-        sharers = self._members(place.sharers if place.reserved else ())
+        sharers = self._owners(place.sharers if place.reserved else ())
         replies = await asyncio.gather(
             *(
                 self.reach.ask(
@@ -434,7 +434,10 @@
         if len(shown) < majority(len(place.holders)):
             return Unsure("too few holders of the account respond")
         merged = merge_accounts([reply.account for reply in shown])
-        all_returned = not place.reserved or len(returned) == len(place.sharers)
+        owners = self.reach.members.owners
+        all_returned = not place.reserved or len(returned) == len(
+            owners(place.sharers)
+        )
         if place.reserved and all_returned:
             used = sum(reply.used for reply in returned)
             spare = merged.place.reserved - used
@@ -448,8 +451,7 @@
             )
         running = merged.taken - merged.settled
         # The final use of a turn may be known only to an unreachable holder.
-        owners = self.reach.members.owners(place.holders)
-        is_sure = len(shown) == len(owners)
+        is_sure = len(shown) == len(owners(place.holders))
         if not is_sure and merged.settled + request.tokens <= merged.limit:
             return Unsure("ended turns may still count in full")
         return Spent(merged.budget, merged.settled, running)
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -8,6 +8,7 @@
 from rattanmill_keeper.files import sync
 from rattanmill_keeper.ledger import (
     AccountChange,
+    GrantedChange,
     HomeChange,
     RosterChange,
     ShareChange,
@@ -24,6 +25,7 @@
     | UseChange
     | ShareChange
     | HomeChange
+    | GrantedChange
     | RosterChange
     | KeptTurn
 )
--- a/tests/features/steps/succession.py
+++ b/tests/features/steps/succession.py
@@ -183,6 +183,18 @@
         network(context, lambda n, name=killed: n.start(name))
 
 
+@when("they reach the store again")
+def step_store_again(context):
+    context.network.kv.is_unavailable = False
+
+
+@then('the program gets {count:d} further turn at "{name}"')
+@then('the program gets {count:d} further turns at "{name}"')
+def step_further_turns(context, count, name):
+    granted = turns_granted(context, [name], _TRIES + 2)
+    assert granted == count, granted
+
+
 async def _run_orders(operations: list[tuple]) -> dict[str, int]:
     """Returns the tokens that each program may have used."""
     folder = tempfile.mkdtemp()
--- a/tests/features/succession.feature
+++ b/tests/features/succession.feature
@@ -113,6 +113,56 @@
     Then the program gets just the rest of its budget at "b"
     And the program gets no further turn while "b" or "c" is killed
 
+  Scenario: An instance that may have granted alone is replaced
+    Guards against a part of the budget that stays set aside for an instance
+    that is gone.
+
+    Given storage instances "a, b, c"
+    When "c" is partitioned from "a, b" and the store is unreachable
+    And a program has used half of its budget at "a"
+    And all reach each other and are listed
+    And they reach the store again
+    And "c" is replaced by "d" by order
+    Then the program gets just the rest of its budget at "b"
+
+  Scenario: An instance that has granted alone is replaced
+    Guards against the same, and against a part that is granted twice.
+
+    Given storage instances "a, b, c"
+    When "c" is partitioned from "a, b" and the store is unreachable
+    And the program gets its share at "c"
+    And a program has used half of its budget at "a"
+    And all reach each other and are listed
+    And they reach the store again
+    And "c" is replaced by "d" by order
+    Then the program gets 1 further turn at "b"
+
+  Scenario: An instance that began a program alone is replaced
+    Guards against tokens that are granted twice, since nobody else knows of
+    them when the account is opened.
+
+    Given storage instances "a, b, c"
+    When "c" is partitioned from "a, b" and the store is unreachable
+    And the program gets its share at "c"
+    And all reach each other and are listed
+    And they reach the store again
+    And "c" is replaced by "d" by order
+    Then the program gets 3 further turns at "a"
+
+  Scenario: Two instances began a program alone, and one of them is replaced
+    Guards against tokens that are granted twice, since nobody else knows of
+    them when the account is opened; and against a part that stays set aside.
+
+    Given storage instances "a, b, c"
+    When "c" is partitioned from "a, b" and the store is unreachable
+    And "b" is partitioned from "a, c" and the store is unreachable
+    And the program gets its share at "b"
+    And the program gets its share at "c"
+    And all reach each other and are listed
+    And they reach the store again
+    And "c" is replaced by "d" by order
+    Then the program gets 2 further turns at "a"
+
   Scenario: No program exceeds its budget, however instances are replaced
     Then no sequence of replacements and faults lets a program use more than its budget and one turn
 
