Grant one turn alone, and set nothing aside for one instance

Cause: the opener set aside what the instance that did not consent may have granted alone, up to a third of the budget and a turn. With its disk gone, nobody can say that it granted nothing.

Change: an instance that begins a program alone grants one turn, of at most half of the budget. Callers allow one turn beyond the budget, so nothing is set aside for one such instance. For several it is half of the budget for each but one, never more than before.

Upgrade: an instance registers that it grants one turn (`grants_one_turn`); consents tell who is known to, and since 130 s nothing else, over restarts. One that isn't known to gets the part of before set aside. An opener of the earlier version sets more aside than needed.

Found beside it: the parts were short by rounding, by one token, where turns differ in size (budget 39, account opened for 17, three times 19 granted: 59 of 58).

New in alone.feature: 8 of 8 turns while or after a disk is lost; four upgrades, each with a counter-proof; 300 made-up sequences with upgrades and turns of two sizes; a model of all sizes up to a budget of 24. The soak holds a run of a small system to it as well.

Changed in existing tests: - alone.feature, six counter-proofs: the sequences settled a turn in order to grant a second one alone (60 of 73 tokens), which is refused now, so that 220 of 220 were used. They use whole turns now (40 of 40). Scenarios and checks are unchanged, and the broken rules give 240 of 220 tokens, as before. - keeping.feature, "An account is opened twice, with different parts set aside", rows 4 to 6, and four scenarios of review.feature bring about parts or two turns granted alone by one instance. Only one of the earlier version does that now, so it is one of that version there; all steps and checks are as they were. Three of review.feature have a twin for this version.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -76,7 +76,11 @@
         )
         await stack.enter_async_context(members)
         member = Member(
-            settings.name, settings.domain, settings.peer, keeper.run
+            settings.name,
+            settings.domain,
+            settings.peer,
+            keeper.run,
+            grants_one_turn=True,
         )
         registration = Registration(kv, member)
         registration.is_listed = members.is_listed
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -56,6 +56,7 @@
         losses: As in ``Members.losses``, by all who consented.
         unable: Those that can't have granted alone, as anyone knows who
             consented.
+        one_turn: Those that granted at most one turn alone, if anything.
     """
 
     missing: frozenset[str] = frozenset()
@@ -64,6 +65,7 @@
     max_beginners: int = MAX_SHARERS
     losses: dict[str, Loss] = {}
     unable: frozenset[str] = frozenset()
+    one_turn: frozenset[str] = frozenset()
 
 
 class NeedsArbitration(msgspec.Struct, frozen=True):
@@ -262,9 +264,28 @@
         frozenset(members.unable()).union(
             *(reply.unable for reply in agreed.values())
         ),
+        _one_turn(agreed, request.program, ledger, members),
     )
 
 
+def _one_turn(
+    agreed: dict[str, Agreed], program: str, ledger: Ledger, members: Members
+) -> frozenset[str]:
+    """Returns who granted at most one turn alone, as far as it is certain.
+
+    Of those that consented and have granted, what they granted counts. Of
+    others, what they may have: someone must know, and nobody may object.
+    """
+    told = [members.one_turn(), *(reply.one_turn for reply in agreed.values())]
+    known = set().union(*told)
+    found = {n for n in known if all(each.get(n, True) for each in told)}
+    has_one = {n: r.has_one_turn for n, r in agreed.items() if r.has_share}
+    if program in ledger.shares:
+        has_one[ledger.name] = ledger.has_one_turn(program)
+    shown = {name for name, is_one in has_one.items() if is_one}
+    return frozenset(found - has_one.keys() | shown)
+
+
 async def _ask_others(
     request: Agree, members: Members
 ) -> dict[str, Agreed | Refused | Outdated | Unsure | None]:
--- a/libs/keeper/src/rattanmill_keeper/journal.py
+++ b/libs/keeper/src/rattanmill_keeper/journal.py
@@ -201,7 +201,7 @@
             data = b"".join(pending.frame for pending in group)
             self.written += len(data)
             await loop.run_in_executor(
-                self.executor, _write, self.file, data, new_in
+                self.executor, _sync, self.file, data, new_in
             )
             self.synced_bytes += len(data)
             # The first group of a segment contains its snapshot.
@@ -214,7 +214,7 @@
                     pending.future.set_result(segment)
 
 
-def _write(file: int, data: bytes, new_in: pathlib.Path | None) -> None:
+def _sync(file: int, data: bytes, new_in: pathlib.Path | None) -> None:
     """Returns once the data is on disk.
 
     Args:
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -91,7 +91,7 @@
     Turns,
     TurnUse,
     Unsure,
-    max_share,
+    reserve_for,
 )
 from rattanmill_keeper.mirror import Mirrors
 from rattanmill_keeper.openings import StoreOpenings
@@ -540,6 +540,7 @@
             reserved=place.reserved,
             unseen=sorted(found.unseen),
             missing=sorted(found.missing),
+            earlier=sorted(set(place.sharers) - found.one_turn - {self.name}),
             lost_seconds={
                 name: round(loss.heard, 1)
                 for name, loss in found.losses.items()
@@ -592,11 +593,12 @@
         sharers = consent.with_share | unseen
         if not sharers and not is_old and self.may_create_share():
             return Place(holders, (self.name,))
-        # Callers allow one turn beyond the budget, for all instances together.
-        max_alone = self._count_sharers(consent, unseen) * max_share(
-            request.budget, request.tokens
+        reserved = reserve_for(
+            self._count_sharers(consent, unseen),
+            request.budget,
+            request.tokens,
+            sharers <= consent.one_turn,
         )
-        reserved = max(0, max_alone - request.tokens)
         return Place(holders, tuple(sorted(sharers)), reserved)
 
     def _count_sharers(self, consent: Consent, unseen: frozenset[str]) -> int:
@@ -636,6 +638,8 @@
             predecessors_with_share=self.ledger.predecessors_with_share(
                 request.program
             ),
+            has_one_turn=self.ledger.has_one_turn(request.program),
+            one_turn=self.members.one_turn(),
         )
 
     async def write_home(self, change: HomeChange) -> None:
@@ -884,6 +888,9 @@
         records = 0
         undecodable = 0
         roster = RosterChange({})
+        if self.first_start:
+            # Nobody ran before, so nobody ran an earlier version.
+            self.members.share_sizes_from = 0.0
         for stored in self.journal.read():
             record = decode(stored.data)
             if isinstance(record, KeptTurn):
@@ -905,6 +912,9 @@
         self.members.successors.update(roster.successors)
         self.appointed = roster.appointed
         self.is_closed = bool(roster.appointed)
+        self.members.restore_share_sizes(
+            roster.one_turn_from, roster.share_sizes_from
+        )
         for entry in [*self.table.held, *self.ledger.accounts]:
             self.intake.add(entry)
         for program in {**self.ledger.homes, **self.ledger.accounts}:
@@ -935,6 +945,8 @@
             members.saved_contacts(),
             successors=dict(members.successors),
             appointed=self.appointed,
+            one_turn_from=dict(members.one_turn_from),
+            share_sizes_from=members.share_sizes_from,
         )
 
     def _record_roster(self) -> None:
@@ -944,6 +956,7 @@
             dict(self.members.informed_by),
             self.members.contact_states(),
             dict(self.members.successors),
+            dict(self.members.one_turn_from),
         )
         if roster != self.recorded_roster:
             self.recorded_roster = roster
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -89,6 +89,8 @@
         contacts: As in ``Members``, with Unix times in seconds.
         successors: As in ``Members``.
         appointed: As in ``Keeper``.
+        one_turn_from: As in ``Members``.
+        share_sizes_from: As in ``Members``; infinite from an earlier version.
     """
 
     seen: dict[str, float]
@@ -96,6 +98,8 @@
     contacts: dict[str, Contact] = {}
     successors: dict[str, str] = {}
     appointed: str = ""
+    one_turn_from: dict[str, float] = {}
+    share_sizes_from: float = float("inf")
 
 
 class OpenRequired(msgspec.Struct, frozen=True):
@@ -243,6 +247,10 @@
         """Whether programs go on that it may have granted to unknowingly."""
         return wall_seconds() < self.shares_lost_until
 
+    def has_one_turn(self, program: str) -> bool:
+        """Whether this instance granted a program at most one turn alone."""
+        return self.shares.get(program, Share()).is_one_turn
+
     def close_share(self, program: str) -> ShareChange:
         """Stops granting alone; the change lists what was granted."""
         share = self.shares.setdefault(program, Share())
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -88,6 +88,8 @@
             and that others may not know yet.
         succeeded: Decommissioned instances whose accounts it holds in their
             place.
+        grants_one_turn: Whether it grants at most one turn alone to a program,
+            see ``max_share``. An earlier version grants more.
     """
 
     name: str
@@ -98,6 +100,7 @@
     emptied: bool = False
     informed: tuple[str, ...] = ()
     succeeded: tuple[str, ...] = ()
+    grants_one_turn: bool = False
 
 
 def may_grant_alone(instances: int) -> bool:
@@ -153,6 +156,11 @@
         successors: The instance that took over the accounts of each
             decommissioned one, by name. It may have a successor itself.
         contacts: What was last heard of each member, by name.
+        one_turn_from: Unix time in seconds from which no program goes on that
+            a member granted more than one turn alone, by name; infinite while
+            it may grant more, and 0 if it was never seen to.
+        share_sizes_from: Unix time in seconds from which no program goes on
+            that began before this instance followed the list of members.
         saved_silent: Members of which the disk may hold when they were last
             heard.
         started_at: When this process started, by the boot clock.
@@ -199,6 +207,8 @@
         self.successors: dict[str, str] = {}
         self.contacts: dict[str, Contact] = {}
         self.saved_silent: set[str] = set()
+        self.one_turn_from: dict[str, float] = {}
+        self.share_sizes_from = wall_seconds() + SHARES_SECONDS
         self.started_at = boot_seconds()
         self.two_domains_at = float("-inf")
         self.sized_at: dict[int, float] = {}
@@ -396,6 +406,35 @@
             if contact.is_unable(now)
         ]
 
+    def one_turn(self) -> dict[str, bool]:
+        """Returns whether members grant at most one turn alone, by name.
+
+        Those are left out that may have run an earlier version before this
+        instance knew them.
+        """
+        now = wall_seconds()
+        return {
+            name: now > at
+            for name, at in self.one_turn_from.items()
+            if at or now > self.share_sizes_from
+        }
+
+    def _record_share_size(self, member: Member) -> None:
+        if not member.grants_one_turn:
+            self.one_turn_from[member.name] = float("inf")
+        elif self.one_turn_from.get(member.name) == float("inf"):
+            until = wall_seconds() + SHARES_SECONDS
+            self.one_turn_from[member.name] = until
+        else:
+            self.one_turn_from.setdefault(member.name, 0.0)
+
+    def restore_share_sizes(
+        self, one_turn_from: dict[str, float], share_sizes_from: float
+    ) -> None:
+        """Restores how much members grant alone, as far as it was known."""
+        self.one_turn_from.update(one_turn_from)
+        self.share_sizes_from = min(self.share_sizes_from, share_sizes_from)
+
     def others(self, name: str) -> set[str]:
         """Returns all members but ``name`` that may have been there lately."""
         return {*self.known, *self.unlisted()} - {name}
@@ -472,6 +511,12 @@
         self.first_runs.setdefault(name, run)
         self.last_seen[name] = wall_seconds()
 
+    def record_registration(self, member: Member) -> None:
+        """Records a member as it is registered."""
+        self.record_seen(member.name, member.run)
+        self.known[member.name] = member
+        self._record_share_size(member)
+
     def is_first_run(self, name: str, run: str) -> bool:
         """Whether a member is in its first run, with a disk that was empty."""
         return self.first_runs.get(name) == run
@@ -731,8 +776,7 @@
             warn_event("keeper_undecodable", key=key, why=str(error))
             return
         before = self.known.get(member.name)
-        self.record_seen(member.name, member.run)
-        self.known[member.name] = member
+        self.record_registration(member)
         self.informed_by[member.name] = member.informed
         for predecessor in member.succeeded:
             self.learn_successor(predecessor, member.name)
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -1,5 +1,6 @@
 """Messages from front ends to storage instances and between these."""
 
+import math
 from typing import Any
 
 import msgspec
@@ -152,19 +153,48 @@
 def max_share(budget: int, tokens: int) -> int:
     """Returns what one instance grants alone to a program unknown to it.
 
-    It lets a program begin in a failure domain that is cut off. Callers
-    tolerate that a program exceeds its budget by one turn. At most three
-    instances grant alone, so their shares together stay within that limit even
-    if all three are partitioned from each other. A share is one turn of the
-    smallest budgets in use, and five turns of others.
+    It lets a program begin in a failure domain that is cut off. It is one turn,
+    by which callers let a program exceed its budget: nothing has to be set
+    aside for one instance, so nothing is lost with its disk. A turn of more
+    than half of the budget is not granted, see ``reserve_for``.
 
     Args:
         budget: Total tokens that the program may use.
         tokens: Maximum tokens of one turn.
     """
+    return tokens if 2 * tokens <= budget else 0
+
+
+def max_earlier_share(budget: int, tokens: int) -> int:
+    """Returns what an instance of an earlier version grants alone.
+
+    At most three instances grant alone, and all three together stay within the
+    budget and one turn.
+    """
     return (budget + tokens) // MAX_SHARERS
 
 
+def reserve_for(
+    sharers: int, budget: int, tokens: int, grant_one_turn: bool
+) -> int:
+    """Returns what is set aside for instances that may have granted alone.
+
+    Callers allow the largest of their turns beyond the budget. How large the
+    others were is unknown to who opens the account.
+
+    Args:
+        sharers: Number of these instances.
+        budget: Total tokens that the program may use.
+        tokens: Maximum tokens of the turn for which the account is opened.
+        grant_one_turn: Whether each of them grants one turn at most.
+    """
+    # Rounded up, as larger turns may be rounded down by less.
+    largest = math.ceil((budget + tokens) / MAX_SHARERS)
+    earlier = sharers * largest - tokens
+    beyond_one = (sharers - 1) * (budget // 2)
+    return max(0, min(earlier, beyond_one) if grant_one_turn else earlier)
+
+
 class Share(msgspec.Struct):
     """What one storage instance has granted alone to a program.
 
@@ -185,6 +215,12 @@
         """Maximum tokens used, including those of running attempts."""
         return sum(use.tokens for use in self.uses.values())
 
+    @property
+    def is_one_turn(self) -> bool:
+        """Whether it is at most one turn; an earlier version granted more."""
+        sizes = (use.tokens for use in self.uses.values())
+        return self.taken <= max(self.limit, *sizes, 0)
+
 
 class Open(msgspec.Struct, tag=32):
     """Requests the placement of a program's account, opening it if needed.
@@ -411,6 +447,8 @@
         unable: As in ``Members.unable``.
         predecessors_with_share: Decommissioned instances that have granted
             tokens alone, in whose place it holds accounts.
+        has_one_turn: Whether what it granted alone is one turn at most.
+        one_turn: As in ``Members.one_turn``.
     """
 
     has_share: bool = False
@@ -419,6 +457,8 @@
     losses: dict[str, Loss] | None = None
     unable: list[str] = []
     predecessors_with_share: list[str] = []
+    has_one_turn: bool = False
+    one_turn: dict[str, bool] = {}
 
 
 class Refused(msgspec.Struct, tag=10):
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -15,6 +15,47 @@
 
     Then no sequence of faults among instances that fetch slowly lets a program use more than its budget and one turn
 
+  Scenario: No program gets more than its budget while instances are upgraded
+    Guards against one turn that is counted for an instance of an earlier
+    version, which grants more, and against turns of several sizes.
+
+    Then no sequence of faults and upgrades lets a program use more than its budget and one turn
+
+  Scenario: What is set aside is enough whatever the size of turns
+    Guards against a part for the turn that opens the account, where others were
+    granted larger ones.
+
+    Then what is set aside for up to 3 instances covers turns of any sizes
+
+  Scenario Outline: A program begins <when> a disk is lost
+    Guards against a program that is refused for good before its budget is
+    spent: a part was set aside for an instance that had granted nothing, and
+    nobody can tell.
+
+    When a program of 8 turns begins <when> an instance loses its disk
+    Then the program gets all of its 8 turns
+
+    Examples:
+      | when           |
+      | while down and |
+      | just after     |
+
+  Scenario Outline: An instance of an earlier version grants alone and <then>
+    Guards against one turn that is counted for it: an earlier version grants a
+    third of the budget.
+
+    When an instance of an earlier version grants 3 turns of 8 alone and <then>
+    Then the program gets at most 9 turns, and more than 6
+    When the same happens and all count as granting one turn
+    Then the program gets more than 9 turns
+
+    Examples:
+      | then                       |
+      | is lost                    |
+      | is upgraded, and is lost   |
+      | is upgraded, and comes back |
+      | loses its disk in between  |
+
   Scenario: Two instances are isolated one after the other, and both are gone
     Guards against the second one beginning programs alone: the others could
     not tell, and set one part aside.
--- a/tests/features/keeping.feature
+++ b/tests/features/keeping.feature
@@ -264,19 +264,20 @@
     a different part aside.
 
     Given storage instances "a, b, c"
+    And "<earlier>" runs a version that grants more than one turn alone
     When "a" opens an account while "<first>" is unreachable
     And "b" also opens it while "<second>" is unreachable
     Then the program can reserve all of its budget at "<name>"
     And the program can reserve at most one more turn at "a, b, c"
 
     Examples:
-      | first  | second | name |
-      | nobody | c      | a    |
-      | nobody | c      | b    |
-      | nobody | c      | c    |
-      | c      | nobody | a    |
-      | c      | nobody | b    |
-      | c      | nobody | c    |
+      | first  | second | name | earlier |
+      | nobody | c      | a    | nobody  |
+      | nobody | c      | b    | nobody  |
+      | nobody | c      | c    | nobody  |
+      | c      | nobody | a    | c       |
+      | c      | nobody | b    | c       |
+      | c      | nobody | c    | c       |
 
   Scenario: Two instances open an account at once, and one would grant alone
     Guards against a part of the budget that is granted twice: by one instance
--- a/tests/features/review.feature
+++ b/tests/features/review.feature
@@ -54,17 +54,27 @@
     What it has granted is only set aside while it is in the roster. Once its
     registration has expired, the others grant the whole budget.
 
-    Given storage instances "a, b, c"
+    Given "a" of storage instances "a, b, c", a version that grants more than one turn alone
     When "a" are partitioned from "b, c"
     And a program that began at "a" has 1 turns running at "a"
     And the registration of "a" expired long ago
     Then the program's turns at "b" stay within its budget and one turn
 
+  Scenario: An instance grants one turn alone while it is cut off, and is left out then
+    What it has granted is only set aside while it is in the roster. Once its
+    registration has expired, the others grant the whole budget.
+
+    Given storage instances "a, b, c"
+    When "a" are partitioned from "b, c"
+    And a turn of a new program runs at "a"
+    And the registration of "a" expired long ago
+    Then the program's turns at "b" stay within its budget and one turn
+
   Scenario: An instance that was left out for a while returns
     What it may have granted alone is set aside for new programs. If it were
     never given back, they would be refused before their budget is spent.
 
-    Given storage instances "a, b, c"
+    Given "c" of storage instances "a, b, c", a version that grants more than one turn alone
     When "c" is partitioned from "a, b", and its registration expired long ago
     And a program that began at "a" has 3 turns running at "a"
     Then its next turn is refused as unsure at "a"
@@ -93,18 +103,29 @@
     It does not know any more what it granted, and reports nothing. So the
     others set nothing aside and grant the whole budget.
 
-    Given storage instances "a, b, c"
+    Given "a" of storage instances "a, b, c", a version that grants more than one turn alone
     When "a" are partitioned from "b, c"
     And a program that began at "a" has 1 turns running at "a"
     And all reach each other and are listed
     And "a" loses its disk and recovers from the others
     Then the program's turns at "b" stay within its budget and one turn
 
+  Scenario: An instance grants one turn alone while it is cut off, and loses its disk then
+    It does not know any more what it granted, and reports nothing. So the
+    others set nothing aside and grant the whole budget.
+
+    Given storage instances "a, b, c"
+    When "a" are partitioned from "b, c"
+    And a turn of a new program runs at "a"
+    And all reach each other and are listed
+    And "a" loses its disk and recovers from the others
+    Then the program's turns at "b" stay within its budget and one turn
+
   Scenario: Two instances grant alone while they are cut off, and both are gone
     A part is set aside for one of them only. The third one grants the rest to
     the program although it got two parts before.
 
-    Given storage instances "a, b, c"
+    Given "a, b" of storage instances "a, b, c", a version that grants more than one turn alone
     When "a" are partitioned from "b, c"
     And "b" are partitioned from "c"
     And a program that began at "a" has 2 turns running at "b"
@@ -114,6 +135,21 @@
     And "c" has followed the listed instances
     Then the program's turns at "c, d" stay within its budget and one turn
 
+  Scenario: Two instances grant one turn alone each while they are cut off, and both are gone
+    A part is set aside for one of them only. The third one grants the rest to
+    the program although it got two parts before.
+
+    Given storage instances "a, b, c"
+    When "a" are partitioned from "b, c"
+    And "b" are partitioned from "c"
+    And a turn of a new program runs at "a"
+    And 1 further turns run at "b"
+    And the registration of "a" expired long ago
+    And "b" is replaced by "d" of its domain while still listed
+    And the registration of "b" expired long ago
+    And "c" has followed the listed instances
+    Then the program's turns at "c, d" stay within its budget and one turn
+
   Scenario: An instance whose registration had expired restarts while it is cut off
     The restart makes it forget that it was left out of the others' roster for
     a while. It would grant alone what they have granted without it.
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -1,21 +1,30 @@
 """Steps about tokens that storage instances grant alone."""
 
+import itertools
 import tempfile
 import unittest.mock
 
 import hypothesis
 import msgspec
 from behave import given, then, when
+from hypothesis import strategies as st
 
-from rattanmill_keeper import Reserve, Reserved, isolation, keeper
+from rattanmill_keeper import Reserve, Reserved, homes, isolation, keeper
 from rattanmill_keeper.isolation import Contact, Loss
-from rattanmill_keeper.messages import Agreed, max_share
+from rattanmill_keeper.messages import (
+    Agreed,
+    max_earlier_share,
+    max_share,
+    reserve_for,
+)
 from support.keepers import FollowingNetwork
 from support.keepers import run_in as network
 from support.stories import (
     BUDGET,
     LONG_OPERATIONS,
     MAX_TOKENS,
+    MIXED_OPERATIONS,
+    NAMES,
     SLOW_OPERATIONS,
     TOKENS,
     OperationRunner,
@@ -63,14 +72,9 @@
     hold()
 
 
-def _use_share(name, running):
-    """Returns turns that use up what an instance grants alone.
-
-    Args:
-        name: The instance.
-        running: Number of turns that run already.
-    """
-    return [("reserve", name), ("settle", running), ("reserve", name)]
+def _use_share(name):
+    """Returns turns that use up what an instance grants alone, and one more."""
+    return [("reserve", name)] * 2
 
 
 _AFTERWARDS = [
@@ -78,13 +82,13 @@
     *[("reserve", "d")] * 6,
 ]
 _ONE_AFTER_THE_OTHER = [
-    *[("wait", 4), ("isolate", "a"), *_use_share("a", 0), ("wait", 12)],
-    *[("isolate", "b"), ("wait", 1), *_use_share("b", 1)],
+    *[("wait", 4), ("isolate", "a"), *_use_share("a"), ("wait", 12)],
+    *[("isolate", "b"), ("wait", 1), *_use_share("b")],
     *_AFTERWARDS,
 ]
 _AT_ONCE = [
     *[("wait", 4), ("isolate", "a"), ("isolate", "b")],
-    *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
+    *[*_use_share("a"), *_use_share("b"), ("wait", 1)],
     *_AFTERWARDS,
 ]
 
@@ -93,24 +97,24 @@
     "c": [
         *[("wait", 4), ("slow_fetches", ("c", "a")), ("wait", 8)],
         *[("isolate", "a"), ("isolate", "b")],
-        *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
+        *[*_use_share("a"), *_use_share("b"), ("wait", 1)],
         *_AFTERWARDS,
     ],
     "a": [
         *[("wait", 4), ("slow_fetches", ("a", "c")), ("wait", 1)],
-        *[("isolate", "b"), *_use_share("b", 0), ("wait", 8)],
-        *[("isolate", "a"), ("wait", 1), *_use_share("a", 1)],
+        *[("isolate", "b"), *_use_share("b"), ("wait", 8)],
+        *[("isolate", "a"), ("wait", 1), *_use_share("a")],
         *_AFTERWARDS,
     ],
 }
 _ONE_WAY = [
     *[("wait", 4), ("lose_requests", "a"), ("wait", 8), ("isolate", "b")],
-    *[*_use_share("b", 0), ("wait", 8), ("isolate", "a"), ("wait", 1)],
-    *[*_use_share("a", 1), *_AFTERWARDS],
+    *[*_use_share("b"), ("wait", 8), ("isolate", "a"), ("wait", 1)],
+    *[*_use_share("a"), *_AFTERWARDS],
 ]
 _RETURNED = [
     *[("wait", 4), ("isolate", "a"), ("isolate", "b")],
-    *[*_use_share("a", 0), *_use_share("b", 1), ("wait", 1)],
+    *[*_use_share("a"), *_use_share("b"), ("wait", 1)],
     *[("replace", "b"), ("heal", "a"), ("wait", 12), ("isolate", "a")],
     *[("wait", 1), ("lapse", "a"), ("wait", 4), *[("reserve", "d")] * 6],
 ]
@@ -257,6 +261,152 @@
     assert least * _SHORT_TURN < used <= most * _SHORT_TURN, used
 
 
+_BEGUN = {
+    "while down and": [
+        *[("wait", 4), ("kill", "c"), ("wait", 1), ("reserve", "a")],
+        *[("lose_disk", "c"), ("wait", 4)],
+    ],
+    "just after": [
+        *[("wait", 4), ("kill", "c"), ("wait", 1), ("lose_disk", "c")],
+        *[("wait", 4), ("reserve", "a")],
+    ],
+}
+
+
+@when("a program of {turns:d} turns begins {order} an instance loses its disk")
+def step_begins_beside(context, turns, order):
+    assert turns * _SHORT_TURN == _LONG_BUDGET
+    context.used = _run_long([*_BEGUN[order], *[("reserve", "b")] * turns])
+
+
+@then("the program gets all of its {turns:d} turns")
+def step_all_turns(context, turns):
+    assert context.used["p"] == turns * _SHORT_TURN, context.used
+
+
+_GRANT_MORE = [
+    *[("wait", 4), ("isolate", "c"), ("wait", 1), *[("reserve", "c")] * 4],
+]
+_UPGRADED = {
+    "is lost": [("kill", "c")],
+    "is upgraded, and is lost": [
+        *[("upgrade", "c"), ("wait", 1), ("kill", "c")],
+    ],
+    "is upgraded, and comes back": [
+        *[("upgrade", "c"), ("heal", "c"), ("wait", 4)],
+    ],
+    "loses its disk in between": [
+        *[("upgrade", "c"), ("kill", "c"), ("lose_disk", "c")],
+        *[("heal", "c"), ("wait", 4)],
+    ],
+}
+
+
+def _with_earlier(names):
+    def make(folder, all_names):
+        network = FollowingNetwork(folder, all_names)
+        network.earlier = set(names)
+        return network
+
+    return make
+
+
+def _run_earlier(operations, names, prepare=lambda network: None):
+    return run_virtually(
+        run_operations(
+            operations,
+            prepare,
+            _with_earlier(names),
+            _LONG_BUDGET,
+            _SHORT_TURN,
+        )
+    )
+
+
+def _count_all_as_one_turn(network):
+    network.stack.enter_context(
+        unittest.mock.patch.object(
+            homes, "_one_turn", lambda *consents: frozenset("abcd")
+        )
+    )
+
+
+@when(
+    "an instance of an earlier version grants {turns:d} turns of {of:d} alone"
+    " and {then}"
+)
+def step_earlier_grants(context, turns, of, then):
+    assert of * _SHORT_TURN == _LONG_BUDGET
+    used = _run_earlier(_GRANT_MORE, "c")
+    assert used["p"] == turns * _SHORT_TURN, used
+    # Callers have left the domain that was cut off.
+    use_up = [("reserve", "b")] * 9
+    context.operations = [*_GRANT_MORE, *_UPGRADED[then], *use_up]
+    context.used = _run_earlier(context.operations, "c")
+
+
+@when("the same happens and all count as granting one turn")
+def step_all_one_turn(context):
+    context.used = _run_earlier(context.operations, "c", _count_all_as_one_turn)
+
+
+@then("the program gets more than {most:d} turns")
+def step_more_turns(context, most):
+    assert context.used["p"] > most * _SHORT_TURN, context.used
+
+
+@then(
+    "no sequence of faults and upgrades lets a program use more than its budget"
+    " and one turn"
+)
+def step_any_upgrade(context):
+    @hypothesis.given(MIXED_OPERATIONS, st.sets(st.sampled_from(NAMES)))
+    @_SETTINGS
+    def hold(operations, earlier):
+        used = _run_earlier(operations, earlier)
+        kinds = {kind for kind, _ in operations}
+        is_large = kinds & {"reserve", "race"}
+        turn = _SHORT_TURN if is_large else _SHORT_TURN // 2
+        most = _LONG_BUDGET + turn
+        assert all(tokens <= most for tokens in used.values()), used
+
+    hold()
+
+
+# Larger budgets round down in the same ways.
+_MAX_MODEL_BUDGET = 24
+
+
+def _model_cases(sharers):
+    """Yields budgets, the opener's turn, and turns granted alone, in tokens."""
+    for budget in range(1, _MAX_MODEL_BUDGET + 1):
+        sizes = range(1, budget + 1)
+        for opener in sizes:
+            for granted in itertools.combinations_with_replacement(
+                sizes, sharers
+            ):
+                yield budget, opener, granted
+
+
+def _earlier_grant(budget, tokens):
+    """Returns what turns of at most so many tokens take of an earlier share."""
+    share = max_earlier_share(budget, tokens)
+    return share if tokens <= share else 0
+
+
+@then(
+    "what is set aside for up to {most:d} instances covers turns of any sizes"
+)
+def step_covers(context, most):
+    for sharers in range(1, most + 1):
+        for budget, opener, sizes in _model_cases(sharers):
+            allowed = budget + max(opener, *sizes)
+            for is_one, grant in ((True, max_share), (False, _earlier_grant)):
+                left = budget - reserve_for(sharers, budget, opener, is_one)
+                used = left + sum(grant(budget, size) for size in sizes)
+                assert used <= allowed, (budget, opener, sizes, is_one)
+
+
 async def _crash_after_return(folder):
     """Returns for how long "a" seems lost to "c" after a crash of "c"."""
     network = FollowingNetwork(folder, ["a", "b", "c"])
--- a/tests/features/steps/keeping.py
+++ b/tests/features/steps/keeping.py
@@ -38,6 +38,26 @@
     begin(context, names.split(", "))
 
 
+@given(
+    '"{earlier}" of storage instances "{names}", a version that grants more'
+    " than one turn alone"
+)
+def step_earlier_instances(context, earlier, names):
+    begin(context, names.split(", "), earlier=earlier.split(", "))
+
+
+@given('"{name}" runs a version that grants more than one turn alone')
+def step_earlier(context, name):
+    async def restart(n):
+        n.earlier.add(name)
+        await n.kill(name)
+        await n.start(name)
+        n.list_as(n.member(name))
+
+    if name in context.network.names:
+        network(context, restart)
+
+
 @when('"{name}" is killed and the store is unreachable')
 def step_kill_store(context, name):
     context.network.kv.is_unavailable = True
--- a/tests/features/succession.feature
+++ b/tests/features/succession.feature
@@ -125,29 +125,39 @@
     And "c" is replaced by "d" by order
     Then the program gets just the rest of its budget at "b"
 
-  Scenario: An instance that has granted alone is replaced
+  Scenario Outline: An instance that has granted alone is replaced
     Guards against the same, and against a part that is granted twice.
 
-    Given storage instances "a, b, c"
+    Given "<earlier>" of storage instances "a, b, c", a version that grants more than one turn alone
     When "c" is partitioned from "a, b" and the store is unreachable
     And the program gets its share at "c"
     And a program has used half of its budget at "a"
     And all reach each other and are listed
     And they reach the store again
     And "c" is replaced by "d" by order
-    Then the program gets 1 further turn at "b"
+    Then the program gets <count> further turn at "b"
+
+    Examples:
+      | earlier | count |
+      | c       | 1     |
+      | nobody  | 2     |
 
-  Scenario: An instance that began a program alone is replaced
+  Scenario Outline: An instance that began a program alone is replaced
     Guards against tokens that are granted twice, since nobody else knows of
     them when the account is opened.
 
-    Given storage instances "a, b, c"
+    Given "<earlier>" of storage instances "a, b, c", a version that grants more than one turn alone
     When "c" is partitioned from "a, b" and the store is unreachable
     And the program gets its share at "c"
     And all reach each other and are listed
     And they reach the store again
     And "c" is replaced by "d" by order
-    Then the program gets 3 further turns at "a"
+    Then the program gets <count> further turns at "a"
+
+    Examples:
+      | earlier | count |
+      | c       | 3     |
+      | nobody  | 4     |
 
   Scenario: Two instances began a program alone, and one of them is replaced
     Guards against tokens that are granted twice, since nobody else knows of
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -10,11 +10,10 @@
 
 from soak.callers import KEPT_SECONDS, Callers, Line
 from soak.faults import Faults
-from soak.plan import LOST_DISKS, Fault, Scale, draw_plan
+from soak.plan import Fault, Scale, draw_plan
 from soak.record import TURN_TOKENS, wrong_runs
 from soak.resumers import Resumers
 from soak.system import SoakSite
-from support.site import DOMAINS
 
 # Within this after the last fault the system serves again.
 _RECOVERY_SECONDS = 12.0
@@ -23,10 +22,6 @@
 _CHECKED_LINES = 10
 _RETURNING_CALLERS = 2
 _CHECKED_PROGRAMS = 6
-# What was set aside for an instance that was out of reach and has lost its disk
-# since is refused. Only small systems set anything aside.
-_SET_ASIDE = b"set aside at unreachable instances"
-_MAX_SMALL_SYSTEM = 4
 
 
 class Outcome(msgspec.Struct):
@@ -101,9 +96,7 @@
         ended = system.ended()
         callers.stopped = True
         await asyncio.gather(*load)
-        is_small = len(DOMAINS) * scale.keepers <= _MAX_SMALL_SYSTEM
-        is_wiped = any(fault.kind in LOST_DISKS for fault in plan)
-        unserved = await _recovered(callers, is_small and is_wiped)
+        unserved = await _recovered(callers)
         balancer.cancel()
     seen = [r for n in system.runner_names() for r in system.requests_of(n)]
     wrong = [
@@ -117,14 +110,8 @@
     return Outcome(seed, wrong, counts, len(plan), resumed)
 
 
-async def _recovered(callers: Callers, may_lack_part: bool) -> list[str]:
-    """Returns programs, old and new, that are not served after recovery.
-
-    Args:
-        callers: Who send their turns.
-        may_lack_part: Whether a part of a budget may have been lost with a
-            disk.
-    """
+async def _recovered(callers: Callers) -> list[str]:
+    """Returns programs, old and new, that are not served after recovery."""
     kept = [
         line
         for line in callers.kept
@@ -141,7 +128,7 @@
     return [
         f"RECOVER: {line.program} after {line.previous or 'none'} is not served"
         for line, is_served in zip(lines, served, strict=True)
-        if not is_served and not (may_lack_part and line.last.count(_SET_ASIDE))
+        if not is_served
     ]
 
 
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -8,15 +8,25 @@
 import pathlib
 import shutil
 import tempfile
-from collections.abc import Callable, Coroutine
+import unittest.mock
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import msgspec
 
 from rattanmill_core import Metrics
-from rattanmill_keeper import Follower, Keeper, KeeperClient, Member, Members
+from rattanmill_keeper import (
+    Follower,
+    Keeper,
+    KeeperClient,
+    Member,
+    Members,
+    ledger,
+)
 from rattanmill_keeper.members import MEMBERS_PREFIX
 from rattanmill_keeper.messages import (
+    Agree,
+    Agreed,
     FetchTurns,
     Reserve,
     Reserved,
@@ -24,6 +34,7 @@
     TurnRef,
     Unsure,
     codec,
+    max_earlier_share,
 )
 from rattanmill_platform import Unavailable
 from support.memory import MemoryKv
@@ -154,6 +165,30 @@
         return LocalLink(self.network, self.name, member.name)
 
 
+def _make_earlier(keeper: Keeper) -> None:
+    """Makes an instance grant alone, and tell, as an earlier version does."""
+    reserve_alone, agree = keeper.ledger.reserve_alone, keeper._agree
+    roster = keeper._roster
+
+    def reserve_more(request: Reserve, may_open: bool) -> msgspec.Struct:
+        with unittest.mock.patch.object(ledger, "max_share", max_earlier_share):
+            return reserve_alone(request, may_open)
+
+    async def agree_only(request: Agree) -> msgspec.Struct:
+        reply = await agree(request)
+        if not isinstance(reply, Agreed):
+            return reply
+        return msgspec.structs.replace(reply, has_one_turn=False, one_turn={})
+
+    def record_less() -> ledger.RosterChange:
+        return msgspec.structs.replace(
+            roster(), one_turn_from={}, share_sizes_from=float("inf")
+        )
+
+    keeper.ledger.reserve_alone = reserve_more
+    keeper._agree, keeper._roster = agree_only, record_less
+
+
 class Network:
     """Storage instances and the faults between them.
 
@@ -174,6 +209,7 @@
             with the store.
         succeeded: Instances whose accounts each instance holds for them, as
             listed.
+        earlier: Instances of a version that grants more than one turn alone.
     """
 
     def __init__(self, folder: str, names: list[str]) -> None:
@@ -193,6 +229,7 @@
         self.runs: dict[str, str] = {}
         self.informed: dict[str, tuple[str, ...]] = {}
         self.succeeded: dict[str, tuple[str, ...]] = {}
+        self.earlier: set[str] = set()
         self.fronts: dict[str, KeeperClient] = {}
         self.names = names
         self.stack = contextlib.ExitStack()
@@ -212,6 +249,8 @@
         for other in self.names:
             self.introduce(members, other)
         self.register(name)
+        if name in self.earlier:
+            _make_earlier(keeper)
         keeper.journal.executor = self.new_disk()
         keeper.openings.publish = functools.partial(self.publish, name)
         keeper.publish_succeeded = functools.partial(
@@ -259,8 +298,7 @@
     def introduce(self, members: LocalMembers, name: str) -> None:
         """Adds an instance to members, as the store's list would."""
         member = self.member(name)
-        members.record_seen(name, member.run)
-        members.known[name] = member
+        members.record_registration(member)
         for predecessor in member.succeeded:
             members.learn_successor(predecessor, name)
 
@@ -274,6 +312,7 @@
             self.runs.get(name, ""),
             informed=self.informed.get(name, ()),
             succeeded=self.succeeded.get(name, ()),
+            grants_one_turn=name not in self.earlier,
         )
 
     def register(self, name: str) -> None:
@@ -434,6 +473,7 @@
     names: list[str],
     domains: dict[str, str] | None = None,
     folder: str | None = None,
+    earlier: Iterable[str] = (),
 ) -> None:
     """Starts a scenario's storage instances and stops them after it.
 
@@ -442,11 +482,13 @@
         names: Names of the instances.
         domains: Failure domains by name, see ``Network``.
         folder: Folder of their disks; by default a temporary one.
+        earlier: As in ``Network``.
     """
     folder = folder or tempfile.mkdtemp()
     context.loop = asyncio.new_event_loop()
     context.network = Network(folder, names)
     context.network.domains = domains or {}
+    context.network.earlier.update(earlier)
     run_in(context, lambda network: network.start_all())
 
     def clean() -> None:
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -13,8 +13,7 @@
 from support.keepers import Network
 
 NAMES = ["a", "b", "c"]
-# The share of one instance has room for one running turn, or for two settled
-# ones.
+# An earlier version grants one running turn alone, or two settled ones.
 BUDGET = 180
 TOKENS = 40
 # Callers allow a program its budget and the maximum of one turn.
@@ -70,6 +69,19 @@
 )
 
 
+# For instances of two versions, of which the earlier one grants more alone.
+MIXED_OPERATIONS = st.lists(
+    st.one_of(
+        _OPERATION,
+        st.tuples(st.just("reserve_small"), _name),
+        st.tuples(st.just("upgrade"), _name),
+        st.tuples(st.just("wait"), st.sampled_from([1, 4, 12, 60])),
+    ),
+    min_size=8,
+    max_size=24,
+)
+
+
 class OperationRunner:
     """Runs a sequence of operations and counts the tokens of programs.
 
@@ -110,6 +122,29 @@
             self.used[program] = self.used.get(program, 0) + self.tokens
             self.granted.append((program, attempt))
 
+    async def reserve_small(self, name: str) -> None:
+        """Reserves for a turn of half the size."""
+        tokens, self.tokens = self.tokens, self.tokens // 2
+        try:
+            await self.reserve(name)
+        finally:
+            self.tokens = tokens
+
+    async def upgrade(self, name: str) -> None:
+        """Restarts an instance of an earlier version with this one."""
+        network = self.network
+        if name not in network.keepers or name not in network.earlier:
+            return
+        await network.kill(name)
+        network.earlier.discard(name)
+        await network.start(name)
+        network.list_as(network.member(name))
+
+    async def lose_disk(self, name: str) -> None:
+        """Starts an instance that was killed, with an empty disk."""
+        shutil.rmtree(self.network.folder / name)
+        await self.network.start(name)
+
     async def race(self, name: str) -> None:
         """Reserves for turns of one program at two instances at once."""
         other = NAMES[NAMES.index(name) - 1]
