Give a part for several back once all but one have answered

Cause: the part went back only once all of them had said what they granted.

Change: all but one have to. Each grants one turn at most, and callers allow one turn beyond the budget, which covers the last one (`Place.one_turn`). For instances of the earlier version all have to, as before. Front ends and holders of the earlier version don't know the field and go on as before.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -593,13 +593,14 @@
         sharers = consent.with_share | unseen
         if not sharers and not is_old and self.may_create_share():
             return Place(holders, (self.name,))
+        one_turn = sharers <= consent.one_turn
         reserved = reserve_for(
             self._count_sharers(consent, unseen),
             request.budget,
             request.tokens,
-            sharers <= consent.one_turn,
+            one_turn,
         )
-        return Place(holders, tuple(sorted(sharers)), reserved)
+        return Place(holders, tuple(sorted(sharers)), reserved, one_turn)
 
     def _count_sharers(self, consent: Consent, unseen: frozenset[str]) -> int:
         """Returns how many instances may have granted alone to a program."""
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -107,11 +107,13 @@
             alone.
         reserved: Tokens set aside for the sharers. The holders do not grant
             them, as the sharers may have done so.
+        one_turn: Whether each of the sharers grants one turn at most.
     """
 
     holders: tuple[str, ...]
     sharers: tuple[str, ...] = ()
     reserved: int = 0
+    one_turn: bool = False
 
 
 class Account(msgspec.Struct):
--- a/libs/keeper/src/rattanmill_keeper/permits.py
+++ b/libs/keeper/src/rattanmill_keeper/permits.py
@@ -435,17 +435,27 @@
             return Unsure("too few holders of the account respond")
         merged = merge_accounts([reply.account for reply in shown])
         owners = self.reach.members.owners
-        all_returned = not place.reserved or len(returned) == len(
-            owners(place.sharers)
+        returned_by = {
+            member.name
+            for member, reply in zip(
+                sharers, replies[len(members) :], strict=True
+            )
+            if isinstance(reply, GivenBack)
+        }
+        # Callers allow one turn, which the last one may have granted.
+        lacking = sum(
+            self.reach.members.owner(name) not in returned_by
+            for name in place.sharers
         )
-        if place.reserved and all_returned:
+        is_returned = not place.reserved or lacking <= place.one_turn
+        if place.reserved and is_returned:
             used = sum(reply.used for reply in returned)
             spare = merged.place.reserved - used
             merged.given = max(merged.given, spare)
         merged.uses.pop(request.attempt, None)
         if merged.taken + request.tokens <= merged.limit:
             return await self._send_merged(members, merged)
-        if not all_returned and merged.limit < merged.budget:
+        if not is_returned and merged.limit < merged.budget:
             return Unsure(
                 "part of the budget is set aside at unreachable instances"
             )
--- a/tests/features/alone.feature
+++ b/tests/features/alone.feature
@@ -40,6 +40,18 @@
       | while down and |
       | just after     |
 
+  Scenario Outline: Two may have granted alone, and one has lost its disk
+    Guards against a part for two that is refused for good, as one of them
+    can't tell what it granted: callers allow it one turn.
+
+    When two instances that granted <what> alone are away, one of which loses its disk
+    Then the program gets at most <most> turns, and more than <least>
+
+    Examples:
+      | what        | most | least |
+      | nothing     | 8    | 7     |
+      | a turn each | 9    | 8     |
+
   Scenario Outline: An instance of an earlier version grants alone and <then>
     Guards against one turn that is counted for it: an earlier version grants a
     third of the budget.
--- a/tests/features/steps/alone.py
+++ b/tests/features/steps/alone.py
@@ -284,6 +284,30 @@
     assert context.used["p"] == turns * _SHORT_TURN, context.used
 
 
+_BOTH_AWAY = {
+    "nothing": [("wait", 4)],
+    "a turn each": [
+        *[("wait", 4), ("isolate", "b"), ("isolate", "c"), ("wait", 1)],
+        *[("reserve", "b"), ("reserve", "c")],
+    ],
+}
+
+
+@when(
+    "two instances that granted {what} alone are away, one of which loses its"
+    " disk"
+)
+def step_both_away(context, what):
+    context.used = _run_long(
+        [
+            *[*_BOTH_AWAY[what], ("kill", "c"), ("lose_disk", "c")],
+            *[("heal", "c"), ("wait", 1), ("kill", "b"), ("wait", 1)],
+            *[("reserve", "a"), ("start", "b"), ("wait", 4)],
+            *[("reserve", "a")] * 9,
+        ]
+    )
+
+
 _GRANT_MORE = [
     *[("wait", 4), ("isolate", "c"), ("wait", 1), *[("reserve", "c")] * 4],
 ]
