Give up a list of the store whose pages never end

Cause: a prefix is read page by page until a page is the last one. Each page is a call with bounds of its own; nothing bounded their number.

Not changed: the list is begun again after the usual pause, as each of its calls was answered and the circuit breaker stays closed.

--- a/tests/features/steps/store_pages.py
+++ b/tests/features/steps/store_pages.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import urllib.parse
 
 from behave import given, then, when
 from rattanmill_site.store import SiteStore
 
-from rattanmill_platform import PrefixWatch, Reply
+from rattanmill_platform import PrefixWatch, Reply, Unavailable
 from support.virtual import run_virtually
 
 _PREFIX = "servers/"
 _WAIT_SECONDS = 2.5
+# More than any list may have.
+_MANY_PAGES = 1000
 _FAULTS = (
     "announces a page that is empty",
     "repeats its first page once",
@@ -202,3 +205,69 @@
     assert context.calls.change is None
     expected = {key: value for key, (value, _) in context.calls.items.items()}
     assert context.known == expected, context.known
+
+
+class EndlessCalls:
+    """Replies to the calls of a list with pages that go on and on.
+
+    Attributes:
+        pages: Number of pages sent.
+
+    Args:
+        count: Entries a page.
+        size: Size of each value in bytes.
+        last: Number of the last page.
+    """
+
+    def __init__(self, count, size, last):
+        self.value = base64.b64encode(bytes(size)).decode()
+        self.count = count
+        self.last = last
+        self.numbers = itertools.count()
+        self.pages = 0
+
+    async def call(self, kind, method, path, data=None, **how):
+        """Replies with the next page."""
+        self.pages += 1
+        numbers = itertools.islice(self.numbers, self.count)
+        items = [
+            {"key": f"{_PREFIX}{number:09}", "value": self.value}
+            for number in numbers
+        ]
+        is_last = self.pages == self.last
+        body = {"items": items, "current_rev": 1, "truncated": not is_last}
+        return Reply(200, json.dumps(body).encode(), 0)
+
+
+def _list(context, calls):
+    context.calls = calls
+    context.listed = asyncio.run(SiteStore(calls).list(_PREFIX))
+
+
+@when(
+    "a prefix is listed whose pages of {count:d} entries of {size:d} bytes"
+    " never end"
+)
+def step_list_endless(context, count, size):
+    _list(context, EndlessCalls(count, size, _MANY_PAGES))
+
+
+@then("there is no list after at most {pages:d} pages")
+def step_no_list(context, pages):
+    assert isinstance(context.listed, Unavailable), type(context.listed)
+    assert context.calls.pages <= pages, context.calls.pages
+
+
+@given("a store with {count:d} entries in pages of {size:d}")
+def step_long_store(context, count, size):
+    context.long = EndlessCalls(size, 1, count // size)
+
+
+@when("the prefix is listed")
+def step_list_long(context):
+    _list(context, context.long)
+
+
+@then("the list has {count:d} entries")
+def step_long_list(context, count):
+    assert len(context.listed.entries) == count, context.listed
--- a/tests/features/store_pages.feature
+++ b/tests/features/store_pages.feature
@@ -26,3 +26,19 @@
     When the history is lost and between two pages the first entry is removed and the last one changes
     Then exactly the first entry is reported as removed within 10 seconds
     And the watch knows all entries as they are
+
+  Scenario Outline: Pages without an end
+    Guards against a process that keeps all of them until its memory is used up.
+
+    When a prefix is listed whose pages of <entries> entries of <size> bytes never end
+    Then there is no list after at most <pages> pages
+
+    Examples:
+      | entries | size    | pages |
+      | 500     | 10      | 201   |
+      | 1       | 1000000 | 64    |
+
+  Scenario: The longest list
+    Given a store with 100000 entries in pages of 500
+    When the prefix is listed
+    Then the list has 100000 entries
