Let others run while a reader of the metrics sends without an end

Cause: the server of metrics parsed all that had arrived in a row, skipped the body of a request for up to 75 s, and answered requests that had arrived together without a turn for others.

Change: a request has at most 16 KB, else 413; it is read 1 KB at a time, with a turn for others after each, and before each request.

Requests without an end still take a full core, in turns.

--- a/libs/core/src/rattanmill_core/metricserver.py
+++ b/libs/core/src/rattanmill_core/metricserver.py
@@ -15,7 +15,11 @@
 
 METRICS_PORT = 9464
 _PATH = b"/metrics"
-_READ_BYTES = 64 * 1024
+# Over a usual request. All that was read is parsed before other tasks have a
+# turn.
+_READ_BYTES = 1024
+_MAX_REQUEST_BYTES = 16 * 1024
+_TOO_LARGE_STATUS = 413
 # Longer than the usual time between two reads of the metrics.
 _IDLE_SECONDS = 75.0
 
@@ -114,12 +118,26 @@
 async def _read_request(
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> h11.Request | None:
-    """Reads a whole request; returns None if the client has closed."""
+    """Reads a whole request; returns None if the client has closed.
+
+    Raises:
+        h11.RemoteProtocolError: The request is not valid or too long.
+    """
     request = None
+    received_bytes = 0
+    # Requests that have already arrived are read without waiting.
+    await asyncio.sleep(0)
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(_READ_BYTES))
+            data = await reader.read(_READ_BYTES)
+            received_bytes += len(data)
+            if received_bytes > _MAX_REQUEST_BYTES:
+                raise h11.RemoteProtocolError(
+                    "request too long", error_status_hint=_TOO_LARGE_STATUS
+                )
+            connection.receive_data(data)
+            await asyncio.sleep(0)
         elif isinstance(event, h11.Request):
             request = event
         elif isinstance(event, h11.EndOfMessage):
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -28,3 +28,22 @@
       | 4000000 | 100   |
       | 4000000 | 65536 |
       | 10000   | 1     |
+
+  Scenario Outline: A reader of the metrics that sends without an end
+    Guards against an instance that does nothing else meanwhile.
+
+    Given a server of metrics
+    When a reader sends <what> without an end
+    Then the reader is cut off before 32 MB are sent
+    And other tasks had a turn after 200 parts at most
+
+    Examples:
+      | what               |
+      | chunks of one byte |
+      | a long body        |
+      | header lines       |
+
+  Scenario: Requests for metrics without an end
+    Given a server of metrics
+    When a reader sends 3000 requests at once
+    Then other tasks had a turn after 200 parts at most
--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -1,14 +1,17 @@
 """Steps about callers that send without an end, on real sockets."""
 
 import asyncio
+import collections
 import itertools
 import socket
 from unittest import mock
 
+import h11
 from aiohttp.web_protocol import RequestHandler
 from behave import given, then, when
 
 from rattanmill_core import Metrics
+from rattanmill_core.metricserver import MetricsServer
 from rattanmill_forward import web
 from rattanmill_forward.bodies import read_body
 from rattanmill_forward.callers import ConnectionPolicy, listen
@@ -121,3 +124,90 @@
     ((body, rest),) = context.bodies
     assert rest is None
     assert body == b"b" * size, len(body)
+
+
+_METRICS_HEAD = b"POST /metrics HTTP/1.1\r\nHost: a\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+_LENGTH = b"Content-Length: 9999999999\r\n\r\n"
+_ENDLESS_READERS = {
+    "chunks of one byte": (_METRICS_HEAD + _CHUNKED, b"1\r\nb\r\n" * 1000),
+    "a long body": (_METRICS_HEAD + _LENGTH, b"b" * 10_000),
+    "header lines": (_METRICS_HEAD, b"A: b\r\n" * 1000),
+}
+
+
+@given("a server of metrics")
+def step_metrics_server(context):
+    context.parts = collections.Counter()
+
+
+def _run_metrics(context, send):
+    """Runs ``send``, a function of a connection to the server of metrics.
+
+    Counts the parts that are parsed between two turns of other tasks.
+    """
+    parse = h11.Connection.next_event
+    turns = [0]
+
+    def count(connection):
+        context.parts[turns[0]] += 1
+        return parse(connection)
+
+    async def take_turns():
+        for turns[0] in itertools.count():
+            await asyncio.sleep(0)
+
+    async def run():
+        with socket.create_server((_HOST, 0)) as free:
+            port = free.getsockname()[1]
+        others = asyncio.create_task(take_turns())
+        async with MetricsServer(_HOST, Metrics(), port):
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            await send(reader, writer)
+            writer.close()
+        others.cancel()
+
+    with mock.patch.object(h11.Connection, "next_event", count):
+        asyncio.run(run())
+
+
+@when("a reader sends {what} without an end")
+def step_read_endlessly(context, what):
+    start, part = _ENDLESS_READERS[what]
+    context.sent = 0
+    context.is_closed = False
+
+    async def send(reader, writer):
+        writer.write(start)
+        try:
+            while context.sent < _MAX_SENT_MB * _MB:
+                writer.write(part)
+                await writer.drain()
+                context.sent += len(part)
+                # Drained at once while the socket takes it.
+                await asyncio.sleep(0)
+        except ConnectionError:
+            context.is_closed = True
+
+    _run_metrics(context, send)
+
+
+@when("a reader sends {count:d} requests at once")
+def step_read_often(context, count):
+    async def send(reader, writer):
+        writer.write(b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n" * count)
+        for _ in range(count):
+            await reader.readuntil(b"\r\n\r\n")
+
+    _run_metrics(context, send)
+
+
+@then("the reader is cut off before {size:d} MB are sent")
+def step_reader_cut_off(context, size):
+    assert context.is_closed
+    assert context.sent <= size * _MB, context.sent
+
+
+@then("other tasks had a turn after {count:d} parts at most")
+def step_turns_of_others(context, count):
+    assert max(context.parts.values()) <= count, context.parts.most_common(3)
