Close the connection of a caller with too much framing as if it had left

Fixes: the handler that read the body could go on once more on the closed connection, and aiohttp logged an error of an unknown kind ("Connection closed."). It is cancelled now, as after any caller that leaves.

--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -113,13 +113,15 @@
     def _check_framing(self, body: StreamReader, received_bytes: int) -> None:
         self.framing_bytes += received_bytes
         max_bytes = _MAX_FRAMING_BYTES + body.total_bytes
-        if self.framing_bytes <= max_bytes or self.transport is None:
+        if self.framing_bytes <= max_bytes:
+            return
+        if self.transport is None or self.transport.is_closing():
             return
         self._record_refusal(
             Reason.BODY_TOO_LARGE,
             f"request exceeds {max_bytes} bytes of framing",
         )
-        self.force_close()
+        self.transport.abort()
 
     def _on_head_timeout(self) -> None:
         self.head_timer = None
