--- a/tests/features/steps/refusing.py
+++ b/tests/features/steps/refusing.py
@@ -55,8 +55,8 @@
     def __exit__(self, *exc_info):
         """Does nothing, as there is no connection."""
 
-    async def read(self):
-        return b""
+    async def discard(self, max_bytes):
+        """Does nothing, as there is no body."""
 
 
 class _FrontEnd:
