--- a/tests/features/lateness.feature
+++ b/tests/features/lateness.feature
@@ -21,6 +21,14 @@
     When timers are late by 300 ms, 40 times in 10 seconds
     Then they are reported 2 times, and 21 turns in all
 
+  Scenario: Requests for metrics that come together
+    Guards against a reader of metrics that holds up a process by sending many
+    requests at once.
+
+    When 300 requests are sent at once to the address of the metrics
+    Then all 300 are answered
+    And others had their turn between any two of them
+
   Scenario: Turns are short
     When timers are late by 30 ms, 40 times in 10 seconds
     Then they are reported 0 times, and 0 turns in all
--- a/tests/features/steps/lateness.py
+++ b/tests/features/steps/lateness.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from loguru import logger
 
-from rattanmill_core import Metrics, watch_turns
+from rattanmill_core import Metrics, MetricsServer, watch_turns
 from rattanmill_core.lateness import TurnReport
 
 
@@ -76,3 +76,39 @@
 def step_reported(context, times, turns):
     assert len(context.reports) == times, context.reports
     assert sum(r.count for r in context.reports) == turns, context.reports
+
+
+@when("{count:d} requests are sent at once to the address of the metrics")
+def step_together(context, count):
+    async def ask():
+        turns = 0
+
+        async def take_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        async with MetricsServer("127.0.0.1", Metrics(), port=0) as server:
+            address = server.server.sockets[0].getsockname()
+            reader, writer = await asyncio.open_connection(*address)
+            other = asyncio.create_task(take_turns())
+            last = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * (count - 1))
+            writer.write(last)
+            answers = await reader.read(-1)
+            other.cancel()
+            writer.close()
+        return answers.count(b"HTTP/1.1 404"), turns
+
+    context.answer_count, context.turn_count = asyncio.run(ask())
+
+
+@then("all {count:d} are answered")
+def step_all_answered(context, count):
+    assert context.answer_count == count, context.answer_count
+
+
+@then("others had their turn between any two of them")
+def step_turns_between(context):
+    assert context.turn_count >= context.answer_count, context.turn_count
