Reply at once for a turn that is on disk already

Cause, shown for the first: a front end waits 0.4 s for the reply to a turn and sends it again as long as the instance answers pings. Each request was written and synced anew, so with syncs that take longer than 0.4 s no reply ever came in time, although all disks had the turn after the first one.

Change: a turn is in the table once it is on disk; it is not written again.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -693,6 +693,8 @@
 
     async def keep(self, kept: KeptTurn) -> None:
         """Stores a turn and returns when it is on disk, its use included."""
+        if kept.turn in self.table.held:
+            return
         for change in self._book([kept.use] if kept.use else []):
             self.journal.append_nowait(encode(change))
         segment = await self._append(kept)
--- a/tests/features/copies.feature
+++ b/tests/features/copies.feature
@@ -56,6 +56,14 @@
     When of each failure domain but that of "s0" the instance that should store a turn is killed
     Then a front end near "s0" keeps a turn at 2 instances
 
+  Scenario: Disks sync for longer than a request waits for its reply
+    Guards against a turn that is broken off at its deadline although all disks
+    have it, as each request for it waits for a sync of its own.
+
+    Given storage instances "a, b, c"
+    When each sync takes 600 ms, and requests wait no longer than they say
+    Then a front end near "a" keeps a turn before its deadline
+
   Scenario: An instance that is leaving is needed for a turn
     Guards against turns that are refused while a disk is there that passes them
     on before it goes.
--- a/tests/features/steps/copies.py
+++ b/tests/features/steps/copies.py
@@ -1,7 +1,9 @@
 """Steps about the number of disks that have a turn."""
 
 import asyncio
+import concurrent.futures
 import itertools
+from unittest import mock
 
 import msgspec
 from behave import then, when
@@ -13,7 +15,7 @@
 from rattanmill_forward.turns import Turn, TurnManager
 from rattanmill_keeper import KeptTurn
 from support.calls import make_call
-from support.keepers import run_in
+from support.keepers import LocalLink, run_in
 
 _RETENTION_SECONDS = 60.0
 _CUT_SECONDS = 0.3
@@ -311,3 +313,58 @@
         await start_decommission(context, network, second)
 
     run_in(context, request)
+
+
+class SlowDisk(concurrent.futures.Executor):
+    """Does one thing after the other, and takes a while for each."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.free_at = 0.0
+
+    def submit(self, work, /, *args):
+        """Returns a future of the work's outcome."""
+        loop = asyncio.get_running_loop()
+        future = concurrent.futures.Future()
+        self.free_at = max(self.free_at, loop.time()) + self.seconds
+        loop.call_at(self.free_at, lambda: future.set_result(work(*args)))
+        return future
+
+
+async def ask_in_time(link, message, seconds, ask=LocalLink.ask):
+    """Returns the reply, or None if it takes longer; the request goes on."""
+    request = asyncio.ensure_future(ask(link, message, seconds))
+    done, _ = await asyncio.wait([request], timeout=seconds)
+    return request.result() if done else None
+
+
+@when(
+    "each sync takes {milliseconds:d} ms, and requests wait no longer than they"
+    " say"
+)
+def step_slow_disks(context, milliseconds):
+    async def slow_down(n):
+        # What was written before is on disk by then.
+        await n.pass_time(0.01)
+        for keeper in n.keepers.values():
+            keeper.journal.executor = SlowDisk(milliseconds / 1000)
+
+    run_in(context, slow_down)
+    context.scenario_stack.enter_context(
+        mock.patch.object(LocalLink, "ask", ask_in_time)
+    )
+
+
+@then('a front end near "{name}" keeps a turn before its deadline')
+def step_keep_in_time(context, name):
+    async def keep(n):
+        front = n.front(name)
+        pings = asyncio.create_task(front.reach.ping_forever())
+        deadline = loop_seconds() + _DEADLINE_SECONDS
+        try:
+            return await front.turns.keep(new_turn(), deadline)
+        finally:
+            pings.cancel()
+
+    kept_by = run_in(context, keep)
+    assert kept_by.is_replicated, kept_by
