--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -88,7 +88,7 @@
             registration.is_lease_valid and registration.is_settled
         )
         keeper.openings.publish = registration.publish_informed
-        keeper.publish_succeeded = registration.publish_succeeded
+        keeper.succession.publish = registration.publish_succeeded
         registration.on_lapse = keeper.mark_possibly_excluded
         await stack.enter_async_context(registration)
         await stack.enter_async_context(Follower(keeper, members))
--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -235,7 +235,9 @@
 
     async def _has_recovered(self) -> bool:
         """Whether a successor would get all that was recorded here."""
-        return self.keeper.is_recovered or bool(self.keeper.appointed)
+        return self.keeper.is_recovered or bool(
+            self.keeper.succession.appointed
+        )
 
     async def appoint_successor(self) -> bool:
         """Has another instance hold all accounts in place of this one.
@@ -246,10 +248,10 @@
             Whether one does so, or nobody can.
         """
         keeper = self.keeper
-        if keeper.has_successor:
+        if keeper.succession.has_successor:
             return True
-        was_appointed = bool(keeper.appointed)
-        name = keeper.appointed or self._choose_successor()
+        was_appointed = bool(keeper.succession.appointed)
+        name = keeper.succession.appointed or self._choose_successor()
         member = self.members.known.get(name)
         if member is None:
             return self._is_nobody_left(name)
@@ -258,15 +260,15 @@
             self.declined.add(name)
             return False
         if not was_appointed:
-            await keeper.appoint(name)
+            await keeper.succession.appoint(name)
         reply = await self._ask_successor(member, run)
         if isinstance(reply, Unsure) and not was_appointed:
             # This one request was sent, and it was refused.
             self.declined.add(name)
-            await keeper.appoint("")
+            await keeper.succession.appoint("")
         if not isinstance(reply, Succeeded) or not reply.is_listed:
             return False
-        await keeper.learn_successors(dict.fromkeys(self._names(), name))
+        await keeper.succession.learn(dict.fromkeys(self._names(), name))
         return True
 
     def _is_nobody_left(self, name: str) -> bool:
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -241,7 +241,7 @@
             log_event("following_anew", keeper=member.name, run=news.run)
             progress.has_caught_up = False
         self.members.expect_revision(news.revision)
-        await self.keeper.learn_successors(news.successors)
+        await self.keeper.succession.learn(news.successors)
         changes = [
             change
             for home in news.homes
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -1,7 +1,6 @@
 """A storage instance: budget accounts and kept turns on its disk."""
 
 import asyncio
-import contextlib
 import pathlib
 import uuid
 from collections.abc import Awaitable, Callable, Sequence
@@ -104,6 +103,7 @@
     remove_marker,
     write_marker,
 )
+from rattanmill_keeper.succession import Succession
 from rattanmill_keeper.turns import (
     ChangeLog,
     HomeEntry,
@@ -115,12 +115,6 @@
 _PAGE_ENTRIES = 500
 _SWEEP_SECONDS = 1.0
 _FOLDER = "journal"
-# A slow store replies in 0.2 s.
-_PUBLISH_TIMEOUT_SECONDS = 1.0
-
-
-async def _list_nowhere(succeeded: tuple[str, ...]) -> bool:
-    return True
 
 
 class Keeper:
@@ -135,33 +129,7 @@
         is_decommissioning: Whether it is being decommissioned.
         is_closed: Whether it confirms no writes any more because the other
             instances already hold all of its data.
-        appointed: The instance that was asked to hold this one's accounts in
-            its place, and may do so; empty if none was.
-        saved_successors: ``Members.successors`` as on disk.
-        announced_predecessors: Instances whose accounts it holds for them, as
-            the store lists them.
-        publish_succeeded: Writes these to the registration and returns
-            whether the store holds them.
-        run: ID of this run of the process.
-        is_lease_valid: Returns whether the registration lease can't have
-            expired, so that the others still count this instance, and it counts
-            all others.
-        unsynced_peers: Instances that may have agreed to accounts without this
-            one and have not reported these accounts yet.
-        follower_positions: Position up to which each other instance has
-            followed this run, by name.
-        caught_up_at: Loop time at which this instance last held everything
-            that another instance had stored, by name; only of instances that
-            had recovered or were new.
-        alone_from: Unix time in seconds from which it may grant alone to
-            programs that it does not know.
-        is_new: Whether it never ran on another disk, with which grants could
-            have been lost.
-        crashes: Crashes reported by front ends.
-        loads: Loads of endpoints reported by front ends.
-        may_open: Checks whether an account may be opened here.
-        take_rate: Lends tokens of workspaces' rate limits.
-        openings: Accounts opened with the store.
+        succession: Predecessors and the successor of this instance.
 
     Args:
         name: Name of this instance.
@@ -208,11 +176,8 @@
         self.caught_up_at: dict[str, float] = {}
         self.is_decommissioning = False
         self.is_closed = False
-        self.appointed = ""
-        self.saved_successors: dict[str, str] = {}
-        self.announced_predecessors: tuple[str, ...] = ()
-        self.publish_succeeded: Callable[[tuple[str, ...]], Awaitable[bool]] = (
-            _list_nowhere
+        self.succession = Succession(
+            name, members, self.intake, self._write_roster
         )
         self.may_open = request_consent
         self.take_rate: Callable[[TakeRate], msgspec.Struct | Awaitable] = (
@@ -398,7 +363,7 @@
         return (
             self.is_recovered
             and not self.is_decommissioning
-            and not self.has_successor
+            and not self.succession.has_successor
             and wall_seconds() > self.alone_from
             and self.is_lease_valid()
             and not self.unsynced_peers & roster
@@ -487,7 +452,7 @@
             return found
         if not self.is_recovered:
             return Unsure("the instance has not recovered yet")
-        if self.is_decommissioning or self.has_successor:
+        if self.is_decommissioning or self.succession.has_successor:
             return Unsure("the instance is being decommissioned")
         if request.program in self.ledger.opening:
             return Unsure("the account is being opened")
@@ -718,7 +683,7 @@
 
     def _changes_for(self, request: Follow) -> News:
         self.members.record_seen(request.asker, request.asker_run)
-        self._note_successors()
+        self.succession.tell_followers()
         after = request.after if request.run == self.run else 0
         self.follower_positions[request.asker] = after
         entries = self.intake.since(after, _PAGE_ENTRIES)
@@ -808,17 +773,9 @@
         """Merges accounts from other holders and writes them to disk."""
         await self._append_all(self.merge(accounts))
 
-    @property
-    def has_successor(self) -> bool:
-        """Whether another instance holds the accounts of this one.
-
-        A new machine may have the name of one that was decommissioned.
-        """
-        return self.name in self.members.successors
-
     async def _succeed(self, request: Succeed) -> Succeeded | Unsure:
         """Takes the place of a holder that is being decommissioned."""
-        if not self._has_succeeded(request):
+        if not self.succession.includes(request.names):
             if not self._may_succeed(request):
                 return Unsure("unable to hold further accounts now")
             granted = GrantedChange(request.granted, request.granted_known_from)
@@ -830,57 +787,18 @@
                 return Unsure("unable to hold further accounts now")
         if not request.is_last:
             return Succeeded(self.run)
-        await self.learn_successors(dict.fromkeys(request.names, self.name))
-        return Succeeded(self.run, await self._announce_predecessors())
-
-    def _has_succeeded(self, request: Succeed) -> bool:
-        mine = self.members.predecessors(self.name)
-        return set(request.names).issubset(mine)
+        await self.succession.learn(dict.fromkeys(request.names, self.name))
+        return Succeeded(self.run, await self.succession.announce())
 
     def _may_succeed(self, request: Succeed) -> bool:
         """Whether it has, and keeps, all that it was sent before."""
         return (
             self.is_recovered
             and not self.is_decommissioning
-            and not self.has_successor
+            and not self.succession.has_successor
             and request.run in ("", self.run)
         )
 
-    async def learn_successors(self, successors: dict[str, str]) -> None:
-        """Records successors; returns once all that are known are on disk."""
-        for name, successor in successors.items():
-            self.members.learn_successor(name, successor)
-        self._note_successors()
-        known = dict(self.members.successors)
-        if known != self.saved_successors:
-            await self._append(self._roster())
-            self.saved_successors = known
-
-    def _note_successors(self) -> None:
-        """Lets followers learn the successors that the store listed."""
-        for name in self.members.successors:
-            if SuccessorEntry(name) not in self.intake.positions:
-                self.intake.add(SuccessorEntry(name))
-
-    async def appoint(self, name: str) -> None:
-        """Records, also on disk, who may hold this instance's accounts.
-
-        After a restart it must not record anything in its place.
-        """
-        self.appointed = name
-        await self._append(self._roster())
-
-    async def _announce_predecessors(self) -> bool:
-        """Returns whether the store lists whose accounts are held here."""
-        wanted = tuple(self.members.predecessors(self.name))
-        if wanted == self.announced_predecessors:
-            return True
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_PUBLISH_TIMEOUT_SECONDS):
-                if await self.publish_succeeded(wanted):
-                    self.announced_predecessors = wanted
-        return wanted == self.announced_predecessors
-
     def _restore(self) -> None:
         mark = read_marker(self.folder)
         if mark is not None:
@@ -913,7 +831,7 @@
         self.members.restore_seen(roster.seen, roster.informed_by)
         self.members.restore_contacts(roster.contacts)
         self.members.successors.update(roster.successors)
-        self.appointed = roster.appointed
+        self.succession.appointed = roster.appointed
         self.is_closed = bool(roster.appointed)
         self.members.restore_share_sizes(
             roster.one_turn_from, roster.share_sizes_from
@@ -947,11 +865,14 @@
             dict(members.informed_by),
             members.saved_contacts(),
             successors=dict(members.successors),
-            appointed=self.appointed,
+            appointed=self.succession.appointed,
             one_turn_from=dict(members.one_turn_from),
             share_sizes_from=members.share_sizes_from,
         )
 
+    async def _write_roster(self) -> None:
+        await self._append(self._roster())
+
     def _record_roster(self) -> None:
         """Writes the roster to the journal, to be read after a restart."""
         roster = (
@@ -970,7 +891,7 @@
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             self.sweep()
-            await self._announce_predecessors()
+            await self.succession.announce()
             await self.mirrors.close_unused()
             await self.openings.withdraw(self._positions_followed())
 
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -88,7 +88,7 @@
         informed_by: As in ``Members``.
         contacts: As in ``Members``, with Unix times in seconds.
         successors: As in ``Members``.
-        appointed: As in ``Keeper``.
+        appointed: As in ``Succession``.
         one_turn_from: As in ``Members``.
         share_sizes_from: As in ``Members``; infinite from an earlier version.
     """
--- a/tests/features/steps/succession.py
+++ b/tests/features/steps/succession.py
@@ -156,7 +156,9 @@
             await asyncio.wait_for(decommission(n, name), _ORDER_SECONDS)
             raise AssertionError("it does not wait for the store")
         n.kv.is_unavailable = False
-        assert n.keepers[name].appointed == successor, n.keepers[name].appointed
+        assert n.keepers[name].succession.appointed == successor, n.keepers[
+            name
+        ].succession.appointed
 
     network(context, ask)
 
@@ -286,7 +288,7 @@
 async def _use_at_one(context, n: Network, is_broken: bool) -> int:
     """One instance is in two places, and loses its disk."""
     await _order(n, "a")
-    successor = n.keepers["a"].appointed
+    successor = n.keepers["a"].succession.appointed
     other = "c" if successor == "b" else "b"
     await _remove(n, "a")
     await n.kill(other)
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -253,7 +253,7 @@
             _make_earlier(keeper)
         keeper.journal.executor = self.new_disk()
         keeper.openings.publish = functools.partial(self.publish, name)
-        keeper.publish_succeeded = functools.partial(
+        keeper.succession.publish = functools.partial(
             self.publish_succeeded, name
         )
         await keeper.__aenter__()
