--- a/tests/support/orders.py
+++ b/tests/support/orders.py
@@ -9,7 +9,7 @@
 from rattanmill_keeper import KeeperClient, Member, Reserve, Reserved
 from rattanmill_keeper.emptying import Decommission, DecommissionKeys
 from support.keepers import Network
-from support.stories import BUDGET, NAMES, TOKENS, OperationRunner
+from support.stories import BUDGET, NAMES, TOKENS, Granted, OperationRunner
 
 KEYS = DecommissionKeys("orders/", "status/", b"running", b"completed")
 # Instances that are replaced in one sequence.
@@ -105,7 +105,7 @@
         request = Reserve("p", attempt, TOKENS, BUDGET)
         if isinstance(await front.budgets.reserve(request), Reserved):
             self.used["p"] = self.used.get("p", 0) + TOKENS
-            self.granted.append(("p", attempt))
+            self.granted.append(Granted("p", attempt, TOKENS))
 
     async def isolate(self, name: str) -> None:
         """Partitions what is in a place from everything else."""
--- a/tests/support/stories.py
+++ b/tests/support/stories.py
@@ -6,6 +6,7 @@
 import tempfile
 from collections.abc import Callable
 
+import msgspec
 from hypothesis import strategies as st
 
 from rattanmill_core import wall_seconds
@@ -82,11 +83,30 @@
 )
 
 
+class Granted(msgspec.Struct, frozen=True):
+    """A reservation that was granted.
+
+    Attributes:
+        program: Program id.
+        attempt: Attempt id.
+        tokens: Tokens that it reserved.
+    """
+
+    program: str
+    attempt: str
+    tokens: int
+
+    @property
+    def used(self) -> int:
+        """Tokens that the turn uses: half of what it reserved."""
+        return self.tokens // 2
+
+
 class OperationRunner:
     """Runs a sequence of operations and counts the tokens of programs.
 
     Attributes:
-        granted: Program and attempt of each reservation not yet settled.
+        granted: Each reservation that was not settled yet.
         used: Tokens that each program may have used: the maximum of granted
             reservations, or the settled use once they have ended.
         budget: Budget of each program, in tokens.
@@ -99,7 +119,7 @@
         self.network = network
         self.budget = budget
         self.tokens = tokens
-        self.granted: list[tuple[str, str]] = []
+        self.granted: list[Granted] = []
         self.used: dict[str, int] = {}
         self.attempts = 0
 
@@ -120,7 +140,7 @@
         )
         if isinstance(reply, Reserved):
             self.used[program] = self.used.get(program, 0) + self.tokens
-            self.granted.append((program, attempt))
+            self.granted.append(Granted(program, attempt, self.tokens))
 
     async def reserve_small(self, name: str) -> None:
         """Reserves for a turn of half the size."""
@@ -154,9 +174,9 @@
         """Settles a turn with half of its reserved tokens."""
         if number >= len(self.granted):
             return
-        program, attempt = self.granted.pop(number)
-        self.network.settle(program, attempt, self.tokens // 2)
-        self.used[program] -= self.tokens // 2
+        turn = self.granted.pop(number)
+        self.network.settle(turn.program, turn.attempt, turn.used)
+        self.used[turn.program] -= turn.tokens - turn.used
 
     async def keep(self, number: int) -> None:
         """Keeps a turn with its use, half of its reserved tokens.
@@ -165,14 +185,14 @@
         """
         if number >= len(self.granted):
             return
-        program, attempt = self.granted.pop(number)
-        front = self.network.fronts[attempt]
-        use = front.budgets.use_of(program, attempt, TOKENS // 2)
+        turn = self.granted.pop(number)
+        front = self.network.fronts[turn.attempt]
+        use = front.budgets.use_of(turn.program, turn.attempt, turn.used)
         expires = wall_seconds() + _RETENTION_SECONDS
         await front.turns.keep(
-            KeptTurn(attempt, "", b"text", expires, program, use)
+            KeptTurn(turn.attempt, "", b"text", expires, turn.program, use)
         )
-        self.used[program] -= TOKENS // 2
+        self.used[turn.program] -= turn.tokens - turn.used
 
     async def isolate(self, name: str) -> None:
         """Partitions one instance from the others."""
