Count what predecessors granted alone with a successor that lost its disk

What callers could get: 240 tokens of 220 allowed.

Cause: what a decommissioned instance had granted alone is on the disk of its successor only, and only the successor itself counted as one that can't tell.

Change: its predecessors count with it.

Test: succession.feature, "A successor loses its disk, with what its predecessor had granted", failed before (240) and passes; succession 24 and alone 44 pass.

--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -250,6 +250,8 @@
     if ledger.may_have_lost_share():
         unseen.add(ledger.name)
     unseen |= members.left_out_sharers()
+    # Only a successor could tell what its predecessors had granted.
+    unseen.update(*map(members.predecessors, list(unseen)))
     return Consent(
         frozenset(missing),
         frozenset(having),
--- a/tests/features/steps/succession.py
+++ b/tests/features/steps/succession.py
@@ -341,3 +341,25 @@
 @then("the program has used more than its budget and one turn")
 def step_bound_broken(context):
     assert context.used_tokens > MAX_TOKENS, context.used_tokens
+
+
+_TWO_BEGAN = [
+    *[("wait", 4), ("isolate", "a"), ("isolate", "b"), ("isolate", "c")],
+    *[("wait", 1), ("reserve", "a"), ("reserve", "b"), ("heal", "a")],
+    *[("wait", 4), ("order_without_new", "a"), ("wait", 4)],
+]
+_SUCCESSOR_LOST = [("wipe", "b"), ("wait", 4), *[("reserve", "c")] * 10]
+
+
+@when(
+    "two instances begin a program alone, and one succeeds the other and loses"
+    " its disk"
+)
+def step_successor_lost(context):
+    operations = [*_TWO_BEGAN, *_SUCCESSOR_LOST]
+    context.used = run_virtually(_run_orders(operations))
+
+
+@then("the program got at most its budget and one turn")
+def step_bounded(context):
+    assert 2 * TOKENS <= context.used["p"] <= MAX_TOKENS, context.used
--- a/tests/features/succession.feature
+++ b/tests/features/succession.feature
@@ -159,6 +159,12 @@
       | c       | 3     |
       | nobody  | 4     |
 
+  Scenario: A successor loses its disk, with what its predecessor had granted
+    Guards against tokens that are granted twice: only the successor could tell.
+
+    When two instances begin a program alone, and one succeeds the other and loses its disk
+    Then the program got at most its budget and one turn
+
   Scenario: Two instances began a program alone, and one of them is replaced
     Guards against tokens that are granted twice, since nobody else knows of
     them when the account is opened; and against a part that stays set aside.
--- a/tests/support/orders.py
+++ b/tests/support/orders.py
@@ -171,6 +171,12 @@
         self._begin_order(old)
         await network.pass_time(_ORDER_SECONDS)
 
+    async def order_without_new(self, name: str) -> None:
+        """Orders that an instance is emptied, and starts no new one."""
+        self.ordered[name] = name
+        self._begin_order(name)
+        await self.network.pass_time(_ORDER_SECONDS)
+
     def _begin_order(self, name: str) -> None:
         network = self.network
         is_running = name in network.keepers and name not in self.tasks
