--- a/tests/features/steps/succession.py
+++ b/tests/features/steps/succession.py
@@ -363,3 +363,40 @@
 @then("the program got at most its budget and one turn")
 def step_bounded(context):
     assert 2 * TOKENS <= context.used["p"] <= MAX_TOKENS, context.used
+
+
+@when("two of three instances are replaced by ones of the same names")
+def step_same_names(context):
+    async def replace(n):
+        for name in ("a", "b"):
+            await _order(n, name)
+            await _remove(n, name)
+            await _join(n, name, name)
+
+    network(context, replace)
+
+
+@when("a program uses its budget, and the third one loses its disk")
+def step_use_and_lose(context):
+    async def use(n):
+        front = n.front("a")
+        used = await _use_all(front, "before")
+        await n.wipe("c")
+        await n.start("c")
+        n.list_as(n.member("c"))
+        for name in list(n.keepers) * 2:
+            await n.follow(name)
+        return used + await _use_all(front, "after")
+
+    context.used = {"p": network(context, use)}
+
+
+async def _use_all(front, when):
+    """Returns the tokens that a program gets until it is refused."""
+    replies = [
+        await front.budgets.reserve(
+            Reserve("p", f"{when}-{number}", TOKENS, BUDGET)
+        )
+        for number in range(BUDGET // TOKENS + 2)
+    ]
+    return TOKENS * sum(isinstance(reply, Reserved) for reply in replies)
--- a/tests/features/succession.feature
+++ b/tests/features/succession.feature
@@ -197,3 +197,12 @@
       | a successor that lacks what the old instance held | with    | more    |
       | an instance that counts for each place it has     | without | no more |
       | an instance that counts for each place it has     | with    | more    |
+
+  Scenario: Two machines have the names of those that they replaced, and a disk is lost
+    Guards against an account with one holder: others with a name that has a
+    successor are none.
+
+    Given storage instances "a, b, c"
+    When two of three instances are replaced by ones of the same names
+    And a program uses its budget, and the third one loses its disk
+    Then the program got at most its budget and one turn
