Read-through: the attributes of a storage instance described again

The split of its succession had taken the descriptions of 12 attributes along. No change of behaviour.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -245,7 +245,7 @@
         Once one was asked to, no other one is: it may do so without a reply.
 
         Returns:
-            Whether one does so, or nobody can.
+            Whether one does so, or none can.
         """
         keeper = self.keeper
         if keeper.succession.has_successor:
@@ -254,7 +254,7 @@
         name = keeper.succession.appointed or self._choose_successor()
         member = self.members.known.get(name)
         if member is None:
-            return self._is_nobody_left(name)
+            return self._has_no_candidate(name)
         run = await self._send_all(member)
         if run is None:
             self.declined.add(name)
@@ -271,8 +271,8 @@
         await keeper.succession.learn(dict.fromkeys(self._names(), name))
         return True
 
-    def _is_nobody_left(self, name: str) -> bool:
-        """Whether there is nobody who could hold the accounts."""
+    def _has_no_candidate(self, name: str) -> bool:
+        """Whether no instance is left that could hold the accounts."""
         if not name and self.declined:
             self.declined.clear()
             return False
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -275,8 +275,8 @@
 ) -> frozenset[str]:
     """Returns who granted at most one turn alone, as far as it is certain.
 
-    Of those that consented and have granted, what they granted counts. Of
-    others, what they may have: someone must know, and nobody may object.
+    Of those that consented and have granted, what they granted counts. Of the
+    others one instance at least must know it, and none may tell otherwise.
     """
     told = [members.one_turn(), *(reply.one_turn for reply in agreed.values())]
     known = set().union(*told)
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -129,6 +129,26 @@
         is_decommissioning: Whether it is being decommissioned.
         is_closed: Whether it confirms no writes any more because the other
             instances already hold all of its data.
+        run: ID of this run of the process.
+        is_lease_valid: Returns whether the registration lease can't have
+            expired, so that the others still count this instance, and it counts
+            all others.
+        unsynced_peers: Instances that may have agreed to accounts without this
+            one and have not reported these accounts yet.
+        follower_positions: Position up to which each other instance has
+            followed this run, by name.
+        caught_up_at: Loop time at which this instance last held everything
+            that another instance had stored, by name; only of instances that
+            had recovered or were new.
+        alone_from: Unix time in seconds from which it may grant alone to
+            programs that it does not know.
+        is_new: Whether it never ran on another disk, with which grants could
+            have been lost.
+        crashes: Crashes reported by front ends.
+        loads: Loads of endpoints reported by front ends.
+        may_open: Checks whether an account may be opened here.
+        take_rate: Lends tokens of workspaces' rate limits.
+        openings: Accounts opened with the store.
         succession: Predecessors and the successor of this instance.
 
     Args:
@@ -810,7 +830,7 @@
         undecodable = 0
         roster = RosterChange({})
         if self.first_start:
-            # Nobody ran before, so nobody ran an earlier version.
+            # No earlier run, so none of an earlier version.
             self.members.share_sizes_from = 0.0
         for stored in self.journal.read():
             record = decode(stored.data)
