--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -18,6 +18,22 @@
       | answers to another request     | messages |
       | an answer to another request   | bytes    |
 
+  Scenario Outline: Lines without end in an answer
+    Guards against a front end that collects what is neither head nor body.
+
+    When an endpoint sends <lines> without end within its answer
+    Then the answer is broken off, and its connection closed
+    And fewer than 400 KB were parsed
+
+    Examples:
+      | lines            |
+      | one status line  |
+      | one header line  |
+      | header lines     |
+      | one chunk's size |
+      | chunk extensions |
+      | trailers         |
+
   Scenario: Interim responses and a late answer before the answer
     When an endpoint sends 3 interim responses and a foreign one, then the answer
     Then the call is answered whole
--- a/tests/features/steps/endless.py
+++ b/tests/features/steps/endless.py
@@ -1,15 +1,21 @@
 """Steps about endpoints that send more than an answer may have."""
 
 import asyncio
+import contextlib
 import itertools
 import random
+from unittest import mock
 
 from behave import then, when
 
 from rattanmill_core import Metrics
 from rattanmill_forward import events
 from rattanmill_forward.calls import HttpCodec, ResponseHead
-from rattanmill_forward.connection import BrokenError, ExcessError
+from rattanmill_forward.connection import (
+    BrokenError,
+    Connection,
+    ExcessError,
+)
 from rattanmill_forward.endpoints import Endpoint
 from rattanmill_forward.exchange import ConnectionPool, OutcomeUnknown
 from rattanmill_forward.joining import StreamJoiner
@@ -34,6 +40,15 @@
     ),
     "an answer to another request": (_FOREIGN + b"\r\n", b"no answer "),
 }
+_CHUNKED = _OWN + b"Transfer-Encoding: chunked\r\n\r\n"
+_LINES = {
+    "one status line": (b"HTTP/1.1 200 ", b"x"),
+    "one header line": (b"HTTP/1.1 200 X\r\nx-more: ", b"x"),
+    "header lines": (b"HTTP/1.1 200 X\r\n", b"x-more: 1\r\n"),
+    "one chunk's size": (_CHUNKED, b"0"),
+    "chunk extensions": (_CHUNKED + b"1", b";x=1"),
+    "trailers": (_CHUNKED + b"1\r\na\r\n0\r\n", b"x-more: 1\r\n"),
+}
 _NO_EVENTS = {
     "an event that never ends": b"data: more\n",
     "comments": b": wait\n\n",
@@ -138,27 +153,49 @@
 
 @when("an endpoint sends {what} without end in place of an answer")
 def step_before_answer(context, what):
-    parsed = []
-
     async def use(exchange, response):
         await exchange.is_closed.wait()
         context.metrics = exchange.metrics
         return response
 
-    count = ConnectionPool._drop
+    with _counting_parsed() as parsed:
+        context.response = play(*_BEFORE_ANSWER[what], use)
+    context.byte_count = sum(parsed)
 
-    def drop(pool, connection):
-        parsed.append(connection.received_bytes)
-        count(pool, connection)
 
-    ConnectionPool._drop = drop
-    try:
-        context.response = play(*_BEFORE_ANSWER[what], use)
-    finally:
-        ConnectionPool._drop = count
+@when("an endpoint sends {lines} without end within its answer")
+def step_within_answer(context, lines):
+    async def use(exchange, response):
+        if not isinstance(response, OutcomeUnknown):
+            try:
+                with response:
+                    async for _ in response.chunks():
+                        pass
+            except BrokenError as error:
+                response = OutcomeUnknown(str(error))
+        await exchange.is_closed.wait()
+        return response
+
+    with _counting_parsed() as parsed:
+        context.response = play(*_LINES[lines], use)
     context.byte_count = sum(parsed)
 
 
+@contextlib.contextmanager
+def _counting_parsed():
+    """Yields a list that gets the bytes parsed of each closed connection."""
+    parsed = []
+    abort = Connection.abort
+
+    def count(connection):
+        parsed.append(connection.received_bytes)
+        abort(connection)
+
+    with mock.patch.object(Connection, "abort", count):
+        yield parsed
+
+
+@then("the answer is broken off, and its connection closed")
 @then("the call is given up, and may have run")
 def step_given_up(context):
     assert isinstance(context.response, OutcomeUnknown), context.response
