review: prompts with a part of their own go on crashing runners, too

Case 5: the script can also send the request as a prompt whose last part has another id each time (OWN_PART=1).

Cause: the fingerprint by which crashes are counted holds the ids of all parts.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -28,6 +28,8 @@
 # Longer than what a front end buffers of such a body, and far below
 # max_body_bytes. The smaller size, for comparison, is below both.
 _BODY_BYTES = int(os.environ.get("BODY_BYTES", "200000"))
+# Whether it comes as a prompt, with a last part of its own each time.
+_IS_PROMPT = os.environ.get("OWN_PART", "") == "1"
 _ATTEMPTS = 30
 _PAUSE_SECONDS = 1.5
 # "The runner is back after some seconds."
@@ -100,10 +102,14 @@
     # A caller sends what it has read of its own input.
     first = random.randint(len(body) * 2 // 5, len(body) * 3 // 5)
     request = site.new_request_id()
+    path, prompt = "/pay/order", ""
+    if _IS_PROMPT:
+        path = "/stream/order"
+        prompt = f"X-Prompt-Prefix: 5c1e07a2:800,{request[-8:]}:250\r\n"
     reader, writer = await asyncio.open_connection(*site.front(front))
     writer.write(
         (
-            f"POST /pay/order HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{prompt}"
             f"X-Request-Id: {request}\r\nX-Deadline-Ms: 2500\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         ).encode()
@@ -125,7 +131,7 @@
 def check(record: Record) -> int:
     """Plays the case; counts the retries that reach a runner."""
     site = Deployment(record)
-    site.routes = [route("pay", "non_idempotent")]
+    site.routes = [route("pay", "non_idempotent"), route("stream", "stream")]
     site.services = [{"name": "desk"}]
     sent_at: dict[str, float] = {}
     with site:
