review: a program gets its budget twice after machines kept their names

Tried: two of three storage instances are emptied and replaced under their names, programs use their budgets up, and the third one loses its disk.

Cause: a name that has a successor holds no account, so accounts have a single holder, and open again, empty, when its disk is gone.

--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -1,6 +1,7 @@
 """A small deployment of real processes on loopback addresses."""
 
 import asyncio
+import base64
 import contextlib
 import http.client
 import itertools
@@ -78,6 +79,7 @@
         bounds: Bounds in the settings files.
         processes: Running processes by name.
         lost_disks: Disks that may be lost at once.
+        generations: How often each machine was replaced, by name.
 
     Args:
         record: Gets what happens to processes.
@@ -98,6 +100,7 @@
         self.lost_disks = 1
         self.processes: dict[str, subprocess.Popen] = {}
         self.request_numbers = itertools.count(1)
+        self.generations: dict[str, int] = {}
 
     def __enter__(self) -> Self:
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
@@ -145,7 +148,7 @@
             "bootstrap": "true" if is_first else "false",
             "fault_tolerance.machines": str(self.lost_disks),
             "fault_tolerance.zones": "1",
-            "data_dir": str(pathlib.Path(self.folder.name, "data", name)),
+            "data_dir": str(self.data(name)),
             **{f"bounds.{k}": v for k, v in self.bounds.items()},
         }
         file = pathlib.Path(self.folder.name, f"{name}.conf")
@@ -153,6 +156,54 @@
         command = [_PYTHON, "platform/main.py", role]
         self.start_process(name, command, RATTANMILL_NODE_FILE=str(file))
 
+    def data(self, name: str) -> pathlib.Path:
+        """Returns the folder that stands for a machine's disk."""
+        return pathlib.Path(self.folder.name, "data", name)
+
+    def lose_disk(self, domain: str) -> None:
+        """Ends a storage instance along with its disk."""
+        name = f"storage-{domain}"
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+        shutil.rmtree(self.data(name))
+        self.record.note(f"the disk of {name} is lost")
+
+    def replace_storage(self, domain: str, order_seconds: float) -> None:
+        """Has a storage machine emptied, and puts one of its name there.
+
+        The new one has another address and an empty disk.
+        """
+        name = f"storage-{domain}"
+        order = json.dumps({"duration_s": order_seconds}).encode()
+        self.put(f"op/retire/{name}", order)
+        self.record.note(f"{name} is to be emptied")
+        _wait(
+            lambda: b"completed" in self.read(f"status/retire/{name}"),
+            f"{name} is emptied",
+        )
+        self.record.note(f"{name} reports that it is emptied; it is removed")
+        self.lose_disk(domain)
+        self.remove(f"op/retire/{name}")
+        self.generations[name] = self.generations.get(name, 0) + 1
+        self.start("storage", domain)
+        self.record.note(
+            f"a new {name} starts at {self.host('storage', domain)}"
+        )
+
+    def read(self, key: str) -> bytes:
+        """Returns the value of a key of the store, or nothing."""
+        connection = http.client.HTTPConnection(self.store, timeout=5)
+        path = f"/v1/kv-key?key={urllib.parse.quote(key, safe='')}"
+        try:
+            connection.request("GET", path)
+            reply = connection.getresponse()
+            body = reply.read()
+        finally:
+            connection.close()
+        if reply.status != 200:
+            return b""
+        return base64.b64decode(json.loads(body)["value"])
+
     def start_process(
         self, name: str, command: list[str], **variables: str
     ) -> None:
@@ -179,6 +230,7 @@
     def host(self, role: str, domain: str) -> str:
         """Returns the IP address of a process."""
         last = {"front": 1, "storage": 2}[role]
+        last += 2 * self.generations.get(f"{role}-{domain}", 0)
         return f"127.{self.number}.{DOMAINS.index(domain) + 1}.{last}"
 
     def front(self, domain: str) -> tuple[str, int]:
@@ -303,7 +355,7 @@
     for _ in range(50):
         first = random.randint(20_000, 29_000)
         ports = [*range(first, first + _PORTS_NEEDED), _METRICS_PORT]
-        hosts = [f"127.{number}.{n}.{m}" for n in (0, 1, 2, 3) for m in (1, 2)]
+        hosts = [f"127.{number}.{n}.{m}" for n in range(4) for m in (1, 2, 4)]
         with contextlib.ExitStack() as stack:
             try:
                 for port, host in itertools.product(ports, hosts):
