--- a/review/5/run.py
+++ b/review/5/run.py
@@ -32,6 +32,7 @@
 _CALM_SECONDS = 21.0
 _TRIES = 6
 _MAX_TURNS = 12
+_AIM_SECONDS = 80.0
 
 
 class Program:
@@ -53,6 +54,7 @@
         self.turns: list[str] = []
         self.refused = 0
         self.is_spent = False
+        self.began = time.monotonic()
 
     async def run(self) -> None:
         """Sends turns until the budget is spent or the tries are used up."""
@@ -69,6 +71,8 @@
         previous = ""
         if self.turns:
             previous = f"X-Previous-Turn: {self.turns[-1]}\r\n"
+        left = self.began + _AIM_SECONDS - time.monotonic()
+        own_part = self.name.encode().hex()
         reader, writer = await asyncio.open_connection(
             *self.site.front(self.front)
         )
@@ -77,7 +81,9 @@
                 f"POST /stream/turn HTTP/1.1\r\nHost: {HOST}\r\n{previous}"
                 f"X-Request-Id: {request}\r\nX-Deadline-Ms: 3900\r\n"
                 f"X-Program-Id: {self.name}\r\nX-Session-Id: {self.name}\r\n"
-                "X-Finish-Ms: 80000\r\n"
+                f"X-Finish-Ms: {left * 1000:.0f}\r\n"
+                "X-Model: m\r\n"
+                f"X-Prompt-Prefix: 5c1e07a2:60,{own_part}:40\r\n"
                 f"X-Token-Budget: {_BUDGET}\r\n"
                 f"X-Token-Usage: 100,{_TURN_TOKENS}\r\n"
                 "Connection: close\r\nContent-Length: 5\r\n\r\nwords"
