--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the cases 4 to 8 start: those of the second review
+# Builds the stand-ins that the cases 4 to 7 start: those of the second review
 # and the project's own. They use the libraries that the build of the deploy
 # file puts into target/deps; run that first.
 set -e
--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -88,8 +88,7 @@
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.number = random.randint(20, 250)
-        self.port = _free_ports(self.number)
+        self.number, self.port = _free_addresses()
         self.folder = tempfile.TemporaryDirectory()
         self.store = f"127.{self.number}.0.1:{self.port}"
         self.bounds = dict(BOUNDS)
@@ -325,9 +324,10 @@
         time.sleep(0.05)
 
 
-def _free_ports(number: int) -> int:
-    """Returns the first of some ports that nobody uses."""
+def _free_addresses() -> tuple[int, int]:
+    """Returns NUMBER and the first of some ports that nobody uses there."""
     for _ in range(50):
+        number = random.randint(20, 250)
         first = random.randint(20_000, 29_000)
         ports = [*range(first, first + _PORTS_NEEDED), _METRICS_PORT]
         hosts = [f"127.{number}.{n}.{m}" for n in range(4) for m in (1, 2)]
@@ -338,8 +338,8 @@
                     probe.bind((host, port))
             except OSError:
                 continue
-            return first
-    raise OSError("no free ports")
+            return number, first
+    raise OSError("no free addresses")
 
 
 def run_case(check: Callable[[Record], int]) -> None:
