Hold off granting alone after another instance may have granted alone

What callers saw: all storage instances of a small system stop, one is back without its disk, and 20 s later another one loses its disk.

Cause: nobody knows, without a doubt, that the second instance can't have granted to the program alone, so a part is set aside for both, and what either granted is lost with its disk. The evidence is account_opened: sharers are both, lost_seconds lacks the first one, as the time at which one was last heard is not kept over a restart unless it had been silent. But the time is only one of the ways to that doubt. Made-up sequences of stops, kills and lost disks, one after the other, found others in which all times were known: three disks in a row, and an instance that has only followed others without their disks.

Ruled out: the store's arbitration and the holders (they agree on the account), and GiveBack, which refuses rightly.

Change: an instance that knows of another one that may have granted alone what nobody knows (it lost its disk, it has begun programs, its registration lapsed, or it was never heard since the start) begins no programs alone for 130 s, on disk first, and tells so in its replies, as a new machine does already. If it is lost then, nothing is set aside for it. The hold-off ends once it has followed all others again, since they open accounts without it meanwhile. After a lost disk it learns from the others that it has lost no grants, and which instances grant one turn at most. It costs little: such an instance did not begin programs before either while one without its disk was heard.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -237,6 +237,9 @@
             self.members.record_missed(member.name)
             return False
         self.members.record_contact(member, began, news)
+        self.members.learn_one_turn(news.one_turn)
+        if news.has_lost_nothing:
+            self.keeper.note_nothing_lost()
         if news.run != progress.run:
             log_event("following_anew", keeper=member.name, run=news.run)
             progress.has_caught_up = False
--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -28,6 +28,8 @@
 _AT_ONCE_SECONDS = 3.0
 # A member that was silent for longer is not only late.
 _SILENT_SECONDS = 3.0
+# After a start, an instance that has not been heard by then is lost.
+_SETTLED_SECONDS = 10.0
 
 
 class Loss(msgspec.Struct, frozen=True, array_like=True):
@@ -190,6 +192,12 @@
             lost_run_noticed_at=shift(self.lost_run_noticed_at),
         )
 
+    def may_have_begun(self) -> bool:
+        """Whether it may have begun programs alone before it was heard last."""
+        if self.may_have_lost_share:
+            return not self.was_unable
+        return self.has_begun
+
 
 def _later(at: float, other_at: float | None) -> float:
     return at if other_at is None else max(at, other_at)
@@ -223,8 +231,7 @@
     first_at = min(contact.heard_at for contact in known)
     if first_at < able_since + _AT_ONCE_SECONDS:
         return False
-    domains = {contact.domain for contact in known}
-    if len(domains) == 1 and None not in domains:
+    if are_in_one_domain(contacts):
         return True
     able = [contact for contact in known if not contact.is_unable(now)]
     if any(contact.may_have_lost_share for contact in able):
@@ -236,6 +243,41 @@
     return noticed_at - first_at <= _AT_ONCE_SECONDS
 
 
+def are_in_one_domain(contacts: Iterable[Contact | None]) -> bool:
+    """Whether all of these instances are in one failure domain, as known."""
+    domains = {contact.domain if contact else None for contact in contacts}
+    return len(domains) == 1 and None not in domains
+
+
+def list_beginners(
+    contacts: dict[str, Contact | None],
+    lapsed: set[str],
+    running_seconds: float,
+) -> list[str]:
+    """Returns which others may have begun programs alone that still go on.
+
+    None if all of them are in one failure domain, see ``may_begin``. One that
+    was lost a moment ago is not among them: it may have lost all others at
+    once, and so may this instance.
+
+    Args:
+        contacts: Contact with each other instance that may exist, by name.
+        lapsed: Those whose registration has expired.
+        running_seconds: Since when this process has been running. It hears
+            others only a moment later.
+    """
+    if are_in_one_domain(contacts.values()):
+        return []
+    is_settled = running_seconds > _SETTLED_SECONDS
+    return sorted(
+        name
+        for name, contact in contacts.items()
+        if name in lapsed
+        or (contact is not None and contact.may_have_begun())
+        or (is_settled and (contact is None or contact.heard_at is None))
+    )
+
+
 def merge_losses(told: Iterable[dict[str, Loss] | None]) -> dict[str, Loss]:
     """Returns when each instance was lost by all that tell, by name.
 
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -16,6 +16,7 @@
     wall_seconds,
 )
 from rattanmill_keeper.crashes import CrashLog
+from rattanmill_keeper.holdoff import HoldOff
 from rattanmill_keeper.homes import (
     Consent,
     NeedsArbitration,
@@ -101,6 +102,7 @@
     encode,
     read_marker,
     remove_marker,
+    replace_marker,
     write_marker,
 )
 from rattanmill_keeper.succession import Succession
@@ -144,6 +146,10 @@
             programs that it does not know.
         is_new: Whether it never ran on another disk, with which grants could
             have been lost.
+        hold_off: Keeps it from beginning programs alone after another instance
+            may have done so.
+        has_lost_nothing: Whether another instance knows that nothing was
+            granted alone on the disk that was lost.
         crashes: Crashes reported by front ends.
         loads: Loads of endpoints reported by front ends.
         may_open: Checks whether an account may be opened here.
@@ -190,6 +196,8 @@
         # Grants made alone may have been lost with the previous disk.
         self.alone_from = 0.0 if first_start else float("inf")
         self.is_new = first_start
+        self.hold_off = HoldOff()
+        self.has_lost_nothing = False
         self.is_lease_valid: Callable[[], bool] = lambda: True
         self.unsynced_peers: set[str] = set()
         self.follower_positions: dict[str, int] = {}
@@ -237,13 +245,30 @@
             now = wall_seconds()
             self.alone_from = now + ACCOUNT_TTL_SECONDS
             self.is_new = is_new
-            if not is_new and self._is_small_system():
+            may_have_lost = not is_new and not self.has_lost_nothing
+            if may_have_lost and self._is_small_system():
                 self.ledger.shares_lost_until = now + TURN_HOLDER_SECONDS
         self.is_recovered = True
-        marker = CompletionMarker(
+        write_marker(self.folder, self._marker())
+
+    def _marker(self) -> CompletionMarker:
+        return CompletionMarker(
             self.alone_from, self.ledger.shares_lost_until, self.is_new
         )
-        write_marker(self.folder, marker)
+
+    def note_nothing_lost(self) -> None:
+        """Records that nothing was granted alone on the disk that was lost.
+
+        What was granted to programs whose accounts were open by then may still
+        be lost, so nothing of their budgets is given back.
+        """
+        if self.has_lost_nothing:
+            return
+        self.has_lost_nothing = True
+        log_event("nothing_lost", whole=self.is_recovered)
+        if self.ledger.may_have_lost_share():
+            self.ledger.shares_lost_until = 0.0
+            replace_marker(self.folder, self._marker())
 
     def _is_small_system(self) -> bool:
         """Whether an instance of this system may have granted alone before."""
@@ -364,6 +389,7 @@
         return (
             self.may_create_share()
             and self.members.are_others_unresponsive(self.name)
+            and not self.hold_off.is_on
             and may_begin(
                 [self.members.contacts.get(name) for name in others],
                 loop_seconds() + self.alone_from - wall_seconds(),
@@ -372,7 +398,30 @@
         )
 
     def _alone_after_seconds(self) -> float:
-        return max(0.0, self.alone_from - wall_seconds())
+        """Returns for how long it begins no programs, and none of it goes on.
+
+        What it has begun before may go on, hold-off or not.
+        """
+        held_off = 0.0 if self._has_begun() else self.hold_off.told_seconds()
+        return max(0.0, self.alone_from - wall_seconds(), held_off)
+
+    def _has_begun(self) -> bool:
+        """Whether it has begun programs alone that may still go on."""
+        return wall_seconds() < self.ledger.begun_used_at + SHARES_SECONDS
+
+    async def _update_hold_off(self) -> None:
+        """Holds off, on disk first, while others may have granted alone."""
+        names = self.members.beginners(self.name)
+        if names and self._is_small_system():
+            self.hold_off.renew(names)
+        else:
+            others = self.members.others(self.name)
+            self.hold_off.end(
+                self.caught_up_at.get(name, float("-inf")) for name in others
+            )
+        if self.hold_off.is_on and not self.hold_off.is_saved:
+            await self._write_roster()
+            self.hold_off.is_saved = True
 
     def may_create_share(self) -> bool:
         """Whether it may grant alone to programs that it does not know.
@@ -748,11 +797,19 @@
             self.members.is_first_run(request.asker, request.asker_run),
             not self.is_recovered or self.ledger.may_have_lost_share(),
             self._alone_after_seconds(),
-            wall_seconds() < self.ledger.begun_used_at + SHARES_SECONDS,
+            self._has_begun(),
             uses,
             successors,
+            self._granting_one_turn(),
+            self.members.has_lost_nothing(request.asker),
         )
 
+    def _granting_one_turn(self) -> list[str]:
+        """Returns instances that grant one turn alone, if any grants so."""
+        if not self._is_small_system():
+            return []
+        return [n for n, is_one in self.members.one_turn().items() if is_one]
+
     def _must_tell(self, use: TurnUse | None, asker: set[str]) -> bool:
         """Whether a holder may learn only from here what a turn has used.
 
@@ -853,6 +910,8 @@
         self.members.successors.update(roster.successors)
         self.succession.appointed = roster.appointed
         self.is_closed = bool(roster.appointed)
+        if roster.is_held_off:
+            self.hold_off.restore()
         self.members.restore_share_sizes(
             roster.one_turn_from, roster.share_sizes_from
         )
@@ -888,6 +947,7 @@
             appointed=self.succession.appointed,
             one_turn_from=dict(members.one_turn_from),
             share_sizes_from=members.share_sizes_from,
+            is_held_off=self.hold_off.is_on,
         )
 
     async def _write_roster(self) -> None:
@@ -901,6 +961,7 @@
             self.members.contact_states(),
             dict(self.members.successors),
             dict(self.members.one_turn_from),
+            self.hold_off.is_on,
         )
         if roster != self.recorded_roster:
             self.recorded_roster = roster
@@ -911,6 +972,7 @@
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             self.sweep()
+            await self._update_hold_off()
             await self.succession.announce()
             await self.mirrors.close_unused()
             await self.openings.withdraw(self._positions_followed())
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -91,6 +91,7 @@
         appointed: As in ``Succession``.
         one_turn_from: As in ``Members``.
         share_sizes_from: As in ``Members``; infinite from an earlier version.
+        is_held_off: Whether the instance begins no programs alone for a while.
     """
 
     seen: dict[str, float]
@@ -100,6 +101,7 @@
     appointed: str = ""
     one_turn_from: dict[str, float] = {}
     share_sizes_from: float = float("inf")
+    is_held_off: bool = False
 
 
 class OpenRequired(msgspec.Struct, frozen=True):
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -18,7 +18,7 @@
     wall_seconds,
     warn_event,
 )
-from rattanmill_keeper.isolation import Contact, Loss
+from rattanmill_keeper.isolation import Contact, Loss, list_beginners
 from rattanmill_keeper.messages import MAX_SHARERS, News, codec
 from rattanmill_keeper.replicas import choose_replicas, rank
 from rattanmill_platform import (
@@ -346,6 +346,10 @@
             name: contact.shifted(ahead, contact.is_silent(now))
             for name, contact in self.contacts.items()
         }
+        # The time of day may be set back meanwhile.
+        for name, contact in self.contacts.items():
+            if now >= contact.alone_at:
+                saved[name].alone_at = float("-inf")
         self.saved_silent |= {
             name for name, each in saved.items() if each.heard_at is not None
         }
@@ -406,6 +410,22 @@
             if contact.is_unable(now)
         ]
 
+    def beginners(self, name: str) -> list[str]:
+        """Returns which others than ``name`` may have begun programs alone."""
+        contacts = {each: self.contacts.get(each) for each in self.others(name)}
+        running_seconds = boot_seconds() - self.started_at
+        lapsed = self.lost_at.keys() - set(self.unable())
+        return list_beginners(contacts, lapsed, running_seconds)
+
+    def has_lost_nothing(self, name: str) -> bool:
+        """Whether a member had granted nothing alone on the disk it lost."""
+        contact = self.contacts.get(name)
+        return (
+            contact is not None
+            and contact.may_have_lost_share
+            and contact.was_unable
+        )
+
     def one_turn(self) -> dict[str, bool]:
         """Returns whether members grant at most one turn alone, by name.
 
@@ -419,6 +439,16 @@
             if at or now > self.share_sizes_from
         }
 
+    def learn_one_turn(self, names: Iterable[str]) -> None:
+        """Takes over that members grant one turn alone, as another one knows.
+
+        Nothing is taken over of a member that was seen to grant more.
+        """
+        now = wall_seconds()
+        for name in names:
+            if not self.one_turn_from.get(name, 0.0):
+                self.one_turn_from[name] = now
+
     def _record_share_size(self, member: Member) -> None:
         if not member.grants_one_turn:
             self.one_turn_from[member.name] = float("inf")
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -685,6 +685,10 @@
         uses: What turns kept there have used of accounts that are not held
             there. The requester may hold them.
         successors: Successors of decommissioned instances, by name.
+        one_turn: Instances that grant at most one turn alone, as in
+            ``Members.one_turn``.
+        has_lost_nothing: Whether the requester, which lost its disk, can't have
+            granted tokens alone on it.
     """
 
     run: str
@@ -703,6 +707,8 @@
     has_begun: bool = False
     uses: list[TurnUse] = []
     successors: dict[str, str] = {}
+    one_turn: list[str] = []
+    has_lost_nothing: bool = False
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -19,6 +19,7 @@
 # File name of the marker, which is written once the instance has recovered. A
 # disk without it is new, or replaces one that was lost.
 _MARKER_FILE = "whole"
+_NEW_MARKER_FILE = "whole.new"
 
 Record = (
     AccountChange
@@ -79,6 +80,15 @@
     sync(folder)
 
 
+def replace_marker(folder: pathlib.Path, marker: CompletionMarker) -> None:
+    """Writes another marker; after a power loss there is one of the two."""
+    path = folder / _NEW_MARKER_FILE
+    path.write_bytes(msgspec.json.encode(marker))
+    sync(path)
+    path.replace(folder / _MARKER_FILE)
+    sync(folder)
+
+
 def remove_marker(folder: pathlib.Path) -> None:
     """Removes the marker, as data is missing on the disk."""
     (folder / _MARKER_FILE).unlink(missing_ok=True)
--- /dev/null
+++ b/tests/features/lost_disks.feature
@@ -0,0 +1,46 @@
+Feature: Budgets while disks are lost one after the other
+  A small system tolerates one lost disk at a time. What the instance had granted
+  alone is lost with it, so a part of a budget can be set aside for good.
+
+  Scenario Outline: Two disks are lost, with a stop of all <when>
+    Guards against programs that are refused for good before their budget is
+    spent: a part was set aside for two instances, and neither can tell.
+
+    When all instances stop <when>, one loses its disk, and later another one
+    Then a program that begins meanwhile gets all of its budget
+
+    Examples:
+      | when                    |
+      | with the first          |
+      | just before the first   |
+      | between the two         |
+      | with the second         |
+      | with each               |
+
+  Scenario: An instance that holds off begins a program alone
+    Guards against a hold-off that others rely on and that is not kept: they set
+    nothing aside for that instance, and another one had lost its disk before.
+
+    When an instance loses its disk with what it granted alone, and another one is isolated
+    Then the program gets no more than its budget and one turn
+    When the same happens and the other one begins the program alone
+    Then the program gets more than its budget and one turn
+
+  Scenario: A hold-off ends while an instance is partitioned
+    Guards against a program that is begun alone although its account is open:
+    the others opened it without this instance while they relied on its hold-off.
+
+    When the hold-off of an isolated instance ends and it restarts
+    Then it begins no programs alone until it has followed the others
+
+  Scenario: No program is refused before its budget is spent, whatever stops when
+    Guards against a part of a budget that is set aside for good, and against a
+    budget that is exceeded since too little is set aside.
+
+    Then no sequence of stops and lost disks takes from a program's budget, or adds more than one turn
+
+  Scenario: No program is refused before its budget is spent, with partitions
+    Guards against a part of a budget that is set aside for instances that
+    granted tokens alone, and lost their disks one after the other.
+
+    Then no sequence of stops, lost disks and partitions takes from a program's budget, or adds more than one turn
--- /dev/null
+++ b/tests/features/steps/lost_disks.py
@@ -0,0 +1,179 @@
+"""Steps about budgets while disks are lost one after the other."""
+
+import tempfile
+import types
+import unittest.mock
+
+import hypothesis
+from behave import then, when
+
+from rattanmill_keeper import keeper
+from rattanmill_keeper.members import SHARES_SECONDS
+from support.keepers import FollowingNetwork
+from support.outages import (
+    BUDGET,
+    OUTAGES,
+    OUTAGES_AND_CUTS,
+    TOKENS,
+    Begin,
+    Outage,
+    Wait,
+    play_outages,
+    virtual_clocks,
+)
+from support.stories import OperationRunner, run_operations
+from support.virtual import run_virtually
+
+_SETTINGS = hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
+_STOP = {"a": 0.9, "b": 0.9, "c": 1.9}
+_ALL_BUT_LATE = {"a": 0.9, "b": 0.9, "c": 0.9}
+_FIRST = Outage({"c": 1.9}, "c")
+_STOP_AND_SECOND = Outage({**_STOP, "b": 8.0}, "b")
+_SECOND = Outage({"b": 1.9}, "b")
+_BEGIN = [Wait(0.6), Begin("a"), Wait(20.0)]
+_ORDERS = {
+    "with the first": [Outage(_STOP, "c"), Wait(20.0), _SECOND, *_BEGIN],
+    "just before the first": [
+        *[Outage(_ALL_BUT_LATE), Wait(19.0), _FIRST],
+        *[Wait(20.0), _SECOND, *_BEGIN],
+    ],
+    "between the two": [
+        *[_FIRST, Wait(20.0), Outage(_ALL_BUT_LATE)],
+        *[Wait(19.0), _SECOND, *_BEGIN],
+    ],
+    "with the second": [
+        *[_FIRST, Wait(20.0), _STOP_AND_SECOND, Wait(4.0)],
+        *[Begin("a"), Wait(20.0)],
+    ],
+    "with each": [
+        *[Outage(_STOP, "c"), Wait(20.0)],
+        *[_STOP_AND_SECOND, Wait(4.0), Begin("a"), Wait(20.0)],
+    ],
+}
+
+
+def _check(used):
+    assert all(
+        BUDGET <= tokens <= BUDGET + TOKENS for tokens in used.values()
+    ), used
+
+
+@when("all instances stop {order}, one loses its disk, and later another one")
+def step_orders(context, order):
+    context.used = run_virtually(play_outages(_ORDERS[order]))
+
+
+@then("a program that begins meanwhile gets all of its budget")
+def step_gets_all(context):
+    assert context.used
+    _check(context.used)
+
+
+_SECOND_BEGINS = [
+    *[("wait", 12), ("isolate", "c"), ("wait", 1), ("reserve", "c")],
+    *[("wipe", "c"), ("heal", "c"), ("wait", 4), ("isolate", "b")],
+    *[("wait", 1), ("reserve", "b"), *[("reserve", "a")] * 9],
+]
+
+
+def _run_second(prepare=lambda network: None):
+    return run_virtually(
+        run_operations(
+            _SECOND_BEGINS, prepare, FollowingNetwork, BUDGET, TOKENS
+        )
+    )["p"]
+
+
+def _begin_all_the_same(network):
+    held = network.keepers["b"]
+    held.hold_off = types.SimpleNamespace(
+        is_on=False,
+        is_saved=True,
+        renew=lambda names: None,
+        end=lambda caught_up_at: None,
+        told_seconds=lambda: SHARES_SECONDS,
+    )
+    network.stack.enter_context(
+        unittest.mock.patch.object(keeper, "may_begin", lambda *contacts: True)
+    )
+
+
+@when(
+    "an instance loses its disk with what it granted alone, and another one is"
+    " isolated"
+)
+def step_second(context):
+    context.tokens = _run_second()
+
+
+@when("the same happens and the other one begins the program alone")
+def step_second_begins(context):
+    context.tokens = _run_second(_begin_all_the_same)
+
+
+@then("the program gets no more than its budget and one turn")
+def step_no_more(context):
+    assert BUDGET < context.tokens <= BUDGET + TOKENS, context.tokens
+
+
+@then("the program gets more than its budget and one turn")
+def step_more(context):
+    assert context.tokens > BUDGET + TOKENS, context.tokens
+
+
+async def _end_hold_off(folder):
+    """Returns whether "b" may begin programs, isolated and back again."""
+    network = FollowingNetwork(folder, ["a", "b", "c"])
+    runner = OperationRunner(network, BUDGET, TOKENS)
+    with virtual_clocks():
+        await network.start_all()
+        try:
+            await runner.run([("wait", 12), ("wipe", "c"), ("wait", 4)])
+            held = network.keepers["b"].hold_off
+            assert held.is_on and held.is_saved
+            await runner.run([("isolate", "b"), ("wait", 2 * SHARES_SECONDS)])
+            await runner.run([("kill", "b"), ("start", "b"), ("wait", 4)])
+            isolated = network.keepers["b"].hold_off.is_on
+            await runner.run([("heal", "b"), ("wait", SHARES_SECONDS + 4)])
+            return isolated, network.keepers["b"].hold_off.is_on
+        finally:
+            await network.stop_all()
+
+
+@when("the hold-off of an isolated instance ends and it restarts")
+def step_hold_off_ends(context):
+    with tempfile.TemporaryDirectory() as folder:
+        context.held = run_virtually(_end_hold_off(folder))
+
+
+@then("it begins no programs alone until it has followed the others")
+def step_held(context):
+    assert context.held == (True, False), context.held
+
+
+@then(
+    "no sequence of stops and lost disks takes from a program's budget, or adds"
+    " more than one turn"
+)
+def step_any_outages(context):
+    @hypothesis.given(OUTAGES)
+    @_SETTINGS
+    def hold(events):
+        _check(run_virtually(play_outages(events)))
+
+    hold()
+
+
+@then(
+    "no sequence of stops, lost disks and partitions takes from a program's"
+    " budget, or adds more than one turn"
+)
+def step_any_cuts(context):
+    @hypothesis.given(OUTAGES_AND_CUTS)
+    @_SETTINGS
+    def hold(events):
+        _check(run_virtually(play_outages(events)))
+
+    hold()
