Tell other instances what was granted alone, and restore it after a lost disk

What callers saw: an instance that is alone begins programs while another one loses its disk. Some 30 s later it loses its own.

Cause: what an instance has granted alone is on one disk only. Others know merely that it has begun some programs, so it counts for each new one, and what it had granted can't be told by anybody.

Change: an instance that has begun programs tells the others which, and how many tokens each got, as they follow it. They have it on disk before they count a reply. Then it counts for these programs only, its hold-off holds as any other's, and if its disk is lost the others tell it what it had granted, so that it can give back what was set aside for these.

Cost: 30 to 40 bytes for each program that began alone, to each follower.

--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -236,10 +236,11 @@
         if not isinstance(news, News):
             self.members.record_missed(member.name)
             return False
+        await self.keeper.persist_grants(member.name, news.grants)
         self.members.record_contact(member, began, news)
         self.members.learn_one_turn(news.one_turn)
         if news.has_lost_nothing:
-            self.keeper.note_nothing_lost()
+            await self.keeper.restore_grants(news.lost_grants)
         if news.run != progress.run:
             log_event("following_anew", keeper=member.name, run=news.run)
             progress.has_caught_up = False
--- a/libs/keeper/src/rattanmill_keeper/homes.py
+++ b/libs/keeper/src/rattanmill_keeper/homes.py
@@ -245,6 +245,8 @@
     having.update(
         ledger.predecessors_with_share(request.program),
         *(reply.predecessors_with_share for reply in agreed.values()),
+        ledger.told.grantors(request.program),
+        *(reply.grantors for reply in agreed.values()),
     )
     unseen = {name for name, reply in agreed.items() if reply.has_lost_share}
     if ledger.may_have_lost_share():
--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -82,7 +82,8 @@
         asked_run: Run of the process that sent it.
         asked_before_at: Loop time of the newest request of an earlier run.
         lost_run_noticed_at: When the run with the lost disk was certainly lost.
-        has_begun: Whether it had begun programs alone lately, as it said.
+        has_begun: Whether it had begun programs alone lately, as it said, that
+            this instance has not been told yet.
     """
 
     domain: str | None
@@ -110,7 +111,7 @@
             self.lost_run_heard_at = self.heard_at
             self.lost_run_noticed_at = self._earlier_run_noticed_at(run, now)
             # The lost run may have been too new to grant alone.
-            self.was_unable = reply.heard_at < self.alone_at
+            self.was_unable = self.is_unable(reply.heard_at)
         self.may_have_lost_share = reply.may_have_lost_share
         self.alone_at = reply.alone_at
         self.heard_at = reply.heard_at
@@ -154,7 +155,7 @@
         """Whether it can't have granted alone, and can't begin to."""
         if self.may_have_lost_share:
             return self.was_unable
-        return now < self.alone_at
+        return now < self.alone_at and not self.has_begun
 
     @property
     def lost_at(self) -> float | None:
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -63,6 +63,7 @@
     Full,
     GiveBack,
     GivenBack,
+    Grant,
     Home,
     Keep,
     KeptTurn,
@@ -256,16 +257,22 @@
             self.alone_from, self.ledger.shares_lost_until, self.is_new
         )
 
-    def note_nothing_lost(self) -> None:
-        """Records that nothing was granted alone on the disk that was lost.
+    async def restore_grants(self, grants: list[Grant]) -> None:
+        """Records all that was granted alone on the disk that was lost.
 
         What was granted to programs whose accounts were open by then may still
-        be lost, so nothing of their budgets is given back.
+        be lost, so nothing else of their budgets is given back.
         """
+        changes = self.ledger.restore_shares(grants)
+        for change in changes:
+            self.intake.add(change.program)
+        await self._append_all(changes)
         if self.has_lost_nothing:
             return
         self.has_lost_nothing = True
-        log_event("nothing_lost", whole=self.is_recovered)
+        log_event(
+            "nothing_lost", whole=self.is_recovered, restored=len(changes)
+        )
         if self.ledger.may_have_lost_share():
             self.ledger.shares_lost_until = 0.0
             replace_marker(self.folder, self._marker())
@@ -400,7 +407,8 @@
     def _alone_after_seconds(self) -> float:
         """Returns for how long it begins no programs, and none of it goes on.
 
-        What it has begun before may go on, hold-off or not.
+        What it has begun before may go on. An instance of an earlier version
+        is not told what that is.
         """
         held_off = 0.0 if self._has_begun() else self.hold_off.told_seconds()
         return max(0.0, self.alone_from - wall_seconds(), held_off)
@@ -449,7 +457,8 @@
 
     async def give_back(self, program: str) -> GivenBack | Unsure:
         """Stops granting alone to a program; replies once that is on disk."""
-        if self._may_have_lost_grants():
+        is_restored = self.ledger.is_share_restored(program)
+        if self._may_have_lost_grants() and not is_restored:
             return Unsure("grants made alone were lost with the disk")
         if wall_seconds() < self.ledger.granted_known_from:
             return Unsure("grants made alone were lost with another disk")
@@ -675,6 +684,7 @@
             ),
             has_one_turn=self.ledger.has_one_turn(request.program),
             one_turn=self.members.one_turn(),
+            grantors=self.ledger.told.grantors(request.program),
         )
 
     async def write_home(self, change: HomeChange) -> None:
@@ -698,7 +708,10 @@
         Replies once it is on disk: no further record may follow that would
         take it there, and the front end does not repeat it.
         """
-        await self._append_all(self.ledger.settle(request))
+        changes = self.ledger.settle(request)
+        if request.program in self.ledger.shares:
+            self.intake.add(request.program)
+        await self._append_all(changes)
         return Done()
 
     def _book(self, uses: list[TurnUse]) -> list[UseChange | ShareChange]:
@@ -760,6 +773,8 @@
         homes: list[Home] = []
         turns: list[TurnRef] = []
         uses: list[TurnUse] = []
+        grants: list[Grant] = []
+        has_begun = self._has_begun()
         successors: dict[str, str] = {}
         names = {
             request.asker,
@@ -779,10 +794,13 @@
                 turns.append(TurnRef(entry, held.kept.key))
                 if self._must_tell(held.kept.use, names):
                     uses.append(held.kept.use)
+            if has_begun and (grant := self.ledger.begun_grant(entry)):
+                grants.append(grant)
             account = self.ledger.accounts.get(entry)
             if account and not names.isdisjoint(account.place.holders):
                 accounts.append(self.ledger.ref(account))
         position = entries[-1][0] if entries else self.intake.position
+        has_lost_nothing = self.members.has_lost_nothing(request.asker)
         return News(
             self.run,
             position,
@@ -797,11 +815,14 @@
             self.members.is_first_run(request.asker, request.asker_run),
             not self.is_recovered or self.ledger.may_have_lost_share(),
             self._alone_after_seconds(),
-            self._has_begun(),
+            has_begun,
             uses,
             successors,
             self._granting_one_turn(),
-            self.members.has_lost_nothing(request.asker),
+            has_lost_nothing,
+            self.ledger.told.by(request.asker) if has_lost_nothing else [],
+            grants,
+            self.hold_off.told_seconds(),
         )
 
     def _granting_one_turn(self) -> list[str]:
@@ -846,6 +867,12 @@
         await self.persist_accounts(accounts)
         return Done()
 
+    async def persist_grants(self, name: str, grants: list[Grant]) -> None:
+        """Records what an instance has granted alone, and writes it to disk."""
+        change = self.ledger.told.learn(name, grants)
+        if change is not None:
+            await self._append(change)
+
     async def persist_accounts(self, accounts: list[Account]) -> None:
         """Merges accounts from other holders and writes them to disk."""
         await self._append_all(self.merge(accounts))
@@ -915,7 +942,8 @@
         self.members.restore_share_sizes(
             roster.one_turn_from, roster.share_sizes_from
         )
-        for entry in [*self.table.held, *self.ledger.accounts]:
+        programs = {**self.ledger.shares, **self.ledger.accounts}
+        for entry in [*self.table.held, *programs]:
             self.intake.add(entry)
         for program in {**self.ledger.homes, **self.ledger.accounts}:
             self.intake.add(HomeEntry(program))
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -16,6 +16,7 @@
 
 from rattanmill_core import wall_seconds
 from rattanmill_keeper.accounts import merge_accounts, use_digest
+from rattanmill_keeper.grants import ToldChange, ToldGrants
 from rattanmill_keeper.isolation import Contact
 from rattanmill_keeper.messages import (
     Account,
@@ -23,6 +24,7 @@
     Agree,
     Elsewhere,
     Full,
+    Grant,
     Home,
     Opened,
     Recorded,
@@ -38,6 +40,8 @@
 # A program whose account was unused for this long is considered ended. The
 # longest retention of turns that operators configure is far shorter.
 ACCOUNT_TTL_SECONDS = 3600.0
+# In place of the attempts of a share that was lost with a disk.
+_RESTORED = "restored"
 
 
 class AccountChange(msgspec.Struct, frozen=True, tag="account"):
@@ -147,6 +151,7 @@
         owner: As in ``Members``.
         granted: Tokens that instances have granted alone in whose place this
             one holds accounts, by instance and program.
+        told: What others have granted alone.
         granted_known_from: Unix time in seconds from which it can tell.
         granted_kept_at: Unix time in seconds at which it was last told, or
             dropped what no account needs any more.
@@ -163,6 +168,7 @@
         self.begun_used_at = 0.0
         self.owner: Callable[[str], str] = lambda holder: holder
         self.granted: dict[str, dict[str, int]] = {}
+        self.told = ToldGrants()
         self.granted_known_from = 0.0
         self.granted_kept_at = 0.0
 
@@ -259,6 +265,33 @@
         share.is_closed = True
         return self._touch_share(program)
 
+    def restore_shares(self, grants: Iterable[Grant]) -> list[ShareChange]:
+        """Restores what was granted alone on a disk that was lost."""
+        return [
+            self._restore_share(grant)
+            for grant in grants
+            if grant.program not in self.shares
+        ]
+
+    def _restore_share(self, grant: Grant) -> ShareChange:
+        self.shares[grant.program] = Share(
+            {_RESTORED: Use(grant.tokens, True)},
+            is_closed=True,
+            is_restored=True,
+        )
+        return self._touch_share(grant.program)
+
+    def is_share_restored(self, program: str) -> bool:
+        """Whether another instance has told what was granted to a program."""
+        return self.shares.get(program, Share()).is_restored
+
+    def begun_grant(self, program: str) -> Grant | None:
+        """Returns what was granted to a program that began here alone."""
+        share = self.shares.get(program)
+        if share is None or not share.uses or share.limit:
+            return None
+        return Grant(program, share.taken)
+
     def predecessors_with_share(self, program: str) -> list[str]:
         """Returns the instances that granted alone, which this one succeeds."""
         return [n for n, tokens in self.granted.items() if program in tokens]
@@ -429,7 +462,12 @@
     def restore(
         self,
         change: (
-            AccountChange | UseChange | ShareChange | HomeChange | GrantedChange
+            AccountChange
+            | UseChange
+            | ShareChange
+            | HomeChange
+            | GrantedChange
+            | ToldChange
         ),
     ) -> None:
         """Applies a journal record; later records replace earlier ones."""
@@ -447,10 +485,14 @@
                 self.homes[home.program] = change
             case GrantedChange():
                 self.add_granted(change)
+            case ToldChange():
+                self.told.restore(change)
 
     def snapshot(
         self,
-    ) -> list[AccountChange | ShareChange | HomeChange | GrantedChange]:
+    ) -> list[
+        AccountChange | ShareChange | HomeChange | GrantedChange | ToldChange
+    ]:
         """Returns records from which the ledger can be restored."""
         return [
             *self.homes.values(),
@@ -460,6 +502,7 @@
                 {name: dict(tokens) for name, tokens in self.granted.items()},
                 self.granted_known_from,
             ),
+            *self.told.snapshot(),
         ]
 
     def expire(self) -> list[str]:
@@ -480,7 +523,8 @@
         for program in shares:
             del self.shares[program]
         self._expire_granted()
-        return sorted({*accounts, *homes})
+        self.told.expire(oldest)
+        return sorted({*accounts, *homes, *shares})
 
     def holders_of(self, program: str) -> tuple[str, ...]:
         """Returns the holders agreed on here, or an empty tuple."""
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -308,17 +308,21 @@
     def record_contact(
         self, member: Member, heard_at: float, news: News
     ) -> None:
-        """Records a reply of a member to a request sent at a loop time."""
+        """Records a reply of a member to a request sent at a loop time.
+
+        The grants that it tells must be on disk before.
+        """
         # A new machine had no disk that it could have lost.
         is_new = self.is_first_run(member.name, news.run)
         may_have_lost_share = news.may_have_lost_share and not is_new
-        alone_at = heard_at + news.alone_after_seconds
+        alone_after = max(news.alone_after_seconds, news.held_off_seconds)
+        alone_at = heard_at + alone_after
         reply = Contact(
             member.domain,
             heard_at,
             alone_at,
             may_have_lost_share,
-            has_begun=news.has_begun,
+            has_begun=news.has_begun and news.more,
         )
         contact = self.contacts.get(member.name)
         if contact is None or contact.domain != member.domain:
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -205,12 +205,15 @@
         is_closed: Whether the instance grants nothing more alone.
         touched: Time of the last change, in seconds since 1970.
         limit: Maximum number of tokens, or 0 if it is ``max_share``.
+        is_restored: Whether it was lost with a disk, and another instance has
+            told what it was.
     """
 
     uses: dict[str, Use] = msgspec.field(default_factory=dict)
     is_closed: bool = False
     touched: float = 0.0
     limit: int = 0
+    is_restored: bool = False
 
     @property
     def taken(self) -> int:
@@ -224,6 +227,18 @@
         return self.taken <= max(self.limit, *sizes, 0)
 
 
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """What one storage instance has granted alone to a program it began.
+
+    Attributes:
+        program: Program id.
+        tokens: Tokens.
+    """
+
+    program: str
+    tokens: int
+
+
 class Open(msgspec.Struct, tag=32):
     """Requests the placement of a program's account, opening it if needed.
 
@@ -451,6 +466,7 @@
             tokens alone, in whose place it holds accounts.
         has_one_turn: Whether what it granted alone is one turn at most.
         one_turn: As in ``Members.one_turn``.
+        grantors: Instances that have told that they granted tokens alone.
     """
 
     has_share: bool = False
@@ -461,6 +477,7 @@
     predecessors_with_share: list[str] = []
     has_one_turn: bool = False
     one_turn: dict[str, bool] = {}
+    grantors: list[str] = []
 
 
 class Refused(msgspec.Struct, tag=10):
@@ -688,7 +705,11 @@
         one_turn: Instances that grant at most one turn alone, as in
             ``Members.one_turn``.
         has_lost_nothing: Whether the requester, which lost its disk, can't have
-            granted tokens alone on it.
+            granted tokens alone on it but for ``lost_grants``.
+        lost_grants: What it had granted alone on that disk.
+        grants: What this instance has granted alone to programs in these
+            entries that it began and that may still go on.
+        held_off_seconds: For how long it begins no programs alone.
     """
 
     run: str
@@ -709,6 +730,9 @@
     successors: dict[str, str] = {}
     one_turn: list[str] = []
     has_lost_nothing: bool = False
+    lost_grants: list[Grant] = []
+    grants: list[Grant] = []
+    held_off_seconds: float = 0.0
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/libs/keeper/src/rattanmill_keeper/records.py
+++ b/libs/keeper/src/rattanmill_keeper/records.py
@@ -6,6 +6,7 @@
 
 from rattanmill_core import DECODE_ERRORS, warn_event
 from rattanmill_keeper.files import sync
+from rattanmill_keeper.grants import ToldChange
 from rattanmill_keeper.ledger import (
     AccountChange,
     GrantedChange,
@@ -27,6 +28,7 @@
     | ShareChange
     | HomeChange
     | GrantedChange
+    | ToldChange
     | RosterChange
     | KeptTurn
 )
--- a/tests/features/lost_disks.feature
+++ b/tests/features/lost_disks.feature
@@ -33,6 +33,22 @@
     When the hold-off of an isolated instance ends and it restarts
     Then it begins no programs alone until it has followed the others
 
+  Scenario: An instance that has begun a program alone loses its disk
+    Guards against a part for it that is set aside for good: another instance
+    had lost its disk before, so two of them can't tell what they granted.
+
+    When an instance begins a program alone while another one loses its disk, and later loses its own
+    Then a program that begins meanwhile gets all of its budget
+
+  Scenario: What an instance has granted alone is lost with its disk
+    Guards against a program that gets more than its budget, as what it was
+    granted by two instances alone is not known once one of them has no disk.
+
+    When two instances begin a program alone, one loses its disk, and the other one is isolated
+    Then the program gets no more than its budget and one turn
+    When the same happens and nobody remembers what they have told
+    Then the program gets more than its budget and one turn
+
   Scenario: No program is refused before its budget is spent, whatever stops when
     Guards against a part of a budget that is set aside for good, and against a
     budget that is exceeded since too little is set aside.
