Rely on told grants only once all instances tell them

What callers could see: in an upgrade of one storage instance after the other, a program gets a turn more than callers allow. An instance of an earlier version says that it has begun programs and not which, and one that opens an account doesn't look at what others were told. Found by reading; not seen.

Change: an instance registers that it tells and records grants. As long as one that is listed doesn't, those that have begun programs alone count for each new program, as before.

Tests: alone.feature's instances of an earlier version (MIXED_OPERATIONS, 300 made-up sequences of upgrades) tell no grants and don't hold off now; unchanged otherwise, 44 scenarios pass.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -81,6 +81,7 @@
             settings.peer,
             keeper.run,
             grants_one_turn=True,
+            tells_grants=True,
         )
         registration = Registration(kv, member)
         registration.is_listed = members.is_listed
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -90,6 +90,8 @@
             place.
         grants_one_turn: Whether it grants at most one turn alone to a program,
             see ``max_share``. An earlier version grants more.
+        tells_grants: Whether it tells what it has granted alone, and records
+            what others tell.
     """
 
     name: str
@@ -101,6 +103,7 @@
     informed: tuple[str, ...] = ()
     succeeded: tuple[str, ...] = ()
     grants_one_turn: bool = False
+    tells_grants: bool = False
 
 
 def may_grant_alone(instances: int) -> bool:
@@ -317,12 +320,16 @@
         may_have_lost_share = news.may_have_lost_share and not is_new
         alone_after = max(news.alone_after_seconds, news.held_off_seconds)
         alone_at = heard_at + alone_after
+        # One of an earlier version relies on what others know to have begun.
+        is_told = not news.more and all(
+            each.tells_grants for each in self.known.values()
+        )
         reply = Contact(
             member.domain,
             heard_at,
             alone_at,
             may_have_lost_share,
-            has_begun=news.has_begun and news.more,
+            has_begun=news.has_begun and not is_told,
         )
         contact = self.contacts.get(member.name)
         if contact is None or contact.domain != member.domain:
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -28,6 +28,8 @@
     Agree,
     Agreed,
     FetchTurns,
+    Follow,
+    News,
     Reserve,
     Reserved,
     Spent,
@@ -168,7 +170,7 @@
 def _make_earlier(keeper: Keeper) -> None:
     """Makes an instance grant alone, and tell, as an earlier version does."""
     reserve_alone, agree = keeper.ledger.reserve_alone, keeper._agree
-    roster = keeper._roster
+    roster, tell = keeper._roster, keeper._changes_for
 
     def reserve_more(request: Reserve, may_open: bool) -> msgspec.Struct:
         with unittest.mock.patch.object(ledger, "max_share", max_earlier_share):
@@ -178,15 +180,30 @@
         reply = await agree(request)
         if not isinstance(reply, Agreed):
             return reply
-        return msgspec.structs.replace(reply, has_one_turn=False, one_turn={})
+        return msgspec.structs.replace(
+            reply, has_one_turn=False, one_turn={}, grantors=[]
+        )
 
     def record_less() -> ledger.RosterChange:
         return msgspec.structs.replace(
             roster(), one_turn_from={}, share_sizes_from=float("inf")
         )
 
+    def tell_less(request: Follow) -> News:
+        return msgspec.structs.replace(
+            tell(request),
+            one_turn=[],
+            has_lost_nothing=False,
+            lost_grants=[],
+            grants=[],
+        )
+
+    async def hold_off_never() -> None:
+        return None
+
     keeper.ledger.reserve_alone = reserve_more
     keeper._agree, keeper._roster = agree_only, record_less
+    keeper._changes_for, keeper._update_hold_off = tell_less, hold_off_never
 
 
 class Network:
@@ -313,6 +330,7 @@
             informed=self.informed.get(name, ()),
             succeeded=self.succeeded.get(name, ()),
             grants_one_turn=name not in self.earlier,
+            tells_grants=name not in self.earlier,
         )
 
     def register(self, name: str) -> None:
