Use a connection to an endpoint again only once the request was sent whole

What callers saw: one caller's request is written into the rest of another caller's body. The caller of the long body has its next request answered 408, or only after 10 s.

Cause: when an endpoint answers an earlier request once more, Connection.expect_next_response replaces the HTTP state of the connection and tells the new one that the request was sent whole. With an early answer to the long request, the pool asks that state only, and keeps the connection while the rest of the body is still to come. If the body is being sent at that moment, the replaced state breaks it off instead.

Evidence: the endpoint of exchanges.feature reads "POST /call2" at byte 4,000 of the body of call 1.

Change: the state of what is sent is another one than that of what is received, and only the latter is replaced. Connection.finish says in one place whether the request was sent whole and its answer received whole with nothing after it. If not, the connection is closed, and what reads the caller's body ends with it.

Tests: exchanges.feature.

--- a/libs/forward/src/rattanmill_forward/connection.py
+++ b/libs/forward/src/rattanmill_forward/connection.py
@@ -157,6 +157,9 @@
     """One connection to an endpoint, used for one request at a time.
 
     Attributes:
+        sending: HTTP state of the request that is being sent.
+        receiving: HTTP state of the response that is due. It is another object
+            once the endpoint has answered an earlier request first.
         received_bytes: Bytes of responses that were parsed.
         loop_share: Lets others have the event loop while more is there.
     """
@@ -164,7 +167,7 @@
     def __init__(self, endpoint: Endpoint, protocol: _ClientProtocol) -> None:
         self.endpoint = endpoint
         self.protocol = protocol
-        self.http = _new_http_state()
+        self.sending = self.receiving = _new_http_state()
         self.idle_until = 0.0
         self.abort_when_unreachable = False
         self.body_task: asyncio.Task | None = None
@@ -190,11 +193,11 @@
             h11.LocalProtocolError: The request is not valid HTTP.
         """
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self.http.send(request)
+        data = self.sending.send(request)
         if body:
-            data += self.http.send(h11.Data(data=body)) or b""
+            data += self.sending.send(h11.Data(data=body)) or b""
         if body_stream is None:
-            data += self.http.send(h11.EndOfMessage()) or b""
+            data += self.sending.send(h11.EndOfMessage()) or b""
         self.request = request
         self.protocol.transport.write(data)
         if body_stream is not None:
@@ -212,10 +215,10 @@
                 if self.protocol.eof:
                     return
                 self.protocol.transport.write(
-                    self.http.send(h11.Data(data=chunk))
+                    self.sending.send(h11.Data(data=chunk))
                 )
             self.protocol.transport.write(
-                self.http.send(h11.EndOfMessage()) or b""
+                self.sending.send(h11.EndOfMessage()) or b""
             )
         except (BrokenError, OSError, h11.LocalProtocolError) as error:
             # The task that waits for the response gets the error from the
@@ -230,7 +233,7 @@
         """
         while True:
             try:
-                event = self.http.next_event()
+                event = self.receiving.next_event()
             except h11.RemoteProtocolError as error:
                 raise BrokenError(f"invalid response: {error}") from error
             if event is not h11.NEED_DATA:
@@ -239,7 +242,7 @@
             data = await self.protocol.receive()
             self.received_bytes += len(data)
             try:
-                self.http.receive_data(data)
+                self.receiving.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise BrokenError(f"invalid response: {error}") from error
 
@@ -247,27 +250,52 @@
         """Goes on to the next response on this connection.
 
         Called when the endpoint sent a response to an earlier request before
-        the expected one.
+        the expected one. The request itself may still be under way.
         """
-        trailing, _ = self.http.trailing_data
-        self.http = _new_http_state()
+        trailing, _ = self.receiving.trailing_data
+        self.receiving = _new_http_state()
         # Tells the parser which request is outstanding; nothing is sent again.
         headers = [
             (name, value)
             for name, value in self.request.headers
             if name != b"content-length"
         ]
-        self.http.send(
+        self.receiving.send(
             h11.Request(
                 method=self.request.method,
                 target=self.request.target,
                 headers=headers,
             )
         )
-        self.http.send(h11.EndOfMessage())
+        self.receiving.send(h11.EndOfMessage())
         # Empty data would signal the end of the connection to the parser.
         if trailing:
-            self.http.receive_data(trailing)
+            self.receiving.receive_data(trailing)
+
+    def finish(self) -> bool:
+        """Ends a request, so that the connection may carry the next one.
+
+        Returns:
+            Whether all of the request was sent, and all of its response was
+            received with nothing after it. Otherwise what is sent next would
+            belong to this request for the endpoint, or what it sends to the
+            next one.
+        """
+        trailing, _ = self.receiving.trailing_data
+        is_done = (
+            self.sending.our_state is h11.DONE
+            and self.receiving.their_state is h11.DONE
+            and not trailing
+            and self.protocol.is_clean
+        )
+        if not is_done:
+            return False
+        if self.sending is self.receiving:
+            self.sending.start_next_cycle()
+        else:
+            self.sending = self.receiving = _new_http_state()
+        self.protocol.is_idle = True
+        return True
 
     def abort(self) -> None:
         """Closes the connection, which ends the endpoint's work on it."""
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -363,21 +363,10 @@
         Otherwise closes it.
         """
         self.active.discard(connection)
-        http = connection.http
-        trailing, _ = http.trailing_data
-        is_done = (
-            is_complete
-            and not head.closes_connection
-            and not trailing
-            and connection.protocol.is_clean
-            and http.our_state is h11.DONE
-            and http.their_state is h11.DONE
-        )
-        if not is_done:
+        is_kept = is_complete and not head.closes_connection
+        if not is_kept or not connection.finish():
             connection.abort()
             return
-        http.start_next_cycle()
-        connection.protocol.is_idle = True
         limit = _MAX_IDLE_SECONDS
         if head.idle_timeout_seconds is not None:
             limit = min(limit, head.idle_timeout_seconds - _IDLE_MARGIN_SECONDS)
