--- a/tests/features/lost_disks.feature
+++ b/tests/features/lost_disks.feature
@@ -56,6 +56,13 @@
     When a program begins just as a new machine takes the place of a lost one
     Then a program that begins meanwhile gets all of its budget
 
+  Scenario: Two machines are lost for good, and a program began as the first was replaced
+    Guards against a part for two machines that is set aside for good, though
+    the second one was new and had granted nothing.
+
+    When a program begins just as a new machine takes the place of a lost one, and that one is lost too
+    Then a program that begins meanwhile gets all of its budget
+
   Scenario: No program gets more than its budget, with machines that don't come back
     Guards against a hold-off that ends too soon, or an instance that is left
     out of what is set aside, where lost machines are replaced by new ones.
--- a/tests/features/steps/lost_disks.py
+++ b/tests/features/steps/lost_disks.py
@@ -204,6 +204,17 @@
     )
 
 
+@when(
+    "a program begins just as a new machine takes the place of a lost one, and"
+    " that one is lost too"
+)
+def step_replaced_twice(context):
+    replaced = [Replacement("b"), Wait(3.0), Begin("c"), Wait(26.0)]
+    context.used = run_virtually(
+        play_outages([*replaced, Replacement("b"), Wait(20.0)])
+    )
+
+
 @when("the hold-off of an isolated instance ends and it restarts")
 def step_hold_off_ends(context):
     with tempfile.TemporaryDirectory() as folder:
