Tell followers of a grant's settlement, and of accounts after their share has expired

An opener's share that expires took the account's entry out of the change log, so that an instance which follows anew would not learn of the account; and each settlement at an opener repeated the account's version to all followers. Both came with the told grants and were found by reading; only grants of programs that began alone are told anew now, and only programs without an account are dropped.

--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -715,7 +715,7 @@
         take it there, and the front end does not repeat it.
         """
         changes = self.ledger.settle(request)
-        if request.program in self.ledger.shares:
+        if self.ledger.begun_grant(request.program):
             self.intake.add(request.program)
         await self._append_all(changes)
         return Done()
--- a/libs/keeper/src/rattanmill_keeper/ledger.py
+++ b/libs/keeper/src/rattanmill_keeper/ledger.py
@@ -524,7 +524,8 @@
             del self.shares[program]
         self._expire_granted()
         self.told.expire(oldest)
-        return sorted({*accounts, *homes, *shares})
+        ended = set(shares) - self.accounts.keys() - self.homes.keys()
+        return sorted({*accounts, *homes, *ended})
 
     def holders_of(self, program: str) -> tuple[str, ...]:
         """Returns the holders agreed on here, or an empty tuple."""
