--- a/libs/keeper/src/rattanmill_keeper/holdoff.py
+++ b/libs/keeper/src/rattanmill_keeper/holdoff.py
@@ -1,8 +1,8 @@
 """A hold-off after another instance may have granted tokens alone.
 
 What an instance has granted alone is lost with its disk. If two of them lose
-their disks one after the other, nobody can tell which of them has granted to a
-program, and a part of its budget would stay set aside. So an instance that
+their disks one after the other, no instance can tell which of them has granted
+to a program, and a part of its budget would stay set aside. So an instance that
 knows of another one that may have granted alone begins no programs alone for a
 while, and tells the others: if it is lost then, nothing is set aside for it.
 """
@@ -12,7 +12,11 @@
 import msgspec
 
 from rattanmill_core import log_event, loop_seconds
-from rattanmill_keeper.members import LEASE_SECONDS, SHARES_SECONDS
+from rattanmill_keeper.members import SHARES_SECONDS
+
+# The steady clock of a machine that is suspended stands still, so others that
+# were suspended would rely on a hold-off for too long.
+_SUSPEND_MARGIN_SECONDS = 10.0
 
 
 class HoldOff(msgspec.Struct):
@@ -20,7 +24,7 @@
 
     Attributes:
         is_on: Whether it begins none.
-        until: Loop time until which others may rely on it.
+        until: Loop time from which it may end.
         is_saved: Whether it is on disk, so that a restart does not end it.
     """
 
@@ -45,14 +49,11 @@
         self.until = loop_seconds() + SHARES_SECONDS
 
     def told_seconds(self) -> float:
-        """Returns for how long others may rely on it.
-
-        That is less than it lasts: the clock of one that was suspended has
-        stood still.
-        """
+        """Returns for how long others may rely on it, less than it lasts."""
         if not self.is_saved:
             return 0.0
-        return max(0.0, self.until - loop_seconds() - LEASE_SECONDS)
+        left = self.until - loop_seconds()
+        return max(0.0, left - _SUSPEND_MARGIN_SECONDS)
 
     def end(self, caught_up_at: Iterable[float]) -> None:
         """Ends it if it is over.
--- a/tests/features/steps/lost_disks.py
+++ b/tests/features/steps/lost_disks.py
@@ -30,20 +30,25 @@
 _SETTINGS = hypothesis.settings(
     max_examples=100, deadline=None, derandomize=True, database=None
 )
-_STOP = {"a": 0.9, "b": 0.9, "c": 1.9}
-_ALL_BUT_LATE = {"a": 0.9, "b": 0.9, "c": 0.9}
+_STOP_C_LONGER = {"a": 0.9, "b": 0.9, "c": 1.9}
+_STOP_OF_ALL = {"a": 0.9, "b": 0.9, "c": 0.9}
 _FIRST = Outage({"c": 1.9}, "c")
-_STOP_AND_SECOND = Outage({**_STOP, "b": 8.0}, "b")
+_STOP_AND_SECOND = Outage({**_STOP_C_LONGER, "b": 8.0}, "b")
 _SECOND = Outage({"b": 1.9}, "b")
 _BEGIN = [Wait(0.6), Begin("a"), Wait(20.0)]
 _ORDERS = {
-    "with the first": [Outage(_STOP, "c"), Wait(20.0), _SECOND, *_BEGIN],
+    "with the first": [
+        Outage(_STOP_C_LONGER, "c"),
+        Wait(20.0),
+        _SECOND,
+        *_BEGIN,
+    ],
     "just before the first": [
-        *[Outage(_ALL_BUT_LATE), Wait(19.0), _FIRST],
+        *[Outage(_STOP_OF_ALL), Wait(19.0), _FIRST],
         *[Wait(20.0), _SECOND, *_BEGIN],
     ],
     "between the two": [
-        *[_FIRST, Wait(20.0), Outage(_ALL_BUT_LATE)],
+        *[_FIRST, Wait(20.0), Outage(_STOP_OF_ALL)],
         *[Wait(19.0), _SECOND, *_BEGIN],
     ],
     "with the second": [
@@ -51,7 +56,7 @@
         *[Begin("a"), Wait(20.0)],
     ],
     "with each": [
-        *[Outage(_STOP, "c"), Wait(20.0)],
+        *[Outage(_STOP_C_LONGER, "c"), Wait(20.0)],
         *[_STOP_AND_SECOND, Wait(4.0), Begin("a"), Wait(20.0)],
     ],
 }
--- a/tests/support/outages.py
+++ b/tests/support/outages.py
@@ -248,14 +248,11 @@
         yield
 
 
-async def play_outages(
-    played: list[Event], prepare: Callable[[Network], None] = lambda _: None
-) -> dict[str, int]:
+async def play_outages(played: list[Event]) -> dict[str, int]:
     """Plays events on three new storage instances that follow each other.
 
     Args:
         played: The events.
-        prepare: Changes the network before they are played.
 
     Returns:
         Tokens that each program got that had begun, by program. It asked for
@@ -265,7 +262,6 @@
     network = FollowingNetwork(folder, list(NAMES))
     with virtual_clocks():
         await network.start_all()
-        prepare(network)
         runner = OutageRunner(network)
         try:
             # Longer than a new process takes to count all others.
