--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,7 +1,8 @@
 """Runs all features, several files at a time, and prints one verdict.
 
-Each feature file is a behave run of its own with its own stack. Scenarios in
-KNOWN-RED.txt are printed and skipped. Arguments name feature files.
+Each feature file is a behave run of its own with its own stack. Those that
+measure the memory of processes run after all others, one at a time. Scenarios
+in KNOWN-RED.txt are printed and skipped. Arguments name feature files.
 """
 
 import concurrent.futures
@@ -15,6 +16,7 @@
 import msgspec
 
 _FEATURES = pathlib.Path("tests/features")
+_SERIAL_FEATURES = _FEATURES / "serial"
 _KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 _AT_ONCE = 4
 _SECONDS = 1200
@@ -135,11 +137,17 @@
 def main() -> int:
     """Runs the features; returns the exit code."""
     paths = [pathlib.Path(a) for a in sys.argv[1:]]
-    paths = paths or sorted(_FEATURES.glob("*.feature"))
+    paths = paths or [
+        *sorted(_FEATURES.glob("*.feature")),
+        *sorted(_SERIAL_FEATURES.glob("*.feature")),
+    ]
+    serial = [p for p in paths if p.parent.name == _SERIAL_FEATURES.name]
     for name in known_red():
         print(f"Known to fail, not run: {name}")
     with concurrent.futures.ThreadPoolExecutor(_AT_ONCE) as pool:
-        results = list(pool.map(run_feature, paths))
+        others = [path for path in paths if path not in serial]
+        results = list(pool.map(run_feature, others))
+    results += map(run_feature, serial)
     passed = sum(r.passed for r in results)
     failed = sum(r.failed for r in results)
     skipped = sum(r.skipped for r in results)
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -92,6 +92,7 @@
     Attributes:
         tenants: Workspaces of the configuration, or None if there are none.
         revocation_ms: Time within which revoked keys must be refused, or None.
+        machine_limits: Limits of the machines of each role, by name.
     """
 
     def __init__(self, number: int) -> None:
@@ -104,6 +105,7 @@
         self.request_numbers = itertools.count(1)
         self.tenants: list[dict[str, Any]] | None = None
         self.revocation_ms: int | None = None
+        self.machine_limits: dict[str, dict[str, int]] = {}
 
     def __enter__(self) -> Self:
         self.claim = claim_addresses(self.number)
@@ -180,6 +182,8 @@
             "bounds.grace_s": "8",
             "data_dir": str(data),
         }
+        for limit, value in self.machine_limits.get(role, {}).items():
+            fields[f"limits.{limit}"] = str(value)
         if self.revocation_ms is not None:
             fields["bounds.revoke_strict"] = "true"
             fields["bounds.revoke_ms"] = str(self.revocation_ms)
