Reserve the memory that bodies of callers take, up to a bound for the process

Callers saw front ends that were killed while others sent many large bodies, whole or stopped just short of their end.

What a body will take is reserved by its length before it is read, or as it grows, and given back with its request. Without room, bodies that have stalled for a second give theirs back; otherwise the new one gets 503 memory_exhausted at once, not run, with Retry-After. Large ones leave a quarter to small ones, and one large body alone is always let through.

held_memory.feature: made-up sequences, and each decision.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -25,6 +25,14 @@
 from rattanmill_core.lateness import watch_turns
 from rattanmill_core.lazy import import_on_use
 from rattanmill_core.loops import LoopShare, start_loop
+from rattanmill_core.memory import (
+    HeldMemory,
+    MemoryBudget,
+    Progress,
+    bodies_bytes,
+    choose_revoked,
+    return_large_blocks,
+)
 from rattanmill_core.metrics import Metrics
 from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
 from rattanmill_core.process import Signals
@@ -56,7 +64,9 @@
     )
 
 __all__ = [
+    "bodies_bytes",
     "boot_seconds",
+    "choose_revoked",
     "import_on_use",
     "Aspect",
     "ConfigDocument",
@@ -64,6 +74,7 @@
     "ConflictError",
     "DECODE_ERRORS",
     "EndpointStatus",
+    "HeldMemory",
     "HistoryEntry",
     "InstanceStatus",
     "CrashNote",
@@ -73,11 +84,13 @@
     "InvariantError",
     "LoopShare",
     "METRICS_PORT",
+    "MemoryBudget",
     "Metrics",
     "MetricsServer",
     "NotReachedError",
     "PeerStatus",
     "ProgramId",
+    "Progress",
     "Ran",
     "RattanmillError",
     "Reason",
@@ -105,6 +118,7 @@
     "part_logger",
     "read_config",
     "refuse",
+    "return_large_blocks",
     "start_loop",
     "wall_seconds",
     "warn_event",
--- a/libs/core/src/rattanmill_core/instance.py
+++ b/libs/core/src/rattanmill_core/instance.py
@@ -40,6 +40,9 @@
             have revoked may be accepted any more, or None if it is unbounded.
         value_bytes: Maximum size of a value in the platform store.
         rate_bounds: By how much rate limits of workspaces may be exceeded.
+        memory_bytes: Memory of the machine that this process may use.
+        max_descriptors: Maximum number of open descriptors.
+        disk_bytes: Size of the disk, or None if it is not known.
     """
 
     name: str
@@ -56,3 +59,6 @@
     revocation_seconds: float | None = None
     value_bytes: int = 1024 * 1024
     rate_bounds: RateBounds = RateBounds()
+    memory_bytes: int = 256 * 1024 * 1024
+    max_descriptors: int = 4096
+    disk_bytes: int | None = None
--- a/libs/core/src/rattanmill_core/refusal.py
+++ b/libs/core/src/rattanmill_core/refusal.py
@@ -56,6 +56,7 @@
     NOT_OWNER = "not_owner"
     NO_ENDPOINT = "no_endpoint"
     OVERLOADED = "overloaded"
+    MEMORY_EXHAUSTED = "memory_exhausted"
     DEADLINE = "deadline"
     QUARANTINED = "quarantined"
     ENDPOINT_FAILED = "endpoint_failed"
@@ -112,6 +113,7 @@
     Reason.NOT_OWNER: _Rule(503, retry_after=1.0),
     Reason.NO_ENDPOINT: _Rule(503, retry_after=1.0),
     Reason.OVERLOADED: _Rule(429, retry_after=1.0),
+    Reason.MEMORY_EXHAUSTED: _Rule(503, retry_after=1.0),
     Reason.DEADLINE: _Rule(504, Ran.UNKNOWN),
     Reason.QUARANTINED: _Rule(422),
     Reason.ENDPOINT_FAILED: _Rule(502, Ran.UNKNOWN, 1.0),
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -9,9 +9,11 @@
 
 from rattanmill_core import (
     InstanceSettings,
+    MemoryBudget,
     Metrics,
     MetricsServer,
     Signals,
+    bodies_bytes,
     log_event,
     start_loop,
     warn_event,
@@ -191,6 +193,7 @@
         TurnManager(keepers, metrics),
         metrics,
     )
+    front_end.memory = MemoryBudget(bodies_bytes(settings.memory_bytes))
     store_sync = StoreSync(kv, schema, front_end, registry)
     front_end.config_proved_at = store_sync.config_proved_at
     if settings.revocation_seconds is not None:
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 
 from rattanmill_core import (
+    HeldMemory,
+    MemoryBudget,
     Metrics,
     Ran,
     Reason,
@@ -32,6 +34,7 @@
 # Responses are due this long before the caller's deadline and the route's
 # timeout.
 _DEADLINE_MARGIN_SECONDS = 0.02
+_DEFAULT_BODIES_BYTES = 64 * 1024 * 1024
 
 
 class FrontEnd:
@@ -44,6 +47,7 @@
         config_proved_at: Returns the loop time as of which the configuration
             in force is known to be the newest.
         max_config_age: Seconds since then for which keys are accepted.
+        memory: Memory that may be held for requests.
 
     Args:
         codec: Encodes and decodes HTTP heads for callers and endpoints.
@@ -71,6 +75,7 @@
         self.active_requests = 0
         self.config_proved_at: Callable[[], float] = lambda: float("inf")
         self.max_config_age = float("inf")
+        self.memory = MemoryBudget(_DEFAULT_BODIES_BYTES)
 
     def limits(self) -> Limits:
         """Returns the configured limits that are in force."""
@@ -88,11 +93,14 @@
         """Serves one request."""
         self.active_requests += 1
         try:
-            return await self._serve(request)
+            with self.memory.hold() as held:
+                return await self._serve(request, held)
         finally:
             self.active_requests -= 1
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, request: web.BaseRequest, held: HeldMemory
+    ) -> web.StreamResponse:
         arrived = loop_seconds()
         call = self.codec.decode_call(
             request.method, request.raw_path, _raw_headers(request)
@@ -108,7 +116,7 @@
         refusal = self._authorize(call, route)
         if refusal:
             return self._refuse(request, call, refusal)
-        read = await self._read_body(request, call, route)
+        read = await self._read_body(request, call, route, held)
         if isinstance(read, Refusal):
             return self._refuse(request, call, read)
         call.body, body_stream = read
@@ -129,7 +137,13 @@
         )
         try:
             return await self._handle(
-                request, call, body_stream, route, service, table.version
+                request,
+                call,
+                body_stream,
+                route,
+                service,
+                table.version,
+                held,
             )
         except asyncio.CancelledError:
             log_event("caller_left", request=call.request_id)
@@ -190,7 +204,11 @@
         return None
 
     async def _read_body(
-        self, request: web.BaseRequest, call: Call, route: Route
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        route: Route,
+        held: HeldMemory,
     ) -> tuple[bytes, BodyStream | None] | Refusal:
         """Reads the request's body within the time limit of the request."""
         read_whole = route.kind is RouteKind.STREAM
@@ -199,7 +217,7 @@
                 call.arrived_at + _max_duration_seconds(call, route)
             ):
                 return await read_body(
-                    request, self.limits().max_body_bytes, read_whole
+                    request, self.limits().max_body_bytes, read_whole, held
                 )
         except TimeoutError:
             return refuse(
@@ -214,6 +232,7 @@
         route: Route,
         service: Service,
         version: int,
+        held: HeldMemory,
     ) -> web.StreamResponse:
         refusal = await self.rates.admit(call, version)
         if refusal:
--- /dev/null
+++ b/tests/features/held_memory.feature
@@ -0,0 +1,42 @@
+Feature: Memory that is held for requests
+  What callers send is admitted by the memory that it takes, so that many of
+  them together do not end a process.
+
+  Scenario: Made-up sequences of bodies that arrive, stall, end and come anew
+    Guards against a sum that exceeds the limit, and against memory that stays
+    reserved.
+
+    When 300 sequences of up to 60 bodies are admitted with seeds
+    Then the sum exceeded the limit in none, but for one large body alone
+    And everything was given back at the end of each
+
+  Scenario: Small bodies beside large ones
+    Guards against large bodies that leave nothing to ordinary calls.
+
+    Given a limit of 20 MB
+    When large bodies are admitted until one is refused
+    Then a body of 64 KB is admitted
+
+  Scenario: The largest body alone
+    Guards against a limit that refuses what the configuration allows.
+
+    Given a limit of 4 MB
+    When a body of 1 KB is admitted
+    Then a body of 12288 KB is admitted
+    But another body of 1024 KB is refused
+
+  Scenario Outline: A body that has stalled
+    Guards against callers that stop just short of the end of their bodies, and
+    keep all others out.
+
+    Given a limit of 4 MB
+    When bodies take all of it and <what> for <seconds> s
+    Then a body of 64 KB is <outcome>
+    And <count> of the others is revoked
+
+    Examples:
+      | what                          | seconds | outcome  | count |
+      | stop                          | 0.5     | refused  | 0     |
+      | stop                          | 1.5     | admitted | 1     |
+      | send a byte every 100 ms      | 3       | admitted | 1     |
+      | send 100 KB every 100 ms      | 3       | refused  | 0     |
