Bound callers' connections, and what is read of them in one turn

Callers saw a front end without descriptors or memory while others only kept connections open. A crowd of bodies in chunks of a few bytes had the event loop for seconds in a row.

What is read in one turn is divided among the bodies, little for those in small chunks. The metrics bear 32 connections, the readiness check as many. Idle connections to endpoints give way to new ones.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -24,6 +24,11 @@
 from rattanmill_core.instance import InstanceSettings, RateBounds
 from rattanmill_core.lateness import watch_turns
 from rattanmill_core.lazy import import_on_use
+from rattanmill_core.listening import (
+    ACCEPTED_AT_ONCE,
+    lengthen_queue,
+    open_listening,
+)
 from rattanmill_core.loops import LoopShare, start_loop
 from rattanmill_core.memory import (
     HeldMemory,
@@ -64,6 +69,7 @@
     )
 
 __all__ = [
+    "ACCEPTED_AT_ONCE",
     "bodies_bytes",
     "boot_seconds",
     "choose_revoked",
@@ -108,11 +114,13 @@
     "decode_config",
     "default_config",
     "encode_config",
+    "lengthen_queue",
     "load_settings",
     "log_event",
     "loop_seconds",
     "log_ids",
     "new_id",
+    "open_listening",
     "open_secrets",
     "parse_program_id",
     "part_logger",
--- a/libs/core/src/rattanmill_core/metricserver.py
+++ b/libs/core/src/rattanmill_core/metricserver.py
@@ -11,6 +11,11 @@
 import h11
 
 from rattanmill_core.events import warn_event
+from rattanmill_core.listening import (
+    ACCEPTED_AT_ONCE,
+    lengthen_queue,
+    open_listening,
+)
 from rattanmill_core.metrics import Metrics
 
 METRICS_PORT = 9464
@@ -20,6 +25,8 @@
 _READ_BYTES = 1024
 _MAX_REQUEST_BYTES = 16 * 1024
 _TOO_LARGE_STATUS = 413
+# An operator reads them with one or two. The oldest one gives way to another.
+_MAX_CONNECTIONS = 32
 # Longer than the usual time between two reads of the metrics.
 _IDLE_SECONDS = 75.0
 
@@ -30,7 +37,7 @@
     An address that is in use is reported, and the process runs without it.
 
     Attributes:
-        connections: Tasks that serve the open connections.
+        connections: Tasks that serve the open connections, oldest first.
 
     Args:
         ip: IP address to listen at.
@@ -45,13 +52,18 @@
         self.metrics = metrics
         self.port = port
         self.server: asyncio.Server | None = None
-        self.connections: set[asyncio.Task] = set()
+        self.connections: dict[asyncio.Task, None] = {}
 
     async def __aenter__(self) -> Self:
         try:
+            listening = open_listening(self.ip, self.port)
             self.server = await asyncio.start_server(
-                self._accept, self.ip, self.port
+                self._accept,
+                sock=listening,
+                backlog=ACCEPTED_AT_ONCE,
+                limit=_MAX_REQUEST_BYTES,
             )
+            lengthen_queue(listening)
         except OSError as error:
             warn_event("metrics_not_served", why=str(error))
         return self
@@ -66,12 +78,17 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if len(self.connections) >= _MAX_CONNECTIONS:
+            oldest = next(iter(self.connections))
+            del self.connections[oldest]
+            oldest.cancel()
+            self.metrics.count("rattanmill_connections_closed", why="too_many")
         task = asyncio.create_task(self._serve(reader, writer))
-        self.connections.add(task)
+        self.connections[task] = None
         task.add_done_callback(self._on_end)
 
     def _on_end(self, task: asyncio.Task) -> None:
-        self.connections.discard(task)
+        self.connections.pop(task, None)
         error = None if task.cancelled() else task.exception()
         if error:
             task.get_loop().call_exception_handler(
--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -6,8 +6,19 @@
 import msgspec
 from aiohttp import StreamReader
 
-from rattanmill_core import Metrics, Reason, SettingsError, log_event, refuse
+from rattanmill_core import (
+    ACCEPTED_AT_ONCE,
+    MemoryBudget,
+    Metrics,
+    Reason,
+    SettingsError,
+    lengthen_queue,
+    log_event,
+    open_listening,
+    refuse,
+)
 from rattanmill_forward import web
+from rattanmill_forward.connections import ConnectionTable, ReadShares
 from rattanmill_forward.routes import Limits
 
 _MAX_HEAD_BYTES = 64 * 1024
@@ -16,7 +27,15 @@
 _MAX_FRAMING_BYTES = 64 * 1024
 # All that was read is parsed before other tasks have a turn.
 _READ_BYTES = 32 * 1024
-_BACKLOG = 1024
+# What is parsed of a body before its reader has taken it.
+_BUFFER_BYTES = 16 * 1024
+# Chunks that are shorter, on average, take longer to parse than to send.
+_SMALL_CHUNK_SHARE = 0.2
+# The rest of a body whose request was refused is read for this long, so that
+# its caller gets the refusal.
+_LINGERING_SECONDS = 2.0
+_DEFAULT_CONNECTIONS = 1024
+_DEFAULT_BODIES_BYTES = 64 * 1024 * 1024
 _TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -33,11 +52,17 @@
         cancel_on_disconnect: Whether a request is cancelled when its caller
             disconnects.
         metrics: Counts refusals.
+        max_connections: Maximum number of open connections.
+        memory: Holds the requests that arrive.
     """
 
     limits: Callable[[], Limits]
     cancel_on_disconnect: bool
     metrics: Metrics
+    max_connections: int = _DEFAULT_CONNECTIONS
+    memory: MemoryBudget = msgspec.field(
+        default_factory=lambda: MemoryBudget(_DEFAULT_BODIES_BYTES)
+    )
 
 
 class _Connection(web.RequestHandler):
@@ -63,7 +88,11 @@
             max_field_size=_MAX_HEAD_BYTES,
             # The endpoint gets the body as it was sent, with its encoding.
             auto_decompress=False,
+            read_bufsize=_BUFFER_BYTES,
+            lingering_time=_LINGERING_SECONDS,
         )
+        self.table = server.table
+        self.shares = server.shares
         self.policy = policy
         self.is_serving = False
         self.head_timer: asyncio.TimerHandle | None = None
@@ -73,6 +102,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport.max_size = _READ_BYTES
         super().connection_made(transport)
+        if not self.table.add(self):
+            transport.abort()
+
+    def give_way(self) -> None:
+        """Closes the connection, on which no request is in progress."""
+        self.force_close()
 
     def data_received(self, data: bytes) -> None:
         # A request may be refused before all of its body has arrived.
@@ -81,7 +116,12 @@
         before = body.total_bytes if is_body else 0
         super().data_received(data)
         if is_body:
-            self._check_framing(body, len(data) - body.total_bytes + before)
+            framing_bytes = len(data) - body.total_bytes + before
+            self._check_framing(body, framing_bytes)
+            if self.transport is not None:
+                self.transport.max_size = self._next_read_bytes(
+                    body, framing_bytes > len(data) * _SMALL_CHUNK_SHARE
+                )
         # An empty call only resumes parsing.
         is_head = bool(data) and not (is_body or self.is_serving)
         if is_head and not self.head_timer and self.transport is not None:
@@ -90,8 +130,21 @@
                 self._on_head_timeout,
             )
 
+    def _next_read_bytes(self, body: StreamReader, is_small: bool) -> int:
+        """Returns how much is to be read at a time.
+
+        Args:
+            body: The body that was read.
+            is_small: Whether it comes in small chunks.
+        """
+        if body.is_eof():
+            return self.shares.remove(self)
+        return self.shares.record(self, is_small)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         self._stop_timer()
+        self.table.remove(self)
+        self.shares.remove(self)
         super().connection_lost(exc)
 
     async def serve(self, handler: Handler, request: web.BaseRequest) -> object:
@@ -100,10 +153,12 @@
         self.is_serving = True
         self.last_body = request.content
         self.framing_bytes = 0
+        self.table.begin(self)
         try:
             return await handler(request)
         finally:
             self.is_serving = False
+            self.table.end(self)
 
     def _stop_timer(self) -> None:
         if self.head_timer:
@@ -154,6 +209,10 @@
             handler_cancellation=policy.cancel_on_disconnect,
         )
         self.policy = policy
+        self.table = ConnectionTable(
+            policy.max_connections, policy.memory, policy.metrics
+        )
+        self.shares = ReadShares()
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol of a new connection."""
@@ -180,9 +239,11 @@
         Raises:
             OSError: The address cannot be used.
         """
+        listening = open_listening(host, port)
         self.listening = await asyncio.get_running_loop().create_server(
-            self.server, host, port, backlog=_BACKLOG
+            self.server, sock=listening, backlog=ACCEPTED_AT_ONCE
         )
+        lengthen_queue(listening)
 
     async def cleanup(self) -> None:
         """Closes idle connections now, and others after their request."""
--- /dev/null
+++ b/libs/forward/src/rattanmill_forward/connections.py
@@ -0,0 +1,160 @@
+"""Which connections of callers are open, and how much is read from each.
+
+Connections that nobody uses cost descriptors, and what has arrived on them
+memory. What is read in one turn of the event loop delays all other calls.
+"""
+
+from typing import Protocol
+
+from rattanmill_core import (
+    MemoryBudget,
+    Metrics,
+    loop_seconds,
+    warn_event,
+)
+
+# Of the descriptors, for callers and as many for endpoints.
+_DESCRIPTORS_SHARE = 0.35
+# Of a machine's memory, and what a connection takes of it with what has arrived
+# on it and was not read.
+_MEMORY_SHARE = 0.2
+_CONNECTION_BYTES = 32 * 1024
+# What one connection may have read in one turn of the event loop, and all that
+# bring bodies together.
+_MAX_READ_BYTES = 32 * 1024
+_MIN_READ_BYTES = 2 * 1024
+_BODIES_TURN_BYTES = 1024 * 1024
+# A body in small chunks takes up to a hundred times as long to parse.
+_MIN_SMALL_READ_BYTES = 256
+_SMALL_TURN_BYTES = 16 * 1024
+_LOG_INTERVAL_SECONDS = 1.0
+
+
+def max_callers(memory_bytes: int, max_descriptors: int) -> int:
+    """Returns how many connections of callers a machine bears."""
+    by_memory = int(memory_bytes * _MEMORY_SHARE / _CONNECTION_BYTES)
+    return max(1, min(by_memory, max_endpoint_connections(max_descriptors)))
+
+
+def max_endpoint_connections(max_descriptors: int) -> int:
+    """Returns how many connections to endpoints may be open."""
+    return max(1, int(max_descriptors * _DESCRIPTORS_SHARE))
+
+
+class Closable(Protocol):
+    """A connection that can be closed for another one."""
+
+    def give_way(self) -> None:
+        """Closes the connection, on which no request is in progress."""
+
+
+class ConnectionTable:
+    """Open connections of a listener, up to a maximum.
+
+    Attributes:
+        open: All of them.
+        idle: Those without a request in progress; the one that has been so for
+            longest comes first.
+
+    Args:
+        max_open: Maximum number of open connections.
+        memory: Ends requests that have stalled.
+        metrics: Counts connections that were closed for others, or refused.
+    """
+
+    def __init__(
+        self, max_open: int, memory: MemoryBudget, metrics: Metrics
+    ) -> None:
+        self.max_open = max_open
+        self.memory = memory
+        self.metrics = metrics
+        self.open: set[Closable] = set()
+        self.idle: dict[Closable, None] = {}
+        self.unlogged = 0
+        self.logged_at = float("-inf")
+
+    def add(self, connection: Closable) -> bool:
+        """Adds a new connection; returns False if there is no room for it.
+
+        Idle connections make room, or requests that have stalled.
+        """
+        is_full = len(self.open) >= self.max_open
+        if is_full and not self._make_room():
+            self._record("refused")
+            return False
+        self.open.add(connection)
+        self.idle[connection] = None
+        return True
+
+    def remove(self, connection: Closable) -> None:
+        """Removes a connection that was closed."""
+        self.open.discard(connection)
+        self.idle.pop(connection, None)
+
+    def begin(self, connection: Closable) -> None:
+        """Notes that a connection has a request in progress."""
+        self.idle.pop(connection, None)
+
+    def end(self, connection: Closable) -> None:
+        """Notes that a connection has none any more."""
+        if connection in self.open:
+            self.idle[connection] = None
+
+    def _make_room(self) -> bool:
+        victim = next(iter(self.idle), None)
+        if victim is not None:
+            self._record("too_many")
+            self.remove(victim)
+            victim.give_way()
+            return True
+        if self.memory.revoke_stalled():
+            self._record("stalled")
+        return False
+
+    def _record(self, why: str) -> None:
+        """Counts a connection that was closed, and logs the first of many."""
+        self.metrics.count("rattanmill_connections_closed", why=why)
+        self.unlogged += 1
+        now = loop_seconds()
+        if now - self.logged_at < _LOG_INTERVAL_SECONDS:
+            return
+        warn_event(
+            "connections_full",
+            max=self.max_open,
+            why=why,
+            count=self.unlogged,
+        )
+        self.logged_at = now
+        self.unlogged = 0
+
+
+class ReadShares:
+    """Divides what is read in one turn of the event loop among connections.
+
+    Attributes:
+        bodies: Connections that bring a body.
+        small: Those of them whose body comes in small chunks.
+    """
+
+    def __init__(self) -> None:
+        self.bodies: set[object] = set()
+        self.small: set[object] = set()
+
+    def record(self, connection: object, is_small: bool) -> int:
+        """Records a piece of a body; returns how much is to be read next."""
+        self.bodies.add(connection)
+        if not is_small:
+            self.small.discard(connection)
+            return _share(_BODIES_TURN_BYTES, len(self.bodies), _MIN_READ_BYTES)
+        self.small.add(connection)
+        return _share(_SMALL_TURN_BYTES, len(self.small), _MIN_SMALL_READ_BYTES)
+
+    def remove(self, connection: object) -> int:
+        """Records the end of a body; returns how much is to be read next."""
+        self.bodies.discard(connection)
+        self.small.discard(connection)
+        return _MAX_READ_BYTES
+
+
+def _share(turn_bytes: int, count: int, least: int) -> int:
+    return max(least, min(_MAX_READ_BYTES, turn_bytes // count))
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -22,6 +22,10 @@
 from rattanmill_forward import web
 from rattanmill_forward.callers import ConnectionPolicy, Listener, listen
 from rattanmill_forward.calls import HttpCodec
+from rattanmill_forward.connections import (
+    max_callers,
+    max_endpoint_connections,
+)
 from rattanmill_forward.crashes import CrashGuard
 from rattanmill_forward.dispatch import Dispatcher
 from rattanmill_forward.domains import DomainMonitor
@@ -48,6 +52,8 @@
 _SWEEP_INTERVAL_SECONDS = 0.5
 # The store may end a wait a little early, and clocks drift.
 _CONFIG_AGE_MARGIN_SECONDS = 0.25
+# The load balancer needs one.
+_MAX_READINESS_CONNECTIONS = 32
 
 
 class StoreSchema(msgspec.Struct, frozen=True):
@@ -177,6 +183,7 @@
     performance = PerformanceModel(settings.domain)
     registry.on_removed = performance.forget
     pool = ConnectionPool(settings.ip, codec, metrics)
+    pool.max_open = max_endpoint_connections(settings.max_descriptors)
     members.tolerated_disk_losses = settings.lost_disks
     keepers = KeeperClient(settings.domain, members, metrics)
     share_loads(performance, registry, keepers.loads)
@@ -218,7 +225,13 @@
         server = await listen(
             settings.callers,
             front_end.serve,
-            ConnectionPolicy(front_end.limits, True, metrics),
+            ConnectionPolicy(
+                front_end.limits,
+                True,
+                metrics,
+                max_callers(settings.memory_bytes, settings.max_descriptors),
+                front_end.memory,
+            ),
             settings.grace_seconds
             - _DRAIN_NOTICE_SECONDS
             - _EXIT_MARGIN_SECONDS,
@@ -227,7 +240,9 @@
         ready = await listen(
             settings.readiness,
             _readiness(lambda: _is_ready(store_sync, front_end, keepers)),
-            ConnectionPolicy(front_end.limits, False, metrics),
+            ConnectionPolicy(
+                front_end.limits, False, metrics, _MAX_READINESS_CONNECTIONS
+            ),
             _EXIT_MARGIN_SECONDS / 2,
         )
         stack.push_async_callback(ready.cleanup)
--- a/libs/forward/src/rattanmill_forward/exchange.py
+++ b/libs/forward/src/rattanmill_forward/exchange.py
@@ -30,6 +30,7 @@
 _IDLE_MARGIN_SECONDS = 1.0
 _MAX_IDLE_SECONDS = 20.0
 _MAX_IDLE_CONNECTIONS = 24
+_MAX_OPEN_CONNECTIONS = 1024
 # What may come before an answer: interim responses, of which servers send one
 # or two, and the rest of what belongs to an earlier request.
 _MAX_SKIPPED_MESSAGES = 16
@@ -158,6 +159,10 @@
 class ConnectionPool:
     """Connections to endpoints.
 
+    Attributes:
+        max_open: Number of connections from which on idle ones are closed for
+            new ones.
+
     Args:
         source_ip: IP address of this process.
         codec: Decodes heads of responses.
@@ -173,6 +178,7 @@
         self.idle: dict[str, collections.deque[Connection]] = {}
         self.active: set[Connection] = set()
         self.read_buffer = bytearray(READ_BYTES)
+        self.max_open = _MAX_OPEN_CONNECTIONS
 
     async def send(
         self,
@@ -327,6 +333,7 @@
         self, endpoint: Endpoint
     ) -> Connection | ConnectFailed:
         self.metrics.count("rattanmill_endpoint_connections")
+        self._make_room()
         try:
             return await open_connection(
                 endpoint, self.source_ip, self.read_buffer
@@ -337,6 +344,13 @@
                 str(error) or "connection timed out", is_refused
             )
 
+    def _make_room(self) -> None:
+        """Closes an idle connection if there are too many in all."""
+        idle_count = sum(map(len, self.idle.values()))
+        if idle_count and idle_count + len(self.active) >= self.max_open:
+            # The one that was least recently used, of the endpoint with most.
+            max(self.idle.values(), key=len).popleft().abort()
+
     def has_open_idle(self, endpoint: Endpoint) -> bool:
         """Whether an idle connection to the endpoint is still open."""
         return any(
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -40,3 +40,22 @@
       | stop                          | 1.5     | admitted | 1     |
       | send a byte every 100 ms      | 3       | admitted | 1     |
       | send 100 KB every 100 ms      | 3       | refused  | 0     |
+
+  Scenario Outline: Connections of callers
+    Guards against connections that use up the descriptors of a machine.
+
+    Given a front end that bears 10 connections
+    When 10 connections are open, of which <idle> are idle, and one more comes
+    Then it is <outcome>, and <closed> is closed for it
+
+    Examples:
+      | idle | outcome  | closed          |
+      | 4    | admitted | the oldest idle |
+      | 0    | refused  | none            |
+
+  Scenario: What is read of bodies in one turn of the event loop
+    Guards against a crowd whose bodies take the event loop from all others.
+
+    When 1 to 1000 connections bring bodies, in large and in small chunks
+    Then one alone may have 32768 bytes read, and in small chunks 16384
+    And all together at most 2 MB are read, and in small chunks 256 KB
--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -10,7 +10,7 @@
 from aiohttp.web_protocol import RequestHandler
 from behave import given, then, when
 
-from rattanmill_core import MemoryBudget, Metrics
+from rattanmill_core import Metrics
 from rattanmill_core.metricserver import MetricsServer
 from rattanmill_forward import web
 from rattanmill_forward.bodies import read_body
@@ -48,7 +48,7 @@
     policy = ConnectionPolicy(Limits, True, context.metrics)
 
     async def handle(request):
-        with MemoryBudget(64 * _MB).hold() as held:
+        with policy.memory.hold() as held:
             body = await read_body(request, 4 * _MB, True, held)
         context.bodies.append(body)
         return web.Response(text="done")
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -5,12 +5,14 @@
 
 from behave import given, then, when
 
-from rattanmill_core import MemoryBudget
+from rattanmill_core import MemoryBudget, Metrics
+from rattanmill_forward.connections import ConnectionTable, ReadShares
 
 _KB = 1024
 _MB = 1024 * 1024
 _CLOCK = "rattanmill_core.memory.loop_seconds"
 _LIMIT_BYTES = 8 * _MB
+_COUNTS = (1, 2, 10, 60, 300, 1000)
 
 
 class _Clock:
@@ -153,3 +155,70 @@
 def step_revoked(context, count):
     revoked = [body for body in context.others if body.is_revoked]
     assert len(revoked) == count, len(revoked)
+
+
+class _Connection:
+    """A connection that notes whether it was closed for another one."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def give_way(self):
+        self.is_closed = True
+
+
+@given("a front end that bears {count:d} connections")
+def step_connections(context, count):
+    metrics = mock.create_autospec(Metrics)
+    context.connections = ConnectionTable(count, MemoryBudget(_MB), metrics)
+    patch = mock.patch("rattanmill_forward.connections.loop_seconds", _Clock())
+    patch.start()
+    context.scenario_stack.callback(patch.stop)
+    start_clock(context)
+
+
+@when(
+    "{count:d} connections are open, of which {idle:d} are idle, and one more"
+    " comes"
+)
+def step_one_more(context, count, idle):
+    context.open = [_Connection() for _ in range(count)]
+    for number, connection in enumerate(context.open):
+        assert context.connections.add(connection)
+        if number >= idle:
+            context.connections.begin(connection)
+    context.is_admitted = context.connections.add(_Connection())
+
+
+@then("it is {outcome}, and {closed} is closed for it")
+def step_outcome(context, outcome, closed):
+    assert context.is_admitted == (outcome == "admitted")
+    found = [n for n, each in enumerate(context.open) if each.is_closed]
+    assert found == ([] if closed == "none" else [0]), found
+
+
+@when("1 to 1000 connections bring bodies, in large and in small chunks")
+def step_shares(context):
+    context.shares = {}
+    for is_small in (False, True):
+        for count in _COUNTS:
+            shares = ReadShares()
+            for number in range(count):
+                size = shares.record(number, is_small)
+            context.shares[is_small, count] = size
+
+
+@then("one alone may have {large:d} bytes read, and in small chunks {small:d}")
+def step_alone(context, large, small):
+    assert context.shares[False, 1] == large
+    assert context.shares[True, 1] == small
+
+
+@then(
+    "all together at most {large:d} MB are read, and in small chunks {small:d}"
+    " KB"
+)
+def step_together(context, large, small):
+    for (is_small, count), size in context.shares.items():
+        most = small * _KB if is_small else large * _MB
+        assert size * count <= most, (is_small, count, size)
