Hold a long body once while it is sent and while its turn is kept

A turn of 4 MB took 10 MB and more of a front end: head and body were joined, written at once into the transport's buffer, and the message that keeps the turn was encoded and copied for each storage instance. A body of more than 64 KB is written in pieces as the endpoint reads it; the message is encoded once, and long ones are sent from where they are.

--- a/libs/forward/src/rattanmill_forward/connection.py
+++ b/libs/forward/src/rattanmill_forward/connection.py
@@ -25,6 +25,8 @@
 READ_BYTES = 64 * 1024
 # Bounds what is parsed at a time, and so the memory that it takes.
 _PIECE_BYTES = 16 * 1024
+# Part of a body that is written at once.
+_SENT_BYTES = 64 * 1024
 # Other calls wait while so many are handled.
 _EVENTS_PER_TURN = 16
 
@@ -194,6 +196,10 @@
         """
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.sending.send(request)
+        if len(body) > _SENT_BYTES:
+            # Written at once, it would be in memory several times.
+            body_stream = _pieces(body, body_stream)
+            body = b""
         if body:
             data += self.sending.send(h11.Data(data=body)) or b""
         if body_stream is None:
@@ -305,6 +311,18 @@
             self.protocol.transport.abort()
 
 
+async def _pieces(
+    body: bytes, rest: AsyncIterator[bytes] | None
+) -> AsyncIterator[bytes]:
+    """Yields the buffered part of a body in pieces, and then the rest of it."""
+    view = memoryview(body)
+    for start in range(0, len(view), _SENT_BYTES):
+        yield view[start : start + _SENT_BYTES]
+    if rest is not None:
+        async for chunk in rest:
+            yield chunk
+
+
 def _new_http_state() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
 
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -15,8 +15,10 @@
     Keep,
     KeptTurn,
     Unsure,
+    codec,
 )
 from rattanmill_keeper.reach import Reachability
+from rattanmill_wire import Encoded
 
 _KEEP_TIMEOUT_SECONDS = 0.4
 _FETCH_TIMEOUT_SECONDS = 0.3
@@ -27,6 +29,7 @@
 # Size of the cache of turns. The next turn of a conversation mostly comes to
 # the same front end, and then needs no round trip.
 _CACHE_BYTES = 24 * 1024 * 1024
+_CODEC = codec()
 
 
 class NoSuchTurn(msgspec.Struct, frozen=True):
@@ -176,6 +179,7 @@
             kept_at: Instances that have stored it, by name; new ones are added.
         """
         members = self.reach.members
+        request = _encode_once(kept)
         substitutes = [
             member
             for member in members.substitutes(kept.key)
@@ -183,7 +187,7 @@
         ]
         substitutes.sort(key=self.reach.is_unresponsive)
         pending = {
-            self.reach.spawn(self._keep_at(member, kept)): member
+            self.reach.spawn(self._keep_at(member, request)): member
             for member in members.replicas(kept.key)
             if member.name not in kept_at
         }
@@ -196,7 +200,7 @@
             missing = members.copies - len(kept_at) - len(expected)
             for _ in range(min(missing, len(substitutes))):
                 member = substitutes.pop(0)
-                pending[self.reach.spawn(self._keep_at(member, kept))] = member
+                pending[self.reach.spawn(self._keep_at(member, request))] = member
             if not pending:
                 return
             done, _ = await asyncio.wait(
@@ -207,9 +211,9 @@
                 if task.result():
                     kept_at[member.name] = member
 
-    async def _keep_at(self, member: Member, kept: KeptTurn) -> bool:
+    async def _keep_at(self, member: Member, request: Encoded) -> bool:
         reply = await self.reach.ask(
-            member, Keep(kept), _KEEP_TIMEOUT_SECONDS, _KEEP_TIMEOUT_SECONDS / 4
+            member, request, _KEEP_TIMEOUT_SECONDS, _KEEP_TIMEOUT_SECONDS / 4
         )
         return isinstance(reply, Done)
 
@@ -358,6 +362,11 @@
         return f"{', '.join(sorted(lost))} may have the turn" if lost else ""
 
 
+def _encode_once(kept: KeptTurn) -> Encoded:
+    """Returns the request to keep a turn, encoded once for all instances."""
+    return Encoded(Keep.__name__, _CODEC.encode(Keep(kept)))
+
+
 def _uncertainty(
     member: Member, reply: msgspec.Struct | None, turn: str
 ) -> str:
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -10,6 +10,7 @@
 from rattanmill_keeper.members import MEMBERS_PREFIX, Member, Members
 from rattanmill_keeper.messages import Crashed, Pong
 from rattanmill_platform import Unavailable
+from rattanmill_wire import kind_of
 
 _PUBLISH_TIMEOUT_SECONDS = 0.5
 # A member that did not reply is tried last for this long, unless it replies to
@@ -129,7 +130,7 @@
         self, member: Member, message: msgspec.Struct, seconds: float
     ) -> msgspec.Struct | None:
         reply = await self.members.link(member).ask(message, seconds)
-        kind = type(message).__name__
+        kind = kind_of(message)
         if reply is None:
             self.avoid_until[member.name] = loop_seconds() + _AVOID_SECONDS
             self.metrics.count("rattanmill_keeper_silent", kind=kind)
--- a/libs/wire/src/rattanmill_wire/__init__.py
+++ b/libs/wire/src/rattanmill_wire/__init__.py
@@ -3,7 +3,13 @@
 from typing import TYPE_CHECKING
 
 from rattanmill_core import import_on_use
-from rattanmill_wire.requests import Codec, RequestLink, RequestServer
+from rattanmill_wire.requests import (
+    Codec,
+    Encoded,
+    RequestLink,
+    RequestServer,
+    kind_of,
+)
 
 if TYPE_CHECKING:
     from rattanmill_wire.messages import (
@@ -34,6 +40,7 @@
     "Codec",
     "ConfigAsk",
     "ConfigTell",
+    "Encoded",
     "EndpointNotes",
     "Heartbeat",
     "Message",
@@ -48,6 +55,7 @@
     "RequestServer",
     "decode_message",
     "encode_message",
+    "kind_of",
     "load_secret",
 ]
 
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -31,9 +31,11 @@
 # Messages received in a row before the event loop runs other work.
 _MAX_BATCH_MESSAGES = 50
 _LINGER_MS = 100
-# No process has the memory to continue a longer chain of turns. A connection on
-# which a longer message is announced is closed before it is read.
-_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Somewhat more than the largest record of a journal. A connection on which a
+# longer message is announced is closed before it is read.
+_MAX_MESSAGE_BYTES = 17 * 1024 * 1024
+# Longer messages are sent from where they are, without a copy.
+_COPIED_BYTES = 64 * 1024
 # As plain integers: each operation on an enumeration's member takes longer than
 # sending a small message.
 _NOBLOCK = int(zmq.NOBLOCK)
@@ -46,6 +48,25 @@
 Serve = Callable[[Any], msgspec.Struct | Awaitable[msgspec.Struct]]
 
 
+class Encoded(msgspec.Struct, frozen=True):
+    """A message that is encoded once for several receivers.
+
+    Attributes:
+        kind: Name of the message's type.
+        data: The encoded message.
+    """
+
+    kind: str
+    data: bytes
+
+
+def kind_of(message: msgspec.Struct) -> str:
+    """Returns the name of a message's type."""
+    if isinstance(message, Encoded):
+        return message.kind
+    return type(message).__name__
+
+
 class Codec:
     """Encodes and decodes a union of tagged structs as msgpack."""
 
@@ -55,6 +76,8 @@
 
     def encode(self, message: msgspec.Struct) -> bytes:
         """Returns the encoded message."""
+        if isinstance(message, Encoded):
+            return message.data
         return self.encoder.encode(message)
 
     def decode(self, data: bytes) -> Any:
@@ -103,7 +126,8 @@
         try:
             for frame in others:
                 self.socket.send(frame, _MORE)
-            self.socket.send(last, _NOBLOCK)
+            is_copied = len(last) < _COPIED_BYTES
+            self.socket.send(last, _NOBLOCK, copy=is_copied)
         except zmq.Again:
             is_sent = False
         else:
@@ -358,7 +382,7 @@
             log_event(
                 "peer_silent",
                 peer=self.address,
-                asked=type(message).__name__,
+                asked=kind_of(message),
                 why=str(error) or "timeout",
             )
         self.failures += 1
