Keep the texts of turns on disk, of which a part is cached

Callers saw storage instances that were killed, and again whenever they started, after others had kept more text than fits into memory: 160 turns of 1 MB, 203 MB of 120. Cause: the table of turns held every text until it expired.

Replies have 4 MB of texts at most, where 16 MB were read and encoded at once; Turns.has_more tells a follower that the rest did not fit, so that it asks on at once. A chain comes up to a size that the asker names (0, from earlier versions: whole), with the size of the next text.

An instance that is emptied sends its turns one by one. It read up to 16 MB of them before and passed over the rest as if they had been sent; found by reading, without a test.

--- a/libs/keeper/src/rattanmill_keeper/emptying.py
+++ b/libs/keeper/src/rattanmill_keeper/emptying.py
@@ -436,9 +436,11 @@
         reply = await link.ask(Lacking(turns), _REQUEST_TIMEOUT_SECONDS)
         if not isinstance(reply, Lacking):
             return False
-        for turn in self.keeper.table.get_many(reply.turns):
-            if not isinstance(
-                await link.ask(Keep(turn), _REQUEST_TIMEOUT_SECONDS), Done
+        for turn in reply.turns:
+            kept = self.keeper.table.get(turn)
+            # It may have expired since.
+            if kept and not isinstance(
+                await link.ask(Keep(kept), _REQUEST_TIMEOUT_SECONDS), Done
             ):
                 return False
         return True
--- a/libs/keeper/src/rattanmill_keeper/following.py
+++ b/libs/keeper/src/rattanmill_keeper/following.py
@@ -321,8 +321,9 @@
         ]
         lacking = self.keeper.table.missing(mine)
         link = self.members.link(member)
-        for start in range(0, len(lacking), _MAX_FETCHED_TURNS):
-            page = lacking[start : start + _MAX_FETCHED_TURNS]
+        unfetched = lacking
+        while unfetched:
+            page = unfetched[:_MAX_FETCHED_TURNS]
             reply = await link.ask(
                 FetchTurns(page), 2 * _REQUEST_TIMEOUT_SECONDS
             )
@@ -330,8 +331,10 @@
                 return False
             await asyncio.gather(*map(self.keeper.keep, reply.turns))
             came = {kept.turn for kept in reply.turns}
-            if not self._has_come(member, "turns", page, came):
+            is_cut = reply.has_more and came
+            if not is_cut and not self._has_come(member, "turns", page, came):
                 return False
+            unfetched = [turn for turn in unfetched if turn not in came]
         if lacking:
             log_event("turns_fetched", keeper=member.name, count=len(lacking))
         return True
--- a/libs/keeper/src/rattanmill_keeper/journal.py
+++ b/libs/keeper/src/rattanmill_keeper/journal.py
@@ -14,7 +14,7 @@
 import pathlib
 import struct
 import zlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Self
 
 import msgspec
@@ -34,23 +34,41 @@
 _SUFFIX = ".journal"
 
 
-class StoredRecord(msgspec.Struct, frozen=True):
-    """A record read from disk, and the number of its segment."""
+class Location(msgspec.Struct, frozen=True):
+    """Where a record is on disk.
+
+    Attributes:
+        segment: Number of its segment.
+        offset: Position of its data in the segment, in bytes.
+        size: Size of its data in bytes.
+    """
 
     segment: int
+    offset: int
+    size: int
+
+
+class StoredRecord(msgspec.Struct, frozen=True):
+    """A record read from disk, and its location."""
+
+    location: Location
     data: bytes
 
 
-class _PendingFrame(msgspec.Struct):
-    """A frame to be written, and the future of a writer that awaits it."""
+class _PendingRecord(msgspec.Struct):
+    """A record to be written, and the future of a writer that awaits it."""
 
-    frame: bytes
+    data: bytes
     future: asyncio.Future | None
 
 
-def encode_frame(data: bytes) -> bytes:
-    """Returns the frame of a record."""
-    return _HEADER.pack(len(data), _checksum(data)) + data
+def encode_frames(records: Iterable[bytes]) -> bytes:
+    """Returns the frames of records."""
+    return b"".join(
+        part
+        for data in records
+        for part in (_HEADER.pack(len(data), _checksum(data)), data)
+    )
 
 
 def _checksum(data: bytes) -> int:
@@ -81,8 +99,9 @@
             disk, or 0 if there is none of this run.
         written: Bytes written to that segment.
         synced_bytes: Bytes synced by this process.
-        pending: Frames that have not been written yet.
-        wake: Set when there are frames to write.
+        pending: Records that have not been written yet.
+        wake: Set when there are records to write.
+        sizes: Size of each segment on disk, in bytes.
 
     Args:
         folder: Folder of the segment files.
@@ -99,7 +118,8 @@
         self.snapshot_segment = 0
         self.written = 0
         self.synced_bytes = 0
-        self.pending: list[_PendingFrame] = []
+        self.pending: list[_PendingRecord] = []
+        self.sizes: dict[int, int] = {}
         self.wake = asyncio.Event()
         self.file = -1
         self.task: asyncio.Task | None = None
@@ -114,10 +134,12 @@
         for number in numbers:
             sync(self._path(number))
             content = self._path(number).read_bytes()
+            self.sizes[number] = len(content)
             good = 0
             for data in decode_frames(content):
-                good += _HEADER.size + len(data)
-                yield StoredRecord(number, data)
+                start = good + _HEADER.size
+                good = start + len(data)
+                yield StoredRecord(Location(number, start, len(data)), data)
             if good < len(content):
                 warn_event(
                     "journal_tail_bad",
@@ -126,6 +148,19 @@
                     bytes=len(content),
                 )
 
+    def read_at(self, location: Location) -> bytes:
+        """Returns the data of a record that is on disk."""
+        file = os.open(self._path(location.segment), os.O_RDONLY)
+        try:
+            return os.pread(file, location.size, location.offset)
+        finally:
+            os.close(file)
+
+    @property
+    def disk_bytes(self) -> int:
+        """Size of all segments on disk."""
+        return sum(self.sizes.values())
+
     def segments(self) -> list[int]:
         """Returns the numbers of the segments on disk, oldest first."""
         return sorted(
@@ -151,10 +186,10 @@
         self.executor.shutdown(wait=True)
         os.close(self.file)
 
-    async def append(self, data: bytes) -> int:
-        """Writes a record; returns its segment number once it is on disk."""
+    async def append(self, data: bytes) -> Location:
+        """Writes a record; returns its location once it is on disk."""
         future = asyncio.get_running_loop().create_future()
-        self.pending.append(_PendingFrame(encode_frame(data), future))
+        self.pending.append(_PendingRecord(data, future))
         self.wake.set()
         return await future
 
@@ -164,11 +199,12 @@
         Only for records whose loss in a crash merely makes answers less
         certain.
         """
-        self.pending.append(_PendingFrame(encode_frame(data), None))
+        self.pending.append(_PendingRecord(data, None))
 
     def drop_segment(self, number: int) -> None:
         """Removes a segment that is no longer needed."""
         self._path(number).unlink(missing_ok=True)
+        self.sizes.pop(number, None)
         log_event("journal_segment_dropped", segment=number)
 
     def _start_segment(self) -> None:
@@ -178,11 +214,9 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
         self.file = os.open(path, flags, 0o600)
         self.written = 0
-        # After the pending frames: the snapshot is newer, and later records
+        # After the pending records: the snapshot is newer, and later records
         # replace earlier ones.
-        self.pending += [
-            _PendingFrame(encode_frame(data), None) for data in self.snapshot()
-        ]
+        self.pending += [_PendingRecord(data, None) for data in self.snapshot()]
         self.wake.set()
 
     def _path(self, number: int) -> pathlib.Path:
@@ -198,20 +232,25 @@
                 continue
             segment = self.segment
             new_in = None if self.written else self.folder
-            data = b"".join(pending.frame for pending in group)
+            data = encode_frames(pending.data for pending in group)
+            start = self.written
             self.written += len(data)
             await loop.run_in_executor(
                 self.executor, _sync, self.file, data, new_in
             )
             self.synced_bytes += len(data)
+            self.sizes[segment] = self.written
             # The first group of a segment contains its snapshot.
             self.snapshot_segment = segment
             if self.written >= _SEGMENT_BYTES:
                 os.close(self.file)
                 self._start_segment()
             for pending in group:
+                start += _HEADER.size
                 if pending.future and not pending.future.done():
-                    pending.future.set_result(segment)
+                    size = len(pending.data)
+                    pending.future.set_result(Location(segment, start, size))
+                start += len(pending.data)
 
 
 def _sync(file: int, data: bytes, new_in: pathlib.Path | None) -> None:
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -1,6 +1,7 @@
 """A storage instance: budget accounts and kept turns on its disk."""
 
 import asyncio
+import errno
 import pathlib
 import uuid
 from collections.abc import Awaitable, Callable, Sequence
@@ -24,7 +25,7 @@
     request_consent,
 )
 from rattanmill_keeper.isolation import count_beginners, may_begin
-from rattanmill_keeper.journal import Journal
+from rattanmill_keeper.journal import Journal, Location
 from rattanmill_keeper.ledger import (
     ACCOUNT_TTL_SECONDS,
     AccountChange,
@@ -185,7 +186,7 @@
         self.metrics = metrics
         self.ledger = Ledger(name)
         self.ledger.owner = members.owner
-        self.table = TurnTable()
+        self.table = TurnTable(self.read_turn)
         self.intake = ChangeLog()
         self.mirrors = Mirrors(kv, max_ages)
         self.journal = Journal(folder / _FOLDER, self._snapshot)
@@ -311,12 +312,14 @@
                 return self._agree(message)
             case Keep(kept=kept):
                 return self._keep(kept)
-            case Fetch(turn=turn):
-                return self.fetch(turn)
+            case Fetch(turn=turn, max_bytes=max_bytes):
+                return self.fetch(turn, max_bytes)
             case FetchAccounts(programs=programs):
                 return Accounts(self.ledger.get_many(programs))
             case FetchTurns(turns=turns):
-                return Turns(self.table.get_many(turns))
+                found = self.table.get_many(turns)
+                held = set(turns) & self.table.held.keys()
+                return Turns(found, len(found) < len(held))
             case Lacking(turns=turns):
                 return Lacking(self.table.missing(turns))
             case Follow():
@@ -515,11 +518,16 @@
             self.intake.add(HomeEntry(change.account.program))
         return changes
 
-    def fetch(self, turn: str) -> Chain:
-        """Returns a turn and all that it continues, as far as held here."""
-        chain = self.table.chain(turn)
+    def fetch(self, turn: str, max_bytes: int = 0) -> Chain:
+        """Returns a turn and all that it continues, as far as held here.
+
+        Args:
+            turn: Id of the turn.
+            max_bytes: Maximum size of their texts, or 0 for any size.
+        """
+        chain = self.table.chain(turn, max_bytes)
         chain.whole = self.is_recovered
-        if chain.missing:
+        if chain.missing and not chain.next_bytes:
             chain.unlisted = self.members.unlisted()
         return chain
 
@@ -698,7 +706,18 @@
         self.intake.add(HomeEntry(change.home.program))
         await self._append(change)
 
-    async def _append(self, record: Record) -> int:
+    def read_turn(self, location: Location) -> KeptTurn:
+        """Reads a turn from disk.
+
+        Raises:
+            OSError: The disk does not have it.
+        """
+        record = decode(self.journal.read_at(location))
+        if not isinstance(record, KeptTurn):
+            raise OSError(errno.EIO, f"no turn at {location}")
+        return record
+
+    async def _append(self, record: Record) -> Location:
         return await self.journal.append(encode(record))
 
     async def _append_all(self, records: Sequence[Record]) -> None:
@@ -750,8 +769,8 @@
             return
         for change in self._book([kept.use] if kept.use else []):
             self.journal.append_nowait(encode(change))
-        segment = await self._append(kept)
-        if self.table.add(kept, segment):
+        location = await self._append(kept)
+        if self.table.add(kept, location):
             self.intake.add(kept.turn)
 
     def _follow(self, request: Follow) -> News | Awaitable[News]:
@@ -925,7 +944,7 @@
         for stored in self.journal.read():
             record = decode(stored.data)
             if isinstance(record, KeptTurn):
-                self.table.add(record, stored.segment)
+                self.table.add(record, stored.location)
             elif isinstance(record, RosterChange):
                 # Replaces earlier ones: an instance may have left since.
                 roster = record
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -636,9 +636,16 @@
 
 
 class Fetch(msgspec.Struct, tag=12):
-    """Requests a turn and all turns that it continues."""
+    """Requests a turn and all turns that it continues.
+
+    Attributes:
+        turn: Id of the turn.
+        max_bytes: Maximum size of their texts; 0, from an earlier version, for
+            any size.
+    """
 
     turn: str
+    max_bytes: int = 0
 
 
 class Chain(msgspec.Struct, tag=13):
@@ -652,12 +659,15 @@
             turn if it should keep it.
         unlisted: Storage instances that were known recently and are not
             registered any more. They may hold the missing turn.
+        next_bytes: Size of the text of the missing turn if it is held here and
+            did not fit into the reply, or 0.
     """
 
     turns: list[KeptTurn]
     missing: str
     whole: bool = False
     unlisted: list[str] = []
+    next_bytes: int = 0
 
 
 class Follow(msgspec.Struct, tag=14):
@@ -771,9 +781,15 @@
 
 
 class Turns(msgspec.Struct, tag=17):
-    """The requested turns that are held here."""
+    """The requested turns that are held here.
+
+    Attributes:
+        turns: The turns.
+        has_more: Whether the texts of others did not fit into the reply.
+    """
 
     turns: list[KeptTurn]
+    has_more: bool = False
 
 
 class Lacking(msgspec.Struct, tag=19):
--- a/libs/keeper/src/rattanmill_keeper/turns.py
+++ b/libs/keeper/src/rattanmill_keeper/turns.py
@@ -1,74 +1,127 @@
-"""In-memory table of kept turns, which the journal holds on disk."""
+"""Table of kept turns, whose texts the journal holds on disk."""
 
-import itertools
-from collections.abc import Iterable
+import collections
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from rattanmill_core import wall_seconds
+from rattanmill_keeper.journal import Location
 from rattanmill_keeper.messages import Chain, KeptTurn
 
 # Time for which a turn is kept beyond its expiry, as clocks differ between
 # instances or may jump by seconds.
 _EXPIRY_MARGIN_SECONDS = 15.0
-# Texts of turns that are sent in one message: several of the largest.
-_MAX_SENT_BYTES = 16 * 1024 * 1024
+# Texts of turns that are sent in one message, unless one alone is longer.
+_MAX_SENT_BYTES = 4 * 1024 * 1024
+_DEFAULT_CACHE_BYTES = 64 * 1024 * 1024
 
 
 class HeldTurn(msgspec.Struct):
-    """A turn and its location in the journal.
+    """A turn and where its text is.
 
     Attributes:
-        kept: The turn.
-        segment: Number of the journal segment that contains it.
+        kept: The turn without its text.
+        location: Location of its record in the journal.
+        size: Size of its text in bytes.
     """
 
     kept: KeptTurn
-    segment: int
+    location: Location
+    size: int
 
 
 class TurnTable:
     """Turns held by this storage instance.
 
     Attributes:
-        held: Turns by id.
+        held: Turns by id, without their texts.
         bytes: Total size of their texts.
+        texts: Texts by id that are in memory; least recently used first.
+        cached_bytes: Total size of these.
+        cache_bytes: Maximum of that.
+
+    Args:
+        read: Reads a turn's record from disk.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read: Callable[[Location], KeptTurn]) -> None:
+        self.read = read
         self.held: dict[str, HeldTurn] = {}
         self.bytes = 0
+        self.texts: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
+        self.cached_bytes = 0
+        self.cache_bytes = _DEFAULT_CACHE_BYTES
 
-    def add(self, kept: KeptTurn, segment: int) -> bool:
+    def add(self, kept: KeptTurn, location: Location) -> bool:
         """Adds a turn; returns False if it is already held."""
         if kept.turn in self.held:
             return False
-        self.held[kept.turn] = HeldTurn(kept, segment)
-        self.bytes += len(kept.text)
+        size = len(kept.text)
+        without_text = msgspec.structs.replace(kept, text=b"")
+        self.held[kept.turn] = HeldTurn(without_text, location, size)
+        self.bytes += size
+        self._cache(kept.turn, kept.text)
         return True
 
-    def chain(self, turn: str) -> Chain:
-        """Returns a turn and all turns that it continues, if held here."""
+    def _cache(self, turn: str, text: bytes) -> None:
+        self.texts[turn] = text
+        self.cached_bytes += len(text)
+        while self.cached_bytes > self.cache_bytes:
+            _, evicted = self.texts.popitem(last=False)
+            self.cached_bytes -= len(evicted)
+
+    def _uncache(self, turn: str) -> None:
+        self.cached_bytes -= len(self.texts.pop(turn, b""))
+
+    def _with_text(self, held: HeldTurn) -> KeptTurn:
+        turn = held.kept.turn
+        text = self.texts.get(turn)
+        if text is None:
+            text = self.read(held.location).text
+            self._cache(turn, text)
+        else:
+            self.texts.move_to_end(turn)
+        return msgspec.structs.replace(held.kept, text=text)
+
+    def chain(self, turn: str, max_bytes: int = 0) -> Chain:
+        """Returns a turn and all turns that it continues, if held here.
+
+        Args:
+            turn: Id of the turn.
+            max_bytes: Maximum size of their texts, or 0 for any size.
+        """
         turns = []
+        size = 0
         while held := self.held.get(turn):
-            turns.append(held.kept)
+            size += held.size
+            if max_bytes and size > max_bytes:
+                return Chain(turns, turn, next_bytes=held.size)
+            turns.append(self._with_text(held))
             turn = held.kept.previous
         return Chain(turns, turn)
 
+    def get(self, turn: str) -> KeptTurn | None:
+        """Returns a turn with its text, or None if it is not held."""
+        held = self.held.get(turn)
+        return self._with_text(held) if held else None
+
     def get_many(self, turns: Iterable[str]) -> list[KeptTurn]:
         """Returns the turns that are held, of those given.
 
         The last ones are left out if their texts would exceed what is sent at
         once. They are asked for again.
         """
-        found = [self.held[t].kept for t in turns if t in self.held]
-        sizes = itertools.accumulate(len(kept.text) for kept in found)
-        fitting = [
-            kept
-            for kept, size in zip(found, sizes, strict=True)
-            if size <= _MAX_SENT_BYTES
-        ]
-        return fitting or found[:1]
+        found: list[KeptTurn] = []
+        size = 0
+        for held in filter(None, map(self.held.get, turns)):
+            size += held.size
+            if found and size > _MAX_SENT_BYTES:
+                break
+            found.append(self._with_text(held))
+        return found
 
     def missing(self, turns: Iterable[str]) -> list[str]:
         """Returns the ids that are not held, of those given."""
@@ -90,12 +143,13 @@
                 unvisited.append(previous)
         expired = [turn for turn in self.held if turn not in needed]
         for turn in expired:
-            self.bytes -= len(self.held.pop(turn).kept.text)
+            self.bytes -= self.held.pop(turn).size
+            self._uncache(turn)
         return expired
 
     def segments(self) -> set[int]:
         """Returns the journal segments that contain held turns."""
-        return {held.segment for held in self.held.values()}
+        return {held.location.segment for held in self.held.values()}
 
 
 class HomeEntry(msgspec.Struct, frozen=True):
--- a/tests/features/steps/chains.py
+++ b/tests/features/steps/chains.py
@@ -8,10 +8,13 @@
 
 from rattanmill_core import wall_seconds
 from rattanmill_keeper import KeptTurn, NoSuchTurn, Unsure
+from rattanmill_keeper.journal import Location
 from rattanmill_keeper.messages import Chain
 from rattanmill_keeper.turns import TurnTable
 from support.keepers import run_in
 
+# Their texts stay in memory.
+_NOWHERE = Location(1, 0, 0)
 _MAX_TURNS = 6
 
 
@@ -64,7 +67,7 @@
     turns = make_chain("t", draw.randint(1, _MAX_TURNS))
     branch = make_chain("other", 2, draw.choice(turns).turn)
     for keeper in network.keepers.values():
-        keeper.table = TurnTable()
+        keeper.table = TurnTable(keeper.read_turn)
         keeper.is_recovered = draw.random() < 0.9
     chance = draw.choice((0.0, 0.3, 0.6))
     holders = {}
@@ -72,7 +75,7 @@
         names = [name for name in network.keepers if draw.random() < chance]
         holders[turn.turn] = set(names)
         for name in names:
-            network.keepers[name].table.add(turn, 1)
+            network.keepers[name].table.add(turn, _NOWHERE)
     return turns, holders
 
 
--- a/tests/features/steps/keeping_turns.py
+++ b/tests/features/steps/keeping_turns.py
@@ -11,7 +11,7 @@
 from rattanmill_keeper import (
     KeptTurn,
 )
-from rattanmill_keeper.journal import decode_frames, encode_frame
+from rattanmill_keeper.journal import decode_frames, encode_frames
 from rattanmill_keeper.messages import Keep, Ping, codec
 from rattanmill_wire import RequestLink
 from support.keepers import begin
@@ -244,10 +244,10 @@
 
 @then("a journal truncated at any byte yields a prefix of its records")
 def step_truncate_anywhere(context):
-    content = b"".join(map(encode_frame, _RECORDS))
+    content = encode_frames(_RECORDS)
     ends = [0]
     for record in _RECORDS:
-        ends.append(ends[-1] + len(encode_frame(record)))
+        ends.append(ends[-1] + len(encode_frames([record])))
     for garbage in (b"", bytes(40), b"\xff" * 40):
         for at in range(len(content) + 1):
             found = list(decode_frames(content[:at] + garbage))
@@ -257,8 +257,8 @@
 
 @then("a journal with any byte of its last record changed yields the others")
 def step_change_each(context):
-    content = b"".join(map(encode_frame, _RECORDS))
-    start = len(content) - len(encode_frame(_RECORDS[-1]))
+    content = encode_frames(_RECORDS)
+    start = len(content) - len(encode_frames([_RECORDS[-1]]))
     for at in range(start, len(content)):
         changed = bytearray(content)
         changed[at] ^= 0x55
