Refuse turns before they run while storage instances have no room for them

Callers saw turns that ran and could not be kept, and a storage instance whose disk or memory was full ended: 160 turns of 1 MB took 153 MB of a disk of 100 MB (limits.disk_mb). Cause: nothing bounded what is kept, nor what is written at a time.

It says so in its replies to pings, and front ends refuse turns with 503 turn_unkept while too few others have room. A log line and a counter a refusal (turn_refused, rattanmill_turns_refused), one line when an instance becomes full.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -13,6 +13,7 @@
     start_loop,
     watch_turns,
 )
+from rattanmill_keeper.capacity import capacity_of
 from rattanmill_keeper.emptying import Decommission, DecommissionKeys
 from rattanmill_keeper.following import Follower
 from rattanmill_keeper.keeper import Keeper
@@ -62,6 +63,7 @@
         metrics,
         _max_ages(settings, config_prefix),
     )
+    keeper.capacity = capacity_of(settings.memory_bytes, settings.disk_bytes)
     lender = RateLender(
         settings.name,
         settings.domain,
--- a/libs/keeper/src/rattanmill_keeper/keeper.py
+++ b/libs/keeper/src/rattanmill_keeper/keeper.py
@@ -16,6 +16,7 @@
     start_loop,
     wall_seconds,
 )
+from rattanmill_keeper.capacity import Capacity
 from rattanmill_keeper.crashes import CrashLog
 from rattanmill_keeper.holdoff import HoldOff
 from rattanmill_keeper.homes import (
@@ -119,6 +120,7 @@
 _PAGE_ENTRIES = 500
 _SWEEP_SECONDS = 1.0
 _FOLDER = "journal"
+_DEFAULT_SHARE_BYTES = 64 * 1024 * 1024
 
 
 class Keeper:
@@ -158,6 +160,9 @@
         take_rate: Lends tokens of workspaces' rate limits.
         openings: Accounts opened with the store.
         succession: Predecessors and the successor of this instance.
+        capacity: What the machine bears.
+        written_bytes: Size of the texts that are being written.
+        was_full: Whether it kept no further turns when this was last checked.
 
     Args:
         name: Name of this instance.
@@ -214,10 +219,14 @@
             lambda request: Unsure("rates are not limited here")
         )
         self.openings = StoreOpenings()
+        self.capacity = Capacity(_DEFAULT_SHARE_BYTES)
+        self.written_bytes = 0
+        self.was_full = False
         self.recorded_roster: tuple = ()
         self.sweep_task: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
+        self.table.cache_bytes = self.capacity.share_bytes
         self._restore()
         if not self.first_start:
             # Its registration may have expired while it was down.
@@ -331,6 +340,7 @@
             case Ping():
                 pong = self.crashes.answer(message)
                 pong.revision = self.members.changed_revision
+                pong.is_full = self.is_full
                 return pong
             case Crashed(notes=notes):
                 self.crashes.add(notes)
@@ -717,6 +727,13 @@
             raise OSError(errno.EIO, f"no turn at {location}")
         return record
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further turns should begin, as they may not be kept."""
+        return self.capacity.is_full(
+            len(self.table.held), self.journal.disk_bytes
+        )
+
     async def _append(self, record: Record) -> Location:
         return await self.journal.append(encode(record))
 
@@ -760,6 +777,19 @@
         await self._append_all(changes)
 
     async def _keep(self, kept: KeptTurn) -> Done | Unsure:
+        refusal = self._refuse_turn(kept)
+        if refusal:
+            self.metrics.count("rattanmill_turns_refused", why=refusal)
+            log_event(
+                "turn_refused",
+                turn=kept.turn,
+                why=refusal,
+                bytes=len(kept.text),
+                turns=len(self.table.held),
+                disk_bytes=self.journal.disk_bytes,
+                written_bytes=self.written_bytes,
+            )
+            return Unsure(f"no room for the turn: {refusal}")
         await self.keep(kept)
         return Unsure("already decommissioned") if self.is_closed else Done()
 
@@ -769,10 +799,25 @@
             return
         for change in self._book([kept.use] if kept.use else []):
             self.journal.append_nowait(encode(change))
-        location = await self._append(kept)
+        self.written_bytes += len(kept.text)
+        try:
+            location = await self._append(kept)
+        finally:
+            self.written_bytes -= len(kept.text)
         if self.table.add(kept, location):
             self.intake.add(kept.turn)
 
+    def _refuse_turn(self, kept: KeptTurn) -> str:
+        """Returns what a turn lacks room in; empty if it can be kept."""
+        if kept.turn in self.table.held:
+            return ""
+        size = len(kept.text)
+        if not self.capacity.has_disk_for(size, self.journal.disk_bytes):
+            return "disk"
+        if not self.capacity.has_memory_for(size, self.written_bytes):
+            return "memory"
+        return ""
+
     def _follow(self, request: Follow) -> News | Awaitable[News]:
         self.members.record_asked(request.asker, request.asker_run)
         if request.asker in self.members.saved_silent:
@@ -1044,6 +1089,19 @@
             self.intake.remove(HomeEntry(program))
         self._drop_segments()
         self._record_roster()
+        self._log_full()
+
+    def _log_full(self) -> None:
+        """Logs when it becomes full, or has room again."""
+        if self.is_full == self.was_full:
+            return
+        self.was_full = self.is_full
+        log_event(
+            "storage_full",
+            full=self.was_full,
+            turns=len(self.table.held),
+            disk_bytes=self.journal.disk_bytes,
+        )
 
     def _drop_segments(self) -> None:
         """Removes journal segments whose turns have all expired.
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -115,7 +115,9 @@
         able = [
             member
             for member in members.known.values()
-            if not member.emptied and not self.reach.is_unresponsive(member)
+            if not member.emptied
+            and member.name not in self.reach.full
+            and not self.reach.is_unresponsive(member)
         ]
         return len(able) >= members.copies
 
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -537,12 +537,14 @@
         notes: Crashes and finished runs.
         revision: Store revision at which the instance last learned that a
             storage instance was added, removed or changed.
+        is_full: Whether it keeps no further turns for now.
     """
 
     run: str
     position: int
     notes: list[CrashNote]
     revision: int = 0
+    is_full: bool = False
 
 
 class Crashed(msgspec.Struct, tag=29):
--- a/libs/keeper/src/rattanmill_keeper/reach.py
+++ b/libs/keeper/src/rattanmill_keeper/reach.py
@@ -67,6 +67,7 @@
             or None.
         pinging_since: Loop time of the first ping.
         crashes: Crashes reported by other front ends.
+        full: Names of the members that keep no further turns for now.
         tasks: Background tasks.
 
     Args:
@@ -88,6 +89,7 @@
         self.cut_off_at: float | None = None
         self.pinging_since = float("-inf")
         self.crashes = CrashFeed()
+        self.full: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
 
     async def ask(
@@ -324,6 +326,16 @@
         if isinstance(pong, Pong):
             self.crashes.receive(member, pong)
             self.members.expect_revision(pong.revision)
+            self._record_full(member, pong.is_full)
+
+    def _record_full(self, member: Member, is_full: bool) -> None:
+        if is_full == (member.name in self.full):
+            return
+        log_event("keeper_full", keeper=member.name, full=is_full)
+        if is_full:
+            self.full.add(member.name)
+        else:
+            self.full.discard(member.name)
 
     def _members_of_other_domains(self) -> list[Member]:
         return [
