Reserve the memory that the chain of a turn takes

A chain came from a storage instance in one reply of any size, and was put before the body, without being counted: a few turns at the end of a long conversation exceed a front end's memory together.

A chain comes in replies of 128 KB, or one longer text that is reserved before it is asked for; its texts are counted twice until the turn ends (what was fetched, and the body for the endpoint). Without room: 503 memory_exhausted. The cache of turns takes a sixteenth of the machine's memory, 24 MB at most as before.

--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -36,7 +36,7 @@
 from rattanmill_forward.routes import RouteTable
 from rattanmill_forward.stats import PerformanceModel
 from rattanmill_forward.turns import TurnManager
-from rattanmill_keeper import KeeperClient, Members
+from rattanmill_keeper import KeeperClient, Members, cache_bytes
 from rattanmill_platform import (
     MISSING_KEY_GRACE_SECONDS,
     WATCH_SECONDS,
@@ -186,6 +186,7 @@
     pool.max_open = max_endpoint_connections(settings.max_descriptors)
     members.tolerated_disk_losses = settings.lost_disks
     keepers = KeeperClient(settings.domain, members, metrics)
+    keepers.turns.cache.max_bytes = cache_bytes(settings.memory_bytes)
     share_loads(performance, registry, keepers.loads)
     guard = CrashGuard(registry, pool, keepers, metrics)
     domains = DomainMonitor(
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -239,7 +239,7 @@
             return self._refuse(request, call, refusal)
         turn = Turn(call.body)
         if route.kind is RouteKind.STREAM:
-            turn = await self.turns.begin(call, route)
+            turn = await self.turns.begin(call, route, held)
             if isinstance(turn, Refusal):
                 return self._refuse(request, call, turn)
         job = Job(
--- a/libs/forward/src/rattanmill_forward/turns.py
+++ b/libs/forward/src/rattanmill_forward/turns.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rattanmill_core import (
+    HeldMemory,
     Metrics,
     Reason,
     Refusal,
@@ -18,6 +19,7 @@
     KeeperClient,
     KeepResult,
     KeptTurn,
+    NoMemory,
     NoSuchTurn,
     Reserve,
     Reserved,
@@ -103,8 +105,17 @@
         self.keepers = keepers
         self.metrics = metrics
 
-    async def begin(self, call: Call, route: Route) -> Turn | Refusal:
-        """Reads a turn's chain and reserves its budget."""
+    async def begin(
+        self, call: Call, route: Route, held: HeldMemory | None = None
+    ) -> Turn | Refusal:
+        """Reads a turn's chain and reserves its budget.
+
+        Args:
+            call: The turn's request.
+            route: The route that it matched.
+            held: Gets the memory that the chain takes, or None if it is not
+                counted.
+        """
         if route.stores_turns and call.last_event_id:
             return refuse(
                 Reason.TURN_UNSURE,
@@ -126,7 +137,7 @@
             )
         try:
             history, reservation = await asyncio.gather(
-                self._history(call, route), self._reserve(call)
+                self._history(call, route, held), self._reserve(call)
             )
         except asyncio.CancelledError:
             # The caller disconnected. The budget may have been reserved
@@ -165,17 +176,24 @@
             and self.keepers.reach.is_cut_off()
         )
 
-    async def _history(self, call: Call, route: Route) -> History | Refusal:
+    async def _history(
+        self, call: Call, route: Route, held: HeldMemory | None
+    ) -> History | Refusal:
         if not (route.stores_turns and call.previous_turn_id):
             return History(call.body, call.scoped(call.program))
         found = await self.keepers.turns.find(
-            call.scoped(call.previous_turn_id), call.scoped(call.program)
+            call.scoped(call.previous_turn_id), call.scoped(call.program), held
         )
         match found:
             case NoSuchTurn():
                 return refuse(Reason.UNKNOWN_TURN, "no such turn")
             case Unsure(why=why):
                 return refuse(Reason.TURN_UNSURE, why)
+            case NoMemory():
+                return refuse(
+                    Reason.MEMORY_EXHAUSTED,
+                    "the memory for requests does not suffice for the chain",
+                )
         texts = [kept.text for kept in reversed(found)]
         return History(b"".join([*texts, call.body]), found[0].key)
 
--- a/libs/keeper/src/rattanmill_keeper/__init__.py
+++ b/libs/keeper/src/rattanmill_keeper/__init__.py
@@ -29,7 +29,9 @@
     from rattanmill_keeper.loads import LoadExchange
     from rattanmill_keeper.lookup import (
         KeepResult,
+        NoMemory,
         NoSuchTurn,
+        cache_bytes,
     )
     from rattanmill_keeper.members import (
         MEMBERS_PREFIX,
@@ -66,6 +68,7 @@
     "LoadExchange",
     "Member",
     "Members",
+    "NoMemory",
     "NoSuchTurn",
     "RateClient",
     "RateExceeded",
@@ -79,6 +82,7 @@
     "Token",
     "TurnUse",
     "Unsure",
+    "cache_bytes",
     "codec",
     "run_storage",
 ]
@@ -100,7 +104,9 @@
         "loads": ("LoadExchange",),
         "lookup": (
             "KeepResult",
+            "NoMemory",
             "NoSuchTurn",
+            "cache_bytes",
         ),
         "members": (
             "MEMBERS_PREFIX",
--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from rattanmill_core import log_event, loop_seconds
+from rattanmill_core import HeldMemory, log_event, loop_seconds
 from rattanmill_keeper.members import TURN_HOLDER_SECONDS, Member
 from rattanmill_keeper.messages import (
     Chain,
@@ -28,14 +28,31 @@
 _KEEP_RETRY_SECONDS = 0.1
 # Size of the cache of turns. The next turn of a conversation mostly comes to
 # the same front end, and then needs no round trip.
-_CACHE_BYTES = 24 * 1024 * 1024
+_MAX_CACHE_BYTES = 24 * 1024 * 1024
+# Of a machine's memory.
+_CACHE_SHARE = 1 / 16
+# Texts that are fetched in one reply, unless one alone is longer, and how much
+# is reserved before it is known what comes.
+_PAGE_BYTES = 128 * 1024
+_EXPECTED_BYTES = 64 * 1024
+# A text that was fetched, and its copy in the body for the endpoint.
+_FETCH_COPIES = 2
 _CODEC = codec()
 
 
+def cache_bytes(memory_bytes: int) -> int:
+    """Returns how much of a machine's memory the cache of turns may take."""
+    return min(_MAX_CACHE_BYTES, int(memory_bytes * _CACHE_SHARE))
+
+
 class NoSuchTurn(msgspec.Struct, frozen=True):
     """All instances that could hold the turn have replied that they do not."""
 
 
+class NoMemory(msgspec.Struct, frozen=True):
+    """The memory for requests does not suffice for the chain."""
+
+
 class KeepResult(msgspec.Struct, frozen=True):
     """Replicas of a turn that are on disk.
 
@@ -59,22 +76,58 @@
         uncertainty: Why the turn may exist nevertheless, or empty.
         unlisted: Storage instances that others knew recently but no longer
             list, or have not yet seen registered.
+        memory: Memory that the chain takes.
     """
 
     turn: str
+    memory: "ChainMemory"
     uncertainty: str = ""
     unlisted: set[str] = msgspec.field(default_factory=set)
 
 
+class ChainMemory:
+    """Memory that is reserved for the texts of a chain.
+
+    Attributes:
+        reserved_bytes: Size of the texts for which it is reserved.
+        is_exhausted: Whether there was not enough.
+
+    Args:
+        held: Where it is reserved, or None if it is not counted.
+    """
+
+    def __init__(self, held: HeldMemory | None) -> None:
+        self.held = held
+        self.reserved_bytes = 0
+        self.is_exhausted = False
+
+    def reserve(self, found: list[KeptTurn], more_bytes: int = 0) -> bool:
+        """Reserves for the turns found and for more; False if there is no room.
+
+        What was reserved beyond that is given back.
+        """
+        size = sum(len(kept.text) for kept in found) + more_bytes
+        difference = (size - self.reserved_bytes) * _FETCH_COPIES
+        if self.held is not None and difference < 0:
+            self.held.shrink(-difference)
+        elif self.held is not None and not self.held.grow(difference):
+            self.is_exhausted = True
+            return False
+        self.reserved_bytes = size
+        return True
+
+
 class TurnCache:
     """Least recently used cache of turns.
 
     Attributes:
         turns: Turns by id.
         bytes: Total size of their texts.
+        max_bytes: Maximum of that.
     """
 
     def __init__(self) -> None:
+        self.max_bytes = _MAX_CACHE_BYTES
         self.turns: collections.OrderedDict[str, KeptTurn] = (
             collections.OrderedDict()
         )
@@ -86,7 +139,7 @@
             self.bytes += len(kept.text)
         self.turns[kept.turn] = kept
         self.turns.move_to_end(kept.turn)
-        while self.bytes > _CACHE_BYTES:
+        while self.bytes > self.max_bytes:
             _, evicted = self.turns.popitem(last=False)
             self.bytes -= len(evicted.text)
 
@@ -202,7 +255,9 @@
             missing = members.copies - len(kept_at) - len(expected)
             for _ in range(min(missing, len(substitutes))):
                 member = substitutes.pop(0)
-                pending[self.reach.spawn(self._keep_at(member, request))] = member
+                pending[self.reach.spawn(self._keep_at(member, request))] = (
+                    member
+                )
             if not pending:
                 return
             done, _ = await asyncio.wait(
@@ -220,19 +275,22 @@
         return isinstance(reply, Done)
 
     async def find(
-        self, turn: str, chain: str
-    ) -> list[KeptTurn] | NoSuchTurn | Unsure:
+        self, turn: str, chain: str, held: HeldMemory | None = None
+    ) -> list[KeptTurn] | NoSuchTurn | Unsure | NoMemory:
         """Returns a turn and all turns that it continues, newest first.
 
         Args:
             turn: Id of the turn.
             chain: Likely key of its chain. If it is wrong, all storage
                 instances are asked.
+            held: Gets the memory that the chain takes, or None if it is not
+                reserved.
         """
         began = loop_seconds()
         found = list(self.cache.chain(turn))
         key = found[0].key if found else chain or turn
-        gap = Gap(found[-1].previous if found else turn)
+        memory = ChainMemory(held)
+        gap = Gap(found[-1].previous if found else turn, memory)
         asked = dict(self.reach.members.known)
         await self._search(found, gap, key)
         if (
@@ -244,6 +302,8 @@
         self.reach.metrics.observe(
             "rattanmill_find_seconds", loop_seconds() - began
         )
+        if memory.is_exhausted or not memory.reserve(found):
+            return NoMemory()
         if not gap.turn:
             return found
         gap.uncertainty = gap.uncertainty or self._lost_instances_reason(gap)
@@ -299,20 +359,16 @@
         gap.uncertainty = ""
         gap.unlisted.clear()
         for group in self._query_groups(key):
+            if not gap.memory.reserve(found, min(_PAGE_BYTES, _EXPECTED_BYTES)):
+                return
             chains = await asyncio.gather(
-                *(
-                    self.reach.ask(
-                        member,
-                        Fetch(gap.turn),
-                        _FETCH_TIMEOUT_SECONDS,
-                        _UNRESPONSIVE_TIMEOUT_SECONDS,
-                    )
-                    for member in group
-                )
+                *(self._fetch(member, gap, _PAGE_BYTES) for member in group)
             )
-            for member, chain in zip(group, chains, strict=True):
+            for member, reply in zip(group, chains, strict=True):
+                chain = await self._fetch_rest(found, gap, member, reply)
+                if gap.memory.is_exhausted:
+                    return
                 if isinstance(chain, Chain):
-                    gap.turn = self._append_turns(found, gap.turn, chain)
                     gap.unlisted.update(chain.unlisted)
                 gap.uncertainty = gap.uncertainty or _uncertainty(
                     member, chain, gap.turn
@@ -320,6 +376,41 @@
             if not gap.turn:
                 return
 
+    async def _fetch(
+        self, member: Member, gap: Gap, max_bytes: int
+    ) -> msgspec.Struct | None:
+        """Asks an instance for the next turns of a chain."""
+        return await self.reach.ask(
+            member,
+            Fetch(gap.turn, max_bytes),
+            _FETCH_TIMEOUT_SECONDS,
+            _UNRESPONSIVE_TIMEOUT_SECONDS,
+        )
+
+    async def _fetch_rest(
+        self,
+        found: list[KeptTurn],
+        gap: Gap,
+        member: Member,
+        reply: msgspec.Struct | None,
+    ) -> msgspec.Struct | None:
+        """Appends a reply and what else its sender holds of the chain.
+
+        Returns:
+            The sender's last reply.
+        """
+        while isinstance(reply, Chain):
+            before = gap.turn
+            gap.turn = self._append_turns(found, gap.turn, reply)
+            is_next_held = reply.next_bytes and gap.turn == reply.missing
+            if not is_next_held or (reply.turns and gap.turn == before):
+                break
+            max_bytes = max(_PAGE_BYTES, reply.next_bytes)
+            if not gap.memory.reserve(found, max_bytes):
+                break
+            reply = await self._fetch(member, gap, max_bytes)
+        return reply
+
     def _append_turns(
         self, found: list[KeptTurn], missing: str, chain: Chain
     ) -> str:
--- a/tests/features/storage_room.feature
+++ b/tests/features/storage_room.feature
@@ -14,6 +14,16 @@
     And their memory holds no text of a turn
     Then a new front end beside "b" reads the conversation as it was kept
 
+  Scenario: A conversation that comes in several replies
+    Guards against a chain that is cut where a reply ends, and against long
+    chains that take more memory than was reserved.
+
+    Given storage instances "a, b, c"
+    When a conversation of 30 made-up turns is kept
+    Then a new front end reads it in replies of 1, 1000 and 20000 bytes
+    And it reserved twice the size of the texts for it
+    But with memory for half of it, it is refused and nothing stays reserved
+
   Scenario: A front end is told that a storage instance is full
     Guards against turns that run and then can't be kept.
 
