Name the request's memory so that it isn't taken for a metric

The page of metrics is checked against all names of that form in the code. The stand-in of the daemon's context in forwarding.feature has the memory for bodies, and the bound of a body, which the edge needs now.

--- a/libs/entry/src/rattanmill_entry/bodies.py
+++ b/libs/entry/src/rattanmill_entry/bodies.py
@@ -17,7 +17,7 @@
 # The rest of a body whose call was refused is read for this long, so that its
 # caller gets the refusal.
 LINGERING_SECONDS = 2.0
-_HELD_KEY = "rattanmill_held"
+_HELD_KEY = "held_memory"
 
 
 class _StalledError(Exception):
--- a/tests/features/steps/forwarding.py
+++ b/tests/features/steps/forwarding.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from behave import given, then, when
 
-from rattanmill_core import Metrics
+from rattanmill_core import MemoryBudget, Metrics
 from rattanmill_entry.edge import edge_middleware
 from rattanmill_entry.http import caller_routes
 from rattanmill_entry.replies import (
@@ -29,6 +29,7 @@
 )
 from rattanmill_wire.peers import PeerHub, PeerSecret
 
+_BODY_BYTES = 1024 * 1024
 _SECONDS = 5.0
 _ATTEMPTS = 2
 _PARTS = [b"a", b"b"]
@@ -178,13 +179,16 @@
 
 @contextlib.asynccontextmanager
 async def _door(dispatch):
-    limits = SimpleNamespace(connections=10, receive_seconds=_SECONDS)
+    limits = SimpleNamespace(
+        connections=10, receive_seconds=_SECONDS, body_bytes=_BODY_BYTES
+    )
     node = SimpleNamespace(
         metrics=Metrics(),
         settings=limits,
         draining=False,
         in_flight=0,
         busy_connections=set(),
+        bodies=MemoryBudget(64 * _BODY_BYTES),
     )
     app = web.Application(middlewares=[edge_middleware(node)])
     app.add_routes(caller_routes(node))
