Bound requests to storage instances, not all messages, by 17 MB

A storage instance bounds what it is asked by 17 MB; replies and other servers have 64 MB as before. links.feature: 14 of 14.

--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -26,6 +26,8 @@
 
 # Share of the time within which revoked keys must be refused.
 _MAX_AGE_SHARE = 0.2
+# Somewhat more than the largest record of a journal.
+_MAX_REQUEST_BYTES = 17 * 1024 * 1024
 
 
 async def run_storage(
@@ -74,7 +76,13 @@
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(keeper)
         await stack.enter_async_context(
-            RequestServer(settings.peer, codec(), keeper.answer, metrics)
+            RequestServer(
+                settings.peer,
+                codec(),
+                keeper.answer,
+                metrics,
+                _MAX_REQUEST_BYTES,
+            )
         )
         await stack.enter_async_context(members)
         member = Member(
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -31,9 +31,9 @@
 # Messages received in a row before the event loop runs other work.
 _MAX_BATCH_MESSAGES = 50
 _LINGER_MS = 100
-# Somewhat more than the largest record of a journal. A connection on which a
-# longer message is announced is closed before it is read.
-_MAX_MESSAGE_BYTES = 17 * 1024 * 1024
+# No process has the memory to continue a longer chain of turns. A connection on
+# which a longer message is announced is closed before it is read.
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 # Longer messages are sent from where they are, without a copy.
 _COPIED_BYTES = 64 * 1024
 # As plain integers: each operation on an enumeration's member takes longer than
@@ -177,19 +177,27 @@
         codec: Codec of the supported messages.
         serve: Returns the reply to a message, or an awaitable of the reply.
         metrics: Counts dropped requests.
+        max_bytes: Maximum size of a request.
     """
 
     def __init__(
-        self, address: str, codec: Codec, serve: Serve, metrics: Metrics
+        self,
+        address: str,
+        codec: Codec,
+        serve: Serve,
+        metrics: Metrics,
+        max_bytes: int = _MAX_MESSAGE_BYTES,
     ) -> None:
         self.address = address
         self.codec = codec
         self.serve = serve
         self.metrics = metrics
+        self.max_bytes = max_bytes
         self.tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> Self:
         self.socket = _Socket(zmq.ROUTER, self._receive)
+        self.socket.socket.maxmsgsize = self.max_bytes
         try:
             self.socket.socket.bind(f"tcp://{self.address}")
         except zmq.ZMQError as error:
