Admit small requests beside a large one that exceeds the limit alone

One large body is let through whatever the limit (a turn of 4 MB counts 12 MB). While it was held, a call without a body would have been refused, too, where the limit is smaller; found by reading. What small requests hold is now compared with their own quarter as well, and nothing is compared for none. held_memory.feature, "The largest body alone", has both.

--- a/libs/core/src/rattanmill_core/memory.py
+++ b/libs/core/src/rattanmill_core/memory.py
@@ -193,11 +193,15 @@
 
     def _excess_bytes(self, asking: HeldMemory, size: int) -> float:
         """Returns by how much the limit would be exceeded."""
-        is_large = asking.size + size > _LARGE_BYTES
-        if is_large and not self.large - {asking}:
+        if not size:
             return 0.0
-        share = _LARGE_SHARE if is_large else 1.0
-        return self.held_bytes + size - self.limit_bytes * share
+        others = self.large - {asking}
+        if asking.size + size > _LARGE_BYTES:
+            room = self.limit_bytes * _LARGE_SHARE - self.held_bytes
+            return size - room if others else 0.0
+        small_bytes = self.held_bytes - sum(other.size for other in others)
+        small_room = self.limit_bytes * (1 - _LARGE_SHARE) - small_bytes
+        return size - max(self.limit_bytes - self.held_bytes, small_room)
 
     def _revoke(self, victim: HeldMemory) -> None:
         revoke = victim.revoke
--- a/libs/entry/src/rattanmill_entry/bodies.py
+++ b/libs/entry/src/rattanmill_entry/bodies.py
@@ -20,7 +20,7 @@
 _HELD_KEY = "held_memory"
 
 
-class _StalledError(Exception):
+class _StalledError(TimeoutError):
     """A body made next to no progress, and its memory was needed."""
 
 
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -23,6 +23,8 @@
     Given a limit of 4 MB
     When a body of 1 KB is admitted
     Then a body of 12288 KB is admitted
+    And a body of 64 KB is admitted
+    And a body of 0 KB is admitted
     But another body of 1024 KB is refused
 
   Scenario Outline: A body that has stalled
