--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -11,9 +11,11 @@
 from rattanmill_core import (
     ACCEPTED_AT_ONCE,
     ConfigDocument,
+    MemoryBudget,
     Metrics,
     Settings,
     SettingsError,
+    bodies_bytes,
     decode_config,
     default_config,
     lengthen_queue,
@@ -59,6 +61,7 @@
 
 _log = part_logger("daemon")
 _MAX_CONNECTIONS = 4096
+_MB = 1024 * 1024
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -124,6 +127,7 @@
     node.secret = load_secret(settings.secret_file)
     node.metrics = Metrics()
     node.config = default_config(settings.domains)
+    node.bodies = MemoryBudget(bodies_bytes(settings.memory_mb * _MB))
     node.table = EndpointTable()
     node.scheduler = Scheduler(node.table, lambda: node.config, node.metrics)
     return node
--- a/libs/entry/src/rattanmill_entry/node.py
+++ b/libs/entry/src/rattanmill_entry/node.py
@@ -14,7 +14,6 @@
     MemoryBudget,
     Metrics,
     Settings,
-    bodies_bytes,
 )
 from rattanmill_platform import (
     Directory,
@@ -32,8 +31,6 @@
     from rattanmill_entry.memory import EngineMemory
     from rattanmill_entry.quarantine import CrashGuard
 
-_MB = 1024 * 1024
-
 
 class LastHeartbeat(msgspec.Struct, frozen=True):
     """The last heartbeat of another instance.
@@ -95,6 +92,7 @@
     scheduler: Scheduler
     hub: PeerHub
     config: ConfigDocument
+    bodies: MemoryBudget
     guard: "CrashGuard"
     memory: "EngineMemory"
 
@@ -107,7 +105,6 @@
         self.suspects: dict[str, float] = {}
         self.gone_since: dict[str, float] = {}
         self.last_heartbeats: dict[str, LastHeartbeat] = {}
-        self.bodies = MemoryBudget(bodies_bytes(settings.memory_mb * _MB))
         self.draining = False
         self.leaving: set[str] = set()
         self.stop = asyncio.Event()
