--- a/tests/features/site_settings.feature
+++ b/tests/features/site_settings.feature
@@ -14,6 +14,13 @@
     Given the platform's settings with "bounds.quota_window_s=5, bounds.quota_overage=0.1, bounds.quota_slack=20"
     Then rate limits may be exceeded by 0.1 and 20 in 5 seconds
 
+  Scenario: What the machine bears
+    Guards against descriptors that the platform reserves being used for
+    connections, and against a machine without a disk that counts as full.
+
+    Given the platform's settings with "limits.memory_mb=88, limits.max_fds=500, limits.disk_mb=0"
+    Then the process may use 88 MB, 300 descriptors and a disk of None MB
+
   Scenario Outline: A value that is missing or wrong
     Given the platform's settings with "<fields>"
     Then they are refused with "<message>"
@@ -27,3 +34,6 @@
       | bounds.quota_window_s=0                               | bounds.quota_window_s: '0'        |
       | bounds.quota_overage=nan                              | bounds.quota_overage: 'nan'       |
       | bounds.quota_slack=many                               | bounds.quota_slack: 'many'        |
+      | limits.memory_mb=0                                    | limits.memory_mb: '0'             |
+      | limits.max_fds=200                                    | limits.max_fds: '200'             |
+      | limits.disk_mb=all                                    | limits.disk_mb: 'all'             |
--- a/tests/features/steps/site_settings.py
+++ b/tests/features/steps/site_settings.py
@@ -52,6 +52,17 @@
     assert bounds == RateBounds(seconds, overage, slack), bounds
 
 
+@then(
+    "the process may use {memory:d} MB, {descriptors:d} descriptors and a disk"
+    " of {disk} MB"
+)
+def step_machine(context, memory, descriptors, disk):
+    settings = _load(context)
+    assert settings.memory_bytes == memory * 1024 * 1024
+    assert settings.max_descriptors == descriptors
+    assert str(settings.disk_bytes) == disk, settings.disk_bytes
+
+
 @then('they are refused with "{message}"')
 def step_refused(context, message):
     try:
