Take no part of a chain that is held, but was not sent, as lacking

A storage instance names the next turn and its size when a reply is full. If the front end did not ask on, that reply read as if the turn were not there (404); found by reading. It counts as uncertain now. Without memory for a chain, the store is not asked for other instances, either.

--- a/libs/keeper/src/rattanmill_keeper/lookup.py
+++ b/libs/keeper/src/rattanmill_keeper/lookup.py
@@ -295,6 +295,7 @@
         await self._search(found, gap, key)
         if (
             gap.turn
+            and not memory.is_exhausted
             and not gap.uncertainty
             and await self._has_other_members(asked, gap)
         ):
@@ -466,6 +467,6 @@
     """Returns why a reply does not tell that a turn is not held; or empty."""
     if not isinstance(reply, Chain):
         return f"{member.name} does not respond"
-    if reply.missing != turn:
+    if reply.missing != turn or reply.next_bytes:
         return f"{member.name} does not tell that it lacks the turn"
     return "" if reply.whole else f"{member.name} has not recovered"
