--- a/libs/core/src/rattanmill_core/memory.py
+++ b/libs/core/src/rattanmill_core/memory.py
@@ -138,6 +138,10 @@
             self.budget.large.add(self)
         return True
 
+    def cover(self, size: int) -> bool:
+        """Reserves what is missing up to a size; False if there is no room."""
+        return size <= self.size or self.grow(size - self.size)
+
     def shrink(self, size: int) -> None:
         """Gives a part back."""
         self.size -= size
--- a/libs/entry/src/rattanmill_entry/bodies.py
+++ b/libs/entry/src/rattanmill_entry/bodies.py
@@ -83,8 +83,7 @@
             body += chunk
             if len(body) > max_bytes:
                 return _too_large(max_bytes)
-            needed = len(body) * _BODY_COPIES - held.size
-            if needed > 0 and not held.grow(needed):
+            if not held.cover(len(body) * _BODY_COPIES):
                 return _memory_exhausted()
     except _StalledError:
         return _memory_exhausted()
--- a/libs/forward/src/rattanmill_forward/bodies.py
+++ b/libs/forward/src/rattanmill_forward/bodies.py
@@ -115,8 +115,7 @@
             body += chunk
             if len(body) > max_bytes:
                 return _too_large(max_bytes)
-            needed = _held_bytes(len(body), read_whole) - held.size
-            if needed > 0 and not held.grow(needed):
+            if not held.cover(_held_bytes(len(body), read_whole)):
                 return _memory_exhausted()
             if (
                 len(body) > _MAX_BUFFERED_BYTES
