Log the connections that the metrics server closes; names and a figure

The default of the memory for requests stood twice. "HeldMemorys" was left by a rename, and one constant did not say what it is a share of.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -26,6 +26,7 @@
 from rattanmill_core.lazy import import_on_use
 from rattanmill_core.listening import (
     ACCEPTED_AT_ONCE,
+    ClosedConnections,
     lengthen_queue,
     open_listening,
 )
@@ -70,6 +71,7 @@
 
 __all__ = [
     "ACCEPTED_AT_ONCE",
+    "ClosedConnections",
     "bodies_bytes",
     "boot_seconds",
     "choose_revoked",
--- a/libs/core/src/rattanmill_core/memory.py
+++ b/libs/core/src/rattanmill_core/memory.py
@@ -22,6 +22,7 @@
 # losses need the others.
 _BODIES_SHARE = 0.4
 _MIN_BODIES_BYTES = 4 * _MB
+_DEFAULT_LIMIT_BYTES = 64 * _MB
 # Larger reservations leave a share to smaller ones.
 _LARGE_BYTES = 256 * 1024
 _LARGE_SHARE = 0.75
@@ -162,13 +163,13 @@
             exceed it, so that the largest that is allowed is served.
         held_bytes: Reserved bytes.
         large: Large reservations.
-        arriving: HeldMemorys of requests that have not arrived as a whole.
+        arriving: Memory of requests that have not arrived as a whole.
 
     Args:
         limit_bytes: See above.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int = _DEFAULT_LIMIT_BYTES) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.large: set[HeldMemory] = set()
@@ -225,7 +226,7 @@
     enough back.
 
     Args:
-        arriving: HeldMemorys of requests that arrive, and their progress.
+        arriving: Memory of requests that arrive, and their progress.
         needed_bytes: What has to be given back.
         now: Time in seconds.
     """
--- a/libs/core/src/rattanmill_core/metricserver.py
+++ b/libs/core/src/rattanmill_core/metricserver.py
@@ -13,6 +13,7 @@
 from rattanmill_core.events import warn_event
 from rattanmill_core.listening import (
     ACCEPTED_AT_ONCE,
+    ClosedConnections,
     lengthen_queue,
     open_listening,
 )
@@ -38,6 +39,7 @@
 
     Attributes:
         connections: Tasks that serve the open connections, oldest first.
+        closed: Connections that gave way to others.
 
     Args:
         ip: IP address to listen at.
@@ -53,6 +55,7 @@
         self.port = port
         self.server: asyncio.Server | None = None
         self.connections: dict[asyncio.Task, None] = {}
+        self.closed = ClosedConnections(_MAX_CONNECTIONS, metrics)
 
     async def __aenter__(self) -> Self:
         try:
@@ -82,7 +85,7 @@
             oldest = next(iter(self.connections))
             del self.connections[oldest]
             oldest.cancel()
-            self.metrics.count("rattanmill_connections_closed", why="too_many")
+            self.closed.record("too_many")
         task = asyncio.create_task(self._serve(reader, writer))
         self.connections[task] = None
         task.add_done_callback(self._on_end)
--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -29,13 +29,13 @@
 _READ_BYTES = 32 * 1024
 # What is parsed of a body before its reader has taken it.
 _BUFFER_BYTES = 16 * 1024
-# Chunks that are shorter, on average, take longer to parse than to send.
+# Share of sizes and extensions of chunks in what is received, above which a body
+# counts as being in small chunks.
 _SMALL_CHUNK_SHARE = 0.2
 # The rest of a body whose request was refused is read for this long, so that
 # its caller gets the refusal.
 _LINGERING_SECONDS = 2.0
 _DEFAULT_CONNECTIONS = 1024
-_DEFAULT_BODIES_BYTES = 64 * 1024 * 1024
 _TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -60,9 +60,7 @@
     cancel_on_disconnect: bool
     metrics: Metrics
     max_connections: int = _DEFAULT_CONNECTIONS
-    memory: MemoryBudget = msgspec.field(
-        default_factory=lambda: MemoryBudget(_DEFAULT_BODIES_BYTES)
-    )
+    memory: MemoryBudget = msgspec.field(default_factory=MemoryBudget)
 
 
 class _Connection(web.RequestHandler):
--- a/libs/forward/src/rattanmill_forward/connections.py
+++ b/libs/forward/src/rattanmill_forward/connections.py
@@ -1,17 +1,12 @@
 """Which connections of callers are open, and how much is read from each.
 
-Connections that nobody uses cost descriptors, and what has arrived on them
-memory. What is read in one turn of the event loop delays all other calls.
+Idle connections cost descriptors, and what has arrived on them costs memory.
+What is read in one turn of the event loop delays all other calls.
 """
 
 from typing import Protocol
 
-from rattanmill_core import (
-    MemoryBudget,
-    Metrics,
-    loop_seconds,
-    warn_event,
-)
+from rattanmill_core import ClosedConnections, MemoryBudget, Metrics
 
 # Of the descriptors, for callers and as many for endpoints.
 _DESCRIPTORS_SHARE = 0.35
@@ -27,7 +22,6 @@
 # A body in small chunks takes up to a hundred times as long to parse.
 _MIN_SMALL_READ_BYTES = 256
 _SMALL_TURN_BYTES = 16 * 1024
-_LOG_INTERVAL_SECONDS = 1.0
 
 
 def max_callers(memory_bytes: int, max_descriptors: int) -> int:
@@ -73,11 +67,9 @@
     ) -> None:
         self.max_open = max_open
         self.memory = memory
-        self.metrics = metrics
+        self.closed = ClosedConnections(max_open, metrics)
         self.open: set[Closable] = set()
         self.idle: dict[Closable, None] = {}
-        self.unlogged = 0
-        self.logged_at = float("-inf")
 
     def add(self, connection: Closable) -> bool:
         """Adds a new connection; returns False if there is no room for it.
@@ -86,7 +78,7 @@
         """
         is_full = len(self.open) >= self.max_open
         if is_full and not self._make_room():
-            self._record("refused")
+            self.closed.record("refused")
             return False
         self.open.add(connection)
         self.idle[connection] = None
@@ -110,30 +102,14 @@
         closable = (each for each in self.idle if each.is_closable)
         victim = next(closable, None)
         if victim is not None:
-            self._record("too_many")
+            self.closed.record("too_many")
             self.remove(victim)
             victim.give_way()
             return True
         if self.memory.revoke_stalled():
-            self._record("stalled")
+            self.closed.record("stalled")
         return False
 
-    def _record(self, why: str) -> None:
-        """Counts a connection that was closed, and logs the first of many."""
-        self.metrics.count("rattanmill_connections_closed", why=why)
-        self.unlogged += 1
-        now = loop_seconds()
-        if now - self.logged_at < _LOG_INTERVAL_SECONDS:
-            return
-        warn_event(
-            "connections_full",
-            max=self.max_open,
-            why=why,
-            count=self.unlogged,
-        )
-        self.logged_at = now
-        self.unlogged = 0
-
 
 class ReadShares:
     """Divides what is read in one turn of the event loop among connections.
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -34,7 +34,6 @@
 # Responses are due this long before the caller's deadline and the route's
 # timeout.
 _DEADLINE_MARGIN_SECONDS = 0.02
-_DEFAULT_BODIES_BYTES = 64 * 1024 * 1024
 
 
 class FrontEnd:
@@ -75,7 +74,7 @@
         self.active_requests = 0
         self.config_proved_at: Callable[[], float] = lambda: float("inf")
         self.max_config_age = float("inf")
-        self.memory = MemoryBudget(_DEFAULT_BODIES_BYTES)
+        self.memory = MemoryBudget()
 
     def limits(self) -> Limits:
         """Returns the configured limits that are in force."""
