--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -29,8 +29,8 @@
 _READ_BYTES = 32 * 1024
 # What is parsed of a body before its reader has taken it.
 _BUFFER_BYTES = 16 * 1024
-# Share of sizes and extensions of chunks in what is received, above which a body
-# counts as being in small chunks.
+# Share of sizes and extensions of chunks in what is received, above which a
+# body counts as being in small chunks.
 _SMALL_CHUNK_SHARE = 0.2
 # The rest of a body whose request was refused is read for this long, so that
 # its caller gets the refusal.
