--- a/tests/features/steps/site.py
+++ b/tests/features/steps/site.py
@@ -547,7 +547,7 @@
         context.used += 10 * context.answer.body.count(b"data:")
         return context.answer.status
 
-    assert send(0) == 200
+    assert send(0) == 200, context.answer
     site(context).processes[f"storage-{first}"].kill()
     assert send(1) == 200, context.answer
     site(context).processes[f"storage-{second}"].kill()
