Send long requests between instances in parts whose memory is reserved

Storage instances outgrew their machines: 80 messages of 4 MB that stop just short of their end on the port between instances took one from 40 to 341 MB (of 120). Cause: ZeroMQ holds a message until it is whole, whoever sends it, and 17 MB were allowed, as the text of a turn came in one message.

Requests of over 64 KB now come in parts, and a storage instance closes a connection on which a longer message is announced. The memory for a long request is reserved with its first part; without room its sender is told at once (Unsure, which every sender takes as not done) and asks another instance, or again. What stays in part gives way to others, and is given up after 60 s. An instance registers that it takes parts; one of an earlier version gets long requests whole.

Ways weighed: a bound on the sum of all messages (ZeroMQ has none and reports none that is not whole); a server of our own in place of ZeroMQ (plumbing written again).

The log line that is written once a second at most is a class of its own now (RepeatedEvent), as two use it; a stand-in for its clock names its new module.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -14,6 +14,7 @@
     UsageError,
 )
 from rattanmill_core.events import (
+    RepeatedEvent,
     boot_seconds,
     configure_events,
     log_event,
@@ -104,6 +105,7 @@
     "Reason",
     "Refusal",
     "RefusedError",
+    "RepeatedEvent",
     "Settings",
     "SettingsError",
     "Signals",
--- a/libs/core/src/rattanmill_core/events.py
+++ b/libs/core/src/rattanmill_core/events.py
@@ -25,6 +25,7 @@
 # The search for the cause of a failed request starts with these events. They
 # count against the limit for errors, so that decisions cannot displace them.
 _PRIORITY_EVENTS = frozenset(("refused", "broken_off"))
+_REPEATED_SECONDS = 1.0
 _MAX_BUFFERED_BYTES = 256 * 1024
 _STDOUT_DESCRIPTOR = 1
 _WARNING_LEVEL = 30
@@ -155,6 +156,33 @@
     logger.bind(fields=fields).warning(event)
 
 
+class RepeatedEvent:
+    """Logs an event that may come often, once a second at most.
+
+    Attributes:
+        unlogged: How often it came since the last line.
+        logged_at: Loop time of the last line.
+
+    Args:
+        name: Name of the event.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.unlogged = 0
+        self.logged_at = float("-inf")
+
+    def record(self, **fields: object) -> None:
+        """Records the event; logs it with these fields and its count."""
+        self.unlogged += 1
+        now = loop_seconds()
+        if now - self.logged_at < _REPEATED_SECONDS:
+            return
+        warn_event(self.name, **fields, count=self.unlogged)
+        self.logged_at = now
+        self.unlogged = 0
+
+
 def loop_seconds() -> float:
     """Returns the event loop's time, for durations within the process."""
     return asyncio.get_running_loop().time()
--- a/libs/core/src/rattanmill_core/listening.py
+++ b/libs/core/src/rattanmill_core/listening.py
@@ -6,7 +6,7 @@
 
 import socket
 
-from rattanmill_core.events import loop_seconds, warn_event
+from rattanmill_core.events import RepeatedEvent
 from rattanmill_core.metrics import Metrics
 
 # Connections that are accepted in one turn of the event loop. asyncio takes the
@@ -15,7 +15,6 @@
 _BACKLOG = 1024
 # Of one connection; enough for a few megabytes a second.
 _UNREAD_BYTES = 32 * 1024
-_LOG_INTERVAL_SECONDS = 1.0
 
 
 class ClosedConnections:
@@ -31,24 +30,12 @@
     def __init__(self, max_open: int, metrics: Metrics) -> None:
         self.max_open = max_open
         self.metrics = metrics
-        self.unlogged = 0
-        self.logged_at = float("-inf")
+        self.event = RepeatedEvent("connections_full")
 
     def record(self, why: str) -> None:
         """Records one of them."""
         self.metrics.count("rattanmill_connections_closed", why=why)
-        self.unlogged += 1
-        now = loop_seconds()
-        if now - self.logged_at < _LOG_INTERVAL_SECONDS:
-            return
-        warn_event(
-            "connections_full",
-            max=self.max_open,
-            why=why,
-            count=self.unlogged,
-        )
-        self.logged_at = now
-        self.unlogged = 0
+        self.event.record(max=self.max_open, why=why)
 
 
 def open_listening(host: str, port: int) -> socket.socket:
--- a/libs/keeper/src/rattanmill_keeper/capacity.py
+++ b/libs/keeper/src/rattanmill_keeper/capacity.py
@@ -19,6 +19,8 @@
 _MEMORY_SHARE = 0.25
 _WRITE_COPIES = 4
 _MIN_SHARE_BYTES = 4 * 1024 * 1024
+# Of such a share, for long requests that have arrived in part.
+_PARTS_SHARE = 0.5
 
 
 class Capacity(msgspec.Struct, frozen=True):
@@ -33,6 +35,11 @@
     share_bytes: int
     disk_bytes: int | None = None
 
+    @property
+    def parts_bytes(self) -> int:
+        """Memory for long requests that have arrived in part."""
+        return int(self.share_bytes * _PARTS_SHARE)
+
     def is_full(self, turns: int, used_disk_bytes: int) -> bool:
         """Whether no further turns should begin.
 
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -18,11 +18,11 @@
 from rattanmill_keeper.following import Follower
 from rattanmill_keeper.keeper import Keeper
 from rattanmill_keeper.members import Member, Members
-from rattanmill_keeper.messages import codec
+from rattanmill_keeper.messages import Unsure, codec
 from rattanmill_keeper.rates import RateLender
 from rattanmill_keeper.registration import Registration
 from rattanmill_platform import KeyValue
-from rattanmill_wire import RequestServer
+from rattanmill_wire import RequestServer, ServerLimits
 
 # Share of the time within which revoked keys must be refused.
 _MAX_AGE_SHARE = 0.2
@@ -81,7 +81,11 @@
                 codec(),
                 keeper.answer,
                 metrics,
-                _MAX_REQUEST_BYTES,
+                ServerLimits(
+                    _MAX_REQUEST_BYTES,
+                    keeper.capacity.parts_bytes,
+                ),
+                Unsure("no memory for a long request"),
             )
         )
         await stack.enter_async_context(members)
@@ -92,6 +96,7 @@
             keeper.run,
             grants_one_turn=True,
             tells_grants=True,
+            takes_parts=True,
         )
         registration = Registration(kv, member)
         registration.is_listed = members.is_listed
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -92,6 +92,8 @@
             see ``max_share``. An earlier version grants more.
         tells_grants: Whether it tells what it has granted alone, and records
             what others tell.
+        takes_parts: Whether it takes long requests in parts. An earlier version
+            takes them whole.
     """
 
     name: str
@@ -104,6 +106,7 @@
     succeeded: tuple[str, ...] = ()
     grants_one_turn: bool = False
     tells_grants: bool = False
+    takes_parts: bool = False
 
 
 def may_grant_alone(instances: int) -> bool:
@@ -803,10 +806,14 @@
     def link(self, member: Member) -> RequestLink:
         """Returns the link to a member."""
         link = self.links.get(member.name)
-        if link is None or link.address != member.address:
+        is_current = link is not None and (
+            link.address == member.address
+            and link.takes_parts == member.takes_parts
+        )
+        if not is_current:
             if link:
                 link.close()
-            link = RequestLink(member.address, self.codec)
+            link = RequestLink(member.address, self.codec, member.takes_parts)
             self.links[member.name] = link
         return link
 
--- a/libs/wire/src/rattanmill_wire/__init__.py
+++ b/libs/wire/src/rattanmill_wire/__init__.py
@@ -8,6 +8,7 @@
     Encoded,
     RequestLink,
     RequestServer,
+    ServerLimits,
     kind_of,
 )
 
@@ -53,6 +54,7 @@
     "ReplyRefused",
     "RequestLink",
     "RequestServer",
+    "ServerLimits",
     "decode_message",
     "encode_message",
     "kind_of",
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -3,11 +3,14 @@
 A ROUTER socket serves requests; one DEALER socket for each peer sends them. A
 request without a reply before its timeout yields None, and the connection is
 replaced: one that was lost without a reset would drop all later requests.
+
+Long requests are sent in parts, so that a server bounds what it holds of those
+that never end.
 """
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Self
 
 import msgspec
@@ -15,11 +18,19 @@
 
 from rattanmill_core import (
     DECODE_ERRORS,
+    MemoryBudget,
     Metrics,
+    RepeatedEvent,
     SettingsError,
     log_event,
     warn_event,
 )
+from rattanmill_wire.parts import (
+    PART_BYTES,
+    Incomplete,
+    PartialRequests,
+    split,
+)
 
 _QUEUE_MESSAGES = 1000
 _CONNECT_MS = 500
@@ -80,7 +91,7 @@
             return message.data
         return self.encoder.encode(message)
 
-    def decode(self, data: bytes) -> Any:
+    def decode(self, data: bytes | bytearray) -> Any:
         """Returns the message, or None if its type is unknown."""
         try:
             return self.decoder.decode(data)
@@ -116,7 +127,7 @@
         self.is_scheduled = False
         self.loop.add_reader(self.socket.fd, self._receive_batch)
 
-    def send(self, frames: list[bytes]) -> bool:
+    def send(self, frames: list[bytes | memoryview]) -> bool:
         """Sends a message; returns False if not connected or the queue is full.
 
         Raises:
@@ -166,18 +177,36 @@
         return frames
 
 
+class ServerLimits(msgspec.Struct, frozen=True):
+    """What a server takes from all that connect to it.
+
+    Attributes:
+        max_bytes: Maximum size of a request.
+        parts_bytes: Memory for long requests that have arrived in part; one
+            alone may exceed it.
+    """
+
+    max_bytes: int = _MAX_MESSAGE_BYTES
+    parts_bytes: int = _MAX_MESSAGE_BYTES
+
+
 class RequestServer:
     """Answers requests at one address.
 
     Most requests are answered immediately; each one that has to wait gets its
     own task.
 
+    Attributes:
+        parts: Long requests that have arrived in part.
+
     Args:
         address: ``IP:PORT`` to bind.
         codec: Codec of the supported messages.
         serve: Returns the reply to a message, or an awaitable of the reply.
         metrics: Counts dropped requests.
-        max_bytes: Maximum size of a request.
+        limits: What it takes.
+        refusal: Reply to a long request for which there is no memory, or None
+            to drop it.
     """
 
     def __init__(
@@ -186,18 +215,24 @@
         codec: Codec,
         serve: Serve,
         metrics: Metrics,
-        max_bytes: int = _MAX_MESSAGE_BYTES,
+        limits: ServerLimits | None = None,
+        refusal: msgspec.Struct | None = None,
     ) -> None:
         self.address = address
         self.codec = codec
         self.serve = serve
         self.metrics = metrics
-        self.max_bytes = max_bytes
+        self.limits = limits or ServerLimits()
+        self.refusal = refusal
+        self.refused = RepeatedEvent("requests_refused")
+        self.parts = PartialRequests(
+            MemoryBudget(self.limits.parts_bytes), self.limits.max_bytes
+        )
         self.tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> Self:
         self.socket = _Socket(zmq.ROUTER, self._receive)
-        self.socket.socket.maxmsgsize = self.max_bytes
+        self.socket.socket.maxmsgsize = PART_BYTES
         try:
             self.socket.socket.bind(f"tcp://{self.address}")
         except zmq.ZMQError as error:
@@ -213,14 +248,49 @@
         self.socket.close(_LINGER_MS)
 
     def _receive(self, frames: list[bytes]) -> None:
-        is_accepted = (
-            len(frames) == 3 and len(self.tasks) < _MAX_CONCURRENT_REQUESTS
+        if len(self.tasks) >= _MAX_CONCURRENT_REQUESTS:
+            self.metrics.count("rattanmill_requests_dropped")
+            return
+        match frames:
+            case [sender, number, data]:
+                self._serve(sender, number, data)
+            case [sender, number, header, part]:
+                self._receive_part(sender, number, header, part)
+            case _:
+                self.metrics.count("rattanmill_requests_dropped")
+
+    def _receive_part(
+        self, sender: bytes, number: bytes, header: bytes, part: bytes
+    ) -> None:
+        whole = self.parts.add((sender, number), header, part)
+        match whole:
+            case Incomplete.AWAITED:
+                pass
+            case Incomplete.DROPPED:
+                self.metrics.count("rattanmill_requests_dropped")
+            case Incomplete.REFUSED:
+                self._refuse(sender, number)
+            case _:
+                self._serve(sender, number, whole)
+
+    def _refuse(self, sender: bytes, number: bytes) -> None:
+        """Tells at once that there is no memory for a long request."""
+        self.metrics.count("rattanmill_requests_refused", why="memory")
+        self.refused.record(
+            why="memory",
+            held_bytes=self.parts.memory.held_bytes,
+            requests=len(self.parts.requests),
         )
-        message = self.codec.decode(frames[2]) if is_accepted else None
+        if self.refusal is not None:
+            self._send(sender, number, self.refusal)
+
+    def _serve(
+        self, sender: bytes, number: bytes, data: bytes | bytearray
+    ) -> None:
+        message = self.codec.decode(data)
         if message is None:
             self.metrics.count("rattanmill_requests_dropped")
             return
-        sender, number, _ = frames
         try:
             reply = self.serve(message)
         except Exception as error:
@@ -259,6 +329,31 @@
     )
 
 
+def _messages(
+    number: bytes, data: bytes, takes_parts: bool
+) -> Iterator[list[bytes | memoryview]]:
+    """Yields the frames of each message that a request is sent in."""
+    if takes_parts and len(data) > PART_BYTES:
+        return ([number, *part] for part in split(data))
+    return iter([[number, data]])
+
+
+class _Unsent:
+    """Messages of one request that were not sent.
+
+    Attributes:
+        next: The next one, or None.
+    """
+
+    def __init__(self, messages: Iterator[list[bytes | memoryview]]) -> None:
+        self.messages = messages
+        self.advance()
+
+    def advance(self) -> None:
+        """Goes on to the next message."""
+        self.next = next(self.messages, None)
+
+
 class _Channel:
     """One connection to a peer; closed once it has no pending requests."""
 
@@ -269,13 +364,23 @@
         self.socket.socket.immediate = True
         self.socket.socket.connect(f"tcp://{address}")
         self.pending: dict[bytes, asyncio.Future] = {}
-        self.unsent: dict[bytes, bytes] = {}
+        self.unsent: dict[bytes, _Unsent] = {}
         self.heard_at = float("-inf")
         self.is_closing = False
 
-    async def ask(self, number: bytes, data: bytes, seconds: float) -> bytes:
+    async def ask(
+        self,
+        number: bytes,
+        messages: Iterator[list[bytes | memoryview]],
+        seconds: float,
+    ) -> bytes:
         """Sends a request and returns the reply.
 
+        Args:
+            number: Number of the request.
+            messages: The frames of its messages.
+            seconds: Timeout.
+
         Raises:
             TimeoutError: No reply arrived in time.
             zmq.ZMQError: The request could not be sent.
@@ -286,7 +391,7 @@
         try:
             # Sends in order: a send may clear the event which reports that
             # earlier messages can be sent, too.
-            self.unsent[number] = data
+            self.unsent[number] = _Unsent(messages)
             self._send_pending()
             return await future
         finally:
@@ -307,10 +412,13 @@
     def _send_pending(self) -> None:
         """Sends messages that waited for a connection or for queue space."""
         while self.unsent:
-            number = next(iter(self.unsent))
-            if not self.socket.send([number, self.unsent[number]]):
+            number, unsent = next(iter(self.unsent.items()))
+            if unsent.next is None:
+                del self.unsent[number]
+            elif self.socket.send(unsent.next):
+                unsent.advance()
+            else:
                 return
-            del self.unsent[number]
 
     def _receive(self, frames: list[bytes]) -> None:
         number, data = frames
@@ -335,11 +443,16 @@
     Args:
         address: ``IP:PORT`` of the peer.
         codec: Codec of the supported messages.
+        takes_parts: Whether the peer takes long requests in parts, and no
+            others.
     """
 
-    def __init__(self, address: str, codec: Codec) -> None:
+    def __init__(
+        self, address: str, codec: Codec, takes_parts: bool = True
+    ) -> None:
         self.address = address
         self.codec = codec
+        self.takes_parts = takes_parts
         self.failures = 0
         self.heard_at = float("-inf")
         self.numbers = itertools.count()
@@ -356,9 +469,10 @@
         number = next(self.numbers).to_bytes(8, "big")
         sent_at = asyncio.get_running_loop().time()
         try:
-            data = await channel.ask(
-                number, self.codec.encode(message), seconds
+            messages = _messages(
+                number, self.codec.encode(message), self.takes_parts
             )
+            data = await channel.ask(number, messages, seconds)
         except (TimeoutError, zmq.ZMQError) as error:
             self._record_failure(channel, message, error, sent_at)
             return None
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -117,3 +117,14 @@
     When the excepted request is sent and times out
     Then the exception is reported
     And the next request gets a reply
+
+  Scenario: A long request for which there is no memory
+    Guards against a client that waits for the timeout of a request that is
+    known not to be served.
+
+    Given a peer with memory for 1000000 bytes of long requests
+    When requests to it of 500000, 200000 and 100000 bytes have arrived in part
+    Then a request of 300000 bytes is refused at once
+    And the next request gets a reply
+    When the others have arrived as a whole
+    Then all of them and a request of 300000 bytes get their own replies
--- a/tests/features/serial/crowd_turns.feature
+++ b/tests/features/serial/crowd_turns.feature
@@ -43,6 +43,25 @@
       | 80    | 4000000  |
       | 4     | 60000000 |
 
+  Scenario: Requests in parts that don't end
+    Guards against a storage instance that holds the parts of all of them.
+
+    Given a small system with machines of 88 MB and 120 MB, 4100 descriptors and bodies of up to 1048576 bytes
+    When 80 requests of 4000000 bytes between instances stop short of their last part
+    Then no process has ended
+    And an ordinary payment and an ordinary turn are answered
+    And no machine is over its memory or its descriptors
+
+  Scenario: Messages of frames that don't end
+    Guards against a storage instance that holds the frames of a message until
+    its last one.
+
+    Given a small system with machines of 88 MB and 120 MB, 4100 descriptors and bodies of up to 1048576 bytes
+    When 80 messages of 4000000 bytes in frames of 50000 stop short of their last frame
+    Then no process has ended
+    And an ordinary payment and an ordinary turn are answered
+    And no machine is over its memory or its descriptors
+
   Scenario: Messages between instances that can't be decoded
     Guards against a storage instance that queues what it can't use.
 
--- a/tests/features/steps/crowds.py
+++ b/tests/features/steps/crowds.py
@@ -9,9 +9,19 @@
 from behave import given, then, when
 from steps.site import site
 
+from rattanmill_wire.parts import split
 from support import Layout, start, wait_until
 from support.client import Client
-from support.crowd import Crowd, framed, requests, zmtp_handshake, zmtp_message
+from support.crowd import (
+    Crowd,
+    framed,
+    requests,
+    zmtp_frame,
+    zmtp_frames,
+    zmtp_greeting,
+    zmtp_handshake,
+    zmtp_message,
+)
 from support.footprint import Footprint
 from support.site import DOMAINS, HOST, PORT, Site
 
@@ -164,15 +174,43 @@
     " end"
 )
 def step_messages(context, count, size):
+    send_messages(context, count, zmtp_message(size))
+
+
+def send_messages(context, count, messages):
+    """Sends the same messages on each of many connections."""
     crowd = crowd_of(context, listener_address(context, "storage instance"))
     crowd.connect([zmtp_handshake()] for _ in range(count))
     crowd.send(is_end_awaited=False)
     # Messages may follow once the other side has sent its own handshake.
     crowd.receive(len(zmtp_handshake()))
-    crowd.append(zmtp_message(size))
+    crowd.append(messages)
     crowd.send(is_end_awaited=False)
 
 
+@when(
+    "{count:d} requests of {size:d} bytes between instances stop short of their"
+    " last part"
+)
+def step_parts(context, count, size):
+    *parts, _ = split(b"x" * size)
+    messages = [
+        zmtp_frame(bytes(8), is_last=False)
+        + zmtp_frame(header, is_last=False)
+        + zmtp_frame(bytes(part))
+        for header, part in parts
+    ]
+    send_messages(context, count, [b"".join(messages)])
+
+
+@when(
+    "{count:d} messages of {size:d} bytes in frames of {frame:d} stop short of"
+    " their last frame"
+)
+def step_frames(context, count, size, frame):
+    send_messages(context, count, zmtp_frames(size, frame))
+
+
 @when("{count:d} instances send {size:d} bytes that are no message")
 def step_undecodable(context, count, size):
     address = listener_address(context, "storage instance")
@@ -382,3 +420,30 @@
         "POST", "/v1/services/index-office/a", b"x" * size
     )
     assert answer.status == status, answer
+
+
+@when("{count:d} connections to the daemon's port for instances send nothing")
+def step_daemon_connections(context, count):
+    crowd = crowd_of(context, context.instance.peer)
+    crowd.connect([] for _ in range(count))
+    crowd.send(is_end_awaited=False)
+
+
+@when(
+    "{count:d} handshakes of {size:d} bytes stop short of their end at the"
+    " daemon's port for instances"
+)
+def step_daemon_handshakes(context, count, size):
+    crowd = crowd_of(context, context.instance.peer)
+    greeting = zmtp_greeting(b"CURVE")
+    crowd.connect([greeting] for _ in range(count))
+    crowd.send(is_end_awaited=False)
+    crowd.receive(len(greeting))
+    crowd.append([zmtp_frame(b"x" * (size - 1), size=size)])
+    crowd.send(is_end_awaited=False)
+
+
+@then("the daemon has no more than {count:d} sockets")
+def step_daemon_sockets(context, count):
+    sockets = context.footprint.sockets
+    assert sockets <= count, sockets
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -172,7 +172,7 @@
 def step_connections(context, count):
     metrics = mock.create_autospec(Metrics)
     context.connections = ConnectionTable(count, MemoryBudget(_MB), metrics)
-    patch = mock.patch("rattanmill_core.listening.loop_seconds", _Clock())
+    patch = mock.patch("rattanmill_core.events.loop_seconds", _Clock())
     patch.start()
     context.scenario_stack.callback(patch.stop)
     start_clock(context)
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -6,16 +6,21 @@
 import struct
 import time
 from collections.abc import Callable
+from unittest import mock
 
+import zmq
 from behave import given, then, when
 
 from rattanmill_core import Metrics
-from rattanmill_keeper.messages import Fetch, codec
-from rattanmill_wire import RequestLink, RequestServer
+from rattanmill_keeper.messages import Fetch, Unsure, codec
+from rattanmill_wire import RequestLink, RequestServer, ServerLimits
+from rattanmill_wire.parts import split
 
 _SECONDS = 5.0
 _SHORT_TIMEOUT_SECONDS = 0.1
 _CLOSE_WAIT_SECONDS = 0.02
+_POLL_SECONDS = 0.005
+_POLLS = 1000
 _MB = 1024 * 1024
 # Greeting and first command of ZMTP 3.0 without authentication.
 _GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(52, b"\0")
@@ -24,6 +29,7 @@
 _ENDLESS_PARTS = 200
 _METRICS = Metrics()
 _CODEC = codec()
+_REFUSAL = Unsure("no memory")
 
 
 class CountingLoop(asyncio.SelectorEventLoop):
@@ -52,10 +58,21 @@
         self.pauses: list[float] = []
         self.stack = contextlib.AsyncExitStack()
 
-    async def listen(self, serve: Callable | None = None) -> None:
+    async def listen(
+        self,
+        serve: Callable | None = None,
+        limits: ServerLimits | None = None,
+    ) -> None:
         """Starts the server."""
-        await self.stack.enter_async_context(
-            RequestServer(self.address, _CODEC, serve or self.serve, _METRICS)
+        self.server = await self.stack.enter_async_context(
+            RequestServer(
+                self.address,
+                _CODEC,
+                serve or self.serve,
+                _METRICS,
+                limits,
+                _REFUSAL,
+            )
         )
 
     def answer(self, message: Fetch) -> Fetch:
@@ -424,3 +441,73 @@
 def step_next_answered(context):
     run(context, context.peer.ask("next"))
     assert context.peer.replies == [("next", Fetch("next"))]
+
+
+async def until(is_reached: Callable[[], bool], what: str) -> None:
+    """Waits while the event loop goes on."""
+    for _ in range(_POLLS):
+        if is_reached():
+            return
+        await asyncio.sleep(_POLL_SECONDS)
+    raise AssertionError(what)
+
+
+@given("a peer with memory for {size:d} bytes of long requests")
+def step_peer_memory(context, size):
+    peer = create_peer(context)
+    run(context, peer.listen(limits=ServerLimits(parts_bytes=size)))
+    # Nothing that arrives has stalled, however slow the test is.
+    stopped = mock.patch("rattanmill_core.memory.loop_seconds", lambda: 1.0)
+    stopped.start()
+    context.scenario_stack.callback(stopped.stop)
+
+
+@when(
+    "requests to it of {first:d}, {second:d} and {third:d} bytes have arrived"
+    " in part"
+)
+def step_partial(context, first, second, third):
+    zmq_context = context.scenario_stack.enter_context(zmq.Context())
+    context.sender = zmq_context.socket(zmq.DEALER)
+    context.sender.linger = 0
+    context.scenario_stack.callback(context.sender.close)
+    context.sender.connect(f"tcp://{context.peer.address}")
+    context.texts = ["x" * size for size in (first, second, third)]
+    context.last_parts = []
+    for number, text in enumerate(context.texts):
+        *parts, last = split(_CODEC.encode(Fetch(text)))
+        for part in parts:
+            context.sender.send_multipart([bytes([number]), *part])
+        context.last_parts.append([bytes([number]), *last])
+    parts = context.peer.server.parts
+
+    def have_arrived() -> bool:
+        requests = parts.requests.values()
+        missing = [len(r.data) - r.received_bytes for r in requests]
+        return missing == [len(part[-1]) for part in context.last_parts]
+
+    run(context, until(have_arrived, "the parts arrive"))
+
+
+@then("a request of {size:d} bytes is refused at once")
+def step_refused(context, size):
+    asked = context.peer.link.ask(Fetch("x" * size), _SECONDS)
+    assert run(context, asked) == _REFUSAL
+
+
+@when("the others have arrived as a whole")
+def step_rest(context):
+    context.peer.replies.clear()
+    for part in context.last_parts:
+        context.sender.send_multipart(part)
+
+
+@then("all of them and a request of {size:d} bytes get their own replies")
+def step_all_answered(context, size):
+    for number, text in enumerate(context.texts):
+        run(context, until(lambda: context.sender.poll(0), "a reply arrives"))
+        reply = context.sender.recv_multipart()
+        assert reply[0] == bytes([number])
+        assert _CODEC.decode(reply[1]) == Fetch(text)
+    run(context, context.peer.ask("x" * size))
+    step_own_answer(context)
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -174,14 +174,33 @@
     return ([head + header + b"\r\n\r\n", body] for head in heads)
 
 
+def zmtp_greeting(mechanism: bytes) -> bytes:
+    """Returns what a ZeroMQ socket sends first.
+
+    Args:
+        mechanism: How it will show who it is: ``NULL`` or ``CURVE``.
+    """
+    start = b"\xff" + bytes(8) + b"\x7f\x03\x00"
+    return (start + mechanism.ljust(20, b"\0")).ljust(64, b"\0")
+
+
 def zmtp_handshake() -> bytes:
     """Returns what a ZeroMQ DEALER sends first, without encryption."""
-    greeting = (
-        b"\xff" + bytes(8) + b"\x7f" + b"\x03\x00" + b"NULL".ljust(20, b"\0")
-    ).ljust(64, b"\0")
     properties = b"\x0bSocket-Type" + (6).to_bytes(4, "big") + b"DEALER"
     ready = b"\x05READY" + properties
-    return greeting + b"\x04" + bytes([len(ready)]) + ready
+    return zmtp_greeting(b"NULL") + b"\x04" + bytes([len(ready)]) + ready
+
+
+def zmtp_frame(data: bytes, is_last: bool = True, size: int = 0) -> bytes:
+    """Returns a frame of a ZeroMQ message.
+
+    Args:
+        data: What it holds.
+        is_last: Whether no further frame of the message follows.
+        size: Its announced size in bytes, if it isn't that of the data.
+    """
+    kind = 2 if is_last else 3
+    return bytes([kind]) + (size or len(data)).to_bytes(8, "big") + data
 
 
 def zmtp_message(size: int) -> list[bytes]:
@@ -194,5 +213,10 @@
         size: Announced size of the frame in bytes.
     """
     number = b"\x01\x08" + bytes(8)
-    frame = b"\x02" + size.to_bytes(8, "big")
-    return [number + frame, b"x" * (size - 1)]
+    return [number + zmtp_frame(b"x" * (size - 1), size=size)]
+
+
+def zmtp_frames(size: int, frame_bytes: int) -> list[bytes]:
+    """Returns a ZeroMQ message of many frames, without its last one."""
+    frame = zmtp_frame(b"x" * frame_bytes, is_last=False)
+    return [frame * (size // frame_bytes)]
