Bound the connections that the port between instances accepts

600 connections that send nothing took 617 sockets of a storage instance (300 allowed), 1,600 took 1,433 and more of a daemon. Cause: ZeroMQ accepts all that connect, in a thread of its own; it has no bound.

It reports each connection with its descriptor. Those beyond the maximum are shut down as they are reported, over a duplicate of the descriptor whose local port is checked, so that no other connection that got the same number is hit. One that has not shown in 5 s what it speaks is closed (30 s before). The maximum of a storage instance comes from its memory and its descriptors: 480 on the smallest machine, where the largest system has 290 instances; a daemon takes 1,024.

Ways weighed: to unbind while there are too many (all new ones would be refused); a shorter queue in the kernel (bounds what waits, not what is accepted); an address filter (instances are not known by address before they connect).

It bounds what is held, not what is accepted for a moment: ZeroMQ accepts as long as the event loop is busy.

--- a/libs/keeper/src/rattanmill_keeper/capacity.py
+++ b/libs/keeper/src/rattanmill_keeper/capacity.py
@@ -21,6 +21,11 @@
 _MIN_SHARE_BYTES = 4 * 1024 * 1024
 # Of such a share, for long requests that have arrived in part.
 _PARTS_SHARE = 0.5
+# Of a machine's memory and descriptors, for connections of other instances; one
+# of them holds a message up to this size.
+_CONNECTIONS_MEMORY_SHARE = 0.25
+_CONNECTIONS_DESCRIPTORS_SHARE = 0.5
+_CONNECTION_BYTES = 64 * 1024
 
 
 class Capacity(msgspec.Struct, frozen=True):
@@ -74,3 +79,12 @@
     free_bytes = memory_bytes - _BASE_BYTES
     share_bytes = max(_MIN_SHARE_BYTES, int(free_bytes * _MEMORY_SHARE))
     return Capacity(share_bytes, disk_bytes)
+
+
+def max_connections(memory_bytes: int, max_descriptors: int) -> int:
+    """Returns how many connections of other instances a machine bears."""
+    by_memory = int(
+        memory_bytes * _CONNECTIONS_MEMORY_SHARE / _CONNECTION_BYTES
+    )
+    by_descriptors = int(max_descriptors * _CONNECTIONS_DESCRIPTORS_SHARE)
+    return max(1, min(by_memory, by_descriptors))
--- a/libs/keeper/src/rattanmill_keeper/daemon.py
+++ b/libs/keeper/src/rattanmill_keeper/daemon.py
@@ -13,7 +13,7 @@
     start_loop,
     watch_turns,
 )
-from rattanmill_keeper.capacity import capacity_of
+from rattanmill_keeper.capacity import capacity_of, max_connections
 from rattanmill_keeper.emptying import Decommission, DecommissionKeys
 from rattanmill_keeper.following import Follower
 from rattanmill_keeper.keeper import Keeper
@@ -84,6 +84,9 @@
                 ServerLimits(
                     _MAX_REQUEST_BYTES,
                     keeper.capacity.parts_bytes,
+                    max_connections(
+                        settings.memory_bytes, settings.max_descriptors
+                    ),
                 ),
                 Unsure("no memory for a long request"),
             )
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -28,6 +28,11 @@
     refuse,
     start_loop,
 )
+from rattanmill_wire.acceptance import (
+    HANDSHAKE_MS,
+    MAX_CONNECTIONS,
+    AcceptedConnections,
+)
 from rattanmill_wire.messages import (
     CallCancel,
     CallCredit,
@@ -293,6 +298,7 @@
         self.peers: dict[str, Peer] = {}
         self.served: dict[tuple[bytes, str], _ServedCall] = {}
         self.task: asyncio.Task | None = None
+        self.stack = contextlib.ExitStack()
 
     def configure_socket(self, socket: zmq.asyncio.Socket) -> None:
         """Sets the keys, queue limits and timeouts of a socket."""
@@ -313,6 +319,7 @@
         # Without this option, a message to a peer whose queue is full is
         # dropped silently, and its caller would wait for a lost chunk.
         self.router.router_mandatory = True
+        self.router.handshake_ivl = HANDSHAKE_MS
         try:
             self.router.bind(f"tcp://{self.address}")
         except zmq.ZMQError as error:
@@ -320,6 +327,14 @@
             raise SettingsError(
                 f"instance.peer: {self.address} cannot be used: {error}"
             ) from error
+        self.stack.enter_context(
+            AcceptedConnections(
+                self.router,
+                int(self.address.rpartition(":")[2]),
+                MAX_CONNECTIONS,
+                self.metrics,
+            )
+        )
         self.task = start_loop("peer socket", self._accept())
         return self
 
@@ -331,6 +346,7 @@
                 served.task.cancel()
         for peer in self.peers.values():
             peer.close()
+        self.stack.close()
         self.router.close(linger=200)
         self.context.destroy(linger=200)
 
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Self
@@ -25,6 +26,11 @@
     log_event,
     warn_event,
 )
+from rattanmill_wire.acceptance import (
+    HANDSHAKE_MS,
+    MAX_CONNECTIONS,
+    AcceptedConnections,
+)
 from rattanmill_wire.parts import (
     PART_BYTES,
     Incomplete,
@@ -184,10 +190,12 @@
         max_bytes: Maximum size of a request.
         parts_bytes: Memory for long requests that have arrived in part; one
             alone may exceed it.
+        max_connections: Maximum number of connections.
     """
 
     max_bytes: int = _MAX_MESSAGE_BYTES
     parts_bytes: int = _MAX_MESSAGE_BYTES
+    max_connections: int = MAX_CONNECTIONS
 
 
 class RequestServer:
@@ -198,6 +206,7 @@
 
     Attributes:
         parts: Long requests that have arrived in part.
+        accepted: Connections of other instances.
 
     Args:
         address: ``IP:PORT`` to bind.
@@ -229,13 +238,25 @@
             MemoryBudget(self.limits.parts_bytes), self.limits.max_bytes
         )
         self.tasks: set[asyncio.Task] = set()
+        self.stack = contextlib.ExitStack()
 
     async def __aenter__(self) -> Self:
         self.socket = _Socket(zmq.ROUTER, self._receive)
         self.socket.socket.maxmsgsize = PART_BYTES
+        self.socket.socket.handshake_ivl = HANDSHAKE_MS
+        port = int(self.address.rpartition(":")[2])
+        self.accepted = self.stack.enter_context(
+            AcceptedConnections(
+                self.socket.socket,
+                port,
+                self.limits.max_connections,
+                self.metrics,
+            )
+        )
         try:
             self.socket.socket.bind(f"tcp://{self.address}")
         except zmq.ZMQError as error:
+            self.stack.close()
             self.socket.close()
             raise SettingsError(
                 f"{self.address} cannot be used between instances: {error}"
@@ -245,6 +266,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         for task in self.tasks:
             task.cancel()
+        self.stack.close()
         self.socket.close(_LINGER_MS)
 
     def _receive(self, frames: list[bytes]) -> None:
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -128,3 +128,21 @@
     And the next request gets a reply
     When the others have arrived as a whole
     Then all of them and a request of 300000 bytes get their own replies
+
+  Scenario: More connections than a peer takes
+    Guards against connections that use up the descriptors of an instance.
+
+    Given a peer that takes 20 connections
+    When a request is sent to it, and 60 connections to it are opened
+    Then it closes all but 19 of these
+    And the next request gets a reply
+    When these are closed and 10 others are opened
+    Then it closes none of these
+
+  Scenario: A descriptor that belongs to another connection by now
+    Guards against the end of a caller's connection in place of another one that
+    was too many.
+
+    Given a peer that answers requests
+    Then a connection of another port is not shut down by its descriptor
+    And neither is a file, nor a descriptor that is closed
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 import time
@@ -14,6 +15,7 @@
 from rattanmill_core import Metrics
 from rattanmill_keeper.messages import Fetch, Unsure, codec
 from rattanmill_wire import RequestLink, RequestServer, ServerLimits
+from rattanmill_wire.acceptance import shut_down
 from rattanmill_wire.parts import split
 
 _SECONDS = 5.0
@@ -511,3 +513,98 @@
         assert _CODEC.decode(reply[1]) == Fetch(text)
     run(context, context.peer.ask("x" * size))
     step_own_answer(context)
+
+
+@given("a peer that takes {count:d} connections")
+def step_peer_connections(context, count):
+    peer = create_peer(context)
+    run(context, peer.listen(limits=ServerLimits(max_connections=count)))
+
+
+def open_connections(context, count):
+    """Opens connections to the peer that send nothing."""
+    context.connections = [
+        context.scenario_stack.enter_context(
+            socket.create_connection(("127.0.0.1", context.peer.port))
+        )
+        for _ in range(count)
+    ]
+    for connection in context.connections:
+        connection.setblocking(False)
+
+
+def closed_connections(context):
+    """Returns those that the peer has closed."""
+
+    def is_closed(connection: socket.socket) -> bool:
+        try:
+            while connection.recv(1024):
+                pass
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    return [each for each in context.connections if is_closed(each)]
+
+
+@when("a request is sent to it, and {count:d} connections to it are opened")
+def step_open_many(context, count):
+    run(context, context.peer.ask("first"))
+    context.peer.replies.clear()
+    open_connections(context, count)
+
+
+@then("it closes all but {count:d} of these")
+def step_closes_others(context, count):
+    expected = len(context.connections) - count
+    run(
+        context,
+        until(
+            lambda: len(closed_connections(context)) >= expected,
+            "the others are closed",
+        ),
+    )
+    assert len(closed_connections(context)) == expected
+
+
+@when("these are closed and {count:d} others are opened")
+def step_others_opened(context, count):
+    for connection in context.connections:
+        connection.close()
+    accepted = context.peer.server.accepted
+    run(context, until(lambda: len(accepted.open) == 1, "they are closed"))
+    open_connections(context, count)
+    run(context, until(lambda: len(accepted.open) == 1 + count, "accepted"))
+
+
+@then("it closes none of these")
+def step_closes_none(context):
+    run(context, context.peer.link.ask(Fetch("beside"), _SECONDS))
+    assert not closed_connections(context)
+
+
+@then("a connection of another port is not shut down by its descriptor")
+def step_other_port(context):
+    port = context.peer.port
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        client = socket.create_connection(server.getsockname())
+        connection, _ = server.accept()
+        with client, connection:
+            assert not shut_down(connection.fileno(), port)
+            connection.sendall(b"still open")
+            assert client.recv(100) == b"still open"
+            assert shut_down(connection.fileno(), server.getsockname()[1])
+            assert client.recv(100) == b""
+            context.closed_descriptor = os.dup(connection.fileno())
+    os.close(context.closed_descriptor)
+
+
+@then("neither is a file, nor a descriptor that is closed")
+def step_no_connection(context):
+    before = len(os.listdir("/proc/self/fd"))
+    with open(os.devnull, "rb") as file:
+        assert not shut_down(file.fileno(), context.peer.port)
+    assert not shut_down(context.closed_descriptor, context.peer.port)
+    assert len(os.listdir("/proc/self/fd")) == before
