Bound what a daemon holds of handshakes and of forwarded calls

90 handshakes of 4 MB that stop short of their end, by strangers without the key, took a daemon to 385 MB (256 allowed), and 1,600 connections 1,433 sockets. Cause: messages between daemons may have 65 MB, as the body of a forwarded call is one of them, and ZeroMQ holds a message until it is whole, before it knows who sends it. The bodies that other instances forward were not counted: each of these reserves its callers' bodies, the owner of their programs nothing.

Long messages come in parts as between front ends and storage instances, so that a frame has 64 KB at most. The memory for a forwarded call is reserved while it arrives and while it is served, in the same budget as callers' bodies; without room the call is refused at once with 503 memory_exhausted, not run.

crowd_daemon "Many connections between instances" and "Many handshakes between instances" failed on (1,433 sockets, 385 MB); forwarding.feature has long calls, whole and refused.

--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -188,6 +188,7 @@
         lambda start: serve(node, start),
         gossip.handle_message,
         node.lease.silence_seconds,
+        node.bodies,
     )
 
 
--- a/libs/wire/src/rattanmill_wire/messages.py
+++ b/libs/wire/src/rattanmill_wire/messages.py
@@ -188,7 +188,7 @@
     return _VERSION + _ENCODER.encode(message)
 
 
-def decode_message(data: bytes) -> Message | None:
+def decode_message(data: bytes | bytearray) -> Message | None:
     """Returns the message, or None if its version or type is unknown."""
     if data[:1] != _VERSION:
         return None
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -4,13 +4,16 @@
 socket and a task send calls to it and receive the replies. All instances share
 one CURVE key pair, which is read from a file; an instance without it cannot
 connect, since the server key is not published anywhere.
+
+Long messages are sent in parts, so that what strangers send is bounded before
+their handshake shows that they are none.
 """
 
 import asyncio
 import contextlib
 import itertools
 import pathlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Self
 
 import msgspec
@@ -18,9 +21,12 @@
 import zmq.asyncio
 
 from rattanmill_core import (
+    HeldMemory,
+    MemoryBudget,
     Metrics,
     Ran,
     Reason,
+    RepeatedEvent,
     SettingsError,
     log_ids,
     new_id,
@@ -45,6 +51,12 @@
     decode_message,
     encode_message,
 )
+from rattanmill_wire.parts import (
+    PART_BYTES,
+    Incomplete,
+    PartialRequests,
+    split,
+)
 
 _log = part_logger("peers")
 _QUEUE_MESSAGES = 1000
@@ -52,6 +64,11 @@
 _SEND_TIMEOUT_MS = 2000
 # The longest body that the settings allow, and its headers.
 _MAX_MESSAGE_BYTES = 65 * 1024 * 1024
+# What encryption adds to a message.
+_CURVE_BYTES = 64
+# What the body of a forwarded call takes while it is served: the body, what it
+# is decoded to, and the request to an endpoint.
+_BODY_COPIES = 4
 _REPLY_POLL_SECONDS = 0.1
 # Between the id of a call and the number of an attempt to forward it.
 _ATTEMPT_MARK = "#"
@@ -121,6 +138,7 @@
         self.address = address
         self.streams: dict[str, _ReplyStream] = {}
         self.attempts = itertools.count(1)
+        self.numbers = itertools.count()
         self.heard = 0.0
         self.socket = hub.context.socket(zmq.DEALER)
         hub.configure_socket(self.socket)
@@ -134,15 +152,29 @@
 
     async def send(self, message: Message) -> bool:
         """Sends a message; returns False if the send queue is full."""
+        data = encode_message(message)
         try:
-            data = encode_message(message)
-            await self.socket.send(data)
+            for frames in self._frames(message, data):
+                await self.socket.send_multipart(frames)
         except zmq.ZMQError:
             self.hub.metrics.count("rattanmill_peer_dropped", why="link_full")
             return False
         self.hub.bytes_out += len(data)
         return True
 
+    def _frames(
+        self, message: Message, data: bytes
+    ) -> Iterator[list[bytes | memoryview]]:
+        """Yields the frames of each ZeroMQ message that a message is sent in.
+
+        A call names its parts, so that it can be refused before it is whole.
+        """
+        if len(data) <= PART_BYTES:
+            return iter([[data]])
+        is_call = isinstance(message, CallStart)
+        name = message.call if is_call else str(next(self.numbers))
+        return ([name.encode(), *part] for part in split(data))
+
     async def _receive(self) -> None:
         while True:
             data = await self.socket.recv()
@@ -253,6 +285,10 @@
     )
 
 
+async def _only(reply: Reply) -> AsyncIterator[Reply]:
+    yield reply
+
+
 class _ServedCall:
     """Call from another instance that this instance is serving."""
 
@@ -273,6 +309,7 @@
         notice: Handles any other message; gets a function that replies to it.
         silence_seconds: Timeout without a message from a peer, after which
             calls that wait for it are refused.
+        memory: Memory that may be held for calls.
     """
 
     def __init__(
@@ -284,10 +321,14 @@
         serve: Serve,
         notice: Notice,
         silence_seconds: float,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.name = name
         self.address = address
         self.secret = secret
+        self.memory = memory or MemoryBudget()
+        self.parts = PartialRequests(self.memory, _MAX_MESSAGE_BYTES)
+        self.refused = RepeatedEvent("requests_refused")
         self.metrics = metrics
         self.serve = serve
         self.notice = notice
@@ -316,6 +357,7 @@
         self.router = self.context.socket(zmq.ROUTER)
         self.configure_socket(self.router)
         self.router.curve_server = True
+        self.router.maxmsgsize = PART_BYTES + _CURVE_BYTES
         # Without this option, a message to a peer whose queue is full is
         # dropped silently, and its caller would wait for a lost chunk.
         self.router.router_mandatory = True
@@ -370,29 +412,60 @@
         while True:
             frames = await self.router.recv_multipart()
             self.bytes_in += len(frames[-1])
-            message = decode_message(frames[-1]) if len(frames) == 2 else None
-            sender = frames[0]
-            match message:
-                case None:
-                    self.metrics.count(
-                        "rattanmill_peer_dropped", why="undecodable"
-                    )
-                case CallStart():
-                    served = _ServedCall()
-                    self.served[sender, message.call] = served
-                    served.task = asyncio.create_task(
-                        self._serve(sender, message, served)
-                    )
-                case CallCancel():
-                    served = self.served.get((sender, message.call))
-                    if served and served.task:
-                        served.task.cancel()
-                case CallCredit():
-                    if served := self.served.get((sender, message.call)):
-                        for _ in range(min(message.count, _WINDOW_CHUNKS)):
-                            served.credit.release()
-                case _:
-                    self.notice(message, self._reply_function(sender))
+            match frames:
+                case [sender, data]:
+                    self._handle(sender, decode_message(data))
+                case [sender, name, header, part]:
+                    await self._receive_part(sender, name, header, part)
+                case [sender, *_]:
+                    self._handle(sender, None)
+
+    async def _receive_part(
+        self, sender: bytes, name: bytes, header: bytes, part: bytes
+    ) -> None:
+        whole = self.parts.add((sender, name), header, part)
+        match whole:
+            case Incomplete.AWAITED:
+                pass
+            case Incomplete.DROPPED:
+                self._handle(sender, None)
+            case Incomplete.REFUSED:
+                call = name.decode(errors="replace")
+                await self._send(sender, self._refuse(call))
+            case _:
+                self._handle(sender, decode_message(whole))
+
+    def _refuse(self, call: str) -> ReplyRefused:
+        """Records a call for which there is no memory; returns its refusal."""
+        self.metrics.count("rattanmill_requests_refused", why="memory")
+        self.refused.record(
+            why="memory",
+            held_bytes=self.memory.held_bytes,
+            requests=len(self.parts.requests),
+        )
+        detail = "The owner of the program has no memory for the request."
+        return ReplyRefused(call, refuse(Reason.MEMORY_EXHAUSTED, detail))
+
+    def _handle(self, sender: bytes, message: Message | None) -> None:
+        match message:
+            case None:
+                self.metrics.count("rattanmill_peer_dropped", why="undecodable")
+            case CallStart():
+                served = _ServedCall()
+                self.served[sender, message.call] = served
+                served.task = asyncio.create_task(
+                    self._serve(sender, message, served)
+                )
+            case CallCancel():
+                served = self.served.get((sender, message.call))
+                if served and served.task:
+                    served.task.cancel()
+            case CallCredit():
+                if served := self.served.get((sender, message.call)):
+                    for _ in range(min(message.count, _WINDOW_CHUNKS)):
+                        served.credit.release()
+            case _:
+                self.notice(message, self._reply_function(sender))
 
     def _reply_function(
         self, sender: bytes
@@ -416,10 +489,12 @@
         self, sender: bytes, start: CallStart, served: _ServedCall
     ) -> None:
         call, _, _ = start.call.partition(_ATTEMPT_MARK)
-        replies = self.serve(msgspec.structs.replace(start, call=call))
         is_ended = False
         try:
-            with log_ids(start.program, call):
+            with self.memory.hold() as held, log_ids(start.program, call):
+                replies = self._replies(
+                    msgspec.structs.replace(start, call=call), held
+                )
                 is_ended = await self._send_replies(
                     sender, start.call, replies, served
                 )
@@ -433,6 +508,14 @@
                 # instance at all.
                 await self._send(sender, _ended_early(start))
 
+    def _replies(
+        self, start: CallStart, held: HeldMemory
+    ) -> AsyncIterator[Reply]:
+        """Returns the replies to a call, or its refusal for want of memory."""
+        if held.grow(len(start.body) * _BODY_COPIES):
+            return self.serve(start)
+        return _only(self._refuse(start.call))
+
     async def _send_replies(
         self,
         sender: bytes,
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -52,3 +52,20 @@
       | HTTP/1.1 | a whole answer    |
       | HTTP/1.0 | a streamed answer |
       | HTTP/1.0 | a whole answer    |
+
+  Scenario Outline: A long call
+    Guards against a body that is changed where its parts meet, and against a
+    call that waits for an owner which is known not to have the memory for it.
+
+    Given an owner with memory for <memory> bytes, of which <used> are used
+    When a call with a body of <size> bytes is forwarded to it
+    Then the call <end>
+    And the owner holds <used> bytes afterwards
+
+    Examples: the whole body is held once while it arrives, and four times while it is served
+      | memory   | used    | size     | end                                      |
+      | 16000000 | 0       | 1000000  | has reached the owner as it was sent     |
+      | 16000000 | 0       | 60000    | has reached the owner as it was sent     |
+      | 16000000 | 0       | 20000000 | has reached the owner as it was sent     |
+      | 16000000 | 9000000 | 4000000  | is refused with "memory_exhausted"       |
+      | 16000000 | 9000000 | 2000000  | is refused with "memory_exhausted"       |
--- a/tests/features/serial/crowd_daemon.feature
+++ b/tests/features/serial/crowd_daemon.feature
@@ -22,3 +22,21 @@
       | 90    | 65536 | short of their end |
       | 90    | 65536 | whole              |
       | 90    | 8     | short of their end |
+
+  Scenario: Many connections between instances
+    Guards against connections that use up the descriptors of a daemon.
+
+    Given a daemon with bodies of up to 4194304 bytes
+    When 1600 connections to the daemon's port for instances send nothing
+    Then an ordinary call of the daemon is answered
+    And the daemon runs with less than 256 MB
+    And the daemon has no more than 1400 sockets
+
+  Scenario: Many handshakes between instances
+    Guards against a daemon that holds what it gets from strangers, who don't
+    have the key of its instances.
+
+    Given a daemon with bodies of up to 4194304 bytes
+    When 90 handshakes of 4000000 bytes stop short of their end at the daemon's port for instances
+    Then an ordinary call of the daemon is answered
+    And the daemon runs with less than 256 MB
--- a/tests/features/steps/forwarding.py
+++ b/tests/features/steps/forwarding.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.client
 import io
+import random
 import socket
 from types import SimpleNamespace
 from unittest import mock
@@ -12,7 +13,7 @@
 from aiohttp import web
 from behave import given, then, when
 
-from rattanmill_core import MemoryBudget, Metrics
+from rattanmill_core import MemoryBudget, Metrics, Ran
 from rattanmill_entry.edge import edge_middleware
 from rattanmill_entry.http import caller_routes
 from rattanmill_entry.replies import (
@@ -71,7 +72,7 @@
     context.serve = serve
 
 
-def _hub(name, secret, serve, address=None):
+def _hub(name, secret, serve, address=None, memory=None):
     return PeerHub(
         name,
         address or _free_address(),
@@ -80,6 +81,7 @@
         serve,
         mock.Mock(),
         _SECONDS,
+        memory,
     )
 
 
@@ -255,3 +257,54 @@
     assert b"[DONE]" not in body, body
     assert events[0] + b"\n\n" == _EVENT, body
     assert b'"error":' in events[1] and not events[2], body
+
+
+@given("an owner with memory for {size:d} bytes, of which {used:d} are used")
+def step_owner_memory(context, size, used):
+    context.memory = MemoryBudget(size)
+    assert context.memory.hold().grow(used)
+    context.served = []
+
+    async def serve(start):
+        context.served.append(start.body)
+        for reply in whole_reply(start, 200, JSON_HEADERS, b"{}"):
+            yield reply
+
+    context.serve = serve
+
+
+@when("a call with a body of {size:d} bytes is forwarded to it")
+def step_forward_long(context, size):
+    context.body = random.Random(size).randbytes(size)
+    context.replies = asyncio.run(_forward_body(context))
+
+
+async def _forward_body(context):
+    """Returns the replies of a call with a body."""
+    public, secret = zmq.curve_keypair()
+    pair = PeerSecret(secret, public)
+    owner = _hub("owner", pair, context.serve, memory=context.memory)
+    async with owner, _hub("a", pair, context.serve) as a:
+        start = CallStart("c", CallKind.SERVICE, body=context.body)
+        call = a.peer("owner", owner.address).call(start, lambda: False)
+        async with asyncio.timeout(_SECONDS):
+            return [reply async for reply in call]
+
+
+@then("the call has reached the owner as it was sent")
+def step_reached(context):
+    assert context.served == [context.body]
+    assert context.replies[0].status == 200, context.replies
+
+
+@then('the call is refused with "{reason}"')
+def step_call_refused(context, reason):
+    (reply,) = context.replies
+    assert reply.refusal.reason == reason, reply
+    assert reply.refusal.ran == Ran.NO, reply
+    assert not context.served
+
+
+@then("the owner holds {used:d} bytes afterwards")
+def step_held_afterwards(context, used):
+    assert context.memory.held_bytes == used, context.memory.held_bytes
