Count what is held of responses, and write it as callers read

280 callers that don't read responses of 2 MB took a front end to 92 MB (88 allowed; 105 connections there): each response was buffered up to 256 KB, copied for the connection, and aiohttp wrote up to 64 KB and more ahead of its caller. None of it was counted, and a response that was buffered whole was given to the connection after its memory had been given back.

What is buffered is now reserved, up to half of the memory for requests, as it can be done without: beyond that a response goes on as it arrives and can't be retried. It is written in pieces of 16 KB, each once most of the one before was sent, and given back with them. A caller who reads next to nothing gives way once others need the memory. Of an endpoint's connection 32 KB are held rather than 128, and a connection counts as 64 KB of the memory rather than 32.

Ways weighed: no buffer at all (each response that breaks off early would fail, a regression of what callers have); a bound on connections alone (their memory differs by a factor of ten).

--- a/libs/core/src/rattanmill_core/memory.py
+++ b/libs/core/src/rattanmill_core/memory.py
@@ -26,6 +26,8 @@
 # Larger reservations leave a share to smaller ones.
 _LARGE_BYTES = 256 * 1024
 _LARGE_SHARE = 0.75
+# Up to this share, what can be done without is held, too.
+_SPARE_SHARE = 0.5
 # A message that arrives more slowly, on average since it began, has stalled.
 _STALLED_SECONDS = 1.0
 _LEAST_BYTES_PER_SECOND = 16 * 1024
@@ -139,6 +141,16 @@
             self.budget.large.add(self)
         return True
 
+    def grow_spare(self, size: int) -> bool:
+        """Reserves more for what can be done without.
+
+        Returns:
+            False if others may soon need the memory.
+        """
+        budget = self.budget
+        spare_bytes = budget.limit_bytes * _SPARE_SHARE - budget.held_bytes
+        return size <= spare_bytes and self.grow(size)
+
     def cover(self, size: int) -> bool:
         """Reserves what is missing up to a size; False if there is no room."""
         return size <= self.size or self.grow(size - self.size)
--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -20,6 +20,7 @@
 from rattanmill_forward import web
 from rattanmill_forward.connections import ConnectionTable, ReadShares
 from rattanmill_forward.routes import Limits
+from rattanmill_forward.writing import PIECE_BYTES
 
 _MAX_HEAD_BYTES = 64 * 1024
 # Sizes and extensions of the chunks of one body, beyond a byte for each byte of
@@ -99,6 +100,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport.max_size = _READ_BYTES
+        transport.set_write_buffer_limits(PIECE_BYTES)
         super().connection_made(transport)
         if not self.table.add(self):
             transport.abort()
--- a/libs/forward/src/rattanmill_forward/connection.py
+++ b/libs/forward/src/rattanmill_forward/connection.py
@@ -21,8 +21,8 @@
 _MAX_HEAD_BYTES = 64 * 1024
 # An endpoint that sends faster than its answer is passed on has to wait.
 # Several hundred connections fit into a front end's memory.
-_READ_PAUSE_BYTES = 64 * 1024
-READ_BYTES = 64 * 1024
+_READ_PAUSE_BYTES = 16 * 1024
+READ_BYTES = 16 * 1024
 # Bounds what is parsed at a time, and so the memory that it takes.
 _PIECE_BYTES = 16 * 1024
 # Part of a body that is written at once.
--- a/libs/forward/src/rattanmill_forward/connections.py
+++ b/libs/forward/src/rattanmill_forward/connections.py
@@ -10,10 +10,11 @@
 
 # Of the descriptors, for callers and as many for endpoints.
 _DESCRIPTORS_SHARE = 0.35
-# Of a machine's memory, and what a connection takes of it with what has arrived
-# on it and was not read.
+# Of a machine's memory, and what a connection takes of it: what has arrived on
+# it and was not read, or what its caller does not read, here and of the
+# endpoint's connection.
 _MEMORY_SHARE = 0.2
-_CONNECTION_BYTES = 32 * 1024
+_CONNECTION_BYTES = 64 * 1024
 # What one connection may have read in one turn of the event loop, and all that
 # bring bodies together.
 _MAX_READ_BYTES = 32 * 1024
--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -3,9 +3,15 @@
 import asyncio
 import enum
 import math
-from collections.abc import Callable
-
-from rattanmill_core import Metrics, Refusal, log_event, loop_seconds
+from collections.abc import AsyncIterator, Callable
+
+from rattanmill_core import (
+    HeldMemory,
+    Metrics,
+    Refusal,
+    log_event,
+    loop_seconds,
+)
 from rattanmill_forward import web
 from rattanmill_forward.calls import ResponseHead
 from rattanmill_forward.connection import BrokenError, ExcessError
@@ -15,11 +21,8 @@
 from rattanmill_forward.joining import EndedEarlyError, NotContinuedError
 from rattanmill_forward.responses import rounded_ms, set_headers
 from rattanmill_forward.turns import Turn, TurnManager
+from rattanmill_forward.writing import PIECE_BYTES, BufferedBody, write_paced
 
-# Responses up to this size are buffered whole before the caller gets the first
-# byte, so that one that breaks off earlier can still be retried on another
-# endpoint.
-_MAX_BUFFERED_BYTES = 256 * 1024
 # A turn is held here until it is stored, and read again with each later one.
 # Those in use have less than 32 KB.
 _MAX_TURN_BYTES = 1024 * 1024
@@ -44,6 +47,7 @@
         turns: Stores finished turns.
         metrics: Counters and timings.
         is_draining: Returns whether callers are to close their connections.
+        hold: Returns memory for a response, nothing so far.
     """
 
     def __init__(
@@ -52,11 +56,13 @@
         turns: TurnManager,
         metrics: Metrics,
         is_draining: Callable[[], bool],
+        hold: Callable[[], HeldMemory],
     ) -> None:
         self.dispatcher = dispatcher
         self.turns = turns
         self.metrics = metrics
         self.is_draining = is_draining
+        self.hold = hold
 
     async def forward_plain(
         self, request: web.BaseRequest, job: Job
@@ -78,26 +84,36 @@
     async def _forward_response(
         self, request: web.BaseRequest, job: Job, running: RunningCall
     ) -> web.StreamResponse:
-        async with asyncio.timeout_at(job.deadline):
-            chunks = running.response.chunks()
-            body = bytearray()
-            async for chunk in chunks:
-                body += chunk
-                if len(body) > _MAX_BUFFERED_BYTES:
-                    break
+        with BufferedBody(self.hold()) as body:
+            async with asyncio.timeout_at(job.deadline):
+                chunks = running.response.chunks()
+                async for chunk in chunks:
+                    if not body.add(chunk):
+                        break
             if running.response.is_complete:
-                self._record_answer(job, running, len(body))
-                return self._complete_response(
-                    running.response.head, bytes(body)
+                self._record_answer(job, running, body.size)
+                return await self._send_complete(
+                    request, running.response.head, body
                 )
+            return await self._send_long(request, job, running, body, chunks)
+
+    async def _send_long(
+        self,
+        request: web.BaseRequest,
+        job: Job,
+        running: RunningCall,
+        body: BufferedBody,
+        chunks: AsyncIterator[bytes],
+    ) -> web.StreamResponse:
+        """Sends the buffered part of a response, and the rest as it arrives."""
         response = await self._start_response(request, running.response.head)
-        size = len(body)
+        size = body.size
         try:
             async with asyncio.timeout_at(job.deadline):
-                await response.write(bytes(body))
+                await body.write(request, response)
                 async for chunk in chunks:
                     size += len(chunk)
-                    await response.write(chunk)
+                    await write_paced(request, response, chunk)
         except BrokenError as error:
             self.dispatcher.record_broken(job, running.endpoint)
             return self._abort_response(request, job, response, str(error))
@@ -135,7 +151,7 @@
                             )
                             if block.is_event:
                                 self._record_event(job, running, turn, block)
-                            await response.write(block.raw)
+                            await write_paced(request, response, block.raw)
                     response = response or await self._start_response(
                         request, head
                     )
@@ -226,12 +242,23 @@
         await response.prepare(request)
         return response
 
-    def _complete_response(
-        self, head: ResponseHead, body: bytes
-    ) -> web.Response:
-        response = web.Response(status=head.status, body=body)
+    async def _send_complete(
+        self, request: web.BaseRequest, head: ResponseHead, body: BufferedBody
+    ) -> web.StreamResponse:
+        """Sends a response that is buffered whole."""
+        if body.size <= PIECE_BYTES:
+            response = web.Response(
+                status=head.status, body=b"".join(body.pieces)
+            )
+        else:
+            response = web.StreamResponse(status=head.status)
+            response.content_length = body.size
         set_headers(response, head.headers)
         self._close_if_draining(response)
+        if body.size > PIECE_BYTES:
+            await response.prepare(request)
+            await body.write(request, response)
+            await response.write_eof()
         return response
 
     def _abort_response(
--- a/libs/forward/src/rattanmill_forward/front.py
+++ b/libs/forward/src/rattanmill_forward/front.py
@@ -64,7 +64,11 @@
     ) -> None:
         self.codec = codec
         self.forwarder = Forwarder(
-            dispatcher, turns, metrics, lambda: self.is_draining
+            dispatcher,
+            turns,
+            metrics,
+            lambda: self.is_draining,
+            lambda: self.memory.hold(),
         )
         self.turns = turns
         self.rates = RateGuard(turns.keepers.rates)
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -64,3 +64,17 @@
     When 1 to 1000 connections bring bodies, in large and in small chunks
     Then one alone may have 32768 bytes read, and in small chunks 16384
     And all together at most 2 MB are read, and in small chunks 256 KB
+
+  Scenario: Responses that are buffered
+    Guards against responses that take the memory of requests, and against
+    memory that is held for what was written.
+
+    Given 8 MB for requests
+    When responses are buffered in pieces of 16 KB as long as they may be
+    Then none holds more than 272 KB, and all of them 4 MB
+    And a request of 2 MB is let through
+    When a buffered response is written
+    Then its memory is given back piece by piece
+    When a caller reads nothing of a buffered response for 2 seconds
+    And requests of 8 MB arrive
+    Then the connection of that caller is closed, and no other
--- a/tests/features/serial/crowd_callers.feature
+++ b/tests/features/serial/crowd_callers.feature
@@ -40,6 +40,15 @@
       | 280   | payments | 200000  | 65536 | short of their end |
       | 280   | payments | 200000  | 8     | short of their end |
 
+  Scenario: Many responses that nobody reads
+    Guards against a front end that holds the responses of all callers.
+
+    Given a small system with machines of 88 MB and 120 MB, 500 descriptors and bodies of up to 1048576 bytes
+    When 280 POST requests are sent to /pay/large, and nobody reads the responses
+    Then no process has ended
+    And an ordinary payment and an ordinary turn are answered
+    And no machine is over its memory or its descriptors
+
   Scenario Outline: Many connections
     Guards against connections that use up the descriptors of a machine.
 
--- a/tests/features/steps/crowds.py
+++ b/tests/features/steps/crowds.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import os
 import pathlib
+import time
 
 import msgspec
 import zmq
@@ -34,6 +35,7 @@
 _PATHS = {"turns": "/stream/talk/long", "payments": "/pay/long"}
 _ENDS = {"whole": True, "short of their end": False}
 _AT_A_TIME = 8
+_ANSWER_SECONDS = 2.0
 
 
 @given(
@@ -118,6 +120,21 @@
         ).encode()
 
 
+@when(
+    "{count:d} {method} requests are sent to {path}, and nobody reads the"
+    " responses"
+)
+def step_unread(context, count, method, path):
+    crowd = context.scenario_stack.enter_context(
+        Crowd(site(context).front_address("east"), is_reading=False)
+    )
+    framing = framed(100, 0, True)
+    crowd.connect(requests(heads(context, method, path, count), framing))
+    crowd.send(is_end_awaited=False)
+    # Each of them is answered before the ordinary calls that follow.
+    time.sleep(_ANSWER_SECONDS)
+
+
 def send_bodies(context, address, path, count, framing, is_whole):
     crowd = crowd_of(context, address)
     crowd.connect(requests(heads(context, "POST", path, count), framing))
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -1,5 +1,6 @@
 """Steps about the memory that is held for requests."""
 
+import asyncio
 import random
 from unittest import mock
 
@@ -7,6 +8,7 @@
 
 from rattanmill_core import MemoryBudget, Metrics
 from rattanmill_forward.connections import ConnectionTable, ReadShares
+from rattanmill_forward.writing import BufferedBody
 
 _KB = 1024
 _MB = 1024 * 1024
@@ -226,3 +228,115 @@
     for (is_small, count), size in context.shares.items():
         most = small * _KB if is_small else large * _MB
         assert size * count <= most, (is_small, count, size)
+
+
+class _Response:
+    """A response that records what is held while it is written."""
+
+    def __init__(self, budget):
+        self.budget = budget
+        self.held = []
+        self.data = b""
+
+    async def write(self, data):
+        self.held.append(self.budget.held_bytes)
+        self.data += data
+
+
+class _Request:
+    """A request whose caller may not read."""
+
+    def __init__(self):
+        self.protocol = self.transport = self
+        self.is_read = True
+        self.is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+    async def _drain_helper(self):
+        if not self.is_read:
+            await asyncio.Event().wait()
+
+
+def _buffered(budget):
+    """Returns a response of which as much is buffered as may be."""
+    body = BufferedBody(budget.hold())
+    while body.add(bytes(16 * _KB)):
+        pass
+    return body
+
+
+@given("{size:d} MB for requests")
+def step_budget(context, size):
+    start_clock(context)
+    context.budget = MemoryBudget(size * _MB)
+
+
+@when("responses are buffered in pieces of 16 KB as long as they may be")
+def step_buffer_many(context):
+    context.bodies = [_buffered(context.budget) for _ in range(40)]
+
+
+@then("none holds more than {most:d} KB, and all of them {total:d} MB")
+def step_buffered_bytes(context, most, total):
+    assert all(body.held.size <= most * _KB for body in context.bodies)
+    held = context.budget.held_bytes
+    assert total * _MB - 16 * _KB < held <= total * _MB, held
+
+
+@then("a request of {size:d} MB is let through")
+def step_beside(context, size):
+    with context.budget.hold() as held:
+        # One that is larger leaves a quarter to others.
+        assert held.grow(size * _MB)
+
+
+@when("a buffered response is written")
+def step_write(context):
+    for body in context.bodies:
+        body.__exit__()
+    context.response = _Response(context.budget)
+    with _buffered(context.budget) as body:
+        context.pieces = body.pieces[:]
+        asyncio.run(body.write(_Request(), context.response))
+
+
+@then("its memory is given back piece by piece")
+def step_given_back(context):
+    held = context.response.held
+    assert held == sorted(held, reverse=True), held
+    assert held[-1] <= 16 * _KB, held
+    assert context.response.data == b"".join(context.pieces)
+    assert context.budget.held_bytes == 0
+
+
+@when("a caller reads nothing of a buffered response for {seconds:d} seconds")
+def step_unread(context, seconds):
+    context.requests = [_Request(), _Request()]
+    context.requests[0].is_read = False
+    context.bodies = [_buffered(context.budget) for _ in context.requests]
+    context.loop = asyncio.new_event_loop()
+    context.scenario_stack.callback(context.loop.close)
+    response = _Response(context.budget)
+    writes = [
+        context.loop.create_task(body.write(request, response))
+        for body, request in zip(context.bodies, context.requests, strict=True)
+    ]
+    context.loop.run_until_complete(asyncio.wait(writes[1:]))
+    context.scenario_stack.callback(
+        lambda: context.loop.run_until_complete(asyncio.wait(writes[:1]))
+    )
+    context.scenario_stack.callback(writes[0].cancel)
+    context.clock.now += seconds
+
+
+@when("requests of {size:d} MB arrive")
+def step_requests_arrive(context, size):
+    for _ in range(2 * size):
+        context.budget.hold().grow(_MB // 2)
+
+
+@then("the connection of that caller is closed, and no other")
+def step_closed_for_others(context):
+    assert [r.is_aborted for r in context.requests] == [True, False]
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -11,6 +11,8 @@
 _SEND_SECONDS = 20.0
 _PIECE_BYTES = 256 * 1024
 _RECEIVE_BYTES = 64 * 1024
+# What the kernel takes for a member that does not read.
+_UNREAD_BYTES = 4 * 1024
 
 
 def framed(size: int, chunk_bytes: int, is_whole: bool) -> tuple[bytes, bytes]:
@@ -73,9 +75,11 @@
 
     Args:
         address: ``IP:PORT``.
+        is_reading: Whether its members read what they are sent.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, is_reading: bool = True) -> None:
+        self.is_reading = is_reading
         host, _, port = address.rpartition(":")
         self.address = (host, int(port))
         self.members: list[_Member] = []
@@ -95,6 +99,10 @@
         for pieces in messages:
             sock = self.stack.enter_context(socket.socket())
             sock.settimeout(1.0)
+            if not self.is_reading:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, _UNREAD_BYTES
+                )
             with contextlib.suppress(OSError):
                 sock.connect(self.address)
                 sock.setblocking(False)
@@ -141,7 +149,8 @@
         is_end_awaited: bool,
     ) -> None:
         try:
-            member.receive()
+            if self.is_reading:
+                member.receive()
         except BlockingIOError:
             pass
         except OSError:
