Serve bodies in chunks of any size, and answer those that are little but framing

Cause: framing was bounded by 64 KB and the size of the body so far, where a chunk of one byte has five bytes of framing; and beyond the bound the connection was aborted.

The bound is what the shortest chunks need (five bytes for each, and 64 KB). Beyond it the request is refused with 413, and of the rest 1 MB is read so that its caller gets the refusal. A crowd in small chunks is bounded by what is read of it in one turn of the event loop and by its memory; aiohttp holds at most 1,024 chunks of a connection.

In callers.feature the stand-in counts refusals as a front end does, as the connection does not refuse by itself any more; its checks and bounds are as they were.

--- a/libs/forward/src/rattanmill_forward/bodies.py
+++ b/libs/forward/src/rattanmill_forward/bodies.py
@@ -9,6 +9,8 @@
 
 from collections.abc import AsyncIterator
 
+from aiohttp import StreamReader
+
 from rattanmill_core import HeldMemory, Ran, Reason, Refusal, refuse
 from rattanmill_forward import web
 from rattanmill_forward.connection import BrokenError
@@ -30,6 +32,10 @@
     """A body made next to no progress, and its memory was needed."""
 
 
+class FramingError(Exception):
+    """A body has more framing than its chunks need."""
+
+
 class BodyStream:
     """The part of a long body that is forwarded as it arrives, once.
 
@@ -65,7 +71,7 @@
         """Yields the body as it arrives.
 
         Raises:
-            BrokenError: The body exceeds the limit, or has stalled.
+            BrokenError: The body exceeds a limit, or has stalled.
         """
         self.is_started = True
         try:
@@ -76,6 +82,9 @@
                     self.refusal = _too_large(self.max_bytes)
                     raise BrokenError("request body exceeds the limit")
                 yield chunk
+        except FramingError as error:
+            self.refusal = _refuse_framing(self.content, error)
+            raise BrokenError(str(error)) from error
         except RevokedError as error:
             # An endpoint may have begun to run the request.
             self.refusal = refuse(
@@ -124,6 +133,8 @@
             ):
                 rest = BodyStream(request, len(body), max_bytes, held)
                 return bytes(body), rest
+    except FramingError as error:
+        return _refuse_framing(request.content, error)
     except RevokedError:
         return _memory_exhausted()
     held.finish()
@@ -168,6 +179,12 @@
     return request.content.is_eof() and request.content.at_eof()
 
 
+def _refuse_framing(content: StreamReader, error: FramingError) -> Refusal:
+    # What follows is read for a while, so that the caller gets the refusal.
+    content.set_exception(None)
+    return refuse(Reason.BODY_TOO_LARGE, str(error))
+
+
 def _too_large(max_bytes: int) -> Refusal:
     return refuse(
         Reason.BODY_TOO_LARGE, f"request body exceeds {max_bytes} bytes"
--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -18,14 +18,16 @@
     refuse,
 )
 from rattanmill_forward import web
+from rattanmill_forward.bodies import FramingError
 from rattanmill_forward.connections import ConnectionTable, ReadShares
 from rattanmill_forward.routes import Limits
 from rattanmill_forward.writing import PIECE_BYTES
 
 _MAX_HEAD_BYTES = 64 * 1024
-# Sizes and extensions of the chunks of one body, beyond a byte for each byte of
-# the body.
+# Framing of one body: sizes, extensions and line ends of its chunks. A chunk of
+# one byte, the shortest, has five.
 _MAX_FRAMING_BYTES = 64 * 1024
+_MAX_FRAMING_PER_BYTE = 5
 # All that was read is parsed before other tasks have a turn.
 _READ_BYTES = 32 * 1024
 # What is parsed of a body before its reader has taken it.
@@ -36,6 +38,8 @@
 # The rest of a body whose request was refused is read for this long, so that
 # its caller gets the refusal.
 _LINGERING_SECONDS = 2.0
+# Of a body in chunks, so much of the rest is read.
+_MAX_DISCARDED_BYTES = 1024 * 1024
 _DEFAULT_CONNECTIONS = 1024
 _TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
@@ -68,12 +72,14 @@
     """One connection; refuses a request whose head arrives too slowly.
 
     Otherwise callers that send a few bytes now and then would hold descriptors
-    until none are left for others. A body that is little but framing is not
-    read on.
+    until none are left for others. A body with more framing than its chunks
+    need is refused.
 
     Attributes:
         framing_bytes: Bytes received behind the head of the current request
             that are not in its body.
+        discarded_bytes: Bytes of its body received after its handler has ended.
+        has_chunks: Whether its body comes in chunks.
     """
 
     def __init__(self, server: "_Server", policy: ConnectionPolicy) -> None:
@@ -97,6 +103,8 @@
         self.head_timer: asyncio.TimerHandle | None = None
         self.last_body: StreamReader | None = None
         self.framing_bytes = 0
+        self.discarded_bytes = 0
+        self.has_chunks = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport.max_size = _READ_BYTES
@@ -126,7 +134,10 @@
         super().data_received(data)
         if is_body:
             framing_bytes = len(data) - body.total_bytes + before
-            self._check_framing(body, framing_bytes)
+            if self.is_serving:
+                self._check_framing(body, framing_bytes)
+            else:
+                self._record_discarded(len(data))
             if self.transport is not None:
                 self.transport.max_size = self._next_read_bytes(
                     body, framing_bytes > len(data) * _SMALL_CHUNK_SHARE
@@ -162,6 +173,8 @@
         self.is_serving = True
         self.last_body = request.content
         self.framing_bytes = 0
+        self.discarded_bytes = 0
+        self.has_chunks = request.content_length is None
         self.table.begin(self)
         try:
             return await handler(request)
@@ -176,16 +189,22 @@
 
     def _check_framing(self, body: StreamReader, received_bytes: int) -> None:
         self.framing_bytes += received_bytes
-        max_bytes = _MAX_FRAMING_BYTES + body.total_bytes
-        if self.framing_bytes <= max_bytes:
-            return
-        if self.transport is None or self.transport.is_closing():
-            return
-        self._record_refusal(
-            Reason.BODY_TOO_LARGE,
-            f"request exceeds {max_bytes} bytes of framing",
+        max_bytes = (
+            _MAX_FRAMING_BYTES + body.total_bytes * _MAX_FRAMING_PER_BYTE
+        )
+        if self.framing_bytes > max_bytes and body.exception() is None:
+            body.set_exception(
+                FramingError(f"request exceeds {max_bytes} bytes of framing")
+            )
+
+    def _record_discarded(self, size: int) -> None:
+        """Records that a part of a refused body has arrived."""
+        self.discarded_bytes += size
+        is_endless = self.has_chunks and self.discarded_bytes > (
+            _MAX_DISCARDED_BYTES
         )
-        self.transport.abort()
+        if is_endless and self.transport is not None:
+            self.transport.pause_reading()
 
     def _on_head_timeout(self) -> None:
         self.head_timer = None
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -28,6 +28,15 @@
       | 4000000 | 100   |
       | 4000000 | 65536 |
       | 10000   | 1     |
+      | 300000  | 1     |
+      | 1000000 | 3     |
+
+  Scenario: A body that is refused while it arrives
+    Guards against a caller who never learns that its request was refused.
+
+    Given a front end's listener
+    When a caller sends 200000 bytes of chunk extensions and waits
+    Then it gets the refusal with status 413
 
   Scenario Outline: A reader of the metrics that sends without an end
     Guards against an instance that does nothing else meanwhile.
--- a/tests/features/serial/limits_in_calm.feature
+++ b/tests/features/serial/limits_in_calm.feature
@@ -17,6 +17,9 @@
       | payment | 4194304 | 0     |
       | payment | 4194304 | 65536 |
       | payment | 4194304 | 8     |
+      | payment | 302400  | 3     |
+      | payment | 302400  | 1     |
+      | turn    | 262144  | 1     |
 
   Scenario: A conversation that has grown
     Then each of 8 turns of 1000000 bytes in one conversation is answered
--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -10,7 +10,7 @@
 from aiohttp.web_protocol import RequestHandler
 from behave import given, then, when
 
-from rattanmill_core import Metrics
+from rattanmill_core import Metrics, Refusal
 from rattanmill_core.metricserver import MetricsServer
 from rattanmill_forward import web
 from rattanmill_forward.bodies import read_body
@@ -50,6 +50,9 @@
     async def handle(request):
         with policy.memory.hold() as held:
             body = await read_body(request, 4 * _MB, True, held)
+        if isinstance(body, Refusal):
+            context.metrics.refused(body)
+            return web.Response(status=body.status)
         context.bodies.append(body)
         return web.Response(text="done")
 
@@ -213,3 +216,19 @@
 @then("other tasks had a turn after {count:d} parts at most")
 def step_turns_of_others(context, count):
     assert max(context.parts.values()) <= count, context.parts.most_common(3)
+
+
+@when("a caller sends {size:d} bytes of chunk extensions and waits")
+def step_extensions(context, size):
+    async def send(reader, writer):
+        writer.write(_HEAD + b"1;" + b"e" * size)
+        context.status_line = await reader.readline()
+        writer.close()
+
+    _run(context, send)
+
+
+@then("it gets the refusal with status {status:d}")
+def step_gets_refusal(context, status):
+    expected = b"HTTP/1.1 %d" % status
+    assert context.status_line.startswith(expected), context.status_line
