--- a/libs/forward/src/rattanmill_forward/callers.py
+++ b/libs/forward/src/rattanmill_forward/callers.py
@@ -38,7 +38,7 @@
 # The rest of a body whose request was refused is read for this long, so that
 # its caller gets the refusal.
 _LINGERING_SECONDS = 2.0
-# Of a body in chunks, so much of the rest is read.
+# Of a refused body in small chunks, so much of the rest is read.
 _MAX_DISCARDED_BYTES = 1024 * 1024
 _DEFAULT_CONNECTIONS = 1024
 _TIMEOUT_RESPONSE = (
@@ -78,8 +78,8 @@
     Attributes:
         framing_bytes: Bytes received behind the head of the current request
             that are not in its body.
-        discarded_bytes: Bytes of its body received after its handler has ended.
-        has_chunks: Whether its body comes in chunks.
+        discarded_bytes: Bytes in small chunks received of its body after its
+            handler has ended.
     """
 
     def __init__(self, server: "_Server", policy: ConnectionPolicy) -> None:
@@ -104,7 +104,6 @@
         self.last_body: StreamReader | None = None
         self.framing_bytes = 0
         self.discarded_bytes = 0
-        self.has_chunks = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport.max_size = _READ_BYTES
@@ -134,14 +133,13 @@
         super().data_received(data)
         if is_body:
             framing_bytes = len(data) - body.total_bytes + before
+            is_small = framing_bytes > len(data) * _SMALL_CHUNK_SHARE
             if self.is_serving:
                 self._check_framing(body, framing_bytes)
-            else:
+            elif is_small and not body.is_eof():
                 self._record_discarded(len(data))
             if self.transport is not None:
-                self.transport.max_size = self._next_read_bytes(
-                    body, framing_bytes > len(data) * _SMALL_CHUNK_SHARE
-                )
+                self.transport.max_size = self._next_read_bytes(body, is_small)
         # An empty call only resumes parsing.
         is_head = bool(data) and not (is_body or self.is_serving)
         if is_head and not self.head_timer and self.transport is not None:
@@ -174,7 +172,6 @@
         self.last_body = request.content
         self.framing_bytes = 0
         self.discarded_bytes = 0
-        self.has_chunks = request.content_length is None
         self.table.begin(self)
         try:
             return await handler(request)
@@ -198,14 +195,19 @@
             )
 
     def _record_discarded(self, size: int) -> None:
-        """Records that a part of a refused body has arrived."""
+        """Records a part of a refused body that comes in small chunks."""
         self.discarded_bytes += size
-        is_endless = self.has_chunks and self.discarded_bytes > (
-            _MAX_DISCARDED_BYTES
-        )
-        if is_endless and self.transport is not None:
+        if self._has_discarded_enough() and self.transport is not None:
             self.transport.pause_reading()
 
+    def _has_discarded_enough(self) -> bool:
+        return self.discarded_bytes > _MAX_DISCARDED_BYTES
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Goes on to read, unless enough of a refused body was."""
+        if not self._has_discarded_enough():
+            super().resume_reading(resume_parser)
+
     def _on_head_timeout(self) -> None:
         self.head_timer = None
         if self.transport is None:
