--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -236,9 +236,8 @@
         self, request: web.BaseRequest, head: ResponseHead
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=head.status)
-        set_headers(response, head.headers)
+        self._set_head(response, head)
         response.enable_chunked_encoding()
-        self._close_if_draining(response)
         await response.prepare(request)
         return response
 
@@ -247,19 +246,23 @@
     ) -> web.StreamResponse:
         """Sends a response that is buffered whole."""
         if body.size <= PIECE_BYTES:
-            response = web.Response(
-                status=head.status, body=b"".join(body.pieces)
-            )
-        else:
-            response = web.StreamResponse(status=head.status)
-            response.content_length = body.size
+            data = b"".join(body.pieces)
+            response = web.Response(status=head.status, body=data)
+            self._set_head(response, head)
+            return response
+        response = web.StreamResponse(status=head.status)
+        response.content_length = body.size
+        self._set_head(response, head)
+        await response.prepare(request)
+        await body.write(request, response)
+        await response.write_eof()
+        return response
+
+    def _set_head(
+        self, response: web.StreamResponse, head: ResponseHead
+    ) -> None:
         set_headers(response, head.headers)
         self._close_if_draining(response)
-        if body.size > PIECE_BYTES:
-            await response.prepare(request)
-            await body.write(request, response)
-            await response.write_eof()
-        return response
 
     def _abort_response(
         self,
--- a/libs/wire/src/rattanmill_wire/peers.py
+++ b/libs/wire/src/rattanmill_wire/peers.py
@@ -423,8 +423,8 @@
     async def _receive_part(
         self, sender: bytes, name: bytes, header: bytes, part: bytes
     ) -> None:
-        whole = self.parts.add((sender, name), header, part)
-        match whole:
+        outcome = self.parts.add((sender, name), header, part)
+        match outcome:
             case Incomplete.AWAITED:
                 pass
             case Incomplete.DROPPED:
@@ -433,7 +433,7 @@
                 call = name.decode(errors="replace")
                 await self._send(sender, self._refuse(call))
             case _:
-                self._handle(sender, decode_message(whole))
+                self._handle(sender, decode_message(outcome))
 
     def _refuse(self, call: str) -> ReplyRefused:
         """Records a call for which there is no memory; returns its refusal."""
--- a/libs/wire/src/rattanmill_wire/requests.py
+++ b/libs/wire/src/rattanmill_wire/requests.py
@@ -284,8 +284,8 @@
     def _receive_part(
         self, sender: bytes, number: bytes, header: bytes, part: bytes
     ) -> None:
-        whole = self.parts.add((sender, number), header, part)
-        match whole:
+        outcome = self.parts.add((sender, number), header, part)
+        match outcome:
             case Incomplete.AWAITED:
                 pass
             case Incomplete.DROPPED:
@@ -293,7 +293,7 @@
             case Incomplete.REFUSED:
                 self._refuse(sender, number)
             case _:
-                self._serve(sender, number, whole)
+                self._serve(sender, number, outcome)
 
     def _refuse(self, sender: bytes, number: bytes) -> None:
         """Tells at once that there is no memory for a long request."""
