--- a/tests/features/parts.feature
+++ b/tests/features/parts.feature
@@ -27,7 +27,7 @@
 
     Given memory for 1000000 bytes of requests of up to 600000 bytes
     When a part of 65536 bytes at 0 of 600000 arrives
-    And 61 seconds pass
+    And its sender sends nothing for 61 seconds
     And a part of 65536 bytes at 0 of 500000 arrives
     Then the part is awaited
     And memory for 500000 bytes is reserved
--- a/tests/features/steps/parts.py
+++ b/tests/features/steps/parts.py
@@ -123,7 +123,7 @@
     context.outcome = context.requests.add(_KEY, header, bytes(part))
 
 
-@when("{seconds:d} seconds pass")
+@when("its sender sends nothing for {seconds:d} seconds")
 def step_pass(context, seconds):
     context.now += seconds
 
