--- a/tests/features/steps/site_logs.py
+++ b/tests/features/steps/site_logs.py
@@ -33,11 +33,19 @@
         *pathlib.Path("platform").glob("**/*.py"),
     ]
     for path in paths:
-        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
-            if not isinstance(node, ast.Call) or not node.args:
+        calls = [
+            node
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+            if isinstance(node, ast.Call)
+        ]
+        for node in calls:
+            if not node.args:
                 continue
-            name = getattr(node.func, "id", getattr(node.func, "attr", ""))
+            name = called_name(node)
             event = node.args[-2] if name == "_write_line" else node.args[0]
+            if name == "RepeatedEvent":
+                fields = found.setdefault(event.value, {"count"})
+                fields |= recorded_fields(calls)
             if name in _LOG_FUNCTIONS and isinstance(event, ast.Constant):
                 fields = found.setdefault(event.value, set())
                 fields |= {keyword.arg for keyword in node.keywords}
@@ -46,6 +54,20 @@
     return found
 
 
+def called_name(call):
+    return getattr(call.func, "id", getattr(call.func, "attr", ""))
+
+
+def recorded_fields(calls):
+    """Returns the fields that a module's repeated events are recorded with."""
+    return {
+        keyword.arg
+        for call in calls
+        if called_name(call) == "record"
+        for keyword in call.keywords
+    }
+
+
 @when("docs/LOGS.md is compared with the code")
 def step_compare(context):
     context.code = logged_events()
