Leave three quarters of the descriptors to connections that are being shut down

Half of the descriptors were left for that; three quarters are now. Nothing on real machines changes, where the memory bounds these connections first (480 of 2,000 on the smallest).

--- a/libs/keeper/src/rattanmill_keeper/capacity.py
+++ b/libs/keeper/src/rattanmill_keeper/capacity.py
@@ -22,9 +22,10 @@
 # Of such a share, for long requests that have arrived in part.
 _PARTS_SHARE = 0.5
 # Of a machine's memory and descriptors, for connections of other instances; one
-# of them holds a message up to this size.
+# of them holds a message up to this size. As many descriptors again, and more,
+# are taken for a moment by those that are shut down.
 _CONNECTIONS_MEMORY_SHARE = 0.25
-_CONNECTIONS_DESCRIPTORS_SHARE = 0.5
+_CONNECTIONS_DESCRIPTORS_SHARE = 0.25
 _CONNECTION_BYTES = 64 * 1024
 
 
