--- a/libs/forward/src/rattanmill_forward/forwarding.py
+++ b/libs/forward/src/rattanmill_forward/forwarding.py
@@ -93,7 +93,7 @@
             if running.response.is_complete:
                 self._record_answer(job, running, body.size)
                 return await self._send_complete(
-                    request, running.response.head, body
+                    request, job, running.response.head, body
                 )
             return await self._send_long(request, job, running, body, chunks)
 
@@ -110,7 +110,7 @@
         size = body.size
         try:
             async with asyncio.timeout_at(job.deadline):
-                await body.write(request, response)
+                await self._write_buffered(request, job, response, body)
                 async for chunk in chunks:
                     size += len(chunk)
                     await write_paced(request, response, chunk)
@@ -242,7 +242,11 @@
         return response
 
     async def _send_complete(
-        self, request: web.BaseRequest, head: ResponseHead, body: BufferedBody
+        self,
+        request: web.BaseRequest,
+        job: Job,
+        head: ResponseHead,
+        body: BufferedBody,
     ) -> web.StreamResponse:
         """Sends a response that is buffered whole."""
         if body.size <= PIECE_BYTES:
@@ -254,10 +258,24 @@
         response.content_length = body.size
         self._set_head(response, head)
         await response.prepare(request)
-        await body.write(request, response)
+        await self._write_buffered(request, job, response, body)
         await response.write_eof()
         return response
 
+    async def _write_buffered(
+        self,
+        request: web.BaseRequest,
+        job: Job,
+        response: web.StreamResponse,
+        body: BufferedBody,
+    ) -> None:
+        why = "not read by its caller, and others need the memory"
+        await body.write(
+            request,
+            response,
+            lambda: self._abort_response(request, job, response, why),
+        )
+
     def _set_head(
         self, response: web.StreamResponse, head: ResponseHead
     ) -> None:
--- a/libs/forward/src/rattanmill_forward/writing.py
+++ b/libs/forward/src/rattanmill_forward/writing.py
@@ -4,6 +4,7 @@
 beginning of a response that is buffered before the caller gets any of it.
 """
 
+from collections.abc import Callable
 from typing import Self
 
 from rattanmill_core import HeldMemory
@@ -60,22 +61,23 @@
         )
 
     async def write(
-        self, request: web.BaseRequest, response: web.StreamResponse
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        abort: Callable[[], object],
     ) -> None:
         """Writes it, and gives back the memory of what was written.
 
-        If its caller reads next to nothing and others need the memory, the
-        connection is closed.
+        Args:
+            request: The caller's request.
+            response: Its response, which has begun.
+            abort: Called if the caller reads next to nothing, and others need
+                the memory.
         """
-        self.held.begin(lambda: _abort(request))
+        self.held.begin(abort)
         for index, piece in enumerate(self.pieces):
             await write_paced(request, response, piece)
             self.pieces[index] = b""
             self.held.receive(len(piece))
             self.held.shrink(min(len(piece), self.held.size))
         self.held.finish()
-
-
-def _abort(request: web.BaseRequest) -> None:
-    if request.transport is not None:
-        request.transport.abort()
--- a/libs/wire/src/rattanmill_wire/parts.py
+++ b/libs/wire/src/rattanmill_wire/parts.py
@@ -1,8 +1,8 @@
 """Long requests between instances, which are sent in parts.
 
-ZeroMQ holds each message until it is whole, whoever sends it, and reports
-nothing of it before. A server therefore accepts short messages only, and
-reserves the memory for a long request when its first part arrives.
+ZeroMQ holds each message until it is whole, and reports nothing of it before. A
+server therefore accepts short messages only, and reserves the memory for a long
+request when its first part arrives.
 """
 
 import enum
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -299,7 +299,8 @@
     context.response = _Response(context.budget)
     with _buffered(context.budget) as body:
         context.pieces = body.pieces[:]
-        asyncio.run(body.write(_Request(), context.response))
+        request = _Request()
+        asyncio.run(body.write(request, context.response, request.abort))
 
 
 @then("its memory is given back piece by piece")
@@ -320,7 +321,7 @@
     context.scenario_stack.callback(context.loop.close)
     response = _Response(context.budget)
     writes = [
-        context.loop.create_task(body.write(request, response))
+        context.loop.create_task(body.write(request, response, request.abort))
         for body, request in zip(context.bodies, context.requests, strict=True)
     ]
     context.loop.run_until_complete(asyncio.wait(writes[1:]))
