Adapt what is held for requests to what the process takes

What a process takes besides requests was a constant, 52 MB.

A process that is larger than the constant says so with memory_short once the least is left.

held_memory.feature has the decisions.

--- a/libs/core/src/rattanmill_core/__init__.py
+++ b/libs/core/src/rattanmill_core/__init__.py
@@ -22,6 +22,7 @@
     wall_seconds,
     warn_event,
 )
+from rattanmill_core.heap import return_large_blocks
 from rattanmill_core.instance import InstanceSettings, RateBounds
 from rattanmill_core.lateness import watch_turns
 from rattanmill_core.lazy import import_on_use
@@ -34,11 +35,11 @@
 from rattanmill_core.loops import LoopShare, start_loop
 from rattanmill_core.memory import (
     HeldMemory,
+    MemoryAdaptation,
     MemoryBudget,
     Progress,
     bodies_bytes,
     choose_revoked,
-    return_large_blocks,
 )
 from rattanmill_core.metrics import Metrics
 from rattanmill_core.notes import Aspect, CrashNote, EndpointNote, Sign
@@ -93,6 +94,7 @@
     "InvariantError",
     "LoopShare",
     "METRICS_PORT",
+    "MemoryAdaptation",
     "MemoryBudget",
     "Metrics",
     "MetricsServer",
--- a/libs/core/src/rattanmill_core/memory.py
+++ b/libs/core/src/rattanmill_core/memory.py
@@ -6,13 +6,14 @@
 theirs back; otherwise the new one is refused.
 """
 
-import ctypes
+import asyncio
 from collections.abc import Callable, Iterable
 from typing import Self
 
 import msgspec
 
-from rattanmill_core.events import loop_seconds
+from rattanmill_core import heap
+from rattanmill_core.events import RepeatedEvent, loop_seconds
 
 _MB = 1024 * 1024
 # Memory of a process that has served calls for a while, without what it holds
@@ -31,31 +32,22 @@
 # A message that arrives more slowly, on average since it began, has stalled.
 _STALLED_SECONDS = 1.0
 _LEAST_BYTES_PER_SECOND = 16 * 1024
-# Parameters of the C library's ``mallopt``.
-_TRIM_THRESHOLD = -1
-_MMAP_THRESHOLD = -3
-_LARGE_BLOCK_BYTES = 128 * 1024
+# What has to be given back before the free memory between other blocks, which
+# has to be searched for, is returned.
+_SEARCHED_BYTES = 4 * _MB
+_ADAPT_INTERVAL_SECONDS = 0.5
 
 
-def bodies_bytes(memory_bytes: int) -> int:
-    """Returns how much of a machine's memory may be held for requests."""
-    free_bytes = memory_bytes - _BASE_BYTES
-    return max(_MIN_BODIES_BYTES, int(free_bytes * _BODIES_SHARE))
-
+def bodies_bytes(memory_bytes: int, own_bytes: int = _BASE_BYTES) -> int:
+    """Returns how much of a machine's memory may be held for requests.
 
-def return_large_blocks() -> None:
-    """Has the C library return large blocks of memory as they are freed.
-
-    By default it raises its thresholds with the blocks that it sees, and keeps
-    hundreds of megabytes after a few rounds of large bodies.
+    Args:
+        memory_bytes: Memory of the machine.
+        own_bytes: What the process takes of it besides, if that is more than
+            usual.
     """
-    try:
-        mallopt = ctypes.CDLL(None).mallopt
-    except (AttributeError, OSError):
-        # Another C library, which has no such thresholds.
-        return
-    mallopt(_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES)
-    mallopt(_TRIM_THRESHOLD, _LARGE_BLOCK_BYTES)
+    free_bytes = memory_bytes - max(own_bytes, _BASE_BYTES)
+    return max(_MIN_BODIES_BYTES, int(free_bytes * _BODIES_SHARE))
 
 
 class Progress(msgspec.Struct):
@@ -159,6 +151,7 @@
         """Gives a part back."""
         self.size -= size
         self.budget.held_bytes -= size
+        self.budget.returned_bytes += size
         if self.size <= _LARGE_BYTES:
             self.budget.large.discard(self)
 
@@ -174,6 +167,7 @@
         limit_bytes: Maximum of ``held_bytes``. One large request at a time may
             exceed it, so that the largest that is allowed is served.
         held_bytes: Reserved bytes.
+        returned_bytes: Bytes that were given back so far.
         large: Large reservations.
         arriving: Memory of requests that have not arrived as a whole.
 
@@ -184,6 +178,7 @@
     def __init__(self, limit_bytes: int = _DEFAULT_LIMIT_BYTES) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.returned_bytes = 0
         self.large: set[HeldMemory] = set()
         self.arriving: dict[HeldMemory, Progress] = {}
 
@@ -227,6 +222,49 @@
         revoke()
 
 
+class MemoryAdaptation:
+    """Adapts a budget to what the process takes besides.
+
+    That depends on the platform, and grows with the connections and calls that
+    it has served: what was freed stays in its heap, in part.
+
+    Attributes:
+        searched_at: Bytes that had been given back when free memory was last
+            returned.
+
+    Args:
+        budget: The budget.
+        memory_bytes: Memory of the machine.
+    """
+
+    def __init__(self, budget: MemoryBudget, memory_bytes: int) -> None:
+        self.budget = budget
+        self.memory_bytes = memory_bytes
+        self.searched_at = 0
+        self.shortage = RepeatedEvent("memory_short")
+
+    async def run(self) -> None:
+        """Adapts the budget until it is cancelled."""
+        while True:
+            await asyncio.sleep(_ADAPT_INTERVAL_SECONDS)
+            self.adapt()
+
+    def adapt(self) -> None:
+        """Returns what is free, and sets the limit by what is in use."""
+        returned_bytes = self.budget.returned_bytes
+        if returned_bytes - self.searched_at >= _SEARCHED_BYTES:
+            self.searched_at = returned_bytes
+            heap.return_free_blocks()
+        resident_bytes = heap.resident_bytes()
+        if resident_bytes is None:
+            return
+        own_bytes = resident_bytes - self.budget.held_bytes
+        limit_bytes = bodies_bytes(self.memory_bytes, own_bytes)
+        if limit_bytes <= _MIN_BODIES_BYTES < self.budget.limit_bytes:
+            self.shortage.record(own_bytes=own_bytes, limit_bytes=limit_bytes)
+        self.budget.limit_bytes = limit_bytes
+
+
 def choose_revoked(
     arriving: Iterable[tuple[HeldMemory, Progress]],
     needed_bytes: float,
--- a/libs/entry/src/rattanmill_entry/daemon.py
+++ b/libs/entry/src/rattanmill_entry/daemon.py
@@ -11,6 +11,7 @@
 from rattanmill_core import (
     ACCEPTED_AT_ONCE,
     ConfigDocument,
+    MemoryAdaptation,
     MemoryBudget,
     Metrics,
     Settings,
@@ -21,6 +22,7 @@
     lengthen_queue,
     open_listening,
     part_logger,
+    start_loop,
 )
 from rattanmill_entry.access import (
     AccessFiles,
@@ -107,6 +109,9 @@
         await stack.enter_async_context(watch)
         await stack.enter_async_context(node.memory)
         await stack.enter_async_context(ownership)
+        memory = MemoryAdaptation(node.bodies, settings.memory_mb * _MB)
+        adaptation = start_loop("adaptation to memory", memory.run())
+        stack.callback(adaptation.cancel)
         runner = await _listen(node, files)
         stack.push_async_callback(runner.cleanup)
         limit = ConnectionLimit(node, runner.server)
--- a/libs/forward/src/rattanmill_forward/daemon.py
+++ b/libs/forward/src/rattanmill_forward/daemon.py
@@ -9,6 +9,7 @@
 
 from rattanmill_core import (
     InstanceSettings,
+    MemoryAdaptation,
     MemoryBudget,
     Metrics,
     MetricsServer,
@@ -221,6 +222,9 @@
         stack.callback(loads.cancel)
         domain_checks = start_loop("failure domains", domains.run())
         stack.callback(domain_checks.cancel)
+        memory = MemoryAdaptation(front_end.memory, settings.memory_bytes)
+        adaptation = start_loop("adaptation to memory", memory.run())
+        stack.callback(adaptation.cancel)
         turns = start_loop("turns of the event loop", watch_turns(metrics))
         stack.callback(turns.cancel)
         server = await listen(
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -78,3 +78,34 @@
     When a caller reads nothing of a buffered response for 2 seconds
     And requests of 8 MB arrive
     Then the connection of that caller is closed, and no other
+
+  Scenario Outline: A process that takes more than usual
+    Guards against a front end that outgrows its machine, as it holds what fits
+    beside a smaller process.
+
+    Given a machine of 88 MB, whose process takes <own> MB and holds <held> MB for requests
+    When the budget is adapted
+    Then <limit> MB may be held for requests
+
+    Examples:
+      | own | held | limit |
+      | 40  | 0    | 14.4  |
+      | 52  | 0    | 14.4  |
+      | 62  | 0    | 10.4  |
+      | 62  | 10   | 10.4  |
+      | 77  | 0    | 4.4   |
+      | 87  | 0    | 4     |
+      | 95  | 2    | 4     |
+
+  Scenario: Memory between blocks in use
+    Guards against free memory that stays in the heap, and against a search for
+    it in calm.
+
+    Given a machine of 88 MB, whose process takes 60 MB and holds 0 MB for requests
+    When bodies of 3000 KB, 2000 KB, 100 KB, 4100 KB and 1 KB come and go, and the budget is adapted after each
+    Then free memory was searched for after the second and the fourth of them
+
+  Scenario: The process's memory isn't known
+    Given a machine of 88 MB, whose process takes unknown memory
+    When the budget is adapted
+    Then 14.4 MB may be held for requests
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -6,13 +6,19 @@
 
 from behave import given, then, when
 
-from rattanmill_core import MemoryBudget, Metrics
+from rattanmill_core import (
+    MemoryAdaptation,
+    MemoryBudget,
+    Metrics,
+    bodies_bytes,
+)
 from rattanmill_forward.connections import ConnectionTable, ReadShares
 from rattanmill_forward.writing import BufferedBody
 
 _KB = 1024
 _MB = 1024 * 1024
 _CLOCK = "rattanmill_core.memory.loop_seconds"
+_HEAP = "rattanmill_core.memory.heap"
 _LIMIT_BYTES = 8 * _MB
 _COUNTS = (1, 2, 10, 60, 300, 1000)
 
@@ -341,3 +347,62 @@
 @then("the connection of that caller is closed, and no other")
 def step_closed_for_others(context):
     assert [r.is_aborted for r in context.requests] == [True, False]
+
+
+def _start_adaptation(context, machine, resident_bytes):
+    start_clock(context)
+    patch = mock.patch(_HEAP)
+    context.heap = patch.start()
+    context.scenario_stack.callback(patch.stop)
+    context.heap.resident_bytes.return_value = resident_bytes
+    memory_bytes = machine * _MB
+    context.budget = MemoryBudget(bodies_bytes(memory_bytes))
+    context.adaptation = MemoryAdaptation(context.budget, memory_bytes)
+
+
+@given(
+    "a machine of {machine:d} MB, whose process takes {own:d} MB and holds"
+    " {held:d} MB for requests"
+)
+def step_machine(context, machine, own, held):
+    _start_adaptation(context, machine, (own + held) * _MB)
+    assert context.budget.hold().grow(held * _MB)
+
+
+@given("a machine of {machine:d} MB, whose process takes unknown memory")
+def step_unknown(context, machine):
+    _start_adaptation(context, machine, None)
+
+
+@when("the budget is adapted")
+def step_adapt(context):
+    asyncio.run(_adapt(context))
+
+
+async def _adapt(context):
+    context.adaptation.adapt()
+
+
+@then("{limit:g} MB may be held for requests")
+def step_limit_adapted(context, limit):
+    assert abs(context.budget.limit_bytes - limit * _MB) < 1, (
+        context.budget.limit_bytes / _MB
+    )
+
+
+@when(
+    "bodies of 3000 KB, 2000 KB, 100 KB, 4100 KB and 1 KB come and go, and the"
+    " budget is adapted after each"
+)
+def step_come_and_go(context):
+    context.searches = []
+    for size in (3000, 2000, 100, 4100, 1):
+        with context.budget.hold() as held:
+            assert held.grow(size * _KB)
+        asyncio.run(_adapt(context))
+        context.searches.append(context.heap.return_free_blocks.call_count)
+
+
+@then("free memory was searched for after the second and the fourth of them")
+def step_searches(context):
+    assert context.searches == [0, 1, 1, 2, 2], context.searches
