Don't count an emptied instance once it is closed

A small system empties a storage instance, and the one that succeeded it loses its disk. Programs that begin then get 40 of 80 tokens, then 503 for good: a part is set aside for both, as both may have granted alone, and only the lost disk could tell.

The emptied instance knows better before it goes. It tells now that it begins nothing any more, once its successor is on its disk and confirmed; what it has granted was told before, or it still counts as one that has begun. A machine that registers with its name again counts anew.

--- a/libs/keeper/src/rattanmill_keeper/isolation.py
+++ b/libs/keeper/src/rattanmill_keeper/isolation.py
@@ -84,6 +84,7 @@
         lost_run_noticed_at: When the run with the lost disk was certainly lost.
         has_begun: Whether it had begun programs alone lately, as it said, that
             this instance has not been told yet.
+        is_closed: Whether it begins none any more, as it said.
     """
 
     domain: str | None
@@ -98,6 +99,7 @@
     asked_before_at: float | None = None
     lost_run_noticed_at: float | None = None
     has_begun: bool = False
+    is_closed: bool = False
 
     def update(self, reply: "Contact", run: str, now: float) -> None:
         """Records a reply.
@@ -114,6 +116,7 @@
             self.was_unable = self.is_unable(reply.heard_at)
         self.may_have_lost_share = reply.may_have_lost_share
         self.alone_at = reply.alone_at
+        self.is_closed = reply.is_closed
         self.heard_at = reply.heard_at
         self.missed_at = None
         # What a lost disk had shown of it still holds.
@@ -155,7 +158,8 @@
         """Whether it can't have granted alone, and can't begin to."""
         if self.may_have_lost_share:
             return self.was_unable
-        return now < self.alone_at and not self.has_begun
+        is_able = now >= self.alone_at and not self.is_closed
+        return not (is_able or self.has_begun)
 
     @property
     def lost_at(self) -> float | None:
--- a/libs/keeper/src/rattanmill_keeper/members.py
+++ b/libs/keeper/src/rattanmill_keeper/members.py
@@ -333,6 +333,7 @@
             alone_at,
             may_have_lost_share,
             has_begun=news.has_begun and not is_told,
+            is_closed=news.is_closed,
         )
         contact = self.contacts.get(member.name)
         if contact is None or contact.domain != member.domain:
@@ -558,9 +559,18 @@
     def record_registration(self, member: Member) -> None:
         """Records a member as it is registered."""
         self.record_seen(member.name, member.run)
+        before = self.known.get(member.name)
+        if before is None or before.run != member.run:
+            self._reopen(member.name)
         self.known[member.name] = member
         self._record_share_size(member)
 
+    def _reopen(self, name: str) -> None:
+        """Drops that a member was closed, as its name may be in use again."""
+        contact = self.contacts.get(name)
+        if contact is not None:
+            contact.is_closed = False
+
     def is_first_run(self, name: str, run: str) -> bool:
         """Whether a member is in its first run, with a disk that was empty."""
         return self.first_runs.get(name) == run
--- a/libs/keeper/src/rattanmill_keeper/messages.py
+++ b/libs/keeper/src/rattanmill_keeper/messages.py
@@ -739,6 +739,8 @@
         grants: What this instance has granted alone to programs in these
             entries that it began and that may still go on.
         held_off_seconds: For how long it begins no programs alone.
+        is_closed: Whether it begins none any more, as another instance holds
+            its accounts.
     """
 
     run: str
@@ -762,6 +764,7 @@
     lost_grants: list[Grant] = []
     grants: list[Grant] = []
     held_off_seconds: float = 0.0
+    is_closed: bool = False
 
 
 class FetchAccounts(msgspec.Struct, tag=40):
--- a/tests/features/lost_disks.feature
+++ b/tests/features/lost_disks.feature
@@ -33,6 +33,27 @@
     When the hold-off of an isolated instance ends and it restarts
     Then it begins no programs alone until it has followed the others
 
+  Scenario Outline: An instance that succeeded an emptied one loses its disk
+    Guards against a part for both that is set aside for good: only the lost
+    disk could tell what either of them has granted alone.
+
+    When an instance is emptied <when>, and <seconds> s later the one that succeeded it loses its disk
+    Then a program that begins meanwhile gets all of its budget
+
+    Examples:
+      | when                | seconds |
+      | soon after a start  | 1       |
+      | soon after a start  | 140     |
+      | long after a start  | 1       |
+      | long after a start  | 140     |
+
+  Scenario: A machine has the name of one that was emptied
+    Guards against tokens that are granted twice: the emptied one had told that
+    it grants nothing alone any more, and the new one may.
+
+    When an emptied instance is gone, and another machine registers with its name
+    Then the new one counts as one that may have granted alone, and the old one did not
+
   Scenario: An instance that has begun a program alone loses its disk
     Guards against a part for it that is set aside for good: another instance
     had lost its disk before, so two of them can't tell what they granted.
--- a/tests/features/steps/lost_disks.py
+++ b/tests/features/steps/lost_disks.py
@@ -1,5 +1,6 @@
 """Steps about budgets while disks are lost one after the other."""
 
+import contextlib
 import tempfile
 import types
 import unittest.mock
@@ -11,6 +12,7 @@
 from rattanmill_keeper.grants import ToldGrants
 from rattanmill_keeper.members import SHARES_SECONDS
 from support.keepers import FollowingNetwork
+from support.orders import OrderRunner
 from support.outages import (
     BUDGET,
     OUTAGES,
@@ -24,7 +26,7 @@
     play_outages,
     virtual_clocks,
 )
-from support.stories import OperationRunner, run_operations
+from support.stories import NAMES, OperationRunner, run_operations
 from support.virtual import run_virtually
 
 _SETTINGS = hypothesis.settings(
@@ -150,6 +152,80 @@
             await network.stop_all()
 
 
+async def _empty(network, before):
+    """Empties "c" without another one in its place."""
+    await network.start_all()
+    runner = OrderRunner(network)
+    runner.budget, runner.tokens = BUDGET, TOKENS
+    emptied = [("wait", 4), ("order_without_new", "c"), ("wait", 4)]
+    await runner.run([("wait", before), *emptied])
+    assert network.names == ["a", "b"], network.names
+    assert network.members["a"].successors == {"c": "b"}
+    return runner
+
+
+@contextlib.contextmanager
+def _small_network():
+    with tempfile.TemporaryDirectory() as folder, virtual_clocks():
+        yield FollowingNetwork(folder, list(NAMES))
+
+
+async def _lose_successor(before, seconds):
+    """Returns the tokens that a program got, as it asked for more."""
+    with _small_network() as network:
+        try:
+            runner = await _empty(network, before)
+            await runner.run([("wait", seconds), ("wipe", "b"), ("wait", 1)])
+            await runner.run(_ASK_AT_A)
+            await runner.run([("wait", 20), *_ASK_AT_A])
+        finally:
+            await network.stop_all()
+    return runner.used
+
+
+_ASK_AT_A = [("reserve", "a")] * (2 * BUDGET // TOKENS)
+_BEFORE_SECONDS = {"soon after a start": 12, "long after a start": 150}
+
+
+@when(
+    "an instance is emptied {when}, and {seconds:d} s later the one that"
+    " succeeded it loses its disk"
+)
+def step_successor_lost(context, when, seconds):
+    before = _BEFORE_SECONDS[when]
+    context.used = run_virtually(_lose_successor(before, seconds))
+
+
+async def _use_name_again():
+    """Returns whether the old and the new "c" can't have granted alone."""
+    with _small_network() as network:
+        try:
+            await _empty(network, _BEFORE_SECONDS["long after a start"])
+            members = network.members["a"]
+            old = "c" in members.unable()
+            network.names.append("c")
+            await network.start("c")
+            network.introduce(members, "c")
+            return old, "c" in members.unable()
+        finally:
+            await network.stop_all()
+
+
+@when(
+    "an emptied instance is gone, and another machine registers with its name"
+)
+def step_name_again(context):
+    context.unable = run_virtually(_use_name_again())
+
+
+@then(
+    "the new one counts as one that may have granted alone, and the old one did"
+    " not"
+)
+def step_counts_again(context):
+    assert context.unable == (True, False), context.unable
+
+
 _BOTH_BEGIN = [
     *[("wait", 12), ("isolate", "a"), ("isolate", "c"), ("wait", 1)],
     *[("reserve", "a"), ("reserve", "c"), ("heal", "a"), ("wait", 4)],
