--- a/libs/entry/src/rattanmill_entry/bodies.py
+++ b/libs/entry/src/rattanmill_entry/bodies.py
@@ -87,8 +87,13 @@
                 return _memory_exhausted()
     except _StalledError:
         return _memory_exhausted()
-    held.finish()
-    return bytes(body)
+    else:
+        held.finish()
+        return bytes(body)
+    finally:
+        # An error that ends the body, and is kept with it, refers to this
+        # frame.
+        body.clear()
 
 
 def _too_large(max_bytes: int) -> Refusal:
--- a/tests/features/steps/freed_memory.py
+++ b/tests/features/steps/freed_memory.py
@@ -12,7 +12,8 @@
 from steps.endless import make_codec
 
 from rattanmill_core import MemoryBudget, Metrics
-from rattanmill_forward.bodies import BodyStream, read_body
+from rattanmill_entry import bodies as daemon_bodies
+from rattanmill_forward import bodies as front_bodies
 from rattanmill_forward.endpoints import Endpoint
 from rattanmill_forward.exchange import ConnectionPool, OutcomeUnknown
 
@@ -34,28 +35,57 @@
     context.held = tracemalloc.get_traced_memory()[0] - before
 
 
-async def _read_part(size, end):
+class _Request(dict):
+    """What is read of a request of either server."""
+
+    def __init__(self, content, content_length):
+        super().__init__()
+        self.content = content
+        self.content_length = content_length
+        self.headers = {}
+
+
+def _read_at_front(request, held):
+    return front_bodies.read_body(request, _MAX_BYTES, True, held)
+
+
+def _read_at_daemon(request, held):
+    settings = SimpleNamespace(
+        receive_seconds=_WAIT_SECONDS, body_bytes=_MAX_BYTES
+    )
+    daemon_bodies.hold_memory(request, held)
+    return daemon_bodies.read_body(SimpleNamespace(settings=settings), request)
+
+
+_READERS = {"front end": _read_at_front, "daemon": _read_at_daemon}
+
+
+async def _read_part(read, size, end):
     """Reads a part of a body, until something ends it.
 
     Args:
+        read: Function of the request and its memory that reads the body.
         size: Bytes that arrive.
         end: Function of the request and its memory that ends it.
     """
-    loop = asyncio.get_running_loop()
-    content = StreamReader(mock.Mock(), _MAX_BYTES, loop=loop)
-    request = SimpleNamespace(
-        content=content, content_length=_MAX_BYTES, headers={}
-    )
+    request = _Request(_new_content(), _MAX_BYTES)
     held = MemoryBudget().hold()
-    reading = asyncio.create_task(read_body(request, _MAX_BYTES, True, held))
+    reading = asyncio.create_task(read(request, held))
     for _ in range(size // _CHUNK_BYTES):
-        content.feed_data(bytes(_CHUNK_BYTES))
         await asyncio.sleep(0)
+        request.content.feed_data(bytes(_CHUNK_BYTES))
+    await asyncio.sleep(0)
     end(request, held)
     with contextlib.suppress(ConnectionError):
         await reading
 
 
+def _new_content():
+    return StreamReader(
+        mock.Mock(), _MAX_BYTES, loop=asyncio.get_running_loop()
+    )
+
+
 def _revoke(request, held):
     held.revoke()
 
@@ -70,23 +100,21 @@
 }
 
 
-@when("{size:d} bytes of a body have been read, and {what}")
-def step_read_part(context, size, what):
+@when("{size:d} bytes of a body have been read by a {reader}, and {what}")
+def step_read_part(context, size, reader, what):
+    read, end = _READERS[reader], _ENDS[what]
     # What is imported and cached at first use is no part of it.
-    asyncio.run(_read_part(_CHUNK_BYTES, _ENDS[what]))
+    asyncio.run(_read_part(read, _CHUNK_BYTES, end))
     with _traced(context):
-        asyncio.run(_read_part(size, _ENDS[what]))
+        asyncio.run(_read_part(read, size, end))
 
 
 def _broken_off(size):
     """Returns the rest of a body whose caller has disconnected."""
-    content = StreamReader(
-        mock.Mock(), _MAX_BYTES, loop=asyncio.get_running_loop()
-    )
-    request = SimpleNamespace(content=content, content_length=2 * size)
+    request = _Request(_new_content(), 2 * size)
     _disconnect(request, None)
     held = MemoryBudget().hold()
-    return BodyStream(request, size, _MAX_BYTES, held).chunks()
+    return front_bodies.BodyStream(request, size, _MAX_BYTES, held).chunks()
 
 
 async def _forward(size):
