--- a/libs/core/src/rattanmill_core/memory.py
+++ b/libs/core/src/rattanmill_core/memory.py
@@ -229,7 +229,7 @@
     it has served: what was freed stays in its heap, in part.
 
     Attributes:
-        searched_at: Bytes that had been given back when free memory was last
+        searched_bytes: Bytes that had been given back when free memory was last
             returned.
 
     Args:
@@ -240,7 +240,7 @@
     def __init__(self, budget: MemoryBudget, memory_bytes: int) -> None:
         self.budget = budget
         self.memory_bytes = memory_bytes
-        self.searched_at = 0
+        self.searched_bytes = 0
         self.shortage = RepeatedEvent("memory_short")
 
     async def run(self) -> None:
@@ -252,8 +252,8 @@
     def adapt(self) -> None:
         """Returns what is free, and sets the limit by what is in use."""
         returned_bytes = self.budget.returned_bytes
-        if returned_bytes - self.searched_at >= _SEARCHED_BYTES:
-            self.searched_at = returned_bytes
+        if returned_bytes - self.searched_bytes >= _SEARCHED_BYTES:
+            self.searched_bytes = returned_bytes
             heap.return_free_blocks()
         resident_bytes = heap.resident_bytes()
         if resident_bytes is None:
